Core tables, settings, engine model and stand-ins

Cause: nothing stood yet; the whole path needs decisions without input or output, settings that report all findings at once, and faces to test against. Change: trouttrack_core (retry rule as a table, token cursor, fair queue, routing policies, length quantiles), trouttrack_config (INI with lines, fleet parts under one root), trouttrack_telemetry, trouttrack_engine (batching model) and trouttrack_standin (engine, plain service, object API with faults). Conclusion: the gateway can be built on these.

--- /dev/null
+++ b/trouttrack_config/src/settings/keys.rs
@@ -0,0 +1,145 @@
+//! Every settings key with its unit, default and meaning.
+//!
+//! The reference page and the check for unknown keys both read this table.
+
+use std::fmt::Write as _;
+
+/// A program that reads settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Program {
+    /// `trouttrack_gateway`
+    Gateway,
+    /// `trouttrack_controller`
+    Controller,
+}
+
+/// One key.
+#[derive(Clone, Copy, Debug)]
+pub struct KeySpec {
+    /// The section that it stands in.
+    pub section: &'static str,
+    /// The key.
+    pub key: &'static str,
+    /// Its unit or the form of its values.
+    pub unit: &'static str,
+    /// The value when it is not given; empty if it must be given or is off.
+    pub default: &'static str,
+    /// What it does.
+    pub meaning: &'static str,
+    /// The programs that read it.
+    pub programs: &'static [Program],
+}
+
+const BOTH: &[Program] = &[Program::Gateway, Program::Controller];
+const GATEWAY: &[Program] = &[Program::Gateway];
+const CONTROLLER: &[Program] = &[Program::Controller];
+
+const fn key(
+    section: &'static str,
+    key: &'static str,
+    unit: &'static str,
+    default: &'static str,
+    programs: &'static [Program],
+    meaning: &'static str,
+) -> KeySpec {
+    KeySpec {
+        section,
+        key,
+        unit,
+        default,
+        meaning,
+        programs,
+    }
+}
+
+#[rustfmt::skip]
+const KEYS: &[KeySpec] = &[
+    key("vm", "name", "name", "", BOTH, "Name of this process among its peers. Must be given."),
+    key("vm", "failure_domain", "name", "", BOTH, "The failure domain that the VM stands in. Must be given."),
+    key("log", "format", "text or json", "text", BOTH, "Form of the log lines on standard error."),
+    key("log", "level", "error, warn, info, debug or trace", "info", BOTH, "The least severe level that is logged."),
+    key("trace", "otlp_url", "URL", "", BOTH, "Where spans are sent by OTLP over HTTP; no spans are made without it."),
+    key("trace", "sample", "0 to 1", "1", BOTH, "The share of requests without a `traceparent` that are traced."),
+    key("platform", "url", "URL", "", BOTH, "The platform's object API. Must be given."),
+    key("platform", "timeout", "duration", "2s", BOTH, "How long one call to the platform may take; a watch may wait longer."),
+    key("platform", "calls_per_second", "calls/s", "20", BOTH, "The most calls that this process makes to the platform, retries and watches included."),
+    key("rpc", "listen", "IP:port", "127.0.0.1:0", BOTH, "Where peers reach this process."),
+    key("rpc", "peers", "IP:port list", "", BOTH, "Gateways that are asked for their configuration while the platform is down, and whose requests are shown."),
+    key("tls", "certificate", "file", "", BOTH, "PEM certificate chain of the public face; TLS is off without it."),
+    key("tls", "key", "file", "", BOTH, "PEM private key of the certificate."),
+    key("tls", "reload", "duration", "10s", BOTH, "How often both files are looked at for change; connections stay open."),
+    key("caller", "listen", "IP:port", "127.0.0.1:8080", GATEWAY, "Where callers connect."),
+    key("caller", "workers", "threads", "2", GATEWAY, "Threads that serve callers."),
+    key("caller", "max_body", "size", "1MiB", GATEWAY, "The largest request body."),
+    key("caller", "read_timeout", "duration", "10s", GATEWAY, "How long a caller may take to send its headers, and again its body."),
+    key("caller", "max_connections", "connections", "8192", GATEWAY, "Open caller connections for each thread."),
+    key("caller", "handle_secret", "text", "", GATEWAY, "Seals the handles by which callers come back; the same on every gateway of a fleet. Must be given."),
+    key("caller", "drain", "duration", "10m", GATEWAY, "How long a planned stop waits for requests in progress."),
+    key("caller", "drain_notice", "duration", "5s", GATEWAY, "How long `/readyz` says no before a planned stop closes the port."),
+    key("upstream", "connect_timeout", "duration", "1s", GATEWAY, "How long a connection to an upstream may take."),
+    key("upstream", "first_token", "duration", "30s", GATEWAY, "How long an engine may be silent before its first token; then it is probed."),
+    key("upstream", "token_gap", "duration", "5s", GATEWAY, "How long an engine may be silent between tokens; then it is probed."),
+    key("upstream", "probe", "duration", "1s", GATEWAY, "How long an upstream has to answer a probe, a cancel or a fence."),
+    key("upstream", "attempts", "attempts", "3", GATEWAY, "The most hand-overs of one request."),
+    key("upstream", "resumes", "attempts", "5", GATEWAY, "The most times in a row that a stream is attached to again without a new token."),
+    key("upstream", "report_interval", "duration", "500ms", GATEWAY, "How often load reports are asked for."),
+    key("upstream", "retry_ratio", "0 to 1", "0.1", GATEWAY, "Retries allowed for each first attempt, per service."),
+    key("admission", "policy", "policy", "trouttrack", GATEWAY, "trouttrack, random, round-robin, least-outstanding or two-choices."),
+    key("admission", "ageing", "duration", "5s", GATEWAY, "How much longer each priority may wait than the one above it."),
+    key("admission", "max_wait", "duration", "30s", GATEWAY, "A request that has waited this long goes before all shares."),
+    key("admission", "max_queued", "requests", "2000", GATEWAY, "Requests that wait; beyond it they are refused as not run."),
+    key("admission", "urgent_reserve", "0 to 0.9", "0.1", GATEWAY, "Share of an engine's memory kept free for the most urgent priority."),
+    key("admission", "growth_quantile", "0.5 to 0.99", "0.8", GATEWAY, "Quantile of the remaining tokens that the memory forecast uses."),
+    key("admission", "tick", "duration", "5ms", GATEWAY, "How often the systems run over the tables."),
+    key("admin", "listen", "IP:port", "127.0.0.1:8081", CONTROLLER, "Where operators connect."),
+    key("admin", "key", "role:key list", "", CONTROLLER, "Operators' keys, each `name:role:key` with role viewer or operator. Must be given."),
+    key("admin", "max_body", "size", "1MiB", CONTROLLER, "The largest request body."),
+    key("admin", "in_force_timeout", "duration", "5s", CONTROLLER, "How long a change waits to be in force on every gateway before the answer names those that lag."),
+];
+
+/// The keys that a program reads, in the order of the reference page.
+///
+/// # Examples
+///
+/// ```
+/// use trouttrack_config::settings::{keys_of, Program};
+/// assert!(keys_of(Program::Gateway).any(|k| k.key == "attempts"));
+/// assert!(!keys_of(Program::Controller).any(|k| k.key == "attempts"));
+/// ```
+pub fn keys_of(program: Program) -> impl Iterator<Item = &'static KeySpec> {
+    KEYS.iter().filter(move |k| k.programs.contains(&program))
+}
+
+/// The reference page, in Markdown.
+#[must_use]
+pub fn reference() -> String {
+    let mut out = String::from(
+        "# Settings\n\nWritten from the key table of `trouttrack_config`; a test keeps it true.\n\
+         Each program reads one INI file (`--settings FILE`) and refuses keys that it does not know.\n",
+    );
+    let mut section = "";
+    for k in KEYS {
+        if k.section != section {
+            section = k.section;
+            let _ = write!(
+                out,
+                "\n## `[{section}]`\n\n| key | unit | default | read by | meaning |\n| --- | --- | --- | --- | --- |\n"
+            );
+        }
+        let default = match k.default {
+            "" => "none".to_owned(),
+            d => format!("`{d}`"),
+        };
+        let read_by = match k.programs.len() {
+            1 if k.programs[0] == Program::Gateway => "gateway",
+            1 => "controller",
+            _ => "both",
+        };
+        let _ = writeln!(
+            out,
+            "| `{}` | {} | {default} | {read_by} | {} |",
+            k.key, k.unit, k.meaning
+        );
+    }
+    out
+}
--- /dev/null
+++ b/trouttrack_config/src/settings/mod.rs
@@ -0,0 +1,15 @@
+//! The settings of one process.
+
+mod common;
+mod controller;
+mod gateway;
+mod keys;
+mod load;
+
+pub use common::{
+    LogFormat, LogSettings, PlatformSettings, RpcSettings, TlsSettings, TraceSettings, VmSettings,
+};
+pub use controller::{AdminSettings, ControllerSettings, OperatorKey, Role};
+pub use gateway::{AdmissionSettings, CallerSettings, GatewaySettings, UpstreamSettings};
+pub use keys::{KeySpec, Program, keys_of, reference};
+pub use load::{Sections, Settings, load, load_text};
--- /dev/null
+++ b/trouttrack_core/src/lib.rs
@@ -0,0 +1,27 @@
+//! Tables, decisions and the request state machine of trouttrack.
+//!
+//! This crate does no input or output, reads no clock and starts no thread.
+//! Time is a [`Time`] passed in by the caller and randomness is a seeded
+//! generator, so every decision can be replayed.
+//!
+//! - [`request`] is the state machine of one request and its retry rule.
+//! - [`world`] holds the tables and the systems that run over them each tick.
+//! - [`routing`] chooses an upstream; the baselines live beside the default.
+//! - [`length`] learns how many tokens remain.
+
+pub mod ids;
+pub mod length;
+pub mod outcome;
+pub mod prefix;
+pub mod request;
+pub mod routing;
+pub mod upstream;
+pub mod world;
+
+mod debug_asserts;
+
+pub use ids::{
+    ConfigVersion, FailureDomain, Generation, OrganisationId, RequestId, ServiceId, StreamId, Time,
+    TokenIndex, UpstreamId,
+};
+pub use outcome::Outcome;
--- /dev/null
+++ b/trouttrack_core/src/prefix.rs
@@ -0,0 +1,50 @@
+//! Hashes of prompt prefixes, as engines name them in their cache events.
+//!
+//! A prompt is cut into blocks of [`BLOCK_TOKENS`] tokens. The hash of a block
+//! covers all text up to its end, so equal hashes mean equal prefixes.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Tokens in a block of an engine's memory.
+pub const BLOCK_TOKENS: u64 = 16;
+/// Bytes of text taken as one token where the engine's count is not known.
+pub const BYTES_PER_TOKEN: usize = 4;
+
+const BLOCK_BYTES: usize = BLOCK_TOKENS as usize * BYTES_PER_TOKEN;
+
+/// Tokens that a text is taken to have.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(trouttrack_core::prefix::tokens_of("twelve chars"), 3);
+/// ```
+#[must_use]
+pub fn tokens_of(text: &str) -> u64 {
+    text.len().div_ceil(BYTES_PER_TOKEN) as u64
+}
+
+/// The chained hashes of the whole blocks of a prompt.
+///
+/// # Examples
+///
+/// ```
+/// use trouttrack_core::prefix::chain;
+/// let a = chain(&"a".repeat(130));
+/// let b = chain(&format!("{}{}", "a".repeat(64), "b".repeat(66)));
+/// assert_eq!(a.len(), 2);
+/// assert_eq!(a[0], b[0]);
+/// assert_ne!(a[1], b[1]);
+/// ```
+#[must_use]
+pub fn chain(prompt: &str) -> Vec<u64> {
+    let mut hash = 0;
+    prompt
+        .as_bytes()
+        .chunks_exact(BLOCK_BYTES)
+        .map(|block| {
+            hash = xxh3_64_with_seed(block, hash);
+            hash
+        })
+        .collect()
+}
--- /dev/null
+++ b/trouttrack_core/src/routing/mod.rs
@@ -0,0 +1,11 @@
+//! Choosing an upstream for a request.
+
+mod baselines;
+mod explain;
+mod policy;
+mod score;
+
+pub use baselines::{LeastOutstanding, RandomChoice, RoundRobin, TwoChoices};
+pub use explain::{CandidateNote, Explanation, ExplanationTable};
+pub use policy::{AnyPolicy, Candidate, Policy, UnknownPolicy};
+pub use score::{Scored, Weights};
--- /dev/null
+++ b/trouttrack_core/src/upstream/mod.rs
@@ -0,0 +1,7 @@
+//! The table of upstreams: engines and plain services.
+
+mod circuit;
+mod row;
+
+pub use circuit::{Circuit, CircuitState};
+pub use row::{Report, Spec, Upstream, UpstreamKey, UpstreamTable};
--- /dev/null
+++ b/trouttrack_core/src/world/mod.rs
@@ -0,0 +1,10 @@
+//! The tables of one gateway and the systems that run over them each tick.
+
+mod queue;
+mod systems;
+mod tables;
+
+pub use queue::FairQueue;
+pub use tables::{
+    Decision, Limits, NotRunReason, Request, RequestKey, Submission, World, WorldSettings,
+};
--- /dev/null
+++ b/trouttrack_core/src/world/tables.rs
@@ -0,0 +1,286 @@
+//! The tables: requests, upstreams, lengths, explanations.
+
+use super::queue::{FairQueue, Place};
+use crate::length::{LengthKey, LengthTable};
+use crate::routing::{AnyPolicy, ExplanationTable};
+use crate::upstream::{Report, Spec, UpstreamKey, UpstreamTable};
+use crate::{OrganisationId, RequestId, ServiceId, Time};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slotmap::{SlotMap, new_key_type};
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+new_key_type! {
+    /// Key of a request's row in this process.
+    pub struct RequestKey;
+}
+
+/// Requests whose decisions are kept.
+const EXPLAINED: usize = 4096;
+
+/// What one gateway needs to know to decide.
+#[derive(Clone, Debug)]
+pub struct WorldSettings {
+    /// The failure domain of this process.
+    pub failure_domain: String,
+    /// How much longer each priority class may wait than the one above it.
+    pub ageing: Duration,
+    /// A request that has waited this long is served before all shares.
+    pub max_wait: Duration,
+    /// The most requests that wait; beyond it they are refused.
+    pub max_queued: usize,
+    /// The share of an engine's memory kept free for class 0.
+    pub urgent_reserve: f64,
+    /// The quantile of remaining tokens that the memory forecast uses.
+    pub growth_quantile: f64,
+    /// The routing policy.
+    pub policy: AnyPolicy,
+    /// Seed of the generator that samples candidates.
+    pub seed: u64,
+}
+
+/// A request as the gateway submits it.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// The id that the caller was given.
+    pub id: RequestId,
+    /// Whose it is.
+    pub organisation: OrganisationId,
+    /// The organisation's weight in the fair share.
+    pub weight: f64,
+    /// The service that runs it.
+    pub service: ServiceId,
+    /// What its length is learned under.
+    pub length_key: LengthKey,
+    /// Its class; 0 is the most urgent.
+    pub priority: u8,
+    /// Tokens of its prompt (zero for plain services).
+    pub prompt_tokens: u64,
+    /// It is refused if it has not been placed by then.
+    pub deadline: Time,
+    /// The most hand-overs of this organisation at once, if limited.
+    pub max_running: Option<usize>,
+    /// Upstreams that it must not be placed on again.
+    pub avoid: Vec<String>,
+}
+
+/// One request's row.
+#[derive(Debug)]
+pub struct Request {
+    /// What was submitted.
+    pub submission: Submission,
+    /// When it was submitted.
+    pub since: Time,
+    /// The upstream that it was given to.
+    pub upstream: Option<UpstreamKey>,
+    pub(crate) forecast: f64,
+    pub(crate) place: Option<Place>,
+}
+
+/// Why a request is not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum NotRunReason {
+    /// Too many wait.
+    QueueFull,
+    /// It could not be placed before its deadline.
+    Deadline,
+    /// No upstream is configured for its service.
+    NoUpstream,
+}
+
+/// What a system decided.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// Hand the request over to this upstream.
+    Place {
+        /// The request.
+        request: RequestKey,
+        /// The upstream's name.
+        upstream: String,
+    },
+    /// Tell the caller that the request is not run.
+    Refuse {
+        /// The request.
+        request: RequestKey,
+        /// Why.
+        reason: NotRunReason,
+        /// When the caller may come back.
+        retry_after: Duration,
+    },
+}
+
+/// An organisation's running hand-overs, against its limit.
+#[derive(Debug, Default)]
+pub struct Limits {
+    running: HashMap<OrganisationId, usize>,
+}
+
+impl Limits {
+    pub(crate) fn running(&self, organisation: &str) -> usize {
+        self.running.get(organisation).copied().unwrap_or(0)
+    }
+
+    pub(crate) fn add(&mut self, organisation: &str) {
+        *self.running.entry(organisation.to_owned()).or_default() += 1;
+    }
+
+    pub(crate) fn remove(&mut self, organisation: &str) {
+        if let Some(n) = self.running.get_mut(organisation) {
+            *n = n.saturating_sub(1);
+            if *n == 0 {
+                self.running.remove(organisation);
+            }
+        }
+    }
+}
+
+/// The tables of one gateway.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use trouttrack_core::world::{World, WorldSettings};
+/// let settings = WorldSettings {
+///     failure_domain: "a".into(),
+///     ageing: Duration::from_secs(5),
+///     max_wait: Duration::from_secs(30),
+///     max_queued: 100,
+///     urgent_reserve: 0.1,
+///     growth_quantile: 0.8,
+///     policy: "trouttrack".parse().unwrap(),
+///     seed: 1,
+/// };
+/// let mut world = World::new(settings);
+/// assert!(world.tick(Duration::ZERO).is_empty());
+/// ```
+#[derive(Debug)]
+pub struct World {
+    /// All upstreams.
+    pub upstreams: UpstreamTable,
+    /// Learned lengths.
+    pub lengths: LengthTable,
+    /// The last decisions.
+    pub explanations: ExplanationTable,
+    pub(crate) settings: WorldSettings,
+    pub(crate) requests: SlotMap<RequestKey, Request>,
+    pub(crate) queue: FairQueue,
+    pub(crate) deadlines: BTreeSet<(Time, RequestKey)>,
+    pub(crate) limits: Limits,
+    pub(crate) rng: SmallRng,
+    pub(crate) refused: Vec<Decision>,
+}
+
+impl World {
+    /// Empty tables.
+    #[must_use]
+    pub fn new(settings: WorldSettings) -> Self {
+        Self {
+            upstreams: UpstreamTable::default(),
+            lengths: LengthTable::default(),
+            explanations: ExplanationTable::new(EXPLAINED),
+            queue: FairQueue::new(settings.ageing, settings.max_wait),
+            rng: SmallRng::seed_from_u64(settings.seed),
+            settings,
+            requests: SlotMap::with_key(),
+            deadlines: BTreeSet::new(),
+            limits: Limits::default(),
+            refused: Vec::new(),
+        }
+    }
+
+    /// Takes the upstreams of a new configuration.
+    pub fn configure(&mut self, specs: Vec<Spec>) {
+        self.upstreams.configure(specs);
+    }
+
+    /// Takes in an upstream's load report.
+    pub fn report(&mut self, upstream: &str, report: Report) {
+        if let Some(row) = self.row_mut(upstream) {
+            row.take_report(report);
+        }
+    }
+
+    /// Marks an upstream as leaving, or as staying after all.
+    pub fn set_leaving(&mut self, upstream: &str, leaving: bool) {
+        if let Some(row) = self.row_mut(upstream) {
+            row.leaving = leaving;
+        }
+    }
+
+    fn row_mut(&mut self, upstream: &str) -> Option<&mut crate::upstream::Upstream> {
+        let key = self.upstreams.key(upstream)?;
+        self.upstreams.get_mut(key)
+    }
+
+    /// Puts a request in the queue; the next tick decides.
+    pub fn submit(&mut self, now: Time, submission: Submission) -> RequestKey {
+        let expected = self.lengths.remaining(submission.length_key, 0, 0.5);
+        let cost = (submission.prompt_tokens as f64 + expected) / submission.weight.max(1e-3);
+        let (class, deadline) = (submission.priority, submission.deadline);
+        let organisation = submission.organisation.clone();
+        let known = !self.upstreams.serving(&submission.service).is_empty();
+        let key = self.requests.insert(Request {
+            submission,
+            since: now,
+            upstream: None,
+            forecast: 0.0,
+            place: None,
+        });
+        if !known {
+            self.refuse(key, NotRunReason::NoUpstream);
+        } else if self.queue.len() >= self.settings.max_queued {
+            self.refuse(key, NotRunReason::QueueFull);
+        } else {
+            let place = self.queue.push(key, class, &organisation, cost, now);
+            self.requests[key].place = Some(place);
+            self.deadlines.insert((deadline, key));
+        }
+        key
+    }
+
+    /// The attempt at the request's upstream is over. `fault` says whether it
+    /// failed in a way that speaks against the upstream; `tokens` is the whole
+    /// length, when the answer ended by itself.
+    pub fn ended(&mut self, now: Time, key: RequestKey, fault: bool, tokens: Option<u64>) {
+        let Some(row) = self.requests.remove(key) else {
+            return;
+        };
+        self.leave_queue(key, &row);
+        let Some(upstream) = row.upstream else {
+            return;
+        };
+        self.limits.remove(&row.submission.organisation);
+        if let Some(tokens) = tokens {
+            self.lengths.learn(row.submission.length_key, tokens);
+        }
+        if let Some(u) = self.upstreams.get_mut(upstream) {
+            u.remove(row.forecast);
+            if fault {
+                u.circuit.failed(now);
+            } else {
+                u.circuit.succeeded();
+            }
+        }
+    }
+
+    fn leave_queue(&mut self, key: RequestKey, row: &Request) {
+        if let Some(place) = row.place {
+            self.queue.remove(place);
+            self.deadlines.remove(&(row.submission.deadline, key));
+        }
+    }
+
+    /// How many requests wait.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Every request that waits or runs.
+    pub fn requests(&self) -> impl Iterator<Item = (RequestKey, &Request)> {
+        self.requests.iter()
+    }
+}
--- /dev/null
+++ b/trouttrack_load/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- /dev/null
+++ b/trouttrack_platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -0,0 +1,59 @@
+//! The catalogue.
+
+use super::Event;
+use log::Level::{self, Debug, Error, Info, Warn};
+
+macro_rules! catalogue {
+    ($($constant:ident = $number:literal, $level:ident, $name:literal, $meaning:literal;)*) => {
+        $(
+            #[doc = $meaning]
+            pub const $constant: Event = event($number, $level, $name, $meaning);
+        )*
+        /// Every event, by number.
+        pub const ALL: &[Event] = &[$($constant),*];
+    };
+}
+
+const fn event(number: u16, level: Level, name: &'static str, meaning: &'static str) -> Event {
+    Event {
+        number,
+        level,
+        name,
+        meaning,
+    }
+}
+
+catalogue! {
+    STARTED = 1, Info, "started", "The program serves. Lists its addresses.";
+    STOPPING = 2, Info, "stopping", "A planned stop began; `/readyz` says no from now on.";
+    STOPPED = 3, Info, "stopped", "The program ended after its requests in progress did.";
+    DRAIN_BOUND = 4, Warn, "drain-bound", "The planned stop reached its bound with requests in progress; they are cut off. Raise `[caller] drain` if this happens.";
+    START_FAILED = 5, Error, "start-failed", "The program could not start.";
+    KEYS_RELOADED = 10, Info, "keys-reloaded", "The TLS certificate or key changed on disk and is in use for new connections.";
+    KEYS_REFUSED = 11, Warn, "keys-refused", "The changed TLS files cannot be used; the old ones stay in use.";
+    CONFIG_IN_FORCE = 20, Info, "config-in-force", "A newer configuration is in force on this process.";
+    CONFIG_FROM_PEER = 21, Warn, "config-from-peer", "The configuration came from a peer because the platform did not answer. It may not be the newest.";
+    CONFIG_REFUSED = 22, Error, "config-refused", "A configuration in the platform's service cannot be used; the last one stays in force.";
+    CONFIG_COMMITTED = 23, Info, "config-committed", "An operator's change was committed. Names its author and version.";
+    CONFIG_CONFLICT = 24, Info, "config-conflict", "An operator's change was refused because another was committed first.";
+    CONFIG_LAGGING = 25, Warn, "config-lagging", "A committed configuration is not yet in force on every gateway that answers.";
+    PLATFORM_LOST = 30, Warn, "platform-lost", "The platform's service does not answer. Serving goes on with the last configuration; changes are refused.";
+    PLATFORM_BACK = 31, Info, "platform-back", "The platform's service answers again.";
+    REPLY_RESOLVED = 32, Info, "reply-resolved", "The reply to a write was lost; reading back showed whether it took effect.";
+    PEER_UNREACHABLE = 33, Debug, "peer-unreachable", "A peer did not answer.";
+    UPSTREAM_SILENT = 40, Warn, "upstream-silent", "An upstream sent nothing within its deadline and is probed.";
+    UPSTREAM_LOST = 41, Warn, "upstream-lost", "A connection to an upstream was lost with a request on it.";
+    UPSTREAM_LEAVING = 42, Info, "upstream-leaving", "An upstream is leaving and gets no new work.";
+    UPSTREAM_STAYS = 43, Info, "upstream-stays", "An upstream that was leaving gets work again.";
+    FRAME_REFUSED = 44, Warn, "frame-refused", "A frame was a duplicate with other content, out of order, or of another request; it was not passed on.";
+    STREAM_RESUMED = 45, Info, "stream-resumed", "A stream was attached to again and goes on with the next token.";
+    RUN_AGAIN = 46, Info, "run-again", "A repeatable request is run again at another upstream; nothing of its first run was passed on.";
+    RETRY_BUDGET = 47, Warn, "retry-budget", "A retry was not made because the service's retry budget is used up.";
+    FENCED = 48, Info, "fenced", "An upstream confirmed that a stream id never ran and never will.";
+    ENDED = 50, Debug, "ended", "A request ended; names its outcome.";
+    ENDED_BADLY = 51, Warn, "ended-badly", "A request ended as `interrupted` or `unknown`.";
+    CALLER_GONE = 52, Debug, "caller-gone", "A caller went away before its answer ended.";
+    REFUSED = 53, Debug, "refused", "A request was refused before it was placed; names the code.";
+    OPERATOR = 60, Info, "operator", "An operator's command; names the operator and the command. The audit trail keeps it too.";
+    OPERATOR_REFUSED = 61, Warn, "operator-refused", "An operator's call had no valid key or not the role.";
+}
