The whole path: gateway, controller, trouttrackctl, load tool, demo

Cause: decisions and stand-ins stood alone; no request went from a caller to an engine and back. Change: a gateway whose sessions are driven by the retry table, placement by an actor that owns the tables, configuration under one root in the platform's service with peers as a fallback, an administration API with the operators' language, and scripts/demo that starts a whole fleet on loopback.

--- a/trouttrack_config/src/fleet/from_ini.rs
+++ b/trouttrack_config/src/fleet/from_ini.rs
@@ -75,7 +75,12 @@
     findings.into_result(fleet)
 }
 
-fn read_section(doc: &Document, section: &Section, fleet: &mut Fleet, findings: &mut Findings) {
+pub(super) fn read_section(
+    doc: &Document,
+    section: &Section,
+    fleet: &mut Fleet,
+    findings: &mut Findings,
+) {
     let mut r = SectionReader::new(&doc.file, &section.name, Some(section), findings);
     let (kind, name) = section.name.split_once(' ').unwrap_or((&section.name, ""));
     let name = name.trim().to_owned();
@@ -95,7 +100,7 @@
 }
 
 /// Gives findings about whole entities the lines of their sections.
-fn with_lines(doc: &Document, found: &Findings) -> Findings {
+pub(super) fn with_lines(doc: &Document, found: &Findings) -> Findings {
     let mut out = Findings::default();
     for f in found.iter() {
         let section = doc.section(&f.section);
--- a/trouttrack_config/src/fleet/parts.rs
+++ b/trouttrack_config/src/fleet/parts.rs
@@ -40,6 +40,28 @@
     pub author: String,
     /// The parts in the order in which they are joined.
     pub parts: Vec<PartRef>,
+    /// The last changes, newest first, this one included. A lost reply is
+    /// resolved by looking for the change's id here.
+    #[serde(default)]
+    pub recent: Vec<ChangeRef>,
+}
+
+/// Changes that a root remembers.
+pub const RECENT: usize = 128;
+
+/// A committed change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeRef {
+    /// The version that it made.
+    pub version: ConfigVersion,
+    /// Its id.
+    pub change: String,
+    /// Who made it.
+    pub author: String,
+    /// What it did, in the operators' language.
+    pub summary: String,
+    /// When, in seconds since 1970.
+    pub at: u64,
 }
 
 /// A root and its parts do not make a fleet.
--- a/trouttrack_config/src/settings/gateway.rs
+++ b/trouttrack_config/src/settings/gateway.rs
@@ -53,6 +53,8 @@
     pub drain: Duration,
     /// How long `/readyz` says no before the port closes.
     pub drain_notice: Duration,
+    /// How long a stream runs on after its caller went away.
+    pub reconnect_grace: Duration,
 }
 
 impl CallerSettings {
@@ -66,6 +68,7 @@
             handle_secret: r.required("handle_secret"),
             drain: r.duration("drain", Duration::from_secs(600)),
             drain_notice: r.duration("drain_notice", Duration::from_secs(5)),
+            reconnect_grace: r.duration("reconnect_grace", Duration::from_secs(30)),
         }
     }
 }
--- a/trouttrack_config/src/settings/keys.rs
+++ b/trouttrack_config/src/settings/keys.rs
@@ -76,6 +76,7 @@
     key("caller", "handle_secret", "text", "", GATEWAY, "Seals the handles by which callers come back; the same on every gateway of a fleet. Must be given."),
     key("caller", "drain", "duration", "10m", GATEWAY, "How long a planned stop waits for requests in progress."),
     key("caller", "drain_notice", "duration", "5s", GATEWAY, "How long `/readyz` says no before a planned stop closes the port."),
+    key("caller", "reconnect_grace", "duration", "30s", GATEWAY, "How long a stream runs on after its caller went away; the caller may come back to any gateway."),
     key("upstream", "connect_timeout", "duration", "1s", GATEWAY, "How long a connection to an upstream may take."),
     key("upstream", "first_token", "duration", "30s", GATEWAY, "How long an engine may be silent before its first token; then it is probed."),
     key("upstream", "token_gap", "duration", "5s", GATEWAY, "How long an engine may be silent between tokens; then it is probed."),
--- a/trouttrack_core/src/lib.rs
+++ b/trouttrack_core/src/lib.rs
@@ -8,9 +8,11 @@
 //! - [`world`] holds the tables and the systems that run over them each tick.
 //! - [`routing`] chooses an upstream; the baselines live beside the default.
 //! - [`length`] learns how many tokens remain.
+//! - [`membership`] merges what peers tell each other.
 
 pub mod ids;
 pub mod length;
+pub mod membership;
 pub mod outcome;
 pub mod prefix;
 pub mod request;
--- /dev/null
+++ b/trouttrack_core/src/membership/mod.rs
@@ -0,0 +1,10 @@
+//! What the gateways of a fleet tell each other, and how it is merged.
+//!
+//! Everything here is merged by taking the newer of two entries, so the order
+//! in which digests arrive, or arrive twice, does not matter.
+
+mod marks;
+mod peers;
+
+pub use marks::{Mark, MarkSource, MarkTable};
+pub use peers::{Digest, Peer, PeerTable, UpstreamUse};
--- a/trouttrack_core/src/request/machine.rs
+++ b/trouttrack_core/src/request/machine.rs
@@ -107,6 +107,11 @@
         self.end(Outcome::Complete)
     }
 
+    /// The upstream said that the request is wrong and that it did not run it.
+    pub fn rejected(&mut self) -> Outcome {
+        self.end(NOTHING_RAN)
+    }
+
     /// The request is given up before it could be placed (deadline, overload,
     /// no upstream, caller gone).
     pub fn give_up(&mut self) -> Outcome {
--- a/trouttrack_core/src/request/mod.rs
+++ b/trouttrack_core/src/request/mod.rs
@@ -1,9 +1,11 @@
 //! The life of one request: its phases, its retry rule, its token cursor.
 
+mod budget;
 mod cursor;
 mod machine;
 mod rule;
 
+pub use budget::RetryBudget;
 pub use cursor::{Cursor, FrameError, Token};
 pub use machine::{Machine, StepResult};
 pub use rule::{Delivery, Failure, Kind, Phase, RULES, Rule, Step, Traits, rule_for};
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -88,6 +88,8 @@
     Deadline,
     /// No upstream is configured for its service.
     NoUpstream,
+    /// A retry was due and the service's retry budget is used up.
+    RetryBudget,
 }
 
 /// What a system decided.
--- /dev/null
+++ b/trouttrack_gateway/src/http/resume.rs
@@ -0,0 +1,84 @@
+//! A caller that comes back for the rest of its stream.
+
+use super::auth::admit;
+use super::error::{ApiError, ErrorCode};
+use super::{completions, respond};
+use crate::app::Shared;
+use crate::request::{Answer, Clients, Face, Session, SessionParts, Target};
+use actix_web::web::{Data, Path};
+use actix_web::{HttpRequest, HttpResponse};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// `GET /v1/requests/{handle}`, with `Last-Event-ID` if tokens have come.
+pub(super) async fn resume(
+    shared: Data<Shared>,
+    clients: Data<Clients>,
+    req: HttpRequest,
+    handle: Path<String>,
+) -> HttpResponse {
+    let result = serve(shared, clients, &req, &handle).await;
+    result.unwrap_or_else(|e| e.response())
+}
+
+/// The index after the last event that the caller has.
+fn next_index(req: &HttpRequest) -> Option<u64> {
+    match req.headers().get("last-event-id") {
+        None => Some(0),
+        Some(v) => v.to_str().ok()?.parse::<u64>().ok()?.checked_add(1),
+    }
+}
+
+async fn serve(
+    shared: Data<Shared>,
+    clients: Data<Clients>,
+    req: &HttpRequest,
+    text: &str,
+) -> Result<HttpResponse, ApiError> {
+    let arrived = Instant::now();
+    let admitted = admit(&shared, req)?;
+    let refuse = |code, message: &str| ApiError::new(code, &admitted.id, message);
+    let organisation = admitted.organisation();
+    // Whose handle it is, is not told to another organisation.
+    let handle = shared
+        .sealer
+        .open(text)
+        .ok()
+        .filter(|h| h.organisation == organisation.name)
+        .ok_or_else(|| refuse(ErrorCode::BadHandle, "the handle is not valid"))?;
+    let next = next_index(req)
+        .ok_or_else(|| refuse(ErrorCode::BadRequest, "`Last-Event-ID` must be a number"))?;
+    let gone = || refuse(ErrorCode::BadHandle, "the stream is not known any more");
+    let upstream = admitted.view.upstream(&handle.upstream).ok_or_else(gone)?;
+    let service = admitted.view.service(&handle.service).ok_or_else(gone)?;
+    let parts = SessionParts {
+        id: handle.request.clone(),
+        organisation: organisation.name.clone(),
+        weight: organisation.weight,
+        max_running: organisation.max_running,
+        service: service.clone(),
+        priority: service.priority,
+        ask: None,
+        arrived,
+    };
+    let answer = Answer {
+        id: handle.request.clone(),
+        model: handle.service.clone(),
+        face: match handle.chat {
+            true => Face::Chat,
+            false => Face::Completion,
+        },
+        created: completions::unix_seconds(),
+        prompt_tokens: 0,
+    };
+    let session = Session::returning(
+        Arc::clone(&shared),
+        clients.get_ref().clone(),
+        parts,
+        completions::trace(&shared, req, "resume"),
+        &handle,
+        next,
+        Target::from(upstream),
+    );
+    respond::stream(session, answer).await
+}
--- /dev/null
+++ b/trouttrack_gateway/src/lib.rs
@@ -0,0 +1,17 @@
+//! The gateway: the caller-facing data path of trouttrack.
+//!
+//! - [`http`] has the callers' routes.
+//! - [`request`] drives one request through its attempts.
+//! - [`dispatch`] owns the decision tables.
+//! - [`follow`] keeps the configuration, the load reports and the VM list.
+//! - [`peers`] talks to other gateways.
+//! - [`app`] puts them together and stops them in order.
+
+pub mod app;
+pub mod canceller;
+pub mod dispatch;
+pub mod follow;
+pub mod http;
+pub mod metrics;
+pub mod peers;
+pub mod request;
--- a/trouttrack_standin/src/engine/state.rs
+++ b/trouttrack_standin/src/engine/state.rs
@@ -334,8 +334,9 @@
             .collect()
     }
 
-    /// Runs one step; returns how long it takes, or `None` when idle.
-    fn step(&self) -> Option<Duration> {
+    /// Runs one step, or none when idle. Its tokens are published later, when
+    /// its time has passed.
+    fn step(&self) -> Option<StepOutput> {
         let mut inner = self.lock();
         if inner.engine.is_idle() {
             return None;
@@ -351,8 +352,11 @@
             }
             inner.events.push_back((now, e));
         }
-        inner.publish(&out);
-        Some(out.took)
+        Some(out)
+    }
+
+    fn publish(&self, out: &StepOutput) {
+        self.lock().publish(out);
     }
 }
 
@@ -413,17 +417,21 @@
 pub(super) async fn run_steps(state: Arc<EngineState>) {
     let mut due = Instant::now();
     loop {
-        match state.step() {
-            None => {
-                state.work.notified().await;
+        let Some(out) = state.step() else {
+            state.work.notified().await;
+            due = Instant::now();
+            continue;
+        };
+        if out.took.is_zero() {
+            tokio::task::yield_now().await;
+        } else {
+            // Steps are due on a fixed grid, so that late timers do not add up.
+            due += out.took;
+            if due < Instant::now() {
                 due = Instant::now();
             }
-            Some(took) if took.is_zero() => tokio::task::yield_now().await,
-            Some(took) => {
-                // Steps are due on a fixed grid, so that late timers do not add up.
-                due = (due + took).max(Instant::now());
-                tokio::time::sleep_until(due.into()).await;
-            }
+            tokio::time::sleep_until(due.into()).await;
         }
+        state.publish(&out);
     }
 }
--- a/trouttrack_telemetry/src/tls/mod.rs
+++ b/trouttrack_telemetry/src/tls/mod.rs
@@ -1,5 +1,6 @@
 //! TLS keys that are loaded again when their files change.
 
+use crate::events;
 use arc_swap::ArcSwap;
 use rustls::ServerConfig;
 use rustls::crypto::ring::{default_provider, sign::any_supported_type};
@@ -118,6 +119,16 @@
         self.seen = files;
         Ok(true)
     }
+
+    /// As [`check`](Self::check), logging what happened; `face` says whose
+    /// connections the key is for.
+    pub fn check_and_log(&mut self, face: &str) {
+        match self.check() {
+            Ok(true) => events::KEYS_RELOADED.log(format_args!("face={face}")),
+            Ok(false) => {}
+            Err(e) => events::KEYS_REFUSED.log(format_args!("face={face}: {e}")),
+        }
+    }
 }
 
 /// Loads the files and makes a server's configuration that follows them.
