Proofs of the gateway under faults, and of core's rules

Cause: the path stood without proof. Found and mended by these tests: an engine's own report took back what the VM list or an operator said of its leaving (marks are now kept by source); a request refused everywhere was told not-run without Retry-After; a flood of urgent requests starved lower classes (a wait past max_wait now goes first).

--- a/trouttrack_core/src/membership/mod.rs
+++ b/trouttrack_core/src/membership/mod.rs
@@ -6,5 +6,5 @@
 mod marks;
 mod peers;
 
-pub use marks::{Mark, MarkSource, MarkTable};
+pub use marks::{Mark, MarkEntry, MarkSource, MarkTable};
 pub use peers::{Digest, Peer, PeerTable, UpstreamUse};
--- a/trouttrack_core/src/membership/peers.rs
+++ b/trouttrack_core/src/membership/peers.rs
@@ -1,6 +1,6 @@
 //! The peers of a gateway and what each last said of itself.
 
-use super::marks::Mark;
+use super::marks::MarkEntry;
 use crate::{ConfigVersion, FailureDomain, Time, UpstreamId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -35,7 +35,7 @@
     /// Its use of upstreams.
     pub uses: Vec<UpstreamUse>,
     /// Drain marks that it knows.
-    pub marks: Vec<(UpstreamId, Mark)>,
+    pub marks: Vec<MarkEntry>,
 }
 
 /// One peer.
--- a/trouttrack_core/src/world/queue.rs
+++ b/trouttrack_core/src/world/queue.rs
@@ -17,6 +17,14 @@
     key: RequestKey,
 }
 
+/// When a class is to be served; the smallest comes first.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Turn {
+    in_time: bool,
+    due: Time,
+    class: u8,
+}
+
 #[derive(Debug, Default)]
 struct Class {
     by_tag: BTreeSet<(u64, RequestKey)>,
@@ -27,10 +35,11 @@
 
 /// Classes of waiting requests.
 ///
-/// The class whose oldest request has the smallest `since + class × ageing`
-/// is served first, so a low class waits at most `class × ageing` longer than
-/// the most urgent one. Inside a class the smallest finish tag is served, and
-/// any request that has waited past `max_wait` before all tags.
+/// A request that has waited for `max_wait` goes before all classes and
+/// shares, the oldest first: that bounds every wait, even if the most urgent
+/// class alone is more than can be served. Before that, the class whose oldest
+/// request has the smallest `since + class × ageing` is served first, and
+/// inside a class the smallest finish tag.
 ///
 /// # Examples
 ///
@@ -124,17 +133,26 @@
     }
 
     /// The classes in the order in which they are to be served now.
-    pub(crate) fn order(&self) -> Vec<u8> {
-        let mut order: Vec<(Time, u8)> = self
+    pub(crate) fn order(&self, now: Time) -> Vec<u8> {
+        let mut order: Vec<Turn> = self
             .classes
             .iter()
-            .filter_map(|(&c, class)| {
-                let (since, _) = class.by_age.first()?;
-                Some((*since + self.ageing * u32::from(c), c))
+            .filter_map(|(&class, waiting)| {
+                let (since, _) = *waiting.by_age.first()?;
+                let overdue = now.saturating_sub(since) >= self.max_wait;
+                let due = match overdue {
+                    true => since,
+                    false => since + self.ageing * u32::from(class),
+                };
+                Some(Turn {
+                    in_time: !overdue,
+                    due,
+                    class,
+                })
             })
             .collect();
         order.sort_unstable();
-        order.into_iter().map(|(_, c)| c).collect()
+        order.into_iter().map(|turn| turn.class).collect()
     }
 
     /// The next requests of a class, at most `most`.
--- a/trouttrack_core/src/world/systems.rs
+++ b/trouttrack_core/src/world/systems.rs
@@ -59,7 +59,7 @@
         loop {
             let placed = self
                 .queue
-                .order()
+                .order(now)
                 .into_iter()
                 .find_map(|class| self.place_one(now, class));
             match placed {
--- /dev/null
+++ b/trouttrack_core/tests/core/length.rs
@@ -0,0 +1,63 @@
+//! Learned lengths.
+
+use proptest::prelude::*;
+use trouttrack_core::length::{LengthKey, LengthTable};
+
+#[test]
+fn an_unknown_organisation_falls_back_to_its_service_then_its_model() {
+    let mut table = LengthTable::default();
+    let known = LengthKey::new("letters", "drafting", "large");
+    for _ in 0..100 {
+        table.learn(known, 1000);
+    }
+    let by_service = LengthKey::new("letters", "drafting", "small");
+    assert!(table.remaining(by_service, 0, 0.5) > 900.0);
+    let by_model = LengthKey::new("clauses", "drafting", "small");
+    assert!(table.remaining(by_model, 0, 0.5) > 900.0);
+    let unknown = LengthKey::new("x", "y", "z");
+    assert!(table.remaining(unknown, 0, 0.5) < 900.0);
+}
+
+#[test]
+fn a_long_running_answer_is_expected_to_run_longer() {
+    let mut table = LengthTable::default();
+    let key = LengthKey::new("s", "m", "o");
+    for i in 0..1000u64 {
+        table.learn(key, if i % 10 == 0 { 10_000 } else { 50 });
+    }
+    assert!(table.remaining(key, 0, 0.5) < 100.0);
+    assert!(table.remaining(key, 200, 0.5) > 5000.0);
+}
+
+#[test]
+fn a_shift_of_the_lengths_is_followed() {
+    let mut table = LengthTable::default();
+    let key = LengthKey::new("s", "m", "o");
+    for _ in 0..2000 {
+        table.learn(key, 50);
+    }
+    for _ in 0..1200 {
+        table.learn(key, 800);
+    }
+    assert!(table.remaining(key, 0, 0.5) > 400.0);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn quantiles_are_ordered_and_above_zero(
+        lengths in prop::collection::vec(1u64..100_000, 0..200),
+        so_far in 0u64..100_000,
+    ) {
+        let mut table = LengthTable::default();
+        let key = LengthKey::new("s", "m", "o");
+        for l in &lengths {
+            table.learn(key, *l);
+        }
+        let at = |q| table.remaining(key, so_far, q);
+        prop_assert!(at(0.1) >= 1.0);
+        prop_assert!(at(0.1) <= at(0.5));
+        prop_assert!(at(0.5) <= at(0.95));
+    }
+}
--- /dev/null
+++ b/trouttrack_core/tests/core/main.rs
@@ -0,0 +1,8 @@
+//! The decisions, without input or output.
+
+mod length;
+mod membership;
+mod policies;
+mod retry_rule;
+mod support;
+mod world;
--- a/trouttrack_gateway/src/app/shared.rs
+++ b/trouttrack_gateway/src/app/shared.rs
@@ -13,7 +13,7 @@
 use trouttrack_config::fleet::{Fleet, FleetView, join, validate};
 use trouttrack_config::settings::GatewaySettings;
 use trouttrack_core::length::LengthKey;
-use trouttrack_core::membership::{Mark, MarkSource, MarkTable, PeerTable};
+use trouttrack_core::membership::{MarkEntry, MarkSource, MarkTable, PeerTable};
 use trouttrack_core::world::{NotRunReason, Submission};
 use trouttrack_rpc::ConfigBundle;
 use trouttrack_telemetry::events;
@@ -141,7 +141,8 @@
     /// Tells the dispatcher which upstreams get no new work.
     fn apply_leaving(&self) {
         let view = self.view();
-        let marks = self.marks();
+        let mut marks = self.marks();
+        marks.retain(|id| view.upstream(id).is_some());
         for u in &view.fleet.upstreams {
             let leaving = u.draining || marks.leaving(&u.name);
             self.dispatcher.do_send(SetLeaving {
@@ -162,19 +163,17 @@
 
     /// Every drain mark, for the heartbeat.
     #[must_use]
-    pub fn all_marks(&self) -> Vec<(String, Mark)> {
+    pub fn all_marks(&self) -> Vec<MarkEntry> {
         self.marks().all()
     }
 
     /// Takes in marks from a peer.
-    pub fn merge_marks(&self, marks: &[(String, Mark)]) {
-        let changed: Vec<&String> = marks
-            .iter()
-            .filter(|(id, mark)| self.marks().merge(id, *mark))
-            .map(|(id, _)| id)
-            .collect();
+    pub fn merge_marks(&self, marks: &[MarkEntry]) {
+        let changed: Vec<&MarkEntry> = marks.iter().filter(|e| self.marks().merge(e)).collect();
+        for entry in &changed {
+            self.log_leaving(&entry.upstream, entry.source, "peer");
+        }
         if !changed.is_empty() {
-            self.log_leaving(&changed, MarkSource::VmList, "peer");
             self.apply_leaving();
         }
     }
@@ -187,19 +186,18 @@
         if !self.marks().observe(upstream, leaving, source, now) {
             return;
         }
-        self.log_leaving(&[&upstream.to_owned()], source, "seen");
+        self.log_leaving(upstream, source, "seen");
         self.apply_leaving();
     }
 
-    fn log_leaving(&self, upstreams: &[&String], source: MarkSource, how: &str) {
-        let marks = self.marks();
-        for u in upstreams {
-            let event = match marks.leaving(u) {
-                true => events::UPSTREAM_LEAVING,
-                false => events::UPSTREAM_STAYS,
-            };
-            event.log(format_args!("upstream={u} how={how} source={source:?}"));
-        }
+    fn log_leaving(&self, upstream: &str, source: MarkSource, how: &str) {
+        let event = match self.marks().leaving(upstream) {
+            true => events::UPSTREAM_LEAVING,
+            false => events::UPSTREAM_STAYS,
+        };
+        event.log(format_args!(
+            "upstream={upstream} how={how} source={source:?}"
+        ));
     }
 
     /// Notes whether the platform answers.
--- a/trouttrack_gateway/src/http/error.rs
+++ b/trouttrack_gateway/src/http/error.rs
@@ -1,6 +1,6 @@
 //! What a caller is told when its request is not answered.
 
-use crate::request::Ending;
+use crate::request::{Ending, REJECTED};
 use actix_web::HttpResponse;
 use actix_web::http::StatusCode;
 use actix_web::http::header::RETRY_AFTER;
@@ -61,7 +61,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::Stopping | Self::NotConfigured => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Ended(_, "upstream_rejected") => StatusCode::BAD_REQUEST,
+            Self::Ended(_, REJECTED) => StatusCode::BAD_REQUEST,
             Self::Ended(Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Ended(..) => StatusCode::BAD_GATEWAY,
         }
@@ -80,7 +80,7 @@
             Self::BadRequest | Self::NotFound | Self::UnknownModel | Self::TooLarge => {
                 "change the request"
             }
-            Self::Ended(_, "upstream_rejected") => "change the request",
+            Self::Ended(_, REJECTED) => "change the request",
             Self::Unauthorised => "send a valid key in `Authorization: Bearer`",
             Self::BadHandle => "send the request anew",
             Self::SlowBody => "send the request again, faster",
--- a/trouttrack_gateway/src/request/mod.rs
+++ b/trouttrack_gateway/src/request/mod.rs
@@ -16,4 +16,5 @@
 pub use client::{Clients, Target};
 pub use handle::{Handle, HandleError, Sealer};
 pub use plain::{PlainAnswer, PlainCall, run_plain};
+pub(crate) use session::REJECTED;
 pub use session::{Ending, Progress, Session, SessionParts};
--- a/trouttrack_gateway/src/request/plain.rs
+++ b/trouttrack_gateway/src/request/plain.rs
@@ -1,7 +1,7 @@
 //! Calls to plain services, by the same state machine.
 
 use super::client::{Clients, Target};
-use super::session::{Ending, SessionParts};
+use super::session::{Ending, SessionParts, may_come_back};
 use super::wire::{ErrorBody, NOT_STARTED};
 use crate::app::{InFlightGuard, Shared};
 use awc::error::SendRequestError;
@@ -143,7 +143,7 @@
         reason: "error".to_owned(),
         code,
         detail: detail.to_owned(),
-        retry_after: None,
+        retry_after: may_come_back(outcome, code),
     }
 }
 
--- a/trouttrack_gateway/src/request/session.rs
+++ b/trouttrack_gateway/src/request/session.rs
@@ -25,6 +25,11 @@
 /// The longest pause before attaching again.
 const LONGEST_RESUME_PAUSE: Duration = Duration::from_millis(800);
 
+/// When a caller may come back, if nothing better is known.
+const COME_BACK: Duration = Duration::from_secs(1);
+/// The code of a request that the upstream called wrong.
+pub(crate) const REJECTED: &str = "upstream_rejected";
+
 /// How a request ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ending {
@@ -440,7 +445,7 @@
             }
             Opened::Rejected(detail) => {
                 let outcome = self.machine.rejected();
-                return self.end(outcome, "upstream_rejected", &detail);
+                return self.end(outcome, REJECTED, &detail);
             }
             Opened::NotConnected(detail) => (Failure::NotConnected, detail),
             Opened::Refused(detail) => (Failure::Refused, detail),
@@ -641,7 +646,7 @@
             reason: "error".to_owned(),
             code,
             detail: detail.to_owned(),
-            retry_after: None,
+            retry_after: may_come_back(outcome, code),
         });
     }
 
@@ -669,6 +674,12 @@
     }
 }
 
+/// When a caller may come back with a request that was not run. What the
+/// upstream called wrong stays wrong.
+pub(super) fn may_come_back(outcome: Outcome, code: &str) -> Option<Duration> {
+    (outcome == Outcome::NotRun && code != REJECTED).then_some(COME_BACK)
+}
+
 impl Drop for Session {
     /// The caller went away. A stream that it has a part of runs on for a
     /// while, so that it can come back; anything else is cancelled.
--- /dev/null
+++ b/trouttrack_gateway/tests/gateway/main.rs
@@ -0,0 +1,11 @@
+//! The gateway against the stand-ins, in one process.
+
+mod bad_input;
+mod faults;
+mod leaving;
+mod property;
+mod resume;
+mod stop;
+mod support;
+mod tls;
+mod trace;
--- a/trouttrack_standin/src/engine/faults.rs
+++ b/trouttrack_standin/src/engine/faults.rs
@@ -36,6 +36,11 @@
     OtherGeneration,
     /// The engine ends the generation and says so.
     Abort,
+    /// The call is never answered and has no effect.
+    LoseCall,
+    /// The call is never answered; it takes effect a little later, if it still
+    /// may by then.
+    LateCall,
     /// The request is taken, but nothing at all is answered, and the stream
     /// is forgotten with everything else, as by a restart.
     Restart,
--- a/trouttrack_standin/src/engine/http.rs
+++ b/trouttrack_standin/src/engine/http.rs
@@ -14,12 +14,15 @@
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use uuid::Uuid;
 
 /// The most frames in one write.
 const FRAMES: u64 = 64;
 /// Tokens when the request does not say.
 const DEFAULT_MAX_TOKENS: u64 = 32_768;
+/// How late a late call arrives.
+const LATE: Duration = Duration::from_millis(600);
 const BOOT_HEADER: &str = "x-engine-boot";
 
 pub(super) fn routes(cfg: &mut ServiceConfig, state: Data<EngineState>) {
@@ -93,10 +96,17 @@
 
 async fn complete(state: Data<EngineState>, body: Json<Completion>) -> HttpResponse {
     let fault = state.strike(On::Submit);
-    if fault.is_some_and(|f| f.kind == FaultKind::Refuse) {
-        return not_run("not_started");
+    let intake = body.into_inner().intake();
+    match fault.map(|f| f.kind) {
+        Some(FaultKind::Refuse) => return not_run("not_started"),
+        Some(FaultKind::LoseCall) => return std::future::pending().await,
+        Some(FaultKind::LateCall) => {
+            submit_late(state.into_inner(), intake);
+            return std::future::pending().await;
+        }
+        _ => {}
     }
-    let stream = match state.submit(body.into_inner().intake()) {
+    let stream = match state.submit(intake) {
         Ok(stream) => stream,
         Err(NotTaken::Known) => return problem(StatusCode::CONFLICT, "stream_known"),
         Err(NotTaken::Fenced) => return problem(StatusCode::CONFLICT, "stream_fenced"),
@@ -108,6 +118,15 @@
     respond(state, stream, 0, fault)
 }
 
+/// A call that was under way when its connection died, and arrives later.
+fn submit_late(state: Arc<EngineState>, intake: Intake) {
+    actix_rt::spawn(async move {
+        tokio::time::sleep(LATE).await;
+        // Nobody waits for the result.
+        let _ = state.submit(intake);
+    });
+}
+
 #[derive(Debug, Deserialize)]
 struct From {
     #[serde(default)]
@@ -116,8 +135,10 @@
 
 async fn attach(state: Data<EngineState>, id: Path<String>, q: Query<From>) -> HttpResponse {
     let fault = state.strike(On::Attach);
-    if fault.is_some_and(|f| f.kind == FaultKind::Refuse) {
-        return not_run("not_started");
+    match fault.map(|f| f.kind) {
+        Some(FaultKind::Refuse) => return not_run("not_started"),
+        Some(FaultKind::LoseCall) => std::future::pending().await,
+        _ => {}
     }
     match state.stream(&id) {
         Some(stream) => respond(state, stream, q.from, fault),
@@ -269,7 +290,7 @@
                 frames::token(&mut buf, &self.stream, label, self.next);
             }
             FaultKind::Abort => self.state.abort(&self.stream),
-            FaultKind::Refuse | FaultKind::Restart => {}
+            FaultKind::Refuse | FaultKind::Restart | FaultKind::LoseCall | FaultKind::LateCall => {}
         }
         (!buf.is_empty()).then(|| Ok(buf.freeze()))
     }
--- a/trouttrack_standin/src/engine/state.rs
+++ b/trouttrack_standin/src/engine/state.rs
@@ -7,7 +7,7 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::sync::Notify;
 use trouttrack_engine::{CacheEvent, Engine, Load, SequenceKey, StepOutput, Submit};
 use uuid::Uuid;
@@ -195,6 +195,12 @@
         inner.ledger.iter().map(entry).collect()
     }
 
+    /// Whether nothing waits or runs.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.lock().engine.is_idle()
+    }
+
     /// What it holds by orders.
     #[must_use]
     pub fn orders(&self) -> OrderLog {
