--- /dev/null
+++ b/trouttrack_config/tests/config/main.rs
@@ -0,0 +1,6 @@
+//! Settings and fleets: what is right is read, what is wrong is reported.
+
+mod changes;
+mod examples;
+mod fleets;
+mod settings;
--- /dev/null
+++ b/trouttrack_controller/tests/controller/main.rs
@@ -0,0 +1,5 @@
+//! The administration API with gateways and a platform, in one process.
+
+mod changes;
+mod queries;
+mod support;
--- a/trouttrack_gateway/src/app/shared.rs
+++ b/trouttrack_gateway/src/app/shared.rs
@@ -254,6 +254,12 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
+    /// Notes a request that is refused before it is placed.
+    pub fn note_refused(&self, request: &str, code: &str) {
+        self.metrics.refused(code);
+        events::REFUSED.log(format_args!("request={request} code={code}"));
+    }
+
     /// What the dispatcher is asked for a request.
     #[must_use]
     pub fn submission(
--- a/trouttrack_gateway/src/http/auth.rs
+++ b/trouttrack_gateway/src/http/auth.rs
@@ -26,7 +26,7 @@
 pub(super) fn admit(shared: &Shared, req: &HttpRequest) -> Result<Admitted, ApiError> {
     let id = format!("r-{}", Uuid::new_v4().simple());
     let refuse = |code, message: &str| {
-        shared.metrics.refused(ErrorCode::as_str(code));
+        shared.note_refused(&id, ErrorCode::as_str(code));
         ApiError::new(code, &id, message)
     };
     if shared.refusing() {
--- a/trouttrack_gateway/src/http/body.rs
+++ b/trouttrack_gateway/src/http/body.rs
@@ -11,7 +11,7 @@
     let limits = &shared.settings.caller;
     let read = read_limited(payload, limits.max_body);
     let refuse = |code, message: String| {
-        shared.metrics.refused(ErrorCode::as_str(code));
+        shared.note_refused(id, ErrorCode::as_str(code));
         Err(ApiError::new(code, id, message))
     };
     match tokio::time::timeout(limits.read_timeout, read).await {
--- a/trouttrack_gateway/src/http/completions.rs
+++ b/trouttrack_gateway/src/http/completions.rs
@@ -51,7 +51,7 @@
     let admitted = admit(&shared, &req)?;
     let body = body::read(&shared, &admitted.id, payload).await?;
     let ask = Ask::parse(face, &body).map_err(|e| {
-        shared.metrics.refused(ErrorCode::BadRequest.as_str());
+        shared.note_refused(&admitted.id, ErrorCode::BadRequest.as_str());
         ApiError::new(ErrorCode::BadRequest, &admitted.id, e.to_string())
     })?;
     let parts = resolve(&shared, &admitted, &ask, arrived)?;
@@ -94,7 +94,7 @@
         .resolve(&ask.model, &organisation.name, draw)
         .filter(|r| r.service.kind == ServiceKind::Model);
     let Some(resolved) = resolved else {
-        shared.metrics.refused(ErrorCode::UnknownModel.as_str());
+        shared.note_refused(&admitted.id, ErrorCode::UnknownModel.as_str());
         let message = format!("no model service is named `{}`", ask.model);
         return Err(ApiError::new(
             ErrorCode::UnknownModel,
--- a/trouttrack_gateway/src/http/plain.rs
+++ b/trouttrack_gateway/src/http/plain.rs
@@ -37,7 +37,7 @@
         .resolve(asked, &organisation.name, rand::random())
         .filter(|r| r.service.kind == ServiceKind::Plain);
     let Some(resolved) = resolved else {
-        shared.metrics.refused(ErrorCode::UnknownModel.as_str());
+        shared.note_refused(&admitted.id, ErrorCode::UnknownModel.as_str());
         let message = format!("no plain service is named `{asked}`");
         return Err(ApiError::new(
             ErrorCode::UnknownModel,
--- a/trouttrack_language/src/complete.rs
+++ b/trouttrack_language/src/complete.rs
@@ -2,6 +2,20 @@
 
 use crate::parser::parse;
 
+/// Where the last, unfinished word of `text` begins, in bytes.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(trouttrack_language::last_word("show ser"), 5);
+/// ```
+#[must_use]
+pub fn last_word(text: &str) -> usize {
+    let blanks = text.char_indices().rev();
+    let mut blanks = blanks.filter(|(_, c)| c.is_whitespace());
+    blanks.next().map_or(0, |(i, c)| i + c.len_utf8())
+}
+
 /// Words that could take the place of the last, unfinished word of `text`.
 ///
 /// # Examples
@@ -16,8 +30,7 @@
     // A character that no word begins with makes the grammar say what could
     // stand in the unfinished word's place.
     const NO_WORD: &str = "\u{1}";
-    let begin = text.rfind(char::is_whitespace).map_or(0, |i| i + 1);
-    let (before, partial) = text.split_at(begin);
+    let (before, partial) = text.split_at(last_word(text));
     let Err(e) = parse(&format!("{before}{NO_WORD}")) else {
         return Vec::new();
     };
--- a/trouttrack_language/src/lib.rs
+++ b/trouttrack_language/src/lib.rs
@@ -22,6 +22,6 @@
 mod parser;
 
 pub use command::{Assignment, Command, Kind, Table, Verb, Why};
-pub use complete::complete;
+pub use complete::{complete, last_word};
 pub use parser::{SyntaxError, parse};
 pub use query::{Condition, Direction, Op, Order, Query, Row, run};
--- a/trouttrack_platform/src/client/object.rs
+++ b/trouttrack_platform/src/client/object.rs
@@ -14,6 +14,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use trouttrack_config::settings::PlatformSettings;
+use trouttrack_telemetry::events;
 
 /// The largest answer taken: an object, or a list of many.
 const MAX_ANSWER: usize = 8 << 20;
@@ -183,8 +184,7 @@
         loop {
             let error = match self.put(key, condition, body.clone()).await {
                 Ok(Write::Refused(_)) if in_doubt => match self.get(key).await {
-                    Ok(Some(o)) if is_ours(&o.body) => return Ok(Write::Done(o.version)),
-                    Ok(o) => return Ok(Write::Refused(o.map_or(0, |o| o.version))),
+                    Ok(now) => return Ok(resolved(key, now, &is_ours)),
                     Err(e) => e,
                 },
                 Ok(write) => return Ok(write),
@@ -255,6 +255,19 @@
     }
 }
 
+/// What became of a write whose answer was lost, by the object as it is now.
+fn resolved(key: &str, now: Option<Object>, is_ours: impl Fn(&Bytes) -> bool) -> Write {
+    let version = now.as_ref().map_or(0, |o| o.version);
+    let ours = now.is_some_and(|o| is_ours(&o.body));
+    events::REPLY_RESOLVED.log(format_args!(
+        "key={key} version={version} took_effect={ours}"
+    ));
+    match ours {
+        true => Write::Done(version),
+        false => Write::Refused(version),
+    }
+}
+
 fn etag(value: Option<&str>) -> Option<u64> {
     value?.trim_matches('"').parse().ok()
 }
--- /dev/null
+++ b/trouttrack_standin/tests/standin/main.rs
@@ -0,0 +1,5 @@
+//! The stand-ins keep to the faces that they stand in for.
+
+mod engine;
+mod platform;
+mod support;
--- /dev/null
+++ b/trouttrack_telemetry/tests/telemetry/main.rs
@@ -0,0 +1,4 @@
+//! Events and keys.
+
+mod events;
+mod tls;
--- a/trouttrackctl/src/interactive/mod.rs
+++ b/trouttrackctl/src/interactive/mod.rs
@@ -7,7 +7,7 @@
 use rustyline::history::DefaultHistory;
 use rustyline::validate::Validator;
 use rustyline::{Context, Editor, Helper};
-use trouttrack_language::complete;
+use trouttrack_language::{complete, last_word};
 
 const PROMPT: &str = "trouttrack> ";
 
@@ -25,8 +25,7 @@
         _: &Context<'_>,
     ) -> rustyline::Result<(usize, Vec<String>)> {
         let before = &line[..pos];
-        let start = before.rfind(char::is_whitespace).map_or(0, |i| i + 1);
-        Ok((start, complete(before)))
+        Ok((last_word(before), complete(before)))
     }
 }
 
