Idempotency keys hold across VMs, by group commits without a lease

Cause: a caller that repeats a not-repeatable request at another gateway ran it twice. Change: claims in a ring of slots a shard in the platform's service; one open bucket a shard, sealed before the next; the shard's process is chosen by rendezvous and writes many claims at once; any process may act, because the conditional update alone decides. A repeat gets the stream, or a clear refusal; a key whose request was told not-run is given up and may run. Ruled out: an object a key (5,300 writes/s at the size to come); buckets that are deleted when old (a property test found a process that slept past that winning a key again); 16 shards at 20 ms (498 writes/s and 188 calls limited at 1,000 claims/s). Also: the load tool's histograms clipped at their first bound; now they grow.

--- a/trouttrack_core/src/lib.rs
+++ b/trouttrack_core/src/lib.rs
@@ -7,9 +7,11 @@
 //! - [`request`] is the state machine of one request and its retry rule.
 //! - [`world`] holds the tables and the systems that run over them each tick.
 //! - [`routing`] chooses an upstream; the baselines live beside the default.
+//! - [`claims`] makes callers' keys run at most once across VMs.
 //! - [`length`] learns how many tokens remain.
 //! - [`membership`] merges what peers tell each other.
 
+pub mod claims;
 pub mod ids;
 pub mod length;
 pub mod membership;
--- a/trouttrack_core/src/membership/peers.rs
+++ b/trouttrack_core/src/membership/peers.rs
@@ -20,6 +20,8 @@
 pub struct Digest {
     /// Its name.
     pub name: String,
+    /// Where peers reach it, IP:port.
+    pub rpc_addr: String,
     /// Where it stands.
     pub failure_domain: FailureDomain,
     /// Grows with each heartbeat; an older digest is ignored.
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -1,5 +1,6 @@
 //! The decisions, without input or output.
 
+mod claims;
 mod length;
 mod membership;
 mod policies;
--- a/trouttrack_gateway/src/app/shared.rs
+++ b/trouttrack_gateway/src/app/shared.rs
@@ -1,13 +1,15 @@
 //! What all parts of a gateway share.
 
 use crate::canceller::Canceller;
+use crate::claims::{Alive, Claimer, Note, Progressed};
 use crate::dispatch::{Configure, Dispatcher, Placement, Refusal, SetLeaving, Submit};
 use crate::metrics::Metrics;
 use crate::request::{Sealer, SessionParts};
 use actix::Addr;
 use arc_swap::{ArcSwap, ArcSwapOption};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
 use trouttrack_config::fleet::{Fleet, FleetView, join, validate};
@@ -51,6 +53,8 @@
     pub dispatcher: Addr<Dispatcher>,
     /// Cancels streams.
     pub canceller: Addr<Canceller>,
+    /// Claims idempotency keys.
+    pub claimer: Addr<Claimer>,
     /// The metrics.
     pub metrics: Arc<Metrics>,
     /// Seals handles.
@@ -59,6 +63,7 @@
     pub tracing: Tracing,
     /// When the process started; the dispatcher's time counts from here.
     pub started: Instant,
+    rpc_addr: OnceLock<SocketAddr>,
     view: ArcSwap<FleetView>,
     bundle: ArcSwapOption<ConfigBundle>,
     in_flight: AtomicUsize,
@@ -74,6 +79,7 @@
         settings: GatewaySettings,
         dispatcher: Addr<Dispatcher>,
         canceller: Addr<Canceller>,
+        claimer: Addr<Claimer>,
         metrics: Arc<Metrics>,
         tracing: Tracing,
         started: Instant,
@@ -83,6 +89,8 @@
             settings,
             dispatcher,
             canceller,
+            claimer,
+            rpc_addr: OnceLock::new(),
             metrics,
             tracing,
             started,
@@ -161,6 +169,39 @@
         self.peers.lock().expect("no holder of the lock panics")
     }
 
+    /// Where peers reach this process, once it listens.
+    #[must_use]
+    pub fn rpc_addr(&self) -> Option<SocketAddr> {
+        self.rpc_addr.get().copied()
+    }
+
+    pub(crate) fn set_rpc_addr(&self, addr: SocketAddr) {
+        // It is set once, when the process starts to listen.
+        let _ = self.rpc_addr.set(addr);
+    }
+
+    /// The other gateways that live.
+    #[must_use]
+    pub fn alive(&self) -> Vec<Alive> {
+        let now = self.started.elapsed();
+        let peers = self.peers();
+        let alive = peers.alive(now).filter_map(|p| {
+            Some(Alive {
+                name: p.digest.name.clone(),
+                addr: p.digest.rpc_addr.parse().ok()?,
+            })
+        });
+        alive.collect()
+    }
+
+    /// Notes how far a request has come whose key was claimed.
+    pub fn note_claimed(&self, request: &str, progressed: Progressed) {
+        self.claimer.do_send(Note {
+            request: request.to_owned(),
+            progressed,
+        });
+    }
+
     /// Every drain mark, for the heartbeat.
     #[must_use]
     pub fn all_marks(&self) -> Vec<MarkEntry> {
--- a/trouttrack_gateway/src/app/start.rs
+++ b/trouttrack_gateway/src/app/start.rs
@@ -4,6 +4,7 @@
 use super::shared::Shared;
 use super::stop;
 use crate::canceller::Canceller;
+use crate::claims::Claimer;
 use crate::dispatch::Dispatcher;
 use crate::metrics::Metrics;
 use crate::request::Clients;
@@ -83,10 +84,13 @@
         Arc::clone(&metrics),
     );
     let canceller = Canceller::new(Clients::new(&settings.upstream));
+    let client = ObjectClient::new(&settings.platform);
+    let claimer = Claimer::new(&settings.vm.name, client);
     let shared = Shared::new(
         settings,
         dispatcher.start(),
         canceller.start(),
+        claimer.start(),
         metrics,
         tracing,
         started,
@@ -106,6 +110,7 @@
     let rpc_addr = peers::serve(&shared)
         .await
         .map_err(|e| AppError::Listen(rpc_listen, e))?;
+    shared.set_rpc_addr(rpc_addr);
     let store = ConfigStore::new(ObjectClient::new(&shared.settings.platform));
     let peer_list = peers::PeerList::new(&shared.settings.rpc.peers, rpc_addr);
     actix_rt::spawn(follow::config(
--- a/trouttrack_gateway/src/http/completions.rs
+++ b/trouttrack_gateway/src/http/completions.rs
@@ -1,8 +1,9 @@
 //! Completions.
 
 use super::auth::{Admitted, admit};
+use super::claim::{self, Claimed};
 use super::error::{ApiError, ErrorCode};
-use super::{body, respond};
+use super::{body, respond, resume};
 use crate::app::Shared;
 use crate::request::{Answer, Ask, Clients, Face, Session, SessionParts};
 use actix_web::web::{Data, Payload};
@@ -63,12 +64,27 @@
         prompt_tokens: ask.prompt_tokens,
     };
     let stream = ask.stream;
+    let trace = trace(&shared, &req, "completion");
+    let claimed = claim::claim(&shared, &req, &admitted, &trace).await?;
+    if let Claimed::Repeat(handle) = &claimed {
+        let again = resume::Again {
+            handle,
+            next: 0,
+            arrived,
+        };
+        let (session, answer) = resume::session(&shared, &clients, &admitted, again, trace)?;
+        return respond(session, answer, stream).await;
+    }
     let parts = SessionParts {
         ask: Some(ask),
+        claimed: claimed == Claimed::Won,
         ..parts
     };
-    let trace = trace(&shared, &req, "completion");
     let session = Session::new(Arc::clone(&shared), clients.get_ref().clone(), parts, trace);
+    respond(session, answer, stream).await
+}
+
+async fn respond(session: Session, answer: Answer, stream: bool) -> Result<HttpResponse, ApiError> {
     match stream {
         true => respond::stream(session, answer).await,
         false => respond::whole(session, answer).await,
@@ -110,6 +126,7 @@
         service: resolved.service.clone(),
         priority: resolved.priority,
         ask: None,
+        claimed: false,
         arrived,
     })
 }
--- a/trouttrack_gateway/src/http/error.rs
+++ b/trouttrack_gateway/src/http/error.rs
@@ -31,6 +31,8 @@
     Stopping,
     /// No configuration is in force yet.
     NotConfigured,
+    /// An earlier request has the idempotency key; this is its outcome.
+    KeyClaimed(Outcome),
     /// The request ended without an answer; the ending says how.
     Ended(Outcome, &'static str),
 }
@@ -49,6 +51,7 @@
             Self::BadHandle => "bad_handle",
             Self::Stopping => "stopping",
             Self::NotConfigured => "not_configured",
+            Self::KeyClaimed(_) => "key_claimed",
             Self::Ended(_, code) => code,
         }
     }
@@ -61,6 +64,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::Stopping | Self::NotConfigured => StatusCode::SERVICE_UNAVAILABLE,
+            Self::KeyClaimed(_) => StatusCode::CONFLICT,
             Self::Ended(_, REJECTED) => StatusCode::BAD_REQUEST,
             Self::Ended(Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Ended(..) => StatusCode::BAD_GATEWAY,
@@ -69,7 +73,7 @@
 
     fn outcome(self) -> Outcome {
         match self {
-            Self::Ended(outcome, _) => outcome,
+            Self::Ended(outcome, _) | Self::KeyClaimed(outcome) => outcome,
             _ => Outcome::NotRun,
         }
     }
@@ -85,6 +89,12 @@
             Self::BadHandle => "send the request anew",
             Self::SlowBody => "send the request again, faster",
             Self::Stopping | Self::NotConfigured => "send the request again",
+            Self::KeyClaimed(Outcome::Unknown) => {
+                "ask again with the same key after `Retry-After`, or find out what became of it"
+            }
+            Self::KeyClaimed(_) => {
+                "the outcome is the earlier request's; use a new key to run anew"
+            }
             Self::Ended(Outcome::NotRun, _) => "send the request again, after `Retry-After`",
             Self::Ended(Outcome::Interrupted, _) => {
                 "keep the part that came, or send the request anew"
@@ -135,7 +145,13 @@
     /// An error before the request was placed.
     #[must_use]
     pub fn new(code: ErrorCode, request: &str, message: impl Into<String>) -> Self {
-        let soon = matches!(code, ErrorCode::Stopping | ErrorCode::NotConfigured);
+        let soon = matches!(
+            code,
+            ErrorCode::Stopping
+                | ErrorCode::NotConfigured
+                | ErrorCode::KeyClaimed(Outcome::Unknown)
+                | ErrorCode::Ended(Outcome::NotRun, _)
+        );
         Self {
             code,
             message: message.into(),
--- a/trouttrack_gateway/src/http/mod.rs
+++ b/trouttrack_gateway/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod auth;
 mod body;
+mod claim;
 mod completions;
 mod error;
 mod health;
--- a/trouttrack_gateway/src/http/plain.rs
+++ b/trouttrack_gateway/src/http/plain.rs
@@ -2,6 +2,7 @@
 
 use super::auth::admit;
 use super::body;
+use super::claim::{self, Claimed};
 use super::completions::trace;
 use super::error::{ApiError, ErrorCode};
 use crate::app::Shared;
@@ -45,6 +46,9 @@
             message,
         ));
     };
+    let content = body::read(&shared, &admitted.id, payload).await?;
+    let trace = trace(&shared, req, "plain call");
+    let claimed = claim::claim(&shared, req, &admitted, &trace).await?;
     let parts = SessionParts {
         id: admitted.id.clone(),
         organisation: organisation.name.clone(),
@@ -53,6 +57,7 @@
         service: resolved.service.clone(),
         priority: resolved.priority,
         ask: None,
+        claimed: claimed == Claimed::Won,
         arrived,
     };
     let rest = req.match_info().get("path").unwrap_or_default();
@@ -64,9 +69,8 @@
         method: req.method().clone(),
         path: format!("/{rest}{query}"),
         content_type: req.headers().get(CONTENT_TYPE).cloned(),
-        body: body::read(&shared, &admitted.id, payload).await?,
+        body: content,
     };
-    let trace = trace(&shared, req, "plain call");
     match run_plain(&shared, &clients, &parts, &call, &trace).await {
         Err(ending) => Err(ApiError::ended(&parts.id, &ending)),
         Ok(answer) => {
--- a/trouttrack_gateway/src/http/resume.rs
+++ b/trouttrack_gateway/src/http/resume.rs
@@ -1,14 +1,15 @@
 //! A caller that comes back for the rest of its stream.
 
-use super::auth::admit;
+use super::auth::{Admitted, admit};
 use super::error::{ApiError, ErrorCode};
 use super::{completions, respond};
 use crate::app::Shared;
-use crate::request::{Answer, Clients, Face, Session, SessionParts, Target};
+use crate::request::{Answer, Clients, Face, Handle, Session, SessionParts, Target};
 use actix_web::web::{Data, Path};
 use actix_web::{HttpRequest, HttpResponse};
 use std::sync::Arc;
 use std::time::Instant;
+use trouttrack_telemetry::trace::RequestTrace;
 
 /// `GET /v1/requests/{handle}`, with `Last-Event-ID` if tokens have come.
 pub(super) async fn resume(
@@ -48,7 +49,37 @@
         .ok_or_else(|| refuse(ErrorCode::BadHandle, "the handle is not valid"))?;
     let next = next_index(req)
         .ok_or_else(|| refuse(ErrorCode::BadRequest, "`Last-Event-ID` must be a number"))?;
-    let gone = || refuse(ErrorCode::BadHandle, "the stream is not known any more");
+    let again = Again {
+        handle: &handle,
+        next,
+        arrived,
+    };
+    let trace = completions::trace(&shared, req, "resume");
+    let (session, answer) = session(&shared, &clients, &admitted, again, trace)?;
+    respond::stream(session, answer).await
+}
+
+/// A stream that is to be attached to again.
+pub(super) struct Again<'a> {
+    pub(super) handle: &'a Handle,
+    pub(super) next: u64,
+    pub(super) arrived: Instant,
+}
+
+/// A session that attaches to the stream of a handle.
+pub(super) fn session(
+    shared: &Data<Shared>,
+    clients: &Data<Clients>,
+    admitted: &Admitted,
+    again: Again<'_>,
+    trace: RequestTrace,
+) -> Result<(Session, Answer), ApiError> {
+    let handle = again.handle;
+    let organisation = admitted.organisation();
+    let gone = || {
+        let message = "the stream is not known any more";
+        ApiError::new(ErrorCode::BadHandle, &admitted.id, message)
+    };
     let upstream = admitted.view.upstream(&handle.upstream).ok_or_else(gone)?;
     let service = admitted.view.service(&handle.service).ok_or_else(gone)?;
     let parts = SessionParts {
@@ -59,7 +90,8 @@
         service: service.clone(),
         priority: service.priority,
         ask: None,
-        arrived,
+        claimed: false,
+        arrived: again.arrived,
     };
     let answer = Answer {
         id: handle.request.clone(),
@@ -72,13 +104,13 @@
         prompt_tokens: 0,
     };
     let session = Session::returning(
-        Arc::clone(&shared),
+        Arc::clone(shared),
         clients.get_ref().clone(),
         parts,
-        completions::trace(&shared, req, "resume"),
-        &handle,
-        next,
+        trace,
+        handle,
+        again.next,
         Target::from(upstream),
     );
-    respond::stream(session, answer).await
+    Ok((session, answer))
 }
--- a/trouttrack_gateway/src/peers/heartbeats.rs
+++ b/trouttrack_gateway/src/peers/heartbeats.rs
@@ -28,6 +28,9 @@
         .map_or(0, |d| d.as_secs());
     Digest {
         name: shared.settings.vm.name.clone(),
+        rpc_addr: shared
+            .rpc_addr()
+            .map_or_else(String::new, |addr| addr.to_string()),
         failure_domain: shared.settings.vm.failure_domain.clone(),
         sequence: SEQUENCE.fetch_add(1, Ordering::Relaxed) + 1,
         incarnation,
--- a/trouttrack_gateway/src/peers/service.rs
+++ b/trouttrack_gateway/src/peers/service.rs
@@ -2,16 +2,19 @@
 
 use super::heartbeats::{digest, take};
 use crate::app::{Shared, Source, load_fleet};
+use crate::claims::{ClaimHere, StateOf, TakeOverHere};
 use crate::dispatch::{ListRequests, ListUpstreams, Summarise, Why};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tarpc::context::Context;
 use trouttrack_core::ConfigVersion;
+use trouttrack_core::claims::Claim;
 use trouttrack_core::membership::Digest;
 use trouttrack_core::routing::Explanation;
 use trouttrack_rpc::{
-    ConfigBundle, GatewayStatus, Hello, PROTOCOL, Peer, RequestInfo, UpstreamInfo,
+    ClaimAnswer, ClaimedState, ConfigBundle, GatewayStatus, Hello, PROTOCOL, Peer, RequestInfo,
+    UpstreamInfo,
 };
 
 #[derive(Clone, Debug)]
@@ -53,6 +56,21 @@
         load_fleet(&bundle).err()
     }
 
+    async fn claim(self, _: Context, claim: Claim) -> ClaimAnswer {
+        let answer = self.0.claimer.send(ClaimHere(claim)).await;
+        answer.unwrap_or_else(|e| ClaimAnswer::Unconfirmed(e.to_string()))
+    }
+
+    async fn take_over(self, _: Context, given_up: Claim, claim: Claim) -> ClaimAnswer {
+        let answer = self.0.claimer.send(TakeOverHere { given_up, claim }).await;
+        answer.unwrap_or_else(|e| ClaimAnswer::Unconfirmed(e.to_string()))
+    }
+
+    async fn claimed(self, _: Context, claim: Claim) -> ClaimedState {
+        let state = self.0.claimer.send(StateOf(claim.request)).await;
+        state.unwrap_or(ClaimedState::Unknown)
+    }
+
     async fn status(self, _: Context) -> GatewayStatus {
         let shared = &self.0;
         let summary = shared.dispatcher.send(Summarise).await.unwrap_or_default();
--- a/trouttrack_gateway/src/request/plain.rs
+++ b/trouttrack_gateway/src/request/plain.rs
@@ -1,7 +1,7 @@
 //! Calls to plain services, by the same state machine.
 
 use super::client::{Clients, Target};
-use super::session::{Ending, SessionParts, may_come_back};
+use super::session::{Ending, SessionParts, may_come_back, note_end};
 use super::wire::{ErrorBody, NOT_STARTED};
 use crate::app::{InFlightGuard, Shared};
 use awc::error::SendRequestError;
@@ -69,6 +69,9 @@
         .map_or_else(|e| e.outcome, |_| Outcome::Complete);
     let good = matches!(outcome, Outcome::Complete | Outcome::NotRun);
     shared.metrics.ended(&parts.service.name, outcome);
+    if parts.claimed {
+        note_end(shared, &parts.id, outcome);
+    }
     trace.finish(&parts.id, outcome.as_str(), good);
     result
 }
--- a/trouttrack_gateway/src/request/session.rs
+++ b/trouttrack_gateway/src/request/session.rs
@@ -6,6 +6,7 @@
 use super::handle::Handle;
 use crate::app::{InFlightGuard, Shared};
 use crate::canceller::CancelStream;
+use crate::claims::Progressed;
 use crate::dispatch::Ticket;
 use crate::metrics::StreamMetrics;
 use std::sync::Arc;
@@ -73,6 +74,8 @@
     pub priority: Priority,
     /// What was asked; `None` when a caller comes back.
     pub ask: Option<Ask>,
+    /// Whether it won the claim of an idempotency key.
+    pub claimed: bool,
     /// When it arrived.
     pub arrived: Instant,
 }
@@ -280,6 +283,7 @@
         if self.last_token.is_none() {
             self.metrics.first(now.duration_since(self.parts.arrived));
             self.hop(Hop::FirstToken);
+            self.note_stream();
         }
         let gap = self.last_token.map(|t| now.duration_since(t));
         self.metrics.tokens(count as u64, gap);
@@ -287,6 +291,16 @@
         self.resumes = 0;
     }
 
+    /// A repeat with the same key may attach to the stream from now on.
+    fn note_stream(&self) {
+        if self.parts.claimed
+            && let Some(handle) = self.handle()
+        {
+            let progressed = Progressed::Stream(handle);
+            self.shared.note_claimed(&self.parts.id, progressed);
+        }
+    }
+
     /// Checks one frame.
     fn take(&mut self, read: Read) -> Taken {
         match read {
@@ -665,6 +679,9 @@
             "request={} service={} outcome={} tokens={} code={}",
             self.parts.id, self.parts.service.name, ending.outcome, ending.tokens, ending.code
         ));
+        if self.parts.claimed {
+            note_end(&self.shared, &self.parts.id, ending.outcome);
+        }
         self.ending = Some(ending);
     }
 
@@ -674,6 +691,16 @@
     }
 }
 
+/// Notes the end of a request whose key was claimed. One that was not run gives
+/// its key up, so that a repeat may run.
+pub(super) fn note_end(shared: &Shared, request: &str, outcome: Outcome) {
+    let progressed = match outcome {
+        Outcome::NotRun => Progressed::GivenUp,
+        outcome => Progressed::Ended(outcome),
+    };
+    shared.note_claimed(request, progressed);
+}
+
 /// When a caller may come back with a request that was not run. What the
 /// upstream called wrong stays wrong.
 pub(super) fn may_come_back(outcome: Outcome, code: &str) -> Option<Duration> {
@@ -684,7 +711,14 @@
     /// The caller went away. A stream that it has a part of runs on for a
     /// while, so that it can come back; anything else is cancelled.
     fn drop(&mut self) {
-        if self.ending.is_some() || self.placed.is_none() {
+        if self.ending.is_some() {
+            return;
+        }
+        if self.placed.is_none() {
+            let outcome = self.machine.give_up();
+            if self.parts.claimed {
+                note_end(&self.shared, &self.parts.id, outcome);
+            }
             return;
         }
         events::CALLER_GONE.log(format_args!(
--- a/trouttrack_gateway/tests/gateway/main.rs
+++ b/trouttrack_gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! The gateway against the stand-ins, in one process.
 
 mod bad_input;
+mod claims;
 mod faults;
 mod leaving;
 mod property;
--- a/trouttrack_load/src/args.rs
+++ b/trouttrack_load/src/args.rs
@@ -29,5 +29,18 @@
             /// Numbers of streams at once (default 1,64,512).
             optional --streams list: String
         }
+        /// Measures what claiming idempotency keys costs.
+        cmd claims {
+            /// Base URL of a gateway; several are used in turn.
+            repeated --gateway url: String
+            /// Base URL of the platform stand-in.
+            required --platform url: String
+            /// An organisation's key.
+            required --key key: String
+            /// Claims a second.
+            required --rate n: f64
+            /// Seconds (default 5).
+            optional --seconds n: u64
+        }
     }
 }
--- a/trouttrack_load/src/lib.rs
+++ b/trouttrack_load/src/lib.rs
@@ -2,9 +2,20 @@
 //!
 //! - [`ask`] sends example requests and prints the answers as they come.
 //! - [`path`] measures what the gateway adds to the way of a token.
+//! - [`claims`] measures what idempotency keys cost.
 //! - [`client`] reads streams; [`process`] reads what a process has used.
 
 pub mod ask;
+pub mod claims;
 pub mod client;
 pub mod path;
 pub mod process;
+
+use hdrhistogram::Histogram;
+use std::time::Duration;
+
+/// Records a time in microseconds; the histogram grows as it must.
+pub(crate) fn record(histogram: &mut Histogram<u64>, time: Duration) {
+    // Only a histogram that may not grow refuses a value.
+    let _ = histogram.record(time.as_micros() as u64);
+}
--- a/trouttrack_load/src/main.rs
+++ b/trouttrack_load/src/main.rs
@@ -2,9 +2,11 @@
 
 mod args;
 
-use args::{Ask, Path, TrouttrackLoad, TrouttrackLoadCmd};
+use args::{Ask, Claims, Path, TrouttrackLoad, TrouttrackLoadCmd};
 use std::process::ExitCode;
+use std::time::Duration;
 use trouttrack_load::ask;
+use trouttrack_load::claims::{self, ClaimsOptions};
 use trouttrack_load::client::Goal;
 use trouttrack_load::path::{PathOptions, measure};
 
@@ -17,6 +19,7 @@
     let result = match TrouttrackLoad::from_env_or_exit().subcommand {
         TrouttrackLoadCmd::Ask(a) => run_ask(&a),
         TrouttrackLoadCmd::Path(a) => run_path(a),
+        TrouttrackLoadCmd::Claims(a) => run_claims(a),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -77,3 +80,21 @@
     })
     .map_err(|e| e.to_string())
 }
+
+fn run_claims(a: Claims) -> Result<(), String> {
+    const SECONDS: u64 = 5;
+    const SEED: u64 = 11;
+    let goal = |url: String| Goal {
+        url,
+        key: Some(a.key.clone()),
+    };
+    claims::measure(&ClaimsOptions {
+        gateways: a.gateway.into_iter().map(goal).collect(),
+        platform: a.platform,
+        rate: a.rate,
+        duration: Duration::from_secs(a.seconds.unwrap_or(SECONDS)),
+        threads: CLIENT_THREADS,
+        seed: SEED + a.rate as u64,
+    })
+    .map_err(|e| e.to_string())
+}
--- a/trouttrack_load/src/path/added.rs
+++ b/trouttrack_load/src/path/added.rs
@@ -2,6 +2,7 @@
 
 use super::throughput::body;
 use crate::client::{ClientError, Goal, Item, Stream, http};
+use crate::record;
 use base64::Engine as _;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use hdrhistogram::Histogram;
@@ -93,9 +94,7 @@
     let all = (0..streams).map(|i| one(gateway, engines, model, i, tokens));
     for result in futures_util::future::join_all(all).await {
         match result {
-            Ok(times) => times
-                .iter()
-                .for_each(|t| histogram.saturating_record(t.as_micros() as u64)),
+            Ok(times) => times.iter().for_each(|t| record(&mut histogram, *t)),
             Err(e) => {
                 eprintln!("{e}");
                 failed += 1;
--- a/trouttrack_rpc/src/lib.rs
+++ b/trouttrack_rpc/src/lib.rs
@@ -14,5 +14,6 @@
 pub use connect::{Connection, RpcError, serve};
 pub use service::{Peer, PeerClient};
 pub use types::{
-    ConfigBundle, GatewayStatus, Hello, PROTOCOL, RequestInfo, RequestState, UpstreamInfo,
+    ClaimAnswer, ClaimedState, ConfigBundle, GatewayStatus, Hello, PROTOCOL, RequestInfo,
+    RequestState, UpstreamInfo,
 };
--- a/trouttrack_rpc/src/service.rs
+++ b/trouttrack_rpc/src/service.rs
@@ -3,8 +3,11 @@
 // The code that `tarpc::service` writes has no documentation of its own.
 #![allow(missing_docs)]
 
-use crate::types::{ConfigBundle, GatewayStatus, Hello, RequestInfo, UpstreamInfo};
+use crate::types::{
+    ClaimAnswer, ClaimedState, ConfigBundle, GatewayStatus, Hello, RequestInfo, UpstreamInfo,
+};
 use trouttrack_core::ConfigVersion;
+use trouttrack_core::claims::Claim;
 use trouttrack_core::membership::Digest;
 use trouttrack_core::routing::Explanation;
 
@@ -20,6 +23,12 @@
     async fn offer(bundle: ConfigBundle) -> ConfigVersion;
     /// Whether a configuration could be put in force; says why not.
     async fn check(bundle: ConfigBundle) -> Option<String>;
+    /// Claims a key for a request of the caller's.
+    async fn claim(claim: Claim) -> ClaimAnswer;
+    /// Takes a claim over whose request was given up.
+    async fn take_over(given_up: Claim, claim: Claim) -> ClaimAnswer;
+    /// What is known of a request that won a claim here.
+    async fn claimed(claim: Claim) -> ClaimedState;
     /// How the gateway is.
     async fn status() -> GatewayStatus;
     /// Requests in progress, at most `most`.
--- a/trouttrack_rpc/src/types.rs
+++ b/trouttrack_rpc/src/types.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use trouttrack_config::fleet::{Part, Root};
-use trouttrack_core::{ConfigVersion, OrganisationId, RequestId, ServiceId, UpstreamId};
+use trouttrack_core::claims::Claim;
+use trouttrack_core::{ConfigVersion, OrganisationId, Outcome, RequestId, ServiceId, UpstreamId};
 
 /// Grows whenever a message changes its form.
 pub const PROTOCOL: u32 = 1;
@@ -100,3 +101,29 @@
     /// Age of the last load report.
     pub report_age: Option<Duration>,
 }
+
+/// What became of a claim that a peer was asked to make.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimAnswer {
+    /// The key is the request's.
+    Won,
+    /// The key was claimed before.
+    Known(Claim),
+    /// It cannot be confirmed; the claim may or may not stand.
+    Unconfirmed(String),
+}
+
+/// What the gateway that won a claim knows of its request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimedState {
+    /// Its stream can be attached to by this handle.
+    Stream(String),
+    /// It waits, or runs at an upstream that cannot be attached to.
+    InProgress,
+    /// It ended with this outcome; its answer is not kept.
+    Ended(Outcome),
+    /// It was given up before it was handed over, and will not be.
+    GivenUp,
+    /// Nothing is known of it.
+    Unknown,
+}
--- a/trouttrack_rpc/tests/rpc/main.rs
+++ b/trouttrack_rpc/tests/rpc/main.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 use tarpc::context::Context;
 use trouttrack_config::fleet::{Fleet, Root, split};
-use trouttrack_core::ConfigVersion;
+use trouttrack_core::claims::Claim;
 use trouttrack_core::membership::{Digest, Mark, MarkEntry, MarkSource, UpstreamUse};
 use trouttrack_core::routing::{CandidateNote, Explanation};
+use trouttrack_core::{ConfigVersion, Outcome};
 use trouttrack_rpc::{
-    ConfigBundle, Connection, GatewayStatus, Hello, PROTOCOL, Peer, RequestInfo, RequestState,
-    RpcError, UpstreamInfo, serve,
+    ClaimAnswer, ClaimedState, ConfigBundle, Connection, GatewayStatus, Hello, PROTOCOL, Peer,
+    RequestInfo, RequestState, RpcError, UpstreamInfo, serve,
 };
 
 /// Answers with what it is given, or with fixed examples.
@@ -114,6 +115,18 @@
         Some("no".into())
     }
 
+    async fn claim(self, _: Context, claim: Claim) -> ClaimAnswer {
+        ClaimAnswer::Known(claim)
+    }
+
+    async fn take_over(self, _: Context, _: Claim, _: Claim) -> ClaimAnswer {
+        ClaimAnswer::Won
+    }
+
+    async fn claimed(self, _: Context, _: Claim) -> ClaimedState {
+        ClaimedState::Ended(Outcome::Complete)
+    }
+
     async fn status(self, _: Context) -> GatewayStatus {
         status()
     }
@@ -177,6 +190,16 @@
             .unwrap(),
         "no"
     );
+    let claim = Claim {
+        key: "k".into(),
+        request: "r".into(),
+        gateway: "g".into(),
+    };
+    let (a, b) = (claim.clone(), claim.clone());
+    let answer = c.call(async move |p, cx| p.claim(cx, a).await).await;
+    assert_eq!(answer.unwrap(), ClaimAnswer::Known(claim));
+    let state = c.call(async move |p, cx| p.claimed(cx, b).await).await;
+    assert_eq!(state.unwrap(), ClaimedState::Ended(Outcome::Complete));
     assert_eq!(
         c.call(async |p, cx| p.status(cx).await).await.unwrap(),
         status()
--- a/trouttrack_telemetry/src/events/catalogue.rs
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -50,10 +50,12 @@
     RUN_AGAIN = 46, Info, "run-again", "A repeatable request is run again at another upstream; nothing of its first run was passed on.";
     RETRY_BUDGET = 47, Warn, "retry-budget", "A retry was not made because the service's retry budget is used up.";
     FENCED = 48, Info, "fenced", "An upstream confirmed that a stream id never ran and never will.";
+    CLAIM_KNOWN = 49, Info, "claim-known", "A request's idempotency key was claimed by an earlier one; it is not run again.";
     ENDED = 50, Debug, "ended", "A request ended; names its outcome.";
     ENDED_BADLY = 51, Warn, "ended-badly", "A request ended as `interrupted` or `unknown`.";
     CALLER_GONE = 52, Debug, "caller-gone", "A caller went away before its answer ended.";
     REFUSED = 53, Debug, "refused", "A request was refused before it was placed; names the code.";
+    CLAIM_UNCONFIRMED = 54, Warn, "claim-unconfirmed", "An idempotency key could not be claimed for certain (the platform does not answer); the request is told not-run.";
     OPERATOR = 60, Info, "operator", "An operator's command; names the operator and the command. The audit trail keeps it too.";
     OPERATOR_REFUSED = 61, Warn, "operator-refused", "An operator's call had no valid key or not the role.";
 }
