--- a/trouttrack_config/src/settings/gateway.rs
+++ b/trouttrack_config/src/settings/gateway.rs
@@ -124,6 +124,8 @@
     pub urgent_reserve: f64,
     /// Quantile of the remaining tokens that the memory forecast uses.
     pub growth_quantile: f64,
+    /// Tokens that the memory forecast looks ahead.
+    pub look_ahead: u64,
     /// How often the systems run.
     pub tick: Duration,
 }
@@ -140,6 +142,7 @@
             max_queued: r.within("max_queued", 2000, 1, 1_000_000),
             urgent_reserve: r.within("urgent_reserve", 0.1, 0.0, 0.9),
             growth_quantile: r.within("growth_quantile", 0.8, 0.5, 0.99),
+            look_ahead: r.within("look_ahead", 512, 16, 1_000_000),
             tick: r.duration("tick", Duration::from_millis(5)),
         }
     }
--- a/trouttrack_config/src/settings/keys.rs
+++ b/trouttrack_config/src/settings/keys.rs
@@ -91,6 +91,7 @@
     key("admission", "max_queued", "requests", "2000", GATEWAY, "Requests that wait; beyond it they are refused as not run."),
     key("admission", "urgent_reserve", "0 to 0.9", "0.1", GATEWAY, "Share of an engine's memory kept free for the most urgent priority."),
     key("admission", "growth_quantile", "0.5 to 0.99", "0.8", GATEWAY, "Quantile of the remaining tokens that the memory forecast uses."),
+    key("admission", "look_ahead", "tokens", "512", GATEWAY, "How far ahead the memory forecast looks; larger is safer against preemption and leaves more memory idle."),
     key("admission", "tick", "duration", "5ms", GATEWAY, "How often the systems run over the tables."),
     key("admin", "listen", "IP:port", "127.0.0.1:8081", CONTROLLER, "Where operators connect."),
     key("admin", "key", "role:key list", "", CONTROLLER, "Operators' keys, each `name:role:key` with role viewer or operator. Must be given."),
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -126,6 +126,10 @@
         self.own_forecast += forecast;
     }
 
+    pub(crate) fn change_forecast(&mut self, by: f64) {
+        self.own_forecast = (self.own_forecast + by).max(0.0);
+    }
+
     pub(crate) fn remove(&mut self, forecast: f64) {
         assert_positive(self.own_running, "own_running");
         self.own_running -= 1;
--- a/trouttrack_core/src/world/systems.rs
+++ b/trouttrack_core/src/world/systems.rs
@@ -1,6 +1,6 @@
 //! The systems: expire, place, refuse. Each runs over the tables once a tick.
 
-use super::tables::{Decision, NotRunReason, RequestKey, World};
+use super::tables::{Decision, NotRunReason, RequestKey, Submission, World};
 use crate::Time;
 use crate::routing::{Candidate, CandidateNote, Explanation};
 use crate::upstream::UpstreamKey;
@@ -81,7 +81,7 @@
         {
             return None;
         }
-        let forecast = self.forecast(key);
+        let forecast = self.forecast(submission, 0);
         let mut candidates = self.candidates(now, key, forecast, true);
         if candidates.is_empty() {
             // Better the same upstream again than none.
@@ -92,13 +92,18 @@
         Some(self.hand_over(key, candidates[chosen].upstream, forecast))
     }
 
-    /// Tokens that the request is forecast to hold at its largest.
-    fn forecast(&self, key: RequestKey) -> f64 {
-        let s = &self.requests[key].submission;
-        let growth = self
-            .lengths
-            .remaining(s.length_key, 0, self.settings.growth_quantile);
-        s.prompt_tokens as f64 + growth
+    /// Tokens that a request is forecast to hold at the end of the look-ahead,
+    /// after it has written `so_far`.
+    pub(crate) fn forecast(&self, s: &Submission, so_far: u64) -> f64 {
+        let growth = match s.known_tokens {
+            Some(tokens) => tokens.saturating_sub(so_far) as f64,
+            None => {
+                let quantile = self.settings.growth_quantile;
+                self.lengths.remaining(s.length_key, so_far, quantile)
+            }
+        };
+        let growth = growth.min(self.settings.look_ahead as f64);
+        (s.prompt_tokens + so_far) as f64 + growth
     }
 
     fn candidates(
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -34,6 +34,9 @@
     pub urgent_reserve: f64,
     /// The quantile of remaining tokens that the memory forecast uses.
     pub growth_quantile: f64,
+    /// How many tokens ahead the memory forecast looks; by then others have
+    /// ended and given their memory back.
+    pub look_ahead: u64,
     /// The routing policy.
     pub policy: AnyPolicy,
     /// Seed of the generator that samples candidates.
@@ -63,6 +66,8 @@
     pub max_running: Option<usize>,
     /// Upstreams that it must not be placed on again.
     pub avoid: Vec<String>,
+    /// The tokens that it will write, if someone knows (only an oracle does).
+    pub known_tokens: Option<u64>,
 }
 
 /// One request's row.
@@ -152,6 +157,7 @@
 ///     max_queued: 100,
 ///     urgent_reserve: 0.1,
 ///     growth_quantile: 0.8,
+///     look_ahead: 512,
 ///     policy: "trouttrack".parse().unwrap(),
 ///     seed: 1,
 /// };
@@ -243,6 +249,21 @@
         key
     }
 
+    /// A running request has written `tokens` so far: its forecast is made anew.
+    pub fn progress(&mut self, key: RequestKey, tokens: u64) {
+        let Some(row) = self.requests.get(key) else {
+            return;
+        };
+        let Some(upstream) = row.upstream else {
+            return;
+        };
+        let forecast = self.forecast(&row.submission, tokens);
+        let before = std::mem::replace(&mut self.requests[key].forecast, forecast);
+        if let Some(u) = self.upstreams.get_mut(upstream) {
+            u.change_forecast(forecast - before);
+        }
+    }
+
     /// The attempt at the request's upstream is over. `fault` says whether it
     /// failed in a way that speaks against the upstream; `tokens` is the whole
     /// length, when the answer ended by itself.
--- a/trouttrack_core/tests/core/support.rs
+++ b/trouttrack_core/tests/core/support.rs
@@ -15,6 +15,7 @@
         max_queued: 1000,
         urgent_reserve: 0.2,
         growth_quantile: 0.8,
+        look_ahead: 512,
         policy: policy.parse().unwrap(),
         seed: 7,
     }
@@ -48,6 +49,7 @@
         deadline: Duration::from_secs(1000),
         max_running: None,
         avoid: Vec::new(),
+        known_tokens: None,
     }
 }
 
--- a/trouttrack_gateway/src/app/shared.rs
+++ b/trouttrack_gateway/src/app/shared.rs
@@ -322,6 +322,7 @@
             deadline: arrived + service.queue_deadline,
             max_running: parts.max_running,
             avoid,
+            known_tokens: None,
         }
     }
 
--- a/trouttrack_load/src/args.rs
+++ b/trouttrack_load/src/args.rs
@@ -42,5 +42,61 @@
             /// Seconds (default 5).
             optional --seconds n: u64
         }
+        /// Sends mixed requests under faults and checks the stand-ins' books.
+        cmd faults {
+            /// Base URL of a gateway.
+            repeated --gateway url: String
+            /// Base URL of an engine stand-in.
+            repeated --engine url: String
+            /// Base URL of a plain stand-in.
+            repeated --plain url: String
+            /// Base URL of the platform stand-in.
+            required --platform url: String
+            /// An organisation's key.
+            required --key key: String
+            /// A stand-in's books.
+            repeated --ledger file: PathBuf
+            /// Requests in all.
+            required --requests n: usize
+            /// Requests a second.
+            required --rate n: f64
+            /// Seed of requests and disturbances.
+            required --seed n: u64
+        }
+        /// Compares routing policies against an engine model in virtual time.
+        cmd compare {
+            /// umurage or ferry.
+            required --fleet fleet: String
+            /// Load over the engines' capacity (default 0.9).
+            optional --load x: f64
+            /// Seeds, separated by commas (default 11,12,13,14,15).
+            optional --seeds list: String
+            /// Policies, separated by commas (default all).
+            optional --policies list: String
+            /// Seconds of arrivals (default 300).
+            optional --seconds n: u64
+            /// Gateways (default 3).
+            optional --gateways n: usize
+            /// Engines (default 4).
+            optional --engines n: usize
+            /// Age of load reports (default 500).
+            optional --report-lag-ms ms: u64
+            /// Lose an engine in mid run.
+            optional --lose-engine
+            /// From mid run on outputs are this many times as long.
+            optional --longer x: f64
+            /// The first organisation sends this many times its share.
+            optional --flood x: f64
+            /// Quantile of the memory forecast.
+            optional --growth-quantile q: f64
+            /// Tokens that the memory forecast looks ahead.
+            optional --look-ahead n: u64
+            /// Share of memory kept for the most urgent.
+            optional --urgent-reserve x: f64
+            /// Write every run's figures here.
+            optional --json file: PathBuf
+            /// Write a page with plots here.
+            optional --report file: PathBuf
+        }
     }
 }
--- a/trouttrack_load/src/lib.rs
+++ b/trouttrack_load/src/lib.rs
@@ -3,11 +3,15 @@
 //! - [`ask`] sends example requests and prints the answers as they come.
 //! - [`path`] measures what the gateway adds to the way of a token.
 //! - [`claims`] measures what idempotency keys cost.
+//! - [`compare`] compares routing policies in virtual time.
+//! - [`faults`] sends mixed requests under faults and checks the books.
 //! - [`client`] reads streams; [`process`] reads what a process has used.
 
 pub mod ask;
 pub mod claims;
 pub mod client;
+pub mod compare;
+pub mod faults;
 pub mod path;
 pub mod process;
 
--- a/trouttrack_load/src/main.rs
+++ b/trouttrack_load/src/main.rs
@@ -2,12 +2,14 @@
 
 mod args;
 
-use args::{Ask, Claims, Path, TrouttrackLoad, TrouttrackLoadCmd};
+use args::{Ask, Claims, Compare, Faults, Path, TrouttrackLoad, TrouttrackLoadCmd};
 use std::process::ExitCode;
 use std::time::Duration;
 use trouttrack_load::ask;
 use trouttrack_load::claims::{self, ClaimsOptions};
 use trouttrack_load::client::Goal;
+use trouttrack_load::compare::{self, BenchOptions, CompareOptions, Mix, PolicyName, Shift};
+use trouttrack_load::faults::{self, FaultsOptions};
 use trouttrack_load::path::{PathOptions, measure};
 
 const DEFAULT_STREAMS: &[usize] = &[1, 64, 512];
@@ -20,6 +22,8 @@
         TrouttrackLoadCmd::Ask(a) => run_ask(&a),
         TrouttrackLoadCmd::Path(a) => run_path(a),
         TrouttrackLoadCmd::Claims(a) => run_claims(a),
+        TrouttrackLoadCmd::Faults(a) => run_faults(a),
+        TrouttrackLoadCmd::Compare(a) => run_compare(&a),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -98,3 +102,102 @@
     })
     .map_err(|e| e.to_string())
 }
+
+fn run_faults(a: Faults) -> Result<(), String> {
+    let goal = |url: String| Goal {
+        url,
+        key: Some(a.key.clone()),
+    };
+    let tally = faults::run(&FaultsOptions {
+        gateways: a.gateway.into_iter().map(goal).collect(),
+        engines: a.engine,
+        plains: a.plain,
+        platform: a.platform,
+        ledgers: a.ledger,
+        requests: a.requests,
+        rate: a.rate,
+        seed: a.seed,
+    })
+    .map_err(|e| e.to_string())?;
+    println!("{tally}");
+    match tally.kept() {
+        true => Ok(()),
+        false => Err("a promise was broken".to_owned()),
+    }
+}
+
+fn list<T: std::str::FromStr>(given: Option<&str>, default: &str) -> Result<Vec<T>, String> {
+    let wrong = |word: &str| format!("`{word}` cannot be read");
+    given
+        .unwrap_or(default)
+        .split(',')
+        .map(|word| word.trim().parse().map_err(|_| wrong(word)))
+        .collect()
+}
+
+fn compare_options(a: &Compare) -> Result<CompareOptions, String> {
+    const ALL: &str = "trouttrack,oracle,random,round-robin,least-outstanding,two-choices";
+    const SEEDS: &str = "11,12,13,14,15";
+    const SECONDS: u64 = 300;
+    let mix = Mix::by_name(&a.fleet).ok_or("the fleet must be umurage or ferry")?;
+    let lasts = Duration::from_secs(a.seconds.unwrap_or(SECONDS));
+    let mut bench = BenchOptions::default();
+    if let Some(n) = a.engines {
+        bench.engines = vec![bench.engines[0]; n.max(1)];
+    }
+    bench.gateways = a.gateways.unwrap_or(bench.gateways).max(1);
+    bench.report_lag = a
+        .report_lag_ms
+        .map_or(bench.report_lag, Duration::from_millis);
+    bench.lost = a.lose_engine.then_some((0, lasts / 2));
+    let settings = &mut bench.settings;
+    settings.growth_quantile = a.growth_quantile.unwrap_or(settings.growth_quantile);
+    settings.look_ahead = a.look_ahead.unwrap_or(settings.look_ahead);
+    settings.urgent_reserve = a.urgent_reserve.unwrap_or(settings.urgent_reserve);
+    Ok(CompareOptions {
+        mix,
+        load: a.load.unwrap_or(0.9),
+        seeds: list(a.seeds.as_deref(), SEEDS)?,
+        policies: list::<PolicyName>(a.policies.as_deref(), ALL)?,
+        lasts,
+        shift: Shift {
+            longer: a.longer.map(|times| (lasts / 2, times)),
+            flood: a.flood,
+        },
+        bench,
+    })
+}
+
+fn run_compare(a: &Compare) -> Result<(), String> {
+    let o = compare_options(a)?;
+    let (capacity, compared) = compare::compare(&o);
+    let headline = compare::headline(&compared, o.mix);
+    println!(
+        "{} at {} of {capacity:.2} requests/s, seeds {:?}, medians",
+        o.mix.name, o.load, o.seeds
+    );
+    print!("{}", compare::table(&o, &compared));
+    println!("\nleast to most over the seeds");
+    print!("{}", compare::spread(&o, &compared));
+    for c in &compared {
+        let mut others: Vec<f64> = c.runs.iter().map(|r| r.others_first_p99_ms).collect();
+        others.sort_by(f64::total_cmp);
+        println!(
+            "{}: lookups of the other organisations, first token p99 {:.1} ms",
+            c.policy.as_str(),
+            others[others.len() / 2]
+        );
+    }
+    if let Some(file) = &a.json {
+        compare::write_json(file, &o, capacity, &compared, headline).map_err(|e| e.to_string())?;
+    }
+    if let Some(file) = &a.report {
+        compare::write_report(file, &o, capacity, &compared, headline)
+            .map_err(|e| e.to_string())?;
+    }
+    match headline {
+        Some(h) => println!("{h}"),
+        None => println!("no headline: it takes trouttrack and a baseline"),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/trouttrack_load/tests/load/main.rs
@@ -0,0 +1,3 @@
+//! The tool's own judgements.
+
+mod faults;
--- a/trouttrack_standin/src/args.rs
+++ b/trouttrack_standin/src/args.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 xflags::xflags! {
     /// Stand-ins for engines, plain services and the platform. Prints its URL.
@@ -35,6 +36,8 @@
             optional --workers n: usize
             /// Seed of its generations.
             optional --seed seed: u64
+            /// File to which runs are written as they happen.
+            optional --ledger file: PathBuf
         }
 
         /// A plain service.
@@ -45,6 +48,8 @@
             required --name name: String
             /// Time of one call.
             optional --delay-ms ms: u64
+            /// File to which runs are written as they happen.
+            optional --ledger file: PathBuf
         }
 
         /// The platform's object API and VM list.
--- a/trouttrack_standin/src/engine/settings.rs
+++ b/trouttrack_standin/src/engine/settings.rs
@@ -1,5 +1,6 @@
 //! What kind of engine the stand-in plays.
 
+use std::path::PathBuf;
 use std::time::Duration;
 use trouttrack_engine::{EngineSettings, LengthDraw};
 
@@ -24,6 +25,8 @@
     pub workers: usize,
     /// Seed of its generations.
     pub seed: u64,
+    /// A file to which runs and their ends are written as they happen.
+    pub ledger: Option<PathBuf>,
 }
 
 impl Default for EngineOptions {
@@ -42,6 +45,7 @@
             weight_fetch: Duration::from_secs(2),
             workers: 1,
             seed: 1,
+            ledger: None,
         }
     }
 }
--- a/trouttrack_standin/src/engine/state.rs
+++ b/trouttrack_standin/src/engine/state.rs
@@ -3,6 +3,7 @@
 use super::faults::{Armed, Fault, On};
 use super::orders::OrderLog;
 use super::settings::EngineOptions;
+use crate::ledger::{LedgerFile, LedgerLine};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -121,6 +122,7 @@
     pub(super) options: EngineOptions,
     inner: Mutex<Inner>,
     work: Notify,
+    file: LedgerFile,
 }
 
 impl EngineState {
@@ -139,6 +141,7 @@
             leaving: false,
         };
         Self {
+            file: LedgerFile::open(options.ledger.as_deref()),
             options,
             inner: Mutex::new(inner),
             work: Notify::new(),
@@ -246,6 +249,11 @@
             gone: AtomicBool::new(false),
             key,
         });
+        self.file.write(&LedgerLine {
+            marker: &stream.marker,
+            generation: stream.generation,
+            ended: None,
+        });
         inner.streams.insert(stream.id.clone(), Arc::clone(&stream));
         inner.by_key.insert(key, Arc::clone(&stream));
         inner.ledger.push(Arc::clone(&stream));
@@ -362,7 +370,16 @@
     }
 
     fn publish(&self, out: &StepOutput) {
-        self.lock().publish(out);
+        for s in self.lock().publish(out) {
+            let written = s.written.load(Ordering::Acquire);
+            self.file.write(&LedgerLine {
+                marker: &s.marker,
+                generation: s.generation,
+                ended: Some(written),
+            });
+            let full = written >= s.limit;
+            finish(&s, if full { End::Length } else { End::Stop });
+        }
     }
 }
 
@@ -374,18 +391,17 @@
         self.history.push_back((now, load));
     }
 
-    /// Tells the streams' readers what a step did.
-    fn publish(&mut self, out: &StepOutput) {
+    /// Tells the streams' readers what a step did; returns those that ended
+    /// by themselves.
+    fn publish(&mut self, out: &StepOutput) -> Vec<Arc<Stream>> {
+        let mut ended = Vec::new();
         for key in &out.wrote {
             if let Some(s) = self.by_key.get(key) {
                 s.written.fetch_add(1, Ordering::AcqRel);
             }
         }
         for key in &out.finished {
-            if let Some(s) = self.by_key.remove(key) {
-                let full = s.written.load(Ordering::Acquire) >= s.limit;
-                finish(&s, if full { End::Length } else { End::Stop });
-            }
+            ended.extend(self.by_key.remove(key));
         }
         for key in &out.aborted {
             if let Some(s) = self.by_key.remove(key) {
@@ -397,6 +413,7 @@
                 s.changed.notify_waiters();
             }
         }
+        ended
     }
 }
 
--- a/trouttrack_standin/src/lib.rs
+++ b/trouttrack_standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod plain;
 pub mod platform;
 
+mod ledger;
 mod server;
 
 pub use server::{Running, StandInError};
--- a/trouttrack_standin/src/main.rs
+++ b/trouttrack_standin/src/main.rs
@@ -35,6 +35,7 @@
         weight_fetch: millis(a.weight_fetch_ms, d.weight_fetch),
         workers: a.workers.unwrap_or(d.workers),
         seed: a.seed.unwrap_or(d.seed),
+        ledger: a.ledger.clone(),
     }
 }
 
@@ -47,7 +48,7 @@
         }
         Stand::Plain(a) => {
             let delay = Duration::from_millis(a.delay_ms.unwrap_or(2));
-            let running = plain::start(a.listen, &a.name, delay)?;
+            let running = plain::start_with_ledger(a.listen, &a.name, delay, a.ledger.as_deref())?;
             println!("plain http://{}", running.addr);
             running.serve().await
         }
--- a/trouttrack_standin/src/plain/mod.rs
+++ b/trouttrack_standin/src/plain/mod.rs
@@ -1,11 +1,13 @@
 //! A plain service: it answers, counts and keeps a ledger.
 
+use crate::ledger::{LedgerFile, LedgerLine};
 use crate::server::{Running, StandInError, bind};
 use actix_web::web::{Bytes, Data, Json, ServiceConfig, delete, get, post, route};
 use actix_web::{HttpRequest, HttpResponse};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -46,6 +48,7 @@
     name: String,
     delay: Duration,
     inner: Mutex<Inner>,
+    file: LedgerFile,
 }
 
 impl PlainState {
@@ -70,6 +73,11 @@
     }
 
     fn run(&self, run: PlainRun) -> usize {
+        self.file.write(&LedgerLine {
+            marker: &run.path,
+            generation: 0,
+            ended: None,
+        });
         let mut inner = self.lock();
         inner.ledger.push(run);
         inner.ledger.len()
@@ -85,11 +93,26 @@
     addr: SocketAddr,
     name: &str,
     delay: Duration,
+) -> Result<Running<Arc<PlainState>>, StandInError> {
+    start_with_ledger(addr, name, delay, None)
+}
+
+/// As [`start`], writing each run to a file as it happens.
+///
+/// # Errors
+///
+/// The port cannot be had.
+pub fn start_with_ledger(
+    addr: SocketAddr,
+    name: &str,
+    delay: Duration,
+    ledger: Option<&Path>,
 ) -> Result<Running<Arc<PlainState>>, StandInError> {
     let state = Arc::new(PlainState {
         name: name.to_owned(),
         delay,
         inner: Mutex::default(),
+        file: LedgerFile::open(ledger),
     });
     let data = Data::from(Arc::clone(&state));
     bind(addr, 1, state, move |cfg| routes(cfg, data.clone()))
