Memory forecast by peaks, shared in heartbeats; urgent requests never wait for memory

Change: each running request is followed; the forecast is the largest sum over the time to come; gateways tell each other their peaks; the reserve is left by requests in proportion to their growth; the most urgent class never waits.

--- a/trouttrack_core/src/membership/peers.rs
+++ b/trouttrack_core/src/membership/peers.rs
@@ -13,6 +13,8 @@
     pub upstream: UpstreamId,
     /// Hand-overs that have not ended.
     pub running: u32,
+    /// The most tokens that they are forecast to hold at any time to come.
+    pub peak_tokens: u64,
 }
 
 /// What a gateway says of itself in a heartbeat.
--- a/trouttrack_core/src/routing/policy.rs
+++ b/trouttrack_core/src/routing/policy.rs
@@ -22,6 +22,11 @@
     pub fits: bool,
     /// Whether it stands in the caller's failure domain.
     pub local: bool,
+    /// Where it stands in the order in which requests of this class are packed,
+    /// from 0 (first) to 1.
+    pub lane: f64,
+    /// Seconds until it has loaded the prompts that it was given.
+    pub backlog: f64,
     /// The share of the prompt thought to be in its prefix cache, 0 to 1.
     pub cached: f64,
 }
--- a/trouttrack_core/src/routing/score.rs
+++ b/trouttrack_core/src/routing/score.rs
@@ -3,9 +3,10 @@
 use super::policy::{Candidate, Policy};
 use rand::{Rng, RngExt};
 
-/// Candidates looked at for each choice. Few, so that gateways that see the
-/// same lagging report do not all run to the same upstream.
-const SAMPLE: usize = 4;
+/// Candidates that fit and are looked at for each choice, from a random place
+/// on: few, so that gateways that see the same lagging report do not all run
+/// to the same upstream.
+const SAMPLE: usize = 6;
 
 /// What each part of a score counts.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -18,6 +19,10 @@
     pub remote: f64,
     /// Taken off for a fully cached prompt.
     pub cached: f64,
+    /// Added for the last in the packing order of the class.
+    pub lane: f64,
+    /// Added for each second of prompts still to be loaded.
+    pub backlog: f64,
 }
 
 impl Default for Weights {
@@ -27,6 +32,8 @@
             fill: 1.0,
             remote: 0.15,
             cached: 0.4,
+            lane: 0.3,
+            backlog: 3.0,
         }
     }
 }
@@ -76,6 +83,7 @@
         let w = &self.weights;
         let running = c.running as f64 / c.max_running.max(1) as f64;
         let remote = if c.local { 0.0 } else { w.remote };
-        w.running * running + w.fill * c.fill + remote - w.cached * c.cached
+        w.running * running + w.fill * c.fill + remote + w.lane * c.lane + w.backlog * c.backlog
+            - w.cached * c.cached
     }
 }
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -2,6 +2,7 @@
 
 use super::circuit::{Circuit, CircuitState};
 use crate::debug_asserts::assert_positive;
+use crate::world::RequestKey;
 use crate::{FailureDomain, Time, UpstreamId};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::HashMap;
@@ -48,8 +49,12 @@
     pub report: Report,
     /// Hand-overs of this process that have not ended.
     pub own_running: usize,
-    /// Tokens that this process's running requests are forecast to hold.
-    pub own_forecast: f64,
+    /// Where this process's running requests stand.
+    pub(crate) own: Vec<OwnRun>,
+    /// What peers last said of their use.
+    pub(crate) peers: Vec<PeerUse>,
+    /// Prompt tokens handed over that are not yet loaded, as of a time.
+    pub(crate) backlog: Backlog,
     /// Hand-overs since the last report.
     pub since_report: usize,
     /// Ends since the last report.
@@ -67,7 +72,9 @@
             spec,
             report: Report::default(),
             own_running: 0,
-            own_forecast: 0.0,
+            own: Vec::new(),
+            peers: Vec::new(),
+            backlog: Backlog::default(),
             since_report: 0,
             ended_since_report: 0,
             leaving: false,
@@ -87,26 +94,61 @@
         self.own_at_report = self.own_running;
     }
 
-    /// Requests running and waiting there now: the last report, plus own
-    /// hand-overs since, less own ends since.
+    /// Requests running and waiting there now: own ones and those that peers
+    /// told of. Without peers, the last report, plus own hand-overs since, less
+    /// own ends since.
     #[must_use]
     pub fn estimated_running(&self) -> usize {
+        if !self.peers.is_empty() {
+            let peers: usize = self.peers.iter().map(|p| p.running).sum();
+            return self.own_running + peers;
+        }
         let reported = self.report.running + self.report.waiting;
         (reported + self.since_report)
             .saturating_sub(self.ended_since_report)
             .max(self.own_running)
     }
 
-    /// Tokens of memory that its running requests are forecast to need.
-    ///
-    /// Own requests are forecast one by one; the requests of others are taken
-    /// at their reported share of the memory.
+    /// Tokens of memory in use by requests of other processes, by the last
+    /// report.
     #[must_use]
-    pub fn forecast_tokens(&self) -> f64 {
+    pub fn used_by_others(&self) -> f64 {
         let others = self.report.running.saturating_sub(self.own_at_report);
         let used = self.report.used_tokens as f64;
-        let of_others = used * others as f64 / self.report.running.max(1) as f64;
-        of_others + self.own_forecast
+        used * others as f64 / self.report.running.max(1) as f64
+    }
+
+    /// The most tokens of memory that its running requests, and `new` if
+    /// given, are forecast to need at any time to come.
+    ///
+    /// Own requests are followed one by one: each holds what it has written
+    /// until then and gives all back when it ends. Peers tell their own peaks;
+    /// without them, others' memory is taken to rise as the own does.
+    #[must_use]
+    pub fn peak_tokens(&self, new: Option<OwnRun>) -> f64 {
+        let now: f64 = self.own.iter().map(|r| r.tokens).sum();
+        let peak = peak(&self.own, new);
+        if !self.peers.is_empty() {
+            return peak + self.peers.iter().map(|p| p.peak_tokens).sum::<f64>();
+        }
+        let others = self.used_by_others();
+        let rise = match now > 0.0 {
+            true => (peak_of(&self.own) / now).clamp(1.0, LARGEST_RISE),
+            false => 1.0,
+        };
+        peak + others * rise
+    }
+
+    /// The most tokens that the own requests are forecast to hold.
+    #[must_use]
+    pub fn own_peak(&self) -> f64 {
+        peak_of(&self.own)
+    }
+
+    /// As [`peak_tokens`](Self::peak_tokens), at its cheapest: never too low.
+    #[must_use]
+    pub fn peak_bound(&self, new: OwnRun) -> f64 {
+        self.peak_tokens(None) + new.tokens + new.remaining
     }
 
     /// Whether it may be given new work at `now`.
@@ -120,22 +162,108 @@
         trial && !self.leaving && self.estimated_running() < self.spec.max_running
     }
 
-    pub(crate) fn add(&mut self, forecast: f64) {
+    /// Takes in what a peer says of its use; silent peers are forgotten.
+    pub(crate) fn take_peer(&mut self, new: PeerUse) {
+        let stale = |p: &PeerUse| new.at.saturating_sub(p.at) > PEER_SILENCE;
+        self.peers.retain(|p| p.peer != new.peer && !stale(p));
+        self.peers.push(new);
+    }
+
+    pub(crate) fn add(&mut self, run: OwnRun, now: Time) {
         self.own_running += 1;
         self.since_report += 1;
-        self.own_forecast += forecast;
+        self.backlog.add(now, run.tokens);
+        self.own.push(run);
     }
 
-    pub(crate) fn change_forecast(&mut self, by: f64) {
-        self.own_forecast = (self.own_forecast + by).max(0.0);
+    pub(crate) fn progress(&mut self, key: RequestKey, tokens: f64, remaining: f64) {
+        if let Some(run) = self.own.iter_mut().find(|r| r.key == key) {
+            run.tokens = tokens;
+            run.remaining = remaining;
+        }
     }
 
-    pub(crate) fn remove(&mut self, forecast: f64) {
+    pub(crate) fn remove(&mut self, key: RequestKey) {
         assert_positive(self.own_running, "own_running");
         self.own_running -= 1;
         self.ended_since_report += 1;
-        self.own_forecast = (self.own_forecast - forecast).max(0.0);
+        self.own.retain(|r| r.key != key);
+    }
+}
+
+/// A peer that has been silent for this long is not counted any more.
+const PEER_SILENCE: Time = Time::from_secs(5);
+
+/// What a peer last said of its use of an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerUse {
+    /// The peer's name.
+    pub peer: String,
+    /// When it was heard.
+    pub at: Time,
+    /// Its hand-overs that have not ended.
+    pub running: usize,
+    /// The most tokens that they are forecast to hold.
+    pub peak_tokens: f64,
+}
+
+/// How much others' memory may be taken to rise with the own.
+const LARGEST_RISE: f64 = 1.5;
+/// Prompt tokens that an engine loads in a second, as far as the backlog is
+/// guessed; engines differ, and only the order of candidates depends on it.
+const LOADED_PER_SECOND: f64 = 12_000.0;
+
+/// Where one of this process's running requests stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OwnRun {
+    /// The request.
+    pub key: RequestKey,
+    /// Tokens that it holds.
+    pub tokens: f64,
+    /// Tokens that it is forecast still to write.
+    pub remaining: f64,
+}
+
+/// Prompt tokens that an engine has still to load.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Backlog {
+    tokens: f64,
+    at: Time,
+}
+
+impl Backlog {
+    fn add(&mut self, now: Time, tokens: f64) {
+        self.tokens = self.seconds(now) * LOADED_PER_SECOND + tokens;
+        self.at = now;
+    }
+
+    /// How long loading takes from `now` on.
+    pub(crate) fn seconds(&self, now: Time) -> f64 {
+        let loaded = now.saturating_sub(self.at).as_secs_f64() * LOADED_PER_SECOND;
+        (self.tokens - loaded).max(0.0) / LOADED_PER_SECOND
+    }
+}
+
+fn peak_of(runs: &[OwnRun]) -> f64 {
+    peak(runs, None)
+}
+
+/// The largest sum of tokens over the time to come: a run holds `tokens + t`
+/// until `t` reaches what remains of it.
+fn peak(runs: &[OwnRun], new: Option<OwnRun>) -> f64 {
+    let mut all: Vec<(f64, f64)> = runs
+        .iter()
+        .chain(&new)
+        .map(|r| (r.remaining, r.tokens))
+        .collect();
+    all.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
+    let (mut held, mut most) = (0.0, 0.0f64);
+    for (i, (remaining, tokens)) in all.iter().enumerate() {
+        // Just before this one ends, it and all that end later are there.
+        held += tokens;
+        most = most.max(held + (i + 1) as f64 * remaining);
     }
+    most
 }
 
 /// All upstreams of the configuration.
--- a/trouttrack_core/src/world/systems.rs
+++ b/trouttrack_core/src/world/systems.rs
@@ -3,12 +3,14 @@
 use super::tables::{Decision, NotRunReason, RequestKey, Submission, World};
 use crate::Time;
 use crate::routing::{Candidate, CandidateNote, Explanation};
-use crate::upstream::UpstreamKey;
+use crate::upstream::{OwnRun, UpstreamKey};
 use std::time::Duration;
 
 /// Waiting requests of a class that are tried each round, so that one that
 /// fits nowhere does not hold up the ones behind it.
 const HEADS: usize = 8;
+/// Up to this many upstreams the memory forecast is made exactly for each.
+const EXACT: usize = 16;
 /// Candidates kept in an explanation.
 const EXPLAINED_CANDIDATES: usize = 8;
 /// The shortest time after which a refused caller may come back.
@@ -81,59 +83,74 @@
         {
             return None;
         }
-        let forecast = self.forecast(submission, 0);
-        let mut candidates = self.candidates(now, key, forecast, true);
+        let new = self.forecast(key, submission, 0);
+        let mut candidates = self.candidates(now, new, true);
         if candidates.is_empty() {
             // Better the same upstream again than none.
-            candidates = self.candidates(now, key, forecast, false);
+            candidates = self.candidates(now, new, false);
         }
         let chosen = self.settings.policy.choose(&candidates, &mut self.rng)?;
         self.explain(now, key, &candidates, chosen);
-        Some(self.hand_over(key, candidates[chosen].upstream, forecast))
+        Some(self.hand_over(now, candidates[chosen].upstream, new))
     }
 
-    /// Tokens that a request is forecast to hold at the end of the look-ahead,
-    /// after it has written `so_far`.
-    pub(crate) fn forecast(&self, s: &Submission, so_far: u64) -> f64 {
-        let growth = match s.known_tokens {
+    /// What a request holds after it has written `so_far`, and what it is
+    /// forecast still to write.
+    pub(crate) fn forecast(&self, key: RequestKey, s: &Submission, so_far: u64) -> OwnRun {
+        let remaining = match s.known_tokens {
             Some(tokens) => tokens.saturating_sub(so_far) as f64,
             None => {
                 let quantile = self.settings.growth_quantile;
                 self.lengths.remaining(s.length_key, so_far, quantile)
             }
         };
-        let growth = growth.min(self.settings.look_ahead as f64);
-        (s.prompt_tokens + so_far) as f64 + growth
+        OwnRun {
+            key,
+            tokens: (s.prompt_tokens + so_far) as f64,
+            remaining,
+        }
     }
 
-    fn candidates(
-        &self,
-        now: Time,
-        key: RequestKey,
-        forecast: f64,
-        avoiding: bool,
-    ) -> Vec<Candidate> {
-        let submission = &self.requests[key].submission;
-        let reserve = match submission.priority {
+    /// The share of an engine's memory that a request must leave free: the
+    /// longer it is forecast to grow, the more of the reserve. What is urgent
+    /// leaves none.
+    fn must_leave(&self, priority: u8, new: OwnRun) -> f64 {
+        let growth = new.remaining / self.settings.look_ahead.max(1) as f64;
+        match priority {
             0 => 0.0,
-            _ => self.settings.urgent_reserve,
-        };
-        self.upstreams
-            .serving(&submission.service)
+            _ => self.settings.urgent_reserve * growth.min(1.0),
+        }
+    }
+
+    fn candidates(&self, now: Time, new: OwnRun, avoiding: bool) -> Vec<Candidate> {
+        let submission = &self.requests[new.key].submission;
+        let urgent = submission.priority == 0;
+        let leave = self.must_leave(submission.priority, new);
+        let serving = self.upstreams.serving(&submission.service);
+        let exact = serving.len() <= EXACT;
+        let last = serving.len().saturating_sub(1).max(1) as f64;
+        serving
             .iter()
-            .filter_map(|&k| {
+            .enumerate()
+            .filter_map(|(place, &k)| {
                 let u = self.upstreams.get(k)?;
                 let avoided = avoiding && submission.avoid.contains(&u.spec.id);
                 if avoided || !u.open(now) {
                     return None;
                 }
-                let capacity = u.spec.capacity_tokens as f64;
                 let fill = match u.spec.capacity_tokens {
                     0 => 0.0,
-                    _ => (u.forecast_tokens() + forecast) / capacity,
+                    capacity if exact => u.peak_tokens(Some(new)) / capacity as f64,
+                    capacity => u.peak_bound(new) / capacity as f64,
                 };
-                // An idle engine takes even a request forecast to outgrow it.
-                let fits = fill <= 1.0 - reserve || u.estimated_running() == 0;
+                // What is urgent is small and never made to wait for memory:
+                // the engine makes room at the cost of the least urgent. An
+                // idle engine takes even a request forecast to outgrow it.
+                let fits = urgent || fill <= 1.0 - leave || u.estimated_running() == 0;
+                // The urgent are packed from one end of the list and the rest
+                // from the other, so that long prompts are seldom loaded
+                // beside a lookup that is being written.
+                let lane = place as f64 / last;
                 Some(Candidate {
                     upstream: k,
                     running: u.estimated_running(),
@@ -141,6 +158,8 @@
                     fill,
                     fits,
                     local: u.spec.failure_domain == self.settings.failure_domain,
+                    lane: if urgent { lane } else { 1.0 - lane },
+                    backlog: u.backlog.seconds(now),
                     cached: 0.0,
                 })
             })
@@ -176,10 +195,10 @@
         self.explanations.keep(&id, explanation);
     }
 
-    fn hand_over(&mut self, key: RequestKey, upstream: UpstreamKey, forecast: f64) -> Decision {
+    fn hand_over(&mut self, now: Time, upstream: UpstreamKey, new: OwnRun) -> Decision {
+        let key = new.key;
         let row = &mut self.requests[key];
         row.upstream = Some(upstream);
-        row.forecast = forecast;
         let place = row.place.take();
         let deadline = row.submission.deadline;
         let organisation = row.submission.organisation.clone();
@@ -192,7 +211,7 @@
             .upstreams
             .get_mut(upstream)
             .expect("candidates come from the table");
-        u.add(forecast);
+        u.add(new, now);
         Decision::Place {
             request: key,
             upstream: u.spec.id.clone(),
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -2,8 +2,9 @@
 
 use super::queue::{FairQueue, Place};
 use crate::length::{LengthKey, LengthTable};
+use crate::membership::UpstreamUse;
 use crate::routing::{AnyPolicy, ExplanationTable};
-use crate::upstream::{Report, Spec, UpstreamKey, UpstreamTable};
+use crate::upstream::{PeerUse, Report, Spec, UpstreamKey, UpstreamTable};
 use crate::{OrganisationId, RequestId, ServiceId, Time};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -79,7 +80,6 @@
     pub since: Time,
     /// The upstream that it was given to.
     pub upstream: Option<UpstreamKey>,
-    pub(crate) forecast: f64,
     pub(crate) place: Option<Place>,
 }
 
@@ -211,6 +211,35 @@
         }
     }
 
+    /// Takes in what a peer's heartbeat says of its use of upstreams.
+    pub fn peer_uses(&mut self, now: Time, peer: &str, uses: &[UpstreamUse]) {
+        let keys: Vec<UpstreamKey> = self.upstreams.iter().map(|(k, _)| k).collect();
+        for key in keys {
+            let Some(u) = self.upstreams.get_mut(key) else {
+                continue;
+            };
+            let of_this = uses.iter().find(|x| x.upstream == u.spec.id);
+            u.take_peer(PeerUse {
+                peer: peer.to_owned(),
+                at: now,
+                running: of_this.map_or(0, |x| x.running as usize),
+                peak_tokens: of_this.map_or(0.0, |x| x.peak_tokens as f64),
+            });
+        }
+    }
+
+    /// The own use of upstreams, for the heartbeat.
+    #[must_use]
+    pub fn own_uses(&self) -> Vec<UpstreamUse> {
+        let used = self.upstreams.iter().filter(|(_, u)| u.own_running > 0);
+        used.map(|(_, u)| UpstreamUse {
+            upstream: u.spec.id.clone(),
+            running: u.own_running as u32,
+            peak_tokens: u.own_peak() as u64,
+        })
+        .collect()
+    }
+
     /// Marks an upstream as leaving, or as staying after all.
     pub fn set_leaving(&mut self, upstream: &str, leaving: bool) {
         if let Some(row) = self.row_mut(upstream) {
@@ -234,7 +263,6 @@
             submission,
             since: now,
             upstream: None,
-            forecast: 0.0,
             place: None,
         });
         if !known {
@@ -257,10 +285,9 @@
         let Some(upstream) = row.upstream else {
             return;
         };
-        let forecast = self.forecast(&row.submission, tokens);
-        let before = std::mem::replace(&mut self.requests[key].forecast, forecast);
+        let run = self.forecast(key, &row.submission, tokens);
         if let Some(u) = self.upstreams.get_mut(upstream) {
-            u.change_forecast(forecast - before);
+            u.progress(key, run.tokens, run.remaining);
         }
     }
 
@@ -280,7 +307,7 @@
             self.lengths.learn(row.submission.length_key, tokens);
         }
         if let Some(u) = self.upstreams.get_mut(upstream) {
-            u.remove(row.forecast);
+            u.remove(key);
             if fault {
                 u.circuit.failed(now);
             } else {
--- a/trouttrack_core/tests/core/policies.rs
+++ b/trouttrack_core/tests/core/policies.rs
@@ -25,6 +25,8 @@
         fits,
         local: true,
         cached: 0.0,
+        lane: 0.0,
+        backlog: 0.0,
     };
     loads.iter().map(candidate).collect()
 }
--- a/trouttrack_gateway/src/dispatch/actor.rs
+++ b/trouttrack_gateway/src/dispatch/actor.rs
@@ -1,8 +1,8 @@
 //! The actor.
 
 use super::messages::{
-    Configure, Ended, ListRequests, ListUpstreams, Refusal, Reported, SetLeaving, Submit,
-    Summarise, Summary, Tick, Uses, Why,
+    Configure, Ended, ListRequests, ListUpstreams, PeerUses, Progress, Refusal, Reported,
+    SetLeaving, Submit, Summarise, Summary, Tick, Uses, Why,
 };
 use super::ticket::{Placement, Ticket};
 use crate::metrics::Metrics;
@@ -272,7 +272,7 @@
                 gateway: self.name.clone(),
                 own_running: u.own_running as u32,
                 running: u.estimated_running() as u32,
-                fill: u.forecast_tokens() / capacity,
+                fill: u.peak_tokens(None) / capacity,
                 leaving: u.leaving,
                 circuit: match u.circuit.state(now) {
                     CircuitState::Closed => "closed",
@@ -300,13 +300,24 @@
     type Result = Vec<UpstreamUse>;
 
     fn handle(&mut self, _: Uses, _: &mut Context<Self>) -> Self::Result {
-        let rows = self.world.upstreams.iter();
-        rows.filter(|(_, u)| u.own_running > 0)
-            .map(|(_, u)| UpstreamUse {
-                upstream: u.spec.id.clone(),
-                running: u.own_running as u32,
-            })
-            .collect()
+        self.world.own_uses()
+    }
+}
+
+impl Handler<PeerUses> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, msg: PeerUses, _: &mut Context<Self>) {
+        let now = self.now();
+        self.world.peer_uses(now, &msg.peer, &msg.uses);
+    }
+}
+
+impl Handler<Progress> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, msg: Progress, _: &mut Context<Self>) {
+        self.world.progress(msg.key, msg.tokens);
     }
 }
 
--- a/trouttrack_gateway/src/dispatch/messages.rs
+++ b/trouttrack_gateway/src/dispatch/messages.rs
@@ -101,6 +101,26 @@
 #[rtype(result = "Vec<UpstreamUse>")]
 pub struct Uses;
 
+/// What a peer's heartbeat says of its use of upstreams.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub struct PeerUses {
+    /// The peer.
+    pub peer: String,
+    /// Its use.
+    pub uses: Vec<UpstreamUse>,
+}
+
+/// A running request has come this far.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Progress {
+    /// The row.
+    pub key: RequestKey,
+    /// Tokens that it has written.
+    pub tokens: u64,
+}
+
 /// Asks for the counts.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "Summary")]
--- a/trouttrack_gateway/src/dispatch/mod.rs
+++ b/trouttrack_gateway/src/dispatch/mod.rs
@@ -6,7 +6,7 @@
 
 pub use actor::Dispatcher;
 pub use messages::{
-    Configure, Ended, InFlight, ListRequests, ListUpstreams, Refusal, Reported, SetLeaving, Submit,
-    Summarise, Summary, Tick, Uses, Why,
+    Configure, Ended, InFlight, ListRequests, ListUpstreams, PeerUses, Progress, Refusal, Reported,
+    SetLeaving, Submit, Summarise, Summary, Tick, Uses, Why,
 };
 pub use ticket::{Placement, Ticket};
--- a/trouttrack_gateway/src/dispatch/ticket.rs
+++ b/trouttrack_gateway/src/dispatch/ticket.rs
@@ -1,7 +1,7 @@
 //! The right to one hand-over.
 
 use super::actor::Dispatcher;
-use super::messages::Ended;
+use super::messages::{Ended, Progress};
 use actix::Addr;
 use trouttrack_core::UpstreamId;
 use trouttrack_core::world::RequestKey;
@@ -37,6 +37,14 @@
         }
     }
 
+    /// The request has written this many tokens.
+    pub fn progress(&self, tokens: u64) {
+        if let Some(ended) = &self.ended {
+            let key = ended.key;
+            self.dispatcher.do_send(Progress { key, tokens });
+        }
+    }
+
     /// The attempt failed in a way that speaks against the upstream.
     pub fn fault(mut self) {
         if let Some(ended) = &mut self.ended {
--- a/trouttrack_gateway/src/peers/heartbeats.rs
+++ b/trouttrack_gateway/src/peers/heartbeats.rs
@@ -2,7 +2,7 @@
 
 use super::list::PeerList;
 use crate::app::{Shared, Source};
-use crate::dispatch::Uses;
+use crate::dispatch::{PeerUses, Uses};
 use rand::seq::IndexedRandom;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -45,6 +45,12 @@
 /// Takes in a peer's digest.
 pub(super) fn take(shared: &Shared, digest: Digest) {
     shared.merge_marks(&digest.marks);
+    if digest.name != shared.settings.vm.name {
+        shared.dispatcher.do_send(PeerUses {
+            peer: digest.name.clone(),
+            uses: digest.uses.clone(),
+        });
+    }
     let now = shared.started.elapsed();
     shared.peers().heard(now, digest);
 }
--- a/trouttrack_gateway/src/request/session.rs
+++ b/trouttrack_gateway/src/request/session.rs
@@ -26,6 +26,8 @@
 /// The longest pause before attaching again.
 const LONGEST_RESUME_PAUSE: Duration = Duration::from_millis(800);
 
+/// Tokens between two reports of a stream's progress to the tables.
+const PROGRESS: u64 = 32;
 /// When a caller may come back, if nothing better is known.
 const COME_BACK: Duration = Duration::from_secs(1);
 /// The code of a request that the upstream called wrong.
@@ -289,6 +291,17 @@
         self.metrics.tokens(count as u64, gap);
         self.last_token = Some(now);
         self.resumes = 0;
+        self.note_progress(count as u64);
+    }
+
+    /// Tells the tables every so often how far the stream is.
+    fn note_progress(&self, count: u64) {
+        let (now, before) = (self.cursor.next(), self.cursor.next() - count);
+        if now / PROGRESS != before / PROGRESS
+            && let Some(ticket) = self.placed.as_ref().and_then(|p| p.ticket.as_ref())
+        {
+            ticket.progress(now);
+        }
     }
 
     /// A repeat with the same key may attach to the stream from now on.
--- a/trouttrack_load/src/compare/bench.rs
+++ b/trouttrack_load/src/compare/bench.rs
@@ -2,7 +2,7 @@
 
 use super::figures::{Figures, Raw, STALL};
 use super::run::PolicyName;
-use super::workload::Workload;
+use super::workload::{ServiceMix, Workload};
 use crate::record;
 use hdrhistogram::Histogram;
 use std::cmp::Reverse;
@@ -22,13 +22,16 @@
     pub gateways: usize,
     /// How often engines report.
     pub report_every: Duration,
+    /// How often gateways tell each other their use.
+    pub heartbeat_every: Duration,
     /// How old reports are.
     pub report_lag: Duration,
     /// What arrives before this is not counted.
     pub warm_up: Duration,
     /// An engine that is lost, and when.
     pub lost: Option<(usize, Duration)>,
-    /// Requests wait without a deadline.
+    /// For measuring capacity: requests wait without a deadline, all in one
+    /// class, so that what completes has the shares of the mix.
     pub endless: bool,
     /// The settings of trouttrack's own policy.
     pub settings: WorldSettings,
@@ -40,6 +43,7 @@
             engines: vec![EngineSettings::default(); 4],
             gateways: 3,
             report_every: Duration::from_millis(500),
+            heartbeat_every: Duration::from_millis(500),
             report_lag: Duration::from_millis(500),
             warm_up: Duration::from_secs(60),
             lost: None,
@@ -49,8 +53,8 @@
                 ageing: Duration::from_secs(5),
                 max_wait: Duration::from_secs(30),
                 max_queued: 100_000,
-                urgent_reserve: 0.1,
-                growth_quantile: 0.8,
+                urgent_reserve: 0.2,
+                growth_quantile: 0.65,
                 look_ahead: 512,
                 policy: "trouttrack".parse().expect("the policy is known"),
                 seed: 1,
@@ -59,11 +63,19 @@
     }
 }
 
+impl BenchOptions {
+    fn class(&self, s: &ServiceMix) -> u8 {
+        if self.endless { 1 } else { s.priority }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival(usize),
     StepDone(usize),
     Report(usize),
+    /// A heartbeat of a gateway to the others.
+    Heartbeat(usize),
     /// Expiry, and requests that wait for a report.
     Tick(usize),
     Lose(usize),
@@ -153,7 +165,9 @@
         let world = |i: usize| {
             let mut settings = options.settings.clone();
             settings.seed = options.settings.seed + i as u64;
-            settings.policy = policy.policy();
+            if policy.baseline() {
+                settings.policy = policy.policy();
+            }
             let mut world = World::new(settings);
             world.configure(specs.clone());
             world
@@ -197,6 +211,10 @@
         for w in 0..self.worlds.len() {
             self.schedule(TICK * w as u32 / self.worlds.len() as u32, Event::Tick(w));
         }
+        for w in 0..self.worlds.len() {
+            let offset = self.options.heartbeat_every * w as u32 / self.worlds.len() as u32;
+            self.schedule(offset, Event::Heartbeat(w));
+        }
         if let Some((e, at)) = self.options.lost {
             self.schedule(at, Event::Lose(e));
         }
@@ -221,6 +239,7 @@
                     self.tick(w);
                     self.schedule(at + TICK, event);
                 }
+                Event::Heartbeat(w) => self.heartbeat(w),
                 Event::Lose(e) => self.lose(e),
             }
         }
@@ -255,7 +274,7 @@
                 service: s.name.into(),
                 length_key: LengthKey::new(s.name, SERVICE_MODEL, &organisation),
                 organisation,
-                priority: s.priority,
+                priority: self.options.class(s),
                 prompt_tokens: a.prompt_tokens,
                 deadline,
                 max_running: None,
@@ -298,7 +317,7 @@
         let a = &self.workload.arrivals[i];
         let sim = &mut self.engines[e];
         let sequence = sim.engine.submit(Submit {
-            priority: self.workload.mix.services[a.service].priority,
+            priority: self.options.class(&self.workload.mix.services[a.service]),
             prompt_tokens: a.prompt_tokens,
             prefix: a.prefix.clone(),
             output_tokens: a.output_tokens,
@@ -353,7 +372,10 @@
         if !self.counted(r.request) {
             return;
         }
-        let tokens = sim.engine.sequence(key).map_or(0, trouttrack_engine::Sequence::tokens);
+        let tokens = sim
+            .engine
+            .sequence(key)
+            .map_or(0, trouttrack_engine::Sequence::tokens);
         let raw = &mut self.raw[self.workload.arrivals[r.request].service];
         raw.preemptions += 1;
         raw.wasted += tokens;
@@ -440,6 +462,17 @@
         }
     }
 
+    fn heartbeat(&mut self, w: usize) {
+        self.schedule(self.now + self.options.heartbeat_every, Event::Heartbeat(w));
+        let uses = self.worlds[w].own_uses();
+        let name = format!("g{w}");
+        for (other, world) in self.worlds.iter_mut().enumerate() {
+            if other != w {
+                world.peer_uses(self.now, &name, &uses);
+            }
+        }
+    }
+
     /// An engine dies. Its requests begin anew elsewhere, as whole answers
     /// that may be repeated do.
     fn lose(&mut self, e: usize) {
--- a/trouttrack_load/src/compare/workload.rs
+++ b/trouttrack_load/src/compare/workload.rs
@@ -219,20 +219,30 @@
     ORGANISATIONS - 1
 }
 
-/// Requests a second that the engines complete when there are always enough,
-/// placed by one who knows every length: what "1.0 of capacity" means.
+/// Requests a second that the engines complete when there are always enough:
+/// what "1.0 of capacity" means, for every policy alike. It is the better of
+/// two: placed by one gateway that knows every length and keeps no reserve, or
+/// all handed over at once to the engines' own queues.
 #[must_use]
 pub fn capacity(mix: Mix, options: &BenchOptions) -> f64 {
     const COUNT: usize = 4000;
     const SEED: u64 = 99;
     let workload = Workload::all_at_once(mix, COUNT, SEED);
-    let options = BenchOptions {
+    let mut options = BenchOptions {
         endless: true,
-        ..options.clone()
+        engines: options.engines.clone(),
+        gateways: 1,
+        ..BenchOptions::default()
     };
-    let figures = bench(&workload, PolicyName::Oracle, &options);
-    // The middle of the run: the start is cold and the end is a long tail.
-    let ends = &figures.ends;
+    options.settings.urgent_reserve = 0.0;
+    [PolicyName::Oracle, PolicyName::LeastOutstanding]
+        .into_iter()
+        .map(|policy| completed_per_second(&bench(&workload, policy, &options).ends))
+        .fold(0.0, f64::max)
+}
+
+/// The rate in the middle of a run: its start is cold and its end a long tail.
+fn completed_per_second(ends: &[Duration]) -> f64 {
     let (a, b) = (ends.len() / 5, ends.len() * 7 / 10);
     match (ends.get(a), ends.get(b)) {
         (Some(from), Some(to)) => (b - a) as f64 / (*to - *from).as_secs_f64(),
--- a/trouttrack_load/src/main.rs
+++ b/trouttrack_load/src/main.rs
@@ -5,6 +5,7 @@
 use args::{Ask, Claims, Compare, Faults, Path, TrouttrackLoad, TrouttrackLoadCmd};
 use std::process::ExitCode;
 use std::time::Duration;
+use trouttrack_core::routing::{AnyPolicy, Scored, Weights};
 use trouttrack_load::ask;
 use trouttrack_load::claims::{self, ClaimsOptions};
 use trouttrack_load::client::Goal;
@@ -154,6 +155,19 @@
     settings.growth_quantile = a.growth_quantile.unwrap_or(settings.growth_quantile);
     settings.look_ahead = a.look_ahead.unwrap_or(settings.look_ahead);
     settings.urgent_reserve = a.urgent_reserve.unwrap_or(settings.urgent_reserve);
+    if let Some(given) = &a.weights {
+        let [running, fill, lane, backlog] = list::<f64>(Some(given), "")?[..] else {
+            return Err("--weights takes four numbers".to_owned());
+        };
+        let weights = Weights {
+            running,
+            fill,
+            lane,
+            backlog,
+            ..Weights::default()
+        };
+        settings.policy = AnyPolicy::Scored(Scored { weights });
+    }
     Ok(CompareOptions {
         mix,
         load: a.load.unwrap_or(0.9),
--- a/trouttrack_rpc/tests/rpc/main.rs
+++ b/trouttrack_rpc/tests/rpc/main.rs
@@ -159,6 +159,7 @@
         uses: vec![UpstreamUse {
             upstream: "e".into(),
             running: 3,
+            peak_tokens: 9,
         }],
         marks: vec![MarkEntry {
             upstream: "e".into(),
