--- a/trouttrack_config/src/settings/gateway.rs
+++ b/trouttrack_config/src/settings/gateway.rs
@@ -140,8 +140,8 @@
             ageing: r.duration("ageing", Duration::from_secs(5)),
             max_wait: r.duration("max_wait", Duration::from_secs(30)),
             max_queued: r.within("max_queued", 2000, 1, 1_000_000),
-            urgent_reserve: r.within("urgent_reserve", 0.2, 0.0, 0.9),
-            growth_quantile: r.within("growth_quantile", 0.65, 0.5, 0.99),
+            urgent_reserve: r.within("urgent_reserve", 0.1, 0.0, 0.9),
+            growth_quantile: r.within("growth_quantile", 0.5, 0.3, 0.99),
             look_ahead: r.within("look_ahead", 512, 16, 1_000_000),
             tick: r.duration("tick", Duration::from_millis(5)),
         }
--- /dev/null
+++ b/trouttrack_core/benches/decision.rs
@@ -0,0 +1,111 @@
+//! What one decision costs: a request is submitted, placed and ended, among
+//! many upstreams and organisations.
+//!
+//! `cargo bench -p trouttrack_core` prints criterion's figures, then the tail
+//! of single decisions.
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+use trouttrack_core::length::LengthKey;
+use trouttrack_core::upstream::Spec;
+use trouttrack_core::world::{Decision, Submission, World, WorldSettings};
+
+const UPSTREAMS: [usize; 3] = [10, 100, 900];
+const ORGANISATIONS: [usize; 2] = [10, 18_000];
+/// Requests that run at each upstream all the while.
+const RUNNING: usize = 12;
+
+fn world(upstreams: usize, organisations: usize) -> World {
+    let mut world = World::new(WorldSettings {
+        failure_domain: "d0".into(),
+        ageing: Duration::from_secs(5),
+        max_wait: Duration::from_secs(30),
+        max_queued: 1_000_000,
+        urgent_reserve: 0.1,
+        growth_quantile: 0.5,
+        look_ahead: 512,
+        policy: "trouttrack".parse().expect("the policy is known"),
+        seed: 1,
+    });
+    let spec = |i: usize| Spec {
+        id: format!("e{i}"),
+        failure_domain: format!("d{}", i % 8),
+        services: vec!["s".into()],
+        capacity_tokens: 49_152,
+        max_running: 64,
+    };
+    world.configure((0..upstreams).map(spec).collect());
+    for i in 0..upstreams * RUNNING {
+        world.submit(Duration::ZERO, submission(i, organisations));
+    }
+    world.tick(Duration::ZERO);
+    world
+}
+
+fn submission(i: usize, organisations: usize) -> Submission {
+    let organisation = format!("o{}", i % organisations);
+    Submission {
+        id: format!("r{i}"),
+        weight: 1.0,
+        service: "s".into(),
+        length_key: LengthKey::new("s", "m", &organisation),
+        organisation,
+        priority: (i % 4) as u8,
+        prompt_tokens: 400,
+        deadline: Duration::MAX / 2,
+        max_running: None,
+        avoid: Vec::new(),
+        known_tokens: None,
+    }
+}
+
+fn decide(world: &mut World, i: usize, organisations: usize) {
+    let now = Duration::from_millis(i as u64);
+    world.submit(now, submission(i, organisations));
+    for d in world.tick(now) {
+        if let Decision::Place { request, .. } = black_box(d) {
+            world.ended(now, request, false, Some(100));
+        }
+    }
+}
+
+fn decisions(c: &mut Criterion) {
+    let mut group = c.benchmark_group("decision");
+    for upstreams in UPSTREAMS {
+        for organisations in ORGANISATIONS {
+            let mut world = world(upstreams, organisations);
+            let mut i = 1_000_000;
+            let id = BenchmarkId::from_parameter(format!("{upstreams}x{organisations}"));
+            group.bench_function(id, |b| {
+                b.iter(|| {
+                    i += 1;
+                    decide(&mut world, i, organisations);
+                });
+            });
+            tail(&mut world, upstreams, organisations);
+        }
+    }
+    group.finish();
+}
+
+/// Prints the tail of single decisions, which the mean hides.
+fn tail(world: &mut World, upstreams: usize, organisations: usize) {
+    const DECISIONS: usize = 20_000;
+    let mut times: Vec<Duration> = (0..DECISIONS)
+        .map(|i| {
+            let start = Instant::now();
+            decide(world, 10_000_000 + i, organisations);
+            start.elapsed()
+        })
+        .collect();
+    times.sort_unstable();
+    println!(
+        "upstreams={upstreams} organisations={organisations} p50_us={:.1} p99_us={:.1}",
+        times[DECISIONS / 2].as_secs_f64() * 1e6,
+        times[DECISIONS * 99 / 100].as_secs_f64() * 1e6
+    );
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/trouttrack_core/src/upstream/mod.rs
+++ b/trouttrack_core/src/upstream/mod.rs
@@ -4,4 +4,4 @@
 mod row;
 
 pub use circuit::{Circuit, CircuitState};
-pub use row::{OwnRun, PeerUse, Report, Spec, Upstream, UpstreamKey, UpstreamTable};
+pub use row::{OwnRun, PeerUse, Report, Serving, Spec, Upstream, UpstreamKey, UpstreamTable};
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -129,7 +129,8 @@
         let now: f64 = self.own.iter().map(|r| r.tokens).sum();
         let peak = peak(&self.own, new);
         if !self.peers.is_empty() {
-            return peak + self.peers.iter().map(|p| p.peak_tokens).sum::<f64>();
+            let peers: f64 = self.peers.iter().map(|p| p.peak_tokens).sum();
+            return peak + peers * PEAKS_TOGETHER;
         }
         let others = self.used_by_others();
         let rise = match now > 0.0 {
@@ -145,12 +146,6 @@
         peak_of(&self.own)
     }
 
-    /// As [`peak_tokens`](Self::peak_tokens), at its cheapest: never too low.
-    #[must_use]
-    pub fn peak_bound(&self, new: OwnRun) -> f64 {
-        self.peak_tokens(None) + new.tokens + new.remaining
-    }
-
     /// Whether it may be given new work at `now`.
     #[must_use]
     pub fn open(&self, now: Time) -> bool {
@@ -191,6 +186,9 @@
     }
 }
 
+/// Peers' peaks do not come at the same time as the own: this share of their
+/// sum is counted. Tuned in the decision bench; see docs/design/decisions.md.
+const PEAKS_TOGETHER: f64 = 0.75;
 /// A peer that has been silent for this long is not counted any more.
 const PEER_SILENCE: Time = Time::from_secs(5);
 
@@ -271,12 +269,21 @@
 pub struct UpstreamTable {
     rows: SlotMap<UpstreamKey, Upstream>,
     by_id: HashMap<UpstreamId, UpstreamKey>,
-    by_service: HashMap<String, Vec<UpstreamKey>>,
+    by_service: HashMap<String, Serving>,
+}
+
+/// The upstreams of a service: those of the own failure domain first.
+#[derive(Clone, Debug, Default)]
+pub struct Serving {
+    /// All of them.
+    pub keys: Vec<UpstreamKey>,
+    /// How many of them, from the first on, stand in the own failure domain.
+    pub local: usize,
 }
 
 impl UpstreamTable {
     /// Makes the table hold exactly these upstreams; rows that stay keep
-    /// their state.
+    /// their state. `home` is the own failure domain.
     ///
     /// # Examples
     ///
@@ -290,10 +297,10 @@
     ///     capacity_tokens: 1000,
     ///     max_running: 8,
     /// };
-    /// table.configure(vec![spec]);
-    /// assert_eq!(table.serving("lookup").len(), 1);
+    /// table.configure(vec![spec], "a");
+    /// assert_eq!(table.serving("lookup").unwrap().local, 1);
     /// ```
-    pub fn configure(&mut self, specs: Vec<Spec>) {
+    pub fn configure(&mut self, specs: Vec<Spec>, home: &str) {
         let wanted: HashMap<&str, ()> = specs.iter().map(|s| (s.id.as_str(), ())).collect();
         self.rows
             .retain(|_, row| wanted.contains_key(row.spec.id.as_str()));
@@ -302,7 +309,7 @@
         for spec in specs {
             self.put(spec);
         }
-        self.index_services();
+        self.index_services(home);
     }
 
     fn put(&mut self, spec: Spec) {
@@ -316,22 +323,24 @@
         }
     }
 
-    fn index_services(&mut self) {
+    fn index_services(&mut self, home: &str) {
         self.by_service.clear();
-        for (key, row) in &self.rows {
-            for service in &row.spec.services {
-                self.by_service
-                    .entry(service.clone())
-                    .or_default()
-                    .push(key);
+        let local = |row: &Upstream| row.spec.failure_domain == home;
+        for near in [true, false] {
+            for (key, row) in self.rows.iter().filter(|(_, row)| local(row) == near) {
+                for service in &row.spec.services {
+                    let serving = self.by_service.entry(service.clone()).or_default();
+                    serving.keys.push(key);
+                    serving.local += usize::from(near);
+                }
             }
         }
     }
 
-    /// The upstreams that run a service.
+    /// The upstreams that run a service; `None` if there are none.
     #[must_use]
-    pub fn serving(&self, service: &str) -> &[UpstreamKey] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    pub fn serving(&self, service: &str) -> Option<&Serving> {
+        self.by_service.get(service)
     }
 
     /// The key of a name.
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -201,7 +201,8 @@
 
     /// Takes the upstreams of a new configuration.
     pub fn configure(&mut self, specs: Vec<Spec>) {
-        self.upstreams.configure(specs);
+        self.upstreams
+            .configure(specs, &self.settings.failure_domain);
     }
 
     /// Takes in an upstream's load report.
@@ -258,7 +259,7 @@
         let cost = (submission.prompt_tokens as f64 + expected) / submission.weight.max(1e-3);
         let (class, deadline) = (submission.priority, submission.deadline);
         let organisation = submission.organisation.clone();
-        let known = !self.upstreams.serving(&submission.service).is_empty();
+        let known = self.upstreams.serving(&submission.service).is_some();
         let key = self.requests.insert(Request {
             submission,
             since: now,
