Leases with epochs, and fenced orders under them

Cause: nothing decided which controller tells engines what to load. Change: leases in core (no two clocks are compared; a margin before the end; taken over only after being seen unchanged for the whole duration), a keeper in the platform crate, orders planned from the configuration, paced, checked against the lease just before each, bearing its epoch; engines that do not check epochs are left alone for the longest flight after a change of holder.

--- a/trouttrack_config/src/settings/controller.rs
+++ b/trouttrack_config/src/settings/controller.rs
@@ -29,6 +29,29 @@
     pub tls: Option<TlsSettings>,
     /// `[admin]`
     pub admin: AdminSettings,
+    /// `[orders]`
+    pub orders: OrderSettings,
+}
+
+/// `[orders]`
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderSettings {
+    /// How long the lease is held without being renewed.
+    pub lease: Duration,
+    /// How often engines are looked at.
+    pub every: Duration,
+    /// Pause between two orders.
+    pub pace: Duration,
+}
+
+impl OrderSettings {
+    fn read(r: &mut SectionReader<'_>) -> Self {
+        Self {
+            lease: r.duration("lease", Duration::from_secs(10)),
+            every: r.duration("every", Duration::from_secs(5)),
+            pace: r.duration("pace", Duration::from_secs(2)),
+        }
+    }
 }
 
 /// What an operator may do.
@@ -146,6 +169,7 @@
             rpc: s.section("rpc", RpcSettings::read),
             tls: s.section("tls", TlsSettings::read),
             admin: s.section("admin", AdminSettings::read),
+            orders: s.section("orders", OrderSettings::read),
         }
     }
 }
--- a/trouttrack_config/src/settings/keys.rs
+++ b/trouttrack_config/src/settings/keys.rs
@@ -97,6 +97,9 @@
     key("admin", "key", "role:key list", "", CONTROLLER, "Operators' keys, each `name:role:key` with role viewer or operator. Must be given."),
     key("admin", "max_body", "size", "1MiB", CONTROLLER, "The largest request body."),
     key("admin", "in_force_timeout", "duration", "5s", CONTROLLER, "How long a change waits to be in force on every gateway before the answer names those that lag."),
+    key("orders", "lease", "duration", "10s", CONTROLLER, "How long the lease to give orders is held without being renewed."),
+    key("orders", "every", "duration", "5s", CONTROLLER, "How often the holder looks at what engines have loaded."),
+    key("orders", "pace", "duration", "2s", CONTROLLER, "Pause between two orders; the weight store is shared."),
 ];
 
 /// The keys that a program reads, in the order of the reference page.
--- a/trouttrack_config/src/settings/mod.rs
+++ b/trouttrack_config/src/settings/mod.rs
@@ -9,7 +9,7 @@
 pub use common::{
     LogFormat, LogSettings, PlatformSettings, RpcSettings, TlsSettings, TraceSettings, VmSettings,
 };
-pub use controller::{AdminSettings, ControllerSettings, OperatorKey, Role};
+pub use controller::{AdminSettings, ControllerSettings, OperatorKey, OrderSettings, Role};
 pub use gateway::{AdmissionSettings, CallerSettings, GatewaySettings, UpstreamSettings};
 pub use keys::{KeySpec, Program, keys_of, reference};
 pub use load::{Sections, Settings, load, load_text};
--- a/trouttrack_controller/src/app/start.rs
+++ b/trouttrack_controller/src/app/start.rs
@@ -3,7 +3,7 @@
 use super::metrics::{Metrics, count};
 use crate::changes::Committer;
 use crate::gateways::Gateways;
-use crate::http;
+use crate::{http, orders};
 use actix_web::dev::{Server, ServerHandle};
 use actix_web::middleware::from_fn;
 use actix_web::{App, HttpServer, web};
@@ -108,6 +108,13 @@
         metrics: Metrics::default(),
     });
     let (server, admin_addr) = serve(&shared)?;
+    let tools = Tools::new(&shared.settings);
+    actix_rt::spawn(orders::run(
+        tools.store,
+        tools.gateways,
+        shared.settings.vm.name.clone(),
+        shared.settings.orders.clone(),
+    ));
     let handle = server.handle();
     actix_rt::spawn(server);
     events::STARTED.log(format_args!(
--- a/trouttrack_controller/src/lib.rs
+++ b/trouttrack_controller/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`http`] has the operators' routes.
 //! - [`changes`] checks, commits and rolls out changes.
 //! - [`tables`] makes the rows that queries run over.
+//! - [`orders`] gives orders to engines under a lease.
 //! - [`gateways`] calls the gateways.
 //! - [`app`] puts them together.
 
@@ -10,4 +11,5 @@
 pub mod changes;
 pub mod gateways;
 pub mod http;
+pub mod orders;
 pub mod tables;
--- a/trouttrack_core/src/claims/shard.rs
+++ b/trouttrack_core/src/claims/shard.rs
@@ -124,7 +124,8 @@
 /// let (decided, plan) = shard.plan(now, &[claim.clone()]);
 /// assert_eq!(decided, [Decided::Ours]);
 /// shard.written(&plan.unwrap(), 1);
-/// assert_eq!(shard.plan(now, &[claim.clone()]).0, [Decided::Known(claim)]);
+/// let other = Claim { request: "r-2".into(), ..claim.clone() };
+/// assert_eq!(shard.plan(now, &[other]).0, [Decided::Known(claim)]);
 /// ```
 #[derive(Clone, Debug)]
 pub struct ClaimShard {
--- a/trouttrack_core/src/lib.rs
+++ b/trouttrack_core/src/lib.rs
@@ -8,11 +8,13 @@
 //! - [`world`] holds the tables and the systems that run over them each tick.
 //! - [`routing`] chooses an upstream; the baselines live beside the default.
 //! - [`claims`] makes callers' keys run at most once across VMs.
+//! - [`lease`] says when a holder may act.
 //! - [`length`] learns how many tokens remain.
 //! - [`membership`] merges what peers tell each other.
 
 pub mod claims;
 pub mod ids;
+pub mod lease;
 pub mod length;
 pub mod membership;
 pub mod outcome;
--- a/trouttrack_platform/src/lib.rs
+++ b/trouttrack_platform/src/lib.rs
@@ -6,9 +6,11 @@
 //!
 //! - [`client`] makes single calls, within a budget.
 //! - [`config_store`] keeps a fleet's configuration under one root.
+//! - [`lease`] holds leases.
 
 pub mod client;
 pub mod config_store;
+pub mod lease;
 
 pub use client::{Condition, ObjectClient, PlatformError, Write};
 pub use config_store::{Commit, ConfigStore};
--- a/trouttrack_telemetry/src/events/catalogue.rs
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -58,4 +58,7 @@
     CLAIM_UNCONFIRMED = 54, Warn, "claim-unconfirmed", "An idempotency key could not be claimed for certain (the platform does not answer); the request is told not-run.";
     OPERATOR = 60, Info, "operator", "An operator's command; names the operator and the command. The audit trail keeps it too.";
     OPERATOR_REFUSED = 61, Warn, "operator-refused", "An operator's call had no valid key or not the role.";
+    LEASE_WON = 70, Info, "lease-won", "This process holds a lease now; its epoch is higher than any before.";
+    LEASE_LOST = 71, Info, "lease-lost", "This process does not hold a lease any more: it ran out, or another took it over.";
+    ORDER_GIVEN = 72, Info, "order-given", "An order was given to an engine; names the epoch and the answer.";
 }
