Control is measured; offers carry only what is new; news is told at once

Cause: every change sent the whole configuration to every gateway, and drain marks waited for the next heartbeat.

--- a/trouttrack_config/src/fleet/parts.rs
+++ b/trouttrack_config/src/fleet/parts.rs
@@ -8,8 +8,9 @@
 use thiserror::Error;
 use trouttrack_core::ConfigVersion;
 
-/// The most bytes of one part, well below the platform's limit of 1 MB.
-pub const MAX_PART: usize = 512 * 1024;
+/// The most bytes of one part. Far below the limit of a megabyte: a change
+/// writes a part anew, and every gateway receives it.
+pub const MAX_PART: usize = 128 * 1024;
 
 /// An immutable part, stored under the hash of its content.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/trouttrack_controller/src/changes/commit.rs
+++ b/trouttrack_controller/src/changes/commit.rs
@@ -13,7 +13,7 @@
 use super::current::Current;
 use crate::gateways::{Answer, Gateways};
 use std::time::{Duration, Instant};
-use trouttrack_config::fleet::{Change, Fleet, Root, split};
+use trouttrack_config::fleet::{Change, Fleet, Part, Root, split};
 use trouttrack_core::ConfigVersion;
 use trouttrack_platform::config_store::{Commit, ConfigStore, Proposal, StoreError};
 use trouttrack_rpc::ConfigBundle;
@@ -90,7 +90,8 @@
                     "version={} author={} change={id}: {}",
                     root.version, intent.author, intent.summary
                 ));
-                self.roll_out(&id, base, root, &proposal.fleet).await
+                let before = &current.stored.root;
+                self.roll_out(&id, before, root, &proposal.fleet).await
             }
             Commit::Conflict(root) => {
                 events::CONFIG_CONFLICT.log(format_args!(
@@ -120,11 +121,7 @@
             parts: refs,
             ..Root::default()
         };
-        let bundle = ConfigBundle {
-            object_version: 0,
-            root,
-            parts,
-        };
+        let bundle = news(&current.stored.root, root, parts);
         let answers = self
             .gateways
             .call_all(|client, cx| {
@@ -139,21 +136,10 @@
     }
 
     /// Offers a committed configuration and waits until it is in force.
-    async fn roll_out(
-        &self,
-        id: &str,
-        base: ConfigVersion,
-        root: Root,
-        fleet: &Fleet,
-    ) -> ChangeAnswer {
+    async fn roll_out(&self, id: &str, before: &Root, root: Root, fleet: &Fleet) -> ChangeAnswer {
         let version = root.version;
         let (_, parts) = split(fleet);
-        // The gateways read the object's version themselves; 0 is never newer.
-        let bundle = ConfigBundle {
-            object_version: 0,
-            root,
-            parts,
-        };
+        let bundle = news(before, root, parts);
         let _ = self
             .gateways
             .call_all(|client, cx| {
@@ -161,7 +147,7 @@
                 async move { client.offer(cx, bundle).await }
             })
             .await;
-        let mut answer = ChangeAnswer::new(ChangeOutcome::InForce, id, base);
+        let mut answer = ChangeAnswer::new(ChangeOutcome::InForce, id, before.version);
         answer.version = Some(version);
         let until = Instant::now() + self.in_force_timeout;
         loop {
@@ -200,6 +186,18 @@
     }
 }
 
+/// A configuration as it is offered: with the parts that the one before did
+/// not have. A gateway that lacks others reads them from the platform.
+fn news(before: &Root, root: Root, mut parts: Vec<Part>) -> ConfigBundle {
+    parts.retain(|p| !before.parts.iter().any(|r| r.hash == p.hash));
+    ConfigBundle {
+        // The gateways read the object's version themselves; 0 is never newer.
+        object_version: 0,
+        root,
+        parts,
+    }
+}
+
 fn sort_out(
     answer: &mut ChangeAnswer,
     version: ConfigVersion,
--- a/trouttrack_gateway/src/app/shared.rs
+++ b/trouttrack_gateway/src/app/shared.rs
@@ -7,11 +7,12 @@
 use crate::request::{Sealer, SessionParts};
 use actix::Addr;
 use arc_swap::{ArcSwap, ArcSwapOption};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use trouttrack_config::fleet::{Fleet, FleetView, join, validate};
 use trouttrack_config::settings::GatewaySettings;
 use trouttrack_core::length::LengthKey;
@@ -64,6 +65,7 @@
     /// When the process started; the dispatcher's time counts from here.
     pub started: Instant,
     rpc_addr: OnceLock<SocketAddr>,
+    news: Notify,
     view: ArcSwap<FleetView>,
     bundle: ArcSwapOption<ConfigBundle>,
     in_flight: AtomicUsize,
@@ -91,6 +93,7 @@
             canceller,
             claimer,
             rpc_addr: OnceLock::new(),
+            news: Notify::new(),
             metrics,
             tracing,
             started,
@@ -123,6 +126,7 @@
         if bundle.root.version <= self.view.load().version() {
             return false;
         }
+        let bundle = self.completed(bundle);
         let fleet = match load_fleet(&bundle) {
             Ok(fleet) => fleet,
             Err(e) => {
@@ -143,9 +147,38 @@
         };
         event.log(format_args!("version={version}"));
         self.apply_leaving();
+        self.spread();
         true
     }
 
+    /// Adds the parts that this process holds already: offers carry only what
+    /// is new.
+    #[must_use]
+    pub fn completed(&self, mut bundle: ConfigBundle) -> ConfigBundle {
+        let Some(own) = self.bundle() else {
+            return bundle;
+        };
+        let there: HashSet<String> = bundle.parts.iter().map(|p| p.hash.clone()).collect();
+        let named: HashSet<&str> = bundle.root.parts.iter().map(|r| r.hash.as_str()).collect();
+        let known = own
+            .parts
+            .iter()
+            .filter(|p| named.contains(p.hash.as_str()) && !there.contains(&p.hash));
+        let known: Vec<_> = known.cloned().collect();
+        bundle.parts.extend(known);
+        bundle
+    }
+
+    /// Something that peers should hear of soon has changed.
+    pub fn spread(&self) {
+        self.news.notify_one();
+    }
+
+    /// Waits for news that peers should hear of.
+    pub async fn news(&self) {
+        self.news.notified().await;
+    }
+
     /// Tells the dispatcher which upstreams get no new work.
     fn apply_leaving(&self) {
         let view = self.view();
@@ -216,6 +249,7 @@
         }
         if !changed.is_empty() {
             self.apply_leaving();
+            self.spread();
         }
     }
 
@@ -229,6 +263,7 @@
         }
         self.log_leaving(upstream, source, "seen");
         self.apply_leaving();
+        self.spread();
     }
 
     fn log_leaving(&self, upstream: &str, source: MarkSource, how: &str) {
--- a/trouttrack_gateway/src/peers/heartbeats.rs
+++ b/trouttrack_gateway/src/peers/heartbeats.rs
@@ -13,9 +13,19 @@
 use trouttrack_rpc::{ConfigBundle, Connection, RpcError};
 use trouttrack_telemetry::events;
 
+/// Pause between heartbeats in a small fleet.
 const INTERVAL: Duration = Duration::from_millis(500);
-/// Peers that are told in each interval; news reaches all in a few intervals.
+/// The longest pause, in a large one.
+const LONGEST_INTERVAL: Duration = Duration::from_secs(3);
+/// The pause grows with the peers, by one more interval for this many.
+const PEERS_PER_INTERVAL: usize = 64;
+/// The shortest pause before news is told.
+const SOON: Duration = Duration::from_millis(20);
+/// Peers that are told each time. Whoever hears news tells as many at once, so
+/// it reaches 340 in a handful of hops.
 const FANOUT: usize = 6;
+/// Peers that are told each time when there is no news, in a large fleet.
+const QUIET_FANOUT: usize = 2;
 const TIMEOUT: Duration = Duration::from_millis(800);
 
 static SEQUENCE: AtomicU64 = AtomicU64::new(0);
@@ -59,10 +69,19 @@
 pub async fn heartbeats(shared: Arc<Shared>, peers: PeerList) {
     let mut connections: HashMap<SocketAddr, Connection> = HashMap::new();
     loop {
-        tokio::time::sleep(INTERVAL).await;
+        let all = peers.all();
+        let news = tokio::time::timeout(interval(all.len()), shared.news()).await;
+        let fanout = match news {
+            Ok(()) => {
+                tokio::time::sleep(SOON).await;
+                FANOUT
+            }
+            Err(_) if all.len() <= PEERS_PER_INTERVAL => FANOUT,
+            Err(_) => QUIET_FANOUT,
+        };
         let all = peers.all();
         connections.retain(|addr, _| all.contains(addr));
-        let some: Vec<SocketAddr> = all.sample(&mut rand::rng(), FANOUT).copied().collect();
+        let some: Vec<SocketAddr> = all.sample(&mut rand::rng(), fanout).copied().collect();
         let mine = digest(&shared).await;
         let mut told = Vec::new();
         for addr in some {
@@ -77,6 +96,11 @@
     }
 }
 
+/// The pause between heartbeats among this many peers.
+fn interval(peers: usize) -> Duration {
+    (INTERVAL * (1 + peers / PEERS_PER_INTERVAL) as u32).min(LONGEST_INTERVAL)
+}
+
 async fn tell(shared: &Arc<Shared>, mut connection: Connection, mine: Digest) -> Connection {
     let answer = connection
         .call(async move |client, cx| client.heartbeat(cx, mine).await)
--- a/trouttrack_gateway/src/peers/service.rs
+++ b/trouttrack_gateway/src/peers/service.rs
@@ -53,7 +53,7 @@
     }
 
     async fn check(self, _: Context, bundle: ConfigBundle) -> Option<String> {
-        load_fleet(&bundle).err()
+        load_fleet(&self.0.completed(bundle)).err()
     }
 
     async fn claim(self, _: Context, claim: Claim) -> ClaimAnswer {
--- a/trouttrack_load/src/args.rs
+++ b/trouttrack_load/src/args.rs
@@ -100,5 +100,22 @@
             /// Write a page with plots here.
             optional --report file: PathBuf
         }
+        /// Measures what control costs.
+        cmd control {
+            /// Base URL of the administration API.
+            required --admin url: String
+            /// An operator's key.
+            required --key key: String
+            /// Base URL of the platform stand-in.
+            required --platform url: String
+            /// A gateway's process.
+            repeated --pid pid: u32
+            /// Changes, one after the other (default 30).
+            optional --changes n: usize
+            /// Seconds of the idle measurement (default 10).
+            optional --idle n: u64
+            /// What the line begins with.
+            required --label text: String
+        }
     }
 }
--- a/trouttrack_load/src/lib.rs
+++ b/trouttrack_load/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`path`] measures what the gateway adds to the way of a token.
 //! - [`claims`] measures what idempotency keys cost.
 //! - [`compare`] compares routing policies in virtual time.
+//! - [`control`] measures what control costs.
 //! - [`faults`] sends mixed requests under faults and checks the books.
 //! - [`client`] reads streams; [`process`] reads what a process has used.
 
@@ -11,6 +12,7 @@
 pub mod claims;
 pub mod client;
 pub mod compare;
+pub mod control;
 pub mod faults;
 pub mod path;
 pub mod process;
--- a/trouttrack_load/src/main.rs
+++ b/trouttrack_load/src/main.rs
@@ -2,7 +2,7 @@
 
 mod args;
 
-use args::{Ask, Claims, Compare, Faults, Path, TrouttrackLoad, TrouttrackLoadCmd};
+use args::{Ask, Claims, Compare, Control, Faults, Path, TrouttrackLoad, TrouttrackLoadCmd};
 use std::process::ExitCode;
 use std::time::Duration;
 use trouttrack_core::routing::{AnyPolicy, Scored, Weights};
@@ -10,6 +10,7 @@
 use trouttrack_load::claims::{self, ClaimsOptions};
 use trouttrack_load::client::Goal;
 use trouttrack_load::compare::{self, BenchOptions, CompareOptions, Mix, PolicyName, Shift};
+use trouttrack_load::control::{self, ControlOptions};
 use trouttrack_load::faults::{self, FaultsOptions};
 use trouttrack_load::path::{PathOptions, measure};
 
@@ -25,6 +26,7 @@
         TrouttrackLoadCmd::Claims(a) => run_claims(a),
         TrouttrackLoadCmd::Faults(a) => run_faults(a),
         TrouttrackLoadCmd::Compare(a) => run_compare(&a),
+        TrouttrackLoadCmd::Control(a) => run_control(a),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -215,3 +217,35 @@
     }
     Ok(())
 }
+
+fn run_control(a: Control) -> Result<(), String> {
+    const CHANGES: usize = 30;
+    const IDLE: u64 = 10;
+    let options = ControlOptions {
+        admin: a.admin,
+        key: a.key,
+        platform: a.platform,
+        pids: a.pid,
+        changes: a.changes.unwrap_or(CHANGES),
+        idle: Duration::from_secs(a.idle.unwrap_or(IDLE)),
+    };
+    let system = actix_rt::System::new();
+    let c = system
+        .block_on(control::measure(&options))
+        .map_err(|e| e.to_string())?;
+    println!(
+        "{} in_force_p50_ms={:.0} in_force_p99_ms={:.0} platform_calls_per_s={:.2} calls_per_change={:.1} \
+         bytes_per_s_per_vm={:.0} bytes_per_change_per_vm={:.0} cpu_percent_per_vm={:.2} cpu_ms_per_change={:.1} rss_mb_per_vm={:.1}",
+        a.label,
+        c.in_force_p50.as_secs_f64() * 1e3,
+        c.in_force_p99.as_secs_f64() * 1e3,
+        c.calls_per_s,
+        c.calls_per_change,
+        c.bytes_per_s,
+        c.bytes_per_change,
+        c.cpu_percent,
+        c.cpu_per_change.as_secs_f64() * 1e3,
+        c.rss as f64 / 1e6,
+    );
+    Ok(())
+}
