--- a/trouttrack_controller/src/app/start.rs
+++ b/trouttrack_controller/src/app/start.rs
@@ -10,13 +10,12 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::time::Duration;
 use thiserror::Error;
-use tokio::signal::unix::{SignalKind, signal};
 use trouttrack_config::settings::ControllerSettings;
 use trouttrack_platform::{ConfigStore, ObjectClient};
 use trouttrack_telemetry::events;
-use trouttrack_telemetry::tls::{self, Reloader, TlsError};
+use trouttrack_telemetry::program::told_to_stop;
+use trouttrack_telemetry::tls::{self, TlsError};
 
 /// Threads that serve operators.
 const WORKERS: usize = 2;
@@ -150,7 +149,7 @@
         None => server.listen(listener).map_err(cannot)?,
         Some(tls) => {
             let (config, reloader) = tls::server_config(tls)?;
-            actix_rt::spawn(reload_keys(reloader, tls.reload));
+            actix_rt::spawn(reloader.follow(tls.reload, "operator"));
             server
                 .listen_rustls_0_23(listener, config)
                 .map_err(cannot)?
@@ -159,13 +158,6 @@
     Ok((server.run(), addr))
 }
 
-async fn reload_keys(mut reloader: Reloader, every: Duration) {
-    loop {
-        tokio::time::sleep(every).await;
-        reloader.check_and_log("operator");
-    }
-}
-
 /// Runs a controller until it is told to stop by SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -173,12 +165,7 @@
 /// As for [`start`].
 pub async fn run(settings: ControllerSettings) -> Result<(), AppError> {
     let controller = start(settings)?;
-    let mut term = signal(SignalKind::terminate()).map_err(AppError::Server)?;
-    let mut int = signal(SignalKind::interrupt()).map_err(AppError::Server)?;
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
+    told_to_stop().await.map_err(AppError::Server)?;
     events::STOPPING.log(format_args!("program=trouttrack_controller"));
     controller.stop().await;
     events::STOPPED.log(format_args!("program=trouttrack_controller"));
--- a/trouttrack_gateway/src/app/start.rs
+++ b/trouttrack_gateway/src/app/start.rs
@@ -14,13 +14,13 @@
 use actix_web::{App, HttpServer, web};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
-use tokio::signal::unix::{SignalKind, signal};
+use std::time::Instant;
 use trouttrack_config::settings::GatewaySettings;
 use trouttrack_core::world::WorldSettings;
 use trouttrack_platform::{ConfigStore, ObjectClient};
 use trouttrack_telemetry::events;
-use trouttrack_telemetry::tls::{self, Reloader};
+use trouttrack_telemetry::program::told_to_stop;
+use trouttrack_telemetry::tls;
 use trouttrack_telemetry::trace::Tracing;
 
 /// Connections that wait to be accepted.
@@ -161,7 +161,7 @@
         None => server.listen(listener).map_err(cannot)?,
         Some(tls) => {
             let (config, reloader) = tls::server_config(tls)?;
-            actix_rt::spawn(reload_keys(reloader, tls.reload));
+            actix_rt::spawn(reloader.follow(tls.reload, "caller"));
             server
                 .listen_rustls_0_23(listener, config)
                 .map_err(cannot)?
@@ -170,13 +170,6 @@
     Ok((server.run(), addr))
 }
 
-async fn reload_keys(mut reloader: Reloader, every: Duration) {
-    loop {
-        tokio::time::sleep(every).await;
-        reloader.check_and_log("caller");
-    }
-}
-
 /// Runs a gateway until it is told to stop by SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -184,12 +177,7 @@
 /// As for [`start`].
 pub async fn run(settings: GatewaySettings) -> Result<(), AppError> {
     let gateway = start(settings).await?;
-    let mut term = signal(SignalKind::terminate()).map_err(AppError::Server)?;
-    let mut int = signal(SignalKind::interrupt()).map_err(AppError::Server)?;
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
+    told_to_stop().await.map_err(AppError::Server)?;
     gateway.stop().await;
     let tracing = gateway.shared.tracing.clone();
     // Sending the last spans blocks, so it has a thread of its own.
--- a/trouttrack_telemetry/src/tls/mod.rs
+++ b/trouttrack_telemetry/src/tls/mod.rs
@@ -11,6 +11,7 @@
 use std::io;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 use thiserror::Error;
 use trouttrack_config::settings::TlsSettings;
 
@@ -120,13 +121,16 @@
         Ok(true)
     }
 
-    /// As [`check`](Self::check), logging what happened; `face` says whose
-    /// connections the key is for.
-    pub fn check_and_log(&mut self, face: &str) {
-        match self.check() {
-            Ok(true) => events::KEYS_RELOADED.log(format_args!("face={face}")),
-            Ok(false) => {}
-            Err(e) => events::KEYS_REFUSED.log(format_args!("face={face}: {e}")),
+    /// Looks at the files for as long as the process lives, logging what
+    /// happens; `face` says whose connections the key is for.
+    pub async fn follow(mut self, every: Duration, face: &str) {
+        loop {
+            tokio::time::sleep(every).await;
+            match self.check() {
+                Ok(true) => events::KEYS_RELOADED.log(format_args!("face={face}")),
+                Ok(false) => {}
+                Err(e) => events::KEYS_REFUSED.log(format_args!("face={face}: {e}")),
+            }
         }
     }
 }
