--- a/trouttrackctl/tests/ctl/main.rs
+++ b/trouttrackctl/tests/ctl/main.rs
@@ -1,6 +1,7 @@
 //! What operators see.
 
 mod tls;
+mod walkthrough;
 
 use serde_json::{Value, json};
 use trouttrack_controller::changes::{ChangeAnswer, ChangeOutcome};
