--- a/trouttrack_gateway/src/http/auth.rs
+++ b/trouttrack_gateway/src/http/auth.rs
@@ -2,10 +2,12 @@
 
 use super::error::{ApiError, ErrorCode};
 use crate::app::Shared;
+use crate::request::SessionParts;
 use actix_web::HttpRequest;
 use actix_web::http::header::AUTHORIZATION;
 use std::sync::Arc;
-use trouttrack_config::fleet::{FleetView, Organisation};
+use std::time::Instant;
+use trouttrack_config::fleet::{FleetView, Organisation, Priority, Service};
 use trouttrack_core::RequestId;
 use uuid::Uuid;
 
@@ -20,6 +22,27 @@
     pub(super) fn organisation(&self) -> &Organisation {
         &self.view.fleet.organisations[self.organisation]
     }
+
+    /// What a request of this caller is about.
+    pub(super) fn parts(
+        &self,
+        service: &Service,
+        priority: Priority,
+        arrived: Instant,
+    ) -> SessionParts {
+        let organisation = self.organisation();
+        SessionParts {
+            id: self.id.clone(),
+            organisation: organisation.name.clone(),
+            weight: organisation.weight,
+            max_running: organisation.max_running,
+            service: service.clone(),
+            priority,
+            ask: None,
+            claimed: false,
+            arrived,
+        }
+    }
 }
 
 /// Gives the request an id and finds whose it is.
--- a/trouttrack_gateway/src/http/completions.rs
+++ b/trouttrack_gateway/src/http/completions.rs
@@ -118,17 +118,7 @@
             message,
         ));
     };
-    Ok(SessionParts {
-        id: admitted.id.clone(),
-        organisation: organisation.name.clone(),
-        weight: organisation.weight,
-        max_running: organisation.max_running,
-        service: resolved.service.clone(),
-        priority: resolved.priority,
-        ask: None,
-        claimed: false,
-        arrived,
-    })
+    Ok(admitted.parts(resolved.service, resolved.priority, arrived))
 }
 
 /// Lists the model services, as clients of this API expect.
--- a/trouttrack_gateway/src/http/plain.rs
+++ b/trouttrack_gateway/src/http/plain.rs
@@ -50,15 +50,8 @@
     let trace = trace(&shared, req, "plain call");
     let claimed = claim::claim(&shared, req, &admitted, &trace).await?;
     let parts = SessionParts {
-        id: admitted.id.clone(),
-        organisation: organisation.name.clone(),
-        weight: organisation.weight,
-        max_running: organisation.max_running,
-        service: resolved.service.clone(),
-        priority: resolved.priority,
-        ask: None,
         claimed: claimed == Claimed::Won,
-        arrived,
+        ..admitted.parts(resolved.service, resolved.priority, arrived)
     };
     let rest = req.match_info().get("path").unwrap_or_default();
     let query = match req.query_string() {
--- a/trouttrack_gateway/src/http/resume.rs
+++ b/trouttrack_gateway/src/http/resume.rs
@@ -75,7 +75,6 @@
     trace: RequestTrace,
 ) -> Result<(Session, Answer), ApiError> {
     let handle = again.handle;
-    let organisation = admitted.organisation();
     let gone = || {
         let message = "the stream is not known any more";
         ApiError::new(ErrorCode::BadHandle, &admitted.id, message)
@@ -84,14 +83,7 @@
     let service = admitted.view.service(&handle.service).ok_or_else(gone)?;
     let parts = SessionParts {
         id: handle.request.clone(),
-        organisation: organisation.name.clone(),
-        weight: organisation.weight,
-        max_running: organisation.max_running,
-        service: service.clone(),
-        priority: service.priority,
-        ask: None,
-        claimed: false,
-        arrived: again.arrived,
+        ..admitted.parts(service, service.priority, again.arrived)
     };
     let answer = Answer {
         id: handle.request.clone(),
--- a/trouttrack_load/src/compare/mod.rs
+++ b/trouttrack_load/src/compare/mod.rs
@@ -8,13 +8,15 @@
 mod bench;
 mod figures;
 mod headline;
+mod options;
 mod report;
 mod run;
 mod workload;
 
-pub use bench::{BenchOptions, bench};
+pub use bench::bench;
 pub use figures::{Figures, ServiceFigures};
 pub use headline::{Headline, headline};
+pub use options::BenchOptions;
 pub use report::{spread, table, write_json, write_report};
 pub use run::{CompareError, CompareOptions, Compared, PolicyName, compare};
 pub use workload::{Arrival, Mix, ServiceMix, Shift, Workload, capacity};
--- a/trouttrack_load/src/compare/run.rs
+++ b/trouttrack_load/src/compare/run.rs
@@ -1,7 +1,8 @@
 //! A whole comparison: policies by seeds.
 
-use super::bench::{BenchOptions, bench};
+use super::bench::bench;
 use super::figures::{Figures, ServiceFigures};
+use super::options::BenchOptions;
 use super::workload::{Mix, Shift, Workload, capacity};
 use std::str::FromStr;
 use std::thread;
--- a/trouttrack_load/src/compare/workload.rs
+++ b/trouttrack_load/src/compare/workload.rs
@@ -1,6 +1,7 @@
 //! Both fleets' mixes, as seeded arrivals with heavy-tailed lengths.
 
-use super::bench::{BenchOptions, bench};
+use super::bench::bench;
+use super::options::BenchOptions;
 use super::run::PolicyName;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
