Any answer of the platform and any caller's headers; a wait that could not fail is mended

Cause: reading the change again: the gateway tests waited for the engines' reports by a condition that was nearly always true and a sleep; two inputs from outside had no property test. Change: the wait asks the dispatcher for the reports; property tests of the platform's answers and of the headers that the gateway reads. No assertion of an older test changed.

--- a/trouttrack_gateway/tests/gateway/bad_input.rs
+++ b/trouttrack_gateway/tests/gateway/bad_input.rs
@@ -199,3 +199,58 @@
         );
     }
 }
+
+/// Whatever stands in the headers that the gateway reads, a caller gets an
+/// answer that names its request, and the rest goes on.
+#[actix_web::test]
+async fn any_header_values_are_taken_or_refused() {
+    use proptest::prelude::*;
+    use proptest::strategy::ValueTree;
+    use proptest::test_runner::{RngSeed, TestRunner};
+    const CASES: usize = 60;
+    let bed = Bed::new(1).await;
+    let mut runner = TestRunner::new(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_202),
+        ..ProptestConfig::default()
+    });
+    let value = "[ -~]{0,40}|00-[0-9a-f]{32}-[0-9a-f]{16}-0[01]|[0-9]{1,25}";
+    let values = (value, value, value, value);
+    for _ in 0..CASES {
+        let (trace, key, last, auth) = values.new_tree(&mut runner).unwrap().current();
+        for (path, known) in [
+            ("/v1/completions", true),
+            ("/v1/requests/none", true),
+            ("/v1/models", false),
+        ] {
+            let auth = if known {
+                format!("Bearer {KEY}")
+            } else {
+                auth.clone()
+            };
+            let method = if path.ends_with("completions") {
+                "POST"
+            } else {
+                "GET"
+            };
+            let url = format!("{}{path}", bed.url(0));
+            let req = bed.http.request(method.parse().unwrap(), url);
+            let req = req
+                .insert_header(("authorization", auth.as_str()))
+                .insert_header(("traceparent", trace.as_str()))
+                .insert_header(("idempotency-key", key.as_str()))
+                .insert_header(("last-event-id", last.as_str()));
+            let mut res = req
+                .send_json(&body("stream-many", "headers", 1, false))
+                .await
+                .unwrap();
+            let status = res.status().as_u16();
+            let text = res.body().await.unwrap();
+            let json: Value = serde_json::from_slice(&text).unwrap();
+            let context = format!("{path} {trace:?} {key:?} {last:?} {auth:?}: {status} {json}");
+            assert!([200, 400, 401, 404, 409].contains(&status), "{context}");
+            let named = json["error"]["request_id"].is_string();
+            assert!(status == 200 || named, "{context}");
+        }
+    }
+    assert_eq!(bed.ask("stream-many", "after", 3).await.outcome, "complete");
+}
--- a/trouttrack_gateway/tests/gateway/support.rs
+++ b/trouttrack_gateway/tests/gateway/support.rs
@@ -12,6 +12,7 @@
 use trouttrack_config::settings::{GatewaySettings, load_text};
 use trouttrack_engine::{EngineSettings, token_text};
 use trouttrack_gateway::app::{Gateway, start};
+use trouttrack_gateway::dispatch::ListUpstreams;
 use trouttrack_platform::config_store::{Commit, Proposal};
 use trouttrack_platform::{ConfigStore, ObjectClient};
 use trouttrack_standin::engine::{EngineOptions, EngineState, LedgerEntry};
@@ -159,12 +160,7 @@
         })
         .await;
         // An engine's incarnation is known before a request is handed over.
-        until("the engines have reported", || {
-            gateway.shared.platform_up()
-                || !gateway.shared.peers().alive(Duration::MAX).any(|_| true)
-        })
-        .await;
-        tokio::time::sleep(Duration::from_millis(60)).await;
+        reported(&gateway).await;
         gateway
     }
 
@@ -227,6 +223,19 @@
     })
 }
 
+/// Waits until every engine has answered the gateway's question for its load.
+async fn reported(gateway: &Gateway) {
+    for _ in 0..2000 {
+        let seen = gateway.shared.dispatcher.send(ListUpstreams).await.unwrap();
+        let engines = seen.iter().filter(|u| u.name.starts_with("engine-"));
+        if engines.clone().count() > 0 && engines.clone().all(|u| u.report_age.is_some()) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("never: the engines have reported");
+}
+
 /// Waits for something that is bound to happen.
 pub(crate) async fn until(what: &str, f: impl Fn() -> bool) {
     for _ in 0..2000 {
--- a/trouttrack_platform/tests/platform/main.rs
+++ b/trouttrack_platform/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! The object API's client against the stand-in, under faults.
 
+mod answers;
 mod config_store;
 mod lease;
 mod objects;
