A stopping VM refuses what it cannot end

Cause: a planned stop took every request until its process ended. Ruled out: a cut of requests in progress at the first drained moment; the process had streams until the end.

Change: in the last two seconds of a stop requests are refused as not run, with Connection: close; a stream is taken only if it is thought to end in time and no other VM that was heard of lately serves.

--- a/trouttrack_front/src/app/start.rs
+++ b/trouttrack_front/src/app/start.rs
@@ -4,7 +4,7 @@
 use super::{reload, stop};
 use crate::caller::{Server, serve_readiness_and_metrics};
 use crate::follow;
-use crate::peers::{self, PeerAddresses};
+use crate::peers;
 use crate::state::Front;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -48,16 +48,11 @@
     let socket = UdpSocket::bind(listen.peers).await;
     let socket = Rc::new(socket.map_err(|e| AppError::Listen(listen.peers, e))?);
     let own = socket.local_addr()?;
-    let peers = PeerAddresses::default();
-    follow::start(&front, &peers, own, settings.bounds.config_apply);
+    follow::start(&front, own, settings.bounds.config_apply);
     let scheduler = Rc::clone(&front.scheduler);
     actix_rt::spawn(async move { scheduler.run().await });
-    actix_rt::spawn(peers::send(
-        Rc::clone(&front),
-        peers.clone(),
-        Rc::clone(&socket),
-    ));
-    let hearing = peers::listen(Rc::clone(&front), peers, socket);
+    actix_rt::spawn(peers::send(Rc::clone(&front), Rc::clone(&socket)));
+    let hearing = peers::listen(Rc::clone(&front), socket);
     actix_rt::spawn(async move {
         if let Err(e) = hearing.await {
             log::error!("heartbeats cannot be heard: {e}");
--- a/trouttrack_front/src/app/stop.rs
+++ b/trouttrack_front/src/app/stop.rs
@@ -16,13 +16,14 @@
 /// process may end.
 pub(super) async fn planned(front: &Front, grace: Duration) {
     let began = front.clock.now();
-    front.lifecycle.stop(began);
+    let ends_at = began + grace.saturating_sub(TO_EXIT);
+    front.lifecycle.stop(ends_at);
     record!(
         events::STOPPING,
         in_flight = front.lifecycle.in_flight(),
         grace_ms = grace.as_millis() as u64,
     );
-    let last = front.clock.instant(began + grace.saturating_sub(TO_EXIT));
+    let last = front.clock.instant(ends_at);
     let noticed = front.clock.instant(began + BALANCER_NOTICES).min(last);
     tokio::time::sleep_until(noticed).await;
     let drained = async {
--- a/trouttrack_front/src/caller/handler.rs
+++ b/trouttrack_front/src/caller/handler.rs
@@ -3,7 +3,7 @@
 use super::admit::{Admitted, admit};
 use super::body::CallerBody;
 use super::reply::Reply;
-use crate::request::{plain, stream};
+use crate::request::{End, plain, stream};
 use crate::state::Front;
 use actix_http::{HttpMessage, Payload, Request, Response};
 use bytes::{Bytes, BytesMut};
@@ -27,6 +27,10 @@
         Ok(admitted) => admitted,
         Err(reply) => return reply.into_response(None, close),
     };
+    if !front.lifecycle.takes_requests(front.clock.now()) {
+        let reply = End::stopping().reply(&front, &admitted, 0);
+        return reply.into_response(None, true);
+    }
     let mut left = LeftByCaller::new(&admitted);
     let body = match read_body(req.take_payload(), limits.body_bytes).await {
         Ok(body) => body,
--- a/trouttrack_front/src/follow/kind.rs
+++ b/trouttrack_front/src/follow/kind.rs
@@ -15,7 +15,7 @@
 const LIST: Duration = Duration::from_secs(2);
 
 /// Takes in what a kind's objects say.
-pub trait Follower {
+pub(super) trait Follower {
     /// The kind.
     const KIND: Kind;
 
@@ -27,7 +27,7 @@
 }
 
 /// Follows a kind for as long as the process runs.
-pub async fn follow<F: Follower>(front: Rc<Front>, store: Rc<StoreEvents>, follower: Rc<F>) {
+pub(super) async fn follow<F: Follower>(front: Rc<Front>, store: Rc<StoreEvents>, follower: Rc<F>) {
     let mut backoff = Backoff::new();
     let mut revision = None;
     loop {
--- a/trouttrack_front/src/follow/mod.rs
+++ b/trouttrack_front/src/follow/mod.rs
@@ -17,18 +17,17 @@
 use kind::follow;
 use outage::StoreEvents;
 
-use crate::peers::PeerAddresses;
 use crate::state::Front;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Starts every follower of a front.
-pub fn start(front: &Rc<Front>, peers: &PeerAddresses, own: SocketAddr, config_apply: Duration) {
+pub fn start(front: &Rc<Front>, own: SocketAddr, config_apply: Duration) {
     let events = Rc::new(StoreEvents::default());
     let config = config::ConfigFollower::new(Rc::clone(front));
     let upstreams = Rc::new(upstreams::UpstreamFollower::new(Rc::clone(front)));
-    let vms = vms::VmFollower::new(Rc::clone(front), peers.clone());
+    let vms = vms::VmFollower::new(Rc::clone(front));
     actix_rt::spawn(follow(
         Rc::clone(front),
         Rc::clone(&events),
--- a/trouttrack_front/src/follow/outage.rs
+++ b/trouttrack_front/src/follow/outage.rs
@@ -8,14 +8,14 @@
 /// Reports the changes, and wakes watches when the store is back: one that was
 /// open during an outage may never say anything again.
 #[derive(Debug, Default)]
-pub struct StoreEvents {
+pub(super) struct StoreEvents {
     away: Cell<bool>,
     returned: Notify,
 }
 
 impl StoreEvents {
     /// A call failed.
-    pub fn lost(&self, error: &StoreError) {
+    pub(super) fn lost(&self, error: &StoreError) {
         if !self.away.replace(true) {
             let error = error.to_string();
             record!(events::PLATFORM_LOST, error = error.as_str());
@@ -23,7 +23,7 @@
     }
 
     /// A call was answered.
-    pub fn answered(&self) {
+    pub(super) fn answered(&self) {
         if self.away.replace(false) {
             record!(events::PLATFORM_BACK, watches = "restarted");
             self.returned.notify_waiters();
@@ -31,7 +31,7 @@
     }
 
     /// Waits for the store's return.
-    pub async fn returned(&self) {
+    pub(super) async fn returned(&self) {
         self.returned.notified().await;
     }
 }
--- a/trouttrack_front/src/follow/vms.rs
+++ b/trouttrack_front/src/follow/vms.rs
@@ -2,7 +2,6 @@
 
 use super::backoff::Backoff;
 use super::kind::Follower;
-use crate::peers::PeerAddresses;
 use crate::state::Front;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,17 +15,16 @@
 #[derive(Debug)]
 pub(super) struct VmFollower {
     front: Rc<Front>,
-    peers: PeerAddresses,
 }
 
 impl VmFollower {
-    pub(super) fn new(front: Rc<Front>, peers: PeerAddresses) -> Self {
-        Self { front, peers }
+    pub(super) fn new(front: Rc<Front>) -> Self {
+        Self { front }
     }
 
     fn take(&self, object: &Object) {
         match VmEntry::decode(object.spec.get()) {
-            Ok(entry) => self.peers.insert(&object.name, entry.peers),
+            Ok(entry) => self.front.peers.insert(&object.name, entry.peers),
             Err(e) => log::warn!("VM {}: entry cannot be read: {e}", object.name),
         }
     }
@@ -37,17 +35,17 @@
 
     fn listed(&self, objects: &[Object], _revision: u64) {
         objects.iter().for_each(|o| self.take(o));
-        self.front.budgets.set_vms(self.peers.len());
+        self.front.budgets.set_vms(self.front.peers.listed());
     }
 
     fn changed(&self, changes: &[Change], _revision: u64) {
         for change in changes {
             match change.deleted {
                 false => self.take(&change.object),
-                true => self.peers.remove(&change.object.name),
+                true => self.front.peers.remove(&change.object.name),
             }
         }
-        self.front.budgets.set_vms(self.peers.len());
+        self.front.budgets.set_vms(self.front.peers.listed());
     }
 }
 
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -1,6 +1,5 @@
 //! Sending and hearing heartbeats.
 
-use super::table::PeerAddresses;
 use crate::state::Front;
 use rand::seq::SliceRandom;
 use std::io;
@@ -19,13 +18,13 @@
 const MOST_BYTES: usize = 60_000;
 
 /// Sends heartbeats for as long as the process runs.
-pub async fn send(front: Rc<Front>, peers: PeerAddresses, socket: Rc<UdpSocket>) {
+pub async fn send(front: Rc<Front>, socket: Rc<UdpSocket>) {
     let incarnation: u64 = rand::random();
     let mut sequence = 0;
     loop {
         tokio::time::sleep(INTERVAL).await;
-        peers.forget_silent(front.clock.now());
-        let mut others = peers.others(&front.name);
+        front.peers.forget_silent(front.clock.now());
+        let mut others = front.peers.others();
         if others.is_empty() {
             continue;
         }
@@ -63,11 +62,7 @@
 /// # Errors
 ///
 /// The socket fails.
-pub async fn listen(
-    front: Rc<Front>,
-    peers: PeerAddresses,
-    socket: Rc<UdpSocket>,
-) -> io::Result<()> {
+pub async fn listen(front: Rc<Front>, socket: Rc<UdpSocket>) -> io::Result<()> {
     let mut buf = vec![0; MOST_BYTES];
     loop {
         let (length, from) = match socket.recv_from(&mut buf).await {
@@ -78,7 +73,7 @@
         };
         match serde_json::from_slice::<Digest>(&buf[..length]) {
             Ok(digest) => {
-                if peers.is_news(front.clock.now(), &digest) {
+                if front.peers.hear(front.clock.now(), &digest) {
                     front.scheduler.peer_uses(&digest.name, &digest.uses);
                 }
             }
--- a/trouttrack_front/src/peers/mod.rs
+++ b/trouttrack_front/src/peers/mod.rs
@@ -9,4 +9,4 @@
 mod table;
 
 pub use heartbeat::{listen, send};
-pub use table::PeerAddresses;
+pub use table::PeerTable;
--- a/trouttrack_front/src/peers/table.rs
+++ b/trouttrack_front/src/peers/table.rs
@@ -3,7 +3,6 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use trouttrack_core::Time;
 use trouttrack_core::membership::Digest;
@@ -12,22 +11,36 @@
 /// Silence after which a peer counts as lost: several heartbeats, and as long
 /// as core's tables count its use of upstreams.
 const SILENCE: Duration = Duration::from_secs(5);
+/// A VM heard of this recently is still there: a few heartbeats.
+const SURELY_ALIVE: Duration = Duration::from_secs(1);
 
 #[derive(Debug)]
 struct Heard {
     at: Time,
     incarnation: u64,
     sequence: u64,
+    draining: bool,
 }
 
 /// Peers, by VM name.
-#[derive(Clone, Debug, Default)]
-pub struct PeerAddresses {
-    addresses: Rc<RefCell<HashMap<String, SocketAddr>>>,
-    heard: Rc<RefCell<HashMap<String, Heard>>>,
+#[derive(Debug)]
+pub struct PeerTable {
+    own: String,
+    addresses: RefCell<HashMap<String, SocketAddr>>,
+    heard: RefCell<HashMap<String, Heard>>,
 }
 
-impl PeerAddresses {
+impl PeerTable {
+    /// An empty table of the VM called `own`.
+    #[must_use]
+    pub fn new(own: &str) -> Self {
+        Self {
+            own: own.to_owned(),
+            addresses: RefCell::default(),
+            heard: RefCell::default(),
+        }
+    }
+
     /// A VM is listed.
     pub fn insert(&self, name: &str, addr: SocketAddr) {
         self.addresses.borrow_mut().insert(name.to_owned(), addr);
@@ -38,50 +51,55 @@
         self.addresses.borrow_mut().remove(name);
     }
 
-    /// How many VMs are listed.
+    /// How many VMs are listed, this one included once it is.
     #[must_use]
-    pub fn len(&self) -> usize {
+    pub fn listed(&self) -> usize {
         self.addresses.borrow().len()
     }
 
-    /// Whether none is listed.
+    /// The addresses of the other VMs.
     #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
+    pub fn others(&self) -> Vec<SocketAddr> {
+        let addresses = self.addresses.borrow();
+        let others = addresses.iter().filter(|(name, _)| **name != self.own);
+        others.map(|(_, addr)| *addr).collect()
     }
 
-    /// The addresses of all but the VM called `own`.
+    /// Whether a VM that was heard of lately takes requests.
     #[must_use]
-    pub fn others(&self, own: &str) -> Vec<SocketAddr> {
-        let addresses = self.addresses.borrow();
-        let others = addresses.iter().filter(|(name, _)| *name != own);
-        others.map(|(_, addr)| *addr).collect()
+    pub fn any_serves(&self, now: Time) -> bool {
+        let heard = self.heard.borrow();
+        let mut lately = heard
+            .values()
+            .filter(|h| now.saturating_sub(h.at) < SURELY_ALIVE);
+        lately.any(|h| !h.draining)
     }
 
-    /// Whether a digest is newer than the last one of its sender. Datagrams
-    /// may overtake each other; a restarted sender counts anew.
-    pub fn is_news(&self, now: Time, digest: &Digest) -> bool {
+    /// Takes in a digest. Returns whether it is newer than the last one of its
+    /// sender: datagrams may overtake each other; a restarted sender counts
+    /// anew.
+    pub fn hear(&self, now: Time, digest: &Digest) -> bool {
         let mut heard = self.heard.borrow_mut();
-        if let Some(last) = heard.get(&digest.name) {
-            let same_life = last.incarnation == digest.incarnation;
-            if same_life && last.sequence >= digest.sequence {
-                return false;
+        match heard.get(&digest.name) {
+            Some(last) => {
+                let same_life = last.incarnation == digest.incarnation;
+                if same_life && last.sequence >= digest.sequence {
+                    return false;
+                }
             }
-        } else {
-            record!(
+            None => record!(
                 events::PEER_SEEN,
                 peer = digest.name.as_str(),
                 config_version = digest.config_version,
-            );
+            ),
         }
-        heard.insert(
-            digest.name.clone(),
-            Heard {
-                at: now,
-                incarnation: digest.incarnation,
-                sequence: digest.sequence,
-            },
-        );
+        let last = Heard {
+            at: now,
+            incarnation: digest.incarnation,
+            sequence: digest.sequence,
+            draining: digest.draining,
+        };
+        heard.insert(digest.name.clone(), last);
         true
     }
 
--- a/trouttrack_front/src/request/end.rs
+++ b/trouttrack_front/src/request/end.rs
@@ -16,6 +16,9 @@
 const SHORT_TOKENS: u64 = 64;
 /// The shortest time after which a refused caller may come back.
 const COME_BACK: Duration = Duration::from_millis(100);
+/// When a caller refused by a stopping VM may come back: at once, on a new
+/// connection, which leads to another VM.
+const ELSEWHERE: Duration = Duration::from_millis(20);
 /// The longest: overload passes quickly, and callers wait no longer than a
 /// third of their time.
 const COME_BACK_AT_MOST: Duration = Duration::from_secs(1);
@@ -92,6 +95,14 @@
         }
     }
 
+    /// This VM is about to end; another one serves.
+    pub(crate) fn stopping() -> Self {
+        Self::NotRun {
+            reason: "this VM is stopping",
+            retry_after: ELSEWHERE,
+        }
+    }
+
     pub(crate) fn not_run(reason: &'static str) -> Self {
         Self::NotRun {
             reason,
--- a/trouttrack_front/src/request/mod.rs
+++ b/trouttrack_front/src/request/mod.rs
@@ -7,3 +7,5 @@
 pub mod stream;
 
 pub use events::EventReader;
+
+pub(crate) use end::End;
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -22,9 +22,9 @@
 /// Upstreams to which no connection could be made, after which a request is
 /// given up.
 const CONNECT_TRIES: u32 = 3;
-/// When a caller refused by a stopping VM may come back: at once, on a new
-/// connection, which leads to another VM.
-const ELSEWHERE: Duration = Duration::from_millis(20);
+/// What a token is taken to need while a VM that stops decides whether a
+/// stream still ends in time: an engine's step under load.
+const PER_TOKEN: Duration = Duration::from_millis(10);
 
 /// Serves a request. Returns the answer's head, and its body if it is a
 /// stream; the stream goes on by itself.
@@ -34,12 +34,8 @@
     body: Bytes,
     in_flight: InFlight,
 ) -> (Reply, Option<CallerBody>) {
-    if front.lifecycle.is_stopping() && !is_short(&admitted) {
-        let end = End::NotRun {
-            reason: "this VM is stopping",
-            retry_after: ELSEWHERE,
-        };
-        return (end.reply(front, &admitted, 0), None);
+    if !takes(front, &admitted) {
+        return (End::stopping().reply(front, &admitted, 0), None);
     }
     let Some(service) = admitted.route.draw_service(&mut rand::rng()).cloned() else {
         let end = End::not_run("the route has no service");
@@ -58,6 +54,19 @@
     }
 }
 
+/// A VM that stops takes a stream only if it ends in time and no other VM
+/// could take it.
+fn takes(front: &Front, admitted: &Admitted) -> bool {
+    if !front.lifecycle.is_stopping() || is_short(admitted) {
+        return true;
+    }
+    let head = &admitted.head;
+    let tokens = head.guessed_tokens.unwrap_or(head.most_tokens);
+    let length = PER_TOKEN * u32::try_from(tokens).unwrap_or(u32::MAX);
+    let now = front.clock.now();
+    !front.peers.any_serves(now) && front.lifecycle.takes_request_of(now, length)
+}
+
 /// How a stream ended.
 #[derive(Debug)]
 pub(super) enum Finish {
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -7,6 +7,7 @@
 use super::scheduler::Scheduler;
 use super::upstreams::Upstreams;
 use crate::metrics::Metrics;
+use crate::peers::PeerTable;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -49,6 +50,8 @@
     pub upstreams: Upstreams,
     /// The decision tables.
     pub scheduler: Rc<Scheduler>,
+    /// The other VMs.
+    pub peers: PeerTable,
     /// Retry budgets.
     pub budgets: Budgets,
     /// Carries requests to upstreams.
@@ -80,6 +83,7 @@
             routing: Routing::new(clock, settings.bounds.revoke),
             upstreams: Upstreams::new(clock),
             scheduler: Rc::new(Scheduler::new(clock, world_settings(settings))),
+            peers: PeerTable::new(&settings.vm.name),
             budgets: Budgets::new(settings.retry),
             engines: EngineClient::new(http.clone()),
             http,
--- a/trouttrack_front/src/state/lifecycle.rs
+++ b/trouttrack_front/src/state/lifecycle.rs
@@ -2,14 +2,20 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 use trouttrack_core::Time;
 
+/// Before the end of a planned stop, time for requests that were still taken:
+/// several times what a plain call or a short stream usually takes.
+const LAST_REQUESTS: Duration = Duration::from_millis(2000);
+
 /// Readiness, the planned stop, and requests in progress.
 #[derive(Debug, Default)]
 pub struct Lifecycle {
     ready: Cell<bool>,
-    stopping_since: Cell<Option<Time>>,
+    /// When a planned stop ends the process.
+    ends_at: Cell<Option<Time>>,
     in_flight: Cell<usize>,
     changed: Notify,
 }
@@ -26,15 +32,30 @@
         self.ready.get() && !self.is_stopping()
     }
 
-    /// A planned stop begins.
-    pub fn stop(&self, now: Time) {
-        self.stopping_since.set(Some(now));
+    /// A planned stop begins; the process ends at `ends_at`.
+    pub fn stop(&self, ends_at: Time) {
+        self.ends_at.set(Some(ends_at));
     }
 
     /// Whether a planned stop has begun.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
-        self.stopping_since.get().is_some()
+        self.ends_at.get().is_some()
+    }
+
+    /// Whether a request of unknown length may still be taken.
+    #[must_use]
+    pub fn takes_requests(&self, now: Time) -> bool {
+        self.takes_request_of(now, Duration::ZERO)
+    }
+
+    /// Whether a request that is thought to run for this long ends before the
+    /// process does.
+    #[must_use]
+    pub fn takes_request_of(&self, now: Time, length: Duration) -> bool {
+        self.ends_at
+            .get()
+            .is_none_or(|ends| now + length + LAST_REQUESTS < ends)
     }
 
     /// Requests in progress.
