--- a/trouttrack_core/src/rescue/mod.rs
+++ b/trouttrack_core/src/rescue/mod.rs
@@ -29,8 +29,8 @@
 /// use trouttrack_core::rescue::Departure;
 /// let ms = Duration::from_millis;
 /// let mut departure = Departure::noticed(ms(1000));
-/// departure.leaves_in(ms(1100), ms(1800));
-/// assert_eq!(departure.ends_at(), ms(2900));
+/// departure.leaves_in(ms(1800));
+/// assert_eq!(departure.ends_at(), ms(2800));
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Departure {
@@ -50,9 +50,10 @@
         }
     }
 
-    /// The engine said how much longer it serves.
-    pub fn leaves_in(&mut self, now: Time, left: Duration) {
-        self.ends_at = now + left;
+    /// The engine said how much longer it serves. Its word is old by an unknown
+    /// time, but it knew of its leaving, so it counts from the notice.
+    pub fn leaves_in(&mut self, left: Duration) {
+        self.ends_at = self.noticed_at + left;
     }
 
     /// The engine said how many tokens its generations hold, of all VMs.
--- a/trouttrack_front/src/rescue/observe.rs
+++ b/trouttrack_front/src/rescue/observe.rs
@@ -3,32 +3,41 @@
 use crate::state::{Front, Upstream};
 use std::rc::Rc;
 use std::time::Duration;
+use trouttrack_core::fleet::EngineSpec;
+use trouttrack_platform::EngineReport;
 use trouttrack_telemetry::{events, record};
 
 /// How long a report may take; copies have begun meanwhile.
 const REPORT: Duration = Duration::from_millis(500);
 
-/// Asks a leaving engine for a report, and times the moves by it.
+/// When reports are asked for, after the notice. The first tells what the
+/// engine holds; reports are up to half a second old, so only the second tells
+/// how much time is left.
+const ASK_AFTER: [Duration; 2] = [Duration::ZERO, Duration::from_millis(560)];
+
+/// Asks a leaving engine for reports, and times the moves by them.
 pub async fn observe(front: Rc<Front>, upstream: Rc<Upstream>) {
     let table = front.routing.table();
     let engine = table.and_then(|t| t.service(&upstream.service)?.engine.clone());
     let Some(engine) = engine.filter(|e| e.moves && front.serving.rescue) else {
         return;
     };
-    let report = match front.engines.report(upstream.addr, REPORT).await {
-        Ok(report) => report,
-        Err(e) => {
-            log::debug!("{e}");
-            return;
+    for after in ASK_AFTER {
+        tokio::time::sleep(after).await;
+        match front.engines.report(upstream.addr, REPORT).await {
+            Ok(report) => take(&upstream, &report, &engine),
+            Err(e) => log::debug!("{e}"),
         }
-    };
-    let now = front.clock.now();
+    }
+}
+
+fn take(upstream: &Upstream, report: &EngineReport, engine: &EngineSpec) {
     let held: u64 = report.generations.iter().map(|(_, tokens)| tokens).sum();
     upstream.update_departure(|departure| {
         if let Some(left) = report.leaves_in {
-            departure.leaves_in(now, left);
+            departure.leaves_in(left);
         }
-        departure.holds(held, &engine);
+        departure.holds(held, engine);
     });
     record!(
         events::DEPARTURE,
