Copies stay in the leaving engine's failure domain while there is room

Cause: a leaving engine's copies share its link; to another failure domain each takes twice as long, so six generations (17,700 tokens, 2.3 GB) needed 2 s with 1.7 s of notice, and the last parts queued behind until the engine was gone. Change: a target elsewhere costs as much as a whole memory (0.25 to 1.0).

--- a/trouttrack_core/src/world/relocate.rs
+++ b/trouttrack_core/src/world/relocate.rs
@@ -6,7 +6,7 @@
 
 /// Added to a target's score when it stands in another failure domain than the
 /// source: copies there take twice as long, while others wait for the link.
-const FAR: f64 = 0.25;
+const FAR: f64 = 1.0;
 /// Forecast memory over capacity up to which an upstream is a target.
 const FULL: f64 = 1.0;
 /// What each running request adds to a target's score: every one slows the
