A VM that has drained refuses until it ends

Ruled out: the bound of the grace, which was seconds away. Change: from the drained moment on requests are refused as not run.

--- a/trouttrack_front/src/app/stop.rs
+++ b/trouttrack_front/src/app/stop.rs
@@ -34,5 +34,7 @@
     if tokio::time::timeout_at(last, drained).await.is_err() {
         record!(events::DRAIN_BOUND, in_flight = front.lifecycle.in_flight(),);
     }
+    // What still comes while the last answers leave is refused as not run.
+    front.lifecycle.stop(front.clock.now());
     tokio::time::sleep(FLUSH).await;
 }
