Few VMs watch the store and tell the others; confirmations are shared

Change: one VM in each failure domain watches and sends what it learns to all others as news over UDP; a gap shows in the next heartbeat and is closed by one call. A confirmation travels with heartbeats: its age counts from the own heartbeat that the sender had heard before it spoke, so a datagram that waited anywhere proves nothing newer than it should. Whoever finds its confirmation too old makes the call, at an age drawn anew each time.

--- a/trouttrack_core/src/membership/mod.rs
+++ b/trouttrack_core/src/membership/mod.rs
@@ -3,11 +3,13 @@
 //! Everything here is merged by taking the newer of two entries, so the order
 //! in which digests arrive, or arrive twice, does not matter.
 
+mod echo;
 mod entries;
 mod marks;
 mod peers;
 mod watch;
 
+pub use echo::SentTimes;
 pub use entries::Entries;
 pub use marks::{Mark, MarkEntry, MarkSource, MarkTable};
 pub use peers::{Digest, Peer, PeerTable, UpstreamUse};
--- a/trouttrack_front/src/app/start.rs
+++ b/trouttrack_front/src/app/start.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 use trouttrack_config::settings::FrontSettings;
 use trouttrack_telemetry::events;
 use trouttrack_telemetry::logs::LinesDropped;
@@ -19,6 +20,9 @@
 /// How often the count of dropped log lines is taken over into the metrics.
 const COUNT_DROPPED_EVERY: Duration = Duration::from_secs(1);
 
+/// News that wait to be told; beyond it the other VMs ask the store.
+const NEWS_WAITING: usize = 64;
+
 /// A front that serves.
 #[derive(Debug)]
 pub struct Running {
@@ -43,15 +47,20 @@
 ///
 /// A port cannot be had, or the platform's address cannot be read.
 pub async fn start(settings: &FrontSettings) -> Result<Running, AppError> {
-    let front = Front::new(settings, store_address(settings)?);
+    let (news_tx, news) = mpsc::channel(NEWS_WAITING);
+    let front = Front::new(settings, store_address(settings)?, news_tx);
     let listen = settings.front.clone();
     let socket = UdpSocket::bind(listen.peers).await;
     let socket = Rc::new(socket.map_err(|e| AppError::Listen(listen.peers, e))?);
     let own = socket.local_addr()?;
-    follow::start(&front, own, settings.bounds.config_apply);
+    if front.peer_addr.set(own).is_err() {
+        log::error!("the own address was set before");
+    }
+    follow::start(&front, own);
     let scheduler = Rc::clone(&front.scheduler);
     actix_rt::spawn(async move { scheduler.run().await });
     actix_rt::spawn(peers::send(Rc::clone(&front), Rc::clone(&socket)));
+    actix_rt::spawn(peers::tell(Rc::clone(&front), Rc::clone(&socket), news));
     let hearing = peers::listen(Rc::clone(&front), socket);
     actix_rt::spawn(async move {
         if let Err(e) = hearing.await {
--- a/trouttrack_front/src/follow/config.rs
+++ b/trouttrack_front/src/follow/config.rs
@@ -3,6 +3,7 @@
 use super::kind::Follower;
 use super::upstreams::configure;
 use crate::state::Front;
+use std::cell::Cell;
 use std::rc::Rc;
 use trouttrack_platform::objects::fleet_config;
 use trouttrack_platform::{Change, Kind, Object};
@@ -15,11 +16,16 @@
 #[derive(Debug)]
 pub(super) struct ConfigFollower {
     front: Rc<Front>,
+    /// The store's revision up to which the kind is known.
+    known_to: Cell<Option<u64>>,
 }
 
 impl ConfigFollower {
     pub(super) fn new(front: Rc<Front>) -> Self {
-        Self { front }
+        Self {
+            front,
+            known_to: Cell::new(None),
+        }
     }
 }
 
@@ -53,15 +59,29 @@
 impl Follower for ConfigFollower {
     const KIND: Kind = Kind::Config;
 
-    fn listed(&self, objects: &[Object], _revision: u64) {
-        for o in objects {
-            take(&self.front, o);
+    fn revision(&self) -> Option<u64> {
+        self.known_to.get()
+    }
+
+    fn is_behind(&self) -> bool {
+        self.front.peers.newest_config() > self.front.routing.revision()
+    }
+
+    fn listed(&self, objects: &[Object], revision: u64) {
+        for object in objects {
+            take(&self.front, object);
         }
+        self.known_to.set(Some(revision));
     }
 
-    fn changed(&self, changes: &[Change], _revision: u64) {
+    fn changed(&self, changes: Vec<Change>, revision: u64) {
         for change in changes.iter().filter(|c| !c.deleted) {
             take(&self.front, &change.object);
         }
+        self.known_to.set(Some(revision));
+    }
+
+    fn history_gone(&self) {
+        self.known_to.set(None);
     }
 }
--- a/trouttrack_front/src/follow/kind.rs
+++ b/trouttrack_front/src/follow/kind.rs
@@ -1,51 +1,75 @@
-//! Listing a kind of object, then watching it.
+//! Listing a kind of object, then following its changes.
 
 use super::backoff::Backoff;
-use super::outage::StoreEvents;
+use crate::peers::watches_store;
 use crate::state::Front;
 use std::rc::Rc;
 use std::time::Duration;
 use trouttrack_platform::{Change, Kind, Object, StoreError, Watched};
 use trouttrack_telemetry::{events, record};
 
-/// How long a watch waits. Each one is a call that is paid for, and one that
-/// is cut off without a word is noticed no sooner than this.
-const WATCH: Duration = Duration::from_secs(20);
+/// How long a watch waits. Each one is a call that is paid for; one that is
+/// answered tells peers that its VM is in contact with the store.
+const WATCH: Duration = Duration::from_secs(5);
+/// A watch that only asks what is new.
+const AT_ONCE: Duration = Duration::from_millis(1);
 /// How long a page of a list may take.
 const LIST: Duration = Duration::from_secs(2);
+/// How long news may be late before the store is asked for them: the same news
+/// come from several VMs.
+const NEWS_LATE: Duration = Duration::from_millis(250);
+/// How often a VM that does not watch looks whether it is to watch now.
+const LOOK: Duration = Duration::from_millis(500);
 
 /// Takes in what a kind's objects say.
 pub(super) trait Follower {
     /// The kind.
     const KIND: Kind;
 
+    /// The revision up to which everything is known; `None` if it must be
+    /// listed.
+    fn revision(&self) -> Option<u64>;
+
+    /// Whether a peer knows more.
+    fn is_behind(&self) -> bool;
+
     /// Everything was listed, as of a revision.
     fn listed(&self, objects: &[Object], revision: u64);
 
     /// Changes came, up to a revision.
-    fn changed(&self, changes: &[Change], revision: u64);
+    fn changed(&self, changes: Vec<Change>, revision: u64);
+
+    /// The store has forgotten what came after the known revision.
+    fn history_gone(&self);
 }
 
 /// Follows a kind for as long as the process runs.
-pub(super) async fn follow<F: Follower>(front: Rc<Front>, store: Rc<StoreEvents>, follower: Rc<F>) {
+pub(super) async fn follow<F: Follower>(front: Rc<Front>, follower: F) {
     let mut backoff = Backoff::new();
-    let mut revision = None;
     loop {
         let step = async {
-            match revision {
-                Some(since) => watch(&front, &*follower, since).await,
-                None => list(&front, &*follower).await.map(Some),
+            match follower.revision() {
+                None => list(&front, &follower).await,
+                Some(since) if watches_store(&front) => tokio::select! {
+                    watched = watch(&front, &follower, since, WATCH) => watched,
+                    () = missed(&front, &follower) => {
+                        watch(&front, &follower, since, AT_ONCE).await
+                    }
+                },
+                Some(since) => tokio::select! {
+                    () = missed(&front, &follower) => {
+                        watch(&front, &follower, since, AT_ONCE).await
+                    }
+                    () = tokio::time::sleep(LOOK) => Ok(()),
+                },
             }
         };
         let outcome = tokio::select! {
             outcome = step => outcome,
-            () = store.returned() => continue,
+            () = front.store_contact.returned() => continue,
         };
         match outcome {
-            Ok(next) => {
-                backoff.succeeded();
-                revision = next;
-            }
+            Ok(()) => backoff.succeeded(),
             Err(e) => {
                 log::debug!("{e}");
                 backoff.pause().await;
@@ -54,41 +78,54 @@
     }
 }
 
+/// Waits until something was missed and did not come as news.
+async fn missed<F: Follower>(front: &Front, follower: &F) {
+    loop {
+        front.peers.behind().await;
+        tokio::time::sleep(NEWS_LATE).await;
+        if follower.is_behind() {
+            return;
+        }
+    }
+}
+
 async fn watch<F: Follower>(
     front: &Front,
     follower: &F,
     since: u64,
-) -> Result<Option<u64>, StoreError> {
-    match front.store.watch(F::KIND, since, WATCH).await? {
-        Watched::Changes { changes, revision } => {
-            follower.changed(&changes, revision);
-            Ok(Some(revision))
-        }
+    wait: Duration,
+) -> Result<(), StoreError> {
+    let watched = front.store.watch(F::KIND, since, wait).await?;
+    front.store_contact.answered(front.clock.now());
+    match watched {
+        Watched::Changes { changes, revision } => follower.changed(changes, revision),
         Watched::HistoryGone => {
             record!(
                 events::WATCH_RESTARTED,
                 kind = F::KIND.as_str(),
                 since = since,
             );
-            Ok(None)
+            follower.history_gone();
         }
     }
+    Ok(())
 }
 
 /// Lists everything, page by page.
-pub(super) async fn list<F: Follower>(front: &Front, follower: &F) -> Result<u64, StoreError> {
+async fn list<F: Follower>(front: &Front, follower: &F) -> Result<(), StoreError> {
     let mut objects: Vec<Object> = Vec::new();
     let mut first_revision = None;
     loop {
         let after = objects.last().map(|o| o.name.clone());
         let page = front.store.list(F::KIND, after.as_deref(), LIST).await?;
-        // Changes during the listing are watched for from its beginning.
+        // Changes during the listing are asked for from its beginning.
         let revision = *first_revision.get_or_insert(page.revision);
         let ended = !page.more || page.objects.is_empty();
         objects.extend(page.objects);
         if ended {
+            front.store_contact.answered(front.clock.now());
             follower.listed(&objects, revision);
-            return Ok(revision);
+            return Ok(());
         }
     }
 }
--- a/trouttrack_front/src/follow/mod.rs
+++ b/trouttrack_front/src/follow/mod.rs
@@ -1,45 +1,32 @@
 //! Keeping current what the platform's store holds.
 //!
-//! Each kind of object is listed once and watched from then on. A watch proves
-//! nothing by its silence, so a small list is read at short intervals besides:
-//! it confirms the configuration, and its revision tells whether the watch of
-//! the upstreams has missed anything.
+//! Each kind of object is listed once. Then a few VMs watch it and tell the
+//! others ([`crate::peers`]); a VM that hears that it has missed something asks
+//! the store for just that. A watch proves nothing by its silence, so the
+//! configuration is read at intervals besides, by whichever VM finds its
+//! confirmation too old; the others take it from that VM's heartbeats.
 
 mod backoff;
 mod config;
 mod confirm;
 mod kind;
-mod outage;
 mod upstreams;
 mod vms;
 
-use confirm::confirm;
-use kind::follow;
-use outage::StoreEvents;
+pub(crate) use upstreams::take_news;
 
 use crate::state::Front;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 /// Starts every follower of a front.
-pub fn start(front: &Rc<Front>, own: SocketAddr, config_apply: Duration) {
-    let events = Rc::new(StoreEvents::default());
+pub fn start(front: &Rc<Front>, own: SocketAddr) {
     let config = config::ConfigFollower::new(Rc::clone(front));
-    let upstreams = Rc::new(upstreams::UpstreamFollower::new(Rc::clone(front)));
-    let vms = vms::VmFollower::new(Rc::clone(front));
-    actix_rt::spawn(follow(
-        Rc::clone(front),
-        Rc::clone(&events),
-        Rc::new(config),
-    ));
-    actix_rt::spawn(follow(
-        Rc::clone(front),
-        Rc::clone(&events),
-        Rc::clone(&upstreams),
-    ));
-    actix_rt::spawn(follow(Rc::clone(front), Rc::clone(&events), Rc::new(vms)));
+    let upstreams = upstreams::UpstreamFollower::new(Rc::clone(front));
+    actix_rt::spawn(kind::follow(Rc::clone(front), config));
+    actix_rt::spawn(kind::follow(Rc::clone(front), upstreams));
     actix_rt::spawn(vms::announce(Rc::clone(front), own));
+    actix_rt::spawn(vms::list(Rc::clone(front)));
     actix_rt::spawn(upstreams::expire(Rc::clone(front)));
-    actix_rt::spawn(confirm(Rc::clone(front), events, upstreams, config_apply));
+    actix_rt::spawn(confirm::confirm(Rc::clone(front)));
 }
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -1,6 +1,7 @@
 //! The upstreams' entries.
 
 use super::kind::Follower;
+use crate::peers::{EntryChange, News};
 use crate::rescue;
 use crate::state::{Front, Upstream};
 use std::cell::Cell;
@@ -16,36 +17,24 @@
 #[derive(Debug)]
 pub(super) struct UpstreamFollower {
     front: Rc<Front>,
-    /// The revision up to which changes were taken in.
-    revision: Cell<u64>,
+    /// Whether everything must be listed again.
+    forgotten: Cell<bool>,
 }
 
 impl UpstreamFollower {
     pub(super) fn new(front: Rc<Front>) -> Self {
         Self {
             front,
-            revision: Cell::new(0),
+            forgotten: Cell::new(true),
         }
     }
 
-    /// Whether the store has changed since the last changes were taken in.
-    pub(super) fn has_missed(&self, revision: u64) -> bool {
-        self.front.upstreams.is_listed() && revision > self.revision.get()
-    }
-
-    fn advance(&self, revision: u64) {
-        self.revision.set(self.revision.get().max(revision));
-    }
-
-    fn take(&self, object: &Object) {
-        match UpstreamEntry::decode(object.spec.get()) {
-            Ok(entry) => {
-                let upstreams = &self.front.upstreams;
-                if let Some(leaving) = upstreams.seen(&object.name, object.revision, entry) {
-                    depart(&self.front, &leaving);
-                }
-            }
-            Err(e) => log::warn!("upstream {}: entry cannot be read: {e}", object.name),
+    /// Tells the other VMs what the store said.
+    fn tell(&self, from: u64, to: u64, changes: Vec<EntryChange>) {
+        let news = News { from, to, changes };
+        // With a full queue the others will ask the store.
+        if let Err(e) = self.front.news.try_send(news) {
+            log::debug!("news are not told: {e}");
         }
     }
 }
@@ -53,31 +42,102 @@
 impl Follower for UpstreamFollower {
     const KIND: Kind = Kind::Upstreams;
 
+    fn revision(&self) -> Option<u64> {
+        let known = !self.forgotten.get();
+        known.then(|| self.front.upstreams.revision())
+    }
+
+    fn is_behind(&self) -> bool {
+        let upstreams = &self.front.upstreams;
+        self.front.peers.newest_upstreams() > upstreams.revision() || upstreams.may_have_missed()
+    }
+
     fn listed(&self, objects: &[Object], revision: u64) {
-        objects.iter().for_each(|o| self.take(o));
+        for object in objects {
+            see(
+                &self.front,
+                &object.name,
+                object.revision,
+                object.spec.get(),
+            );
+        }
         let ids: Vec<UpstreamId> = objects.iter().map(|o| o.name.clone()).collect();
         for gone in self.front.upstreams.listed(&ids) {
             depart(&self.front, &gone);
         }
-        self.advance(revision);
+        self.front.upstreams.advance(revision);
+        self.forgotten.set(false);
         configure(&self.front);
     }
 
-    fn changed(&self, changes: &[Change], revision: u64) {
-        for change in changes {
-            match change.deleted {
-                false => self.take(&change.object),
-                true => {
-                    if let Some(gone) = self.front.upstreams.removed(&change.object.name) {
-                        depart(&self.front, &gone);
-                    }
+    fn changed(&self, changes: Vec<Change>, revision: u64) {
+        let from = self.front.upstreams.revision();
+        let changes: Vec<EntryChange> = changes.into_iter().map(entry_change).collect();
+        apply(&self.front, &changes);
+        self.front.upstreams.advance(revision);
+        if revision > from {
+            self.tell(from, revision, changes);
+        }
+    }
+
+    fn history_gone(&self) {
+        self.forgotten.set(true);
+    }
+}
+
+fn entry_change(change: Change) -> EntryChange {
+    EntryChange {
+        id: change.object.name,
+        revision: change.object.revision,
+        spec: (!change.deleted).then_some(change.object.spec),
+    }
+}
+
+/// Takes in what another VM learned from the store, if nothing is missing
+/// between that and what is known here.
+pub(crate) fn take_news(front: &Rc<Front>, news: &News) {
+    let known = front.upstreams.revision();
+    if !front.upstreams.is_listed() || news.to <= known {
+        return;
+    }
+    if news.from > known {
+        front.peers.set_behind();
+        return;
+    }
+    let new: Vec<EntryChange> = news
+        .changes
+        .iter()
+        .filter(|c| c.revision > known)
+        .cloned()
+        .collect();
+    apply(front, &new);
+    front.upstreams.advance(news.to);
+}
+
+fn apply(front: &Rc<Front>, changes: &[EntryChange]) {
+    for change in changes {
+        match &change.spec {
+            Some(spec) => see(front, &change.id, change.revision, spec.get()),
+            None => {
+                if let Some(gone) = front.upstreams.removed(&change.id) {
+                    depart(front, &gone);
                 }
             }
         }
-        self.advance(revision);
-        if !changes.is_empty() {
-            configure(&self.front);
+    }
+    if !changes.is_empty() {
+        configure(front);
+    }
+}
+
+fn see(front: &Rc<Front>, id: &str, revision: u64, spec: &str) {
+    match UpstreamEntry::decode(spec) {
+        Ok(entry) => {
+            if let Some(leaving) = front.upstreams.seen(id, revision, entry) {
+                depart(front, &leaving);
+            }
         }
+        Err(e) => log::warn!("upstream {id}: entry cannot be read: {e}"),
     }
 }
 
--- a/trouttrack_front/src/follow/vms.rs
+++ b/trouttrack_front/src/follow/vms.rs
@@ -1,61 +1,68 @@
 //! The VMs of this system: finding each other through the store.
+//!
+//! Each VM writes its own entry at its start and lists the others'. Whoever
+//! starts later is heard of by its heartbeats.
 
 use super::backoff::Backoff;
-use super::kind::Follower;
 use crate::state::Front;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use trouttrack_platform::{Change, Kind, Object, VmEntry};
+use trouttrack_platform::{Kind, Object, StoreError, VmEntry};
 
-/// How long writing the own entry may take.
-const WRITE: Duration = Duration::from_secs(2);
+/// How long a call may take.
+const CALL: Duration = Duration::from_secs(2);
+/// How often the VMs are listed again: for those that could not hear each other
+/// when one of them started.
+const LIST_EVERY: Duration = Duration::from_secs(20);
+/// From the own entry's writing to the first listing: VMs start together.
+const OTHERS_START: Duration = Duration::from_millis(700);
 
-/// Keeps the peers' addresses.
-#[derive(Debug)]
-pub(super) struct VmFollower {
-    front: Rc<Front>,
-}
-
-impl VmFollower {
-    pub(super) fn new(front: Rc<Front>) -> Self {
-        Self { front }
+/// Writes the own entry. It is the same at each start of a VM, and a lost
+/// answer is met by writing again.
+pub(super) async fn announce(front: Rc<Front>, own: SocketAddr) {
+    let entry = VmEntry { peers: own };
+    let mut backoff = Backoff::new();
+    while let Err(e) = front.store.put(Kind::Vms, &front.name, &entry, CALL).await {
+        log::debug!("{e}");
+        backoff.pause().await;
     }
+}
 
-    fn take(&self, object: &Object) {
-        match VmEntry::decode(object.spec.get()) {
-            Ok(entry) => self.front.peers.insert(&object.name, entry.peers),
-            Err(e) => log::warn!("VM {}: entry cannot be read: {e}", object.name),
+/// Lists the VMs for as long as the process runs.
+pub(super) async fn list(front: Rc<Front>) {
+    let mut backoff = Backoff::new();
+    tokio::time::sleep(OTHERS_START).await;
+    loop {
+        match once(&front).await {
+            Ok(()) => {
+                backoff.succeeded();
+                tokio::time::sleep(LIST_EVERY).await;
+            }
+            Err(e) => {
+                log::debug!("{e}");
+                backoff.pause().await;
+            }
         }
     }
 }
 
-impl Follower for VmFollower {
-    const KIND: Kind = Kind::Vms;
-
-    fn listed(&self, objects: &[Object], _revision: u64) {
-        objects.iter().for_each(|o| self.take(o));
-        self.front.budgets.set_vms(self.front.peers.listed());
-    }
-
-    fn changed(&self, changes: &[Change], _revision: u64) {
-        for change in changes {
-            match change.deleted {
-                false => self.take(&change.object),
-                true => self.front.peers.remove(&change.object.name),
-            }
+async fn once(front: &Front) -> Result<(), StoreError> {
+    let mut after: Option<String> = None;
+    loop {
+        let page = front.store.list(Kind::Vms, after.as_deref(), CALL).await?;
+        page.objects.iter().for_each(|o| take(front, o));
+        after = page.objects.last().map(|o| o.name.clone());
+        if !page.more || after.is_none() {
+            front.budgets.set_vms(front.peers.listed());
+            return Ok(());
         }
-        self.front.budgets.set_vms(self.front.peers.listed());
     }
 }
 
-/// Writes the own entry. It is the same at each start of a VM, and a lost
-/// answer is met by writing again.
-pub(super) async fn announce(front: Rc<Front>, own: SocketAddr) {
-    let entry = VmEntry { peers: own };
-    let mut backoff = Backoff::new();
-    while let Err(e) = front.store.put(Kind::Vms, &front.name, &entry, WRITE).await {
-        log::debug!("{e}");
-        backoff.pause().await;
+fn take(front: &Front, object: &Object) {
+    match VmEntry::decode(object.spec.get()) {
+        Ok(entry) => front.peers.insert(&object.name, entry.peers),
+        Err(e) => log::warn!("VM {}: entry cannot be read: {e}", object.name),
     }
 }
--- a/trouttrack_front/src/peers/mod.rs
+++ b/trouttrack_front/src/peers/mod.rs
@@ -1,12 +1,26 @@
 //! What the VMs tell each other, over UDP.
 //!
-//! A heartbeat says which upstreams its sender uses and how much. It is whole
-//! each time, so a lost datagram costs nothing but age. `tarpc` does not fit
-//! here: it would keep a connection for each pair of VMs and wait for answers
-//! that nobody needs.
+//! Each call to the platform's store is paid for, so what one VM learns there
+//! it tells the others:
+//!
+//! - A heartbeat says which upstreams its sender uses and how much, which
+//!   configuration it has and how long ago that was confirmed. It is whole each
+//!   time, so a lost datagram costs nothing but age.
+//! - News carry changes of upstreams' entries, from the few VMs that watch the
+//!   store to all others, as they happen. Whoever misses some notices by the
+//!   revision in the next heartbeat and asks the store.
+//!
+//! `tarpc` does not fit here: it would keep a connection for each pair of VMs
+//! and wait for answers that nobody needs.
 
 mod heartbeat;
+mod listen;
+mod message;
+mod roles;
 mod table;
 
-pub use heartbeat::{listen, send};
-pub use table::PeerTable;
+pub use heartbeat::send;
+pub use listen::{listen, tell};
+pub use message::{EntryChange, News};
+pub use roles::watches_store;
+pub use table::{Heard, PeerTable};
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -5,13 +5,17 @@
 use super::lifecycle::Lifecycle;
 use super::routing::Routing;
 use super::scheduler::Scheduler;
+use super::store_contact::StoreContact;
 use super::upstreams::Upstreams;
 use crate::metrics::Metrics;
-use crate::peers::PeerTable;
+use crate::peers::{News, PeerTable};
+use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::mpsc;
 use trouttrack_config::settings::{FrontSettings, ServingSettings};
+use trouttrack_core::FailureDomain;
 use trouttrack_core::world::WorldSettings;
 use trouttrack_http::Client;
 use trouttrack_platform::{EngineClient, StoreClient};
@@ -40,6 +44,10 @@
 pub struct Front {
     /// The name of this VM.
     pub name: String,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
+    /// Where peers reach it, once that is known.
+    pub peer_addr: OnceCell<SocketAddr>,
     /// The monotonic clock.
     pub clock: Clock,
     /// Readiness and requests in progress.
@@ -60,6 +68,10 @@
     pub engines: EngineClient,
     /// Calls the store.
     pub store: StoreClient,
+    /// Whether the store answers.
+    pub store_contact: StoreContact,
+    /// News for the other VMs.
+    pub news: mpsc::Sender<News>,
     /// Policies that can be switched.
     pub serving: ServingSettings,
     /// Counters.
@@ -69,7 +81,7 @@
 impl Front {
     /// A front that knows nothing yet.
     #[must_use]
-    pub fn new(settings: &FrontSettings, store: SocketAddr) -> Rc<Self> {
+    pub fn new(settings: &FrontSettings, store: SocketAddr, news: mpsc::Sender<News>) -> Rc<Self> {
         let clock = Clock::start();
         let http = Client::builder()
             .connect_timeout(UPSTREAM_CONNECT)
@@ -78,6 +90,8 @@
         let to_store = Client::builder().connect_timeout(STORE_CONNECT).build();
         Rc::new(Self {
             name: settings.vm.name.clone(),
+            failure_domain: settings.vm.failure_domain.clone(),
+            peer_addr: OnceCell::new(),
             clock,
             lifecycle: Rc::default(),
             routing: Routing::new(clock, settings.bounds.revoke),
@@ -88,6 +102,8 @@
             engines: EngineClient::new(http.clone()),
             http,
             store: StoreClient::new(to_store, store),
+            store_contact: StoreContact::default(),
+            news,
             serving: settings.serving.clone(),
             metrics: Metrics::new(),
         })
--- a/trouttrack_front/src/state/mod.rs
+++ b/trouttrack_front/src/state/mod.rs
@@ -6,6 +6,7 @@
 mod lifecycle;
 mod routing;
 mod scheduler;
+mod store_contact;
 mod upstreams;
 
 pub use budgets::Budgets;
@@ -14,4 +15,5 @@
 pub use lifecycle::{InFlight, Lifecycle};
 pub use routing::Routing;
 pub use scheduler::{Placed, Refusal, Scheduler, Ticket};
+pub use store_contact::StoreContact;
 pub use upstreams::{Upstream, Upstreams};
--- a/trouttrack_front/src/state/routing.rs
+++ b/trouttrack_front/src/state/routing.rs
@@ -58,6 +58,18 @@
         self.table.borrow().as_ref().map_or(0, |t| t.version())
     }
 
+    /// Whether a configuration is known.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.table.borrow().is_some()
+    }
+
+    /// The store's revision of the configuration in force; 0 if there is none.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
     /// Whether the configuration in force is the one of this revision.
     #[must_use]
     pub fn has_revision(&self, revision: u64) -> bool {
--- /dev/null
+++ b/trouttrack_front/src/state/store_contact.rs
@@ -0,0 +1,50 @@
+//! The store going away and coming back.
+
+use std::cell::Cell;
+use std::time::Duration;
+use tokio::sync::Notify;
+use trouttrack_core::Time;
+use trouttrack_platform::StoreError;
+use trouttrack_telemetry::{events, record};
+
+/// Whether the store answers this VM.
+#[derive(Debug, Default)]
+pub struct StoreContact {
+    away: Cell<bool>,
+    answered_at: Cell<Option<Time>>,
+    returned: Notify,
+}
+
+impl StoreContact {
+    /// A call failed.
+    pub fn lost(&self, error: &StoreError) {
+        if !self.away.replace(true) {
+            let error = error.to_string();
+            record!(events::PLATFORM_LOST, error = error.as_str());
+        }
+    }
+
+    /// A call was answered. Wakes watches if the store had been away: one that
+    /// was open during an outage may never say anything again.
+    pub fn answered(&self, now: Time) {
+        self.answered_at.set(Some(now));
+        if self.away.replace(false) {
+            record!(events::PLATFORM_BACK, watches = "restarted");
+            self.returned.notify_waiters();
+        }
+    }
+
+    /// How long ago a call was last answered, in milliseconds; `None` while
+    /// calls fail.
+    #[must_use]
+    pub fn age_ms(&self, now: Time) -> Option<u64> {
+        let at = self.answered_at.get().filter(|_| !self.away.get())?;
+        let age: Duration = now.saturating_sub(at);
+        Some(age.as_millis() as u64)
+    }
+
+    /// Waits for the store's return.
+    pub async fn returned(&self) {
+        self.returned.notified().await;
+    }
+}
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -72,6 +72,10 @@
     by_id: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
     entries: RefCell<Entries>,
     listed: Cell<bool>,
+    /// The store's revision up to which the entries are known.
+    revision: Cell<u64>,
+    /// The newest revision of the store that is known of.
+    store_at: Cell<u64>,
 }
 
 impl Upstreams {
@@ -83,6 +87,8 @@
             by_id: RefCell::default(),
             entries: RefCell::default(),
             listed: Cell::new(false),
+            revision: Cell::new(0),
+            store_at: Cell::new(0),
         }
     }
 
@@ -92,6 +98,29 @@
         self.by_id.borrow().get(id).cloned()
     }
 
+    /// The store's revision up to which the entries are known.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// The entries are known up to a revision.
+    pub fn advance(&self, revision: u64) {
+        self.revision.set(self.revision.get().max(revision));
+    }
+
+    /// The store was seen at a revision.
+    pub fn store_is_at(&self, revision: u64) {
+        self.store_at.set(self.store_at.get().max(revision));
+    }
+
+    /// Whether the store has changed since the entries were looked at; the
+    /// change may be one of something else.
+    #[must_use]
+    pub fn may_have_missed(&self) -> bool {
+        self.is_listed() && self.store_at.get() > self.revision.get()
+    }
+
     /// Whether everything was listed at least once.
     #[must_use]
     pub fn is_listed(&self) -> bool {
