Stand-ins of the users' platform, and tests of the front against them

Change: stand-ins for the store, engines and plain services speak the platform's names and are told what to do in ours; the front is tested against every framing and fault of an answer, moves, leaving, keys, outages, peers, the planned stop and bad input; core's shared budget and freshness under random schedules with planted mistakes. A plain call that times out says 504 again (it said 502).

--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -1,9 +1,13 @@
 //! The decisions, without input or output.
 
 mod claims;
+mod entries;
+mod fleet_budget;
+mod freshness;
 mod length;
 mod membership;
 mod policies;
+mod relocate;
 mod retry_rule;
 mod support;
 mod world;
--- a/trouttrack_front/src/app/mod.rs
+++ b/trouttrack_front/src/app/mod.rs
@@ -7,3 +7,4 @@
 
 pub use error::AppError;
 pub use start::{Running, run, start};
+pub use stop::planned as stop;
--- a/trouttrack_front/src/app/start.rs
+++ b/trouttrack_front/src/app/start.rs
@@ -56,7 +56,7 @@
     if front.peer_addr.set(own).is_err() {
         log::error!("the own address was set before");
     }
-    follow::start(&front, own);
+    follow::start(&front, own, settings.bounds);
     let scheduler = Rc::clone(&front.scheduler);
     actix_rt::spawn(async move { scheduler.run().await });
     actix_rt::spawn(peers::send(Rc::clone(&front), Rc::clone(&socket)));
--- a/trouttrack_front/src/app/stop.rs
+++ b/trouttrack_front/src/app/stop.rs
@@ -12,9 +12,9 @@
 /// Pause after the last request, for its answer to leave.
 const FLUSH: Duration = Duration::from_millis(150);
 
-/// Takes the VM out, waits for requests in progress, and returns when the
+/// Stops as planned: takes the VM out, waits for requests in progress, and returns when the
 /// process may end.
-pub(super) async fn planned(front: &Front, grace: Duration) {
+pub async fn planned(front: &Front, grace: Duration) {
     let began = front.clock.now();
     let ends_at = began + grace.saturating_sub(TO_EXIT);
     front.lifecycle.stop(ends_at);
--- a/trouttrack_front/src/caller/admit.rs
+++ b/trouttrack_front/src/caller/admit.rs
@@ -53,27 +53,26 @@
 ///
 /// The answer, if the request is not served. A VM that cannot confirm its
 /// configuration says so instead of refusing a route or key that may exist.
-pub(super) fn admit(front: &Front, head: CallerHead) -> Result<Admitted, Reply> {
+pub(super) fn admit(front: &Front, head: CallerHead) -> Result<Admitted, Box<Reply>> {
     let received_at = front.clock.now();
     let Some(table) = front.routing.table() else {
-        return Err(unconfirmed(front, &head, "no configuration is known yet"));
+        let reason = "no configuration is known yet";
+        return Err(Box::new(unconfirmed(front, &head, reason)));
     };
     let Some(route) = table.find(&head.host, head.path()).cloned() else {
-        return Err(refused(
-            front,
-            &head,
-            StatusCode::NOT_FOUND,
-            "no such route",
-        ));
+        let reply = refused(front, &head, StatusCode::NOT_FOUND, "no such route");
+        return Err(Box::new(reply));
     };
     let admission = table.admit(&route, head.key.as_deref());
     if admission == Admission::Refused {
         let status = StatusCode::UNAUTHORIZED;
-        return Err(refused(front, &head, status, "the key is not known"));
+        let reply = refused(front, &head, status, "the key is not known");
+        return Err(Box::new(reply));
     }
     let organisation = admission.organisation();
     if organisation.is_some() && !front.routing.is_fresh() {
-        return Err(unconfirmed(front, &head, "keys cannot be confirmed"));
+        let reply = unconfirmed(front, &head, "keys cannot be confirmed");
+        return Err(Box::new(reply));
     }
     let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
     Ok(Admitted {
--- a/trouttrack_front/src/caller/handler.rs
+++ b/trouttrack_front/src/caller/handler.rs
@@ -54,7 +54,7 @@
         .map_or_else(CallerLimits::default, |t| t.config().limits)
 }
 
-fn decode(req: &Request, limits: &CallerLimits) -> Result<CallerHead, Reply> {
+fn decode(req: &Request, limits: &CallerLimits) -> Result<CallerHead, Box<Reply>> {
     let size: usize = req
         .headers()
         .iter()
@@ -62,7 +62,8 @@
         .sum();
     if size > limits.head_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-        return Err(Reply::rejected(status, "", "the head is too large"));
+        let reply = Reply::rejected(status, "", "the head is too large");
+        return Err(Box::new(reply));
     }
     let target = req
         .uri()
@@ -71,7 +72,7 @@
     let headers = req.headers().iter();
     let headers = headers.map(|(name, value)| (name.as_str(), value.as_bytes()));
     CallerHead::decode(req.method().as_str(), target, headers)
-        .map_err(|reason| Reply::rejected(StatusCode::BAD_REQUEST, "", reason))
+        .map_err(|reason| Box::new(Reply::rejected(StatusCode::BAD_REQUEST, "", reason)))
 }
 
 /// Why a body was not taken.
--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -6,24 +6,32 @@
 use rand::RngExt;
 use std::rc::Rc;
 use std::time::Duration;
+use trouttrack_config::settings::BoundSettings;
 use trouttrack_platform::{Kind, StoreError};
 
 /// How long a confirming call may take. Past it another is sent: on a link
 /// that loses packets a fresh try is quicker than waiting.
 const TIMEOUT: Duration = Duration::from_millis(900);
-/// The age of a confirmation, in milliseconds, at which this VM makes the call
-/// itself. The age is drawn anew each time, so that one VM is first and the
-/// others hear of it; the greatest leaves time for two failed calls before keys
-/// are refused, five seconds after the last confirmation.
-const CONFIRM_AT_MS: std::ops::Range<u64> = 1500..2400;
+/// The part of the bound on removed keys after which a confirmation is renewed:
+/// it leaves time for two calls that fail.
+const PART_OF_REVOKE: f64 = 0.4;
+/// The age at which this VM makes the call itself, in parts of the time above.
+/// It is drawn anew each time, so that one VM is first and the others hear of it.
+const SPREAD: std::ops::Range<f64> = 0.75..1.2;
+/// While there is no configuration to confirm, pause between two calls.
+const NO_CONFIG: Duration = Duration::from_millis(400);
 /// The shortest pause between two looks at the age.
 const LOOK: Duration = Duration::from_millis(50);
 
 /// Confirms for as long as the process runs.
-pub(super) async fn confirm(front: Rc<Front>) {
+pub(super) async fn confirm(front: Rc<Front>, bounds: BoundSettings) {
+    let every = bounds
+        .revoke
+        .mul_f64(PART_OF_REVOKE)
+        .min(bounds.config_apply);
     let mut backoff = Backoff::new();
     loop {
-        wait_until_due(&front).await;
+        wait_until_due(&front, every).await;
         match once(&front).await {
             Ok(()) => {
                 front.upstreams.store_back();
@@ -38,11 +46,10 @@
     }
 }
 
-async fn wait_until_due(front: &Front) {
-    let due = rand::rng().random_range(CONFIRM_AT_MS);
-    while let Some(age) = front.routing.age_ms().filter(|age| *age < due) {
-        let left = Duration::from_millis(due - age);
-        tokio::time::sleep(left.max(LOOK)).await;
+async fn wait_until_due(front: &Front, every: Duration) {
+    let due = every.mul_f64(rand::rng().random_range(SPREAD));
+    while let Some(age) = front.routing.age().filter(|age| *age < due) {
+        tokio::time::sleep((due - age).max(LOOK)).await;
     }
 }
 
@@ -54,7 +61,7 @@
         front.routing.confirmed(sent_at);
     } else {
         // There is no configuration yet; asking again at once brings none.
-        tokio::time::sleep(Duration::from_millis(CONFIRM_AT_MS.start / 4)).await;
+        tokio::time::sleep(NO_CONFIG).await;
     }
     front.upstreams.store_is_at(page.revision);
     if front.upstreams.may_have_missed() {
--- a/trouttrack_front/src/follow/mod.rs
+++ b/trouttrack_front/src/follow/mod.rs
@@ -18,9 +18,10 @@
 use crate::state::Front;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use trouttrack_config::settings::BoundSettings;
 
 /// Starts every follower of a front.
-pub fn start(front: &Rc<Front>, own: SocketAddr) {
+pub fn start(front: &Rc<Front>, own: SocketAddr, bounds: BoundSettings) {
     let config = config::ConfigFollower::new(Rc::clone(front));
     let upstreams = upstreams::UpstreamFollower::new(Rc::clone(front));
     actix_rt::spawn(kind::follow(Rc::clone(front), config));
@@ -28,5 +29,5 @@
     actix_rt::spawn(vms::announce(Rc::clone(front), own));
     actix_rt::spawn(vms::list(Rc::clone(front)));
     actix_rt::spawn(upstreams::expire(Rc::clone(front)));
-    actix_rt::spawn(confirm::confirm(Rc::clone(front)));
+    actix_rt::spawn(confirm::confirm(Rc::clone(front), bounds));
 }
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -147,9 +147,14 @@
         let to = handover(self.front, self.admitted, upstream);
         self.handed_over = true;
         let sending = send(self.front, self.admitted, upstream, &to, self.body.clone());
-        let sent = tokio::time::timeout(self.patience(), sending).await;
-        let slow = AttemptFailure::new(Failure::Lost, "the upstream is slow");
-        let sent = sent.unwrap_or(Err(slow));
+        let sent = match self.patience() {
+            Some(patience) => {
+                let slow = AttemptFailure::new(Failure::Lost, "the upstream is slow");
+                let sent = tokio::time::timeout(patience, sending).await;
+                sent.unwrap_or(Err(slow))
+            }
+            None => sending.await,
+        };
         self.count(sent.as_ref().err());
         let mut sent = sent?;
         let whole = sent.body.whole(MOST_BYTES).await;
@@ -171,14 +176,12 @@
         Ok(answer)
     }
 
-    /// How long an attempt may take. While another upstream may be tried, it is
+    /// How long an attempt may take while another upstream may be tried: that is
     /// tried early enough to answer within the objective.
-    fn patience(&self) -> Duration {
+    fn patience(&self) -> Option<Duration> {
         let others = self.sent + 1 < self.admitted.route.max_attempts;
-        match self.machine.traits().repeatable && others {
-            true => self.admitted.route.objective.mul_f64(FIRST_TRY),
-            false => self.front.clock.until(self.admitted.deadline),
-        }
+        let again = self.machine.traits().repeatable && others;
+        again.then(|| self.admitted.route.objective.mul_f64(FIRST_TRY))
     }
 
     /// Counts an attempt, unless nothing was sent.
--- a/trouttrack_front/src/state/routing.rs
+++ b/trouttrack_front/src/state/routing.rs
@@ -121,10 +121,15 @@
         fresh
     }
 
+    /// How old the newest confirmation is.
+    #[must_use]
+    pub fn age(&self) -> Option<Duration> {
+        self.freshness.get().age(self.clock.now())
+    }
+
     /// How old the newest confirmation is, in milliseconds.
     #[must_use]
     pub fn age_ms(&self) -> Option<u64> {
-        let age = self.freshness.get().age(self.clock.now())?;
-        Some(age.as_millis() as u64)
+        self.age().map(|age| age.as_millis() as u64)
     }
 }
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -167,7 +167,9 @@
         self.world.borrow().queued()
     }
 
-    fn load_of(&self, upstream: &str) -> (f64, usize) {
+    /// The forecast memory over capacity and the requests of an upstream.
+    #[must_use]
+    pub fn load_of(&self, upstream: &str) -> (f64, usize) {
         let world = self.world.borrow();
         let row = world.upstreams.key(upstream);
         let row = row.and_then(|k| world.upstreams.get(k));
--- /dev/null
+++ b/trouttrack_front/tests/front/freshness.rs
@@ -0,0 +1,66 @@
+//! Keys: served only while the configuration is known to be current.
+
+use crate::support::{Bed, HOST, PLAIN, config, plain, until};
+use trouttrack_platform_standin::{CallerRequest, StoreFault};
+
+/// The bound on removed keys in these tests.
+const SHORT: &str = "[bounds]\nrevoke = 1500ms\nconfig_apply = 1s\n";
+
+#[actix_rt::test]
+async fn a_removed_key_is_refused() {
+    let bed = Bed::new(PLAIN).await;
+    assert_eq!(bed.send(&plain("r1", "many")).await.status, 200);
+    let mut next = config(2);
+    next.organisations
+        .iter_mut()
+        .flatten()
+        .for_each(|o| o.keys.clear());
+    bed.store.put_config(&next);
+    until("version 2 is in force", || {
+        bed.front.front.routing.version() == 2
+    })
+    .await;
+    assert_eq!(bed.send(&plain("r2", "many")).await.status, 401);
+}
+
+#[actix_rt::test]
+async fn out_of_touch_no_key_is_believed_and_none_is_denied() {
+    for fault in [StoreFault::Refuse, StoreFault::Silent, StoreFault::Reset] {
+        let bed = Bed::with(PLAIN, SHORT).await;
+        bed.store.set_fault(fault);
+        until("it is stale", || !bed.front.front.routing.is_fresh()).await;
+        let reply = bed.send(&plain("r1", "many")).await;
+        assert_eq!(reply.status, 503, "{fault:?}");
+        assert!(reply.retry_after.is_some(), "{fault:?}");
+        // What is not known may exist by now: it is not denied either.
+        assert_eq!(bed.send(&plain("r2", "many").key("new")).await.status, 503);
+        assert_eq!(bed.send(&plain("r3", "unknown")).await.status, 503);
+        // What needs no key is served on.
+        let open = CallerRequest::get("r4", HOST, "/open/x");
+        assert_eq!(bed.send(&open).await.status, 200, "{fault:?}");
+        bed.store.set_fault(StoreFault::None);
+        until("it is fresh again", || bed.front.front.routing.is_fresh()).await;
+        assert_eq!(
+            bed.send(&plain("r5", "many")).await.status,
+            200,
+            "{fault:?}"
+        );
+    }
+}
+
+#[actix_rt::test]
+async fn a_watch_that_waits_confirms_nothing() {
+    let bed = Bed::with(PLAIN, SHORT).await;
+    bed.store.set_fault(StoreFault::DeafWatches);
+    let mut next = config(2);
+    next.organisations
+        .iter_mut()
+        .flatten()
+        .for_each(|o| o.keys.clear());
+    bed.store.put_config(&next);
+    until("the removal is found by reading", || {
+        bed.front.front.routing.version() == 2
+    })
+    .await;
+    assert_eq!(bed.send(&plain("r1", "many")).await.status, 401);
+}
--- /dev/null
+++ b/trouttrack_front/tests/front/main.rs
@@ -0,0 +1,14 @@
+//! The front against stand-ins of the users' platform.
+
+mod bad_input;
+mod config;
+mod freshness;
+mod leaving;
+mod moves;
+mod peers;
+mod plain;
+mod settings;
+mod stop;
+mod store;
+mod streams;
+mod support;
--- /dev/null
+++ b/trouttrack_front/tests/front/moves.rs
@@ -0,0 +1,117 @@
+//! Generations moved away from an engine that leaves.
+
+use crate::support::{Bed, ENGINES, events, long, until};
+use std::time::Duration;
+use trouttrack_platform_standin::{Behaviour, Reply, Upstream};
+
+/// Longer than the notice of an engine that leaves.
+const EVENTS: u64 = 150;
+const PACE: Duration = Duration::from_millis(10);
+
+async fn bed() -> Bed {
+    let bed = Bed::new(ENGINES).await;
+    for upstream in &bed.upstreams {
+        upstream.always(Behaviour::Stream(EVENTS));
+        upstream.pace(PACE);
+    }
+    bed
+}
+
+/// Starts a stream, lets its engine leave, and returns the answer and the two
+/// engines: the one that left and the other.
+async fn leave<'b>(
+    bed: &'b Bed,
+    before: impl Fn(&Upstream, &Upstream),
+) -> (Reply, [&'b Upstream; 2]) {
+    let (req, addr) = (long("r1", "draft"), bed.addr());
+    let answer = actix_rt::spawn(async move { req.send(addr).await });
+    until("an engine works", || bed.working().is_some()).await;
+    let left = bed.working().expect("it works");
+    let other = bed
+        .upstreams
+        .iter()
+        .find(|u| u.id != left.id)
+        .expect("another");
+    before(left, other);
+    bed.store.put_upstream(left, true);
+    (answer.await.expect("an answer"), [left, other])
+}
+
+#[actix_rt::test]
+async fn the_same_answer_goes_on_at_the_other_engine() {
+    let bed = bed().await;
+    let (reply, [left, other]) = leave(&bed, |_, _| {}).await;
+    assert!(reply.whole);
+    assert_eq!(reply.text(), events("r1", EVENTS));
+    assert_eq!(reply.sealed_by, Some(format!("seal-{}", left.id)));
+    // Copied while it went on, then stopped and copied to the end.
+    let copies = left.copies();
+    assert_eq!(copies.first(), Some(&("r1".to_owned(), false)));
+    assert_eq!(copies.last(), Some(&("r1".to_owned(), true)));
+    let arrivals = other.arrivals();
+    let [arrival] = arrivals.as_slice() else {
+        panic!("{arrivals:?}");
+    };
+    assert_eq!(arrival.continued_from, Some(format!("{}/h-r1", left.addr)));
+    assert!(arrival.last_event.is_some());
+}
+
+#[actix_rt::test]
+async fn an_entry_that_disappears_is_a_notice_too() {
+    let bed = bed().await;
+    let store = bed.store.clone();
+    let (reply, [left, other]) = leave(&bed, move |left, _| store.remove_upstream(&left.id)).await;
+    assert!(reply.whole);
+    assert_eq!(reply.text(), events("r1", EVENTS));
+    assert_eq!(left.ran(), ["r1"]);
+    assert_eq!(other.ran(), ["r1"]);
+}
+
+#[actix_rt::test]
+async fn without_room_elsewhere_it_ends_where_it_is() {
+    let bed = bed().await;
+    let (reply, [left, other]) = leave(&bed, |left, _| left.set_full(true)).await;
+    assert!(reply.whole);
+    assert_eq!(reply.text(), events("r1", EVENTS));
+    assert_eq!(left.ran(), ["r1"]);
+    assert!(other.ran().is_empty());
+}
+
+#[actix_rt::test]
+async fn a_target_that_does_not_go_on_leaves_a_broken_stream_not_a_second_run() {
+    let bed = bed().await;
+    let (reply, [_, other]) = leave(&bed, |_, other| other.always(Behaviour::Refuse)).await;
+    assert!(!reply.whole);
+    assert!(events("r1", EVENTS).starts_with(&reply.text()));
+    assert!(other.ran().is_empty());
+}
+
+#[actix_rt::test]
+async fn switched_off_nothing_is_moved() {
+    let bed = Bed::with(ENGINES, "[serving]\nrescue = off\n").await;
+    for upstream in &bed.upstreams {
+        upstream.always(Behaviour::Stream(EVENTS));
+        upstream.pace(PACE);
+    }
+    let (reply, [left, _]) = leave(&bed, |_, _| {}).await;
+    assert!(reply.whole);
+    assert!(left.copies().is_empty());
+}
+
+#[actix_rt::test]
+async fn a_crash_is_survived_by_the_copy_kept_elsewhere() {
+    let bed = Bed::with(ENGINES, "[serving]\nbackup_below = 0.9\n").await;
+    for upstream in &bed.upstreams {
+        upstream.next(Behaviour::StreamReset(40, 20));
+        upstream.always(Behaviour::Stream(40));
+    }
+    bed.upstreams[1].next(Behaviour::Stream(40));
+    let reply = bed.send(&long("r1", "draft")).await;
+    let arrivals: Vec<_> = bed.upstreams.iter().flat_map(|u| u.arrivals()).collect();
+    assert!(arrivals[0].backup_at.is_some(), "{arrivals:?}");
+    if reply.whole {
+        assert_eq!(reply.text(), events("r1", 40));
+    }
+    let continued = arrivals.iter().filter_map(|a| a.continued_from.as_deref());
+    assert!(continued.into_iter().all(|from| from.ends_with("/r1")));
+}
--- /dev/null
+++ b/trouttrack_front/tests/front/peers.rs
@@ -0,0 +1,96 @@
+//! VMs that tell each other what the store says.
+
+use crate::support::{Bed, PLAIN, config, plain, settings, until};
+use trouttrack_front::app::{Running, start};
+use trouttrack_front::peers::watches_store;
+use trouttrack_platform::{StoreError, StoreErrorKind};
+
+async fn second(bed: &Bed) -> Running {
+    let more = "[bounds]\nrevoke = 5s\n";
+    let other = start(&settings(&bed.store, "front-2", more))
+        .await
+        .expect("a front");
+    until("both know each other", || {
+        let knows = |front: &Running| !front.front.peers.others().is_empty();
+        knows(&bed.front) && knows(&other)
+    })
+    .await;
+    until("the second is ready", || other.front.lifecycle.is_ready()).await;
+    other
+}
+
+#[actix_rt::test]
+async fn a_change_reaches_the_vm_that_does_not_watch() {
+    let bed = Bed::new(PLAIN).await;
+    let other = second(&bed).await;
+    for version in 2..6 {
+        bed.store.put_config(&config(version));
+        bed.store.put_upstream(&bed.upstreams[0], version % 2 == 0);
+        for front in [&bed.front.front, &other.front] {
+            until("the version is in force", || {
+                front.routing.version() == version
+            })
+            .await;
+        }
+        until("both have left", || {
+            let leaves = |f: &Running| f.front.upstreams.get("u1").is_none_or(|u| u.is_leaving());
+            leaves(&bed.front) && leaves(&other)
+        })
+        .await;
+    }
+}
+
+#[actix_rt::test]
+async fn one_of_two_vms_watches_and_both_are_confirmed() {
+    let bed = Bed::new(PLAIN).await;
+    let other = second(&bed).await;
+    until("one watches", || {
+        watches_store(&bed.front.front) != watches_store(&other.front)
+    })
+    .await;
+    assert!(other.front.routing.is_fresh());
+    assert!(bed.front.front.routing.is_fresh());
+}
+
+#[actix_rt::test]
+async fn a_vm_turned_away_by_the_store_leaves_the_watch_to_the_other() {
+    let bed = Bed::new(PLAIN).await;
+    let other = second(&bed).await;
+    let [first, second] = [&bed.front.front, &other.front];
+    until("one watches", || {
+        watches_store(first) != watches_store(second)
+    })
+    .await;
+    let (watcher, waiting) = match watches_store(first) {
+        true => (first, second),
+        false => (second, first),
+    };
+    let refused = StoreError {
+        kind: StoreErrorKind::NotDone,
+        call: "GET /".to_owned(),
+        detail: "turned away".to_owned(),
+    };
+    // Calls that are answered say that it is over, so it is said again.
+    until("the other watches", || {
+        watcher.store_contact.lost(&refused);
+        watches_store(waiting)
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn use_of_upstreams_is_told() {
+    let bed = Bed::new(PLAIN).await;
+    let other = second(&bed).await;
+    for upstream in &bed.upstreams {
+        upstream.always(trouttrack_platform_standin::Behaviour::Silent);
+    }
+    let (req, addr) = (plain("r1", "once"), bed.addr());
+    let waiting = actix_rt::spawn(async move { req.send(addr).await });
+    until("the other VM knows", || {
+        let working = bed.working().map(|u| u.id.clone());
+        working.is_some_and(|id| other.front.scheduler.load_of(&id).1 > 0)
+    })
+    .await;
+    waiting.abort();
+}
--- /dev/null
+++ b/trouttrack_front/tests/front/store.rs
@@ -0,0 +1,36 @@
+//! Starting and going on without the store.
+
+use crate::support::{HOST, PLAIN, config, plain, settings, until};
+use trouttrack_front::app::start;
+use trouttrack_platform_standin::{CallerRequest, Store, StoreFault, Upstream};
+
+#[actix_rt::test]
+async fn started_without_the_store_it_is_not_ready_and_denies_nothing() {
+    let store = Store::start().await;
+    store.set_fault(StoreFault::Silent);
+    let running = start(&settings(&store, "front-1", ""))
+        .await
+        .expect("a front");
+    assert!(!running.front.lifecycle.is_ready());
+    let reply = plain("r1", "many").send(running.callers).await;
+    assert_eq!(reply.status, 503);
+    assert!(reply.retry_after.is_some());
+    store.put_config(&config(4));
+    let upstream = Upstream::start("u1", PLAIN, "a").await;
+    store.put_upstream(&upstream, false);
+    store.set_fault(StoreFault::None);
+    until("it is ready", || running.front.lifecycle.is_ready()).await;
+    until("keys are confirmed", || running.front.routing.is_fresh()).await;
+    assert_eq!(plain("r2", "many").send(running.callers).await.status, 200);
+}
+
+#[actix_rt::test]
+async fn an_outage_of_the_store_stops_no_open_route() {
+    let bed = crate::support::Bed::new(PLAIN).await;
+    for fault in [StoreFault::Refuse, StoreFault::Silent, StoreFault::Reset] {
+        bed.store.set_fault(fault);
+        let open = CallerRequest::get("r1", HOST, "/open/x");
+        assert_eq!(bed.send(&open).await.status, 200, "{fault:?}");
+        assert!(bed.front.front.lifecycle.is_ready());
+    }
+}
--- /dev/null
+++ b/trouttrack_http/tests/http/main.rs
@@ -0,0 +1,3 @@
+//! The client against peers that answer byte by byte.
+
+mod client;
