Copies that cannot be done in time are not asked for

Change: each VM reads the same report, takes the smallest generations first, and asks only for what is done before the last parts are due.

--- a/trouttrack_core/src/world/relocate.rs
+++ b/trouttrack_core/src/world/relocate.rs
@@ -59,6 +59,12 @@
         Some(running.unwrap_or_else(|| self.forecast(key, &row.submission, 0)))
     }
 
+    /// Tokens of memory that a running request holds.
+    #[must_use]
+    pub fn held_tokens(&self, key: RequestKey) -> f64 {
+        self.run_of(key).map_or(0.0, |run| run.tokens)
+    }
+
     /// The request runs at another upstream from now on.
     pub fn relocate(&mut self, now: Time, key: RequestKey, to: &str) {
         let Some(run) = self.run_of(key) else {
--- a/trouttrack_front/src/rescue/carry.rs
+++ b/trouttrack_front/src/rescue/carry.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use trouttrack_core::rescue::Departure;
+use trouttrack_core::rescue::{Copy, Departure};
 use trouttrack_core::{RequestId, UpstreamId};
 use trouttrack_platform::MoveAnswer;
 use trouttrack_telemetry::{events, record};
@@ -15,6 +15,8 @@
 const AGAIN: Duration = Duration::from_millis(40);
 /// Once a generation is stopped its caller waits: shorter.
 const AGAIN_STOPPED: Duration = Duration::from_millis(10);
+/// How long the engine's report is waited for: a few times the way there.
+const FOR_REPORT: Duration = Duration::from_millis(60);
 /// How much longer than its notice an engine is asked: some serve on.
 const PAST_THE_END: Duration = Duration::from_millis(1500);
 /// How long giving up a copy may take.
@@ -112,6 +114,7 @@
     async fn run(self, unused: Rc<RefCell<Option<String>>>) -> Carried {
         let mut departure = self.source.departure();
         let mut avoid = Vec::new();
+        self.wait_for_report(&mut departure).await;
         let Some(target) = self.copy(&departure, &mut avoid, &unused).await else {
             return Carried::NotMoved;
         };
@@ -125,15 +128,35 @@
 
     /// Whether the engine may still answer.
     fn in_time(&self, departure: &watch::Receiver<Option<Departure>>) -> bool {
-        let ends = departure.borrow().map(|d| d.ends_at() + PAST_THE_END);
-        ends.is_some_and(|ends| self.front.clock.now() < ends)
+        !self.time_left(departure).is_zero()
     }
 
     fn time_left(&self, departure: &watch::Receiver<Option<Departure>>) -> Duration {
-        let ends = departure.borrow().map(|d| d.ends_at() + PAST_THE_END);
+        let departure = departure.borrow();
+        let ends = departure.as_ref().map(|d| d.ends_at() + PAST_THE_END);
         self.front.clock.until(ends.unwrap_or_default())
     }
 
+    /// Whether a copy to a target is done in time.
+    fn fits(&self, departure: &watch::Receiver<Option<Departure>>, target: &Upstream) -> bool {
+        let copy = Copy {
+            id: &self.id,
+            tokens: self.ticket.held_tokens(),
+            far: target.failure_domain != self.source.failure_domain,
+        };
+        let departure = departure.borrow();
+        let now = self.front.clock.now();
+        departure.as_ref().is_some_and(|d| d.fits(now, copy))
+    }
+
+    /// Waits until the engine has said what it holds, which is soon.
+    async fn wait_for_report(&self, departure: &mut watch::Receiver<Option<Departure>>) {
+        let reported = departure.wait_for(|d| d.as_ref().is_some_and(Departure::is_reported));
+        if tokio::time::timeout(FOR_REPORT, reported).await.is_err() {
+            log::debug!("{}: no report of what it holds", self.source.id);
+        }
+    }
+
     fn target(&self, avoid: &[UpstreamId]) -> Option<Rc<Upstream>> {
         let home = &self.source.failure_domain;
         let target = self.ticket.target(home, avoid)?;
@@ -154,6 +177,11 @@
                 tokio::time::sleep(AGAIN).await;
                 continue;
             };
+            if !self.fits(departure, &target) {
+                // The engine may turn out to serve for longer.
+                tokio::time::sleep(AGAIN).await;
+                continue;
+            }
             match self.order(&target, false, self.time_left(departure)).await {
                 Some(MoveAnswer::Copied { handle }) => {
                     *unused.borrow_mut() = Some(handle);
@@ -174,7 +202,10 @@
     /// Waits until the last part is due, which may change meanwhile.
     async fn wait_for_last_part(&self, departure: &mut watch::Receiver<Option<Departure>>) {
         loop {
-            let due = departure.borrow_and_update().map(|d| d.last_part_at());
+            let due = departure
+                .borrow_and_update()
+                .as_ref()
+                .map(Departure::last_part_at);
             let due = self.front.clock.instant(due.unwrap_or_default());
             tokio::select! {
                 () = tokio::time::sleep_until(due) => return,
--- a/trouttrack_front/src/rescue/observe.rs
+++ b/trouttrack_front/src/rescue/observe.rs
@@ -37,7 +37,7 @@
         if let Some(left) = report.leaves_in {
             departure.leaves_in(left);
         }
-        departure.holds(held, engine);
+        departure.holds(report.generations.clone(), engine);
     });
     record!(
         events::DEPARTURE,
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -212,6 +212,12 @@
         world.target(now, self.key, home, avoid)
     }
 
+    /// Tokens of memory that the generation holds.
+    #[must_use]
+    pub fn held_tokens(&self) -> f64 {
+        self.scheduler.world.borrow().held_tokens(self.key)
+    }
+
     /// The generation counts at another upstream from now on.
     pub fn relocate(&self, to: &str) {
         let now = self.now();
