Moves: the link is asked whether it is idle, and room nearby is planned with

Cause: the time at which an engine's link would be idle was estimated from the tokens that it held; with targets in other failure domains copies took twice as long, the last parts were asked for too early and queued past the end. Change: a copy of what is new, made without stopping the generation, comes back at once only on an idle link; then the generation is stopped. The turns on the link are planned with the room in the own failure domain, and twice the time beyond it.

--- a/trouttrack_core/src/rescue/mod.rs
+++ b/trouttrack_core/src/rescue/mod.rs
@@ -4,8 +4,8 @@
 //! which they were asked for, by all VMs together. Every VM starts copying its
 //! own generations as soon as it hears that the engine leaves, while they go
 //! on. The last part of each is copied with the generation stopped, and its
-//! caller waits for that: so it begins only when the link is thought to be idle
-//! again, or when the engine is about to end.
+//! caller waits for that, so it is asked for when the link is idle: when a copy
+//! of what is new comes back at once.
 //!
 //! What the link cannot carry in the time left must not be asked for: it would
 //! hold up the last parts of all others until the engine is gone. Every VM
@@ -22,22 +22,11 @@
 /// Before the end, time for the last parts of an engine's generations: each
 /// takes some ten milliseconds, and requests of several VMs queue.
 const LAST_PARTS: Duration = Duration::from_millis(350);
-/// How much longer than its bytes say a copy to another failure domain takes.
-const FAR: f64 = 2.0;
-/// The same for copies of other VMs, whose targets are not known: most stay in
-/// the failure domain, and each has a set-up.
-const OTHERS: f64 = 1.25;
-
-/// A generation's memory, and the way that its copy takes.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Copy<'a> {
-    /// The request.
-    pub id: &'a str,
-    /// Tokens that it holds.
-    pub tokens: f64,
-    /// Whether the copy goes to another failure domain.
-    pub far: bool,
-}
+/// How much longer than its bytes say a copy takes: its set-up, and what is
+/// written meanwhile.
+const NEAR: f64 = 1.05;
+/// The same to another failure domain, where the link is half as fast.
+const FAR: f64 = 2.1;
 
 /// A leaving engine, as one VM sees it.
 ///
@@ -62,19 +51,48 @@
 #[derive(Clone, Debug, PartialEq)]
 struct Held {
     generations: Vec<(RequestId, u64)>,
+    /// Tokens for which there is room in the same failure domain.
+    near_room: f64,
     seconds_per_token: f64,
 }
 
+/// A generation's turn on the link.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Turn {
+    /// How long the link is busy before it.
+    after: Duration,
+    /// Whether there is room for it in the same failure domain.
+    near: bool,
+}
+
 impl Held {
-    fn seconds(&self, tokens: f64) -> f64 {
-        tokens * self.seconds_per_token
+    fn way(near: bool) -> f64 {
+        if near { NEAR } else { FAR }
+    }
+
+    fn lasts(&self, tokens: f64, near: bool) -> Duration {
+        Duration::from_secs_f64(tokens * self.seconds_per_token * Self::way(near))
     }
 
-    /// How long the link is busy before a generation's turn.
-    fn seconds_before(&self, id: &str) -> f64 {
-        let before = self.generations.iter().take_while(|(other, _)| other != id);
-        let tokens: u64 = before.map(|(_, tokens)| tokens).sum();
-        self.seconds(tokens as f64) * OTHERS
+    /// The turn of a generation; one that is not known comes last.
+    fn turn(&self, id: &str) -> Turn {
+        let mut after = Duration::ZERO;
+        let mut room = self.near_room;
+        for (other, tokens) in &self.generations {
+            let tokens = *tokens as f64;
+            let near = tokens <= room;
+            if other == id {
+                return Turn { after, near };
+            }
+            if near {
+                room -= tokens;
+            }
+            after += self.lasts(tokens, near);
+        }
+        Turn {
+            after,
+            near: room > 0.0,
+        }
     }
 }
 
@@ -96,12 +114,19 @@
     }
 
     /// The engine said how many tokens each of its generations holds, those of
-    /// all VMs.
-    pub fn holds(&mut self, mut generations: Vec<(RequestId, u64)>, engine: &EngineSpec) {
+    /// all VMs. `near_room` is the room for tokens at other engines of its
+    /// failure domain.
+    pub fn holds(
+        &mut self,
+        mut generations: Vec<(RequestId, u64)>,
+        engine: &EngineSpec,
+        near_room: f64,
+    ) {
         generations.sort_by(|a, b| (a.1, &a.0).cmp(&(b.1, &b.0)));
         let seconds_per_token = engine.bytes_per_token / engine.link_bytes_per_second.max(1.0);
         self.held = Some(Held {
             generations,
+            near_room,
             seconds_per_token,
         });
     }
@@ -124,39 +149,22 @@
         self.held.is_some()
     }
 
-    /// The latest time for the last parts.
-    fn latest(&self) -> Time {
-        self.ends_at.saturating_sub(LAST_PARTS)
-    }
-
-    /// Whether a copy asked for at `now` is done in time for its last part.
+    /// The time by which the last parts are asked for, whether or not the link
+    /// is idle.
     #[must_use]
-    pub fn fits(&self, now: Time, copy: Copy<'_>) -> bool {
-        let Some(held) = &self.held else {
-            return now < self.latest();
-        };
-        let turn = self.noticed_at + Duration::from_secs_f64(held.seconds_before(copy.id));
-        let way = if copy.far { FAR } else { 1.0 };
-        let own = Duration::from_secs_f64(held.seconds(copy.tokens) * way);
-        now.max(turn) + own <= self.latest()
+    pub fn last_call(&self) -> Time {
+        self.ends_at.saturating_sub(LAST_PARTS)
     }
 
-    /// When the last parts are to be copied.
+    /// Whether the copy of a generation that holds `tokens` is done by the last
+    /// call if it is asked for at `now`.
     #[must_use]
-    pub fn last_part_at(&self) -> Time {
-        let latest = self.latest();
+    pub fn fits(&self, now: Time, id: &str, tokens: f64) -> bool {
         let Some(held) = &self.held else {
-            return latest;
+            return now < self.last_call();
         };
-        let mut idle = self.noticed_at;
-        for (_, tokens) in &held.generations {
-            let seconds = held.seconds(*tokens as f64) * OTHERS;
-            let next = idle + Duration::from_secs_f64(seconds);
-            if next > latest {
-                break;
-            }
-            idle = next;
-        }
-        idle
+        let turn = held.turn(id);
+        let begins = now.max(self.noticed_at + turn.after);
+        begins + held.lasts(tokens, turn.near) <= self.last_call()
     }
 }
--- a/trouttrack_core/src/world/relocate.rs
+++ b/trouttrack_core/src/world/relocate.rs
@@ -59,6 +59,17 @@
         Some(running.unwrap_or_else(|| self.forecast(key, &row.submission, 0)))
     }
 
+    /// Tokens of memory that other upstreams of a failure domain have room for.
+    #[must_use]
+    pub fn room_near(&self, now: Time, service: &str, home: &str) -> f64 {
+        let serving = self.upstreams.serving(service);
+        let keys = serving.map_or(&[][..], |s| &s.keys);
+        let rows = keys.iter().filter_map(|k| self.upstreams.get(*k));
+        rows.filter(|u| u.open(now) && u.spec.failure_domain == home)
+            .map(|u| (u.spec.capacity_tokens as f64 - u.peak_tokens(None)).max(0.0))
+            .sum()
+    }
+
     /// Tokens of memory that a running request holds.
     #[must_use]
     pub fn held_tokens(&self, key: RequestKey) -> f64 {
--- a/trouttrack_front/src/rescue/carry.rs
+++ b/trouttrack_front/src/rescue/carry.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use trouttrack_core::rescue::{Copy, Departure};
+use trouttrack_core::rescue::Departure;
 use trouttrack_core::{RequestId, UpstreamId};
 use trouttrack_platform::MoveAnswer;
 use trouttrack_telemetry::{events, record};
@@ -19,6 +19,10 @@
 const FOR_REPORT: Duration = Duration::from_millis(60);
 /// How much longer than its notice an engine is asked: some serve on.
 const PAST_THE_END: Duration = Duration::from_millis(1500);
+/// A copy of what is new that takes less than this met an idle link: some dozen
+/// tokens take a few milliseconds. It is well within the pause that callers may
+/// see.
+const IDLE_LINK: Duration = Duration::from_millis(70);
 /// How long giving up a copy may take.
 const DISCARD: Duration = Duration::from_secs(1);
 
@@ -118,7 +122,7 @@
         let Some(target) = self.copy(&departure, &mut avoid, &unused).await else {
             return Carried::NotMoved;
         };
-        self.wait_for_last_part(&mut departure).await;
+        self.wait_for_idle_link(&departure, &target).await;
         let carried = self.stop_and_copy(&departure, target, &mut avoid).await;
         if matches!(carried, Carried::Moved(_)) {
             unused.borrow_mut().take();
@@ -137,16 +141,13 @@
         self.front.clock.until(ends.unwrap_or_default())
     }
 
-    /// Whether a copy to a target is done in time.
-    fn fits(&self, departure: &watch::Receiver<Option<Departure>>, target: &Upstream) -> bool {
-        let copy = Copy {
-            id: &self.id,
-            tokens: self.ticket.held_tokens(),
-            far: target.failure_domain != self.source.failure_domain,
-        };
+    /// Whether a copy is done in time.
+    fn fits(&self, departure: &watch::Receiver<Option<Departure>>) -> bool {
+        let (now, tokens) = (self.front.clock.now(), self.ticket.held_tokens());
         let departure = departure.borrow();
-        let now = self.front.clock.now();
-        departure.as_ref().is_some_and(|d| d.fits(now, copy))
+        departure
+            .as_ref()
+            .is_some_and(|d| d.fits(now, &self.id, tokens))
     }
 
     /// Waits until the engine has said what it holds, which is soon.
@@ -177,7 +178,7 @@
                 tokio::time::sleep(AGAIN).await;
                 continue;
             };
-            if !self.fits(departure, &target) {
+            if !self.fits(departure) {
                 // The engine may turn out to serve for longer.
                 tokio::time::sleep(AGAIN).await;
                 continue;
@@ -199,18 +200,26 @@
         None
     }
 
-    /// Waits until the last part is due, which may change meanwhile.
-    async fn wait_for_last_part(&self, departure: &mut watch::Receiver<Option<Departure>>) {
+    /// Copies what is new until that comes back at once, which shows that the
+    /// link is idle; at the last call it is no longer waited for.
+    async fn wait_for_idle_link(
+        &self,
+        departure: &watch::Receiver<Option<Departure>>,
+        target: &Upstream,
+    ) {
         loop {
-            let due = departure
-                .borrow_and_update()
-                .as_ref()
-                .map(Departure::last_part_at);
-            let due = self.front.clock.instant(due.unwrap_or_default());
-            tokio::select! {
-                () = tokio::time::sleep_until(due) => return,
-                // The sender is part of the source, which this holds.
-                Ok(()) = departure.changed() => {}
+            let began = self.front.clock.now();
+            let last_call = departure.borrow().as_ref().map(Departure::last_call);
+            if last_call.is_none_or(|last| began >= last) {
+                return;
+            }
+            let answer = self.order(target, false, self.time_left(departure)).await;
+            let took = self.front.clock.now().saturating_sub(began);
+            match answer {
+                Some(MoveAnswer::Copied { .. }) if took < IDLE_LINK => return,
+                Some(MoveAnswer::Copied { .. }) => {}
+                // What went wrong shows in the next step.
+                _ => return,
             }
         }
     }
--- a/trouttrack_front/src/rescue/observe.rs
+++ b/trouttrack_front/src/rescue/observe.rs
@@ -25,19 +25,21 @@
     for after in ASK_AFTER {
         tokio::time::sleep(after).await;
         match front.engines.report(upstream.addr, REPORT).await {
-            Ok(report) => take(&upstream, &report, &engine),
+            Ok(report) => take(&front, &upstream, &report, &engine),
             Err(e) => log::debug!("{e}"),
         }
     }
 }
 
-fn take(upstream: &Upstream, report: &EngineReport, engine: &EngineSpec) {
+fn take(front: &Front, upstream: &Upstream, report: &EngineReport, engine: &EngineSpec) {
     let held: u64 = report.generations.iter().map(|(_, tokens)| tokens).sum();
+    let (service, home) = (&upstream.service, &upstream.failure_domain);
+    let near_room = front.scheduler.room_near(service, home);
     upstream.update_departure(|departure| {
         if let Some(left) = report.leaves_in {
             departure.leaves_in(left);
         }
-        departure.holds(report.generations.clone(), engine);
+        departure.holds(report.generations.clone(), engine, near_room);
     });
     record!(
         events::DEPARTURE,
@@ -45,6 +47,7 @@
         how = "reported",
         generations = report.generations.len(),
         held_tokens = held,
+        near_room_tokens = near_room as u64,
         leaves_in_ms = report.leaves_in.map(|left| left.as_millis() as u64),
     );
 }
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -161,6 +161,13 @@
         self.world.borrow().own_uses()
     }
 
+    /// Tokens of memory that other upstreams of a failure domain have room for.
+    #[must_use]
+    pub fn room_near(&self, service: &str, failure_domain: &str) -> f64 {
+        let world = self.world.borrow();
+        world.room_near(self.clock.now(), service, failure_domain)
+    }
+
     /// How many requests wait.
     #[must_use]
     pub fn queued(&self) -> usize {
