--- a/trouttrack_front/src/rescue/carry.rs
+++ b/trouttrack_front/src/rescue/carry.rs
@@ -171,18 +171,21 @@
         avoid: &mut Vec<UpstreamId>,
         unused: &RefCell<Option<String>>,
     ) -> Option<Rc<Upstream>> {
+        let mut held_up_by = "it has not begun";
         while self.in_time(departure) {
+            if !self.fits(departure) {
+                // The engine may turn out to serve for longer.
+                held_up_by = "the link cannot carry it in time";
+                tokio::time::sleep(AGAIN).await;
+                continue;
+            }
             let Some(target) = self.target(avoid) else {
                 // Room may come free; those without any are asked again.
+                held_up_by = "no other engine has room";
                 avoid.clear();
                 tokio::time::sleep(AGAIN).await;
                 continue;
             };
-            if !self.fits(departure) {
-                // The engine may turn out to serve for longer.
-                tokio::time::sleep(AGAIN).await;
-                continue;
-            }
             match self.order(&target, false, self.time_left(departure)).await {
                 Some(MoveAnswer::Copied { handle }) => {
                     *unused.borrow_mut() = Some(handle);
@@ -196,7 +199,7 @@
                 }
             }
         }
-        self.failed("it could not be copied in time");
+        self.failed(held_up_by);
         None
     }
 
