Nobody there opens the circuit at once; what outgrew its guess is moved

Cause: a request on a connection to an upstream behind a cut was given up with its caller, and the attempt counted as nothing: callers went on being sent there. A connection was waited for twice as long as lookups have, and then the time for a place was over. A generation whose caller guessed few tokens was never moved, however long it ran. Change: no connection, or no word until the time is over, opens the circuit; 100 ms for a connection; another attempt has time of its own; what has written more than a short generation is moved.

--- a/trouttrack_core/src/upstream/circuit.rs
+++ b/trouttrack_core/src/upstream/circuit.rs
@@ -56,6 +56,14 @@
         }
     }
 
+    /// An attempt found nobody there: no connection, or no word until its time
+    /// was over. Each such attempt costs a caller its answer, so the circuit
+    /// opens at once.
+    pub fn unreachable(&mut self, now: Time) {
+        self.failures = self.failures.max(OPEN_AFTER - 1);
+        self.failed(now);
+    }
+
     /// The state at `now`.
     #[must_use]
     pub fn state(&self, now: Time) -> CircuitState {
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -319,6 +319,14 @@
         }
     }
 
+    /// The attempt at the request's upstream found nobody there.
+    pub fn unreachable(&mut self, now: Time, key: RequestKey) {
+        let upstream = self.requests.get(key).and_then(|row| row.upstream);
+        if let Some(u) = upstream.and_then(|k| self.upstreams.get_mut(k)) {
+            u.circuit.unreachable(now);
+        }
+    }
+
     fn leave_queue(&mut self, key: RequestKey, row: &Request) {
         if let Some(place) = row.place {
             self.queue.remove(place);
--- a/trouttrack_front/src/request/end.rs
+++ b/trouttrack_front/src/request/end.rs
@@ -11,9 +11,12 @@
 /// The part of its objective that a request may wait for an upstream. After
 /// it, a caller that comes back at once may still be served in time.
 const WAIT_FOR_PLACE: f64 = 0.6;
+/// The same for each further attempt, also when the time above is over: what
+/// was tried may still be answered late.
+const WAIT_AGAIN: f64 = 0.2;
 /// A request whose caller guesses no more tokens than this is short: it needs
 /// no room to grow, and ends before it could be moved.
-const SHORT_TOKENS: u64 = 64;
+pub(crate) const SHORT_TOKENS: u64 = 64;
 /// The shortest time after which a refused caller may come back.
 const COME_BACK: Duration = Duration::from_millis(100);
 /// When a caller refused by a stopping VM may come back: at once, on a new
@@ -25,6 +28,7 @@
 
 /// What the scheduler is asked for.
 pub(crate) fn submission(
+    front: &Front,
     admitted: &Admitted,
     service: &ServiceId,
     avoid: &[UpstreamId],
@@ -32,6 +36,7 @@
     let head = &admitted.head;
     let organisation = admitted.organisation.clone().unwrap_or_default();
     let patience = admitted.route.objective.mul_f64(WAIT_FOR_PLACE);
+    let again = front.clock.now() + admitted.route.objective.mul_f64(WAIT_AGAIN);
     Submission {
         id: head.id.clone(),
         weight: 1.0,
@@ -40,7 +45,9 @@
         organisation,
         priority: class(admitted),
         prompt_tokens: head.prompt_tokens,
-        deadline: (admitted.received_at + patience).min(admitted.deadline),
+        deadline: (admitted.received_at + patience)
+            .max(again)
+            .min(admitted.deadline),
         max_running: None,
         avoid: avoid.to_vec(),
         guessed_tokens: head.guessed_tokens,
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -3,7 +3,7 @@
 use super::attempt::{AttemptFailure, handover, send};
 use super::end::{End, answered, submission};
 use crate::caller::{Admitted, Reply};
-use crate::state::{Front, Upstream};
+use crate::state::{Front, Ticket, Upstream};
 use bytes::Bytes;
 use std::rc::Rc;
 use std::time::Duration;
@@ -57,8 +57,8 @@
     avoid: Vec<UpstreamId>,
     sent: u32,
     unconnected: u32,
-    /// An upstream has it, and no answer has come.
-    handed_over: bool,
+    /// The attempt at an upstream that has it, while no answer has come.
+    handed_over: Option<Ticket>,
     /// An upstream may have run it, and its answer was not usable.
     may_have_run: bool,
     /// A failure that an upstream answered with.
@@ -82,7 +82,7 @@
             avoid: Vec::new(),
             sent: 0,
             unconnected: 0,
-            handed_over: false,
+            handed_over: None,
             may_have_run: false,
             unwanted: None,
         }
@@ -114,7 +114,7 @@
 
     /// One try at one upstream, from its choice to its whole answer.
     async fn attempt(&mut self) -> Result<WholeAnswer, Stopped> {
-        let submission = submission(self.admitted, &self.service, &self.avoid);
+        let submission = submission(self.front, self.admitted, &self.service, &self.avoid);
         let placed = self.front.scheduler.place(submission).await;
         let placed = placed.map_err(|refusal| Stopped::Ended(End::refused(&refusal)))?;
         if !self.admitted.still_admitted(self.front) {
@@ -132,20 +132,23 @@
             attempt = self.sent + 1,
         );
         self.avoid.push(upstream.id.clone());
+        self.handed_over = Some(placed.ticket);
         let outcome = self.exchange(&upstream).await;
         if let Err(failure) = &outcome {
             failure.report(self.front, self.admitted, &upstream.id, "retry rule");
         }
-        match &outcome {
-            Err(f) if f.failure != Failure::Refused => placed.ticket.fault(),
-            _ => placed.ticket.complete(0),
+        if let Some(ticket) = self.handed_over.take() {
+            match outcome.as_ref().map_err(|f| f.failure) {
+                Ok(_) | Err(Failure::Refused) => ticket.complete(0),
+                Err(Failure::NotConnected) => ticket.unreachable(),
+                Err(Failure::Lost | Failure::Aborted) => ticket.fault(),
+            }
         }
         outcome.map_err(Stopped::Failed)
     }
 
     async fn exchange(&mut self, upstream: &Upstream) -> Result<WholeAnswer, AttemptFailure> {
         let to = handover(self.front, self.admitted, upstream);
-        self.handed_over = true;
         let sending = send(self.front, self.admitted, upstream, &to, self.body.clone());
         let sent = match self.patience() {
             Some(patience) => {
@@ -158,7 +161,6 @@
         self.count(sent.as_ref().err());
         let mut sent = sent?;
         let whole = sent.body.whole(MOST_BYTES).await;
-        self.handed_over = false;
         let lost = |reason| AttemptFailure::new(Failure::Lost, reason);
         let body = whole
             .map_err(|_| lost("the answer broke off"))?
@@ -189,7 +191,6 @@
         let now = self.front.clock.now();
         if failure.is_some_and(|f| f.failure == Failure::NotConnected) {
             self.unconnected += 1;
-            self.handed_over = false;
             return;
         }
         if self.sent == 0 {
@@ -197,9 +198,6 @@
         }
         self.sent += 1;
         self.machine.handed_over();
-        if failure.is_some() {
-            self.handed_over = false;
-        }
     }
 
     fn may_retry(&self, failure: Failure) -> bool {
@@ -246,13 +244,16 @@
         }
     }
 
-    fn timed_out(&self) -> End {
-        match self.handed_over {
-            true => End::Uncertain {
-                reason: "no answer in time",
-                timed_out: true,
-            },
-            false => End::not_run("no upstream had room in time"),
+    fn timed_out(&mut self) -> End {
+        match self.handed_over.take() {
+            Some(ticket) => {
+                ticket.unreachable();
+                End::Uncertain {
+                    reason: "no answer in time",
+                    timed_out: true,
+                }
+            }
+            None => End::not_run("no upstream had room in time"),
         }
     }
 }
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -3,7 +3,7 @@
 
 use super::run::{Finish, Stopped, StreamRun};
 use crate::request::attempt::{AttemptFailure, Sent, handover};
-use crate::request::end::is_short;
+use crate::request::end::{SHORT_TOKENS, is_short};
 use crate::rescue::{Carried, Carry, CarryTask, Moved};
 use crate::state::{Ticket, Upstream};
 use bytes::Bytes;
@@ -105,11 +105,11 @@
         }
     }
 
-    /// Whether the generation is worth moving.
+    /// Whether the generation is worth moving. A caller's guess may be far off:
+    /// what has written more than a short one is not short.
     fn may_move(&self) -> bool {
-        self.front.serving.rescue
-            && !is_short(&self.admitted)
-            && self.engine().is_some_and(|e| e.moves)
+        let short = is_short(&self.admitted) && self.tokens() <= SHORT_TOKENS;
+        self.front.serving.rescue && !short && self.engine().is_some_and(|e| e.moves)
     }
 
     fn carry(&self, source: &Source, ticket: &Rc<Ticket>) -> CarryTask {
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -225,7 +225,7 @@
 
     /// One placing of the request, up to the end of its stream.
     async fn attempt(&mut self) -> Result<(), Stopped> {
-        let submission = submission(&self.admitted, &self.service, &self.avoid);
+        let submission = submission(&self.front, &self.admitted, &self.service, &self.avoid);
         let placed = self.front.scheduler.place(submission).await;
         let placed = placed.map_err(|refusal| {
             let end = End::refused(&refusal).unless_run(self.may_have_run);
@@ -262,8 +262,10 @@
             Ok(()) => ticket.complete(self.tokens()),
             Err(Stopped::Failed(failure)) => {
                 failure.report(&self.front, &self.admitted, &self.at, "retry rule");
-                if failure.failure != Failure::Refused {
-                    ticket.fault();
+                match failure.failure {
+                    Failure::Refused => {}
+                    Failure::NotConnected => ticket.unreachable(),
+                    Failure::Lost | Failure::Aborted => ticket.fault(),
                 }
             }
             Err(Stopped::Finished(_)) => {}
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -22,7 +22,7 @@
 
 /// How long a connection to an upstream may take: many times the way between
 /// failure domains, and short enough to go elsewhere within an objective.
-const UPSTREAM_CONNECT: Duration = Duration::from_millis(200);
+const UPSTREAM_CONNECT: Duration = Duration::from_millis(100);
 /// Idle connections kept to one upstream. Upstreams bound the connections of
 /// all VMs together.
 const IDLE_PER_UPSTREAM: usize = 4;
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -205,6 +205,14 @@
         self.fault.set(true);
     }
 
+    /// The attempt found nobody there.
+    pub fn unreachable(&self) {
+        self.fault.set(true);
+        let now = self.now();
+        let mut world = self.scheduler.world.borrow_mut();
+        world.unreachable(now, self.key);
+    }
+
     /// The answer ended by itself after `tokens`.
     pub fn complete(&self, tokens: u64) {
         self.tokens.set(Some(tokens));
--- a/trouttrack_front/tests/front/moves.rs
+++ b/trouttrack_front/tests/front/moves.rs
@@ -1,6 +1,6 @@
 //! Generations moved away from an engine that leaves.
 
-use crate::support::{Bed, ENGINES, events, long, until};
+use crate::support::{Bed, ENGINES, events, long, plain, until};
 use std::time::Duration;
 use trouttrack_platform_standin::{Behaviour, Reply, Upstream};
 
@@ -67,6 +67,20 @@
     assert_eq!(other.ran(), ["r1"]);
 }
 
+#[actix_rt::test]
+async fn what_outgrew_its_callers_guess_is_moved_too() {
+    let bed = bed().await;
+    let (req, addr) = (plain("r1", "draft").post("x").tokens(100, 20), bed.addr());
+    let answer = actix_rt::spawn(async move { req.send(addr).await });
+    until("an engine works", || bed.working().is_some()).await;
+    let left = bed.working().expect("it works");
+    bed.store.put_upstream(left, true);
+    let reply = answer.await.expect("an answer");
+    assert!(reply.whole);
+    assert_eq!(reply.text(), events("r1", EVENTS));
+    assert!(left.copies().iter().any(|(_, stop)| *stop));
+}
+
 #[actix_rt::test]
 async fn without_room_elsewhere_it_ends_where_it_is() {
     let bed = bed().await;
