One notion of the store being away

Cause: whether entries may have lapsed was reset only by this VM's own confirming call. Ruled out: late news (they came within 10 ms) and a second outage (none is in its log). Change: every answered call says that the store is back.

--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -33,13 +33,9 @@
     loop {
         wait_until_due(&front, every).await;
         match once(&front).await {
-            Ok(()) => {
-                front.upstreams.store_back();
-                backoff.succeeded();
-            }
+            Ok(()) => backoff.succeeded(),
             Err(e) => {
-                front.upstreams.store_lost();
-                front.store_contact.lost(&e);
+                front.store_failed(&e);
                 backoff.pause().await;
             }
         }
@@ -56,7 +52,7 @@
 async fn once(front: &Front) -> Result<(), StoreError> {
     let sent_at = front.clock.now();
     let page = front.store.list(Kind::Config, None, TIMEOUT).await?;
-    front.store_contact.answered(front.clock.now());
+    front.store_answered();
     if page.objects.iter().any(|o| config::take(front, o)) {
         front.routing.confirmed(sent_at);
     } else {
--- a/trouttrack_front/src/follow/kind.rs
+++ b/trouttrack_front/src/follow/kind.rs
@@ -96,7 +96,7 @@
     wait: Duration,
 ) -> Result<(), StoreError> {
     let watched = front.store.watch(F::KIND, since, wait).await?;
-    front.store_contact.answered(front.clock.now());
+    front.store_answered();
     match watched {
         Watched::Changes { changes, revision } => follower.changed(changes, revision),
         Watched::HistoryGone => {
@@ -123,7 +123,7 @@
         let ended = !page.more || page.objects.is_empty();
         objects.extend(page.objects);
         if ended {
-            front.store_contact.answered(front.clock.now());
+            front.store_answered();
             follower.listed(&objects, revision);
             return Ok(());
         }
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -18,7 +18,7 @@
 use trouttrack_core::FailureDomain;
 use trouttrack_core::world::WorldSettings;
 use trouttrack_http::Client;
-use trouttrack_platform::{EngineClient, StoreClient};
+use trouttrack_platform::{EngineClient, StoreClient, StoreError};
 
 /// How long a connection to an upstream may take: many times the way between
 /// failure domains, and short enough to go elsewhere within an objective.
@@ -110,6 +110,20 @@
     }
 }
 
+impl Front {
+    /// The store answered a call of this VM.
+    pub fn store_answered(&self) {
+        self.upstreams.store_back();
+        self.store_contact.answered(self.clock.now());
+    }
+
+    /// The store did not answer a call of this VM.
+    pub fn store_failed(&self, error: &StoreError) {
+        self.upstreams.store_lost();
+        self.store_contact.lost(error);
+    }
+}
+
 fn world_settings(settings: &FrontSettings) -> WorldSettings {
     WorldSettings {
         failure_domain: settings.vm.failure_domain.clone(),
--- a/trouttrack_front/tests/front/leaving.rs
+++ b/trouttrack_front/tests/front/leaving.rs
@@ -89,3 +89,31 @@
     tokio::time::sleep(std::time::Duration::from_secs(3)).await;
     assert!(!is_leaving(&bed, 0) && !is_leaving(&bed, 1));
 }
+
+#[actix_rt::test]
+async fn after_an_outage_gone_is_gone_also_if_peers_confirm_the_configuration() {
+    let bed = Bed::new(PLAIN).await;
+    let front = bed.front.front.clone();
+    bed.store.set_fault(StoreFault::Refuse);
+    until("the outage is noticed", || {
+        front.store_contact.age_ms(front.clock.now()).is_none()
+    })
+    .await;
+    // Peers' heartbeats confirm from here on, so no call is due for that.
+    let confirmed = front.clone();
+    let peers = actix_rt::spawn(async move {
+        loop {
+            confirmed.routing.confirmed(confirmed.clock.now());
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    });
+    bed.store.set_fault(StoreFault::None);
+    until("the return is noticed", || {
+        front.store_contact.age_ms(front.clock.now()).is_some()
+    })
+    .await;
+    tokio::time::sleep(std::time::Duration::from_millis(2500)).await;
+    bed.store.remove_upstream("u1");
+    until("it leaves", || is_leaving(&bed, 0)).await;
+    peers.abort();
+}
