--- a/trouttrack_front/tests/front/bad_input.rs
+++ b/trouttrack_front/tests/front/bad_input.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use trouttrack_platform_standin::CallerRequest;
+use trouttrack_platform_standin::{CallerRequest, Upstream};
 
 /// Sends bytes and returns what comes until the connection is closed.
 async fn raw(addr: SocketAddr, bytes: &[u8]) -> String {
@@ -89,6 +89,6 @@
     );
     let answer = raw(bed.addr(), bytes.as_bytes()).await;
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
-    let arrivals: Vec<_> = bed.upstreams.iter().flat_map(|u| u.arrivals()).collect();
+    let arrivals: Vec<_> = bed.upstreams.iter().flat_map(Upstream::arrivals).collect();
     assert_eq!(arrivals[0].body, b"abcdefg");
 }
--- a/trouttrack_front/tests/front/config.rs
+++ b/trouttrack_front/tests/front/config.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{Bed, HOST, KEY, PLAIN, config, plain, route, until};
 use trouttrack_core::fleet::RouteKind;
-use trouttrack_platform_standin::CallerRequest;
+use trouttrack_platform_standin::{CallerRequest, Upstream};
 
 #[actix_rt::test]
 async fn a_new_route_is_served_and_a_dropped_one_is_not() {
@@ -64,14 +64,14 @@
     assert_eq!(bed.send(&without("/open/x")).await.status, 200);
     assert_eq!(bed.send(&without("/many/x")).await.status, 401);
     assert_eq!(bed.send(&without("/many/x").key("other")).await.status, 401);
-    let arrivals = bed.upstreams.iter().flat_map(|u| u.arrivals());
+    let arrivals = bed.upstreams.iter().flat_map(Upstream::arrivals);
     assert!(arrivals.into_iter().all(|a| a.organisation.is_none()));
 }
 
 #[actix_rt::test]
 async fn a_split_route_uses_all_its_services() {
     let bed = Bed::new(PLAIN).await;
-    let other = trouttrack_platform_standin::Upstream::start("u3", "second", "a").await;
+    let other = Upstream::start("u3", "second", "a").await;
     bed.store.put_upstream(&other, false);
     let mut next = config(2);
     let share = |service: &str, weight| trouttrack_core::fleet::Share {
--- a/trouttrack_front/tests/front/moves.rs
+++ b/trouttrack_front/tests/front/moves.rs
@@ -19,10 +19,7 @@
 
 /// Starts a stream, lets its engine leave, and returns the answer and the two
 /// engines: the one that left and the other.
-async fn leave<'b>(
-    bed: &'b Bed,
-    before: impl Fn(&Upstream, &Upstream),
-) -> (Reply, [&'b Upstream; 2]) {
+async fn leave(bed: &Bed, before: impl Fn(&Upstream, &Upstream)) -> (Reply, [&Upstream; 2]) {
     let (req, addr) = (long("r1", "draft"), bed.addr());
     let answer = actix_rt::spawn(async move { req.send(addr).await });
     until("an engine works", || bed.working().is_some()).await;
@@ -121,7 +118,7 @@
     }
     bed.upstreams[1].next(Behaviour::Stream(40));
     let reply = bed.send(&long("r1", "draft")).await;
-    let arrivals: Vec<_> = bed.upstreams.iter().flat_map(|u| u.arrivals()).collect();
+    let arrivals: Vec<_> = bed.upstreams.iter().flat_map(Upstream::arrivals).collect();
     assert!(arrivals[0].backup_at.is_some(), "{arrivals:?}");
     if reply.whole {
         assert_eq!(reply.text(), events("r1", 40));
--- a/trouttrack_front/tests/front/plain.rs
+++ b/trouttrack_front/tests/front/plain.rs
@@ -1,7 +1,7 @@
 //! Plain calls under every fault of an upstream.
 
 use crate::support::{Bed, KEY, ORGANISATION, PLAIN, plain};
-use trouttrack_platform_standin::{Behaviour, CallerRequest};
+use trouttrack_platform_standin::{Behaviour, CallerRequest, Upstream};
 
 /// What a caller must get when the first upstream behaves so and the second
 /// one well.
@@ -106,7 +106,7 @@
     let bed = Bed::new(PLAIN).await;
     let req = plain("r-%41", "many").post("the body").forged();
     assert_eq!(bed.send(&req).await.status, 200);
-    let arrivals = bed.upstreams.iter().flat_map(|u| u.arrivals());
+    let arrivals = bed.upstreams.iter().flat_map(Upstream::arrivals);
     let arrivals: Vec<_> = arrivals.collect();
     let [arrival] = arrivals.as_slice() else {
         panic!("{arrivals:?}");
--- a/trouttrack_front/tests/front/streams.rs
+++ b/trouttrack_front/tests/front/streams.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{Bed, ENGINES, events, long, plain, until};
 use std::time::Duration;
-use trouttrack_platform_standin::Behaviour;
+use trouttrack_platform_standin::{Behaviour, Upstream};
 
 #[actix_rt::test]
 async fn events_come_once_and_in_order() {
@@ -32,7 +32,7 @@
         .send(&plain("r1", "resume").post("x").tokens(100, 8))
         .await;
     assert_eq!(reply.status, 200);
-    let second: Vec<_> = bed.upstreams.iter().flat_map(|u| u.arrivals()).collect();
+    let second: Vec<_> = bed.upstreams.iter().flat_map(Upstream::arrivals).collect();
     assert_eq!(second.len(), 2, "{second:?}");
     assert!(second.iter().any(|a| a.last_event.as_deref() == Some("4")));
     let all = events("r1", 10);
