Heartbeats are rarer in a larger fleet

Cause: at 340 VMs a VM would send some 45 kB a second (a calculation), of a budget of 13. Change: the pause grows by one interval for each 64 VMs.

--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -12,6 +12,10 @@
 /// Pause between heartbeats: a fraction of the time in which an engine's load
 /// changes much.
 const INTERVAL: Duration = Duration::from_millis(200);
+/// In a larger fleet the pause grows with it, by one more interval for each so
+/// many VMs: a VM's bytes stay within its budget for control, and each VM has a
+/// smaller part of the load that heartbeats tell of.
+const VMS_PER_INTERVAL: usize = 64;
 /// Peers of the own failure domain told each time: all of them today.
 const NEAR: usize = 16;
 /// Peers of other failure domains told each time, drawn anew. Bytes between
@@ -21,7 +25,7 @@
 /// Sends heartbeats for as long as the process runs.
 pub async fn send(front: Rc<Front>, socket: Rc<UdpSocket>) {
     loop {
-        tokio::time::sleep(INTERVAL).await;
+        tokio::time::sleep(interval(front.peers.listed())).await;
         let now = front.clock.now();
         front.peers.forget_silent(now);
         let receivers = receivers(&front);
@@ -36,6 +40,10 @@
     }
 }
 
+fn interval(vms: usize) -> Duration {
+    INTERVAL.mul_f64((vms as f64 / VMS_PER_INTERVAL as f64).max(1.0))
+}
+
 fn receivers(front: &Front) -> Vec<(String, SocketAddr)> {
     let mut others = front.peers.others();
     others.shuffle(&mut rand::rng());
