VMs tell each other what engines are still loading

VMs knew of each other's use only by heartbeats every 200 ms, and nothing of prompts that were still being loaded. Change: heartbeats tell the prompt tokens still to be loaded, and one is sent 15 ms after a generation was placed.

--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -149,6 +149,14 @@
         }
     }
 
+    /// How long it takes from `now` on to load the prompts that this process and
+    /// its peers have handed over.
+    #[must_use]
+    pub fn loading_seconds(&self, now: Time) -> f64 {
+        let peers: f64 = self.peers.iter().map(|p| p.loading.seconds(now)).sum();
+        self.backlog.seconds(now) + peers
+    }
+
     /// The most tokens that the own requests are forecast to hold.
     #[must_use]
     pub fn own_peak(&self) -> f64 {
@@ -223,6 +231,8 @@
     pub running: usize,
     /// The most tokens that they are forecast to hold.
     pub peak_tokens: f64,
+    /// Their prompts that are still to be loaded.
+    pub(crate) loading: Backlog,
 }
 
 /// How much others' memory may be taken to rise with the own.
@@ -243,18 +253,28 @@
 }
 
 /// Prompt tokens that an engine has still to load.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Backlog {
     tokens: f64,
     at: Time,
 }
 
 impl Backlog {
+    /// So many tokens as of a time.
+    pub(crate) fn of(at: Time, tokens: f64) -> Self {
+        Self { tokens, at }
+    }
+
     fn add(&mut self, now: Time, tokens: f64) {
-        self.tokens = self.seconds(now) * LOADED_PER_SECOND + tokens;
+        self.tokens = self.tokens(now) + tokens;
         self.at = now;
     }
 
+    /// The tokens still to be loaded at `now`.
+    pub(crate) fn tokens(&self, now: Time) -> f64 {
+        self.seconds(now) * LOADED_PER_SECOND
+    }
+
     /// How long loading takes from `now` on.
     pub(crate) fn seconds(&self, now: Time) -> f64 {
         let loaded = now.saturating_sub(self.at).as_secs_f64() * LOADED_PER_SECOND;
--- a/trouttrack_core/src/world/systems.rs
+++ b/trouttrack_core/src/world/systems.rs
@@ -260,7 +260,7 @@
             fits,
             local: u.spec.failure_domain == self.world.settings.failure_domain,
             lane: if urgent { lane } else { 1.0 - lane },
-            backlog: u.backlog.seconds(self.now),
+            backlog: u.loading_seconds(self.now),
             cached: 0.0,
         })
     }
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -4,7 +4,7 @@
 use crate::length::{LengthKey, LengthTable};
 use crate::membership::UpstreamUse;
 use crate::routing::{AnyPolicy, ExplanationTable};
-use crate::upstream::{PeerUse, Report, Spec, UpstreamKey, UpstreamTable};
+use crate::upstream::{Backlog, PeerUse, Report, Spec, UpstreamKey, UpstreamTable};
 use crate::{OrganisationId, RequestId, ServiceId, Time};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -227,18 +227,20 @@
                 at: now,
                 running: of_this.map_or(0, |x| x.running as usize),
                 peak_tokens: of_this.map_or(0.0, |x| x.peak_tokens as f64),
+                loading: Backlog::of(now, of_this.map_or(0.0, |x| x.loading_tokens as f64)),
             });
         }
     }
 
     /// The own use of upstreams, for the heartbeat.
     #[must_use]
-    pub fn own_uses(&self) -> Vec<UpstreamUse> {
+    pub fn own_uses(&self, now: Time) -> Vec<UpstreamUse> {
         let used = self.upstreams.iter().filter(|(_, u)| u.own_running > 0);
         used.map(|(_, u)| UpstreamUse {
             upstream: u.spec.id.clone(),
             running: u.own_running as u32,
             peak_tokens: u.own_peak() as u64,
+            loading_tokens: u.backlog.tokens(now) as u64,
         })
         .collect()
     }
--- a/trouttrack_core/tests/core/relocate.rs
+++ b/trouttrack_core/tests/core/relocate.rs
@@ -54,7 +54,7 @@
         engine("other", "a", 50_000),
     ]);
     world.relocate(NOW, key, "other");
-    let uses = world.own_uses();
+    let uses = world.own_uses(NOW);
     let [used] = uses.as_slice() else {
         panic!("{uses:?}");
     };
@@ -62,7 +62,7 @@
     // The source may be gone by then; the request ends all the same.
     world.configure(vec![engine("other", "a", 50_000)]);
     world.ended(NOW, key, false, Some(10));
-    assert!(world.own_uses().is_empty());
+    assert!(world.own_uses(NOW).is_empty());
 }
 
 fn ms(ms: u64) -> Duration {
--- a/trouttrack_core/tests/core/world.rs
+++ b/trouttrack_core/tests/core/world.rs
@@ -3,6 +3,7 @@
 use crate::support::{placed, report, settings, spec, submission, world};
 use proptest::prelude::*;
 use std::time::Duration;
+use trouttrack_core::membership::UpstreamUse;
 use trouttrack_core::world::{Decision, NotRunReason, World};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -312,3 +313,28 @@
         prop_assert!(refused <= submitted);
     }
 }
+
+#[test]
+fn an_engine_that_loads_peers_prompts_is_left_alone_until_they_are_loaded() {
+    let specs = || vec![spec("e1", "a", 50_000, 8), spec("e2", "a", 50_000, 8)];
+    let placed_after = |loaded_for: Duration| {
+        let mut idle = world("trouttrack", specs());
+        idle.submit(Duration::ZERO, submission("r1", "alpha", 1));
+        let first = placed(&idle.tick(Duration::ZERO))[0].1.clone();
+        let mut world = world("trouttrack", specs());
+        // A peer has just given 9,000 tokens to the one that would be chosen.
+        let uses = [UpstreamUse {
+            upstream: first.clone(),
+            running: 0,
+            peak_tokens: 0,
+            loading_tokens: 9000,
+        }];
+        world.peer_uses(Duration::ZERO, "g2", &uses);
+        world.submit(loaded_for, submission("r1", "alpha", 1));
+        (first, placed(&world.tick(loaded_for))[0].1.clone())
+    };
+    let (first, chosen) = placed_after(Duration::ZERO);
+    assert_ne!(first, chosen);
+    let (first, chosen) = placed_after(Duration::from_secs(2));
+    assert_eq!(first, chosen);
+}
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -12,6 +12,8 @@
 /// Pause between heartbeats: a fraction of the time in which an engine's load
 /// changes much.
 const INTERVAL: Duration = Duration::from_millis(200);
+/// Pause after a placement before it is told; several are told together.
+const SOON: Duration = Duration::from_millis(15);
 /// In a larger fleet the pause grows with it, by one more interval for each so
 /// many VMs: a VM's bytes stay within its budget for control, and each VM has a
 /// smaller part of the load that heartbeats tell of.
@@ -25,7 +27,10 @@
 /// Sends heartbeats for as long as the process runs.
 pub async fn send(front: Rc<Front>, socket: Rc<UdpSocket>) {
     loop {
-        tokio::time::sleep(interval(front.peers.listed())).await;
+        tokio::select! {
+            () = tokio::time::sleep(interval(front.peers.listed())) => {}
+            () = soon_after_news(&front) => {}
+        }
         let now = front.clock.now();
         front.peers.forget_silent(now);
         let receivers = receivers(&front);
@@ -40,6 +45,12 @@
     }
 }
 
+/// A placement is told soon: until then others choose the same upstream.
+async fn soon_after_news(front: &Front) {
+    front.scheduler.placed().await;
+    tokio::time::sleep(SOON).await;
+}
+
 fn interval(vms: usize) -> Duration {
     INTERVAL.mul_f64((vms as f64 / VMS_PER_INTERVAL as f64).max(1.0))
 }
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -48,6 +48,8 @@
     world: RefCell<World>,
     waiting: RefCell<HashMap<RequestKey, Reply>>,
     queued: Notify,
+    /// A generation was given an engine.
+    placed: Notify,
 }
 
 impl Scheduler {
@@ -59,6 +61,7 @@
             world: RefCell::new(World::new(settings)),
             waiting: RefCell::default(),
             queued: Notify::new(),
+            placed: Notify::new(),
         }
     }
 
@@ -70,6 +73,7 @@
     /// The request is not run.
     pub async fn place(self: &Rc<Self>, submission: Submission) -> Result<Placed, Refusal> {
         let (tx, rx) = oneshot::channel();
+        let is_generation = submission.prompt_tokens > 0;
         let key = self.world.borrow_mut().submit(self.clock.now(), submission);
         let ticket = Ticket {
             scheduler: Rc::clone(self),
@@ -87,6 +91,9 @@
             retry_after: Duration::ZERO,
         }));
         let upstream = decided?;
+        if is_generation {
+            self.placed.notify_one();
+        }
         let (fill, running) = self.load_of(&upstream);
         Ok(Placed {
             upstream,
@@ -133,6 +140,11 @@
         }
     }
 
+    /// Waits until a generation was given an engine.
+    pub async fn placed(&self) {
+        self.placed.notified().await;
+    }
+
     /// Takes the upstreams that requests may be sent to.
     pub fn configure(&self, specs: Vec<Spec>) {
         self.world.borrow_mut().configure(specs);
@@ -158,7 +170,7 @@
     /// The own use of upstreams.
     #[must_use]
     pub fn own_uses(&self) -> Vec<UpstreamUse> {
-        self.world.borrow().own_uses()
+        self.world.borrow().own_uses(self.clock.now())
     }
 
     /// Tokens of memory that other upstreams of a failure domain have room for.
--- a/trouttrack_gateway/src/dispatch/actor.rs
+++ b/trouttrack_gateway/src/dispatch/actor.rs
@@ -300,7 +300,7 @@
     type Result = Vec<UpstreamUse>;
 
     fn handle(&mut self, _: Uses, _: &mut Context<Self>) -> Self::Result {
-        self.world.own_uses()
+        self.world.own_uses(self.now())
     }
 }
 
--- a/trouttrack_load/src/compare/bench.rs
+++ b/trouttrack_load/src/compare/bench.rs
@@ -410,7 +410,7 @@
 
     fn heartbeat(&mut self, w: usize) {
         self.schedule(self.now + self.options.heartbeat_every, Event::Heartbeat(w));
-        let uses = self.worlds[w].own_uses();
+        let uses = self.worlds[w].own_uses(self.now);
         let name = format!("g{w}");
         for (other, world) in self.worlds.iter_mut().enumerate() {
             if other != w {
--- a/trouttrack_rpc/tests/rpc/main.rs
+++ b/trouttrack_rpc/tests/rpc/main.rs
@@ -160,6 +160,7 @@
             upstream: "e".into(),
             running: 3,
             peak_tokens: 9,
+            loading_tokens: 0,
         }],
         marks: vec![MarkEntry {
             upstream: "e".into(),
