--- a/trouttrack_config/src/settings/front.rs
+++ b/trouttrack_config/src/settings/front.rs
@@ -1,6 +1,6 @@
 //! The front's own sections.
 
-use super::common::{LogSettings, PlatformSettings, VmSettings};
+use super::common::{LogSettings, VmSettings};
 use super::keys::Program;
 use super::load::{Sections, Settings};
 use crate::ini::SectionReader;
@@ -16,7 +16,7 @@
     /// `[log]`
     pub log: LogSettings,
     /// `[platform]`
-    pub platform: PlatformSettings,
+    pub store: StoreSettings,
     /// `[front]`
     pub front: ListenSettings,
     /// `[bounds]`
@@ -27,6 +27,28 @@
     pub serving: ServingSettings,
 }
 
+/// `[platform]`
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreSettings {
+    /// Where the store is.
+    pub addr: SocketAddr,
+}
+
+impl StoreSettings {
+    fn read(r: &mut SectionReader<'_>) -> Self {
+        // Reports a key that is missing.
+        r.required("url");
+        let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+        Self {
+            addr: r.parse_with("url", nowhere, |url| {
+                let addr = url.strip_prefix("http://").unwrap_or(url);
+                let addr = addr.trim_end_matches('/').parse();
+                addr.map_err(|_| "must be http://IP:PORT".to_owned())
+            }),
+        }
+    }
+}
+
 /// `[front]`
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListenSettings {
@@ -59,8 +81,6 @@
     pub revoke: Duration,
     /// A new configuration is in force after this.
     pub config_apply: Duration,
-    /// A leaving upstream gets no new work after this.
-    pub drain: Duration,
     /// Between the signal to stop and the end of the process.
     pub grace: Duration,
 }
@@ -70,7 +90,6 @@
         Self {
             revoke: r.duration("revoke", Duration::from_secs(5)),
             config_apply: r.duration("config_apply", Duration::from_secs(2)),
-            drain: r.duration("drain", Duration::from_secs(2)),
             grace: r.duration("grace", Duration::from_secs(8)),
         }
     }
@@ -138,7 +157,7 @@
         Self {
             vm: s.section("vm", VmSettings::read),
             log: s.section("log", LogSettings::read),
-            platform: s.section("platform", PlatformSettings::read),
+            store: s.section("platform", StoreSettings::read),
             front: s.section("front", ListenSettings::read),
             bounds: s.section("bounds", BoundSettings::read),
             retry: s.section("retry", RetrySettings::read),
--- a/trouttrack_config/src/settings/mod.rs
+++ b/trouttrack_config/src/settings/mod.rs
@@ -11,7 +11,9 @@
     LogFormat, LogSettings, PlatformSettings, RpcSettings, TlsSettings, TraceSettings, VmSettings,
 };
 pub use controller::{AdminSettings, ControllerSettings, OperatorKey, OrderSettings, Role};
-pub use front::{BoundSettings, FrontSettings, ListenSettings, RetrySettings, ServingSettings};
+pub use front::{
+    BoundSettings, FrontSettings, ListenSettings, RetrySettings, ServingSettings, StoreSettings,
+};
 pub use gateway::{AdmissionSettings, CallerSettings, GatewaySettings, UpstreamSettings};
 pub use keys::{KeySpec, Program, keys_of, reference};
 pub use load::{Sections, Settings, load, load_text};
--- /dev/null
+++ b/trouttrack_config/tests/config/front.rs
@@ -0,0 +1,48 @@
+//! The front's settings.
+
+use std::time::Duration;
+use trouttrack_config::settings::{FrontSettings, load_text};
+
+const LEAST: &str = "[vm]\nname = a\nfailure_domain = z\n[platform]\nurl = http://10.0.0.7:8742\n";
+
+fn load(more: &str) -> Result<FrontSettings, String> {
+    load_text("f.ini", &format!("{LEAST}{more}")).map_err(|findings| findings.to_string())
+}
+
+#[test]
+fn the_least_that_must_be_given() {
+    let settings = load("").expect("settings");
+    assert_eq!(settings.store.addr.to_string(), "10.0.0.7:8742");
+    assert!(settings.serving.rescue);
+    assert_eq!(settings.serving.backup_below, 0.0);
+}
+
+#[test]
+fn durations_may_have_a_fraction() {
+    let settings = load("[bounds]\nrevoke = 4.6s\ngrace = 0.5ms\n").expect("settings");
+    assert_eq!(settings.bounds.revoke, Duration::from_millis(4600));
+    assert_eq!(settings.bounds.grace, Duration::from_micros(500));
+}
+
+#[test]
+fn what_is_wrong_is_found_with_its_place() {
+    for (more, finding) in [
+        ("[bounds]\nrevoke = soon\n", "f.ini:7: [bounds] revoke"),
+        ("[bounds]\nrevoke = -1s\n", "f.ini:7: [bounds] revoke"),
+        ("[serving]\nrescue = maybe\n", "must be on or off"),
+        ("[serving]\nbackup_below = 2\n", "must be from 0 to 1"),
+        ("[retry]\nratoi = 0.1\n", "did you mean `ratio`?"),
+        ("[front]\nlisten = nowhere\n", "[front] listen"),
+    ] {
+        let findings = load(more).expect_err(more);
+        assert!(findings.contains(finding), "{more}: {findings}");
+    }
+    for url in ["", "http://store.example:80", "10.0.0.7"] {
+        let text = LEAST.replace("http://10.0.0.7:8742", url);
+        let found = load_text::<FrontSettings>("f.ini", &text).expect_err(url);
+        assert!(
+            found.to_string().contains("[platform] url"),
+            "{url}: {found}"
+        );
+    }
+}
--- a/trouttrack_config/tests/config/main.rs
+++ b/trouttrack_config/tests/config/main.rs
@@ -3,4 +3,5 @@
 mod changes;
 mod examples;
 mod fleets;
+mod front;
 mod settings;
--- a/trouttrack_front/src/app/error.rs
+++ b/trouttrack_front/src/app/error.rs
@@ -11,9 +11,6 @@
     /// A port cannot be had.
     #[error("cannot listen on {0}: {1}")]
     Listen(SocketAddr, #[source] io::Error),
-    /// The platform's address is not IP and port.
-    #[error("[platform] url: `{0}` must be http://IP:PORT")]
-    PlatformAddress(String),
     /// Signals cannot be waited for.
     #[error("signals: {0}")]
     Signals(#[from] io::Error),
--- a/trouttrack_front/src/app/start.rs
+++ b/trouttrack_front/src/app/start.rs
@@ -32,23 +32,14 @@
     pub callers: SocketAddr,
 }
 
-fn store_address(settings: &FrontSettings) -> Result<SocketAddr, AppError> {
-    let url = &settings.platform.url;
-    let address = url.strip_prefix("http://").unwrap_or(url);
-    address
-        .trim_end_matches('/')
-        .parse()
-        .map_err(|_| AppError::PlatformAddress(url.clone()))
-}
-
 /// Starts a front on the current thread.
 ///
 /// # Errors
 ///
-/// A port cannot be had, or the platform's address cannot be read.
+/// A port cannot be had.
 pub async fn start(settings: &FrontSettings) -> Result<Running, AppError> {
     let (news_tx, news) = mpsc::channel(NEWS_WAITING);
-    let front = Front::new(settings, store_address(settings)?, news_tx);
+    let front = Front::new(settings, news_tx);
     let listen = settings.front.clone();
     let socket = UdpSocket::bind(listen.peers).await;
     let socket = Rc::new(socket.map_err(|e| AppError::Listen(listen.peers, e))?);
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -81,7 +81,7 @@
 impl Front {
     /// A front that knows nothing yet.
     #[must_use]
-    pub fn new(settings: &FrontSettings, store: SocketAddr, news: mpsc::Sender<News>) -> Rc<Self> {
+    pub fn new(settings: &FrontSettings, news: mpsc::Sender<News>) -> Rc<Self> {
         let clock = Clock::start();
         let http = Client::builder()
             .connect_timeout(UPSTREAM_CONNECT)
@@ -101,7 +101,7 @@
             budgets: Budgets::new(settings.retry),
             engines: EngineClient::new(http.clone()),
             http,
-            store: StoreClient::new(to_store, store),
+            store: StoreClient::new(to_store, settings.store.addr),
             store_contact: StoreContact::default(),
             news,
             serving: settings.serving.clone(),
