Late in a stop guesses are not trusted

Ruled out: an exit before its time. Change: 2.5 s after the signal a stream is taken only if the most that it may write ends in time; that holds for short ones as well.

--- a/trouttrack_front/src/app/stop.rs
+++ b/trouttrack_front/src/app/stop.rs
@@ -17,7 +17,7 @@
 pub async fn planned(front: &Front, grace: Duration) {
     let began = front.clock.now();
     let ends_at = began + grace.saturating_sub(TO_EXIT);
-    front.lifecycle.stop(ends_at);
+    front.lifecycle.stop(began, ends_at);
     record!(
         events::STOPPING,
         in_flight = front.lifecycle.in_flight(),
@@ -35,6 +35,7 @@
         record!(events::DRAIN_BOUND, in_flight = front.lifecycle.in_flight(),);
     }
     // What still comes while the last answers leave is refused as not run.
-    front.lifecycle.stop(front.clock.now());
+    let now = front.clock.now();
+    front.lifecycle.stop(now, now);
     tokio::time::sleep(FLUSH).await;
 }
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -54,17 +54,26 @@
     }
 }
 
-/// A VM that stops takes a stream only if it ends in time and no other VM
-/// could take it.
+/// A VM that stops takes a long stream only if it ends in time and no other VM
+/// could take it. Later in the stop guesses are not trusted: what is cut off then
+/// was taken in vain.
 fn takes(front: &Front, admitted: &Admitted) -> bool {
-    if !front.lifecycle.is_stopping() || is_short(admitted) {
+    let lifecycle = &front.lifecycle;
+    if !lifecycle.is_stopping() {
         return true;
     }
+    let now = front.clock.now();
     let head = &admitted.head;
-    let tokens = head.guessed_tokens.unwrap_or(head.most_tokens);
+    let tokens = match head
+        .guessed_tokens
+        .filter(|_| lifecycle.trusts_guesses(now))
+    {
+        Some(guess) => guess,
+        None => head.most_tokens,
+    };
     let length = PER_TOKEN * u32::try_from(tokens).unwrap_or(u32::MAX);
-    let now = front.clock.now();
-    !front.peers.any_serves(now) && front.lifecycle.takes_request_of(now, length)
+    let elsewhere = !is_short(admitted) && front.peers.any_serves(now);
+    !elsewhere && lifecycle.takes_request_of(now, length)
 }
 
 /// How a stream ended.
--- a/trouttrack_front/src/state/lifecycle.rs
+++ b/trouttrack_front/src/state/lifecycle.rs
@@ -10,12 +10,17 @@
 /// several times what a plain call or a short stream usually takes.
 const LAST_REQUESTS: Duration = Duration::from_millis(2000);
 
+/// After the beginning of a planned stop, time in which a request may be taken on
+/// its caller's guess of its length: callers are still sent here, and what is cut
+/// off at the end of the stop has had most of its time.
+const TAKEN_ON_A_GUESS: Duration = Duration::from_millis(2500);
+
 /// Readiness, the planned stop, and requests in progress.
 #[derive(Debug, Default)]
 pub struct Lifecycle {
     ready: Cell<bool>,
-    /// When a planned stop ends the process.
-    ends_at: Cell<Option<Time>>,
+    /// When a planned stop began and when it ends the process.
+    stop: Cell<Option<(Time, Time)>>,
     in_flight: Cell<usize>,
     changed: Notify,
 }
@@ -32,15 +37,17 @@
         self.ready.get() && !self.is_stopping()
     }
 
-    /// A planned stop begins; the process ends at `ends_at`.
-    pub fn stop(&self, ends_at: Time) {
-        self.ends_at.set(Some(ends_at));
+    /// A planned stop begins; the process ends at `ends_at`. Told again, only
+    /// the end changes.
+    pub fn stop(&self, now: Time, ends_at: Time) {
+        let began = self.stop.get().map_or(now, |(began, _)| began);
+        self.stop.set(Some((began, ends_at)));
     }
 
     /// Whether a planned stop has begun.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
-        self.ends_at.get().is_some()
+        self.stop.get().is_some()
     }
 
     /// Whether a request of unknown length may still be taken.
@@ -53,9 +60,18 @@
     /// process does.
     #[must_use]
     pub fn takes_request_of(&self, now: Time, length: Duration) -> bool {
-        self.ends_at
+        self.stop
+            .get()
+            .is_none_or(|(_, ends)| now + length + LAST_REQUESTS < ends)
+    }
+
+    /// Whether a request may still be taken on its caller's guess of its length,
+    /// which may be far off.
+    #[must_use]
+    pub fn trusts_guesses(&self, now: Time) -> bool {
+        self.stop
             .get()
-            .is_none_or(|ends| now + length + LAST_REQUESTS < ends)
+            .is_none_or(|(began, _)| now < began + TAKEN_ON_A_GUESS)
     }
 
     /// Requests in progress.
--- a/trouttrack_front/tests/front/stop.rs
+++ b/trouttrack_front/tests/front/stop.rs
@@ -41,9 +41,8 @@
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
     // A second is less than what the last requests are given.
-    front
-        .lifecycle
-        .stop(front.clock.now() + Duration::from_secs(1));
+    let now = front.clock.now();
+    front.lifecycle.stop(now, now + Duration::from_secs(1));
     let reply = bed.send(&plain("r1", "once")).await;
     assert_eq!(reply.status, 503);
     assert!(reply.closes);
@@ -67,10 +66,34 @@
         upstream.always(Behaviour::Stream(5));
     }
     let front = &bed.front.front;
-    front.lifecycle.stop(front.clock.now() + GRACE);
+    let now = front.clock.now();
+    front.lifecycle.stop(now, now + GRACE);
     // Alone: 400 tokens end within the grace, 4,000 do not.
     assert_eq!(bed.send(&long("r1", "draft")).await.status, 200);
     let too_long = plain("r2", "draft").post("x").tokens(100, 4000);
     assert_eq!(bed.send(&too_long).await.status, 503);
     assert!(bed.ran("r2").is_empty());
 }
+
+#[actix_rt::test]
+async fn late_in_the_stop_a_guess_is_not_trusted() {
+    let bed = Bed::new(ENGINES).await;
+    for upstream in &bed.upstreams {
+        upstream.always(Behaviour::Stream(5));
+    }
+    let front = &bed.front.front;
+    let now = front.clock.now();
+    let began = now.saturating_sub(Duration::from_secs(3));
+    front.lifecycle.stop(began, now + Duration::from_secs(6));
+    until("three seconds have passed", || {
+        !front.lifecycle.trusts_guesses(front.clock.now())
+    })
+    .await;
+    // 200 tokens guessed, 800 at most: eight seconds.
+    let guessed = plain("r1", "draft").post("x").tokens(100, 200);
+    assert_eq!(bed.send(&guessed).await.status, 503);
+    assert!(bed.ran("r1").is_empty());
+    // 40 at most end in time, whatever the guess.
+    let short = plain("r2", "draft").post("x").tokens(100, 10);
+    assert_eq!(bed.send(&short).await.status, 200);
+}
