A stream's run is split by job

Cause: `stream/run.rs` was the longest file of the front and held five jobs. Change: taking in (`serve`), sending and counting (`send`), the retry decision (`retry`) and the end (`finish`) have a module each; the two figures of the longest silence stand with the module's other constants.

--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -1,7 +1,8 @@
 //! Passing on what one upstream sends, until its end or until the generation
 //! goes on elsewhere.
 
-use super::run::{Finish, Stopped, StreamRun};
+use super::finish::{Finish, Stopped};
+use super::run::StreamRun;
 use crate::request::attempt::{AttemptFailure, Sent, handover};
 use crate::request::end::{SHORT_TOKENS, is_short};
 use crate::rescue::{Carried, Carry, CarryTask, Moved};
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -1,100 +1,21 @@
 //! A stream's way through its attempts.
 
+use super::finish::{Finish, Stopped};
 use super::output::Output;
 use super::relay::{Relayed, Source};
-use crate::caller::{Admitted, CallerBody, Reply};
+use crate::caller::Admitted;
 use crate::request::EventReader;
-use crate::request::attempt::{AttemptFailure, Sent, handover, send};
-use crate::request::end::{End, answered, is_short, submission};
+use crate::request::attempt::{AttemptFailure, handover};
+use crate::request::end::{End, is_short, submission};
 use crate::state::{Front, InFlight, Ticket, Upstream};
 use bytes::Bytes;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::sync::oneshot;
-use trouttrack_core::fleet::{EngineSpec, RouteKind};
-use trouttrack_core::request::{Delivery, Failure, Machine, Step, StepResult, Traits};
-use trouttrack_core::{Outcome, ServiceId, Time, UpstreamId};
-use trouttrack_platform::{AnswerHead, Handover};
+use trouttrack_core::fleet::EngineSpec;
+use trouttrack_core::request::{Delivery, Failure, Machine, Traits};
+use trouttrack_core::{ServiceId, Time, UpstreamId};
+use trouttrack_platform::AnswerHead;
 use trouttrack_telemetry::{events, record};
 
-/// The largest answer that is no stream, such as an upstream's failure.
-const MOST_BYTES: usize = 1 << 20;
-/// Upstreams to which no connection could be made, after which a request is
-/// given up.
-const CONNECT_TRIES: u32 = 3;
-/// What a token is taken to need while a VM that stops decides whether a
-/// stream still ends in time: an engine's step under load.
-const PER_TOKEN: Duration = Duration::from_millis(10);
-
-/// Serves a request. Returns the answer's head, and its body if it is a
-/// stream; the stream goes on by itself.
-pub(crate) async fn serve(
-    front: &Rc<Front>,
-    admitted: Admitted,
-    body: Bytes,
-    in_flight: InFlight,
-) -> (Reply, Option<CallerBody>) {
-    if !takes(front, &admitted) {
-        return (End::stopping().reply(front, &admitted, 0), None);
-    }
-    let Some(service) = admitted.route.draw_service(&mut rand::rng()).cloned() else {
-        let end = End::not_run("the route has no service");
-        return (end.reply(front, &admitted, 0), None);
-    };
-    let id = admitted.head.id.clone();
-    let (pieces, stream) = CallerBody::stream();
-    let (head_tx, head) = oneshot::channel();
-    let output = Output::new(head_tx, pieces);
-    let run = StreamRun::new(Rc::clone(front), admitted, service, body, output);
-    actix_rt::spawn(run.run(in_flight));
-    match head.await {
-        Ok(reply) if reply.body.is_none() => (reply, Some(stream)),
-        Ok(reply) => (reply, None),
-        Err(_) => (Reply::uncertain(&id, "the stream ended", false), None),
-    }
-}
-
-/// A VM that stops takes a stream only if it ends in time and no other VM
-/// could take it.
-fn takes(front: &Front, admitted: &Admitted) -> bool {
-    if !front.lifecycle.is_stopping() || is_short(admitted) {
-        return true;
-    }
-    let head = &admitted.head;
-    let tokens = head.guessed_tokens.unwrap_or(head.most_tokens);
-    let length = PER_TOKEN * u32::try_from(tokens).unwrap_or(u32::MAX);
-    let now = front.clock.now();
-    !front.peers.any_serves(now) && front.lifecycle.takes_request_of(now, length)
-}
-
-/// How a stream ended.
-#[derive(Debug)]
-pub(super) enum Finish {
-    /// Whole.
-    Complete,
-    /// With an upstream's answer that is no stream.
-    Answered(AnswerHead, Bytes),
-    /// Without a whole answer.
-    Ended(End),
-    /// The caller went away.
-    CallerLeft,
-}
-
-/// Why an attempt did not finish the request.
-#[derive(Debug)]
-pub(super) enum Stopped {
-    /// The request ends here.
-    Finished(Finish),
-    /// The retry rule decides.
-    Failed(AttemptFailure),
-}
-
-impl From<AttemptFailure> for Stopped {
-    fn from(failure: AttemptFailure) -> Self {
-        Self::Failed(failure)
-    }
-}
-
 /// One stream.
 #[derive(Debug)]
 pub(super) struct StreamRun {
@@ -104,12 +25,12 @@
     pub(super) body: Bytes,
     pub(super) output: Output,
     pub(super) reader: EventReader,
-    machine: Machine,
+    pub(super) machine: Machine,
     avoid: Vec<UpstreamId>,
     /// The upstream that has the request now, or had it last.
     pub(super) at: UpstreamId,
     pub(super) sent: u32,
-    unconnected: u32,
+    pub(super) unconnected: u32,
     /// An upstream may have begun to run it.
     pub(super) may_have_run: bool,
     /// The head to be sent with the first event.
@@ -118,7 +39,8 @@
 }
 
 impl StreamRun {
-    fn new(
+    /// A run that has not begun.
+    pub(super) fn new(
         front: Rc<Front>,
         admitted: Admitted,
         service: ServiceId,
@@ -149,7 +71,8 @@
         }
     }
 
-    async fn run(mut self, in_flight: InFlight) {
+    /// Runs the stream to its end.
+    pub(super) async fn run(mut self, in_flight: InFlight) {
         let caller = self.output.watcher();
         let deadline = self.front.clock.instant(self.admitted.deadline);
         let finish = tokio::select! {
@@ -175,54 +98,6 @@
         }
     }
 
-    /// What the retry rule says; `None` to try again.
-    fn end_after(&mut self, failure: AttemptFailure) -> Option<End> {
-        // With events passed on, only what is missing may be asked for, and
-        // any failure to get it is the same.
-        let kind = match self.output.is_begun() {
-            true => Failure::Lost,
-            false => failure.failure,
-        };
-        let step = self.machine.failed(kind);
-        let again = matches!(
-            step,
-            StepResult::Try(Step::Elsewhere | Step::RunAgain | Step::Resume)
-        );
-        if again && self.may_retry(failure.failure) {
-            record!(
-                events::RUN_AGAIN,
-                request = self.admitted.head.id.as_str(),
-                after = failure.reason,
-                events = self.reader.events(),
-            );
-            return None;
-        }
-        let end = match step {
-            StepResult::Ended(outcome) => End::of_outcome(outcome, failure.reason),
-            StepResult::Try(_) => End::of_outcome(Outcome::NotRun, failure.reason),
-        };
-        Some(end.unless_run(self.may_have_run))
-    }
-
-    fn may_retry(&self, failure: Failure) -> bool {
-        if failure == Failure::NotConnected {
-            return self.unconnected < CONNECT_TRIES;
-        }
-        if self.sent >= self.admitted.route.max_attempts {
-            return false;
-        }
-        let now = self.front.clock.now();
-        let within = self.front.budgets.try_retry(now, &self.service);
-        if !within {
-            record!(
-                events::RETRY_BUDGET,
-                request = self.admitted.head.id.as_str(),
-                service = self.service.as_str(),
-            );
-        }
-        within
-    }
-
     /// One placing of the request, up to the end of its stream.
     async fn attempt(&mut self) -> Result<(), Stopped> {
         let submission = submission(&self.front, &self.admitted, &self.service, &self.avoid);
@@ -294,67 +169,6 @@
         }
     }
 
-    /// Sends the request, and takes an answer that is no stream.
-    pub(super) async fn send(
-        &mut self,
-        upstream: &Upstream,
-        to: &Handover,
-    ) -> Result<Sent, Stopped> {
-        self.may_have_run = true;
-        let sent = send(&self.front, &self.admitted, upstream, to, self.body.clone()).await;
-        self.count(to, sent.as_ref().err());
-        let mut sent = sent?;
-        if sent.head.status.is_success() {
-            return Ok(sent);
-        }
-        let lost = |reason| AttemptFailure::new(Failure::Lost, reason);
-        if self.output.is_begun() {
-            return Err(lost("the stream could not be taken up").into());
-        }
-        let body = sent.body.whole(MOST_BYTES).await;
-        let body = body
-            .map_err(|_| lost("the answer broke off"))?
-            .ok_or(lost("the answer is too large"))?;
-        if sent.head.status.is_server_error() && self.admitted.route.kind.repeatable() {
-            let reason = "the upstream answered with a failure";
-            if self.sent < self.admitted.route.max_attempts {
-                return Err(AttemptFailure::new(Failure::Aborted, reason).into());
-            }
-        }
-        Err(Stopped::Finished(Finish::Answered(sent.head, body)))
-    }
-
-    /// Counts an attempt, unless nothing was sent or it goes on with a run.
-    fn count(&mut self, to: &Handover, failure: Option<&AttemptFailure>) {
-        let kind = failure.map(|f| f.failure);
-        if to.continue_from.is_some() {
-            return;
-        }
-        if kind == Some(Failure::NotConnected) {
-            self.unconnected += 1;
-        } else {
-            if self.sent == 0 {
-                let now = self.front.clock.now();
-                self.front.budgets.first_attempt(now, &self.service);
-            }
-            self.sent += 1;
-            self.machine.handed_over();
-            if self.output.is_begun() {
-                self.machine.token();
-            }
-        }
-        // A first attempt that was refused or not sent leaves the request as
-        // it was.
-        let nothing_ran = matches!(kind, Some(Failure::NotConnected | Failure::Refused));
-        if nothing_ran && self.machine_never_ran() {
-            self.may_have_run = false;
-        }
-    }
-
-    fn machine_never_ran(&self) -> bool {
-        self.sent <= 1 && !self.output.is_begun()
-    }
-
     /// Events were passed on.
     pub(super) fn delivered(&mut self) {
         if self.first_event_at.is_none() {
@@ -389,76 +203,4 @@
         }
         self.front.upstreams.get(&target.upstream)
     }
-
-    fn timed_out(&self) -> End {
-        match self.may_have_run {
-            true => End::Uncertain {
-                reason: "no whole answer in time",
-                timed_out: true,
-            },
-            false => End::not_run("no upstream had room in time"),
-        }
-    }
-
-    /// The longest silence before another upstream is asked, where that is
-    /// allowed.
-    pub(super) fn longest_silence(&self) -> Option<Duration> {
-        /// Pauses of the objective that an upstream may be silent for: fewer
-        /// are met under load.
-        const PAUSES: u32 = 5;
-        /// The same before the first event, in parts of its objective.
-        const FIRST: f64 = 1.2;
-        let RouteKind::Stream {
-            resumable: true,
-            longest_pause,
-        } = self.admitted.route.kind
-        else {
-            return None;
-        };
-        if self.sent >= self.admitted.route.max_attempts {
-            return None;
-        }
-        match self.first_event_at {
-            None => Some(self.admitted.route.objective.mul_f64(FIRST)),
-            Some(_) => longest_pause.map(|pause| pause * PAUSES),
-        }
-    }
-
-    async fn finish(&mut self, finish: Finish) {
-        let id = self.admitted.head.id.clone();
-        match finish {
-            Finish::Complete => self.log_answer(http::StatusCode::OK.as_u16()),
-            Finish::Answered(head, body) => {
-                self.log_answer(head.status.as_u16());
-                self.output.end_with(Reply::of_upstream(head, body));
-            }
-            Finish::Ended(end) => {
-                let reply = end.reply(&self.front, &self.admitted, self.sent);
-                if !self.output.end_with(reply) {
-                    self.output.break_off().await;
-                }
-            }
-            Finish::CallerLeft => record!(
-                events::LEFT_BY_CALLER,
-                request = id.as_str(),
-                phase = "streaming",
-                upstream = self.at.as_str(),
-                events = self.reader.events(),
-            ),
-        }
-    }
-
-    fn log_answer(&self, status: u16) {
-        let first = self
-            .first_event_at
-            .unwrap_or_else(|| self.front.clock.now());
-        answered(
-            &self.front,
-            &self.admitted,
-            &self.at,
-            status,
-            self.sent,
-            first,
-        );
-    }
 }
--- /dev/null
+++ b/trouttrack_front/src/request/stream/send.rs
@@ -0,0 +1,74 @@
+//! Sending a stream's request to one upstream, and counting that.
+
+use super::finish::{Finish, Stopped};
+use super::run::StreamRun;
+use crate::request::attempt::{AttemptFailure, Sent, send};
+use crate::state::Upstream;
+use trouttrack_core::request::Failure;
+use trouttrack_platform::Handover;
+
+/// The largest answer that is no stream, such as an upstream's failure.
+const MOST_BYTES: usize = 1 << 20;
+
+impl StreamRun {
+    /// Sends the request, and takes an answer that is no stream.
+    pub(super) async fn send(
+        &mut self,
+        upstream: &Upstream,
+        to: &Handover,
+    ) -> Result<Sent, Stopped> {
+        self.may_have_run = true;
+        let sent = send(&self.front, &self.admitted, upstream, to, self.body.clone()).await;
+        self.count(to, sent.as_ref().err());
+        let mut sent = sent?;
+        if sent.head.status.is_success() {
+            return Ok(sent);
+        }
+        let lost = |reason| AttemptFailure::new(Failure::Lost, reason);
+        if self.output.is_begun() {
+            return Err(lost("the stream could not be taken up").into());
+        }
+        let body = sent.body.whole(MOST_BYTES).await;
+        let body = body
+            .map_err(|_| lost("the answer broke off"))?
+            .ok_or(lost("the answer is too large"))?;
+        if sent.head.status.is_server_error() && self.admitted.route.kind.repeatable() {
+            let reason = "the upstream answered with a failure";
+            if self.sent < self.admitted.route.max_attempts {
+                return Err(AttemptFailure::new(Failure::Aborted, reason).into());
+            }
+        }
+        Err(Stopped::Finished(Finish::Answered(sent.head, body)))
+    }
+
+    /// Counts an attempt, unless nothing was sent or it goes on with a run.
+    fn count(&mut self, to: &Handover, failure: Option<&AttemptFailure>) {
+        let kind = failure.map(|f| f.failure);
+        if to.continue_from.is_some() {
+            return;
+        }
+        if kind == Some(Failure::NotConnected) {
+            self.unconnected += 1;
+        } else {
+            if self.sent == 0 {
+                let now = self.front.clock.now();
+                self.front.budgets.first_attempt(now, &self.service);
+            }
+            self.sent += 1;
+            self.machine.handed_over();
+            if self.output.is_begun() {
+                self.machine.token();
+            }
+        }
+        // A first attempt that was refused or not sent leaves the request as
+        // it was.
+        let nothing_ran = matches!(kind, Some(Failure::NotConnected | Failure::Refused));
+        if nothing_ran && self.machine_never_ran() {
+            self.may_have_run = false;
+        }
+    }
+
+    fn machine_never_ran(&self) -> bool {
+        self.sent <= 1 && !self.output.is_begun()
+    }
+}
