Plain calls and streams share the bounds on retries

Cause: the bound on connections, the check of the retry budget with its log line, and the reading of a whole answer stood in `plain.rs` and again in `stream/`. Change: `request::retry::Attempts` counts attempts and decides, `Sent::whole_body` reads; the largest answer stays a figure of each path, since the two differ.

--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -24,6 +24,20 @@
     pub(crate) framed: bool,
 }
 
+impl Sent {
+    /// Takes the whole body, of at most `most` bytes.
+    ///
+    /// # Errors
+    ///
+    /// The attempt is lost: what came is not the whole answer.
+    pub(crate) async fn whole_body(&mut self, most: usize) -> Result<Bytes, AttemptFailure> {
+        let lost = |reason| AttemptFailure::new(Failure::Lost, reason);
+        let body = self.body.whole(most).await;
+        body.map_err(|_| lost("the answer broke off"))?
+            .ok_or(lost("the answer is too large"))
+    }
+}
+
 /// Why an attempt gave no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct AttemptFailure {
--- a/trouttrack_front/src/request/mod.rs
+++ b/trouttrack_front/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod end;
 mod events;
 pub mod plain;
+mod retry;
 pub mod stream;
 
 pub use events::EventReader;
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -2,13 +2,14 @@
 
 use super::attempt::{AttemptFailure, handover, send};
 use super::end::{End, answered, submission};
+use super::retry::{Attempts, is_attempt};
 use crate::caller::{Admitted, Reply};
 use crate::state::{Front, Ticket, Upstream};
 use bytes::Bytes;
 use std::rc::Rc;
 use std::time::Duration;
 use trouttrack_core::fleet::RouteKind;
-use trouttrack_core::request::{Delivery, Failure, Machine, Step, StepResult, Traits};
+use trouttrack_core::request::{Delivery, Failure, Machine, StepResult, Traits};
 use trouttrack_core::{ServiceId, UpstreamId};
 use trouttrack_platform::AnswerHead;
 use trouttrack_telemetry::{events, record};
@@ -16,9 +17,6 @@
 /// The largest answer that is taken whole; plain services answer with a few
 /// kilobytes.
 const MOST_BYTES: usize = 4 << 20;
-/// Upstreams to which no connection could be made, after which a request is
-/// given up: others are as likely out of reach.
-const CONNECT_TRIES: u32 = 3;
 /// The part of the objective that the first attempt may take when the request
 /// may be repeated: the rest is enough for a whole call in the usual case.
 const FIRST_TRY: f64 = 0.5;
@@ -33,7 +31,7 @@
     match tokio::time::timeout_at(deadline, call.drive()).await {
         Ok(reply) => reply,
         Err(_) => {
-            let attempts = call.sent;
+            let attempts = call.attempts.sent;
             let end = call.timed_out().unless_run(call.may_have_run);
             end.reply(front, &admitted, attempts)
         }
@@ -55,8 +53,7 @@
     machine: Machine,
     /// Upstreams that it was sent to.
     avoid: Vec<UpstreamId>,
-    sent: u32,
-    unconnected: u32,
+    attempts: Attempts,
     /// The attempt at an upstream that has it, while no answer has come.
     handed_over: Option<Ticket>,
     /// An upstream may have run it, and its answer was not usable.
@@ -80,8 +77,7 @@
             body,
             machine: Machine::new(traits, admitted.route.max_attempts),
             avoid: Vec::new(),
-            sent: 0,
-            unconnected: 0,
+            attempts: Attempts::default(),
             handed_over: None,
             may_have_run: false,
             unwanted: None,
@@ -97,11 +93,7 @@
             };
             self.may_have_run |= matches!(failure.failure, Failure::Lost | Failure::Aborted);
             let step = self.machine.failed(failure.failure);
-            let again = matches!(
-                step,
-                StepResult::Try(Step::Elsewhere | Step::RunAgain | Step::Resume)
-            );
-            if again && self.may_retry(failure.failure) {
+            if is_attempt(step) && self.may_retry(failure.failure) {
                 continue;
             }
             let end = match step {
@@ -129,7 +121,7 @@
             request = self.admitted.head.id.as_str(),
             upstream = upstream.id.as_str(),
             running = placed.running,
-            attempt = self.sent + 1,
+            attempt = self.attempts.sent + 1,
         );
         self.avoid.push(upstream.id.clone());
         self.handed_over = Some(placed.ticket);
@@ -160,11 +152,7 @@
         };
         self.count(sent.as_ref().err());
         let mut sent = sent?;
-        let whole = sent.body.whole(MOST_BYTES).await;
-        let lost = |reason| AttemptFailure::new(Failure::Lost, reason);
-        let body = whole
-            .map_err(|_| lost("the answer broke off"))?
-            .ok_or(lost("the answer is too large"))?;
+        let body = sent.whole_body(MOST_BYTES).await?;
         let answer = WholeAnswer {
             upstream: upstream.id.clone(),
             head: sent.head,
@@ -181,42 +169,25 @@
     /// How long an attempt may take while another upstream may be tried: that is
     /// tried early enough to answer within the objective.
     fn patience(&self) -> Option<Duration> {
-        let others = self.sent + 1 < self.admitted.route.max_attempts;
+        let others = self.attempts.sent + 1 < self.admitted.route.max_attempts;
         let again = self.machine.traits().repeatable && others;
         again.then(|| self.admitted.route.objective.mul_f64(FIRST_TRY))
     }
 
     /// Counts an attempt, unless nothing was sent.
     fn count(&mut self, failure: Option<&AttemptFailure>) {
-        let now = self.front.clock.now();
         if failure.is_some_and(|f| f.failure == Failure::NotConnected) {
-            self.unconnected += 1;
+            self.attempts.unconnected += 1;
             return;
         }
-        if self.sent == 0 {
-            self.front.budgets.first_attempt(now, &self.service);
-        }
-        self.sent += 1;
+        self.attempts.count_sent(self.front, &self.service);
         self.machine.handed_over();
     }
 
     fn may_retry(&self, failure: Failure) -> bool {
-        if failure == Failure::NotConnected {
-            return self.unconnected < CONNECT_TRIES;
-        }
-        if self.sent >= self.admitted.route.max_attempts {
-            return false;
-        }
-        let now = self.front.clock.now();
-        let within = self.front.budgets.try_retry(now, &self.service);
-        if !within {
-            record!(
-                events::RETRY_BUDGET,
-                request = self.admitted.head.id.as_str(),
-                service = self.service.as_str(),
-            );
-        }
-        within
+        let (front, admitted) = (self.front, self.admitted);
+        self.attempts
+            .may_retry(front, admitted, &self.service, failure)
     }
 
     fn pass_on(&mut self, answer: WholeAnswer) -> Reply {
@@ -227,7 +198,7 @@
             self.admitted,
             &answer.upstream,
             status,
-            self.sent,
+            self.attempts.sent,
             now,
         );
         Reply::of_upstream(answer.head, answer.body)
@@ -239,7 +210,7 @@
             Some(answer) => self.pass_on(answer),
             None => {
                 let end = end.clone().unless_run(self.may_have_run);
-                end.reply(self.front, self.admitted, self.sent)
+                end.reply(self.front, self.admitted, self.attempts.sent)
             }
         }
     }
--- a/trouttrack_front/src/request/stream/finish.rs
+++ b/trouttrack_front/src/request/stream/finish.rs
@@ -47,7 +47,7 @@
                 self.output.end_with(Reply::of_upstream(head, body));
             }
             Finish::Ended(end) => {
-                let reply = end.reply(&self.front, &self.admitted, self.sent);
+                let reply = end.reply(&self.front, &self.admitted, self.attempts.sent);
                 if !self.output.end_with(reply) {
                     self.output.break_off().await;
                 }
@@ -71,7 +71,7 @@
             &self.admitted,
             &self.at,
             status,
-            self.sent,
+            self.attempts.sent,
             first,
         );
     }
--- a/trouttrack_front/src/request/stream/retry.rs
+++ b/trouttrack_front/src/request/stream/retry.rs
@@ -3,15 +3,13 @@
 use super::run::StreamRun;
 use crate::request::attempt::AttemptFailure;
 use crate::request::end::End;
+use crate::request::retry::is_attempt;
 use std::time::Duration;
 use trouttrack_core::Outcome;
 use trouttrack_core::fleet::RouteKind;
-use trouttrack_core::request::{Failure, Step, StepResult};
+use trouttrack_core::request::{Failure, StepResult};
 use trouttrack_telemetry::{events, record};
 
-/// Upstreams to which no connection could be made, after which a request is
-/// given up.
-const CONNECT_TRIES: u32 = 3;
 /// Pauses of the objective that an upstream may be silent for: fewer are met
 /// under load.
 const SILENT_PAUSES: u32 = 5;
@@ -28,11 +26,7 @@
             false => failure.failure,
         };
         let step = self.machine.failed(kind);
-        let again = matches!(
-            step,
-            StepResult::Try(Step::Elsewhere | Step::RunAgain | Step::Resume)
-        );
-        if again && self.may_retry(failure.failure) {
+        if is_attempt(step) && self.may_retry(failure.failure) {
             record!(
                 events::RUN_AGAIN,
                 request = self.admitted.head.id.as_str(),
@@ -49,22 +43,9 @@
     }
 
     fn may_retry(&self, failure: Failure) -> bool {
-        if failure == Failure::NotConnected {
-            return self.unconnected < CONNECT_TRIES;
-        }
-        if self.sent >= self.admitted.route.max_attempts {
-            return false;
-        }
-        let now = self.front.clock.now();
-        let within = self.front.budgets.try_retry(now, &self.service);
-        if !within {
-            record!(
-                events::RETRY_BUDGET,
-                request = self.admitted.head.id.as_str(),
-                service = self.service.as_str(),
-            );
-        }
-        within
+        let (front, admitted) = (&self.front, &self.admitted);
+        self.attempts
+            .may_retry(front, admitted, &self.service, failure)
     }
 
     /// The longest silence before another upstream is asked, where that is
@@ -77,7 +58,7 @@
         else {
             return None;
         };
-        if self.sent >= self.admitted.route.max_attempts {
+        if self.attempts.sent >= self.admitted.route.max_attempts {
             return None;
         }
         match self.first_event_at {
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -7,6 +7,7 @@
 use crate::request::EventReader;
 use crate::request::attempt::{AttemptFailure, handover};
 use crate::request::end::{End, is_short, submission};
+use crate::request::retry::Attempts;
 use crate::state::{Front, InFlight, Ticket, Upstream};
 use bytes::Bytes;
 use std::rc::Rc;
@@ -29,8 +30,7 @@
     avoid: Vec<UpstreamId>,
     /// The upstream that has the request now, or had it last.
     pub(super) at: UpstreamId,
-    pub(super) sent: u32,
-    pub(super) unconnected: u32,
+    pub(super) attempts: Attempts,
     /// An upstream may have begun to run it.
     pub(super) may_have_run: bool,
     /// The head to be sent with the first event.
@@ -63,8 +63,7 @@
             reader: EventReader::default(),
             avoid: Vec::new(),
             at: UpstreamId::new(),
-            sent: 0,
-            unconnected: 0,
+            attempts: Attempts::default(),
             may_have_run: false,
             head: None,
             first_event_at: None,
@@ -111,7 +110,7 @@
             return Err(Stopped::Finished(Finish::Ended(end)));
         }
         let Some(upstream) = self.front.upstreams.get(&placed.upstream) else {
-            self.unconnected += 1;
+            self.attempts.unconnected += 1;
             return Err(AttemptFailure::new(Failure::NotConnected, "the upstream is gone").into());
         };
         record!(
@@ -122,7 +121,7 @@
             fill_percent = (placed.fill * 100.0) as u64,
             prompt_tokens = self.admitted.head.prompt_tokens,
             guessed_tokens = self.admitted.head.guessed_tokens,
-            attempt = self.sent + 1,
+            attempt = self.attempts.sent + 1,
         );
         self.at.clone_from(&upstream.id);
         self.avoid.push(upstream.id.clone());
--- a/trouttrack_front/src/request/stream/send.rs
+++ b/trouttrack_front/src/request/stream/send.rs
@@ -24,17 +24,14 @@
         if sent.head.status.is_success() {
             return Ok(sent);
         }
-        let lost = |reason| AttemptFailure::new(Failure::Lost, reason);
         if self.output.is_begun() {
-            return Err(lost("the stream could not be taken up").into());
+            let reason = "the stream could not be taken up";
+            return Err(AttemptFailure::new(Failure::Lost, reason).into());
         }
-        let body = sent.body.whole(MOST_BYTES).await;
-        let body = body
-            .map_err(|_| lost("the answer broke off"))?
-            .ok_or(lost("the answer is too large"))?;
+        let body = sent.whole_body(MOST_BYTES).await?;
         if sent.head.status.is_server_error() && self.admitted.route.kind.repeatable() {
             let reason = "the upstream answered with a failure";
-            if self.sent < self.admitted.route.max_attempts {
+            if self.attempts.sent < self.admitted.route.max_attempts {
                 return Err(AttemptFailure::new(Failure::Aborted, reason).into());
             }
         }
@@ -48,13 +45,9 @@
             return;
         }
         if kind == Some(Failure::NotConnected) {
-            self.unconnected += 1;
+            self.attempts.unconnected += 1;
         } else {
-            if self.sent == 0 {
-                let now = self.front.clock.now();
-                self.front.budgets.first_attempt(now, &self.service);
-            }
-            self.sent += 1;
+            self.attempts.count_sent(&self.front, &self.service);
             self.machine.handed_over();
             if self.output.is_begun() {
                 self.machine.token();
@@ -69,6 +62,6 @@
     }
 
     fn machine_never_ran(&self) -> bool {
-        self.sent <= 1 && !self.output.is_begun()
+        self.attempts.sent <= 1 && !self.output.is_begun()
     }
 }
