Relaying and going on elsewhere are modules of their own

Cause: `stream/relay.rs` held the source, the relay loop and the two ways to go on at another upstream. No behaviour changed; tests green.

--- a/trouttrack_front/src/request/stream/mod.rs
+++ b/trouttrack_front/src/request/stream/mod.rs
@@ -5,16 +5,19 @@
 //! - [`send`] sends it to one upstream.
 //! - [`retry`] says whether it is sent again.
 //! - [`finish`] ends it.
-//! - [`relay`] passes on what one upstream sends, and goes on at another when
-//!   the generation is moved.
+//! - [`source`] is an upstream that sends a stream.
+//! - [`relay`] passes on what it sends.
+//! - [`go_on`] goes on at another upstream when the generation is moved.
 //! - [`output`] is the caller's end of it.
 
 mod finish;
+mod go_on;
 mod output;
 mod relay;
 mod retry;
 mod run;
 mod send;
 mod serve;
+mod source;
 
 pub(crate) use serve::serve;
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -2,7 +2,8 @@
 
 use super::finish::{Finish, Stopped};
 use super::output::Output;
-use super::relay::{Relayed, Source};
+use super::relay::Relayed;
+use super::source::Source;
 use crate::caller::Admitted;
 use crate::request::EventReader;
 use crate::request::attempt::{AttemptFailure, handover};
