A move under way has a module beside the steps that make it

Cause: `rescue/carry.rs` held the handle of a move, its outcome and its steps. Change: `task` has the handle and the outcome, `carry` the steps.

--- a/trouttrack_front/src/rescue/carry.rs
+++ b/trouttrack_front/src/rescue/carry.rs
@@ -1,11 +1,10 @@
 //! Moving one generation: copy while it runs, then stop it and copy the rest.
 
+use super::task::{Carried, CarryTask, Moved, Unused};
 use crate::state::{Front, Ticket, Upstream};
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
 use trouttrack_core::rescue::Departure;
 use trouttrack_core::{RequestId, UpstreamId};
 use trouttrack_platform::MoveAnswer;
@@ -23,29 +22,6 @@
 /// tokens take a few milliseconds. It is well within the pause that callers may
 /// see.
 const IDLE_LINK: Duration = Duration::from_millis(70);
-/// How long giving up a copy may take.
-const DISCARD: Duration = Duration::from_secs(1);
-
-/// A generation that was moved.
-#[derive(Clone, Debug)]
-pub struct Moved {
-    /// Where it goes on.
-    pub target: Rc<Upstream>,
-    /// The copy's handle.
-    pub handle: String,
-    /// How long the last step took, with the generation stopped.
-    pub stopping: Duration,
-}
-
-/// What became of a move.
-#[derive(Clone, Debug)]
-pub enum Carried {
-    /// The generation is stopped and its memory is at the target.
-    Moved(Moved),
-    /// The generation was left where it is.
-    NotMoved,
-}
-
 /// One generation to be moved.
 #[derive(Debug)]
 pub struct Carry {
@@ -59,63 +35,17 @@
     pub ticket: Rc<Ticket>,
 }
 
-/// A move under way; dropped, it is given up.
-#[derive(Debug)]
-pub struct CarryTask {
-    task: JoinHandle<Carried>,
-    source: Rc<Upstream>,
-    /// The handle of a copy that nobody has used.
-    unused: Rc<RefCell<Option<String>>>,
-}
-
-impl CarryTask {
-    /// Waits for the outcome; may be called again if it was not waited out.
-    pub async fn finished(&mut self) -> Carried {
-        // A task that panicked has moved nothing that could be used.
-        (&mut self.task).await.unwrap_or(Carried::NotMoved)
-    }
-
-    /// Waits for the outcome.
-    pub async fn outcome(mut self) -> Carried {
-        self.finished().await
-    }
-
-    /// The generation ended by itself: a copy would only take room.
-    pub fn discard(self, front: &Rc<Front>) {
-        let handle = self.unused.borrow_mut().take();
-        if let Some(handle) = handle {
-            let (front, source) = (Rc::clone(front), Rc::clone(&self.source));
-            actix_rt::spawn(async move {
-                let discarded = front.engines.discard(source.addr, &handle, DISCARD).await;
-                if let Err(e) = discarded {
-                    log::debug!("{e}");
-                }
-            });
-        }
-    }
-}
-
-impl Drop for CarryTask {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 impl Carry {
     /// Starts the move.
     #[must_use]
     pub fn start(self) -> CarryTask {
-        let unused = Rc::new(RefCell::new(None));
+        let unused = Unused::default();
         let source = Rc::clone(&self.source);
         let task = actix_rt::spawn(self.run(Rc::clone(&unused)));
-        CarryTask {
-            task,
-            source,
-            unused,
-        }
+        CarryTask::new(task, source, unused)
     }
 
-    async fn run(self, unused: Rc<RefCell<Option<String>>>) -> Carried {
+    async fn run(self, unused: Unused) -> Carried {
         let mut departure = self.source.departure();
         let mut avoid = Vec::new();
         self.wait_for_report(&mut departure).await;
@@ -169,7 +99,7 @@
         &self,
         departure: &watch::Receiver<Option<Departure>>,
         avoid: &mut Vec<UpstreamId>,
-        unused: &RefCell<Option<String>>,
+        unused: &Unused,
     ) -> Option<Rc<Upstream>> {
         let mut held_up_by = "it has not begun";
         while self.in_time(departure) {
--- a/trouttrack_front/src/rescue/mod.rs
+++ b/trouttrack_front/src/rescue/mod.rs
@@ -2,6 +2,8 @@
 
 mod carry;
 mod observe;
+mod task;
 
-pub use carry::{Carried, Carry, CarryTask, Moved};
+pub use carry::Carry;
 pub use observe::observe;
+pub use task::{Carried, CarryTask, Moved};
