What only the front itself uses is `pub(crate)`

Cause: folders of the front were public although its tests and program use the application, the state, the watchers' choice and the event reader only. Change: `caller`, `follow`, `metrics`, `rescue` and the two request paths are private to the crate, which also lets the compiler find what nobody uses. No behaviour changed; tests green.

--- a/trouttrack_front/src/caller/admit.rs
+++ b/trouttrack_front/src/caller/admit.rs
@@ -16,7 +16,7 @@
 
 /// A request that is to be served.
 #[derive(Clone, Debug)]
-pub struct Admitted {
+pub(crate) struct Admitted {
     /// Its head.
     pub head: CallerHead,
     /// Its route.
@@ -37,7 +37,7 @@
     /// Whether its key still admits it: the configuration may have changed, or
     /// lost its confirmation, while it waited.
     #[must_use]
-    pub fn still_admitted(&self, front: &Front) -> bool {
+    pub(crate) fn still_admitted(&self, front: &Front) -> bool {
         if self.organisation.is_none() {
             return true;
         }
--- a/trouttrack_front/src/caller/body.rs
+++ b/trouttrack_front/src/caller/body.rs
@@ -14,14 +14,14 @@
 /// sees that something is missing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("the stream was broken off")]
-pub struct Broken;
+pub(crate) struct Broken;
 
 /// Where a stream's pieces are put. It closes when the caller goes away.
-pub type EventSender = mpsc::Sender<Result<Bytes, Broken>>;
+pub(crate) type EventSender = mpsc::Sender<Result<Bytes, Broken>>;
 
 /// The body of an answer.
 #[derive(Debug)]
-pub enum CallerBody {
+pub(crate) enum CallerBody {
     /// Known whole.
     Whole(Bytes),
     /// Pieces as they come.
@@ -31,7 +31,7 @@
 impl CallerBody {
     /// A stream, and where its pieces are put.
     #[must_use]
-    pub fn stream() -> (EventSender, Self) {
+    pub(crate) fn stream() -> (EventSender, Self) {
         let (tx, rx) = mpsc::channel(WAITING_PIECES);
         (tx, Self::Stream(rx))
     }
--- a/trouttrack_front/src/caller/handler.rs
+++ b/trouttrack_front/src/caller/handler.rs
@@ -15,7 +15,7 @@
 use trouttrack_telemetry::{events, record};
 
 /// Serves a request.
-pub async fn handle(front: Rc<Front>, mut req: Request) -> Response<CallerBody> {
+pub(super) async fn handle(front: Rc<Front>, mut req: Request) -> Response<CallerBody> {
     let in_flight = front.lifecycle.enter();
     let close = front.lifecycle.is_stopping();
     let limits = limits(&front);
--- a/trouttrack_front/src/caller/mod.rs
+++ b/trouttrack_front/src/caller/mod.rs
@@ -6,8 +6,7 @@
 mod reply;
 mod server;
 
-pub use admit::Admitted;
-pub use body::{Broken, CallerBody, EventSender};
-pub use handler::handle;
-pub use reply::Reply;
-pub use server::{Server, serve_readiness_and_metrics};
+pub(crate) use admit::Admitted;
+pub(crate) use body::{Broken, CallerBody, EventSender};
+pub(crate) use reply::Reply;
+pub(crate) use server::{Server, serve_readiness_and_metrics};
--- a/trouttrack_front/src/caller/reply.rs
+++ b/trouttrack_front/src/caller/reply.rs
@@ -9,7 +9,7 @@
 
 /// An answer to a caller, but for the body of a stream.
 #[derive(Debug)]
-pub struct Reply {
+pub(crate) struct Reply {
     /// Status and headers.
     pub head: CallerAnswer,
     /// The body; `None` if it is a stream.
@@ -19,7 +19,7 @@
 impl Reply {
     /// An upstream's whole answer.
     #[must_use]
-    pub fn of_upstream(head: AnswerHead, body: Bytes) -> Self {
+    pub(crate) fn of_upstream(head: AnswerHead, body: Bytes) -> Self {
         Self {
             head: CallerAnswer::of_upstream(head),
             body: Some(body),
@@ -28,7 +28,7 @@
 
     /// The head of an upstream's stream.
     #[must_use]
-    pub fn stream(head: AnswerHead) -> Self {
+    pub(crate) fn stream(head: AnswerHead) -> Self {
         Self {
             head: CallerAnswer::of_upstream(head),
             body: None,
@@ -45,14 +45,14 @@
 
     /// The request has not run and never will; the caller may come back.
     #[must_use]
-    pub fn not_run(id: &str, reason: &str, retry_after: Duration) -> Self {
+    pub(crate) fn not_run(id: &str, reason: &str, retry_after: Duration) -> Self {
         let status = http::StatusCode::SERVICE_UNAVAILABLE;
         Self::own(status, id, reason, Some(retry_after))
     }
 
     /// The request may have run, and there is no whole answer.
     #[must_use]
-    pub fn uncertain(id: &str, reason: &str, timed_out: bool) -> Self {
+    pub(crate) fn uncertain(id: &str, reason: &str, timed_out: bool) -> Self {
         let status = match timed_out {
             true => http::StatusCode::GATEWAY_TIMEOUT,
             false => http::StatusCode::BAD_GATEWAY,
@@ -62,14 +62,18 @@
 
     /// The request is not one that is served.
     #[must_use]
-    pub fn rejected(status: http::StatusCode, id: &str, reason: &str) -> Self {
+    pub(crate) fn rejected(status: http::StatusCode, id: &str, reason: &str) -> Self {
         Self::own(status, id, reason, None)
     }
 
     /// The response; `stream` is its body if it is a stream. With `close` the
     /// connection takes no further request.
     #[must_use]
-    pub fn into_response(self, stream: Option<CallerBody>, close: bool) -> Response<CallerBody> {
+    pub(crate) fn into_response(
+        self,
+        stream: Option<CallerBody>,
+        close: bool,
+    ) -> Response<CallerBody> {
         let body = match (self.body, stream) {
             (Some(bytes), _) => CallerBody::Whole(bytes),
             (None, Some(stream)) => stream,
--- a/trouttrack_front/src/caller/server.rs
+++ b/trouttrack_front/src/caller/server.rs
@@ -37,7 +37,7 @@
 
 /// The callers' port.
 #[derive(Debug)]
-pub struct Server {
+pub(crate) struct Server {
     listener: TcpListener,
     front: Rc<Front>,
 }
@@ -48,7 +48,7 @@
     /// # Errors
     ///
     /// The port cannot be had.
-    pub fn bind(front: Rc<Front>, addr: SocketAddr) -> io::Result<Self> {
+    pub(crate) fn bind(front: Rc<Front>, addr: SocketAddr) -> io::Result<Self> {
         Ok(Self {
             listener: listen(addr)?,
             front,
@@ -60,12 +60,12 @@
     /// # Errors
     ///
     /// The system does not say.
-    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+    pub(crate) fn local_addr(&self) -> io::Result<SocketAddr> {
         self.listener.local_addr()
     }
 
     /// Serves callers for as long as the process runs.
-    pub async fn run(self) {
+    pub(crate) async fn run(self) {
         loop {
             let limits = self.limits();
             let front = Rc::clone(&self.front);
@@ -157,7 +157,7 @@
 /// # Errors
 ///
 /// A port cannot be had.
-pub async fn serve_readiness_and_metrics(
+pub(crate) async fn serve_readiness_and_metrics(
     front: Rc<Front>,
     ready: SocketAddr,
     metrics: SocketAddr,
--- a/trouttrack_front/src/follow/mod.rs
+++ b/trouttrack_front/src/follow/mod.rs
@@ -21,7 +21,7 @@
 use trouttrack_config::settings::BoundSettings;
 
 /// Starts every follower of a front.
-pub fn start(front: &Rc<Front>, own: SocketAddr, bounds: BoundSettings) {
+pub(crate) fn start(front: &Rc<Front>, own: SocketAddr, bounds: BoundSettings) {
     let config = config::ConfigFollower::new(Rc::clone(front));
     let upstreams = upstreams::UpstreamFollower::new(Rc::clone(front));
     actix_rt::spawn(kind::follow(Rc::clone(front), config));
--- a/trouttrack_front/src/lib.rs
+++ b/trouttrack_front/src/lib.rs
@@ -3,24 +3,24 @@
 //! A process has one thread and everything on it. A request's way through the
 //! folders, top to bottom:
 //!
-//! - [`caller`] takes it from the socket, finds its route and organisation,
+//! - `caller` takes it from the socket, finds its route and organisation,
 //!   and writes its answer.
 //! - [`request`] drives it through its attempts: a plain call or a stream.
-//! - [`rescue`] moves a running generation away from an engine that leaves.
+//! - `rescue` moves a running generation away from an engine that leaves.
 //!
 //! Beside it:
 //!
 //! - [`state`] holds what the request path decides by, a type a concern.
-//! - [`follow`] keeps that current from the platform's store.
+//! - `follow` keeps that current from the platform's store.
 //! - [`peers`] tells the other VMs what this one uses.
-//! - [`metrics`] counts.
+//! - `metrics` counts.
 //! - [`app`] puts it together and stops it in order.
 
 pub mod app;
-pub mod caller;
-pub mod follow;
-pub mod metrics;
+mod caller;
+mod follow;
+mod metrics;
 pub mod peers;
 pub mod request;
-pub mod rescue;
+mod rescue;
 pub mod state;
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -25,7 +25,7 @@
 const FAR: usize = 4;
 
 /// Sends heartbeats for as long as the process runs.
-pub async fn send(front: Rc<Front>, socket: Rc<UdpSocket>) {
+pub(crate) async fn send(front: Rc<Front>, socket: Rc<UdpSocket>) {
     loop {
         tokio::select! {
             () = tokio::time::sleep(interval(front.peers.listed())) => {}
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -20,7 +20,7 @@
 /// # Errors
 ///
 /// The socket fails.
-pub async fn listen(front: Rc<Front>, socket: Rc<UdpSocket>) -> io::Result<()> {
+pub(crate) async fn listen(front: Rc<Front>, socket: Rc<UdpSocket>) -> io::Result<()> {
     let mut buf = vec![0; MOST_BYTES];
     loop {
         let (length, from) = match socket.recv_from(&mut buf).await {
@@ -72,7 +72,7 @@
 }
 
 /// Sends news to every VM for as long as the process runs.
-pub async fn tell(front: Rc<Front>, socket: Rc<UdpSocket>, mut news: mpsc::Receiver<News>) {
+pub(crate) async fn tell(front: Rc<Front>, socket: Rc<UdpSocket>, mut news: mpsc::Receiver<News>) {
     while let Some(news) = news.recv().await {
         if news.changes.len() > MOST_CHANGES {
             continue;
--- a/trouttrack_front/src/peers/mod.rs
+++ b/trouttrack_front/src/peers/mod.rs
@@ -19,8 +19,8 @@
 mod roles;
 mod table;
 
-pub use heartbeat::send;
-pub use listen::{listen, tell};
+pub(crate) use heartbeat::send;
+pub(crate) use listen::{listen, tell};
 pub use message::{EntryChange, News};
 pub use roles::watches_store;
 pub use table::{Heard, PeerTable};
--- a/trouttrack_front/src/request/mod.rs
+++ b/trouttrack_front/src/request/mod.rs
@@ -3,9 +3,9 @@
 mod attempt;
 mod end;
 mod events;
-pub mod plain;
+pub(crate) mod plain;
 mod retry;
-pub mod stream;
+pub(crate) mod stream;
 
 pub use events::EventReader;
 
--- a/trouttrack_front/src/rescue/carry.rs
+++ b/trouttrack_front/src/rescue/carry.rs
@@ -24,7 +24,7 @@
 const IDLE_LINK: Duration = Duration::from_millis(70);
 /// One generation to be moved.
 #[derive(Debug)]
-pub struct Carry {
+pub(crate) struct Carry {
     /// The front.
     pub front: Rc<Front>,
     /// The request's id.
@@ -38,7 +38,7 @@
 impl Carry {
     /// Starts the move.
     #[must_use]
-    pub fn start(self) -> CarryTask {
+    pub(crate) fn start(self) -> CarryTask {
         let unused = Unused::default();
         let source = Rc::clone(&self.source);
         let task = actix_rt::spawn(self.run(Rc::clone(&unused)));
--- a/trouttrack_front/src/rescue/mod.rs
+++ b/trouttrack_front/src/rescue/mod.rs
@@ -4,6 +4,6 @@
 mod observe;
 mod task;
 
-pub use carry::Carry;
-pub use observe::observe;
-pub use task::{Carried, CarryTask, Moved};
+pub(crate) use carry::Carry;
+pub(crate) use observe::observe;
+pub(crate) use task::{Carried, CarryTask, Moved};
--- a/trouttrack_front/src/rescue/observe.rs
+++ b/trouttrack_front/src/rescue/observe.rs
@@ -16,7 +16,7 @@
 const ASK_AFTER: [Duration; 2] = [Duration::ZERO, Duration::from_millis(560)];
 
 /// Asks a leaving engine for reports, and times the moves by them.
-pub async fn observe(front: Rc<Front>, upstream: Rc<Upstream>) {
+pub(crate) async fn observe(front: Rc<Front>, upstream: Rc<Upstream>) {
     let table = front.routing.table();
     let engine = table.and_then(|t| t.service(&upstream.service)?.engine.clone());
     let Some(engine) = engine.filter(|e| e.moves && front.serving.rescue) else {
--- a/trouttrack_front/src/rescue/task.rs
+++ b/trouttrack_front/src/rescue/task.rs
@@ -14,7 +14,7 @@
 
 /// A generation that was moved.
 #[derive(Clone, Debug)]
-pub struct Moved {
+pub(crate) struct Moved {
     /// Where it goes on.
     pub target: Rc<Upstream>,
     /// The copy's handle.
@@ -25,7 +25,7 @@
 
 /// What became of a move.
 #[derive(Clone, Debug)]
-pub enum Carried {
+pub(crate) enum Carried {
     /// The generation is stopped and its memory is at the target.
     Moved(Moved),
     /// The generation was left where it is.
@@ -34,7 +34,7 @@
 
 /// A move under way; dropped, it is given up.
 #[derive(Debug)]
-pub struct CarryTask {
+pub(crate) struct CarryTask {
     task: JoinHandle<Carried>,
     source: Rc<Upstream>,
     unused: Unused,
@@ -51,18 +51,18 @@
     }
 
     /// Waits for the outcome; may be called again if it was not waited out.
-    pub async fn finished(&mut self) -> Carried {
+    pub(crate) async fn finished(&mut self) -> Carried {
         // A task that panicked has moved nothing that could be used.
         (&mut self.task).await.unwrap_or(Carried::NotMoved)
     }
 
     /// Waits for the outcome.
-    pub async fn outcome(mut self) -> Carried {
+    pub(crate) async fn outcome(mut self) -> Carried {
         self.finished().await
     }
 
     /// The generation ended by itself: a copy would only take room.
-    pub fn discard(self, front: &Rc<Front>) {
+    pub(crate) fn discard(self, front: &Rc<Front>) {
         let handle = self.unused.borrow_mut().take();
         if let Some(handle) = handle {
             let (front, source) = (Rc::clone(front), Rc::clone(&self.source));
