Answers have a module beside the client that sends

Cause: `client.rs` held the sending, the answer's body and how long a connection is kept, and the builder's two defaults were bare figures. Change: `answer` has what comes back, and the defaults are named. No behaviour changed; tests green.

--- /dev/null
+++ b/trouttrack_http/src/answer.rs
@@ -0,0 +1,161 @@
+//! Answers, and what becomes of their connections.
+
+use crate::client::Client;
+use crate::error::BodyError;
+use crate::pool::Sender;
+use bytes::Bytes;
+use http::response::Parts;
+use http::{HeaderMap, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long a connection is kept when the peer does not say. Servers rarely
+/// close sooner than this.
+const KEPT_BY_DEFAULT: Duration = Duration::from_secs(4);
+/// Taken off what the peer says: it counts in whole seconds, and its clock
+/// starts a little before ours.
+const KEPT_MARGIN: Duration = Duration::from_secs(1);
+
+/// The head of an answer, and its body to come.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status and headers.
+    pub head: Parts,
+    /// The body.
+    pub body: AnswerBody,
+    /// Whether the body tells where it ends. If not, it ends with its
+    /// connection, and a connection that was closed early looks the same.
+    pub framed: bool,
+}
+
+impl Answer {
+    /// An answer whose head has come over the connection of `sender`.
+    pub(crate) fn new(
+        client: &Client,
+        peer: SocketAddr,
+        head: Parts,
+        body: Incoming,
+        sender: Sender,
+    ) -> Self {
+        let kept_for = kept_for(&head.headers);
+        let framed = head.headers.contains_key(header::CONTENT_LENGTH)
+            || head.headers.contains_key(header::TRANSFER_ENCODING);
+        let returns = Returns {
+            client: client.clone(),
+            peer,
+            sender,
+            kept_for,
+        };
+        Self {
+            head,
+            framed,
+            body: AnswerBody {
+                body,
+                returns: Some(returns),
+            },
+        }
+    }
+}
+
+/// The body of an answer. Its connection is used again only after its end.
+#[derive(Debug)]
+pub struct AnswerBody {
+    body: Incoming,
+    returns: Option<Returns>,
+}
+
+impl AnswerBody {
+    /// The next bytes; `None` at the end of the whole body.
+    ///
+    /// # Errors
+    ///
+    /// The body broke off before its end.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
+        loop {
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+                Some(Err(e)) => {
+                    self.returns = None;
+                    return Err(BodyError(e));
+                }
+                None => {
+                    self.give_back();
+                    return Ok(None);
+                }
+            }
+        }
+    }
+
+    /// Reads the whole body, up to `most` bytes; `None` if it is longer.
+    ///
+    /// # Errors
+    ///
+    /// The body broke off before its end.
+    pub async fn whole(&mut self, most: usize) -> Result<Option<Bytes>, BodyError> {
+        let Some(first) = self.next().await? else {
+            return Ok(Some(Bytes::new()));
+        };
+        let mut rest = Vec::new();
+        let mut length = first.len();
+        while let Some(more) = self.next().await? {
+            length += more.len();
+            if length > most {
+                return Ok(None);
+            }
+            rest.push(more);
+        }
+        if rest.is_empty() {
+            return Ok(Some(first));
+        }
+        let mut all = Vec::with_capacity(length);
+        all.extend_from_slice(&first);
+        rest.iter().for_each(|b| all.extend_from_slice(b));
+        Ok(Some(all.into()))
+    }
+
+    /// Sees to it that the connection is not used again.
+    pub fn distrust(&mut self) {
+        self.returns = None;
+    }
+
+    fn give_back(&mut self) {
+        if let Some(r) = self.returns.take() {
+            r.client.keep(r.peer, r.sender, r.kept_for);
+        }
+    }
+}
+
+/// What it takes to put a connection back into the pool.
+#[derive(Debug)]
+struct Returns {
+    client: Client,
+    peer: SocketAddr,
+    sender: Sender,
+    kept_for: Duration,
+}
+
+/// How long the peer keeps the connection after this answer.
+fn kept_for(headers: &HeaderMap) -> Duration {
+    let says = |name, word: &str| {
+        let values = headers.get_all(name).iter();
+        values
+            .filter_map(|v| v.to_str().ok())
+            .any(|v| v.split(',').any(|w| w.trim().eq_ignore_ascii_case(word)))
+    };
+    if says(header::CONNECTION, "close") {
+        return Duration::ZERO;
+    }
+    let announced = headers
+        .get("keep-alive")
+        .and_then(|v| v.to_str().ok())
+        .and_then(|v| v.split(',').find_map(|p| p.trim().strip_prefix("timeout=")))
+        .and_then(|v| v.parse().ok())
+        .map(Duration::from_secs);
+    announced.map_or(KEPT_BY_DEFAULT, |t| t.saturating_sub(KEPT_MARGIN))
+}
--- a/trouttrack_http/src/client.rs
+++ b/trouttrack_http/src/client.rs
@@ -1,12 +1,13 @@
 //! Sending requests.
 
-use crate::error::{BodyError, SendError, SendErrorKind};
+use crate::answer::Answer;
+use crate::error::{SendError, SendErrorKind};
 use crate::pool::{Pool, Sender};
 use crate::socket;
 use bytes::Bytes;
+use http::Request;
 use http::response::Parts;
-use http::{HeaderMap, Request, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -16,12 +17,11 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 
-/// How long a connection is kept when the peer does not say. Servers rarely
-/// close sooner than this.
-const KEPT_BY_DEFAULT: Duration = Duration::from_secs(4);
-/// Taken off what the peer says: it counts in whole seconds, and its clock
-/// starts a little before ours.
-const KEPT_MARGIN: Duration = Duration::from_secs(1);
+/// How long a connection may take to come up, unless the builder is told; a
+/// program that has to go elsewhere sooner tells it.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Idle connections kept to one peer, unless the builder is told.
+const IDLE_PER_PEER: usize = 8;
 
 /// Which connection may carry a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -107,8 +107,8 @@
     #[must_use]
     pub fn builder() -> ClientBuilder {
         ClientBuilder {
-            connect_timeout: Duration::from_secs(1),
-            idle_per_peer: 8,
+            connect_timeout: CONNECT_TIMEOUT,
+            idle_per_peer: IDLE_PER_PEER,
         }
     }
 
@@ -129,14 +129,16 @@
         let pooled = self.shared.pool.borrow_mut().take(peer, reuse.within());
         if let Some(sender) = pooled {
             match Self::exchange(peer, sender, req).await {
-                Ok((parts, body, sender)) => return Ok(self.answer(peer, parts, body, sender)),
+                Ok((parts, body, sender)) => {
+                    return Ok(Answer::new(self, peer, parts, body, sender));
+                }
                 Err(Unanswered::Unsent(same)) => req = *same,
                 Err(Unanswered::Failed(e)) => return Err(e),
             }
         }
         let sender = self.connect(peer).await?;
         match Self::exchange(peer, sender, req).await {
-            Ok((parts, body, sender)) => Ok(self.answer(peer, parts, body, sender)),
+            Ok((parts, body, sender)) => Ok(Answer::new(self, peer, parts, body, sender)),
             Err(Unanswered::Unsent(_)) => Err(SendError::new(
                 SendErrorKind::NotConnected,
                 peer,
@@ -185,24 +187,10 @@
         }
     }
 
-    fn answer(&self, peer: SocketAddr, head: Parts, body: Incoming, sender: Sender) -> Answer {
-        let kept_for = kept_for(&head.headers);
-        let framed = head.headers.contains_key(header::CONTENT_LENGTH)
-            || head.headers.contains_key(header::TRANSFER_ENCODING);
-        let returns = Returns {
-            client: self.clone(),
-            peer,
-            sender,
-            kept_for,
-        };
-        Answer {
-            head,
-            framed,
-            body: AnswerBody {
-                body,
-                returns: Some(returns),
-            },
-        }
+    /// Keeps a connection whose answer has been taken whole.
+    pub(crate) fn keep(&self, peer: SocketAddr, sender: Sender, kept_for: Duration) {
+        let mut pool = self.shared.pool.borrow_mut();
+        pool.put(peer, sender, kept_for);
     }
 
     /// Closes the idle connections that no request may use any more.
@@ -241,117 +229,3 @@
     };
     SendError::new(kind, peer, e)
 }
-
-/// How long the peer keeps the connection after this answer.
-fn kept_for(headers: &HeaderMap) -> Duration {
-    let says = |name, word: &str| {
-        let values = headers.get_all(name).iter();
-        values
-            .filter_map(|v| v.to_str().ok())
-            .any(|v| v.split(',').any(|w| w.trim().eq_ignore_ascii_case(word)))
-    };
-    if says(header::CONNECTION, "close") {
-        return Duration::ZERO;
-    }
-    let announced = headers
-        .get("keep-alive")
-        .and_then(|v| v.to_str().ok())
-        .and_then(|v| v.split(',').find_map(|p| p.trim().strip_prefix("timeout=")))
-        .and_then(|v| v.parse().ok())
-        .map(Duration::from_secs);
-    announced.map_or(KEPT_BY_DEFAULT, |t| t.saturating_sub(KEPT_MARGIN))
-}
-
-/// Puts a connection back into the pool.
-#[derive(Debug)]
-struct Returns {
-    client: Client,
-    peer: SocketAddr,
-    sender: Sender,
-    kept_for: Duration,
-}
-
-/// The head of an answer, and its body to come.
-#[derive(Debug)]
-pub struct Answer {
-    /// Status and headers.
-    pub head: Parts,
-    /// The body.
-    pub body: AnswerBody,
-    /// Whether the body tells where it ends. If not, it ends with its
-    /// connection, and a connection that was closed early looks the same.
-    pub framed: bool,
-}
-
-/// The body of an answer. Its connection is used again only after its end.
-#[derive(Debug)]
-pub struct AnswerBody {
-    body: Incoming,
-    returns: Option<Returns>,
-}
-
-impl AnswerBody {
-    /// The next bytes; `None` at the end of the whole body.
-    ///
-    /// # Errors
-    ///
-    /// The body broke off before its end.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
-        loop {
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(Some(data));
-                    }
-                }
-                Some(Err(e)) => {
-                    self.returns = None;
-                    return Err(BodyError(e));
-                }
-                None => {
-                    self.give_back();
-                    return Ok(None);
-                }
-            }
-        }
-    }
-
-    /// Reads the whole body, up to `most` bytes; `None` if it is longer.
-    ///
-    /// # Errors
-    ///
-    /// The body broke off before its end.
-    pub async fn whole(&mut self, most: usize) -> Result<Option<Bytes>, BodyError> {
-        let Some(first) = self.next().await? else {
-            return Ok(Some(Bytes::new()));
-        };
-        let mut rest = Vec::new();
-        let mut length = first.len();
-        while let Some(more) = self.next().await? {
-            length += more.len();
-            if length > most {
-                return Ok(None);
-            }
-            rest.push(more);
-        }
-        if rest.is_empty() {
-            return Ok(Some(first));
-        }
-        let mut all = Vec::with_capacity(length);
-        all.extend_from_slice(&first);
-        rest.iter().for_each(|b| all.extend_from_slice(b));
-        Ok(Some(all.into()))
-    }
-
-    /// Sees to it that the connection is not used again.
-    pub fn distrust(&mut self) {
-        self.returns = None;
-    }
-
-    fn give_back(&mut self) {
-        if let Some(r) = self.returns.take() {
-            let mut pool = r.client.shared.pool.borrow_mut();
-            pool.put(r.peer, r.sender, r.kept_for);
-        }
-    }
-}
--- a/trouttrack_http/src/lib.rs
+++ b/trouttrack_http/src/lib.rs
@@ -6,16 +6,19 @@
 //! connection, which `awc` reads as empty.
 //!
 //! - [`client`] sends requests.
+//! - [`answer`] takes answers, and keeps their connections for later requests.
 //! - [`error`] says what became of a request that got no answer.
 //! - [`socket`] sets the options that make a dead peer noticed.
 //!
 //! A client belongs to one thread and runs inside a `tokio` local task set.
 
+pub mod answer;
 pub mod client;
 pub mod error;
 pub mod socket;
 
 mod pool;
 
-pub use client::{Answer, AnswerBody, Client, ClientBuilder, Reuse};
+pub use answer::{Answer, AnswerBody};
+pub use client::{Client, ClientBuilder, Reuse};
 pub use error::{BodyError, SendError, SendErrorKind};
