Functions that nobody calls are gone

Cause: `PeerTable::remove`, `Scheduler::report`, `Scheduler::queued` and `Departure::noticed_at` had no caller, and nobody read what `Upstreams::store_back` returned. Change: they are removed, and the comments of what stands beside them say what it does. No behaviour changed; tests green.

--- a/trouttrack_core/src/rescue/mod.rs
+++ b/trouttrack_core/src/rescue/mod.rs
@@ -66,12 +66,14 @@
 }
 
 impl Held {
-    fn way(near: bool) -> f64 {
+    /// How much longer than its bytes say a copy takes.
+    fn overhead(near: bool) -> f64 {
         if near { NEAR } else { FAR }
     }
 
+    /// How long the link is busy with a copy of so many tokens.
     fn lasts(&self, tokens: f64, near: bool) -> Duration {
-        Duration::from_secs_f64(tokens * self.seconds_per_token * Self::way(near))
+        Duration::from_secs_f64(tokens * self.seconds_per_token * Self::overhead(near))
     }
 
     /// The turn of a generation; one that is not known comes last.
@@ -131,12 +133,6 @@
         });
     }
 
-    /// When it was noticed.
-    #[must_use]
-    pub fn noticed_at(&self) -> Time {
-        self.noticed_at
-    }
-
     /// When the engine is thought to end.
     #[must_use]
     pub fn ends_at(&self) -> Time {
--- a/trouttrack_front/src/peers/table.rs
+++ b/trouttrack_front/src/peers/table.rs
@@ -68,11 +68,6 @@
         self.addresses.borrow_mut().insert(name.to_owned(), addr);
     }
 
-    /// A VM is not listed any more.
-    pub fn remove(&self, name: &str) {
-        self.addresses.borrow_mut().remove(name);
-    }
-
     /// How many VMs are listed, this one included once it is.
     #[must_use]
     pub fn listed(&self) -> usize {
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 use trouttrack_core::membership::UpstreamUse;
-use trouttrack_core::upstream::{Report, Spec};
+use trouttrack_core::upstream::Spec;
 use trouttrack_core::world::{
     Decision, NotRunReason, RequestKey, Submission, Target, World, WorldSettings,
 };
@@ -30,8 +30,7 @@
 pub struct Placed {
     /// The upstream.
     pub upstream: UpstreamId,
-    /// How full its memory is forecast to be, and how many requests run there,
-    /// as far as this VM knows.
+    /// Forecast memory over capacity there, as far as this VM knows.
     pub fill: f64,
     /// Requests estimated to run there.
     pub running: usize,
@@ -156,11 +155,6 @@
         self.world.borrow_mut().set_leaving(upstream, true);
     }
 
-    /// Takes in an upstream's load report.
-    pub fn report(&self, upstream: &str, report: Report) {
-        self.world.borrow_mut().report(upstream, report);
-    }
-
     /// Takes in what a peer says of its use of upstreams.
     pub fn peer_uses(&self, peer: &str, uses: &[UpstreamUse]) {
         let now = self.clock.now();
@@ -180,12 +174,6 @@
         world.room_near(self.clock.now(), service, failure_domain)
     }
 
-    /// How many requests wait.
-    #[must_use]
-    pub fn queued(&self) -> usize {
-        self.world.borrow().queued()
-    }
-
     /// The forecast memory over capacity and the requests of an upstream.
     #[must_use]
     pub fn load_of(&self, upstream: &str) -> (f64, usize) {
@@ -217,7 +205,7 @@
         self.fault.set(true);
     }
 
-    /// The attempt found nobody there.
+    /// The attempt found nobody there: no connection, or no word in time.
     pub fn unreachable(&self) {
         self.fault.set(true);
         let now = self.now();
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -153,7 +153,7 @@
         (leaving && self.depart(&upstream, "announced")).then_some(upstream)
     }
 
-    /// Returns whether the departure is news.
+    /// Notes that an upstream leaves. Returns whether that is news.
     fn depart(&self, upstream: &Upstream, how: &str) -> bool {
         if upstream.is_leaving() {
             return false;
@@ -209,9 +209,9 @@
         self.entries.borrow_mut().store_lost();
     }
 
-    /// A call to the store was answered. Returns whether it had been away.
-    pub fn store_back(&self) -> bool {
-        self.entries.borrow_mut().store_back(self.clock.now())
+    /// A call to the store was answered.
+    pub fn store_back(&self) {
+        self.entries.borrow_mut().store_back(self.clock.now());
     }
 
     /// The rows that decisions are made on.
