Comments say what the code does

Cause: a reload was said to put all bounds in force, an upstream that nobody answers at was said to be one without a connection, headers of modules and fields were missing or copied from a neighbour. Change: the comments are right, each field of a stream's run and of its source has its line, and a name that spoke of the wrong thing (`machine_never_ran`) is replaced. No behaviour changed; tests green.

--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -321,7 +321,8 @@
         }
     }
 
-    /// The attempt at the request's upstream found nobody there.
+    /// The attempt at the request's upstream found nobody there: no connection,
+    /// or no word in time.
     pub fn unreachable(&mut self, now: Time, key: RequestKey) {
         let upstream = self.requests.get(key).and_then(|row| row.upstream);
         if let Some(u) = upstream.and_then(|k| self.upstreams.get_mut(k)) {
--- a/trouttrack_front/src/app/reload.rs
+++ b/trouttrack_front/src/app/reload.rs
@@ -43,7 +43,8 @@
     fs::metadata(file).and_then(|m| m.modified()).ok()
 }
 
-/// Puts changed bounds in force. Addresses stay as they were at the start.
+/// Puts a changed bound on removed keys in force. Everything else stays as it
+/// was at the start.
 fn reload(front: &Front, file: &Path) {
     match load::<FrontSettings>(file) {
         Ok(settings) => {
--- a/trouttrack_front/src/app/stop.rs
+++ b/trouttrack_front/src/app/stop.rs
@@ -12,8 +12,8 @@
 /// Pause after the last request, for its answer to leave.
 const FLUSH: Duration = Duration::from_millis(150);
 
-/// Stops as planned: takes the VM out, waits for requests in progress, and returns when the
-/// process may end.
+/// Stops as planned: takes the VM out, waits for requests in progress, and
+/// returns when the process may end.
 pub async fn planned(front: &Front, grace: Duration) {
     let began = front.clock.now();
     let ends_at = began + grace.saturating_sub(TO_EXIT);
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -19,8 +19,11 @@
 /// An answer whose head has come and belongs to the request.
 #[derive(Debug)]
 pub(crate) struct Sent {
+    /// Its head.
     pub(crate) head: AnswerHead,
+    /// Its body, to come.
     pub(crate) body: AnswerBody,
+    /// Whether the body tells where it ends.
     pub(crate) framed: bool,
 }
 
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -21,21 +21,31 @@
 /// One stream.
 #[derive(Debug)]
 pub(super) struct StreamRun {
+    /// The front.
     pub(super) front: Rc<Front>,
+    /// The request.
     pub(super) admitted: Rc<Admitted>,
+    /// The service that was drawn for it.
     pub(super) service: ServiceId,
+    /// The request's body.
     pub(super) body: Bytes,
+    /// The caller's end.
     pub(super) output: Output,
+    /// Cuts what comes into events.
     pub(super) reader: EventReader,
+    /// The retry rule.
     pub(super) machine: Machine,
+    /// Upstreams that it was placed on.
     avoid: Vec<UpstreamId>,
     /// The upstream that has the request now, or had it last.
     pub(super) at: UpstreamId,
+    /// The attempts so far.
     pub(super) attempts: Attempts,
     /// An upstream may have begun to run it.
     pub(super) may_have_run: bool,
     /// The head to be sent with the first event.
     pub(super) head: Option<AnswerHead>,
+    /// When the first event was passed on.
     pub(super) first_event_at: Option<Time>,
 }
 
--- a/trouttrack_front/src/request/stream/send.rs
+++ b/trouttrack_front/src/request/stream/send.rs
@@ -56,12 +56,13 @@
         // A first attempt that was refused or not sent leaves the request as
         // it was.
         let nothing_ran = matches!(kind, Some(Failure::NotConnected | Failure::Refused));
-        if nothing_ran && self.machine_never_ran() {
+        if nothing_ran && self.is_first_attempt() {
             self.may_have_run = false;
         }
     }
 
-    fn machine_never_ran(&self) -> bool {
+    /// Whether at most one attempt was sent and no event was passed on.
+    fn is_first_attempt(&self) -> bool {
         self.attempts.sent <= 1 && !self.output.is_begun()
     }
 }
--- a/trouttrack_front/src/request/stream/source.rs
+++ b/trouttrack_front/src/request/stream/source.rs
@@ -15,15 +15,21 @@
 /// An upstream that sends a stream.
 #[derive(Debug)]
 pub(super) struct Source {
+    /// The upstream.
     pub(super) upstream: Rc<Upstream>,
+    /// The head of its answer.
     pub(super) head: AnswerHead,
+    /// What is still to come of the answer.
     pub(super) body: AnswerBody,
+    /// Whether the body tells where it ends.
     pub(super) framed: bool,
+    /// Whether and when the upstream leaves.
     departure: watch::Receiver<Option<Departure>>,
     /// Whether a move was tried and came to nothing.
     pub(super) move_failed: bool,
     /// The engine that keeps a copy of the memory.
     pub(super) backup: Option<Rc<Upstream>>,
+    /// When its last event arrived.
     pub(super) last_event_at: Option<Time>,
 }
 
