The ticket has a module beside the scheduler

Cause: `state/scheduler.rs` held the tables, the queue and the ticket that stands for a request's row. Change: `ticket` has the row's holder, and whom a decision is for is worked out by a function of its own.

--- a/trouttrack_front/src/state/mod.rs
+++ b/trouttrack_front/src/state/mod.rs
@@ -7,6 +7,7 @@
 mod routing;
 mod scheduler;
 mod store_contact;
+mod ticket;
 mod upstreams;
 
 pub use budgets::Budgets;
@@ -14,6 +15,7 @@
 pub use front::Front;
 pub use lifecycle::{InFlight, Lifecycle};
 pub use routing::Routing;
-pub use scheduler::{Placed, Refusal, Scheduler, Ticket};
+pub use scheduler::{Placed, Refusal, Scheduler};
 pub use store_contact::StoreContact;
+pub use ticket::Ticket;
 pub use upstreams::{Upstream, Upstreams};
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -1,17 +1,18 @@
 //! Core's tables, and the requests that wait for their decisions.
 
 use super::clock::Clock;
-use std::cell::{Cell, RefCell};
+use super::ticket::Ticket;
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
+use trouttrack_core::UpstreamId;
 use trouttrack_core::membership::UpstreamUse;
 use trouttrack_core::upstream::Spec;
 use trouttrack_core::world::{
-    Decision, NotRunReason, RequestKey, Submission, Target, World, WorldSettings,
+    Decision, NotRunReason, RequestKey, Submission, World, WorldSettings,
 };
-use trouttrack_core::{Time, UpstreamId};
 
 /// Pause between two runs of the systems while requests wait.
 const TICK: Duration = Duration::from_millis(20);
@@ -38,14 +39,17 @@
     pub ticket: Ticket,
 }
 
-type Reply = oneshot::Sender<Result<UpstreamId, Refusal>>;
+/// What a request that waits is told.
+type Answer = Result<UpstreamId, Refusal>;
 
 /// Owns the tables; runs the systems when something changed.
 #[derive(Debug)]
 pub struct Scheduler {
-    clock: Clock,
-    world: RefCell<World>,
-    waiting: RefCell<HashMap<RequestKey, Reply>>,
+    pub(super) clock: Clock,
+    pub(super) world: RefCell<World>,
+    /// Who waits for the decision on a request.
+    pub(super) waiting: RefCell<HashMap<RequestKey, oneshot::Sender<Answer>>>,
+    /// A request waits for an upstream.
     queued: Notify,
     /// A generation was given an engine.
     placed: Notify,
@@ -74,12 +78,7 @@
         let (tx, rx) = oneshot::channel();
         let is_generation = submission.prompt_tokens > 0;
         let key = self.world.borrow_mut().submit(self.clock.now(), submission);
-        let ticket = Ticket {
-            scheduler: Rc::clone(self),
-            key,
-            fault: Cell::new(false),
-            tokens: Cell::new(None),
-        };
+        let ticket = Ticket::new(Rc::clone(self), key);
         self.waiting.borrow_mut().insert(key, tx);
         self.tick();
         if self.world.borrow().queued() > 0 {
@@ -103,23 +102,10 @@
     }
 
     /// Runs the systems once and tells those who wait.
-    fn tick(&self) {
+    pub(super) fn tick(&self) {
         let decisions = self.world.borrow_mut().tick(self.clock.now());
         for decision in decisions {
-            let (request, answer) = match decision {
-                Decision::Place { request, upstream } => (request, Ok(upstream)),
-                Decision::Refuse {
-                    request,
-                    reason,
-                    retry_after,
-                } => (
-                    request,
-                    Err(Refusal {
-                        reason,
-                        retry_after,
-                    }),
-                ),
-            };
+            let (request, answer) = answer_of(decision);
             let reply = self.waiting.borrow_mut().remove(&request);
             if let Some(reply) = reply {
                 // Nobody waits any more: the request's ticket is gone as well.
@@ -184,77 +170,20 @@
     }
 }
 
-/// Holds a request's row of the tables. A ticket that is dropped says that the
-/// attempt is over, so no row outlives its request.
-#[derive(Debug)]
-pub struct Ticket {
-    scheduler: Rc<Scheduler>,
-    key: RequestKey,
-    fault: Cell<bool>,
-    tokens: Cell<Option<u64>>,
-}
-
-impl Ticket {
-    /// The generation has written this many tokens.
-    pub fn progress(&self, tokens: u64) {
-        self.scheduler.world.borrow_mut().progress(self.key, tokens);
-    }
-
-    /// The attempt failed in a way that speaks against the upstream.
-    pub fn fault(&self) {
-        self.fault.set(true);
-    }
-
-    /// The attempt found nobody there: no connection, or no word in time.
-    pub fn unreachable(&self) {
-        self.fault.set(true);
-        let now = self.now();
-        let mut world = self.scheduler.world.borrow_mut();
-        world.unreachable(now, self.key);
-    }
-
-    /// The answer ended by itself after `tokens`.
-    pub fn complete(&self, tokens: u64) {
-        self.tokens.set(Some(tokens));
-    }
-
-    /// The best upstream to move the generation to, away from one in the
-    /// failure domain `home`.
-    #[must_use]
-    pub fn target(&self, home: &str, avoid: &[UpstreamId]) -> Option<Target> {
-        let now = self.now();
-        let world = self.scheduler.world.borrow();
-        world.target(now, self.key, home, avoid)
-    }
-
-    /// Tokens of memory that the generation holds.
-    #[must_use]
-    pub fn held_tokens(&self) -> f64 {
-        self.scheduler.world.borrow().held_tokens(self.key)
-    }
-
-    /// The generation counts at another upstream from now on.
-    pub fn relocate(&self, to: &str) {
-        let now = self.now();
-        let mut world = self.scheduler.world.borrow_mut();
-        world.relocate(now, self.key, to);
-    }
-
-    fn now(&self) -> Time {
-        self.scheduler.clock.now()
-    }
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        let now = self.now();
-        self.scheduler.waiting.borrow_mut().remove(&self.key);
-        let mut world = self.scheduler.world.borrow_mut();
-        world.ended(now, self.key, self.fault.get(), self.tokens.get());
-        let waits = world.queued() > 0;
-        drop(world);
-        if waits {
-            self.scheduler.tick();
+/// Whom a decision is for, and what it is.
+fn answer_of(decision: Decision) -> (RequestKey, Answer) {
+    match decision {
+        Decision::Place { request, upstream } => (request, Ok(upstream)),
+        Decision::Refuse {
+            request,
+            reason,
+            retry_after,
+        } => {
+            let refusal = Refusal {
+                reason,
+                retry_after,
+            };
+            (request, Err(refusal))
         }
     }
 }
