--- a/trouttrack_front/src/request/mod.rs
+++ b/trouttrack_front/src/request/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod plain;
 mod retry;
 pub(crate) mod stream;
+mod submission;
 
 pub use events::EventReader;
 
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -1,8 +1,9 @@
 //! A plain call: one answer, taken whole before it is passed on.
 
 use super::attempt::{AttemptFailure, handover, send};
-use super::end::{End, answered, submission};
+use super::end::{End, answered};
 use super::retry::{Attempts, is_attempt};
+use super::submission::submission;
 use crate::caller::{Admitted, Reply};
 use crate::state::{Front, Ticket, Upstream};
 use bytes::Bytes;
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -5,7 +5,7 @@
 use super::run::StreamRun;
 use super::source::{Next, Source};
 use crate::request::attempt::AttemptFailure;
-use crate::request::end::{SHORT_TOKENS, is_short};
+use crate::request::submission::{SHORT_TOKENS, is_short};
 use crate::rescue::{Carried, Carry, CarryTask, Moved};
 use crate::state::Ticket;
 use bytes::Bytes;
--- a/trouttrack_front/src/request/stream/serve.rs
+++ b/trouttrack_front/src/request/stream/serve.rs
@@ -3,7 +3,8 @@
 use super::output::Output;
 use super::run::StreamRun;
 use crate::caller::{Admitted, CallerBody, Reply};
-use crate::request::end::{End, is_short};
+use crate::request::end::End;
+use crate::request::submission::is_short;
 use crate::state::{Front, InFlight};
 use bytes::Bytes;
 use std::rc::Rc;
