Starting is one step a line

Cause: `app::start` and `app::run` held the bodies of the tasks that they start. Change: the peers' tasks, the pages and the count of dropped lines have functions; what reads the store's address stands below its only user.

--- a/trouttrack_front/src/app/start.rs
+++ b/trouttrack_front/src/app/start.rs
@@ -4,7 +4,7 @@
 use super::{reload, stop};
 use crate::caller::{Server, serve_readiness_and_metrics};
 use crate::follow;
-use crate::peers;
+use crate::peers::{self, News};
 use crate::state::Front;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -12,14 +12,13 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
-use trouttrack_config::settings::FrontSettings;
+use trouttrack_config::settings::{FrontSettings, ListenSettings};
 use trouttrack_telemetry::events;
 use trouttrack_telemetry::logs::LinesDropped;
 use trouttrack_telemetry::program::told_to_stop;
 
 /// How often the count of dropped log lines is taken over into the metrics.
 const COUNT_DROPPED_EVERY: Duration = Duration::from_secs(1);
-
 /// News that wait to be told; beyond it the other VMs ask the store.
 const NEWS_WAITING: usize = 64;
 
@@ -32,15 +31,6 @@
     pub callers: SocketAddr,
 }
 
-fn store_address(settings: &FrontSettings) -> Result<SocketAddr, AppError> {
-    let url = &settings.platform.url;
-    let address = url.strip_prefix("http://").unwrap_or(url);
-    address
-        .trim_end_matches('/')
-        .parse()
-        .map_err(|_| AppError::PlatformAddress(url.clone()))
-}
-
 /// Starts a front on the current thread.
 ///
 /// # Errors
@@ -59,29 +49,39 @@
     follow::start(&front, own, settings.bounds);
     let scheduler = Rc::clone(&front.scheduler);
     actix_rt::spawn(async move { scheduler.run().await });
-    actix_rt::spawn(peers::send(Rc::clone(&front), Rc::clone(&socket)));
-    actix_rt::spawn(peers::tell(Rc::clone(&front), Rc::clone(&socket), news));
-    let hearing = peers::listen(Rc::clone(&front), socket);
+    start_peers(&front, socket, news);
+    let server = Server::bind(Rc::clone(&front), listen.listen);
+    let server = server.map_err(|e| AppError::Listen(listen.listen, e))?;
+    let callers = server.local_addr()?;
+    actix_rt::spawn(server.run());
+    start_pages(&front, &listen);
+    events::STARTED.log(format_args!(
+        "program=trouttrack_front vm={} failure_domain={} callers={callers} peers={own}",
+        settings.vm.name, settings.vm.failure_domain
+    ));
+    Ok(Running { front, callers })
+}
+
+/// Tells the other VMs, and hears them.
+fn start_peers(front: &Rc<Front>, socket: Rc<UdpSocket>, news: mpsc::Receiver<News>) {
+    actix_rt::spawn(peers::send(Rc::clone(front), Rc::clone(&socket)));
+    actix_rt::spawn(peers::tell(Rc::clone(front), Rc::clone(&socket), news));
+    let hearing = peers::listen(Rc::clone(front), socket);
     actix_rt::spawn(async move {
         if let Err(e) = hearing.await {
             log::error!("heartbeats cannot be heard: {e}");
         }
     });
-    let server = Server::bind(Rc::clone(&front), listen.listen);
-    let server = server.map_err(|e| AppError::Listen(listen.listen, e))?;
-    let callers = server.local_addr()?;
-    actix_rt::spawn(server.run());
-    let pages = serve_readiness_and_metrics(Rc::clone(&front), listen.ready, listen.metrics);
+}
+
+/// Serves readiness and metrics.
+fn start_pages(front: &Rc<Front>, listen: &ListenSettings) {
+    let pages = serve_readiness_and_metrics(Rc::clone(front), listen.ready, listen.metrics);
     actix_rt::spawn(async move {
         if let Err(e) = pages.await {
             log::error!("readiness and metrics cannot be served: {e}");
         }
     });
-    events::STARTED.log(format_args!(
-        "program=trouttrack_front vm={} failure_domain={} callers={callers} peers={own}",
-        settings.vm.name, settings.vm.failure_domain
-    ));
-    Ok(Running { front, callers })
 }
 
 /// Runs a front until it is told to stop by SIGTERM or SIGINT.
@@ -97,15 +97,27 @@
     let running = start(&settings).await?;
     let front = Rc::clone(&running.front);
     actix_rt::spawn(reload::follow(Rc::clone(&front), file));
-    let counted = Rc::clone(&front);
-    actix_rt::spawn(async move {
-        loop {
-            tokio::time::sleep(COUNT_DROPPED_EVERY).await;
-            counted.metrics.log_lines_dropped.set(dropped.get() as i64);
-        }
-    });
+    actix_rt::spawn(count_dropped(Rc::clone(&front), dropped));
     told_to_stop().await?;
     stop::planned(&front, settings.bounds.grace).await;
     events::STOPPED.log(format_args!("program=trouttrack_front"));
     Ok(())
 }
+
+/// Takes the count of dropped log lines over into the metrics.
+async fn count_dropped(front: Rc<Front>, dropped: LinesDropped) {
+    loop {
+        tokio::time::sleep(COUNT_DROPPED_EVERY).await;
+        front.metrics.log_lines_dropped.set(dropped.get() as i64);
+    }
+}
+
+/// Where the store is, from its URL.
+fn store_address(settings: &FrontSettings) -> Result<SocketAddr, AppError> {
+    let url = &settings.platform.url;
+    let address = url.strip_prefix("http://").unwrap_or(url);
+    address
+        .trim_end_matches('/')
+        .parse()
+        .map_err(|_| AppError::PlatformAddress(url.clone()))
+}
