Steps of the request path and of the follower have names

Cause: a follower's step and the account of a plain attempt were nested in their loops, steps of a stream had no line that says what they are for, and `avoid` was said to forbid what it only makes the last choice. Change: each is a function with its line, and the comment says what the scheduler does. No behaviour changed; tests green.

--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -65,7 +65,7 @@
     pub deadline: Time,
     /// The most hand-overs of this organisation at once, if limited.
     pub max_running: Option<usize>,
-    /// Upstreams that it must not be placed on again.
+    /// Upstreams that it is placed on again only if no other takes it.
     pub avoid: Vec<String>,
     /// The tokens that its caller guesses it will write.
     pub guessed_tokens: Option<u64>,
--- a/trouttrack_front/src/follow/kind.rs
+++ b/trouttrack_front/src/follow/kind.rs
@@ -47,25 +47,8 @@
 pub(super) async fn follow<F: Follower>(front: Rc<Front>, follower: F) {
     let mut backoff = Backoff::new();
     loop {
-        let step = async {
-            match follower.revision() {
-                None => list(&front, &follower).await,
-                Some(since) if watches_store(&front) => tokio::select! {
-                    watched = watch(&front, &follower, since, WATCH) => watched,
-                    () = missed(&front, &follower) => {
-                        watch(&front, &follower, since, AT_ONCE).await
-                    }
-                },
-                Some(since) => tokio::select! {
-                    () = missed(&front, &follower) => {
-                        watch(&front, &follower, since, AT_ONCE).await
-                    }
-                    () = tokio::time::sleep(LOOK) => Ok(()),
-                },
-            }
-        };
         let outcome = tokio::select! {
-            outcome = step => outcome,
+            outcome = step(&front, &follower) => outcome,
             () = front.store_contact.returned() => continue,
         };
         match outcome {
@@ -78,6 +61,22 @@
     }
 }
 
+/// Lists, watches, or waits for what this VM has missed: whichever is its part
+/// now.
+async fn step<F: Follower>(front: &Front, follower: &F) -> Result<(), StoreError> {
+    match follower.revision() {
+        None => list(front, follower).await,
+        Some(since) if watches_store(front) => tokio::select! {
+            watched = watch(front, follower, since, WATCH) => watched,
+            () = missed(front, follower) => watch(front, follower, since, AT_ONCE).await,
+        },
+        Some(since) => tokio::select! {
+            () = missed(front, follower) => watch(front, follower, since, AT_ONCE).await,
+            () = tokio::time::sleep(LOOK) => Ok(()),
+        },
+    }
+}
+
 /// Waits until something was missed and did not come as news.
 async fn missed<F: Follower>(front: &Front, follower: &F) {
     loop {
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -46,6 +46,7 @@
     body: Bytes,
 }
 
+/// One plain call.
 struct PlainCall<'a> {
     front: &'a Rc<Front>,
     admitted: &'a Admitted,
@@ -85,6 +86,7 @@
         }
     }
 
+    /// Makes attempts until the request ends.
     async fn drive(&mut self) -> Reply {
         loop {
             let failure = match self.attempt().await {
@@ -131,15 +133,12 @@
             failure.report(self.front, self.admitted, &upstream.id, "retry rule");
         }
         if let Some(ticket) = self.handed_over.take() {
-            match outcome.as_ref().map_err(|f| f.failure) {
-                Ok(_) | Err(Failure::Refused) => ticket.complete(0),
-                Err(Failure::NotConnected) => ticket.unreachable(),
-                Err(Failure::Lost | Failure::Aborted) => ticket.fault(),
-            }
+            account(&outcome, &ticket);
         }
         outcome.map_err(Stopped::Failed)
     }
 
+    /// Sends the request to one upstream and takes its whole answer.
     async fn exchange(&mut self, upstream: &Upstream) -> Result<WholeAnswer, AttemptFailure> {
         let to = handover(self.front, self.admitted, upstream);
         let sending = send(self.front, self.admitted, upstream, &to, self.body.clone());
@@ -230,6 +229,15 @@
     }
 }
 
+/// Tells the tables what an attempt says of its upstream.
+fn account(outcome: &Result<WholeAnswer, AttemptFailure>, ticket: &Ticket) {
+    match outcome.as_ref().map_err(|f| f.failure) {
+        Ok(_) | Err(Failure::Refused) => ticket.complete(0),
+        Err(Failure::NotConnected) => ticket.unreachable(),
+        Err(Failure::Lost | Failure::Aborted) => ticket.fault(),
+    }
+}
+
 /// Why an attempt did not bring the answer.
 enum Stopped {
     /// The request ends here.
--- a/trouttrack_front/src/request/stream/go_on.rs
+++ b/trouttrack_front/src/request/stream/go_on.rs
@@ -85,6 +85,7 @@
         }
     }
 
+    /// Sends the request to an engine that has a copy of the memory.
     async fn continue_at(
         &mut self,
         source: &Source,
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -68,6 +68,7 @@
         self.front.serving.rescue && !short && self.engine().is_some_and(|e| e.moves)
     }
 
+    /// Starts moving the generation.
     fn carry(&self, source: &Source, ticket: &Rc<Ticket>) -> CarryTask {
         let carry = Carry {
             front: Rc::clone(&self.front),
@@ -78,6 +79,7 @@
         carry.start()
     }
 
+    /// Passes on the whole events that more bytes complete.
     async fn pass_on(
         &mut self,
         source: &mut Source,
@@ -98,6 +100,7 @@
         self.give(source, whole).await
     }
 
+    /// Gives the caller bytes, after the head if they are the first.
     async fn give(&mut self, source: &Source, bytes: Bytes) -> Result<(), Stopped> {
         self.output
             .begin(self.head.as_ref().unwrap_or(&source.head));
@@ -120,6 +123,7 @@
         }
     }
 
+    /// Ends with what came after the last whole event.
     async fn end_whole(&mut self, source: &Source) -> Result<Relayed, Stopped> {
         let rest = self.reader.rest();
         if !rest.is_empty() || !self.output.is_begun() {
@@ -128,6 +132,7 @@
         Ok(Relayed::Complete)
     }
 
+    /// Goes on at whichever engine has the memory, if one does.
     async fn broken_off(
         &mut self,
         source: &mut Source,
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -96,6 +96,7 @@
         drop(in_flight);
     }
 
+    /// Makes attempts until the request ends.
     async fn drive(&mut self) -> Finish {
         loop {
             let failure = match self.attempt().await {
@@ -143,6 +144,7 @@
         outcome
     }
 
+    /// Tells the tables what an attempt says of its upstream.
     fn account(&self, outcome: &Result<(), Stopped>, ticket: &Ticket) {
         match outcome {
             Ok(()) => ticket.complete(self.tokens()),
@@ -158,6 +160,8 @@
         }
     }
 
+    /// Sends the request to an upstream and passes its stream on, also where it
+    /// goes on elsewhere.
     async fn stream_from(
         &mut self,
         upstream: Rc<Upstream>,
