Merge: the new code tidied; lapsed entries are logged

Cause: the catalogue promised an event for entries that lapse, and nothing logged it (a test of the catalogue found it). Change: the tidied modules are merged; a lapsed entry is logged once.

--- a/trouttrack_core/src/membership/entries.rs
+++ b/trouttrack_core/src/membership/entries.rs
@@ -67,6 +67,12 @@
         true
     }
 
+    /// Whether an entry disappeared and may come back.
+    #[must_use]
+    pub fn is_lapsed(&self, id: &str) -> bool {
+        self.by_id.get(id) == Some(&Listing::Lapsed)
+    }
+
     /// A call to the store failed.
     pub fn store_lost(&mut self) {
         self.away = true;
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -65,7 +65,7 @@
     pub deadline: Time,
     /// The most hand-overs of this organisation at once, if limited.
     pub max_running: Option<usize>,
-    /// Upstreams that it must not be placed on again.
+    /// Upstreams that it is placed on again only if no other takes it.
     pub avoid: Vec<String>,
     /// The tokens that its caller guesses it will write.
     pub guessed_tokens: Option<u64>,
@@ -321,7 +321,8 @@
         }
     }
 
-    /// The attempt at the request's upstream found nobody there.
+    /// The attempt at the request's upstream found nobody there: no connection,
+    /// or no word in time.
     pub fn unreachable(&mut self, now: Time, key: RequestKey) {
         let upstream = self.requests.get(key).and_then(|row| row.upstream);
         if let Some(u) = upstream.and_then(|k| self.upstreams.get_mut(k)) {
--- a/trouttrack_core/tests/core/entries.rs
+++ b/trouttrack_core/tests/core/entries.rs
@@ -24,6 +24,7 @@
     entries.store_lost();
     assert!(!entries.removed(s(1), "u1"));
     assert!(!entries.removed(s(1), "u2"));
+    assert!(entries.is_lapsed("u1") && !entries.is_lapsed("never seen"));
     assert!(entries.gone(s(100)).is_empty());
     assert!(entries.store_back(s(100)));
     assert!(!entries.store_back(s(100)));
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -19,11 +19,28 @@
 /// An answer whose head has come and belongs to the request.
 #[derive(Debug)]
 pub(crate) struct Sent {
+    /// Its head.
     pub(crate) head: AnswerHead,
+    /// Its body, to come.
     pub(crate) body: AnswerBody,
+    /// Whether the body tells where it ends.
     pub(crate) framed: bool,
 }
 
+impl Sent {
+    /// Takes the whole body, of at most `most` bytes.
+    ///
+    /// # Errors
+    ///
+    /// The attempt is lost: what came is not the whole answer.
+    pub(crate) async fn whole_body(&mut self, most: usize) -> Result<Bytes, AttemptFailure> {
+        let lost = |reason| AttemptFailure::new(Failure::Lost, reason);
+        let body = self.body.whole(most).await;
+        body.map_err(|_| lost("the answer broke off"))?
+            .ok_or(lost("the answer is too large"))
+    }
+}
+
 /// Why an attempt gave no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct AttemptFailure {
--- a/trouttrack_front/src/request/mod.rs
+++ b/trouttrack_front/src/request/mod.rs
@@ -3,8 +3,10 @@
 mod attempt;
 mod end;
 mod events;
-pub mod plain;
-pub mod stream;
+pub(crate) mod plain;
+mod retry;
+pub(crate) mod stream;
+mod submission;
 
 pub use events::EventReader;
 
--- a/trouttrack_front/src/rescue/mod.rs
+++ b/trouttrack_front/src/rescue/mod.rs
@@ -2,6 +2,8 @@
 
 mod carry;
 mod observe;
+mod task;
 
-pub use carry::{Carried, Carry, CarryTask, Moved};
-pub use observe::observe;
+pub(crate) use carry::Carry;
+pub(crate) use observe::observe;
+pub(crate) use task::{Carried, CarryTask, Moved};
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -153,7 +153,7 @@
         (leaving && self.depart(&upstream, "announced")).then_some(upstream)
     }
 
-    /// Returns whether the departure is news.
+    /// Notes that an upstream leaves. Returns whether that is news.
     fn depart(&self, upstream: &Upstream, how: &str) -> bool {
         if upstream.is_leaving() {
             return false;
@@ -173,10 +173,14 @@
     /// An entry disappeared. Returns the upstream if it is gone.
     pub fn removed(&self, id: &str) -> Option<Rc<Upstream>> {
         let now = self.clock.now();
-        if !self.entries.borrow_mut().removed(now, id) {
-            return None;
+        let mut entries = self.entries.borrow_mut();
+        let was_lapsed = entries.is_lapsed(id);
+        let gone = entries.removed(now, id);
+        if !was_lapsed && entries.is_lapsed(id) {
+            record!(events::ENTRY_LAPSED, upstream = id);
         }
-        self.take_out(id)
+        drop(entries);
+        if gone { self.take_out(id) } else { None }
     }
 
     /// Everything was listed. Returns the upstreams that are gone.
@@ -209,9 +213,9 @@
         self.entries.borrow_mut().store_lost();
     }
 
-    /// A call to the store was answered. Returns whether it had been away.
-    pub fn store_back(&self) -> bool {
-        self.entries.borrow_mut().store_back(self.clock.now())
+    /// A call to the store was answered.
+    pub fn store_back(&self) {
+        self.entries.borrow_mut().store_back(self.clock.now());
     }
 
     /// The rows that decisions are made on.
--- a/trouttrack_telemetry/src/events/catalogue.rs
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -75,7 +75,7 @@
     RESTORED = 94, Info, "restored", "A generation whose upstream broke off goes on from the copy kept at another one.";
     UPSTREAM_SEEN = 95, Info, "upstream-seen", "An upstream appeared or its entry changed.";
     UPSTREAM_GONE = 96, Info, "upstream-gone", "An upstream's entry disappeared and the time in which it may come back is over.";
-    ENTRIES_LAPSED = 97, Warn, "entries-lapsed", "Entries of upstreams disappeared while the platform's service was away; they are used until shortly after its return.";
+    ENTRY_LAPSED = 97, Warn, "entry-lapsed", "An upstream's entry disappeared while the platform's service was away or just back; it is used until shortly after the return.";
     STALE = 98, Warn, "stale", "The configuration could not be confirmed within its bound; requests with a key are refused until it is.";
     FRESH = 99, Info, "fresh", "The configuration is confirmed again.";
     SETTINGS_RELOADED = 100, Info, "settings-reloaded", "The settings file was read again; bounds that changed are in force.";
