Untold what may have run, not whole what was stopped

Cause, found by reading the request path as a newcomer: (1) a resumable stream whose second attempt found no connection was told "not run" though its first may have run; (2) a plain call's timeout opened the upstream's circuit whatever the caller's patience, so an impatient caller could close an upstream to all; (3) a stream without a marked end that was stopped for a move that then failed was taken as whole; (4) a refusal without an id was believed; (5) a continuation that failed before its first event was handed to the caller as the answer.

Change: sending keeps that an attempt may have run; a plain timeout speaks of the upstream only once it held the call for the route's objective; the carrier tells stopped from ended; a refusal must carry its id; a failed continuation is a lost one.

--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -120,10 +120,6 @@
     let lost = |reason| Err(AttemptFailure::new(Failure::Lost, reason));
     if !sent.head.answers(&admitted.head.id) {
         sent.body.distrust();
-        // An upstream that serves the address now may not know the id.
-        if sent.head.not_run && sent.head.id.is_none() {
-            return Err(AttemptFailure::new(Failure::Refused, "refused, without id"));
-        }
         return lost("the answer is to another request");
     }
     if sent.head.not_run {
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use trouttrack_core::fleet::RouteKind;
 use trouttrack_core::request::{Delivery, Failure, Machine, StepResult, Traits};
-use trouttrack_core::{ServiceId, UpstreamId};
+use trouttrack_core::{ServiceId, Time, UpstreamId};
 use trouttrack_platform::AnswerHead;
 use trouttrack_telemetry::{events, record};
 
@@ -58,6 +58,8 @@
     attempts: Attempts,
     /// The attempt at an upstream that has it, while no answer has come.
     handed_over: Option<Ticket>,
+    /// When that attempt began.
+    placed_at: Time,
     /// An upstream may have run it, and its answer was not usable.
     may_have_run: bool,
     /// A failure that an upstream answered with.
@@ -81,6 +83,7 @@
             avoid: Vec::new(),
             attempts: Attempts::default(),
             handed_over: None,
+            placed_at: Time::ZERO,
             may_have_run: false,
             unwanted: None,
         }
@@ -116,6 +119,7 @@
             return Err(Stopped::Ended(End::not_run("keys cannot be confirmed")));
         }
         let Some(upstream) = self.front.upstreams.get(&placed.upstream) else {
+            self.attempts.unconnected += 1;
             let failure = AttemptFailure::new(Failure::NotConnected, "the upstream is gone");
             return Err(Stopped::Failed(failure));
         };
@@ -128,6 +132,7 @@
         );
         self.avoid.push(upstream.id.clone());
         self.handed_over = Some(placed.ticket);
+        self.placed_at = self.front.clock.now();
         let outcome = self.exchange(&upstream).await;
         if let Err(failure) = &outcome {
             failure.report(self.front, self.admitted, &upstream.id, "retry rule");
@@ -218,7 +223,12 @@
     fn timed_out(&mut self) -> End {
         match self.handed_over.take() {
             Some(ticket) => {
-                ticket.unreachable();
+                let held = self.front.clock.now().saturating_sub(self.placed_at);
+                // What is slower than its objective may still be there; what a
+                // caller gives less time than that says nothing.
+                if held >= self.admitted.route.objective {
+                    ticket.unreachable();
+                }
                 End::Uncertain {
                     reason: "no answer in time",
                     timed_out: true,
--- a/trouttrack_front/src/request/stream/go_on.rs
+++ b/trouttrack_front/src/request/stream/go_on.rs
@@ -1,6 +1,6 @@
 //! Going on with a stream at another upstream.
 
-use super::finish::Stopped;
+use super::finish::{Finish, Stopped};
 use super::relay::Relayed;
 use super::run::StreamRun;
 use super::source::Source;
@@ -126,6 +126,9 @@
 fn lost_midway(stopped: Stopped) -> Stopped {
     match stopped {
         Stopped::Failed(f) => AttemptFailure::new(Failure::Lost, f.reason).into(),
+        Stopped::Finished(Finish::Answered(..)) => {
+            AttemptFailure::new(Failure::Lost, "the target answered with a failure").into()
+        }
         finished @ Stopped::Finished(_) => finished,
     }
 }
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -6,7 +6,7 @@
 use super::source::{Next, Source};
 use crate::request::attempt::AttemptFailure;
 use crate::request::submission::{SHORT_TOKENS, is_short};
-use crate::rescue::{Carried, Carry, CarryTask, Moved};
+use crate::rescue::{Carried, Carry, CarryTask};
 use crate::state::Ticket;
 use bytes::Bytes;
 use std::rc::Rc;
@@ -41,8 +41,9 @@
             match source.next(carry.as_mut(), self.may_move(), silence).await {
                 Next::Piece(bytes) => self.pass_on(source, &bytes, ticket).await?,
                 Next::Ended => match self.surely_ended(source, carry.take()).await {
-                    None => return self.end_whole(source).await,
-                    Some(moved) => return self.go_on(source, moved, ticket).await,
+                    Carried::NotMoved => return self.end_whole(source).await,
+                    Carried::Moved(moved) => return self.go_on(source, moved, ticket).await,
+                    Carried::Stopped => return self.broken_off(source, None, ticket).await,
                 },
                 Next::BrokenOff => return self.broken_off(source, carry.take(), ticket).await,
                 Next::Silent => {
@@ -53,9 +54,10 @@
                     self.drain(source, ticket).await?;
                     return self.go_on(source, moved, ticket).await;
                 }
-                Next::Carried(Carried::NotMoved) => {
+                Next::Carried(not_moved) => {
                     carry = None;
                     source.move_failed = true;
+                    source.may_be_stopped = matches!(not_moved, Carried::Stopped);
                 }
             }
         }
@@ -109,18 +111,20 @@
         given.map_err(|_| Stopped::Finished(Finish::CallerLeft))
     }
 
-    /// A stream whose end is marked is whole. One that ends with its connection
-    /// may have been stopped for a move.
-    async fn surely_ended(&self, source: &Source, carry: Option<CarryTask>) -> Option<Moved> {
-        let carry = carry?;
+    /// What the end of a source's body means. A stream whose end is marked is
+    /// whole; one that ends with its connection may have been stopped for a move.
+    async fn surely_ended(&self, source: &Source, carry: Option<CarryTask>) -> Carried {
+        let Some(carry) = carry else {
+            return match source.may_be_stopped && !source.framed {
+                true => Carried::Stopped,
+                false => Carried::NotMoved,
+            };
+        };
         if source.framed {
             carry.discard(&self.front);
-            return None;
-        }
-        match carry.outcome().await {
-            Carried::Moved(moved) => Some(moved),
-            Carried::NotMoved => None,
+            return Carried::NotMoved;
         }
+        carry.outcome().await
     }
 
     /// Ends with what came after the last whole event.
--- a/trouttrack_front/src/request/stream/send.rs
+++ b/trouttrack_front/src/request/stream/send.rs
@@ -17,9 +17,14 @@
         upstream: &Upstream,
         to: &Handover,
     ) -> Result<Sent, Stopped> {
-        self.may_have_run = true;
+        let ran_before = std::mem::replace(&mut self.may_have_run, true);
         let sent = send(&self.front, &self.admitted, upstream, to, self.body.clone()).await;
         self.count(to, sent.as_ref().err());
+        let kind = sent.as_ref().err().map(|f| f.failure);
+        if matches!(kind, Some(Failure::NotConnected | Failure::Refused)) {
+            // This attempt did not run it; an earlier one may have.
+            self.may_have_run = ran_before;
+        }
         let mut sent = sent?;
         if sent.head.status.is_success() {
             return Ok(sent);
@@ -53,16 +58,5 @@
                 self.machine.token();
             }
         }
-        // A first attempt that was refused or not sent leaves the request as
-        // it was.
-        let nothing_ran = matches!(kind, Some(Failure::NotConnected | Failure::Refused));
-        if nothing_ran && self.is_first_attempt() {
-            self.may_have_run = false;
-        }
-    }
-
-    /// Whether at most one attempt was sent and no event was passed on.
-    fn is_first_attempt(&self) -> bool {
-        self.attempts.sent <= 1 && !self.output.is_begun()
     }
 }
--- a/trouttrack_front/src/request/stream/source.rs
+++ b/trouttrack_front/src/request/stream/source.rs
@@ -27,6 +27,8 @@
     departure: watch::Receiver<Option<Departure>>,
     /// Whether a move was tried and came to nothing.
     pub(super) move_failed: bool,
+    /// Whether that move may have stopped the generation.
+    pub(super) may_be_stopped: bool,
     /// The engine that keeps a copy of the memory.
     pub(super) backup: Option<Rc<Upstream>>,
     /// When its last event arrived.
@@ -43,6 +45,7 @@
             body: sent.body,
             framed: sent.framed,
             move_failed: false,
+            may_be_stopped: false,
             backup,
             last_event_at: None,
         }
--- a/trouttrack_front/src/request/submission.rs
+++ b/trouttrack_front/src/request/submission.rs
@@ -56,8 +56,7 @@
 /// Whether a request is thought to write few tokens.
 pub(crate) fn is_short(admitted: &Admitted) -> bool {
     let head = &admitted.head;
-    head.guessed_tokens
-        .unwrap_or(head.most_tokens)
-        .min(head.most_tokens.max(1))
-        <= SHORT_TOKENS
+    let most = Some(head.most_tokens).filter(|most| *most > 0);
+    let known = [head.guessed_tokens, most].into_iter().flatten().min();
+    known.is_none_or(|tokens| tokens <= SHORT_TOKENS)
 }
--- a/trouttrack_front/src/rescue/carry.rs
+++ b/trouttrack_front/src/rescue/carry.rs
@@ -165,6 +165,7 @@
         avoid: &mut Vec<UpstreamId>,
     ) -> Carried {
         let began = self.front.clock.now();
+        let mut may_be_stopped = false;
         while self.in_time(departure) {
             match self.order(&target, true, self.time_left(departure)).await {
                 Some(MoveAnswer::Copied { handle }) => {
@@ -174,19 +175,25 @@
                         stopping: self.front.clock.now().saturating_sub(began),
                     });
                 }
+                Some(MoveAnswer::NotFound) if may_be_stopped => break,
                 Some(MoveAnswer::NotFound) => return Carried::NotMoved,
                 Some(MoveAnswer::NoRoom { .. }) => {
+                    may_be_stopped = true;
                     avoid.push(target.id.clone());
                     if let Some(other) = self.target(avoid) {
                         self.ticket.relocate(&other.id);
                         target = other;
                     }
                 }
-                Some(MoveAnswer::Busy) | None => tokio::time::sleep(AGAIN_STOPPED).await,
+                Some(MoveAnswer::Busy) => tokio::time::sleep(AGAIN_STOPPED).await,
+                None => {
+                    may_be_stopped = true;
+                    tokio::time::sleep(AGAIN_STOPPED).await;
+                }
             }
         }
         self.failed("the last part could not be copied in time");
-        Carried::NotMoved
+        Carried::Stopped
     }
 
     async fn order(&self, target: &Upstream, stop: bool, timeout: Duration) -> Option<MoveAnswer> {
--- a/trouttrack_front/src/rescue/task.rs
+++ b/trouttrack_front/src/rescue/task.rs
@@ -30,6 +30,8 @@
     Moved(Moved),
     /// The generation was left where it is.
     NotMoved,
+    /// The generation may have been stopped, and goes on nowhere.
+    Stopped,
 }
 
 /// A move under way; dropped, it is given up.
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -160,6 +160,15 @@
         world.room_near(self.clock.now(), service, failure_domain)
     }
 
+    /// Whether an upstream may be given work now.
+    #[must_use]
+    pub fn is_open(&self, upstream: &str) -> bool {
+        let world = self.world.borrow();
+        let row = world.upstreams.key(upstream);
+        let row = row.and_then(|k| world.upstreams.get(k));
+        row.is_some_and(|u| u.open(self.clock.now()))
+    }
+
     /// The forecast memory over capacity and the requests of an upstream.
     #[must_use]
     pub fn load_of(&self, upstream: &str) -> (f64, usize) {
--- a/trouttrack_front/tests/front/moves.rs
+++ b/trouttrack_front/tests/front/moves.rs
@@ -97,6 +97,38 @@
     assert!(other.ran().is_empty());
 }
 
+#[actix_rt::test]
+async fn a_stream_without_a_marked_end_is_moved_whole() {
+    let bed = bed().await;
+    for upstream in &bed.upstreams {
+        upstream.always(Behaviour::StreamUnframed(EVENTS));
+    }
+    let (reply, _) = leave(&bed, |_, _| {}).await;
+    assert!(reply.whole);
+    assert_eq!(reply.text(), events("r1", EVENTS));
+}
+
+#[actix_rt::test]
+async fn stopped_without_a_marked_end_it_is_not_whole() {
+    let bed = bed().await;
+    for upstream in &bed.upstreams {
+        upstream.always(Behaviour::StreamUnframed(EVENTS));
+    }
+    // It is copied, but when it is stopped there is no room any more.
+    let (reply, [left, _]) = leave(&bed, |left, _| left.set_full_after(1)).await;
+    let stopped = left.copies().iter().any(|(_, stop)| *stop);
+    assert!(stopped && !reply.whole, "whole: {}", reply.whole);
+    assert!(events("r1", EVENTS).starts_with(&reply.text()));
+}
+
+#[actix_rt::test]
+async fn a_target_that_answers_with_a_failure_is_no_answer() {
+    let bed = bed().await;
+    let (reply, _) = leave(&bed, |_, other| other.always(Behaviour::Fail)).await;
+    assert_eq!(reply.status, 200);
+    assert!(!reply.whole);
+}
+
 #[actix_rt::test]
 async fn switched_off_nothing_is_moved() {
     let bed = Bed::with(ENGINES, "[serving]\nrescue = off\n").await;
--- a/trouttrack_front/tests/front/streams.rs
+++ b/trouttrack_front/tests/front/streams.rs
@@ -135,3 +135,33 @@
     assert!(!reply.whole);
     until("the work is cancelled", || bed.working().is_none()).await;
 }
+
+#[actix_rt::test]
+async fn what_may_have_run_is_never_told_not_run() {
+    let bed = Bed::new(ENGINES).await;
+    // One takes the request and says nothing; the other cannot be reached.
+    for upstream in &bed.upstreams {
+        upstream.always(Behaviour::StreamSilent(6, 0));
+    }
+    let (req, addr) = (plain("r1", "resume").post("x").tokens(100, 8), bed.addr());
+    let answer = actix_rt::spawn(async move { req.send(addr).await });
+    until("an engine works", || bed.working().is_some()).await;
+    let silent = bed.working().expect("it works").id.clone();
+    let nobody = bed
+        .upstreams
+        .iter()
+        .find(|u| u.id != silent)
+        .expect("another");
+    let mut moved = nobody.clone();
+    moved.addr = "127.0.0.1:1".parse().expect("an address");
+    bed.store.put_upstream(&moved, false);
+    bed.store.remove_upstream(&silent);
+    let reply = answer.await.expect("an answer");
+    assert_eq!(bed.ran("r1"), [silent]);
+    assert!(
+        [502, 504].contains(&reply.status),
+        "{}: {}",
+        reply.status,
+        reply.text()
+    );
+}
