A lowered bound on removed keys is confirmed as often as it asks

Cause, found by reading: the interval of confirming calls was computed at the start, so that after a reload with a lower bound keys were refused until the next call of the old interval, again and again. Change: the bound in force is asked at each look; a look is at most 1 s away. Result: a_lower_bound_is_confirmed_more_often_from_its_reload_on fails before (nothing within 20 s) and passes after; the 62 other tests of the front pass unchanged.

--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -22,16 +22,14 @@
 const NO_CONFIG: Duration = Duration::from_millis(400);
 /// The shortest pause between two looks at the age.
 const LOOK: Duration = Duration::from_millis(50);
+/// The longest one: a bound that a reload lowered is seen after this.
+const LOOK_AT_LEAST: Duration = Duration::from_secs(1);
 
 /// Confirms for as long as the process runs.
 pub(super) async fn confirm(front: Rc<Front>, bounds: BoundSettings) {
-    let every = bounds
-        .revoke
-        .mul_f64(PART_OF_REVOKE)
-        .min(bounds.config_apply);
     let mut backoff = Backoff::new();
     loop {
-        wait_until_due(&front, every).await;
+        wait_until_due(&front, bounds.config_apply).await;
         match once(&front).await {
             Ok(()) => backoff.succeeded(),
             Err(e) => {
@@ -42,13 +40,21 @@
     }
 }
 
-async fn wait_until_due(front: &Front, every: Duration) {
-    let due = every.mul_f64(rand::rng().random_range(SPREAD));
-    while let Some(age) = front.routing.age().filter(|age| *age < due) {
-        tokio::time::sleep((due - age).max(LOOK)).await;
+async fn wait_until_due(front: &Front, config_apply: Duration) {
+    let part = rand::rng().random_range(SPREAD);
+    while let Some(left) = time_left(front, config_apply, part) {
+        tokio::time::sleep(left.clamp(LOOK, LOOK_AT_LEAST)).await;
     }
 }
 
+/// How long the newest confirmation will do, if it still does.
+fn time_left(front: &Front, config_apply: Duration, part: f64) -> Option<Duration> {
+    let revoke = front.routing.revoke();
+    let every = revoke.mul_f64(PART_OF_REVOKE).min(config_apply);
+    let left = every.mul_f64(part).checked_sub(front.routing.age()?)?;
+    (!left.is_zero()).then_some(left)
+}
+
 async fn once(front: &Front) -> Result<(), StoreError> {
     let sent_at = front.clock.now();
     let page = front.store.list(Kind::Config, None, TIMEOUT).await?;
--- a/trouttrack_front/src/state/routing.rs
+++ b/trouttrack_front/src/state/routing.rs
@@ -21,6 +21,8 @@
     /// The store's revision of the configuration in force.
     revision: Cell<u64>,
     freshness: Cell<Freshness>,
+    /// The bound on removed keys.
+    revoke: Cell<Duration>,
     /// Whether staleness has been reported.
     stale: Cell<bool>,
 }
@@ -35,6 +37,7 @@
             table: RefCell::default(),
             revision: Cell::new(0),
             freshness: Cell::new(Freshness::new(revoke.saturating_sub(TRAVEL))),
+            revoke: Cell::new(revoke),
             stale: Cell::new(false),
         }
     }
@@ -44,6 +47,13 @@
         let mut freshness = self.freshness.get();
         freshness.set_bound(revoke.saturating_sub(TRAVEL));
         self.freshness.set(freshness);
+        self.revoke.set(revoke);
+    }
+
+    /// The bound on removed keys that is in force.
+    #[must_use]
+    pub fn revoke(&self) -> Duration {
+        self.revoke.get()
     }
 
     /// The configuration in force.
--- a/trouttrack_front/tests/front/freshness.rs
+++ b/trouttrack_front/tests/front/freshness.rs
@@ -1,6 +1,7 @@
 //! Keys: served only while the configuration is known to be current.
 
 use crate::support::{Bed, HOST, PLAIN, config, plain, until};
+use std::time::{Duration, Instant};
 use trouttrack_platform_standin::{CallerRequest, StoreFault};
 
 /// The bound on removed keys in these tests.
@@ -64,3 +65,18 @@
     .await;
     assert_eq!(bed.send(&plain("r1", "many")).await.status, 401);
 }
+
+#[actix_rt::test]
+async fn a_lower_bound_is_confirmed_more_often_from_its_reload_on() {
+    let long = "[bounds]\nrevoke = 600s\nconfig_apply = 300s\n";
+    let bed = Bed::with(PLAIN, long).await;
+    // Only the own confirming calls are heard.
+    bed.store.set_fault(StoreFault::DeafWatches);
+    let routing = &bed.front.front.routing;
+    routing.set_revoke(Duration::from_millis(1500));
+    let reloaded_at = Instant::now();
+    until("a call sent since the reload confirmed", || {
+        routing.age().is_some_and(|age| age < reloaded_at.elapsed())
+    })
+    .await;
+}
