A soak of real front processes under drawn faults

Change: trouttrack_soak runs fronts as processes before stand-ins, behind loopback proxies that delay, cut, silence and reset; sends SIGTERM, SIGKILL, SIGSTOP and SIGHUP; disturbs the store and upstreams; changes configuration and keys; and holds what callers were told against the upstreams' books. Each promise has a test that breaks it.

--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -7,6 +7,7 @@
 mod moves;
 mod peers;
 mod plain;
+mod soak;
 mod stop;
 mod store;
 mod streams;
--- /dev/null
+++ b/trouttrack_soak/src/bed/upstreams.rs
@@ -0,0 +1,122 @@
+//! Upstreams that leave, crash and are replaced.
+
+use super::config::{ENGINES, PLAIN};
+use crate::link::Link;
+use crate::plan::LinkFault;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::time::{Duration, Instant};
+use trouttrack_platform_standin::{Behaviour, Store, Upstream};
+
+/// Events of every stream.
+pub const EVENTS: u64 = 60;
+/// Between two events: a stream takes about a second.
+const PACE: Duration = Duration::from_millis(15);
+
+/// An upstream and the link before it.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// The upstream; its address is the link's.
+    pub upstream: Upstream,
+    /// The link.
+    pub link: Link,
+}
+
+/// All upstreams: those of now, and the books of those that were.
+#[derive(Debug)]
+pub struct Upstreams {
+    now: RefCell<Vec<Member>>,
+    all: RefCell<Vec<Upstream>>,
+    /// Who was said to leave, and when the store took that.
+    left: RefCell<Vec<(String, Instant)>>,
+    started: Cell<usize>,
+}
+
+impl Upstreams {
+    /// Starts so many plain upstreams, and as many engines.
+    pub(super) async fn start(store: &Store, each: usize) -> io::Result<Self> {
+        let upstreams = Self {
+            now: RefCell::default(),
+            all: RefCell::default(),
+            left: RefCell::default(),
+            started: Cell::new(0),
+        };
+        for service in [PLAIN, ENGINES] {
+            for _ in 0..each {
+                let member = upstreams.new_member(service).await?;
+                store.put_upstream(&member.upstream, false);
+                upstreams.now.borrow_mut().push(member);
+            }
+        }
+        Ok(upstreams)
+    }
+
+    async fn new_member(&self, service: &str) -> io::Result<Member> {
+        let number = self.started.get() + 1;
+        self.started.set(number);
+        let mut upstream = Upstream::start(&format!("u{number}"), service, "a").await;
+        if service == ENGINES {
+            upstream.pace(PACE);
+            upstream.always(Behaviour::Stream(EVENTS));
+        }
+        let link = Link::before(upstream.addr).await?;
+        self.all.borrow_mut().push(upstream.clone());
+        upstream.addr = link.addr();
+        Ok(Member { upstream, link })
+    }
+
+    /// The upstream at a place.
+    #[must_use]
+    pub fn at(&self, place: usize) -> Member {
+        let now = self.now.borrow();
+        now[place % now.len()].clone()
+    }
+
+    /// Those of now.
+    #[must_use]
+    pub fn now(&self) -> Vec<Member> {
+        self.now.borrow().clone()
+    }
+
+    /// Every upstream that ever was, for its books.
+    #[must_use]
+    pub fn all(&self) -> Vec<Upstream> {
+        self.all.borrow().clone()
+    }
+
+    /// The store has taken that an upstream leaves.
+    pub fn note_leaving(&self, id: &str) {
+        let now = Instant::now();
+        self.left.borrow_mut().push((id.to_owned(), now));
+    }
+
+    /// When the store took that an upstream leaves.
+    #[must_use]
+    pub fn left_at(&self, id: &str) -> Option<Instant> {
+        let left = self.left.borrow();
+        left.iter().find(|(l, _)| l == id).map(|(_, at)| *at)
+    }
+
+    /// Whether a member is still there.
+    #[must_use]
+    pub fn has(&self, id: &str) -> bool {
+        self.now.borrow().iter().any(|m| m.upstream.id == id)
+    }
+
+    /// Ends a member, and puts another in its place.
+    ///
+    /// # Errors
+    ///
+    /// There is no free port.
+    pub async fn replace(&self, store: &Store, old: &Member) -> io::Result<()> {
+        old.link.set(Some(LinkFault::Refuse));
+        store.remove_upstream(&old.upstream.id);
+        let new = self.new_member(&old.upstream.service).await?;
+        let mut now = self.now.borrow_mut();
+        if let Some(place) = now.iter_mut().find(|m| m.upstream.id == old.upstream.id) {
+            store.put_upstream(&new.upstream, false);
+            *place = new;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/trouttrack_soak/src/check/evidence.rs
@@ -0,0 +1,96 @@
+//! What the promises are held against.
+
+use crate::bed::{Bed, Configs, Key};
+use crate::callers::Call;
+use crate::faults::History;
+use crate::vm::EndedBy;
+use std::collections::HashMap;
+use std::time::Instant;
+use trouttrack_core::ConfigVersion;
+use trouttrack_platform_standin::Arrival;
+
+/// A request that reached an upstream.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The upstream.
+    pub upstream: String,
+    /// Its service.
+    pub service: String,
+    /// What reached it.
+    pub arrival: Arrival,
+}
+
+impl Run {
+    /// Whether the upstream began to work on it anew.
+    #[must_use]
+    pub fn is_anew(&self) -> bool {
+        self.arrival.ran && self.arrival.continued_from.is_none()
+    }
+}
+
+/// Everything that was seen in a run.
+#[derive(Clone, Debug)]
+pub struct Evidence {
+    /// What was asked and told.
+    pub calls: Vec<Call>,
+    /// What reached upstreams, by request.
+    pub runs: HashMap<String, Vec<Run>>,
+    /// When the store took that an upstream leaves.
+    pub left: HashMap<String, Instant>,
+    /// When each version was acknowledged.
+    pub versions: Vec<(ConfigVersion, Instant)>,
+    /// The keys that came and went.
+    pub passing_keys: Vec<Key>,
+    /// How the lives of each VM ended.
+    pub lives: Vec<(String, Vec<EndedBy>)>,
+    /// What was done when.
+    pub history: History,
+    /// Whether promises about times are checked.
+    pub timed: bool,
+}
+
+impl Evidence {
+    /// Collects what a fleet's books and callers say.
+    #[must_use]
+    pub fn collect(bed: &Bed, calls: Vec<Call>, history: History, timed: bool) -> Self {
+        let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
+        let mut left = HashMap::new();
+        for upstream in bed.upstreams.all() {
+            if let Some(at) = bed.upstreams.left_at(&upstream.id) {
+                left.insert(upstream.id.clone(), at);
+            }
+            for arrival in upstream.arrivals() {
+                let of_request = runs.entry(arrival.id.clone()).or_default();
+                of_request.push(Run {
+                    upstream: upstream.id.clone(),
+                    service: upstream.service.clone(),
+                    arrival,
+                });
+            }
+        }
+        let configs: &Configs = &bed.configs.borrow();
+        let lives = bed.vms.iter().map(|vm| (vm.name.clone(), vm.ended()));
+        Self {
+            calls,
+            runs,
+            left,
+            versions: configs.acknowledged.clone(),
+            passing_keys: configs.passing_keys.clone(),
+            lives: lives.collect(),
+            history,
+            timed,
+        }
+    }
+
+    /// What reached upstreams for a request.
+    #[must_use]
+    pub fn runs_of(&self, id: &str) -> &[Run] {
+        self.runs.get(id).map_or(&[], Vec::as_slice)
+    }
+
+    /// How often upstreams began to work on a request anew.
+    #[must_use]
+    pub fn times_run(&self, id: &str) -> usize {
+        self.runs_of(id).iter().filter(|r| r.is_anew()).count()
+    }
+}
--- /dev/null
+++ b/trouttrack_soak/src/check/mod.rs
@@ -0,0 +1,62 @@
+//! The promises, held against what callers were told and the upstreams' books.
+//!
+//! - [`answers`]: each caller gets its own whole answer, each token once.
+//! - [`runs`]: at most once, "not run" is true, retries stay in their budget.
+//! - [`keys`]: configurations never go back, removed keys are dead.
+//! - [`stops`]: planned work cuts off nothing; leaving upstreams get no work.
+//!
+//! Those that hold within a time are checked only if [`Evidence::timed`] says
+//! so: on a machine that is busy with other work they prove nothing.
+
+mod answers;
+mod evidence;
+mod keys;
+mod runs;
+mod stops;
+
+pub use evidence::{Evidence, Run};
+
+use serde::Serialize;
+use std::time::Duration;
+
+/// A key is dead this long after the store has acknowledged its removal.
+pub const REVOKE: Duration = Duration::from_secs(5);
+/// Retries that the fleet may make for each request in a window.
+pub const RETRY_RATIO: f64 = 0.2;
+/// Retries that the fleet may make in a window besides.
+pub const RETRY_EXTRA: f64 = 20.0;
+/// That window.
+pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// After trouble, a VM is held to times again from then on.
+pub const CONTACT: Duration = Duration::from_secs(3);
+
+/// A broken promise.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Finding {
+    /// Which.
+    pub promise: &'static str,
+    /// The request that shows it, if one does.
+    pub request: Option<String>,
+    /// What was seen.
+    pub seen: String,
+}
+
+impl Finding {
+    fn of(promise: &'static str, request: &str, seen: impl Into<String>) -> Self {
+        Self {
+            promise,
+            request: Some(request.to_owned()),
+            seen: seen.into(),
+        }
+    }
+}
+
+/// Finds every broken promise.
+#[must_use]
+pub fn check(evidence: &Evidence) -> Vec<Finding> {
+    let mut findings = answers::check(evidence);
+    findings.extend(runs::check(evidence));
+    findings.extend(keys::check(evidence));
+    findings.extend(stops::check(evidence));
+    findings
+}
--- /dev/null
+++ b/trouttrack_soak/src/faults/history.rs
@@ -0,0 +1,71 @@
+//! What was disturbed when.
+
+use crate::plan::{Act, Place};
+use std::time::{Duration, Instant};
+
+/// One thing that was done, and when.
+#[derive(Clone, Copy, Debug)]
+pub struct Disturbance {
+    /// What.
+    pub act: Act,
+    /// When it began.
+    pub from: Instant,
+    /// When it ended; `None` while it lasts.
+    pub until: Option<Instant>,
+}
+
+/// Everything that was done so far.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// By their beginnings.
+    pub all: Vec<Disturbance>,
+}
+
+impl History {
+    /// Notes that something begins; returns its place.
+    pub(super) fn begin(&mut self, act: Act) -> usize {
+        self.all.push(Disturbance {
+            act,
+            from: Instant::now(),
+            until: None,
+        });
+        self.all.len() - 1
+    }
+
+    /// Notes that it has ended.
+    pub(super) fn end(&mut self, place: usize) {
+        // What an upstream is told to answer badly may come at any later time.
+        if !matches!(self.all[place].act, Act::Misbehave(_)) {
+            self.all[place].until = Some(Instant::now());
+        }
+    }
+
+    /// What was done at any time from `from`, less `before`, until `until`.
+    pub fn during(
+        &self,
+        from: Instant,
+        before: Duration,
+        until: Instant,
+    ) -> impl Iterator<Item = &Disturbance> {
+        self.all
+            .iter()
+            .filter(move |d| d.from <= until && d.until.is_none_or(|ended| ended + before >= from))
+    }
+
+    /// Whether nothing but planned work was done then.
+    #[must_use]
+    pub fn only_planned(&self, from: Instant, before: Duration, until: Instant) -> bool {
+        self.during(from, before, until).all(|d| d.act.is_planned())
+    }
+
+    /// Whether a VM, its links and the store were left alone then.
+    #[must_use]
+    pub fn left_alone(&self, vm: usize, from: Instant, before: Duration, until: Instant) -> bool {
+        self.during(from, before, until).all(|d| match d.act {
+            Act::Stop(v) | Act::Kill(v) | Act::Pause(v) => v != vm,
+            Act::Link(Place::Callers(v) | Place::Store(v), _) => v != vm,
+            Act::Store(_) | Act::ForgetHistory => false,
+            _ => true,
+        })
+    }
+}
--- /dev/null
+++ b/trouttrack_soak/src/plan.rs
@@ -0,0 +1,226 @@
+//! What is done when, drawn from a seed.
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::ops::Range;
+use std::time::Duration;
+
+/// Before the first fault: the fleet finds itself.
+const SETTLE: Duration = Duration::from_millis(1500);
+/// After the last fault has ended: everything serves again.
+const RECOVER: Duration = Duration::from_secs(4);
+/// How long a fault lasts, in seconds.
+const LASTS: Range<f64> = 0.2..3.0;
+/// Between the beginnings of two faults, in seconds: they overlap.
+const GAP: Range<f64> = 0.05..1.0;
+
+/// How large a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Fronts.
+    pub vms: usize,
+    /// Plain upstreams, and as many engines.
+    pub upstreams: usize,
+    /// Callers.
+    pub callers: usize,
+    /// How long it takes, from the first request to the last.
+    pub lasts: Duration,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self {
+            vms: 3,
+            upstreams: 3,
+            callers: 12,
+            lasts: Duration::from_secs(15),
+        }
+    }
+}
+
+/// What a link does to the bytes on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkFault {
+    /// They come later.
+    Delay(Duration),
+    /// Those to the server do not arrive while it lasts.
+    CutToServer,
+    /// Those from the server do not arrive while it lasts.
+    CutFromServer,
+    /// None arrives while it lasts.
+    Silence,
+    /// All connections are reset, once.
+    Reset,
+    /// Connections are refused while it lasts, and all are reset.
+    Refuse,
+}
+
+/// Which links a fault is on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// Between callers and a VM.
+    Callers(usize),
+    /// Between a VM and the store.
+    Store(usize),
+    /// Between the VMs and an upstream.
+    Upstream(usize),
+}
+
+/// How the store fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreFailure {
+    /// Calls are refused.
+    Refuse,
+    /// Calls get no answer.
+    Silent,
+    /// Connections are reset.
+    Reset,
+    /// Watches hear nothing.
+    DeafWatches,
+    /// Calls get no answer, and upstreams' entries lapse until it is back.
+    Lapse,
+}
+
+/// One thing that is done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// A VM gets SIGTERM.
+    Stop(usize),
+    /// A VM is killed.
+    Kill(usize),
+    /// A VM stands still.
+    Pause(usize),
+    /// A VM's settings change, and it gets SIGHUP.
+    Reload(usize),
+    /// Links are disturbed.
+    Link(Place, LinkFault),
+    /// The store fails.
+    Store(StoreFailure),
+    /// The store forgets its history.
+    ForgetHistory,
+    /// An upstream says that it leaves, serves on for a while and ends; another
+    /// takes its place.
+    Leave(usize),
+    /// The same, but its entry disappears at once.
+    LeaveUnsaid(usize),
+    /// An upstream crashes; another takes its place later.
+    Crash(usize),
+    /// An upstream answers some requests badly.
+    Misbehave(usize),
+    /// A new version of the configuration.
+    Configure,
+    /// A key is taken away.
+    Revoke,
+}
+
+impl Act {
+    /// Whether it is planned work, which must cut off no request.
+    #[must_use]
+    pub fn is_planned(self) -> bool {
+        matches!(
+            self,
+            Self::Stop(_) | Self::Reload(_) | Self::Leave(_) | Self::Configure | Self::Revoke
+        )
+    }
+}
+
+/// One thing that is done, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// When it begins, from the first request on.
+    pub at: Duration,
+    /// How long it lasts, where it lasts.
+    pub lasts: Duration,
+    /// What it is.
+    pub act: Act,
+}
+
+/// Everything that is done in one run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// By their beginnings.
+    pub steps: Vec<Step>,
+}
+
+impl Plan {
+    /// Draws a plan.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use trouttrack_soak::{Plan, Size};
+    /// let plan = Plan::draw(7, Size::default());
+    /// assert_eq!(plan, Plan::draw(7, Size::default()));
+    /// assert!(!plan.steps.is_empty());
+    /// ```
+    #[must_use]
+    pub fn draw(seed: u64, size: Size) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let calm = rng.random_bool(PLANNED_ONLY);
+        let ends = size.lasts.saturating_sub(RECOVER);
+        let mut steps = Vec::new();
+        let mut at = SETTLE;
+        while at < ends {
+            let lasts = Duration::from_secs_f64(rng.random_range(LASTS)).min(ends - at);
+            let act = act(&mut rng, size);
+            if !calm || act.is_planned() {
+                steps.push(Step { at, lasts, act });
+            }
+            at += Duration::from_secs_f64(rng.random_range(GAP));
+        }
+        Self { steps }
+    }
+}
+
+/// The share of plans that hold planned work only: what it must not cut off can
+/// be judged only where nothing else is amiss.
+const PLANNED_ONLY: f64 = 0.3;
+
+fn act(rng: &mut SmallRng, size: Size) -> Act {
+    let vm = rng.random_range(0..size.vms);
+    let upstream = rng.random_range(0..2 * size.upstreams);
+    match rng.random_range(0..20) {
+        0 | 1 => Act::Stop(vm),
+        2 => Act::Kill(vm),
+        3 => Act::Pause(vm),
+        4 => Act::Reload(vm),
+        5..=8 => Act::Link(place(rng, vm, upstream), link_fault(rng)),
+        9 => Act::Store(store_failure(rng)),
+        10 => Act::ForgetHistory,
+        11 | 12 => Act::Leave(upstream),
+        13 => Act::LeaveUnsaid(upstream),
+        14 => Act::Crash(upstream),
+        15 | 16 => Act::Misbehave(upstream),
+        17 | 18 => Act::Configure,
+        _ => Act::Revoke,
+    }
+}
+
+fn place(rng: &mut SmallRng, vm: usize, upstream: usize) -> Place {
+    match rng.random_range(0..3) {
+        0 => Place::Callers(vm),
+        1 => Place::Store(vm),
+        _ => Place::Upstream(upstream),
+    }
+}
+
+fn link_fault(rng: &mut SmallRng) -> LinkFault {
+    match rng.random_range(0..6) {
+        0 => LinkFault::Delay(Duration::from_millis(rng.random_range(5..400))),
+        1 => LinkFault::CutToServer,
+        2 => LinkFault::CutFromServer,
+        3 => LinkFault::Silence,
+        4 => LinkFault::Reset,
+        _ => LinkFault::Refuse,
+    }
+}
+
+fn store_failure(rng: &mut SmallRng) -> StoreFailure {
+    match rng.random_range(0..5) {
+        0 => StoreFailure::Refuse,
+        1 => StoreFailure::Silent,
+        2 => StoreFailure::Reset,
+        3 => StoreFailure::DeafWatches,
+        _ => StoreFailure::Lapse,
+    }
+}
--- /dev/null
+++ b/trouttrack_soak/src/run.rs
@@ -0,0 +1,125 @@
+//! One run.
+
+use crate::bed::Bed;
+use crate::callers::Callers;
+use crate::check::{Evidence, Finding, check};
+use crate::faults::{Faults, History};
+use crate::plan::{Plan, Size};
+use serde::Serialize;
+use std::cell::RefCell;
+use std::fs;
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+use thiserror::Error;
+use tokio::task::JoinHandle;
+
+/// What is run.
+#[derive(Clone, Debug)]
+pub struct SoakOptions {
+    /// The front's program.
+    pub program: PathBuf,
+    /// Where settings and logs are kept, in a folder a seed.
+    pub dir: PathBuf,
+    /// What everything is drawn from.
+    pub seed: u64,
+    /// How large the run is.
+    pub size: Size,
+    /// Whether promises about times are checked.
+    pub timed: bool,
+}
+
+/// What came of a run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    /// The seed.
+    pub seed: u64,
+    /// Things done.
+    pub acts: usize,
+    /// Requests.
+    pub calls: usize,
+    /// Requests that got a whole answer of success.
+    pub served: usize,
+    /// Requests that were told that they have not run.
+    pub not_run: usize,
+    /// Broken promises.
+    pub findings: Vec<Finding>,
+}
+
+/// A run could not be made.
+#[derive(Debug, Error)]
+#[non_exhaustive]
+pub enum SoakError {
+    /// A file, port or process cannot be had.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+}
+
+/// Makes a run on the current thread.
+///
+/// # Errors
+///
+/// A file, port or process cannot be had.
+pub async fn run(options: &SoakOptions) -> Result<Outcome, SoakError> {
+    let dir = options.dir.join(options.seed.to_string());
+    fs::create_dir_all(&dir)?;
+    let plan = Plan::draw(options.seed, options.size);
+    let acts = plan.steps.len();
+    write_plan(&dir, &plan)?;
+    let bed = Bed::start(options.size, &options.program, &dir).await?;
+    let history = Rc::new(RefCell::new(History::default()));
+    let callers = Callers::new(Rc::clone(&bed));
+    let processes = run_processes(&bed);
+    let balancing = actix_rt::spawn(Rc::clone(&bed).balance());
+    let asking: Vec<JoinHandle<()>> = (0..options.size.callers)
+        .map(|n| actix_rt::spawn(Rc::clone(&callers).run(n, options.seed)))
+        .collect();
+    let began = tokio::time::Instant::now();
+    let faults = Faults::new(Rc::clone(&bed), Rc::clone(&history), options.seed);
+    let disturbing = actix_rt::spawn(faults.carry_out(plan));
+    tokio::time::sleep_until(began + options.size.lasts).await;
+    callers.end();
+    for caller in asking {
+        if let Err(e) = caller.await {
+            eprintln!("a caller ended early: {e}");
+        }
+    }
+    disturbing.abort();
+    balancing.abort();
+    let calls = callers.calls();
+    let history = history.borrow().clone();
+    let evidence = Evidence::collect(&bed, calls, history, options.timed);
+    for process in processes {
+        process.abort();
+    }
+    Ok(outcome(options.seed, acts, &evidence))
+}
+
+fn write_plan(dir: &std::path::Path, plan: &Plan) -> io::Result<()> {
+    let lines: String = plan.steps.iter().map(|s| format!("{s:?}\n")).collect();
+    fs::write(dir.join("plan.txt"), lines)
+}
+
+fn run_processes(bed: &Bed) -> Vec<JoinHandle<()>> {
+    let run = |vm: &Rc<crate::vm::Vm>| {
+        let vm = Rc::clone(vm);
+        actix_rt::spawn(async move {
+            if let Err(e) = Rc::clone(&vm).run().await {
+                eprintln!("{}: {e}", vm.name);
+            }
+        })
+    };
+    bed.vms.iter().map(run).collect()
+}
+
+fn outcome(seed: u64, acts: usize, evidence: &Evidence) -> Outcome {
+    let calls = &evidence.calls;
+    Outcome {
+        seed,
+        acts,
+        calls: calls.len(),
+        served: calls.iter().filter(|c| c.is_served()).count(),
+        not_run: calls.iter().filter(|c| c.told_not_run()).count(),
+        findings: check(evidence),
+    }
+}
--- /dev/null
+++ b/trouttrack_soak/tests/soak/check.rs
@@ -0,0 +1,244 @@
+//! Each promise is found broken when it is, and only then.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+use trouttrack_platform_standin::{Arrival, Reply};
+use trouttrack_soak::bed::{EVENTS, Key, LASTING_KEY, ORGANISATION, RouteName};
+use trouttrack_soak::callers::{Call, Told};
+use trouttrack_soak::check::{Evidence, Run, check};
+use trouttrack_soak::faults::{Disturbance, History};
+use trouttrack_soak::plan::Act;
+use trouttrack_soak::vm::EndedBy;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn call(id: &str, route: RouteName, sent: Instant, reply: Reply) -> Call {
+    Call {
+        id: id.to_owned(),
+        vm: 0,
+        life: Some(1),
+        route,
+        key: LASTING_KEY.to_owned(),
+        sent,
+        ended: sent + SECOND / 10,
+        told: Told::Answer(reply),
+    }
+}
+
+fn reply(status: u16, id: &str, maker: Option<&str>, body: &str) -> Reply {
+    Reply {
+        status,
+        id: Some(id.to_owned()),
+        sealed_by: maker.map(|u| format!("seal-{u}")),
+        retry_after: None,
+        closes: false,
+        body: body.as_bytes().to_vec(),
+        whole: true,
+    }
+}
+
+fn run(id: &str, route: RouteName, upstream: &str, at: Instant) -> Run {
+    Run {
+        upstream: upstream.to_owned(),
+        service: "quotes".to_owned(),
+        arrival: Arrival {
+            at,
+            id: id.to_owned(),
+            method: "GET".to_owned(),
+            target: format!("{}x", route.prefix()),
+            host: String::new(),
+            body: Vec::new(),
+            organisation: Some(ORGANISATION.to_owned()),
+            key: None,
+            instance: Some(upstream.to_owned()),
+            time_left: None,
+            last_event: None,
+            continued_from: None,
+            backup_at: None,
+            ran: true,
+        },
+    }
+}
+
+fn evidence(calls: Vec<Call>, all: Vec<Run>) -> Evidence {
+    let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
+    for run in all {
+        runs.entry(run.arrival.id.clone()).or_default().push(run);
+    }
+    Evidence {
+        calls,
+        runs,
+        left: HashMap::new(),
+        versions: Vec::new(),
+        passing_keys: Vec::new(),
+        lives: Vec::new(),
+        history: History::default(),
+        timed: true,
+    }
+}
+
+fn body(id: &str, route: RouteName) -> String {
+    format!("GET|{}x|{id}", route.prefix())
+}
+
+fn stream(id: &str, events: u64) -> String {
+    (1..=events)
+        .map(|n| format!("id: {n}\ndata: {id}/{n}\n\n"))
+        .collect()
+}
+
+fn broken(evidence: &Evidence) -> Vec<&'static str> {
+    check(evidence).iter().map(|f| f.promise).collect()
+}
+
+/// A call that was served as it should be.
+fn served(id: &str, route: RouteName, sent: Instant) -> (Call, Run) {
+    let made = reply(200, id, Some("u1"), &body(id, route));
+    (call(id, route, sent, made), run(id, route, "u1", sent))
+}
+
+#[test]
+fn what_is_served_well_breaks_nothing() {
+    let now = Instant::now();
+    let (plain, ran) = served("a", RouteName::Once, now);
+    let whole = reply(200, "s", Some("u1"), &stream("s", EVENTS));
+    let streamed = call("s", RouteName::Draft, now, whole);
+    let runs = vec![ran, run("s", RouteName::Draft, "u1", now)];
+    assert!(broken(&evidence(vec![plain, streamed], runs)).is_empty());
+}
+
+#[test]
+fn another_callers_answer_is_found() {
+    let now = Instant::now();
+    let made = reply(200, "a", Some("u1"), &body("b", RouteName::Many));
+    let calls = vec![call("a", RouteName::Many, now, made)];
+    let found = broken(&evidence(calls, vec![run("a", RouteName::Many, "u1", now)]));
+    assert_eq!(found, ["each caller gets its own whole answer"]);
+}
+
+#[test]
+fn half_a_stream_told_as_whole_is_found() {
+    let now = Instant::now();
+    for text in [
+        stream("s", EVENTS - 1),
+        stream("s", EVENTS).replace("id: 7\n", "id: 8\n"),
+    ] {
+        let calls = vec![call(
+            "s",
+            RouteName::Resume,
+            now,
+            reply(200, "s", Some("u1"), &text),
+        )];
+        let found = broken(&evidence(
+            calls,
+            vec![run("s", RouteName::Resume, "u1", now)],
+        ));
+        assert_eq!(
+            found,
+            ["each token comes once, in order, from one generation"]
+        );
+    }
+}
+
+#[test]
+fn a_second_run_and_an_untrue_refusal_are_found() {
+    let now = Instant::now();
+    let (twice, ran) = served("a", RouteName::Once, now);
+    let again = run("a", RouteName::Once, "u2", now);
+    let refused = call("b", RouteName::Draft, now, reply(503, "b", None, ""));
+    let after_all = run("b", RouteName::Draft, "u1", now + SECOND);
+    let found = broken(&evidence(vec![twice, refused], vec![ran, again, after_all]));
+    assert_eq!(found.len(), 2, "{found:?}");
+}
+
+#[test]
+fn a_run_with_a_dead_key_is_found() {
+    let now = Instant::now();
+    let (mut early, ran_early) = served("a", RouteName::Many, now + 4 * SECOND);
+    let (mut late, ran_late) = served("b", RouteName::Many, now + 6 * SECOND);
+    "key-1".clone_into(&mut early.key);
+    "key-1".clone_into(&mut late.key);
+    let mut evidence = evidence(vec![early, late], vec![ran_early, ran_late]);
+    evidence.passing_keys.push(Key {
+        text: "key-1".to_owned(),
+        removed: Some(now),
+    });
+    let found = check(&evidence);
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert_eq!(found[0].request.as_deref(), Some("b"));
+}
+
+#[test]
+fn a_configuration_that_goes_back_is_found() {
+    let now = Instant::now();
+    let (newer, ran) = served("a", RouteName::Marker(3), now);
+    let (older, ran_older) = served("b", RouteName::Marker(2), now + SECOND);
+    let found = broken(&evidence(vec![newer, older], vec![ran, ran_older]));
+    assert_eq!(found, ["a configuration in force never reverts"]);
+}
+
+#[test]
+fn a_denial_of_what_always_stands_is_found() {
+    let now = Instant::now();
+    let denied = call("a", RouteName::Many, now, reply(404, "a", None, ""));
+    let found = broken(&evidence(vec![denied], Vec::new()));
+    assert_eq!(found, ["what every configuration allows is not refused"]);
+}
+
+#[test]
+fn work_for_an_upstream_that_leaves_is_found() {
+    let now = Instant::now();
+    let (late, ran) = served("a", RouteName::Many, now + 3 * SECOND);
+    let mut evidence = evidence(vec![late], vec![ran]);
+    evidence.left.insert("u1".to_owned(), now);
+    assert_eq!(
+        broken(&evidence),
+        ["a leaving upstream gets no new work after a few seconds"]
+    );
+}
+
+#[test]
+fn an_answer_cut_off_by_planned_work_is_found_and_one_by_a_fault_is_not() {
+    let now = Instant::now();
+    let mut part = reply(200, "s", Some("u1"), &stream("s", 3));
+    part.whole = false;
+    let calls = vec![call("s", RouteName::Draft, now, part)];
+    let mut evidence = evidence(calls, vec![run("s", RouteName::Draft, "u1", now)]);
+    let disturbance = |act| Disturbance {
+        act,
+        from: now,
+        until: None,
+    };
+    evidence.history.all = vec![disturbance(Act::Stop(0))];
+    assert_eq!(broken(&evidence), ["planned work cuts off no request"]);
+    evidence.history.all.push(disturbance(Act::Kill(1)));
+    assert!(broken(&evidence).is_empty());
+}
+
+#[test]
+fn retries_beyond_the_budget_are_found() {
+    let now = Instant::now();
+    let mut calls = Vec::new();
+    let mut runs = Vec::new();
+    for n in 0..40 {
+        let id = format!("a{n}");
+        let (call, ran) = served(&id, RouteName::Many, now);
+        runs.push(run(&id, RouteName::Many, "u2", now + SECOND));
+        calls.push(call);
+        runs.push(ran);
+    }
+    let found = broken(&evidence(calls, runs));
+    assert_eq!(found, ["retries stay within the fleet's budget"]);
+}
+
+#[test]
+fn a_process_that_ends_by_itself_is_found() {
+    let mut evidence = evidence(Vec::new(), Vec::new());
+    let ended = vec![EndedBy::Stop, EndedBy::Itself];
+    evidence.lives.push(("front-1".to_owned(), ended));
+    let found = broken(&evidence);
+    assert_eq!(
+        found,
+        ["processes end when they are told to, and only then"]
+    );
+}
--- /dev/null
+++ b/trouttrack_soak/tests/soak/main.rs
@@ -0,0 +1,4 @@
+//! The soak's own parts.
+
+mod check;
+mod link;
