--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -2,12 +2,14 @@
 
 use super::backoff::Backoff;
 use super::config;
+use crate::peers::{Heard, watches_store};
 use crate::state::Front;
 use rand::RngExt;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 use trouttrack_config::settings::BoundSettings;
-use trouttrack_platform::{Kind, StoreError};
+use trouttrack_platform::{Kind, Reading, StoreError};
 
 /// How long a confirming call may take. Past it another is sent: on a link
 /// that loses packets a fresh try is quicker than waiting.
@@ -15,11 +17,20 @@
 /// The part of the bound on removed keys after which a confirmation is renewed:
 /// it leaves time for two calls that fail.
 const PART_OF_REVOKE: f64 = 0.4;
-/// The age at which this VM makes the call itself, in parts of the time above.
-/// It is drawn anew each time, so that one VM is first and the others hear of it.
-const SPREAD: std::ops::Range<f64> = 0.75..1.2;
-/// While there is no configuration to confirm, pause between two calls.
-const NO_CONFIG: Duration = Duration::from_millis(400);
+/// The age at which a VM that watches the store makes the call, in parts of the
+/// time above: the others of its failure domain hear of it before their turn.
+const WATCHER: Range<f64> = 0.6..0.7;
+/// The age at which the others make it themselves. It is drawn anew each time,
+/// so that one VM is first and the others hear of it.
+const OTHERS: Range<f64> = 1.1..1.5;
+/// How long a VM that does not watch waits for word from one that does when it
+/// has never confirmed its configuration: several heartbeats.
+const FIRST_WORD: Duration = Duration::from_millis(600);
+/// Pause between two looks whether a configuration is known.
+const LOOK_FOR_CONFIG: Duration = Duration::from_millis(100);
+/// While the configuration that the store has cannot be put in force, pause
+/// between two calls.
+const NOT_IN_FORCE: Duration = Duration::from_millis(400);
 /// The shortest pause between two looks at the age.
 const LOOK: Duration = Duration::from_millis(50);
 /// The longest one: a bound that a reload lowered is seen after this.
@@ -41,14 +52,34 @@
 }
 
 async fn wait_until_due(front: &Front, config_apply: Duration) {
-    let part = rand::rng().random_range(SPREAD);
-    while let Some(left) = time_left(front, config_apply, part) {
+    while !front.routing.is_known() {
+        tokio::time::sleep(LOOK_FOR_CONFIG).await;
+    }
+    if front.routing.age().is_none() && !watches_store(front) && others_are_heard(front) {
+        tokio::time::sleep(FIRST_WORD).await;
+    }
+    let parts = [
+        rand::rng().random_range(WATCHER),
+        rand::rng().random_range(OTHERS),
+    ];
+    while let Some(left) = time_left(front, config_apply, parts) {
         tokio::time::sleep(left.clamp(LOOK, LOOK_AT_LEAST)).await;
     }
 }
 
+/// Whether another VM of the own failure domain may bring word.
+fn others_are_heard(front: &Front) -> bool {
+    let near = |peer: &Heard| peer.failure_domain == front.failure_domain;
+    !front.peers.heard_where(near).is_empty()
+}
+
 /// How long the newest confirmation will do, if it still does.
-fn time_left(front: &Front, config_apply: Duration, part: f64) -> Option<Duration> {
+fn time_left(front: &Front, config_apply: Duration, parts: [f64; 2]) -> Option<Duration> {
+    let [of_watcher, of_others] = parts;
+    let part = match watches_store(front) {
+        true => of_watcher,
+        false => of_others,
+    };
     let revoke = front.routing.revoke();
     let every = revoke.mul_f64(PART_OF_REVOKE).min(config_apply);
     let left = every.mul_f64(part).checked_sub(front.routing.age()?)?;
@@ -57,13 +88,16 @@
 
 async fn once(front: &Front) -> Result<(), StoreError> {
     let sent_at = front.clock.now();
-    let page = front.store.list(Kind::Config, None, TIMEOUT).await?;
+    let listing = front
+        .store
+        .list(Kind::Config, None, Reading::Current, TIMEOUT);
+    let page = listing.await?;
     front.store_answered();
     if page.objects.iter().any(|o| config::take(front, o)) {
         front.routing.confirmed(sent_at);
     } else {
-        // There is no configuration yet; asking again at once brings none.
-        tokio::time::sleep(NO_CONFIG).await;
+        // It was taken away, or cannot be read: asking at once brings no other.
+        tokio::time::sleep(NOT_IN_FORCE).await;
     }
     front.upstreams.store_is_at(page.revision);
     if front.upstreams.may_have_missed() {
--- a/trouttrack_front/src/follow/kind.rs
+++ b/trouttrack_front/src/follow/kind.rs
@@ -5,7 +5,7 @@
 use crate::state::Front;
 use std::rc::Rc;
 use std::time::Duration;
-use trouttrack_platform::{Change, Kind, Object, StoreError, Watched};
+use trouttrack_platform::{Change, Kind, Object, Reading, StoreError, Watched};
 use trouttrack_telemetry::{events, record};
 
 /// How long a watch waits. Each one is a call that is paid for; one that is
@@ -46,9 +46,15 @@
 /// Follows a kind for as long as the process runs.
 pub(super) async fn follow<F: Follower>(front: Rc<Front>, follower: F) {
     let mut backoff = Backoff::new();
+    // What a first list lacks is asked for from its revision on. A later one
+    // makes up for history that is gone.
+    let mut reading = Reading::MayLag;
     loop {
+        if follower.revision().is_some() {
+            reading = Reading::Current;
+        }
         let outcome = tokio::select! {
-            outcome = step(&front, &follower) => outcome,
+            outcome = step(&front, &follower, reading) => outcome,
             () = front.store_contact.returned() => continue,
         };
         match outcome {
@@ -63,9 +69,13 @@
 
 /// Lists, watches, or waits for what this VM has missed: whichever is its part
 /// now.
-async fn step<F: Follower>(front: &Front, follower: &F) -> Result<(), StoreError> {
+async fn step<F: Follower>(
+    front: &Front,
+    follower: &F,
+    reading: Reading,
+) -> Result<(), StoreError> {
     match follower.revision() {
-        None => list(front, follower).await,
+        None => list(front, follower, reading).await,
         Some(since) if watches_store(front) => tokio::select! {
             watched = watch(front, follower, since, WATCH) => watched,
             () = missed(front, follower) => watch(front, follower, since, AT_ONCE).await,
@@ -111,19 +121,24 @@
 }
 
 /// Lists everything, page by page.
-async fn list<F: Follower>(front: &Front, follower: &F) -> Result<(), StoreError> {
+async fn list<F: Follower>(
+    front: &Front,
+    follower: &F,
+    reading: Reading,
+) -> Result<(), StoreError> {
     let mut objects: Vec<Object> = Vec::new();
-    let mut first_revision = None;
+    let mut oldest = u64::MAX;
     loop {
         let after = objects.last().map(|o| o.name.clone());
-        let page = front.store.list(F::KIND, after.as_deref(), LIST).await?;
-        // Changes during the listing are asked for from its beginning.
-        let revision = *first_revision.get_or_insert(page.revision);
+        let listing = front.store.list(F::KIND, after.as_deref(), reading, LIST);
+        let page = listing.await?;
+        // Changes during the listing are asked for from its oldest page on.
+        oldest = oldest.min(page.revision);
         let ended = !page.more || page.objects.is_empty();
         objects.extend(page.objects);
         if ended {
             front.store_answered();
-            follower.listed(&objects, revision);
+            follower.listed(&objects, oldest);
             return Ok(());
         }
     }
--- a/trouttrack_front/src/follow/vms.rs
+++ b/trouttrack_front/src/follow/vms.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use trouttrack_platform::{Kind, Object, StoreError, VmEntry};
+use trouttrack_platform::{Kind, Object, Reading, StoreError, VmEntry};
 
 /// How long a call may take.
 const CALL: Duration = Duration::from_secs(2);
@@ -33,10 +33,13 @@
 pub(super) async fn list(front: Rc<Front>) {
     let mut backoff = Backoff::new();
     tokio::time::sleep(OTHERS_START).await;
+    // The others have just written their entries: an older list lacks them.
+    let mut reading = Reading::Current;
     loop {
-        match once(&front).await {
+        match once(&front, reading).await {
             Ok(()) => {
                 backoff.succeeded();
+                reading = Reading::MayLag;
                 tokio::time::sleep(LIST_EVERY).await;
             }
             Err(e) => {
@@ -47,10 +50,11 @@
     }
 }
 
-async fn once(front: &Front) -> Result<(), StoreError> {
+async fn once(front: &Front, reading: Reading) -> Result<(), StoreError> {
     let mut after: Option<String> = None;
     loop {
-        let page = front.store.list(Kind::Vms, after.as_deref(), CALL).await?;
+        let listing = front.store.list(Kind::Vms, after.as_deref(), reading, CALL);
+        let page = listing.await?;
         page.objects.iter().for_each(|o| take(front, o));
         after = page.objects.last().map(|o| o.name.clone());
         if !page.more || after.is_none() {
--- a/trouttrack_front/src/peers/roles.rs
+++ b/trouttrack_front/src/peers/roles.rs
@@ -15,6 +15,9 @@
 /// A VM that the store has answered this recently can watch it. A watch that
 /// nothing happens on is answered somewhat sooner.
 const IN_CONTACT: Duration = Duration::from_millis(6500);
+/// After its start a VM knows no peers, and each would take itself for the only
+/// one. What it listed will do until it has heard the others.
+const HEARS_OTHERS: Duration = Duration::from_millis(1500);
 /// What watchers are chosen for.
 const DUTY: &str = "store";
 
@@ -23,6 +26,9 @@
 #[must_use]
 pub fn watches_store(front: &Front) -> bool {
     let now = front.clock.now();
+    if now < HEARS_OTHERS {
+        return false;
+    }
     let others = front.peers.heard_where(|peer| can_watch(front, peer, now));
     watches(
         DUTY,
--- a/trouttrack_front/src/state/budgets.rs
+++ b/trouttrack_front/src/state/budgets.rs
@@ -7,8 +7,9 @@
 use trouttrack_core::{ServiceId, Time};
 
 /// VMs that the budget is taken to be shared by while their number is not
-/// known: more than there are, so that the sum stays within the bound.
-const VMS_UNTIL_KNOWN: usize = 16;
+/// known: more than there will be in the fleet planned for, 340, so that the sum
+/// stays within the bound when all start together.
+const VMS_UNTIL_KNOWN: usize = 512;
 
 /// This VM's part of the fleet's retry budgets.
 #[derive(Debug)]
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -8,7 +8,7 @@
 use super::store_contact::StoreContact;
 use super::upstreams::Upstreams;
 use crate::metrics::Metrics;
-use crate::peers::{News, PeerTable};
+use crate::peers::{Learned, PeerTable};
 use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -71,7 +71,7 @@
     /// Whether the store answers.
     pub store_contact: StoreContact,
     /// News for the other VMs.
-    pub news: mpsc::Sender<News>,
+    pub news: mpsc::Sender<Learned>,
     /// Policies that can be switched.
     pub serving: ServingSettings,
     /// Counters.
@@ -81,7 +81,7 @@
 impl Front {
     /// A front that knows nothing yet.
     #[must_use]
-    pub fn new(settings: &FrontSettings, news: mpsc::Sender<News>) -> Rc<Self> {
+    pub fn new(settings: &FrontSettings, news: mpsc::Sender<Learned>) -> Rc<Self> {
         let clock = Clock::start();
         let http = Client::builder()
             .connect_timeout(UPSTREAM_CONNECT)
--- a/trouttrack_front/tests/front/support.rs
+++ b/trouttrack_front/tests/front/support.rs
@@ -138,6 +138,8 @@
         })
         .await;
         until("keys are confirmed", || self.front.front.routing.is_fresh()).await;
+        // Retries are shared by the VMs that are listed.
+        until("VMs are listed", || self.front.front.peers.listed() > 0).await;
     }
 
     pub(crate) fn addr(&self) -> SocketAddr {
