--- a/trouttrack_config/src/fleet/view.rs
+++ b/trouttrack_config/src/fleet/view.rs
@@ -3,6 +3,7 @@
 use super::parts::Root;
 use super::types::{Fleet, KeyHash, Organisation, Priority, Rule, Service, Upstream, hash_key};
 use std::collections::HashMap;
+use std::time::Duration;
 use trouttrack_core::ConfigVersion;
 use trouttrack_core::upstream::Spec;
 
@@ -121,6 +122,7 @@
                 services: u.services.clone(),
                 capacity_tokens: u.capacity_tokens,
                 max_running: u.max_running,
+                warm_at: Duration::ZERO,
             })
             .collect()
     }
--- a/trouttrack_core/benches/decision.rs
+++ b/trouttrack_core/benches/decision.rs
@@ -34,6 +34,7 @@
         services: vec!["s".into()],
         capacity_tokens: 49_152,
         max_running: 64,
+        warm_at: Duration::ZERO,
     };
     world.configure((0..upstreams).map(spec).collect());
     for i in 0..upstreams * RUNNING {
--- a/trouttrack_core/src/fleet/mod.rs
+++ b/trouttrack_core/src/fleet/mod.rs
@@ -1,8 +1,10 @@
 //! A fleet's configuration as requests meet it: routes, services, keys.
 
+mod connections;
 mod routes;
 mod types;
 
+pub use connections::idle_share;
 pub use routes::{Admission, RouteTable};
 pub use types::{
     CallerLimits, EngineSpec, FleetConfig, Organisation, Route, RouteKind, ServiceSpec, Share,
--- a/trouttrack_core/src/routing/policy.rs
+++ b/trouttrack_core/src/routing/policy.rs
@@ -27,6 +27,8 @@
     pub lane: f64,
     /// Seconds until it has loaded the prompts that it was given.
     pub backlog: f64,
+    /// How cold it still is after its start, from 1 to 0 (warm).
+    pub cold: f64,
     /// The share of the prompt thought to be in its prefix cache, 0 to 1.
     pub cached: f64,
 }
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -25,6 +25,8 @@
     pub capacity_tokens: u64,
     /// The most requests that it runs at once.
     pub max_running: usize,
+    /// Until when it is slow because it has just started.
+    pub warm_at: Time,
 }
 
 /// An upstream's own word on its load; it lags.
@@ -163,6 +165,13 @@
         peak_of(&self.own)
     }
 
+    /// How cold it still is after its start, from 1 to 0 (warm).
+    #[must_use]
+    pub fn coldness(&self, now: Time) -> f64 {
+        let left = self.spec.warm_at.saturating_sub(now);
+        (left.as_secs_f64() / COLD_FOR.as_secs_f64()).min(1.0)
+    }
+
     /// Whether it may be given new work at `now`.
     #[must_use]
     pub fn open(&self, now: Time) -> bool {
@@ -214,6 +223,9 @@
     }
 }
 
+/// An upstream that is slow for this long or longer counts as wholly cold; the
+/// users' upstreams are slow for some seconds after their start.
+const COLD_FOR: Time = Time::from_secs(4);
 /// Peers' peaks do not come at the same time as the own: this share of their
 /// sum is counted. Tuned in the decision bench; see docs/design/decisions.md.
 const PEAKS_TOGETHER: f64 = 0.75;
@@ -336,6 +348,7 @@
     ///     services: vec!["lookup".into()],
     ///     capacity_tokens: 1000,
     ///     max_running: 8,
+    ///     warm_at: std::time::Duration::ZERO,
     /// };
     /// table.configure(vec![spec], "a");
     /// assert_eq!(table.serving("lookup").unwrap().local, 1);
--- a/trouttrack_core/tests/core/support.rs
+++ b/trouttrack_core/tests/core/support.rs
@@ -28,6 +28,7 @@
         services: vec![SERVICE.into()],
         capacity_tokens,
         max_running,
+        warm_at: Duration::ZERO,
     }
 }
 
--- a/trouttrack_core/tests/core/world.rs
+++ b/trouttrack_core/tests/core/world.rs
@@ -24,6 +24,23 @@
     assert_eq!(placed(&world.tick(SECOND))[0].1, "near");
 }
 
+#[test]
+fn an_upstream_that_has_just_started_gets_work_when_it_is_warm() {
+    let warm = spec("warm", "a", 10_000, 8);
+    let mut cold = spec("cold", "a", 10_000, 8);
+    cold.warm_at = 5 * SECOND;
+    let mut world = world("trouttrack", vec![warm, cold]);
+    let mut placed_at = |now: Duration| {
+        let request = world.submit(now, submission("r", "o", 1));
+        let placed = placed(&world.tick(now));
+        world.ended(now, request, false, None);
+        placed[0].1.clone()
+    };
+    assert_eq!(placed_at(SECOND), "warm");
+    // The last in the list comes first for requests that are not urgent.
+    assert_eq!(placed_at(6 * SECOND), "cold");
+}
+
 #[test]
 fn work_spills_over_when_its_own_failure_domain_is_full() {
     let specs = vec![spec("far", "b", 10_000, 8), spec("near", "a", 10_000, 8)];
--- a/trouttrack_front/src/app/start.rs
+++ b/trouttrack_front/src/app/start.rs
@@ -4,7 +4,7 @@
 use super::{reload, stop};
 use crate::caller::{Server, serve_readiness_and_metrics};
 use crate::follow;
-use crate::peers::{self, Learned};
+use crate::peers::{self, News};
 use crate::state::Front;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -63,7 +63,7 @@
 }
 
 /// Tells the other VMs, and hears them.
-fn start_peers(front: &Rc<Front>, socket: Rc<UdpSocket>, news: mpsc::Receiver<Learned>) {
+fn start_peers(front: &Rc<Front>, socket: Rc<UdpSocket>, news: mpsc::Receiver<News>) {
     actix_rt::spawn(peers::send(Rc::clone(front), Rc::clone(&socket)));
     actix_rt::spawn(peers::tell(Rc::clone(front), Rc::clone(&socket), news));
     let hearing = peers::listen(Rc::clone(front), socket);
--- a/trouttrack_front/src/follow/config.rs
+++ b/trouttrack_front/src/follow/config.rs
@@ -2,9 +2,7 @@
 
 use super::kind::Follower;
 use super::upstreams::configure;
-use crate::peers::{ConfigNews, Learned};
 use crate::state::Front;
-use serde_json::value::RawValue;
 use std::cell::Cell;
 use std::rc::Rc;
 use trouttrack_platform::objects::fleet_config;
@@ -29,42 +27,20 @@
             known_to: Cell::new(None),
         }
     }
-
-    /// Tells the other VMs a configuration that was put in force, unless one of
-    /// them told it.
-    fn tell(&self, known: u64, object: Object) {
-        if object.revision <= known {
-            return;
-        }
-        let news = Learned::Config(ConfigNews {
-            revision: object.revision,
-            spec: object.spec,
-        });
-        // With a full queue the others will ask the store.
-        if let Err(e) = self.front.news.try_send(news) {
-            log::debug!("a configuration is not told: {e}");
-        }
-    }
 }
 
 /// Takes in the object, if it is the configuration and not in force yet.
 /// Returns whether it is in force.
 pub(super) fn take(front: &Front, object: &Object) -> bool {
-    object.name == NAME && put(front, object.revision, &object.spec)
-}
-
-/// Takes in what another VM learned from the store.
-pub(crate) fn take_news(front: &Front, news: &ConfigNews) {
-    put(front, news.revision, &news.spec);
-}
-
-fn put(front: &Front, revision: u64, spec: &RawValue) -> bool {
-    if front.routing.has_revision(revision) {
+    if object.name != NAME {
+        return false;
+    }
+    if front.routing.has_revision(object.revision) {
         return true;
     }
-    match fleet_config(spec.get()) {
+    match fleet_config(object.spec.get()) {
         Ok(config) => {
-            if front.routing.put(revision, config) {
+            if front.routing.put(object.revision, config) {
                 configure(front);
             }
         }
@@ -72,12 +48,12 @@
             let error = e.to_string();
             record!(
                 events::CONFIG_REFUSED,
-                revision = revision,
+                revision = object.revision,
                 error = error.as_str(),
             );
         }
     }
-    front.routing.has_revision(revision)
+    front.routing.has_revision(object.revision)
 }
 
 impl Follower for ConfigFollower {
@@ -99,12 +75,8 @@
     }
 
     fn changed(&self, changes: Vec<Change>, revision: u64) {
-        let known = self.front.routing.revision();
-        for change in changes.into_iter().filter(|c| !c.deleted) {
+        for change in changes.iter().filter(|c| !c.deleted) {
             take(&self.front, &change.object);
-            if change.object.revision == self.front.routing.revision() {
-                self.tell(known, change.object);
-            }
         }
         self.known_to.set(Some(revision));
     }
--- a/trouttrack_front/src/follow/mod.rs
+++ b/trouttrack_front/src/follow/mod.rs
@@ -13,7 +13,6 @@
 mod upstreams;
 mod vms;
 
-pub(crate) use config::take_news as take_config;
 pub(crate) use upstreams::take_news;
 
 use crate::state::Front;
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -1,7 +1,7 @@
 //! The upstreams' entries.
 
 use super::kind::Follower;
-use crate::peers::{EntryChange, Learned, News};
+use crate::peers::{EntryChange, News};
 use crate::rescue;
 use crate::state::{Front, Upstream};
 use std::cell::Cell;
@@ -31,7 +31,7 @@
 
     /// Tells the other VMs what the store said.
     fn tell(&self, from: u64, to: u64, changes: Vec<EntryChange>) {
-        let news = Learned::Changes(News { from, to, changes });
+        let news = News { from, to, changes };
         // With a full queue the others will ask the store.
         if let Err(e) = self.front.news.try_send(news) {
             log::debug!("news are not told: {e}");
@@ -154,6 +154,7 @@
     let Some(table) = front.routing.table() else {
         return;
     };
+    front.divide();
     front.scheduler.configure(front.upstreams.specs(&table));
     for id in front.upstreams.leaving() {
         front.scheduler.set_leaving(&id);
--- a/trouttrack_front/src/follow/vms.rs
+++ b/trouttrack_front/src/follow/vms.rs
@@ -58,7 +58,7 @@
         page.objects.iter().for_each(|o| take(front, o));
         after = page.objects.last().map(|o| o.name.clone());
         if !page.more || after.is_none() {
-            front.budgets.set_vms(front.peers.listed());
+            front.divide();
             return Ok(());
         }
     }
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -1,7 +1,7 @@
 //! Hearing peers, and passing news on.
 
 use super::heartbeat::post;
-use super::message::{Datagram, Heartbeat, Learned};
+use super::message::{Datagram, Heartbeat, News};
 use crate::follow;
 use crate::state::Front;
 use std::io;
@@ -12,11 +12,6 @@
 
 /// The largest datagram taken.
 const MOST_BYTES: usize = 60_000;
-/// The largest configuration that is told: it must fit in a datagram.
-const MOST_CONFIG_BYTES: usize = 50_000;
-/// The most bytes of configurations sent at once: a fifth of a second of a link
-/// of 10 Mbit/s. Whoever is not told asks the store.
-const MOST_BYTES_AT_ONCE: usize = 250_000;
 /// The most changes in one datagram; whoever misses some asks the store.
 const MOST_CHANGES: usize = 100;
 
@@ -37,7 +32,6 @@
         match serde_json::from_slice(&buf[..length]) {
             Ok(Datagram::Heartbeat(heartbeat)) => hear(&front, &heartbeat),
             Ok(Datagram::News(news)) => follow::take_news(&front, &news),
-            Ok(Datagram::Config(config)) => follow::take_config(&front, &config),
             Err(e) => log::debug!("a datagram from {from} cannot be read: {e}"),
         }
     }
@@ -51,7 +45,7 @@
     match digest.rpc_addr.parse() {
         Ok(addr) => {
             front.peers.insert(&digest.name, addr);
-            front.budgets.set_vms(front.peers.listed());
+            front.divide();
         }
         Err(e) => log::debug!("{}: address `{}`: {e}", digest.name, digest.rpc_addr),
     }
@@ -77,27 +71,14 @@
     }
 }
 
-/// Sends news to those whom they are for, for as long as the process runs.
-pub(crate) async fn tell(
-    front: Rc<Front>,
-    socket: Rc<UdpSocket>,
-    mut learned: mpsc::Receiver<Learned>,
-) {
-    while let Some(learned) = learned.recv().await {
-        let mut receivers = front.peers.others();
-        let datagram = match learned {
-            Learned::Changes(news) if news.changes.len() > MOST_CHANGES => continue,
-            Learned::Changes(news) => Datagram::News(news),
-            Learned::Config(config) => {
-                receivers.retain(|(name, _)| front.peers.is_in(name, &front.failure_domain));
-                let bytes = config.spec.get().len();
-                if bytes > MOST_CONFIG_BYTES || bytes * receivers.len() > MOST_BYTES_AT_ONCE {
-                    continue;
-                }
-                Datagram::Config(config)
-            }
-        };
-        for (_, addr) in receivers {
+/// Sends news to every VM for as long as the process runs.
+pub(crate) async fn tell(front: Rc<Front>, socket: Rc<UdpSocket>, mut news: mpsc::Receiver<News>) {
+    while let Some(news) = news.recv().await {
+        if news.changes.len() > MOST_CHANGES {
+            continue;
+        }
+        let datagram = Datagram::News(news);
+        for (_, addr) in front.peers.others() {
             post(&socket, &datagram, addr);
         }
     }
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -10,29 +10,8 @@
 pub(super) enum Datagram {
     /// The sender's state.
     Heartbeat(Heartbeat),
-    /// Changes of upstreams' entries.
+    /// Changes in the store.
     News(News),
-    /// A configuration.
-    Config(ConfigNews),
-}
-
-/// What a VM learned from the store, to be told to others.
-#[derive(Clone, Debug)]
-pub enum Learned {
-    /// Changes of upstreams' entries: for every VM.
-    Changes(News),
-    /// A configuration: for the own failure domain. The others have watchers of
-    /// their own, and bytes between failure domains are paid for.
-    Config(ConfigNews),
-}
-
-/// A configuration.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct ConfigNews {
-    /// The store's revision of it.
-    pub revision: u64,
-    /// What it says.
-    pub spec: Box<RawValue>,
 }
 
 /// A sender's state.
--- a/trouttrack_front/src/peers/mod.rs
+++ b/trouttrack_front/src/peers/mod.rs
@@ -7,8 +7,7 @@
 //!   configuration it has and how long ago that was confirmed. It is whole each
 //!   time, so a lost datagram costs nothing but age.
 //! - News carry changes of upstreams' entries, from the few VMs that watch the
-//!   store to all others, as they happen, and configurations to the VMs of the
-//!   same failure domain. Whoever misses some notices by the
+//!   store to all others, as they happen. Whoever misses some notices by the
 //!   revision in the next heartbeat and asks the store.
 //!
 //! `tarpc` does not fit here: it would keep a connection for each pair of VMs
@@ -22,6 +21,6 @@
 
 pub(crate) use heartbeat::send;
 pub(crate) use listen::{listen, tell};
-pub use message::{ConfigNews, EntryChange, Learned, News};
+pub use message::{EntryChange, News};
 pub use roles::watches_store;
 pub use table::{Heard, PeerTable};
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -9,10 +9,10 @@
 use trouttrack_platform::{AnswerHead, Handover};
 use trouttrack_telemetry::{events, record};
 
-/// A request that must not run twice is lost with a connection that died
-/// unnoticed. One that was used this recently is still open; a new one costs
-/// little.
-const SURELY_OPEN: Duration = Duration::from_millis(1000);
+/// A request that must not run twice is lost with a connection that its upstream
+/// has forgotten. Upstreams were seen to forget after 300 ms; one that was used
+/// more recently than this is still open, and a new one costs little.
+const SURELY_OPEN: Duration = Duration::from_millis(150);
 /// Taken off the time that upstreams are given, for the way back.
 const WAY_BACK: Duration = Duration::from_millis(5);
 
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -8,7 +8,7 @@
 use super::store_contact::StoreContact;
 use super::upstreams::Upstreams;
 use crate::metrics::Metrics;
-use crate::peers::{Learned, PeerTable};
+use crate::peers::{News, PeerTable};
 use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 use trouttrack_config::settings::{FrontSettings, ServingSettings};
 use trouttrack_core::FailureDomain;
+use trouttrack_core::fleet::idle_share;
 use trouttrack_core::world::WorldSettings;
 use trouttrack_http::Client;
 use trouttrack_platform::{EngineClient, StoreClient, StoreError};
@@ -23,8 +24,8 @@
 /// How long a connection to an upstream may take: many times the way between
 /// failure domains, and short enough to go elsewhere within an objective.
 const UPSTREAM_CONNECT: Duration = Duration::from_millis(100);
-/// Idle connections kept to one upstream. Upstreams bound the connections of
-/// all VMs together.
+/// Idle connections kept to one upstream, unless the VMs are so many that they
+/// must keep fewer.
 const IDLE_PER_UPSTREAM: usize = 4;
 /// How long a connection to the store may take.
 const STORE_CONNECT: Duration = Duration::from_millis(700);
@@ -71,7 +72,7 @@
     /// Whether the store answers.
     pub store_contact: StoreContact,
     /// News for the other VMs.
-    pub news: mpsc::Sender<Learned>,
+    pub news: mpsc::Sender<News>,
     /// Policies that can be switched.
     pub serving: ServingSettings,
     /// Counters.
@@ -81,7 +82,7 @@
 impl Front {
     /// A front that knows nothing yet.
     #[must_use]
-    pub fn new(settings: &FrontSettings, news: mpsc::Sender<Learned>) -> Rc<Self> {
+    pub fn new(settings: &FrontSettings, news: mpsc::Sender<News>) -> Rc<Self> {
         let clock = Clock::start();
         let http = Client::builder()
             .connect_timeout(UPSTREAM_CONNECT)
@@ -117,6 +118,22 @@
         self.store_contact.answered(self.clock.now());
     }
 
+    /// Divides anew what all VMs share: more of them are listed, or the
+    /// configuration has changed.
+    pub fn divide(&self) {
+        let vms = self.peers.listed();
+        if vms == 0 {
+            return;
+        }
+        self.budgets.set_vms(vms);
+        let most = self.routing.table().and_then(|table| {
+            let services = table.config().services.iter();
+            services.filter_map(|s| s.max_connections).min()
+        });
+        let idle = idle_share(most, vms, IDLE_PER_UPSTREAM);
+        self.http.set_idle_per_peer(idle);
+    }
+
     /// The store did not answer a call of this VM.
     pub fn store_failed(&self, error: &StoreError) {
         self.upstreams.store_lost();
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -10,7 +10,7 @@
 use trouttrack_core::membership::Entries;
 use trouttrack_core::rescue::Departure;
 use trouttrack_core::upstream::Spec;
-use trouttrack_core::{FailureDomain, ServiceId, UpstreamId};
+use trouttrack_core::{FailureDomain, ServiceId, Time, UpstreamId};
 use trouttrack_platform::UpstreamEntry;
 use trouttrack_telemetry::{events, record};
 
@@ -26,17 +26,20 @@
     /// Where it stands.
     pub failure_domain: FailureDomain,
     slots: usize,
+    /// Until when it is slow after its start.
+    warm_at: Cell<Time>,
     departure: watch::Sender<Option<Departure>>,
 }
 
 impl Upstream {
-    fn new(id: &str, entry: UpstreamEntry) -> Self {
+    fn new(id: &str, entry: UpstreamEntry, now: Time) -> Self {
         Self {
             id: id.to_owned(),
             addr: entry.addr,
             service: entry.service,
             failure_domain: entry.failure_domain,
             slots: entry.slots,
+            warm_at: Cell::new(now + entry.cold_for),
             departure: watch::Sender::new(None),
         }
     }
@@ -134,7 +137,10 @@
         let leaving = entry.leaving;
         let known = self.get(id);
         let upstream = match known.filter(|u| u.addr == entry.addr && u.service == entry.service) {
-            Some(known) => known,
+            Some(known) => {
+                known.warm_at.set(self.clock.now() + entry.cold_for);
+                known
+            }
             None => {
                 record!(
                     events::UPSTREAM_SEEN,
@@ -143,7 +149,7 @@
                     service = entry.service.as_str(),
                     leaving = leaving,
                 );
-                let new = Rc::new(Upstream::new(id, entry));
+                let new = Rc::new(Upstream::new(id, entry, self.clock.now()));
                 self.by_id
                     .borrow_mut()
                     .insert(id.to_owned(), Rc::clone(&new));
@@ -247,5 +253,6 @@
         services: vec![upstream.service.clone()],
         capacity_tokens: engine.map_or(0, |e| e.memory_tokens),
         max_running: upstream.slots,
+        warm_at: upstream.warm_at.get(),
     }
 }
--- a/trouttrack_http/src/client.rs
+++ b/trouttrack_http/src/client.rs
@@ -203,6 +203,11 @@
         self.shared.pool.borrow_mut().forget(peer);
     }
 
+    /// Changes the most idle connections that are kept to one peer.
+    pub fn set_idle_per_peer(&self, most: usize) {
+        self.shared.pool.borrow_mut().set_per_peer(most);
+    }
+
     /// How many connections are idle.
     #[must_use]
     pub fn idle(&self) -> usize {
--- a/trouttrack_http/src/pool.rs
+++ b/trouttrack_http/src/pool.rs
@@ -78,6 +78,16 @@
         self.idle.remove(&peer);
     }
 
+    /// Changes the most that are kept to one peer; what is beyond is closed.
+    pub(crate) fn set_per_peer(&mut self, most: usize) {
+        self.per_peer = most;
+        for idle in self.idle.values_mut() {
+            // The last ones are the freshest.
+            let surplus = idle.len().saturating_sub(most);
+            idle.drain(..surplus);
+        }
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.idle.values().map(Vec::len).sum()
     }
--- a/trouttrack_load/src/compare/bench.rs
+++ b/trouttrack_load/src/compare/bench.rs
@@ -105,6 +105,7 @@
             capacity_tokens: e.capacity_tokens(),
             // A baseline hands everything over at once; engines queue it.
             max_running: if own { e.max_batch } else { usize::MAX },
+            warm_at: Duration::ZERO,
         };
         let specs: Vec<Spec> = options.engines.iter().enumerate().map(spec).collect();
         let world = |i: usize| {
