Fewer calls to the store; rows of upstreams change one by one

One changed upstream visits one row, a heartbeat the rows that it names. News wait for room in the socket instead of being dropped.

--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -1,11 +1,10 @@
-//! One upstream's row and the table of them.
+//! One upstream's row.
 
 use super::circuit::{Circuit, CircuitState};
 use crate::debug_asserts::assert_positive;
 use crate::world::RequestKey;
 use crate::{FailureDomain, Time, UpstreamId};
-use slotmap::{SlotMap, new_key_type};
-use std::collections::HashMap;
+use slotmap::new_key_type;
 
 new_key_type! {
     /// Key of an upstream's row in this process.
@@ -53,8 +52,10 @@
     pub own_running: usize,
     /// Where this process's running requests stand.
     pub(crate) own: Vec<OwnRun>,
-    /// What peers last said of their use.
+    /// What peers last said of their use; those that use it.
     pub(crate) peers: Vec<PeerUse>,
+    /// Whether peers tell their use, so that none told means none.
+    hears_peers: bool,
     /// Prompt tokens handed over that are not yet loaded, as of a time.
     pub(crate) backlog: Backlog,
     /// Hand-overs since the last report.
@@ -69,13 +70,15 @@
 }
 
 impl Upstream {
-    fn new(spec: Spec) -> Self {
+    /// A row of an upstream that nobody uses yet.
+    pub(super) fn new(spec: Spec, hears_peers: bool) -> Self {
         Self {
             spec,
             report: Report::default(),
             own_running: 0,
             own: Vec::new(),
             peers: Vec::new(),
+            hears_peers,
             backlog: Backlog::default(),
             since_report: 0,
             ended_since_report: 0,
@@ -101,7 +104,7 @@
     /// own ends since.
     #[must_use]
     pub fn estimated_running(&self) -> usize {
-        if !self.peers.is_empty() {
+        if self.hears_peers {
             let peers: usize = self.peers.iter().map(|p| p.running).sum();
             return self.own_running + peers;
         }
@@ -130,7 +133,7 @@
     pub fn peak_tokens(&self, new: Option<OwnRun>) -> f64 {
         let now: f64 = self.own.iter().map(|r| r.tokens).sum();
         let peak = peak(&self.own, new);
-        if !self.peers.is_empty() {
+        if self.hears_peers {
             let peers: f64 = self.peers.iter().map(|p| p.peak_tokens).sum();
             return peak + peers * PEAKS_TOGETHER;
         }
@@ -183,13 +186,22 @@
         trial && !self.leaving && self.estimated_running() < self.spec.max_running
     }
 
-    /// Takes in what a peer says of its use; silent peers are forgotten.
+    /// Peers tell their use from now on.
+    pub(super) fn hear_peers(&mut self) {
+        self.hears_peers = true;
+    }
+
+    /// Takes in what a peer says of its use.
     pub(crate) fn take_peer(&mut self, new: PeerUse) {
-        let stale = |p: &PeerUse| new.at.saturating_sub(p.at) > PEER_SILENCE;
-        self.peers.retain(|p| p.peer != new.peer && !stale(p));
+        self.forget_peer(&new.peer);
         self.peers.push(new);
     }
 
+    /// A peer does not use it any more.
+    pub(crate) fn forget_peer(&mut self, peer: &str) {
+        self.peers.retain(|p| p.peer != peer);
+    }
+
     pub(crate) fn add(&mut self, run: OwnRun, now: Time) {
         self.own_running += 1;
         self.since_report += 1;
@@ -229,16 +241,12 @@
 /// Peers' peaks do not come at the same time as the own: this share of their
 /// sum is counted. Tuned in the decision bench; see docs/design/decisions.md.
 const PEAKS_TOGETHER: f64 = 0.75;
-/// A peer that has been silent for this long is not counted any more.
-const PEER_SILENCE: Time = Time::from_secs(5);
 
 /// What a peer last said of its use of an upstream.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeerUse {
     /// The peer's name.
     pub peer: String,
-    /// When it was heard.
-    pub at: Time,
     /// Its hand-overs that have not ended.
     pub running: usize,
     /// The most tokens that they are forecast to hold.
@@ -315,106 +323,3 @@
     }
     most
 }
-
-/// All upstreams of the configuration.
-#[derive(Debug, Default)]
-pub struct UpstreamTable {
-    rows: SlotMap<UpstreamKey, Upstream>,
-    by_id: HashMap<UpstreamId, UpstreamKey>,
-    by_service: HashMap<String, Serving>,
-}
-
-/// The upstreams of a service: those of the own failure domain first.
-#[derive(Clone, Debug, Default)]
-pub struct Serving {
-    /// All of them.
-    pub keys: Vec<UpstreamKey>,
-    /// How many of them, from the first on, stand in the own failure domain.
-    pub local: usize,
-}
-
-impl UpstreamTable {
-    /// Makes the table hold exactly these upstreams; rows that stay keep
-    /// their state. `home` is the own failure domain.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use trouttrack_core::upstream::{Spec, UpstreamTable};
-    /// let mut table = UpstreamTable::default();
-    /// let spec = Spec {
-    ///     id: "e1".into(),
-    ///     failure_domain: "a".into(),
-    ///     services: vec!["lookup".into()],
-    ///     capacity_tokens: 1000,
-    ///     max_running: 8,
-    ///     warm_at: std::time::Duration::ZERO,
-    /// };
-    /// table.configure(vec![spec], "a");
-    /// assert_eq!(table.serving("lookup").unwrap().local, 1);
-    /// ```
-    pub fn configure(&mut self, specs: Vec<Spec>, home: &str) {
-        let wanted: HashMap<&str, ()> = specs.iter().map(|s| (s.id.as_str(), ())).collect();
-        self.rows
-            .retain(|_, row| wanted.contains_key(row.spec.id.as_str()));
-        drop(wanted);
-        self.by_id.retain(|_, key| self.rows.contains_key(*key));
-        for spec in specs {
-            self.put(spec);
-        }
-        self.index_services(home);
-    }
-
-    fn put(&mut self, spec: Spec) {
-        match self.by_id.get(&spec.id) {
-            Some(&key) => self.rows[key].spec = spec,
-            None => {
-                let id = spec.id.clone();
-                let key = self.rows.insert(Upstream::new(spec));
-                self.by_id.insert(id, key);
-            }
-        }
-    }
-
-    fn index_services(&mut self, home: &str) {
-        self.by_service.clear();
-        let local = |row: &Upstream| row.spec.failure_domain == home;
-        for near in [true, false] {
-            for (key, row) in self.rows.iter().filter(|(_, row)| local(row) == near) {
-                for service in &row.spec.services {
-                    let serving = self.by_service.entry(service.clone()).or_default();
-                    serving.keys.push(key);
-                    serving.local += usize::from(near);
-                }
-            }
-        }
-    }
-
-    /// The upstreams that run a service; `None` if there are none.
-    #[must_use]
-    pub fn serving(&self, service: &str) -> Option<&Serving> {
-        self.by_service.get(service)
-    }
-
-    /// The key of a name.
-    #[must_use]
-    pub fn key(&self, id: &str) -> Option<UpstreamKey> {
-        self.by_id.get(id).copied()
-    }
-
-    /// A row.
-    #[must_use]
-    pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
-        self.rows.get(key)
-    }
-
-    /// A row, to change.
-    pub fn get_mut(&mut self, key: UpstreamKey) -> Option<&mut Upstream> {
-        self.rows.get_mut(key)
-    }
-
-    /// Every row.
-    pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
-        self.rows.iter()
-    }
-}
--- /dev/null
+++ b/trouttrack_core/src/upstream/table.rs
@@ -0,0 +1,174 @@
+//! The table of upstreams, and which of them run a service.
+
+use super::row::{Spec, Upstream, UpstreamKey};
+use crate::UpstreamId;
+use slotmap::SlotMap;
+use std::collections::HashMap;
+
+/// All upstreams of the configuration.
+#[derive(Debug, Default)]
+pub struct UpstreamTable {
+    rows: SlotMap<UpstreamKey, Upstream>,
+    by_id: HashMap<UpstreamId, UpstreamKey>,
+    by_service: HashMap<String, Serving>,
+    /// Whether peers tell their use of upstreams.
+    hears_peers: bool,
+}
+
+/// The upstreams of a service: those of the own failure domain first.
+#[derive(Clone, Debug, Default)]
+pub struct Serving {
+    /// All of them.
+    pub keys: Vec<UpstreamKey>,
+    /// How many of them, from the first on, stand in the own failure domain.
+    pub local: usize,
+}
+
+impl UpstreamTable {
+    /// Makes the table hold exactly these upstreams; rows that stay keep
+    /// their state. `home` is the own failure domain.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use trouttrack_core::upstream::{Spec, UpstreamTable};
+    /// let mut table = UpstreamTable::default();
+    /// let spec = Spec {
+    ///     id: "e1".into(),
+    ///     failure_domain: "a".into(),
+    ///     services: vec!["lookup".into()],
+    ///     capacity_tokens: 1000,
+    ///     max_running: 8,
+    ///     warm_at: std::time::Duration::ZERO,
+    /// };
+    /// table.configure(vec![spec], "a");
+    /// assert_eq!(table.serving("lookup").unwrap().local, 1);
+    /// ```
+    pub fn configure(&mut self, specs: Vec<Spec>, home: &str) {
+        let wanted: HashMap<&str, ()> = specs.iter().map(|s| (s.id.as_str(), ())).collect();
+        self.rows
+            .retain(|_, row| wanted.contains_key(row.spec.id.as_str()));
+        drop(wanted);
+        self.by_id.retain(|_, key| self.rows.contains_key(*key));
+        for spec in specs {
+            self.put(spec);
+        }
+        self.index_services(home);
+    }
+
+    fn put(&mut self, spec: Spec) {
+        match self.by_id.get(&spec.id) {
+            Some(&key) => self.rows[key].spec = spec,
+            None => {
+                let id = spec.id.clone();
+                let key = self.rows.insert(Upstream::new(spec, self.hears_peers));
+                self.by_id.insert(id, key);
+            }
+        }
+    }
+
+    fn index_services(&mut self, home: &str) {
+        self.by_service.clear();
+        let mut keys: Vec<UpstreamKey> = self.rows.keys().collect();
+        keys.sort_unstable_by(|a, b| self.rows[*a].spec.id.cmp(&self.rows[*b].spec.id));
+        for key in keys {
+            self.index(key, home);
+        }
+    }
+
+    /// Puts a row in the list of each of its services. Each part of a list is
+    /// ordered by id, so that all processes pack requests in the same order.
+    fn index(&mut self, key: UpstreamKey, home: &str) {
+        let spec = &self.rows[key].spec;
+        let near = spec.failure_domain == home;
+        for service in &spec.services {
+            let serving = self.by_service.entry(service.clone()).or_default();
+            let part = match near {
+                true => 0..serving.local,
+                false => serving.local..serving.keys.len(),
+            };
+            let before = |k: &UpstreamKey| self.rows[*k].spec.id < spec.id;
+            let place = part.start + serving.keys[part].partition_point(before);
+            serving.keys.insert(place, key);
+            serving.local += usize::from(near);
+        }
+    }
+
+    /// Takes a row out of the list of each of its services.
+    fn unindex(&mut self, key: UpstreamKey) {
+        for service in &self.rows[key].spec.services {
+            let Some(serving) = self.by_service.get_mut(service) else {
+                continue;
+            };
+            if let Some(place) = serving.keys.iter().position(|k| *k == key) {
+                serving.keys.remove(place);
+                serving.local -= usize::from(place < serving.local);
+            }
+            if serving.keys.is_empty() {
+                self.by_service.remove(service);
+            }
+        }
+    }
+
+    /// Puts one upstream in the table, or replaces what is said of it. Its row
+    /// keeps its state, and no other row is visited.
+    pub fn insert(&mut self, spec: Spec, home: &str) {
+        let known = self.by_id.get(&spec.id).copied();
+        let same_lists = known.is_some_and(|key| {
+            let old = &self.rows[key].spec;
+            old.services == spec.services && old.failure_domain == spec.failure_domain
+        });
+        if let Some(key) = known.filter(|_| !same_lists) {
+            self.unindex(key);
+        }
+        let id = spec.id.clone();
+        self.put(spec);
+        if !same_lists {
+            self.index(self.by_id[&id], home);
+        }
+    }
+
+    /// Takes one upstream out of the table.
+    pub fn remove(&mut self, id: &str) {
+        let Some(key) = self.by_id.remove(id) else {
+            return;
+        };
+        self.unindex(key);
+        self.rows.remove(key);
+    }
+
+    /// Peers tell their use of upstreams: what is not told of is not used.
+    pub(crate) fn hear_peers(&mut self) {
+        if !std::mem::replace(&mut self.hears_peers, true) {
+            self.rows.values_mut().for_each(Upstream::hear_peers);
+        }
+    }
+
+    /// The upstreams that run a service; `None` if there are none.
+    #[must_use]
+    pub fn serving(&self, service: &str) -> Option<&Serving> {
+        self.by_service.get(service)
+    }
+
+    /// The key of a name.
+    #[must_use]
+    pub fn key(&self, id: &str) -> Option<UpstreamKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// A row.
+    #[must_use]
+    pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
+        self.rows.get(key)
+    }
+
+    /// A row, to change.
+    pub fn get_mut(&mut self, key: UpstreamKey) -> Option<&mut Upstream> {
+        self.rows.get_mut(key)
+    }
+
+    /// Every row.
+    pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        self.rows.iter()
+    }
+}
--- a/trouttrack_core/src/world/mod.rs
+++ b/trouttrack_core/src/world/mod.rs
@@ -1,5 +1,6 @@
 //! The tables of one gateway and the systems that run over them each tick.
 
+mod peers;
 mod queue;
 mod relocate;
 mod systems;
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -1,10 +1,11 @@
 //! The tables: requests, upstreams, lengths, explanations.
 
+use super::peers::PeersHeard;
 use super::queue::{FairQueue, Place};
 use crate::length::{LengthKey, LengthTable};
 use crate::membership::UpstreamUse;
 use crate::routing::{AnyPolicy, ExplanationTable};
-use crate::upstream::{Backlog, PeerUse, Report, Spec, UpstreamKey, UpstreamTable};
+use crate::upstream::{Report, Spec, UpstreamKey, UpstreamTable};
 use crate::{OrganisationId, RequestId, ServiceId, Time};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -179,6 +180,7 @@
     pub(crate) queue: FairQueue,
     pub(crate) deadlines: BTreeSet<(Time, RequestKey)>,
     pub(crate) limits: Limits,
+    pub(crate) peers: PeersHeard,
     pub(crate) rng: SmallRng,
     pub(crate) refused: Vec<Decision>,
 }
@@ -197,6 +199,7 @@
             requests: SlotMap::with_key(),
             deadlines: BTreeSet::new(),
             limits: Limits::default(),
+            peers: PeersHeard::default(),
             refused: Vec::new(),
         }
     }
@@ -207,6 +210,16 @@
             .configure(specs, &self.settings.failure_domain);
     }
 
+    /// Takes one upstream, or what is new of it.
+    pub fn put_upstream(&mut self, spec: Spec) {
+        self.upstreams.insert(spec, &self.settings.failure_domain);
+    }
+
+    /// An upstream is gone.
+    pub fn remove_upstream(&mut self, id: &str) {
+        self.upstreams.remove(id);
+    }
+
     /// Takes in an upstream's load report.
     pub fn report(&mut self, upstream: &str, report: Report) {
         if let Some(row) = self.row_mut(upstream) {
@@ -214,24 +227,6 @@
         }
     }
 
-    /// Takes in what a peer's heartbeat says of its use of upstreams.
-    pub fn peer_uses(&mut self, now: Time, peer: &str, uses: &[UpstreamUse]) {
-        let keys: Vec<UpstreamKey> = self.upstreams.iter().map(|(k, _)| k).collect();
-        for key in keys {
-            let Some(u) = self.upstreams.get_mut(key) else {
-                continue;
-            };
-            let of_this = uses.iter().find(|x| x.upstream == u.spec.id);
-            u.take_peer(PeerUse {
-                peer: peer.to_owned(),
-                at: now,
-                running: of_this.map_or(0, |x| x.running as usize),
-                peak_tokens: of_this.map_or(0.0, |x| x.peak_tokens as f64),
-                loading: Backlog::of(now, of_this.map_or(0.0, |x| x.loading_tokens as f64)),
-            });
-        }
-    }
-
     /// The own use of upstreams, for the heartbeat.
     #[must_use]
     pub fn own_uses(&self, now: Time) -> Vec<UpstreamUse> {
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -10,4 +10,5 @@
 mod relocate;
 mod retry_rule;
 mod support;
+mod upstream_table;
 mod world;
--- a/trouttrack_core/tests/core/world.rs
+++ b/trouttrack_core/tests/core/world.rs
@@ -26,8 +26,8 @@
 
 #[test]
 fn an_upstream_that_has_just_started_gets_work_when_it_is_warm() {
-    let warm = spec("warm", "a", 10_000, 8);
-    let mut cold = spec("cold", "a", 10_000, 8);
+    let warm = spec("a-warm", "a", 10_000, 8);
+    let mut cold = spec("b-cold", "a", 10_000, 8);
     cold.warm_at = 5 * SECOND;
     let mut world = world("trouttrack", vec![warm, cold]);
     let mut placed_at = |now: Duration| {
@@ -36,9 +36,9 @@
         world.ended(now, request, false, None);
         placed[0].1.clone()
     };
-    assert_eq!(placed_at(SECOND), "warm");
+    assert_eq!(placed_at(SECOND), "a-warm");
     // The last in the list comes first for requests that are not urgent.
-    assert_eq!(placed_at(6 * SECOND), "cold");
+    assert_eq!(placed_at(6 * SECOND), "b-cold");
 }
 
 #[test]
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -117,16 +117,34 @@
 fn apply(front: &Rc<Front>, changes: &[EntryChange]) {
     for change in changes {
         match &change.spec {
-            Some(spec) => see(front, &change.id, change.revision, spec.get()),
+            Some(spec) => {
+                see(front, &change.id, change.revision, spec.get());
+                put_row(front, &change.id);
+            }
             None => {
                 if let Some(gone) = front.upstreams.removed(&change.id) {
                     depart(front, &gone);
+                    front.scheduler.remove_upstream(&change.id);
                 }
             }
         }
     }
     if !changes.is_empty() {
-        configure(front);
+        front.scheduler.upstreams_changed();
+    }
+}
+
+/// Gives the decision tables the row of one upstream.
+fn put_row(front: &Front, id: &str) {
+    let Some(table) = front.routing.table() else {
+        // All rows are given with the configuration.
+        return;
+    };
+    if let Some(spec) = front.upstreams.spec_of(id, &table) {
+        front.scheduler.put_upstream(spec);
+    }
+    if front.upstreams.get(id).is_some_and(|u| u.is_leaving()) {
+        front.scheduler.set_leaving(id);
     }
 }
 
@@ -172,9 +190,7 @@
         let gone = front.upstreams.expired();
         for upstream in &gone {
             depart(&front, upstream);
-        }
-        if !gone.is_empty() {
-            configure(&front);
+            front.scheduler.remove_upstream(&upstream.id);
         }
         front.http.sweep();
     }
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -40,7 +40,7 @@
         let mut heartbeat = heartbeat(&front);
         for (name, addr) in receivers {
             heartbeat.echo = front.peers.echo(&name);
-            post(&socket, &Datagram::Heartbeat(heartbeat.clone()), addr);
+            post(&socket, &heartbeat, addr);
         }
     }
 }
@@ -90,14 +90,19 @@
     }
 }
 
-/// Sends a datagram; one that cannot be sent is as good as lost on the way.
-pub(super) fn post(socket: &UdpSocket, datagram: &Datagram, addr: SocketAddr) {
-    match serde_json::to_vec(datagram) {
-        Ok(bytes) => {
-            if let Err(e) = socket.try_send_to(&bytes, addr) {
-                log::debug!("datagram to {addr}: {e}");
-            }
-        }
-        Err(e) => log::error!("a datagram cannot be encoded: {e}"),
+/// Sends a heartbeat; one that cannot be sent is as good as lost on the way.
+fn post(socket: &UdpSocket, heartbeat: &Heartbeat, addr: SocketAddr) {
+    let Some(bytes) = encode(&Datagram::Heartbeat(heartbeat.clone())) else {
+        return;
+    };
+    if let Err(e) = socket.try_send_to(&bytes, addr) {
+        log::debug!("heartbeat to {addr}: {e}");
     }
 }
+
+/// A datagram as it is sent.
+pub(super) fn encode(datagram: &Datagram) -> Option<Vec<u8>> {
+    serde_json::to_vec(datagram)
+        .inspect_err(|e| log::error!("a datagram cannot be encoded: {e}"))
+        .ok()
+}
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -1,6 +1,6 @@
 //! Hearing peers, and passing news on.
 
-use super::heartbeat::post;
+use super::heartbeat::encode;
 use super::message::{Datagram, Heartbeat, News};
 use crate::follow;
 use crate::state::Front;
@@ -71,15 +71,21 @@
     }
 }
 
-/// Sends news to every VM for as long as the process runs.
+/// Sends news to every VM for as long as the process runs. News wait for room
+/// in the socket: one that is lost costs its receiver a call to the store, and a
+/// generation the time to be moved.
 pub(crate) async fn tell(front: Rc<Front>, socket: Rc<UdpSocket>, mut news: mpsc::Receiver<News>) {
     while let Some(news) = news.recv().await {
         if news.changes.len() > MOST_CHANGES {
             continue;
         }
-        let datagram = Datagram::News(news);
-        for (_, addr) in front.peers.others() {
-            post(&socket, &datagram, addr);
+        let Some(bytes) = encode(&Datagram::News(news)) else {
+            continue;
+        };
+        for (name, addr) in front.peers.others() {
+            if let Err(e) = socket.send_to(&bytes, addr).await {
+                log::warn!("news to {name} at {addr}: {e}");
+            }
         }
     }
 }
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -136,6 +136,21 @@
         self.tick();
     }
 
+    /// Takes one upstream, or what is new of it.
+    pub fn put_upstream(&self, spec: Spec) {
+        self.world.borrow_mut().put_upstream(spec);
+    }
+
+    /// An upstream is gone.
+    pub fn remove_upstream(&self, id: &str) {
+        self.world.borrow_mut().remove_upstream(id);
+    }
+
+    /// Places what waits, after upstreams were put or removed.
+    pub fn upstreams_changed(&self) {
+        self.tick();
+    }
+
     /// Marks an upstream as leaving: it gets no new work.
     pub fn set_leaving(&self, upstream: &str) {
         self.world.borrow_mut().set_leaving(upstream, true);
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -234,6 +234,13 @@
         specs
     }
 
+    /// The row that decisions about one of them are made on.
+    #[must_use]
+    pub fn spec_of(&self, id: &str, table: &RouteTable) -> Option<Spec> {
+        let by_id = self.by_id.borrow();
+        by_id.get(id).map(|u| spec(u, table))
+    }
+
     /// Those that have announced that they leave.
     #[must_use]
     pub fn leaving(&self) -> Vec<UpstreamId> {
