While the store is away from all, one VM of a failure domain looks for it

Change: of the VMs of a failure domain those with the best contact are chosen among (answered, idle, failing); the others make one call in up to 1.6 s, which tells them when lapsed entries must be back.

--- a/trouttrack_front/src/follow/backoff.rs
+++ b/trouttrack_front/src/follow/backoff.rs
@@ -9,6 +9,10 @@
 /// which configurations have to be in force.
 const LONGEST: Duration = Duration::from_millis(800);
 
+/// The longest for VMs that leave the store's return to another one: their own
+/// calls only tell them when entries that lapsed must be back.
+const LONGEST_OF_OTHERS: Duration = Duration::from_millis(1600);
+
 /// Grows with each failure; spread, so that VMs do not call together.
 #[derive(Debug)]
 pub(super) struct Backoff {
@@ -25,9 +29,22 @@
     }
 
     pub(super) async fn pause(&mut self) {
+        self.pause_up_to(LONGEST).await;
+    }
+
+    /// The pause of a call that every VM makes, whether or not it watches.
+    pub(super) async fn pause_as(&mut self, watches: bool) {
+        let longest = match watches {
+            true => LONGEST,
+            false => LONGEST_OF_OTHERS,
+        };
+        self.pause_up_to(longest).await;
+    }
+
+    async fn pause_up_to(&mut self, longest: Duration) {
         let spread = rand::rng().random_range(0.5..1.0);
         let pause = self.next.mul_f64(spread);
-        self.next = (self.next * 2).min(LONGEST);
+        self.next = (self.next * 2).min(longest);
         tokio::time::sleep(pause).await;
     }
 }
--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -45,13 +45,18 @@
             Ok(()) => backoff.succeeded(),
             Err(e) => {
                 front.store_failed(&e);
-                backoff.pause().await;
+                backoff.pause_as(watches_store(&front)).await;
             }
         }
     }
 }
 
 async fn wait_until_due(front: &Front, config_apply: Duration) {
+    // While its calls fail, a VM keeps calling whatever others confirm: what
+    // lapsed meanwhile is judged by its own contact with the store.
+    if front.store_contact.is_away() {
+        return;
+    }
     while !front.routing.is_known() {
         tokio::time::sleep(LOOK_FOR_CONFIG).await;
     }
--- a/trouttrack_front/src/peers/roles.rs
+++ b/trouttrack_front/src/peers/roles.rs
@@ -3,7 +3,6 @@
 use super::table::Heard;
 use crate::state::Front;
 use std::time::Duration;
-use trouttrack_core::Time;
 use trouttrack_core::membership::watches;
 
 /// Watchers in each failure domain. News go to every VM from every watcher, so
@@ -21,15 +20,51 @@
 /// What watchers are chosen for.
 const DUTY: &str = "store";
 
-/// Whether this VM is to watch the store: nobody else in its failure domain that
-/// lives and is in contact with the store comes first.
+/// What a VM's contact with the store says of its watching it; the best ones
+/// are chosen among.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Contact {
+    /// Its calls fail.
+    Away,
+    /// It has made no call lately.
+    Idle,
+    /// It was answered lately.
+    Answered,
+}
+
+impl Contact {
+    fn of(age: Option<Duration>) -> Self {
+        match age {
+            None => Self::Away,
+            Some(age) if age < IN_CONTACT => Self::Answered,
+            Some(_) => Self::Idle,
+        }
+    }
+}
+
+/// Whether this VM is to watch the store: of those in its failure domain that
+/// live and have the best contact with the store, nobody else comes first. While
+/// the store is away from all, one of them keeps looking.
 #[must_use]
 pub fn watches_store(front: &Front) -> bool {
     let now = front.clock.now();
     if now < HEARS_OTHERS {
         return false;
     }
-    let others = front.peers.heard_where(|peer| can_watch(front, peer, now));
+    let own = Contact::of(front.store_contact.age(now));
+    let near = |peer: &Heard| {
+        peer.failure_domain == front.failure_domain
+            && !peer.draining
+            && now.saturating_sub(peer.at) < ALIVE
+    };
+    let contact = |peer: &Heard| Contact::of(peer.store_age);
+    let better = |peer: &Heard| near(peer) && contact(peer) > own;
+    if !front.peers.heard_where(better).is_empty() {
+        return false;
+    }
+    let others = front
+        .peers
+        .heard_where(|peer| near(peer) && contact(peer) == own);
     watches(
         DUTY,
         &front.name,
@@ -37,10 +72,3 @@
         WATCHERS,
     )
 }
-
-fn can_watch(front: &Front, peer: &Heard, now: Time) -> bool {
-    peer.failure_domain == front.failure_domain
-        && !peer.draining
-        && now.saturating_sub(peer.at) < ALIVE
-        && peer.store_age.is_some_and(|age| age < IN_CONTACT)
-}
--- a/trouttrack_front/src/state/store_contact.rs
+++ b/trouttrack_front/src/state/store_contact.rs
@@ -34,13 +34,23 @@
         }
     }
 
-    /// How long ago a call was last answered, in milliseconds; `None` while
-    /// calls fail.
+    /// How long ago a call was last answered; `None` while calls fail.
     #[must_use]
-    pub fn age_ms(&self, now: Time) -> Option<u64> {
+    pub fn age(&self, now: Time) -> Option<Duration> {
         let at = self.answered_at.get().filter(|_| !self.away.get())?;
-        let age: Duration = now.saturating_sub(at);
-        Some(age.as_millis() as u64)
+        Some(now.saturating_sub(at))
+    }
+
+    /// The same in milliseconds.
+    #[must_use]
+    pub fn age_ms(&self, now: Time) -> Option<u64> {
+        self.age(now).map(|age| age.as_millis() as u64)
+    }
+
+    /// Whether calls fail.
+    #[must_use]
+    pub fn is_away(&self) -> bool {
+        self.away.get()
     }
 
     /// Waits for the store's return.
--- a/trouttrack_front/tests/front/peers.rs
+++ b/trouttrack_front/tests/front/peers.rs
@@ -4,6 +4,7 @@
 use trouttrack_front::app::{Running, start};
 use trouttrack_front::peers::watches_store;
 use trouttrack_platform::{StoreError, StoreErrorKind};
+use trouttrack_platform_standin::StoreFault;
 
 async fn second(bed: &Bed) -> Running {
     let more = "[bounds]\nrevoke = 5s\n";
@@ -94,3 +95,25 @@
     .await;
     waiting.abort();
 }
+
+#[actix_rt::test]
+async fn while_the_store_is_away_one_vm_looks_for_it_and_all_notice_its_return() {
+    let bed = Bed::new(PLAIN).await;
+    let other = second(&bed).await;
+    let both = [&bed.front.front, &other.front];
+    bed.store.set_fault(StoreFault::Refuse);
+    until("both have noticed", || {
+        both.iter().all(|f| f.store_contact.is_away())
+    })
+    .await;
+    until("one looks for it", || {
+        both.iter().filter(|f| watches_store(f)).count() == 1
+    })
+    .await;
+    bed.store.set_fault(StoreFault::None);
+    until("both know that it is back", || {
+        both.iter().all(|f| !f.store_contact.is_away())
+    })
+    .await;
+    assert_eq!(bed.send(&plain("r1", "many")).await.status, 200);
+}
--- a/trouttrack_soak/src/bed/mod.rs
+++ b/trouttrack_soak/src/bed/mod.rs
@@ -66,7 +66,7 @@
         };
         for number in 1..=size.vms {
             let to_store = Link::before(bed.store.addr()).await?;
-            let vm = Vm::new(&format!("front-{number}"), program, dir, to_store.addr())?;
+            let vm = Vm::new(number, program, dir, to_store.addr())?;
             bed.caller_links.push(Link::before(vm.ports.callers).await?);
             bed.store_links.push(to_store);
             bed.vms.push(vm);
--- a/trouttrack_soak/src/run.rs
+++ b/trouttrack_soak/src/run.rs
@@ -62,6 +62,10 @@
 /// A file, port or process cannot be had.
 pub async fn run(options: &SoakOptions) -> Result<Outcome, SoakError> {
     let dir = options.dir.join(options.seed.to_string());
+    // Logs of an earlier run of the same seed would be taken for this one's.
+    if dir.exists() {
+        fs::remove_dir_all(&dir)?;
+    }
     fs::create_dir_all(&dir)?;
     let plan = Plan::draw(options.seed, options.size);
     let acts = plan.steps.len();
--- a/trouttrack_soak/src/vm/mod.rs
+++ b/trouttrack_soak/src/vm/mod.rs
@@ -5,7 +5,7 @@
 use std::cell::{Cell, RefCell};
 use std::fs::{self, File};
 use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
@@ -34,6 +34,11 @@
     Itself,
 }
 
+/// The second number of the first VM's loopback address.
+const FIRST_HOST: u8 = 100;
+/// VMs that get addresses of their own.
+const HOSTS: usize = 100;
+
 /// The ports of a front.
 #[derive(Clone, Copy, Debug)]
 pub struct Ports {
@@ -46,16 +51,20 @@
 }
 
 impl Ports {
-    /// Ports that are free now.
+    /// Ports that are free now, for the VM of this number. Between two lives
+    /// nobody holds them, so they are on an address that no other VM, process
+    /// or outgoing connection uses.
     ///
     /// # Errors
     ///
     /// There are none.
-    pub fn free() -> io::Result<Self> {
+    pub fn free(number: usize) -> io::Result<Self> {
+        let [.., high, low] = std::process::id().to_be_bytes();
+        let host = Ipv4Addr::new(127, FIRST_HOST + (number % HOSTS) as u8, high, low.max(1));
         // All are held until all are found, so that they differ.
-        let tcp = || TcpListener::bind("127.0.0.1:0");
+        let tcp = || TcpListener::bind((host, 0));
         let (callers, ready, metrics) = (tcp()?, tcp()?, tcp()?);
-        let peers = UdpSocket::bind("127.0.0.1:0")?;
+        let peers = UdpSocket::bind((host, 0))?;
         Ok(Self {
             callers: callers.local_addr()?,
             ready: ready.local_addr()?,
@@ -90,13 +99,19 @@
     /// # Errors
     ///
     /// Its settings cannot be written, or there is no free port.
-    pub fn new(name: &str, program: &Path, dir: &Path, store: SocketAddr) -> io::Result<Rc<Self>> {
+    pub fn new(
+        number: usize,
+        program: &Path,
+        dir: &Path,
+        store: SocketAddr,
+    ) -> io::Result<Rc<Self>> {
+        let name = format!("front-{number}");
         let vm = Rc::new(Self {
-            name: name.to_owned(),
-            ports: Ports::free()?,
+            ports: Ports::free(number)?,
             program: program.to_owned(),
             settings: dir.join(format!("{name}.ini")),
             log: dir.join(format!("{name}.log")),
+            name,
             store,
             pid: Cell::new(None),
             life: Cell::new(0),
