--- a/trouttrack_core/benches/decision.rs
+++ b/trouttrack_core/benches/decision.rs
@@ -8,6 +8,7 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 use trouttrack_core::length::LengthKey;
+use trouttrack_core::membership::UpstreamUse;
 use trouttrack_core::upstream::Spec;
 use trouttrack_core::world::{Decision, Submission, World, WorldSettings};
 
@@ -15,6 +16,10 @@
 const ORGANISATIONS: [usize; 2] = [10, 18_000];
 /// Requests that run at each upstream all the while.
 const RUNNING: usize = 12;
+/// Upstreams that a heartbeat names.
+const NAMED: usize = 30;
+/// Peers whose heartbeats come in turn.
+const PEERS: usize = 340;
 
 fn world(upstreams: usize, organisations: usize) -> World {
     let mut world = World::new(WorldSettings {
@@ -28,20 +33,23 @@
         policy: "trouttrack".parse().expect("the policy is known"),
         seed: 1,
     });
-    let spec = |i: usize| Spec {
+    world.configure((0..upstreams).map(spec).collect());
+    for i in 0..upstreams * RUNNING {
+        world.submit(Duration::ZERO, submission(i, organisations));
+    }
+    world.tick(Duration::ZERO);
+    world
+}
+
+fn spec(i: usize) -> Spec {
+    Spec {
         id: format!("e{i}"),
         failure_domain: format!("d{}", i % 8),
         services: vec!["s".into()],
         capacity_tokens: 49_152,
         max_running: 64,
         warm_at: Duration::ZERO,
-    };
-    world.configure((0..upstreams).map(spec).collect());
-    for i in 0..upstreams * RUNNING {
-        world.submit(Duration::ZERO, submission(i, organisations));
     }
-    world.tick(Duration::ZERO);
-    world
 }
 
 fn submission(i: usize, organisations: usize) -> Submission {
@@ -109,5 +117,48 @@
     );
 }
 
-criterion_group!(benches, decisions);
+/// What a peer's heartbeat and one upstream's new entry cost.
+fn membership(c: &mut Criterion) {
+    let mut group = c.benchmark_group("membership");
+    for upstreams in UPSTREAMS {
+        let mut world = world(upstreams, 10);
+        let mut now = Duration::ZERO;
+        let uses: Vec<UpstreamUse> = (0..upstreams.min(NAMED)).map(used).collect();
+        group.bench_function(BenchmarkId::new("heartbeat", upstreams), |b| {
+            let mut peer = 0;
+            b.iter(|| {
+                peer = (peer + 1) % PEERS;
+                now += Duration::from_millis(1);
+                world.peer_uses(now, &format!("vm-{peer}"), &uses);
+            });
+        });
+        group.bench_function(BenchmarkId::new("entry", upstreams), |b| {
+            let mut n = 0;
+            b.iter(|| {
+                n = (n + 1) % upstreams;
+                world.put_upstream(spec(n));
+            });
+        });
+        group.bench_function(BenchmarkId::new("replaced", upstreams), |b| {
+            let mut n = 0;
+            b.iter(|| {
+                n = (n + 1) % upstreams;
+                world.remove_upstream(&format!("e{n}"));
+                world.put_upstream(spec(n));
+            });
+        });
+    }
+    group.finish();
+}
+
+fn used(i: usize) -> UpstreamUse {
+    UpstreamUse {
+        upstream: format!("e{i}"),
+        running: 2,
+        peak_tokens: 900,
+        loading_tokens: 100,
+    }
+}
+
+criterion_group!(benches, decisions, membership);
 criterion_main!(benches);
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
+use trouttrack_core::membership::told;
 
 /// The largest datagram taken.
 const MOST_BYTES: usize = 60_000;
@@ -71,7 +72,8 @@
     }
 }
 
-/// Sends news to every VM for as long as the process runs. News wait for room
+/// Sends news to those who are to hear them, for as long as the process runs.
+/// News wait for room
 /// in the socket: one that is lost costs its receiver a call to the store, and a
 /// generation the time to be moved.
 pub(crate) async fn tell(front: Rc<Front>, socket: Rc<UdpSocket>, mut news: mpsc::Receiver<News>) {
@@ -82,7 +84,8 @@
         let Some(bytes) = encode(&Datagram::News(news)) else {
             continue;
         };
-        for (name, addr) in front.peers.others() {
+        let near = |(name, _): &(String, _)| front.peers.is_in(name, &front.failure_domain);
+        for (name, addr) in told(front.peers.others(), near, &mut rand::rng()) {
             if let Err(e) = socket.send_to(&bytes, addr).await {
                 log::warn!("news to {name} at {addr}: {e}");
             }
