--- a/trouttrack_front/tests/front/plain.rs
+++ b/trouttrack_front/tests/front/plain.rs
@@ -234,3 +234,20 @@
         tokio::time::sleep(Duration::from_millis(400)).await;
     }
 }
+
+#[actix_rt::test]
+async fn an_upstream_that_fails_what_may_not_be_repeated_is_left_alone() {
+    let bed = Bed::new(PLAIN).await;
+    // Of two idle ones the last is taken.
+    bed.upstreams[1].always(Behaviour::Fail);
+    let mut statuses = Vec::new();
+    for number in 0..12 {
+        let reply = bed.send(&plain(&format!("r{number}"), "once")).await;
+        statuses.push(reply.status);
+    }
+    assert!(statuses.contains(&200), "{statuses:?}");
+    assert_eq!(
+        bed.upstreams[1].ran().len(),
+        12 - bed.upstreams[0].ran().len()
+    );
+}
