--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -2,7 +2,7 @@
 
 use super::backoff::Backoff;
 use super::config;
-use crate::peers::{Heard, watches_store};
+use crate::peers::watches_store;
 use crate::state::Front;
 use rand::RngExt;
 use std::ops::Range;
@@ -23,9 +23,6 @@
 /// The age at which the others make it themselves. It is drawn anew each time,
 /// so that one VM is first and the others hear of it.
 const OTHERS: Range<f64> = 1.1..1.5;
-/// How long a VM that does not watch waits for word from one that does when it
-/// has never confirmed its configuration: several heartbeats.
-const FIRST_WORD: Duration = Duration::from_millis(600);
 /// Pause between two looks whether a configuration is known.
 const LOOK_FOR_CONFIG: Duration = Duration::from_millis(100);
 /// While the configuration that the store has cannot be put in force, pause
@@ -36,11 +33,11 @@
 /// The longest one: a bound that a reload lowered is seen after this.
 const LOOK_AT_LEAST: Duration = Duration::from_secs(1);
 
-/// Confirms for as long as the process runs.
+/// Confirms for as long as the process runs. The first call is made at once: a
+/// VM that has just started can say nothing of keys before its answer.
 pub(super) async fn confirm(front: Rc<Front>, bounds: BoundSettings) {
     let mut backoff = Backoff::new();
     loop {
-        wait_until_due(&front, bounds.config_apply).await;
         match once(&front).await {
             Ok(()) => backoff.succeeded(),
             Err(e) => {
@@ -48,6 +45,7 @@
                 backoff.pause_as(watches_store(&front)).await;
             }
         }
+        wait_until_due(&front, bounds.config_apply).await;
     }
 }
 
@@ -60,9 +58,6 @@
     while !front.routing.is_known() {
         tokio::time::sleep(LOOK_FOR_CONFIG).await;
     }
-    if front.routing.age().is_none() && !watches_store(front) && others_are_heard(front) {
-        tokio::time::sleep(FIRST_WORD).await;
-    }
     let parts = [
         rand::rng().random_range(WATCHER),
         rand::rng().random_range(OTHERS),
@@ -72,12 +67,6 @@
     }
 }
 
-/// Whether another VM of the own failure domain may bring word.
-fn others_are_heard(front: &Front) -> bool {
-    let near = |peer: &Heard| peer.failure_domain == front.failure_domain;
-    !front.peers.heard_where(near).is_empty()
-}
-
 /// How long the newest confirmation will do, if it still does.
 fn time_left(front: &Front, config_apply: Duration, parts: [f64; 2]) -> Option<Duration> {
     let [of_watcher, of_others] = parts;
