A cold upstream counts as busy until it is warm

The weight of coldness was an eighth of what a second of prompts to be loaded weighs. Change: the time until it is warm is added to that of the prompts.

--- a/trouttrack_core/src/world/systems.rs
+++ b/trouttrack_core/src/world/systems.rs
@@ -260,8 +260,7 @@
             fits,
             local: u.spec.failure_domain == self.world.settings.failure_domain,
             lane: if urgent { lane } else { 1.0 - lane },
-            backlog: u.loading_seconds(self.now),
-            cold: u.coldness(self.now),
+            backlog: u.busy_seconds(self.now),
             cached: 0.0,
         })
     }
