--- a/trouttrack_core/src/routing/score.rs
+++ b/trouttrack_core/src/routing/score.rs
@@ -21,8 +21,10 @@
     pub cached: f64,
     /// Added for the last in the packing order of the class.
     pub lane: f64,
-    /// Added for each second until it is warm and has loaded its prompts.
+    /// Added for each second of prompts still to be loaded.
     pub backlog: f64,
+    /// Added for an upstream that has just started; less as it warms up.
+    pub cold: f64,
 }
 
 impl Default for Weights {
@@ -34,6 +36,7 @@
             cached: 0.4,
             lane: 0.3,
             backlog: 3.0,
+            cold: 0.5,
         }
     }
 }
@@ -83,7 +86,12 @@
         let w = &self.weights;
         let running = c.running as f64 / c.max_running.max(1) as f64;
         let remote = if c.local { 0.0 } else { w.remote };
-        w.running * running + w.fill * c.fill + remote + w.lane * c.lane + w.backlog * c.backlog
+        w.running * running
+            + w.fill * c.fill
+            + remote
+            + w.lane * c.lane
+            + w.backlog * c.backlog
+            + w.cold * c.cold
             - w.cached * c.cached
     }
 }
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -168,12 +168,11 @@
         peak_of(&self.own)
     }
 
-    /// How long new work waits from `now` on: until it is warm after its start,
-    /// and has loaded the prompts that it was given.
+    /// How cold it still is after its start, from 1 to 0 (warm).
     #[must_use]
-    pub fn busy_seconds(&self, now: Time) -> f64 {
-        let cold = self.spec.warm_at.saturating_sub(now);
-        cold.as_secs_f64() + self.loading_seconds(now)
+    pub fn coldness(&self, now: Time) -> f64 {
+        let left = self.spec.warm_at.saturating_sub(now);
+        (left.as_secs_f64() / COLD_FOR.as_secs_f64()).min(1.0)
     }
 
     /// Whether it may be given new work at `now`.
@@ -236,6 +235,9 @@
     }
 }
 
+/// An upstream that is slow for this long or longer counts as wholly cold; the
+/// users' upstreams are slow for some seconds after their start.
+const COLD_FOR: Time = Time::from_secs(4);
 /// Peers' peaks do not come at the same time as the own: this share of their
 /// sum is counted. Tuned in the decision bench; see docs/design/decisions.md.
 const PEAKS_TOGETHER: f64 = 0.75;
--- a/trouttrack_core/src/world/systems.rs
+++ b/trouttrack_core/src/world/systems.rs
@@ -260,7 +260,8 @@
             fits,
             local: u.spec.failure_domain == self.world.settings.failure_domain,
             lane: if urgent { lane } else { 1.0 - lane },
-            backlog: u.busy_seconds(self.now),
+            backlog: u.loading_seconds(self.now),
+            cold: u.coldness(self.now),
             cached: 0.0,
         })
     }
--- a/trouttrack_core/tests/core/policies.rs
+++ b/trouttrack_core/tests/core/policies.rs
@@ -24,6 +24,7 @@
         fill: running as f64 / 10.0,
         fits,
         local: true,
+        cold: 0.0,
         cached: 0.0,
         lane: 0.0,
         backlog: 0.0,
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -148,7 +148,6 @@
                     revision = revision,
                     service = entry.service.as_str(),
                     cold_ms = entry.cold_for.as_millis() as u64,
-                    cold_ms = entry.cold_for.as_millis() as u64,
                     leaving = leaving,
                 );
                 let new = Rc::new(Upstream::new(id, entry, self.clock.now()));
