Soak: ports, settings, process and supervision of a front in files of their own

Hard to read: vm/mod.rs held the search for free ports, the text of the settings, the child process and the loop that starts it again; the process was made up of raw calls in the loop, and why a life ended was a match on a pair of flags. Change: a file for each; `Process` starts, names and ends the child, and `Vm` says in named steps when a stop is overdue and by what a life ended.

--- /dev/null
+++ b/trouttrack_soak/src/vm/settings.rs
@@ -0,0 +1,26 @@
+//! The settings file of a front.
+
+use super::ports::Ports;
+use super::supervisor::GRACE;
+use crate::check::{RETRY_EXTRA, RETRY_RATIO};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The text of the settings of the VM `name` that finds the store at `store`
+/// and refuses removed keys after `revoke`.
+pub(super) fn text(name: &str, store: SocketAddr, ports: &Ports, revoke: Duration) -> String {
+    let Ports {
+        callers,
+        ready,
+        metrics,
+        peers,
+    } = ports;
+    format!(
+        "[vm]\nname = {name}\nfailure_domain = a\n[log]\nformat = json\n\
+         [platform]\nurl = http://{store}\n\
+         [front]\nlisten = {callers}\nready = {ready}\nmetrics = {metrics}\npeers = {peers}\n\
+         [bounds]\nrevoke = {}ms\ngrace = {}s\n[retry]\nratio = {RETRY_RATIO}\nextra = {RETRY_EXTRA}\n",
+        revoke.as_millis(),
+        GRACE.as_secs(),
+    )
+}
--- /dev/null
+++ b/trouttrack_soak/src/vm/supervisor.rs
@@ -0,0 +1,209 @@
+//! A front that is started again whenever its process ends.
+
+use super::ports::Ports;
+use super::process::Process;
+use super::settings;
+use crate::check::REVOKE;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use std::cell::{Cell, RefCell};
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How often it is looked whether a process has ended.
+const LOOK: Duration = Duration::from_millis(20);
+/// From the end of a process to the next start.
+const RESTART: Duration = Duration::from_millis(200);
+/// How much longer than its grace a process may take to stop.
+const STOP_SLACK: Duration = Duration::from_secs(2);
+
+/// The time between the signal to stop and the end that the settings grant.
+pub const GRACE: Duration = Duration::from_secs(8);
+
+/// Why a life ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndedBy {
+    /// It was told to stop.
+    Stop,
+    /// It was killed.
+    Kill,
+    /// It was told to stop, did not, and was killed.
+    Overdue,
+    /// Nobody asked it to end.
+    Itself,
+}
+
+/// A front, and what became of its processes.
+#[derive(Debug)]
+pub struct Vm {
+    /// Its name.
+    pub name: String,
+    /// Its ports, the same in each life.
+    pub ports: Ports,
+    program: PathBuf,
+    /// The settings file.
+    settings: PathBuf,
+    /// The log file.
+    log: PathBuf,
+    store: SocketAddr,
+    /// The process that runs now.
+    pid: Cell<Option<Pid>>,
+    /// Numbers the lives from 1 on.
+    life: Cell<u64>,
+    /// When the process that runs now was told to stop.
+    told_to_stop: Cell<Option<Instant>>,
+    /// Whether the process that runs now was killed.
+    was_killed: Cell<bool>,
+    /// How earlier lives ended.
+    ended: RefCell<Vec<EndedBy>>,
+}
+
+impl Vm {
+    /// A front that does not run yet; it keeps its files in `dir`.
+    ///
+    /// # Errors
+    ///
+    /// Its settings cannot be written, or there is no free port.
+    pub fn new(
+        number: usize,
+        program: &Path,
+        dir: &Path,
+        store: SocketAddr,
+    ) -> io::Result<Rc<Self>> {
+        let name = format!("front-{number}");
+        let vm = Rc::new(Self {
+            ports: Ports::free(number)?,
+            program: program.to_owned(),
+            settings: dir.join(format!("{name}.ini")),
+            log: dir.join(format!("{name}.log")),
+            name,
+            store,
+            pid: Cell::new(None),
+            life: Cell::new(0),
+            told_to_stop: Cell::new(None),
+            was_killed: Cell::new(false),
+            ended: RefCell::default(),
+        });
+        vm.write_settings(REVOKE)?;
+        Ok(vm)
+    }
+
+    /// Writes the settings.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be written.
+    pub fn write_settings(&self, revoke: Duration) -> io::Result<()> {
+        let text = settings::text(&self.name, self.store, &self.ports, revoke);
+        fs::write(&self.settings, text)
+    }
+
+    /// The number of the life that runs now, or ran last.
+    #[must_use]
+    pub fn life(&self) -> u64 {
+        self.life.get()
+    }
+
+    /// How its lives ended.
+    #[must_use]
+    pub fn ended(&self) -> Vec<EndedBy> {
+        self.ended.borrow().clone()
+    }
+
+    /// Sends a signal to the process, if there is one.
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = self.pid.get()
+            && let Err(e) = kill(pid, signal)
+        {
+            eprintln!("{}: {signal}: {e}", self.name);
+        }
+    }
+
+    /// Tells it to stop as planned.
+    pub fn stop(&self) {
+        if self.pid.get().is_some() && self.told_to_stop.get().is_none() {
+            self.told_to_stop.set(Some(Instant::now()));
+            self.signal(Signal::SIGTERM);
+        }
+    }
+
+    /// Kills it.
+    pub fn kill(&self) {
+        self.was_killed.set(true);
+        self.signal(Signal::SIGKILL);
+    }
+
+    /// Makes it stand still.
+    pub fn pause(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets it go on.
+    pub fn go_on(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Tells it that its settings have changed.
+    pub fn reload(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
+    /// Runs it for as long as the soak lasts.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot be started.
+    pub async fn run(self: Rc<Self>) -> io::Result<()> {
+        loop {
+            let process = Process::start(&self.program, &self.settings, &self.log)?;
+            self.begin_life(process.pid());
+            let ended = self.wait(process).await?;
+            self.pid.set(None);
+            self.ended.borrow_mut().push(ended);
+            tokio::time::sleep(RESTART).await;
+        }
+    }
+
+    /// A process has started; nobody has asked it to end yet.
+    fn begin_life(&self, pid: Pid) {
+        self.was_killed.set(false);
+        self.told_to_stop.set(None);
+        self.life.set(self.life.get() + 1);
+        self.pid.set(Some(pid));
+    }
+
+    /// Waits for the end of a process; kills it if it is overdue.
+    async fn wait(&self, mut process: Process) -> io::Result<EndedBy> {
+        let mut overdue = false;
+        while !process.has_ended()? {
+            if !overdue && self.is_overdue() {
+                overdue = true;
+                self.signal(Signal::SIGKILL);
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        Ok(self.ended_by(overdue))
+    }
+
+    /// Whether the process was told to stop and has not in time.
+    fn is_overdue(&self) -> bool {
+        let told = self.told_to_stop.get();
+        told.is_some_and(|at| at.elapsed() > GRACE + STOP_SLACK)
+    }
+
+    fn ended_by(&self, overdue: bool) -> EndedBy {
+        if overdue {
+            EndedBy::Overdue
+        } else if self.was_killed.get() {
+            EndedBy::Kill
+        } else if self.told_to_stop.get().is_some() {
+            EndedBy::Stop
+        } else {
+            EndedBy::Itself
+        }
+    }
+}
