Soak: what can be done and how a plan is drawn in files of their own

Hard to read: plan.rs mixed the list of faults with the draws; one constant stood in the middle of the file, one range had no name, and nothing said that the order of the draws is what makes a seed's plan.

--- /dev/null
+++ b/trouttrack_soak/src/plan/act.rs
@@ -0,0 +1,89 @@
+//! What can be done to a fleet.
+
+use std::time::Duration;
+
+/// What a link does to the bytes on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkFault {
+    /// They come later.
+    Delay(Duration),
+    /// Those to the server do not arrive while it lasts.
+    CutToServer,
+    /// Those from the server do not arrive while it lasts.
+    CutFromServer,
+    /// None arrives while it lasts.
+    Silence,
+    /// All connections are reset, once.
+    Reset,
+    /// Connections are refused while it lasts, and all are reset.
+    Refuse,
+}
+
+/// Which links a fault is on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// Between callers and a VM.
+    Callers(usize),
+    /// Between a VM and the store.
+    Store(usize),
+    /// Between the VMs and an upstream.
+    Upstream(usize),
+}
+
+/// How the store fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreFailure {
+    /// Calls are refused.
+    Refuse,
+    /// Calls get no answer.
+    Silent,
+    /// Connections are reset.
+    Reset,
+    /// Watches hear nothing.
+    DeafWatches,
+    /// Calls get no answer, and upstreams' entries lapse until it is back.
+    Lapse,
+}
+
+/// One thing that is done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// A VM gets SIGTERM.
+    Stop(usize),
+    /// A VM is killed.
+    Kill(usize),
+    /// A VM stands still.
+    Pause(usize),
+    /// A VM's settings change, and it gets SIGHUP.
+    Reload(usize),
+    /// Links are disturbed.
+    Link(Place, LinkFault),
+    /// The store fails.
+    Store(StoreFailure),
+    /// The store forgets its history.
+    ForgetHistory,
+    /// An upstream says that it leaves, serves on for a while and ends; another
+    /// takes its place.
+    Leave(usize),
+    /// The same, but its entry disappears at once.
+    LeaveUnsaid(usize),
+    /// An upstream crashes; another takes its place later.
+    Crash(usize),
+    /// An upstream answers some requests badly.
+    Misbehave(usize),
+    /// A new version of the configuration.
+    Configure,
+    /// A key is taken away.
+    Revoke,
+}
+
+impl Act {
+    /// Whether it is planned work, which must cut off no request.
+    #[must_use]
+    pub fn is_planned(self) -> bool {
+        matches!(
+            self,
+            Self::Stop(_) | Self::Reload(_) | Self::Leave(_) | Self::Configure | Self::Revoke
+        )
+    }
+}
--- a/trouttrack_soak/src/plan.rs
+++ b/trouttrack_soak/src/plan/draw.rs
@@ -1,5 +1,8 @@
-//! What is done when, drawn from a seed.
+//! Drawing a plan. A seed gives the same plan only as long as the order of the
+//! draws stays.
 
+use super::act::{Act, LinkFault, Place, StoreFailure};
+use super::size::Size;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::ops::Range;
@@ -13,116 +16,11 @@
 const LASTS: Range<f64> = 0.2..3.0;
 /// Between the beginnings of two faults, in seconds: they overlap.
 const GAP: Range<f64> = 0.05..1.0;
-
-/// How large a run is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Size {
-    /// Fronts.
-    pub vms: usize,
-    /// Plain upstreams, and as many engines.
-    pub upstreams: usize,
-    /// Callers.
-    pub callers: usize,
-    /// How long it takes, from the first request to the last.
-    pub lasts: Duration,
-}
-
-impl Default for Size {
-    fn default() -> Self {
-        Self {
-            vms: 3,
-            upstreams: 3,
-            callers: 12,
-            lasts: Duration::from_secs(15),
-        }
-    }
-}
-
-/// What a link does to the bytes on it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LinkFault {
-    /// They come later.
-    Delay(Duration),
-    /// Those to the server do not arrive while it lasts.
-    CutToServer,
-    /// Those from the server do not arrive while it lasts.
-    CutFromServer,
-    /// None arrives while it lasts.
-    Silence,
-    /// All connections are reset, once.
-    Reset,
-    /// Connections are refused while it lasts, and all are reset.
-    Refuse,
-}
-
-/// Which links a fault is on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Place {
-    /// Between callers and a VM.
-    Callers(usize),
-    /// Between a VM and the store.
-    Store(usize),
-    /// Between the VMs and an upstream.
-    Upstream(usize),
-}
-
-/// How the store fails.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StoreFailure {
-    /// Calls are refused.
-    Refuse,
-    /// Calls get no answer.
-    Silent,
-    /// Connections are reset.
-    Reset,
-    /// Watches hear nothing.
-    DeafWatches,
-    /// Calls get no answer, and upstreams' entries lapse until it is back.
-    Lapse,
-}
-
-/// One thing that is done.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Act {
-    /// A VM gets SIGTERM.
-    Stop(usize),
-    /// A VM is killed.
-    Kill(usize),
-    /// A VM stands still.
-    Pause(usize),
-    /// A VM's settings change, and it gets SIGHUP.
-    Reload(usize),
-    /// Links are disturbed.
-    Link(Place, LinkFault),
-    /// The store fails.
-    Store(StoreFailure),
-    /// The store forgets its history.
-    ForgetHistory,
-    /// An upstream says that it leaves, serves on for a while and ends; another
-    /// takes its place.
-    Leave(usize),
-    /// The same, but its entry disappears at once.
-    LeaveUnsaid(usize),
-    /// An upstream crashes; another takes its place later.
-    Crash(usize),
-    /// An upstream answers some requests badly.
-    Misbehave(usize),
-    /// A new version of the configuration.
-    Configure,
-    /// A key is taken away.
-    Revoke,
-}
-
-impl Act {
-    /// Whether it is planned work, which must cut off no request.
-    #[must_use]
-    pub fn is_planned(self) -> bool {
-        matches!(
-            self,
-            Self::Stop(_) | Self::Reload(_) | Self::Leave(_) | Self::Configure | Self::Revoke
-        )
-    }
-}
+/// The share of plans that hold planned work only: what it must not cut off can
+/// be judged only where nothing else is amiss.
+const PLANNED_ONLY: f64 = 0.3;
+/// How long bytes are delayed, in milliseconds.
+const DELAY_MS: Range<u64> = 5..400;
 
 /// One thing that is done, and when.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -156,14 +54,14 @@
     #[must_use]
     pub fn draw(seed: u64, size: Size) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let calm = rng.random_bool(PLANNED_ONLY);
+        let planned_only = rng.random_bool(PLANNED_ONLY);
         let ends = size.lasts.saturating_sub(RECOVER);
         let mut steps = Vec::new();
         let mut at = SETTLE;
         while at < ends {
             let lasts = Duration::from_secs_f64(rng.random_range(LASTS)).min(ends - at);
             let act = act(&mut rng, size);
-            if !calm || act.is_planned() {
+            if !planned_only || act.is_planned() {
                 steps.push(Step { at, lasts, act });
             }
             at += Duration::from_secs_f64(rng.random_range(GAP));
@@ -172,10 +70,7 @@
     }
 }
 
-/// The share of plans that hold planned work only: what it must not cut off can
-/// be judged only where nothing else is amiss.
-const PLANNED_ONLY: f64 = 0.3;
-
+/// Any act. A VM and an upstream are drawn first, whether or not it needs them.
 fn act(rng: &mut SmallRng, size: Size) -> Act {
     let vm = rng.random_range(0..size.vms);
     let upstream = rng.random_range(0..2 * size.upstreams);
@@ -206,7 +101,7 @@
 
 fn link_fault(rng: &mut SmallRng) -> LinkFault {
     match rng.random_range(0..6) {
-        0 => LinkFault::Delay(Duration::from_millis(rng.random_range(5..400))),
+        0 => LinkFault::Delay(Duration::from_millis(rng.random_range(DELAY_MS))),
         1 => LinkFault::CutToServer,
         2 => LinkFault::CutFromServer,
         3 => LinkFault::Silence,
--- /dev/null
+++ b/trouttrack_soak/src/plan/mod.rs
@@ -0,0 +1,9 @@
+//! What is done when, drawn from a seed.
+
+mod act;
+mod draw;
+mod size;
+
+pub use act::{Act, LinkFault, Place, StoreFailure};
+pub use draw::{Plan, Step};
+pub use size::Size;
