Soak: faults of the store and of upstreams in files of their own

Hard to read: one file carried out every kind of fault, its `act` was partly a list and partly the steps themselves, and `leave` took a bare `true` or `false`. Change: faults/{carry_out,store,upstreams}.rs; `act` only lists, each step has a name, and leaving with and without a word are two functions.

--- /dev/null
+++ b/trouttrack_soak/src/faults/carry_out.rs
@@ -0,0 +1,115 @@
+//! Carrying a plan out against a fleet.
+
+use super::history::History;
+use super::{store, upstreams};
+use crate::bed::{Bed, Configs};
+use crate::plan::{Act, LinkFault, Place, Plan, Step};
+use crate::vm::GRACE;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// The bound on removed keys after a reload; it is never longer than the one
+/// that is checked.
+const RELOADED_REVOKE: Duration = Duration::from_millis(4000);
+/// How long a kill counts as lasting: until the VM has been started again.
+const KILL_LASTS: Duration = Duration::from_secs(1);
+
+/// Carries a plan out against a fleet.
+#[derive(Debug)]
+pub struct Faults {
+    bed: Rc<Bed>,
+    history: Rc<RefCell<History>>,
+    seed: u64,
+}
+
+impl Faults {
+    /// Faults on a fleet, whose details are drawn from `seed`.
+    #[must_use]
+    pub fn new(bed: Rc<Bed>, history: Rc<RefCell<History>>, seed: u64) -> Self {
+        Self { bed, history, seed }
+    }
+
+    /// Carries out a plan; returns when its last fault has ended.
+    pub async fn carry_out(self, plan: Plan) {
+        let began = Instant::now();
+        let this = Rc::new(self);
+        let mut running = Vec::new();
+        for (number, step) in plan.steps.into_iter().enumerate() {
+            sleep_until(began + step.at).await;
+            running.push(actix_rt::spawn(Rc::clone(&this).step(number, step)));
+        }
+        for step in running {
+            if let Err(e) = step.await {
+                eprintln!("a fault ended early: {e}");
+            }
+        }
+    }
+
+    /// Carries out one step, and notes when it began and ended.
+    async fn step(self: Rc<Self>, number: usize, step: Step) {
+        let place = self.history.borrow_mut().begin(step.act);
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ number as u64);
+        self.act(&step, &mut rng).await;
+        self.history.borrow_mut().end(place);
+    }
+
+    async fn act(&self, step: &Step, rng: &mut SmallRng) {
+        let bed = &self.bed;
+        match step.act {
+            Act::Stop(vm) => self.stop(vm).await,
+            Act::Kill(vm) => self.kill(vm).await,
+            Act::Pause(vm) => self.pause(vm, step.lasts).await,
+            Act::Reload(vm) => self.reload(vm),
+            Act::Link(place, fault) => self.link(place, fault, step.lasts).await,
+            Act::Store(failure) => store::fail(bed, failure, step.lasts, rng).await,
+            Act::ForgetHistory => bed.store.forget_history(),
+            Act::Leave(place) => upstreams::leave(bed, place).await,
+            Act::LeaveUnsaid(place) => upstreams::leave_unsaid(bed, place).await,
+            Act::Crash(place) => upstreams::crash(bed, place, step.lasts).await,
+            Act::Misbehave(place) => upstreams::misbehave(&bed.upstreams, place, rng),
+            Act::Configure => bed.put_config(Configs::next),
+            Act::Revoke => bed.put_config(Configs::revoke),
+        }
+    }
+
+    async fn stop(&self, vm: usize) {
+        self.bed.vms[vm].stop();
+        // It is told from when it may be down until it serves again.
+        sleep(GRACE).await;
+    }
+
+    async fn kill(&self, vm: usize) {
+        self.bed.vms[vm].kill();
+        sleep(KILL_LASTS).await;
+    }
+
+    async fn pause(&self, vm: usize, lasts: Duration) {
+        let vm = &self.bed.vms[vm];
+        vm.pause();
+        sleep(lasts).await;
+        vm.go_on();
+    }
+
+    fn reload(&self, vm: usize) {
+        let vm = &self.bed.vms[vm];
+        match vm.write_settings(RELOADED_REVOKE) {
+            Ok(()) => vm.reload(),
+            Err(e) => eprintln!("{}: settings: {e}", vm.name),
+        }
+    }
+
+    async fn link(&self, place: Place, fault: LinkFault, lasts: Duration) {
+        let link = match place {
+            Place::Callers(vm) => self.bed.caller_links[vm].clone(),
+            Place::Store(vm) => self.bed.store_links[vm].clone(),
+            Place::Upstream(place) => self.bed.upstreams.at(place).link,
+        };
+        link.set(Some(fault));
+        sleep(lasts).await;
+        link.set(None);
+    }
+}
--- /dev/null
+++ b/trouttrack_soak/src/faults/store.rs
@@ -0,0 +1,51 @@
+//! Failures of the store.
+
+use crate::bed::{Bed, Member};
+use crate::plan::StoreFailure;
+use rand::RngExt;
+use rand::rngs::SmallRng;
+use std::time::Duration;
+use tokio::time::sleep;
+use trouttrack_platform_standin::StoreFault;
+
+/// After the store's return, entries that lapsed are back within this.
+const ENTRIES_RETURN: Duration = Duration::from_millis(1500);
+
+/// Makes the store fail for a while.
+pub(super) async fn fail(bed: &Bed, failure: StoreFailure, lasts: Duration, rng: &mut SmallRng) {
+    bed.store.set_fault(fault(failure));
+    let lapsed = match failure {
+        StoreFailure::Lapse => bed.upstreams.now(),
+        _ => Vec::new(),
+    };
+    for member in &lapsed {
+        bed.store.remove_upstream(&member.upstream.id);
+    }
+    sleep(lasts).await;
+    bed.store.set_fault(StoreFault::None);
+    return_entries(bed, &lapsed, rng).await;
+}
+
+fn fault(failure: StoreFailure) -> StoreFault {
+    match failure {
+        StoreFailure::Refuse => StoreFault::Refuse,
+        StoreFailure::Silent | StoreFailure::Lapse => StoreFault::Silent,
+        StoreFailure::Reset => StoreFault::Reset,
+        StoreFailure::DeafWatches => StoreFault::DeafWatches,
+    }
+}
+
+/// Upstreams whose entries lapsed write them again, one after the other. One
+/// that has left meanwhile does not.
+async fn return_entries(bed: &Bed, lapsed: &[Member], rng: &mut SmallRng) {
+    for member in lapsed {
+        // All pauses together take half of the time at most.
+        let part = 1.0 / (2.0 * bed.upstreams.now().len() as f64);
+        let pause = ENTRIES_RETURN.mul_f64(rng.random_range(0.0..part));
+        sleep(pause).await;
+        let id = &member.upstream.id;
+        if bed.upstreams.has(id) && bed.upstreams.left_at(id).is_none() {
+            bed.store.put_upstream(&member.upstream, false);
+        }
+    }
+}
--- /dev/null
+++ b/trouttrack_soak/src/faults/upstreams.rs
@@ -0,0 +1,90 @@
+//! Upstreams that leave, crash or misbehave.
+
+use crate::bed::{Bed, ENGINES, EVENTS, Member, Upstreams};
+use crate::plan::LinkFault;
+use rand::RngExt;
+use rand::rngs::SmallRng;
+use std::ops::Range;
+use std::time::Duration;
+use tokio::time::sleep;
+use trouttrack_platform_standin::Behaviour;
+
+/// How long a leaving upstream serves on after the store has taken its word:
+/// the platform's two seconds, and a little.
+const SERVES_ON: Duration = Duration::from_millis(2300);
+/// From an upstream's crash until its entry disappears: three heartbeats.
+const ENTRY_LASTS: Duration = Duration::from_millis(3600);
+/// Requests that an upstream that misbehaves answers badly.
+const BAD_ANSWERS: Range<usize> = 1..5;
+
+/// An upstream says that it leaves, serves on for a while and ends.
+pub(super) async fn leave(bed: &Bed, place: usize) {
+    let Some(member) = staying(bed, place) else {
+        return;
+    };
+    bed.upstreams.note_leaving(&member.upstream.id);
+    bed.store.put_upstream(&member.upstream, true);
+    serve_on_and_end(bed, &member).await;
+}
+
+/// The same, but its entry disappears at once.
+pub(super) async fn leave_unsaid(bed: &Bed, place: usize) {
+    let Some(member) = staying(bed, place) else {
+        return;
+    };
+    bed.upstreams.note_leaving(&member.upstream.id);
+    bed.store.remove_upstream(&member.upstream.id);
+    serve_on_and_end(bed, &member).await;
+}
+
+/// An upstream crashes; another takes its place later.
+pub(super) async fn crash(bed: &Bed, place: usize, lasts: Duration) {
+    let Some(member) = staying(bed, place) else {
+        return;
+    };
+    member.link.set(Some(LinkFault::Refuse));
+    sleep(lasts.max(ENTRY_LASTS)).await;
+    replace(bed, &member).await;
+}
+
+/// The upstream at a place, unless it leaves already.
+fn staying(bed: &Bed, place: usize) -> Option<Member> {
+    let member = bed.upstreams.at(place);
+    let leaves = bed.upstreams.left_at(&member.upstream.id).is_some();
+    (!leaves).then_some(member)
+}
+
+async fn serve_on_and_end(bed: &Bed, member: &Member) {
+    sleep(SERVES_ON).await;
+    replace(bed, member).await;
+}
+
+async fn replace(bed: &Bed, member: &Member) {
+    if let Err(e) = bed.upstreams.replace(&bed.store, member).await {
+        eprintln!("{}: not replaced: {e}", member.upstream.id);
+    }
+}
+
+/// Makes an upstream answer its next requests badly.
+pub(super) fn misbehave(upstreams: &Upstreams, place: usize, rng: &mut SmallRng) {
+    let upstream = upstreams.at(place).upstream;
+    for _ in 0..rng.random_range(BAD_ANSWERS) {
+        upstream.next(match upstream.service == ENGINES {
+            true => bad_stream(rng),
+            false => Behaviour::PLAIN[rng.random_range(0..Behaviour::PLAIN.len())],
+        });
+    }
+}
+
+fn bad_stream(rng: &mut SmallRng) -> Behaviour {
+    // A broken stream ends after fewer events than a whole one has.
+    let most = rng.random_range(0..EVENTS);
+    match rng.random_range(0..7) {
+        0 | 1 => Behaviour::StreamReset(EVENTS, most),
+        2 => Behaviour::StreamSilent(EVENTS, most),
+        3 => Behaviour::Refuse,
+        4 => Behaviour::OtherInstance,
+        5 => Behaviour::Fail,
+        _ => Behaviour::LoseAnswer,
+    }
+}
