Soak: a run in named steps

Hard to read: `run` was some forty lines of preparing the folder, starting, waiting and ending. Change: the folder, the callers and the time of asking are functions of their own; the order of the steps stays.

--- a/trouttrack_soak/src/run.rs
+++ b/trouttrack_soak/src/run.rs
@@ -1,18 +1,20 @@
-//! One run.
+//! One run: a fleet, callers and faults, and what came of it.
 
 use crate::bed::Bed;
-use crate::callers::Callers;
+use crate::callers::{Call, Callers};
 use crate::check::{Evidence, Finding, check};
 use crate::faults::{Faults, History};
 use crate::plan::{Plan, Size};
+use crate::vm::Vm;
 use serde::Serialize;
 use std::cell::RefCell;
 use std::fs;
 use std::io;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use thiserror::Error;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 /// What is run.
 #[derive(Clone, Debug)]
@@ -61,51 +63,36 @@
 ///
 /// A file, port or process cannot be had.
 pub async fn run(options: &SoakOptions) -> Result<Outcome, SoakError> {
-    let dir = options.dir.join(options.seed.to_string());
-    // Logs of an earlier run of the same seed would be taken for this one's.
-    if dir.exists() {
-        fs::remove_dir_all(&dir)?;
-    }
-    fs::create_dir_all(&dir)?;
+    let dir = empty_dir(options)?;
     let plan = Plan::draw(options.seed, options.size);
     let acts = plan.steps.len();
     write_plan(&dir, &plan)?;
     let bed = Bed::start(options.size, &options.program, &dir).await?;
-    let history = Rc::new(RefCell::new(History::default()));
-    let callers = Callers::new(Rc::clone(&bed));
     let processes = run_processes(&bed);
-    let balancing = actix_rt::spawn(Rc::clone(&bed).balance());
-    let asking: Vec<JoinHandle<()>> = (0..options.size.callers)
-        .map(|n| actix_rt::spawn(Rc::clone(&callers).run(n, options.seed)))
-        .collect();
-    let began = tokio::time::Instant::now();
-    let faults = Faults::new(Rc::clone(&bed), Rc::clone(&history), options.seed);
-    let disturbing = actix_rt::spawn(faults.carry_out(plan));
-    tokio::time::sleep_until(began + options.size.lasts).await;
-    callers.end();
-    for caller in asking {
-        if let Err(e) = caller.await {
-            eprintln!("a caller ended early: {e}");
-        }
-    }
-    disturbing.abort();
-    balancing.abort();
-    let calls = callers.calls();
-    let history = history.borrow().clone();
+    let (calls, history) = ask_under_faults(options, &bed, plan).await;
     let evidence = Evidence::collect(&bed, calls, history, options.timed);
-    for process in processes {
-        process.abort();
-    }
+    processes.iter().for_each(JoinHandle::abort);
     Ok(outcome(options.seed, acts, &evidence))
 }
 
-fn write_plan(dir: &std::path::Path, plan: &Plan) -> io::Result<()> {
+/// The folder of a seed. Logs of an earlier run of the same seed would be taken
+/// for this one's, so they are removed.
+fn empty_dir(options: &SoakOptions) -> io::Result<PathBuf> {
+    let dir = options.dir.join(options.seed.to_string());
+    if dir.exists() {
+        fs::remove_dir_all(&dir)?;
+    }
+    fs::create_dir_all(&dir)?;
+    Ok(dir)
+}
+
+fn write_plan(dir: &Path, plan: &Plan) -> io::Result<()> {
     let lines: String = plan.steps.iter().map(|s| format!("{s:?}\n")).collect();
     fs::write(dir.join("plan.txt"), lines)
 }
 
 fn run_processes(bed: &Bed) -> Vec<JoinHandle<()>> {
-    let run = |vm: &Rc<crate::vm::Vm>| {
+    let run = |vm: &Rc<Vm>| {
         let vm = Rc::clone(vm);
         actix_rt::spawn(async move {
             if let Err(e) = Rc::clone(&vm).run().await {
@@ -116,6 +103,43 @@
     bed.vms.iter().map(run).collect()
 }
 
+/// Lets callers ask while the plan is carried out. Returns what they were told,
+/// and what was disturbed when.
+async fn ask_under_faults(
+    options: &SoakOptions,
+    bed: &Rc<Bed>,
+    plan: Plan,
+) -> (Vec<Call>, History) {
+    let history = Rc::new(RefCell::new(History::default()));
+    let callers = Callers::new(Rc::clone(bed));
+    let balancing = actix_rt::spawn(Rc::clone(bed).balance());
+    let asking = start_callers(&callers, options);
+    let began = Instant::now();
+    let faults = Faults::new(Rc::clone(bed), Rc::clone(&history), options.seed);
+    let disturbing = actix_rt::spawn(faults.carry_out(plan));
+    tokio::time::sleep_until(began + options.size.lasts).await;
+    callers.end();
+    wait_for_callers(asking).await;
+    disturbing.abort();
+    balancing.abort();
+    let history = history.borrow().clone();
+    (callers.calls(), history)
+}
+
+fn start_callers(callers: &Rc<Callers>, options: &SoakOptions) -> Vec<JoinHandle<()>> {
+    (0..options.size.callers)
+        .map(|n| actix_rt::spawn(Rc::clone(callers).run(n, options.seed)))
+        .collect()
+}
+
+async fn wait_for_callers(asking: Vec<JoinHandle<()>>) {
+    for caller in asking {
+        if let Err(e) = caller.await {
+            eprintln!("a caller ended early: {e}");
+        }
+    }
+}
+
 fn outcome(seed: u64, acts: usize, evidence: &Evidence) -> Outcome {
     let calls = &evidence.calls;
     Outcome {
