Soak: a link's condition, its proxy and the carrying of bytes in files of their own

Hard to read: `connection` split, pumped, joined and reset in one function of forty lines, and the server's address stood in a cell that nothing sets. Change: link/{condition,proxy,pump}.rs; `serve`, `connect`, `join` and `carry` are steps of their own, and the address is a plain field.

--- /dev/null
+++ b/trouttrack_soak/src/link/proxy.rs
@@ -0,0 +1,102 @@
+//! A proxy that accepts connections and joins each with one to the server.
+
+use super::condition::{Condition, Way};
+use super::pump::pump;
+use crate::plan::LinkFault;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// A proxy before one server.
+#[derive(Clone, Debug)]
+pub struct Link {
+    addr: SocketAddr,
+    server: SocketAddr,
+    condition: Rc<watch::Sender<Condition>>,
+}
+
+impl Link {
+    /// Starts a proxy before a server.
+    ///
+    /// # Errors
+    ///
+    /// There is no free port.
+    pub async fn before(server: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let link = Self {
+            addr: listener.local_addr()?,
+            server,
+            condition: Rc::new(watch::Sender::new(Condition::default())),
+        };
+        let serving = link.clone();
+        actix_rt::spawn(async move {
+            while let Ok((client, _)) = listener.accept().await {
+                actix_rt::spawn(serving.clone().serve(client));
+            }
+        });
+        Ok(link)
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Puts a fault on the link in place of the one that is there; `None`
+    /// mends it.
+    pub fn set(&self, fault: Option<LinkFault>) {
+        self.condition
+            .send_modify(|condition| *condition = condition.with(fault));
+    }
+
+    /// Serves one connection until both ways have ended, or a reset.
+    async fn serve(self, client: TcpStream) {
+        let condition = self.condition.subscribe();
+        let now = *condition.borrow();
+        match self.connect(now).await {
+            Some(server) => join(client, server, &condition, now.resets).await,
+            None => reset(client),
+        }
+    }
+
+    /// A connection to the server, unless connections are refused.
+    async fn connect(&self, now: Condition) -> Option<TcpStream> {
+        if now.refuses {
+            return None;
+        }
+        TcpStream::connect(self.server).await.ok()
+    }
+}
+
+/// Carries bytes both ways until both have ended, or until the link has been
+/// reset more often than `resets` times: then both connections are reset.
+async fn join(
+    client: TcpStream,
+    server: TcpStream,
+    condition: &watch::Receiver<Condition>,
+    resets: u64,
+) {
+    let (from_client, to_client) = client.into_split();
+    let (from_server, to_server) = server.into_split();
+    let carry = |from, to, way| pump(from, to, way, condition.clone(), resets);
+    let up = carry(from_client, to_server, Way::ToServer);
+    let down = carry(from_server, to_client, Way::FromServer);
+    let ((from_client, to_server), (from_server, to_client)) = tokio::join!(up, down);
+    if condition.borrow().resets > resets {
+        let client = from_client.reunite(to_client);
+        let server = from_server.reunite(to_server);
+        for joined in [client, server] {
+            // Halves of one connection always fit.
+            joined.map_or_else(drop, reset);
+        }
+    }
+}
+
+/// Closes so that the peer sees a reset.
+fn reset(stream: TcpStream) {
+    // The peer may have closed first.
+    drop(stream.set_zero_linger());
+}
