Soak: routes in a file of their own, their target written once

Hard to read: bed/config.rs held routes, keys and versions; the target of a route's requests was put together in three places; a pair of figures for tokens had one name; a method only returned a constant. Change: bed/routes.rs with `RouteName::target`, the figures named one by one, and the constant used itself.

--- a/trouttrack_soak/src/bed/mod.rs
+++ b/trouttrack_soak/src/bed/mod.rs
@@ -1,10 +1,12 @@
 //! The fleet: a store, upstreams, fronts, and a link before each.
 
 mod config;
+mod routes;
 mod upstreams;
 
-pub(crate) use config::ENGINES;
-pub use config::{Configs, HOST, Key, LASTING_KEY, ORGANISATION, RouteName};
+pub use config::{Configs, Key, LASTING_KEY, ORGANISATION};
+pub(crate) use routes::ENGINES;
+pub use routes::{HOST, RouteName};
 pub use upstreams::{EVENTS, Member, Upstreams};
 
 use crate::link::Link;
--- a/trouttrack_soak/src/bed/upstreams.rs
+++ b/trouttrack_soak/src/bed/upstreams.rs
@@ -1,6 +1,6 @@
 //! Upstreams that leave, crash and are replaced.
 
-use super::config::{ENGINES, PLAIN};
+use super::routes::{ENGINES, PLAIN};
 use crate::link::Link;
 use crate::plan::LinkFault;
 use std::cell::{Cell, RefCell};
--- a/trouttrack_soak/src/callers/mod.rs
+++ b/trouttrack_soak/src/callers/mod.rs
@@ -4,23 +4,26 @@
 
 pub use call::{Call, Told};
 
-use crate::bed::{Bed, HOST, RouteName};
+use crate::bed::{Bed, HOST, LASTING_KEY, RouteName};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::cell::{Cell, RefCell};
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use trouttrack_http::{Answer, Client, Reuse, SendError};
 use trouttrack_platform_standin::{CallerRequest, Reply};
 
 /// Pause of a caller between two requests, in milliseconds.
-const PAUSE_MS: std::ops::Range<u64> = 2..60;
+const PAUSE_MS: Range<u64> = 2..60;
 /// How long callers wait: longer than a stream takes.
 const PATIENCE: Duration = Duration::from_secs(4);
 /// How much longer than that an answer is waited for before it is missed.
 const HUNG_AFTER: Duration = Duration::from_millis(2500);
-/// Tokens of a prompt, and the guess of what is generated.
-const TOKENS: (u64, u64) = (100, 240);
+/// Tokens of a prompt.
+const PROMPT_TOKENS: u64 = 100;
+/// What callers say will be generated: four tokens in each of a stream's events.
+const GUESSED_TOKENS: u64 = 240;
 /// The share of requests on a route that only one configuration has.
 const MARKERS: f64 = 0.1;
 /// The share of requests with a key that comes and goes.
@@ -85,10 +88,10 @@
     }
 
     fn key(&self, rng: &mut SmallRng) -> String {
-        let configs = self.bed.configs.borrow();
         if !rng.random_bool(PASSING_KEYS) {
-            return configs.lasting_key().to_owned();
+            return LASTING_KEY.to_owned();
         }
+        let configs = self.bed.configs.borrow();
         let keys = &configs.passing_keys;
         let one = rng.random_range(keys.len().saturating_sub(2)..keys.len());
         keys[one].text.clone()
@@ -123,12 +126,11 @@
 }
 
 fn request(id: &str, route: RouteName, key: &str) -> CallerRequest {
-    let target = format!("{}x", route.prefix());
-    let req = CallerRequest::get(id, HOST, &target)
+    let req = CallerRequest::get(id, HOST, &route.target())
         .key(key)
         .patience(PATIENCE);
     match route.kind().is_stream() {
-        true => req.post("a prompt").tokens(TOKENS.0, TOKENS.1),
+        true => req.post("a prompt").tokens(PROMPT_TOKENS, GUESSED_TOKENS),
         false => req,
     }
 }
