Soak: a check a function, and what checks share once

Hard to read: the checks of runs, of versions and of answers each did several things in one function; whether a VM was left alone around a request stood in three places, what a success is in two, and what part of an answer is right in two. Change: `Evidence::left_alone`, `is_success` and `is_right` hold what was shared; `twice`, `run_after_all`, `shown` and `acknowledged` are steps of their own. The promises, their order and their texts stay.

--- a/trouttrack_soak/src/callers/call.rs
+++ b/trouttrack_soak/src/callers/call.rs
@@ -52,8 +52,7 @@
     /// Whether a whole answer of success came.
     #[must_use]
     pub fn is_served(&self) -> bool {
-        self.reply()
-            .is_some_and(|r| r.whole && (200..300).contains(&r.status))
+        self.reply().is_some_and(|r| r.whole && is_success(r))
     }
 
     /// Whether the caller was told that the request has not run.
@@ -63,3 +62,8 @@
         own.is_some_and(|r| matches!(r.status, 408 | 421 | 429 | 503))
     }
 }
+
+/// Whether an answer's status is one of success.
+pub(crate) fn is_success(reply: &Reply) -> bool {
+    (200..300).contains(&reply.status)
+}
--- a/trouttrack_soak/src/callers/mod.rs
+++ b/trouttrack_soak/src/callers/mod.rs
@@ -2,6 +2,7 @@
 
 mod call;
 
+pub(crate) use call::is_success;
 pub use call::{Call, Told};
 
 use crate::bed::{Bed, HOST, LASTING_KEY, RouteName};
--- a/trouttrack_soak/src/check/answers.rs
+++ b/trouttrack_soak/src/check/answers.rs
@@ -1,8 +1,8 @@
 //! Each caller gets its own whole answer, each token once and in order.
 
-use super::{Evidence, Finding};
+use super::{CONTACT, Evidence, Finding};
 use crate::bed::{EVENTS, ORGANISATION};
-use crate::callers::{Call, Told};
+use crate::callers::{Call, Told, is_success};
 use trouttrack_platform_standin::Reply;
 
 const OWN: &str = "each caller gets its own whole answer";
@@ -20,19 +20,15 @@
 }
 
 fn answer(evidence: &Evidence, call: &Call, reply: &Reply) -> Option<Finding> {
-    if reply.sealed_by.is_none() {
-        let success = (200..300).contains(&reply.status);
-        return success.then(|| Finding::of(OWN, &call.id, "a success that no upstream made"));
-    }
+    let Some(proof) = &reply.sealed_by else {
+        let found = || Finding::of(OWN, &call.id, "a success that no upstream made");
+        return is_success(reply).then(found);
+    };
     if reply.id.as_deref() != Some(call.id.as_str()) {
         return Some(Finding::of(OWN, &call.id, format!("{reply:?}")));
     }
-    let made_by = |u: &str| reply.sealed_by.as_deref() == Some(&format!("seal-{u}"));
-    if !evidence
-        .runs_of(&call.id)
-        .iter()
-        .any(|r| made_by(&r.upstream))
-    {
+    let mut runs = evidence.runs_of(&call.id).iter();
+    if !runs.any(|r| *proof == format!("seal-{}", r.upstream)) {
         return Some(Finding::of(OWN, &call.id, "its maker never had it"));
     }
     match (call.route.kind().is_stream(), reply.status) {
@@ -44,13 +40,10 @@
 }
 
 fn plain(call: &Call, reply: &Reply) -> Option<Finding> {
-    let expected = format!("GET|{}x|{}", call.route.prefix(), call.id);
+    let expected = format!("GET|{}|{}", call.route.target(), call.id);
     let text = reply.text();
-    let right = match reply.whole {
-        true => text == expected,
-        false => expected.starts_with(&text),
-    };
-    (!right).then(|| Finding::of(OWN, &call.id, format!("whole={} {text}", reply.whole)))
+    let found = || Finding::of(OWN, &call.id, format!("whole={} {text}", reply.whole));
+    (!is_right(reply, &text, &expected)).then(found)
 }
 
 fn stream(call: &Call, reply: &Reply) -> Option<Finding> {
@@ -58,11 +51,7 @@
     let events = (1..=EVENTS).map(|n| format!("id: {n}\ndata: {id}/{n}\n\n"));
     let expected: String = events.collect();
     let text = reply.text();
-    let right = match reply.whole {
-        true => text == expected,
-        false => expected.starts_with(&text),
-    };
-    (!right).then(|| {
+    (!is_right(reply, &text, &expected)).then(|| {
         let seen = format!(
             "whole={} {} bytes of {}",
             reply.whole,
@@ -73,8 +62,16 @@
     })
 }
 
+/// A whole answer is the expected one; one that was cut off is a beginning of it.
+fn is_right(reply: &Reply, text: &str, expected: &str) -> bool {
+    match reply.whole {
+        true => text == expected,
+        false => expected.starts_with(text),
+    }
+}
+
 fn arrivals(evidence: &Evidence, call: &Call) -> Option<Finding> {
-    let target = format!("{}x", call.route.prefix());
+    let target = call.route.target();
     let altered = evidence.runs_of(&call.id).iter().find(|r| {
         r.arrival.organisation.as_deref() != Some(ORGANISATION)
             || r.arrival.key.is_some()
@@ -87,9 +84,6 @@
 /// Everything ends: with an answer, or with the end of the connection.
 fn hung(evidence: &Evidence, call: &Call) -> Option<Finding> {
     let nothing = matches!(call.told, Told::Nothing) && evidence.timed;
-    let alone = || {
-        let history = &evidence.history;
-        history.left_alone(call.vm, call.sent, super::CONTACT, call.ended)
-    };
-    (nothing && alone()).then(|| Finding::of(ANSWERED, &call.id, "nothing came in time"))
+    let missed = nothing && evidence.left_alone(call, CONTACT);
+    missed.then(|| Finding::of(ANSWERED, &call.id, "nothing came in time"))
 }
--- a/trouttrack_soak/src/check/evidence.rs
+++ b/trouttrack_soak/src/check/evidence.rs
@@ -5,7 +5,7 @@
 use crate::faults::History;
 use crate::vm::EndedBy;
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use trouttrack_core::ConfigVersion;
 use trouttrack_platform_standin::Arrival;
 
@@ -82,6 +82,13 @@
         }
     }
 
+    /// Whether the VM that was asked was left alone from `before` the request
+    /// until its end.
+    pub(super) fn left_alone(&self, call: &Call, before: Duration) -> bool {
+        self.history
+            .left_alone(call.vm, call.sent, before, call.ended)
+    }
+
     /// What reached upstreams for a request.
     #[must_use]
     pub fn runs_of(&self, id: &str) -> &[Run] {
--- a/trouttrack_soak/src/check/keys.rs
+++ b/trouttrack_soak/src/check/keys.rs
@@ -56,43 +56,32 @@
     let RouteName::Marker(version) = call.route else {
         return None;
     };
-    let acknowledged = |v: ConfigVersion| {
-        let known = evidence.versions.iter().find(|(known, _)| *known == v);
-        known.map(|(_, at)| *at)
-    };
-    let at: Instant = acknowledged(version)?;
+    let at = acknowledged(evidence, version)?;
     // The next version does not have the route any more.
-    let current = acknowledged(version + 1).is_none_or(|next| call.ended < next);
+    let next = acknowledged(evidence, version + 1);
+    let current = next.is_none_or(|next| call.ended < next);
     let unknown = call.reply().is_some_and(|r| r.status == 404);
     let due = call.sent > at + APPLIED;
-    let alone = || {
-        let history = &evidence.history;
-        history.left_alone(call.vm, call.sent, CONTACT + APPLIED, call.ended)
-    };
-    let is_late = evidence.timed && current && unknown && due && alone();
+    let is_late =
+        evidence.timed && current && unknown && due && evidence.left_alone(call, CONTACT + APPLIED);
     is_late.then(|| {
-        Finding::of(
-            IN_FORCE,
-            &call.id,
-            format!("version {version} is not known"),
-        )
+        let seen = format!("version {version} is not known");
+        Finding::of(IN_FORCE, &call.id, seen)
     })
 }
 
+/// When the store acknowledged a version.
+fn acknowledged(evidence: &Evidence, version: ConfigVersion) -> Option<Instant> {
+    let mut versions = evidence.versions.iter();
+    let known = versions.find(|(known, _)| *known == version);
+    known.map(|(_, at)| *at)
+}
+
 /// Within one life of a VM, a request sent after another one showed a version
 /// is not handled by an older one.
 fn backwards(evidence: &Evidence) -> Vec<Finding> {
-    let mut shown: HashMap<(usize, u64), Vec<(&Call, ConfigVersion)>> = HashMap::new();
-    for call in &evidence.calls {
-        if let (RouteName::Marker(version), Some(life)) = (call.route, call.life)
-            && call.is_served()
-        {
-            let of_life = shown.entry((call.vm, life)).or_default();
-            of_life.push((call, version));
-        }
-    }
     let mut findings = Vec::new();
-    for of_life in shown.values() {
+    for of_life in shown(evidence).values() {
         for (call, version) in of_life {
             let newer = of_life
                 .iter()
@@ -105,3 +94,17 @@
     }
     findings
 }
+
+/// The requests that showed a version, with that version, by VM and its life.
+fn shown(evidence: &Evidence) -> HashMap<(usize, u64), Vec<(&Call, ConfigVersion)>> {
+    let mut shown: HashMap<_, Vec<_>> = HashMap::new();
+    for call in &evidence.calls {
+        if let (RouteName::Marker(version), Some(life)) = (call.route, call.life)
+            && call.is_served()
+        {
+            let of_life = shown.entry((call.vm, life)).or_default();
+            of_life.push((call, version));
+        }
+    }
+    shown
+}
--- a/trouttrack_soak/src/check/runs.rs
+++ b/trouttrack_soak/src/check/runs.rs
@@ -1,6 +1,7 @@
 //! What runs at most once, what was not run, and how often requests are sent.
 
 use super::{Evidence, Finding, RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW};
+use crate::callers::Call;
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
@@ -10,51 +11,57 @@
 const ASKED: &str = "only what callers asked is run";
 
 pub(super) fn check(evidence: &Evidence) -> Vec<Finding> {
-    let mut findings = Vec::new();
-    for call in &evidence.calls {
-        let times = evidence.times_run(&call.id);
-        if call.route.kind().repeatable() {
-            continue;
-        }
-        if times > 1 {
-            let at: Vec<&str> = evidence
-                .runs_of(&call.id)
-                .iter()
-                .map(|r| r.upstream.as_str())
-                .collect();
-            findings.push(Finding::of(
-                ONCE,
-                &call.id,
-                format!("{times} times at {at:?}"),
-            ));
-        }
-        if call.told_not_run() && times > 0 {
-            findings.push(Finding::of(
-                NOT_RUN,
-                &call.id,
-                format!("it ran {times} times"),
-            ));
-        }
-    }
+    let not_repeatable = evidence
+        .calls
+        .iter()
+        .filter(|call| !call.route.kind().repeatable());
+    let mut findings: Vec<Finding> = not_repeatable
+        .flat_map(|call| [twice(evidence, call), run_after_all(evidence, call)])
+        .flatten()
+        .collect();
     findings.extend(unasked(evidence));
     findings.extend(budget(evidence));
     findings
 }
 
+fn twice(evidence: &Evidence, call: &Call) -> Option<Finding> {
+    let times = evidence.times_run(&call.id);
+    (times > 1).then(|| {
+        let runs = evidence.runs_of(&call.id).iter();
+        let at: Vec<&str> = runs.map(|r| r.upstream.as_str()).collect();
+        Finding::of(ONCE, &call.id, format!("{times} times at {at:?}"))
+    })
+}
+
+/// A request that ran, though its caller was told that it has not.
+fn run_after_all(evidence: &Evidence, call: &Call) -> Option<Finding> {
+    let times = evidence.times_run(&call.id);
+    let untrue = call.told_not_run() && times > 0;
+    untrue.then(|| Finding::of(NOT_RUN, &call.id, format!("it ran {times} times")))
+}
+
 fn unasked(evidence: &Evidence) -> Option<Finding> {
     let asked: HashSet<&str> = evidence.calls.iter().map(|c| c.id.as_str()).collect();
     let other = evidence.runs.keys().find(|id| !asked.contains(id.as_str()));
     other.map(|id| Finding::of(ASKED, id, "nobody asked it"))
 }
 
-/// Sends of one service, in order.
+/// When requests were sent to one service.
 #[derive(Default)]
 struct Sends {
+    /// Those of requests that were not sent before.
     first: Vec<Instant>,
+    /// Those of requests that were.
     again: Vec<Instant>,
 }
 
 fn budget(evidence: &Evidence) -> Vec<Finding> {
+    let sends = sends_by_service(evidence).into_iter();
+    let found = sends.filter_map(|(service, sends)| over(service, sends));
+    found.collect()
+}
+
+fn sends_by_service(evidence: &Evidence) -> HashMap<&str, Sends> {
     let mut by_service: HashMap<&str, Sends> = HashMap::new();
     for runs in evidence.runs.values() {
         let mut sends: Vec<_> = runs
@@ -71,10 +78,7 @@
             }
         }
     }
-    let found = by_service.into_iter();
-    found
-        .filter_map(|(service, sends)| over(service, sends))
-        .collect()
+    by_service
 }
 
 /// The first window with more than is allowed.
--- a/trouttrack_soak/src/check/stops.rs
+++ b/trouttrack_soak/src/check/stops.rs
@@ -53,8 +53,7 @@
         let left = evidence.left.get(&r.upstream);
         left.is_some_and(|at| r.arrival.at > *at + DRAINED)
     })?;
-    let history = &evidence.history;
-    let alone = history.left_alone(call.vm, call.sent, CONTACT + DRAINED, call.ended);
+    let alone = evidence.left_alone(call, CONTACT + DRAINED);
     alone.then(|| Finding::of(NO_NEW_WORK, &call.id, format!("sent to {}", late.upstream)))
 }
 
