Soak: only what its tests and its program use is public

Hard to read: the fleet, its VMs and upstreams, the callers and the carrying out of faults were public, so that a reader had to take them for an interface. Change: `pub(crate)` for those; the plan, the evidence, `Link` and what they are made of stay public.

--- a/trouttrack_soak/src/bed/config.rs
+++ b/trouttrack_soak/src/bed/config.rs
@@ -21,12 +21,12 @@
 
 /// The configurations so far.
 #[derive(Debug)]
-pub struct Configs {
+pub(crate) struct Configs {
     newest: FleetConfig,
     /// When each version was acknowledged.
-    pub acknowledged: Vec<(ConfigVersion, Instant)>,
+    pub(crate) acknowledged: Vec<(ConfigVersion, Instant)>,
     /// The keys that come and go, the oldest first.
-    pub passing_keys: Vec<Key>,
+    pub(crate) passing_keys: Vec<Key>,
 }
 
 impl Configs {
@@ -50,18 +50,18 @@
 
     /// The newest one.
     #[must_use]
-    pub fn newest(&self) -> &FleetConfig {
+    pub(crate) fn newest(&self) -> &FleetConfig {
         &self.newest
     }
 
     /// Makes another version, with a route that only it has.
-    pub fn next(&mut self) {
+    pub(crate) fn next(&mut self) {
         self.newest.version += 1;
         self.refresh();
     }
 
     /// Makes another version without the newest passing key.
-    pub fn revoke(&mut self) {
+    pub(crate) fn revoke(&mut self) {
         self.add_key();
         self.next();
     }
--- a/trouttrack_soak/src/bed/mod.rs
+++ b/trouttrack_soak/src/bed/mod.rs
@@ -4,10 +4,12 @@
 mod routes;
 mod upstreams;
 
-pub use config::{Configs, Key, LASTING_KEY, ORGANISATION};
-pub(crate) use routes::ENGINES;
-pub use routes::{HOST, RouteName};
-pub use upstreams::{EVENTS, Member, Upstreams};
+pub(crate) use config::Configs;
+pub use config::{Key, LASTING_KEY, ORGANISATION};
+pub use routes::RouteName;
+pub(crate) use routes::{ENGINES, HOST};
+pub use upstreams::EVENTS;
+pub(crate) use upstreams::{Member, Upstreams};
 
 use crate::link::Link;
 use crate::plan::Size;
@@ -30,19 +32,19 @@
 
 /// Everything that a run needs.
 #[derive(Debug)]
-pub struct Bed {
+pub(crate) struct Bed {
     /// The store.
-    pub store: Store,
+    pub(crate) store: Store,
     /// Between each VM and the store.
-    pub store_links: Vec<Link>,
+    pub(crate) store_links: Vec<Link>,
     /// Between callers and each VM.
-    pub caller_links: Vec<Link>,
+    pub(crate) caller_links: Vec<Link>,
     /// The fronts.
-    pub vms: Vec<Rc<Vm>>,
+    pub(crate) vms: Vec<Rc<Vm>>,
     /// The upstreams.
-    pub upstreams: Upstreams,
+    pub(crate) upstreams: Upstreams,
     /// The configurations so far.
-    pub configs: RefCell<Configs>,
+    pub(crate) configs: RefCell<Configs>,
     misses: Vec<Cell<u32>>,
 }
 
@@ -52,7 +54,7 @@
     /// # Errors
     ///
     /// A process or port cannot be had.
-    pub async fn start(size: Size, program: &Path, dir: &Path) -> io::Result<Rc<Self>> {
+    pub(crate) async fn start(size: Size, program: &Path, dir: &Path) -> io::Result<Rc<Self>> {
         let store = Store::start().await;
         let configs = Configs::first();
         store.put_config(configs.newest());
@@ -78,7 +80,7 @@
     }
 
     /// Puts the next configuration in the store.
-    pub fn put_config(&self, next: impl FnOnce(&mut Configs)) {
+    pub(crate) fn put_config(&self, next: impl FnOnce(&mut Configs)) {
         let mut configs = self.configs.borrow_mut();
         next(&mut configs);
         self.store.put_config(configs.newest());
@@ -86,7 +88,7 @@
     }
 
     /// Asks for readiness for as long as the soak lasts.
-    pub async fn balance(self: Rc<Self>) {
+    pub(crate) async fn balance(self: Rc<Self>) {
         let client = Client::builder().connect_timeout(READY_TIMEOUT).build();
         loop {
             for (vm, misses) in self.vms.iter().zip(&self.misses) {
@@ -99,7 +101,7 @@
 
     /// The VMs that get new callers: all, if none is ready.
     #[must_use]
-    pub fn ready(&self) -> Vec<usize> {
+    pub(crate) fn ready(&self) -> Vec<usize> {
         let all = 0..self.vms.len();
         let ready: Vec<usize> = all
             .clone()
--- a/trouttrack_soak/src/bed/routes.rs
+++ b/trouttrack_soak/src/bed/routes.rs
@@ -5,7 +5,7 @@
 use trouttrack_core::fleet::{Route, RouteKind, Share};
 
 /// The host of every route.
-pub const HOST: &str = "desk.example";
+pub(crate) const HOST: &str = "desk.example";
 /// The plain service.
 pub(super) const PLAIN: &str = "quotes";
 /// The service of engines.
--- a/trouttrack_soak/src/bed/upstreams.rs
+++ b/trouttrack_soak/src/bed/upstreams.rs
@@ -15,16 +15,16 @@
 
 /// An upstream and the link before it.
 #[derive(Clone, Debug)]
-pub struct Member {
+pub(crate) struct Member {
     /// The upstream; its address is the link's.
-    pub upstream: Upstream,
+    pub(crate) upstream: Upstream,
     /// The link.
-    pub link: Link,
+    pub(crate) link: Link,
 }
 
 /// All upstreams: those of now, and the books of those that were.
 #[derive(Debug)]
-pub struct Upstreams {
+pub(crate) struct Upstreams {
     now: RefCell<Vec<Member>>,
     all: RefCell<Vec<Upstream>>,
     /// Who was said to leave, and when the store took that.
@@ -67,39 +67,39 @@
 
     /// The upstream at a place.
     #[must_use]
-    pub fn at(&self, place: usize) -> Member {
+    pub(crate) fn at(&self, place: usize) -> Member {
         let now = self.now.borrow();
         now[place % now.len()].clone()
     }
 
     /// Those of now.
     #[must_use]
-    pub fn now(&self) -> Vec<Member> {
+    pub(crate) fn now(&self) -> Vec<Member> {
         self.now.borrow().clone()
     }
 
     /// Every upstream that ever was, for its books.
     #[must_use]
-    pub fn all(&self) -> Vec<Upstream> {
+    pub(crate) fn all(&self) -> Vec<Upstream> {
         self.all.borrow().clone()
     }
 
     /// The store has taken that an upstream leaves.
-    pub fn note_leaving(&self, id: &str) {
+    pub(crate) fn note_leaving(&self, id: &str) {
         let now = Instant::now();
         self.left.borrow_mut().push((id.to_owned(), now));
     }
 
     /// When the store took that an upstream leaves.
     #[must_use]
-    pub fn left_at(&self, id: &str) -> Option<Instant> {
+    pub(crate) fn left_at(&self, id: &str) -> Option<Instant> {
         let left = self.left.borrow();
         left.iter().find(|(l, _)| l == id).map(|(_, at)| *at)
     }
 
     /// Whether a member is still there.
     #[must_use]
-    pub fn has(&self, id: &str) -> bool {
+    pub(crate) fn has(&self, id: &str) -> bool {
         self.now.borrow().iter().any(|m| m.upstream.id == id)
     }
 
@@ -108,7 +108,7 @@
     /// # Errors
     ///
     /// There is no free port.
-    pub async fn replace(&self, store: &Store, old: &Member) -> io::Result<()> {
+    pub(crate) async fn replace(&self, store: &Store, old: &Member) -> io::Result<()> {
         old.link.set(Some(LinkFault::Refuse));
         store.remove_upstream(&old.upstream.id);
         let new = self.new_member(&old.upstream.service).await?;
--- a/trouttrack_soak/src/callers/mod.rs
+++ b/trouttrack_soak/src/callers/mod.rs
@@ -32,7 +32,7 @@
 
 /// Everything that callers asked.
 #[derive(Debug)]
-pub struct Callers {
+pub(crate) struct Callers {
     bed: Rc<Bed>,
     calls: RefCell<Vec<Call>>,
     /// No more requests are made.
@@ -42,7 +42,7 @@
 impl Callers {
     /// Nobody has asked yet.
     #[must_use]
-    pub fn new(bed: Rc<Bed>) -> Rc<Self> {
+    pub(crate) fn new(bed: Rc<Bed>) -> Rc<Self> {
         Rc::new(Self {
             bed,
             calls: RefCell::default(),
@@ -51,19 +51,19 @@
     }
 
     /// Makes the callers end after the request that they are at.
-    pub fn end(&self) {
+    pub(crate) fn end(&self) {
         self.ending.set(true);
     }
 
     /// What was asked and told.
     #[must_use]
-    pub fn calls(&self) -> Vec<Call> {
+    pub(crate) fn calls(&self) -> Vec<Call> {
         self.calls.borrow().clone()
     }
 
     /// One caller, until callers are to end. It keeps its connections as long
     /// as they are kept for it.
-    pub async fn run(self: Rc<Self>, number: usize, seed: u64) {
+    pub(crate) async fn run(self: Rc<Self>, number: usize, seed: u64) {
         let mut rng = SmallRng::seed_from_u64(seed ^ ((number as u64 + 1) << 32));
         let client = Client::builder().build();
         let mut asked = 0;
--- a/trouttrack_soak/src/check/evidence.rs
+++ b/trouttrack_soak/src/check/evidence.rs
@@ -52,7 +52,7 @@
 impl Evidence {
     /// Collects what a fleet's books and callers say.
     #[must_use]
-    pub fn collect(bed: &Bed, calls: Vec<Call>, history: History, timed: bool) -> Self {
+    pub(crate) fn collect(bed: &Bed, calls: Vec<Call>, history: History, timed: bool) -> Self {
         let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
         let mut left = HashMap::new();
         for upstream in bed.upstreams.all() {
--- a/trouttrack_soak/src/faults/carry_out.rs
+++ b/trouttrack_soak/src/faults/carry_out.rs
@@ -20,7 +20,7 @@
 
 /// Carries a plan out against a fleet.
 #[derive(Debug)]
-pub struct Faults {
+pub(crate) struct Faults {
     bed: Rc<Bed>,
     history: Rc<RefCell<History>>,
     seed: u64,
@@ -29,12 +29,12 @@
 impl Faults {
     /// Faults on a fleet, whose details are drawn from `seed`.
     #[must_use]
-    pub fn new(bed: Rc<Bed>, history: Rc<RefCell<History>>, seed: u64) -> Self {
+    pub(crate) fn new(bed: Rc<Bed>, history: Rc<RefCell<History>>, seed: u64) -> Self {
         Self { bed, history, seed }
     }
 
     /// Carries out a plan; returns when its last fault has ended.
-    pub async fn carry_out(self, plan: Plan) {
+    pub(crate) async fn carry_out(self, plan: Plan) {
         let began = Instant::now();
         let this = Rc::new(self);
         let mut running = Vec::new();
--- a/trouttrack_soak/src/faults/mod.rs
+++ b/trouttrack_soak/src/faults/mod.rs
@@ -5,5 +5,5 @@
 mod store;
 mod upstreams;
 
-pub use carry_out::Faults;
+pub(crate) use carry_out::Faults;
 pub use history::{Disturbance, History};
--- a/trouttrack_soak/src/vm/mod.rs
+++ b/trouttrack_soak/src/vm/mod.rs
@@ -5,5 +5,5 @@
 mod settings;
 mod supervisor;
 
-pub use ports::Ports;
-pub use supervisor::{EndedBy, GRACE, Vm};
+pub use supervisor::EndedBy;
+pub(crate) use supervisor::{GRACE, Vm};
--- a/trouttrack_soak/src/vm/ports.rs
+++ b/trouttrack_soak/src/vm/ports.rs
@@ -11,11 +11,11 @@
 
 /// The ports of a front.
 #[derive(Clone, Copy, Debug)]
-pub struct Ports {
+pub(crate) struct Ports {
     /// Callers.
-    pub callers: SocketAddr,
+    pub(crate) callers: SocketAddr,
     /// Readiness.
-    pub ready: SocketAddr,
+    pub(crate) ready: SocketAddr,
     /// Metrics.
     pub(super) metrics: SocketAddr,
     /// Datagrams of other VMs.
@@ -30,7 +30,7 @@
     /// # Errors
     ///
     /// There are none.
-    pub fn free(number: usize) -> io::Result<Self> {
+    pub(crate) fn free(number: usize) -> io::Result<Self> {
         let host = host(number);
         // All are held until all are found, so that they differ.
         let tcp = || TcpListener::bind((host, 0));
--- a/trouttrack_soak/src/vm/supervisor.rs
+++ b/trouttrack_soak/src/vm/supervisor.rs
@@ -22,7 +22,7 @@
 const STOP_SLACK: Duration = Duration::from_secs(2);
 
 /// The time between the signal to stop and the end that the settings grant.
-pub const GRACE: Duration = Duration::from_secs(8);
+pub(crate) const GRACE: Duration = Duration::from_secs(8);
 
 /// Why a life ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,11 +39,11 @@
 
 /// A front, and what became of its processes.
 #[derive(Debug)]
-pub struct Vm {
+pub(crate) struct Vm {
     /// Its name.
-    pub name: String,
+    pub(crate) name: String,
     /// Its ports, the same in each life.
-    pub ports: Ports,
+    pub(crate) ports: Ports,
     program: PathBuf,
     /// The settings file.
     settings: PathBuf,
@@ -68,7 +68,7 @@
     /// # Errors
     ///
     /// Its settings cannot be written, or there is no free port.
-    pub fn new(
+    pub(crate) fn new(
         number: usize,
         program: &Path,
         dir: &Path,
@@ -97,20 +97,20 @@
     /// # Errors
     ///
     /// The file cannot be written.
-    pub fn write_settings(&self, revoke: Duration) -> io::Result<()> {
+    pub(crate) fn write_settings(&self, revoke: Duration) -> io::Result<()> {
         let text = settings::text(&self.name, self.store, &self.ports, revoke);
         fs::write(&self.settings, text)
     }
 
     /// The number of the life that runs now, or ran last.
     #[must_use]
-    pub fn life(&self) -> u64 {
+    pub(crate) fn life(&self) -> u64 {
         self.life.get()
     }
 
     /// How its lives ended.
     #[must_use]
-    pub fn ended(&self) -> Vec<EndedBy> {
+    pub(crate) fn ended(&self) -> Vec<EndedBy> {
         self.ended.borrow().clone()
     }
 
@@ -124,7 +124,7 @@
     }
 
     /// Tells it to stop as planned.
-    pub fn stop(&self) {
+    pub(crate) fn stop(&self) {
         if self.pid.get().is_some() && self.told_to_stop.get().is_none() {
             self.told_to_stop.set(Some(Instant::now()));
             self.signal(Signal::SIGTERM);
@@ -132,23 +132,23 @@
     }
 
     /// Kills it.
-    pub fn kill(&self) {
+    pub(crate) fn kill(&self) {
         self.was_killed.set(true);
         self.signal(Signal::SIGKILL);
     }
 
     /// Makes it stand still.
-    pub fn pause(&self) {
+    pub(crate) fn pause(&self) {
         self.signal(Signal::SIGSTOP);
     }
 
     /// Lets it go on.
-    pub fn go_on(&self) {
+    pub(crate) fn go_on(&self) {
         self.signal(Signal::SIGCONT);
     }
 
     /// Tells it that its settings have changed.
-    pub fn reload(&self) {
+    pub(crate) fn reload(&self) {
         self.signal(Signal::SIGHUP);
     }
 
@@ -157,7 +157,7 @@
     /// # Errors
     ///
     /// The process cannot be started.
-    pub async fn run(self: Rc<Self>) -> io::Result<()> {
+    pub(crate) async fn run(self: Rc<Self>) -> io::Result<()> {
         loop {
             let process = Process::start(&self.program, &self.settings, &self.log)?;
             self.begin_life(process.pid());
