An upstream's spec, its users and its backlog in files of their own

Hard to read: upstream/row.rs held six types, with constants and functions between and after them; the peak had two names; the table kept a set of names as a map to nothing. Change: upstream/{spec,runs,backlog}.rs, the row's constants at its top, one function for the peak, and a set.

--- a/trouttrack_core/src/upstream/mod.rs
+++ b/trouttrack_core/src/upstream/mod.rs
@@ -1,10 +1,15 @@
 //! The table of upstreams: engines and plain services.
 
+mod backlog;
 mod circuit;
 mod row;
+mod runs;
+mod spec;
 mod table;
 
+pub(crate) use backlog::Backlog;
 pub use circuit::{Circuit, CircuitState};
-pub(crate) use row::Backlog;
-pub use row::{OwnRun, PeerUse, Report, Spec, Upstream, UpstreamKey};
+pub use row::{Upstream, UpstreamKey};
+pub use runs::{OwnRun, PeerUse};
+pub use spec::{Report, Spec};
 pub use table::{Serving, UpstreamTable};
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -1,46 +1,28 @@
 //! One upstream's row.
 
+use super::backlog::Backlog;
 use super::circuit::{Circuit, CircuitState};
+use super::runs::{OwnRun, PeerUse, peak};
+use super::spec::{Report, Spec};
+use crate::Time;
 use crate::debug_asserts::assert_positive;
 use crate::world::RequestKey;
-use crate::{FailureDomain, Time, UpstreamId};
 use slotmap::new_key_type;
 
+/// An upstream that is slow for this long or longer counts as wholly cold; the
+/// users' upstreams are slow for some seconds after their start.
+const COLD_FOR: Time = Time::from_secs(4);
+/// Peers' peaks do not come at the same time as the own: this share of their
+/// sum is counted. Tuned in the decision bench; see docs/design/decisions.md.
+const PEAKS_TOGETHER: f64 = 0.75;
+/// How much others' memory may be taken to rise with the own.
+const LARGEST_RISE: f64 = 1.5;
+
 new_key_type! {
     /// Key of an upstream's row in this process.
     pub struct UpstreamKey;
 }
 
-/// What the configuration says of an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Spec {
-    /// Its name.
-    pub id: UpstreamId,
-    /// Where it stands.
-    pub failure_domain: FailureDomain,
-    /// The services that it can run.
-    pub services: Vec<String>,
-    /// Token memory of an engine; zero for a plain service.
-    pub capacity_tokens: u64,
-    /// The most requests that it runs at once.
-    pub max_running: usize,
-    /// Until when it is slow because it has just started.
-    pub warm_at: Time,
-}
-
-/// An upstream's own word on its load; it lags.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Report {
-    /// When the report was true, on this process's clock.
-    pub at: Time,
-    /// Requests that were running.
-    pub running: usize,
-    /// Requests that were waiting at the upstream.
-    pub waiting: usize,
-    /// Tokens of memory in use.
-    pub used_tokens: u64,
-}
-
 /// One upstream as this process sees it.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -139,7 +121,7 @@
         }
         let others = self.used_by_others();
         let rise = match now > 0.0 {
-            true => (peak_of(&self.own) / now).clamp(1.0, LARGEST_RISE),
+            true => (self.own_peak() / now).clamp(1.0, LARGEST_RISE),
             false => 1.0,
         };
         peak + others * rise
@@ -165,7 +147,7 @@
     /// The most tokens that the own requests are forecast to hold.
     #[must_use]
     pub fn own_peak(&self) -> f64 {
-        peak_of(&self.own)
+        peak(&self.own, None)
     }
 
     /// How cold it still is after its start, from 1 to 0 (warm).
@@ -234,92 +216,3 @@
         self.own.retain(|r| r.key != key);
     }
 }
-
-/// An upstream that is slow for this long or longer counts as wholly cold; the
-/// users' upstreams are slow for some seconds after their start.
-const COLD_FOR: Time = Time::from_secs(4);
-/// Peers' peaks do not come at the same time as the own: this share of their
-/// sum is counted. Tuned in the decision bench; see docs/design/decisions.md.
-const PEAKS_TOGETHER: f64 = 0.75;
-
-/// What a peer last said of its use of an upstream.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PeerUse {
-    /// The peer's name.
-    pub peer: String,
-    /// Its hand-overs that have not ended.
-    pub running: usize,
-    /// The most tokens that they are forecast to hold.
-    pub peak_tokens: f64,
-    /// Their prompts that are still to be loaded.
-    pub(crate) loading: Backlog,
-}
-
-/// How much others' memory may be taken to rise with the own.
-const LARGEST_RISE: f64 = 1.5;
-/// Prompt tokens that an engine loads in a second, as far as the backlog is
-/// guessed; engines differ, and only the order of candidates depends on it.
-const LOADED_PER_SECOND: f64 = 12_000.0;
-
-/// Where one of this process's running requests stands.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct OwnRun {
-    /// The request.
-    pub key: RequestKey,
-    /// Tokens that it holds.
-    pub tokens: f64,
-    /// Tokens that it is forecast still to write.
-    pub remaining: f64,
-}
-
-/// Prompt tokens that an engine has still to load.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct Backlog {
-    tokens: f64,
-    at: Time,
-}
-
-impl Backlog {
-    /// So many tokens as of a time.
-    pub(crate) fn of(at: Time, tokens: f64) -> Self {
-        Self { tokens, at }
-    }
-
-    fn add(&mut self, now: Time, tokens: f64) {
-        self.tokens = self.tokens(now) + tokens;
-        self.at = now;
-    }
-
-    /// The tokens still to be loaded at `now`.
-    pub(crate) fn tokens(&self, now: Time) -> f64 {
-        self.seconds(now) * LOADED_PER_SECOND
-    }
-
-    /// How long loading takes from `now` on.
-    pub(crate) fn seconds(&self, now: Time) -> f64 {
-        let loaded = now.saturating_sub(self.at).as_secs_f64() * LOADED_PER_SECOND;
-        (self.tokens - loaded).max(0.0) / LOADED_PER_SECOND
-    }
-}
-
-fn peak_of(runs: &[OwnRun]) -> f64 {
-    peak(runs, None)
-}
-
-/// The largest sum of tokens over the time to come: a run holds `tokens + t`
-/// until `t` reaches what remains of it.
-fn peak(runs: &[OwnRun], new: Option<OwnRun>) -> f64 {
-    let mut all: Vec<(f64, f64)> = runs
-        .iter()
-        .chain(&new)
-        .map(|r| (r.remaining, r.tokens))
-        .collect();
-    all.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
-    let (mut held, mut most) = (0.0, 0.0f64);
-    for (i, (remaining, tokens)) in all.iter().enumerate() {
-        // Just before this one ends, it and all that end later are there.
-        held += tokens;
-        most = most.max(held + (i + 1) as f64 * remaining);
-    }
-    most
-}
--- /dev/null
+++ b/trouttrack_core/src/upstream/runs.rs
@@ -0,0 +1,47 @@
+//! What uses an upstream: own requests and those of peers, and the memory that
+//! they are forecast to need.
+
+use super::backlog::Backlog;
+use crate::world::RequestKey;
+
+/// Where one of this process's running requests stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OwnRun {
+    /// The request.
+    pub key: RequestKey,
+    /// Tokens that it holds.
+    pub tokens: f64,
+    /// Tokens that it is forecast still to write.
+    pub remaining: f64,
+}
+
+/// What a peer last said of its use of an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerUse {
+    /// The peer's name.
+    pub peer: String,
+    /// Its hand-overs that have not ended.
+    pub running: usize,
+    /// The most tokens that they are forecast to hold.
+    pub peak_tokens: f64,
+    /// Their prompts that are still to be loaded.
+    pub(crate) loading: Backlog,
+}
+
+/// The largest sum of tokens of the runs, and of `new` if given, over the time
+/// to come: a run holds `tokens + t` until `t` reaches what remains of it.
+pub(super) fn peak(runs: &[OwnRun], new: Option<OwnRun>) -> f64 {
+    let mut all: Vec<(f64, f64)> = runs
+        .iter()
+        .chain(&new)
+        .map(|r| (r.remaining, r.tokens))
+        .collect();
+    all.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
+    let (mut held, mut most) = (0.0, 0.0f64);
+    for (i, (remaining, tokens)) in all.iter().enumerate() {
+        // Just before this one ends, it and all that end later are there.
+        held += tokens;
+        most = most.max(held + (i + 1) as f64 * remaining);
+    }
+    most
+}
--- a/trouttrack_core/src/upstream/table.rs
+++ b/trouttrack_core/src/upstream/table.rs
@@ -1,9 +1,11 @@
 //! The table of upstreams, and which of them run a service.
 
-use super::row::{Spec, Upstream, UpstreamKey};
+use super::row::{Upstream, UpstreamKey};
+use super::spec::Spec;
 use crate::UpstreamId;
 use slotmap::SlotMap;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::mem;
 
 /// All upstreams of the configuration.
 #[derive(Debug, Default)]
@@ -45,9 +47,9 @@
     /// assert_eq!(table.serving("lookup").unwrap().local, 1);
     /// ```
     pub fn configure(&mut self, specs: Vec<Spec>, home: &str) {
-        let wanted: HashMap<&str, ()> = specs.iter().map(|s| (s.id.as_str(), ())).collect();
+        let wanted: HashSet<&str> = specs.iter().map(|s| s.id.as_str()).collect();
         self.rows
-            .retain(|_, row| wanted.contains_key(row.spec.id.as_str()));
+            .retain(|_, row| wanted.contains(row.spec.id.as_str()));
         drop(wanted);
         self.by_id.retain(|_, key| self.rows.contains_key(*key));
         for spec in specs {
@@ -139,7 +141,7 @@
 
     /// Peers tell their use of upstreams: what is not told of is not used.
     pub(crate) fn hear_peers(&mut self) {
-        if !std::mem::replace(&mut self.hears_peers, true) {
+        if !mem::replace(&mut self.hears_peers, true) {
             self.rows.values_mut().for_each(Upstream::hear_peers);
         }
     }
