What is kept of a peer's heartbeat is named

Hard to read: how often silent peers are looked for was a fifth of another constant, and the fields of a peer's entry said nothing. Change: a constant of the same value, and summary lines.

--- a/trouttrack_core/src/world/peers.rs
+++ b/trouttrack_core/src/world/peers.rs
@@ -11,6 +11,8 @@
 
 /// A peer that has been silent for this long is not counted any more.
 const SILENCE: Time = Time::from_secs(5);
+/// How often silent peers are looked for: each heartbeat would be too often.
+const SWEEP_EVERY: Time = Time::from_secs(1);
 
 /// When each peer was heard, and the rows that count its use.
 #[derive(Debug, Default)]
@@ -20,17 +22,19 @@
     swept_at: Time,
 }
 
+/// A peer's last heartbeat.
 #[derive(Debug)]
 struct PeerHeard {
+    /// When it came.
     at: Time,
+    /// The rows that it named.
     rows: Vec<UpstreamKey>,
 }
 
 impl PeersHeard {
-    /// Takes the silent peers out of the rows that count them. Looks once in a
-    /// while: each heartbeat would be too often.
+    /// Takes the silent peers out of the rows that count them, once in a while.
     fn forget_silent(&mut self, now: Time, upstreams: &mut UpstreamTable) {
-        if now.saturating_sub(self.swept_at) < SILENCE / 5 {
+        if now.saturating_sub(self.swept_at) < SWEEP_EVERY {
             return;
         }
         self.swept_at = now;
@@ -44,6 +48,7 @@
     }
 }
 
+/// Takes a peer's use out of these rows.
 fn forget(upstreams: &mut UpstreamTable, rows: &[UpstreamKey], peer: &str) {
     for key in rows {
         if let Some(u) = upstreams.get_mut(*key) {
