Following a kind: the calls, what follows and the VM's part in files of their own

Hard to read: follow/kind.rs held the trait, the loop, the watch and the list; one match held all that a VM does now. In confirm.rs one function waited for three things, and two drawn parts went about as an array. Change: follow/{follower,calls}.rs; `keep_watching` and `catch_up`, `wait_for_config` and `wait_for_first_word`; the parts are the fields of `Turn`, drawn in the same order.

--- a/trouttrack_front/src/follow/backoff.rs
+++ b/trouttrack_front/src/follow/backoff.rs
@@ -8,7 +8,6 @@
 /// The longest: the store's return must be noticed well within the time in
 /// which configurations have to be in force.
 const LONGEST: Duration = Duration::from_millis(800);
-
 /// The longest for VMs that leave the store's return to another one: their own
 /// calls only tell them when entries that lapsed must be back.
 const LONGEST_OF_OTHERS: Duration = Duration::from_millis(1600);
--- a/trouttrack_front/src/follow/config.rs
+++ b/trouttrack_front/src/follow/config.rs
@@ -1,6 +1,6 @@
 //! The configuration.
 
-use super::kind::Follower;
+use super::follower::Follower;
 use super::upstreams::configure;
 use crate::state::Front;
 use std::cell::Cell;
--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -57,19 +57,25 @@
     if front.store_contact.is_away() {
         return;
     }
+    wait_for_config(front).await;
+    wait_for_first_word(front).await;
+    let turn = Turn::draw();
+    while let Some(left) = time_left(front, config_apply, &turn) {
+        tokio::time::sleep(left.clamp(LOOK, LOOK_AT_LEAST)).await;
+    }
+}
+
+async fn wait_for_config(front: &Front) {
     while !front.routing.is_known() {
         tokio::time::sleep(LOOK_FOR_CONFIG).await;
     }
+}
+
+/// Gives another VM the time to bring the first confirmation.
+async fn wait_for_first_word(front: &Front) {
     if front.routing.age().is_none() && !watches_store(front) && others_are_heard(front) {
         tokio::time::sleep(FIRST_WORD).await;
     }
-    let parts = [
-        rand::rng().random_range(WATCHER),
-        rand::rng().random_range(OTHERS),
-    ];
-    while let Some(left) = time_left(front, config_apply, parts) {
-        tokio::time::sleep(left.clamp(LOOK, LOOK_AT_LEAST)).await;
-    }
 }
 
 /// Whether another VM of the own failure domain may bring word.
@@ -78,24 +84,45 @@
     !front.peers.heard_where(near).is_empty()
 }
 
+/// The age, in parts of the time after which a confirmation is renewed, at which
+/// it is this VM's turn.
+struct Turn {
+    /// While it watches the store.
+    watcher: f64,
+    /// While it does not.
+    other: f64,
+}
+
+impl Turn {
+    fn draw() -> Self {
+        Self {
+            watcher: rand::rng().random_range(WATCHER),
+            other: rand::rng().random_range(OTHERS),
+        }
+    }
+
+    fn part(&self, watches: bool) -> f64 {
+        match watches {
+            true => self.watcher,
+            false => self.other,
+        }
+    }
+}
+
 /// How long the newest confirmation will do, if it still does.
-fn time_left(front: &Front, config_apply: Duration, parts: [f64; 2]) -> Option<Duration> {
-    let [of_watcher, of_others] = parts;
-    let part = match watches_store(front) {
-        true => of_watcher,
-        false => of_others,
-    };
+fn time_left(front: &Front, config_apply: Duration, turn: &Turn) -> Option<Duration> {
+    let part = turn.part(watches_store(front));
     let revoke = front.routing.revoke();
     let every = revoke.mul_f64(PART_OF_REVOKE).min(config_apply);
     let left = every.mul_f64(part).checked_sub(front.routing.age()?)?;
     (!left.is_zero()).then_some(left)
 }
 
+/// Asks the store for the configuration, and takes it in.
 async fn once(front: &Front) -> Result<(), StoreError> {
     let sent_at = front.clock.now();
-    let listing = front
-        .store
-        .list(Kind::Config, None, Reading::Current, TIMEOUT);
+    let store = &front.store;
+    let listing = store.list(Kind::Config, None, Reading::Current, TIMEOUT);
     let page = listing.await?;
     front.store_answered();
     if page.objects.iter().any(|o| config::take(front, o)) {
--- /dev/null
+++ b/trouttrack_front/src/follow/follower.rs
@@ -0,0 +1,25 @@
+//! What follows a kind of object.
+
+use trouttrack_platform::{Change, Kind, Object};
+
+/// Takes in what a kind's objects say.
+pub(super) trait Follower {
+    /// The kind.
+    const KIND: Kind;
+
+    /// The revision up to which everything is known; `None` if it must be
+    /// listed.
+    fn revision(&self) -> Option<u64>;
+
+    /// Whether a peer knows more.
+    fn is_behind(&self) -> bool;
+
+    /// Everything was listed, as of a revision.
+    fn listed(&self, objects: &[Object], revision: u64);
+
+    /// Changes came, up to a revision.
+    fn changed(&self, changes: Vec<Change>, revision: u64);
+
+    /// The store has forgotten what came after the known revision.
+    fn history_gone(&self);
+}
--- a/trouttrack_front/src/follow/kind.rs
+++ b/trouttrack_front/src/follow/kind.rs
@@ -1,22 +1,21 @@
 //! Listing a kind of object, then following its changes.
 
 use super::backoff::Backoff;
+use super::calls::{list, watch};
+use super::follower::Follower;
 use crate::peers::watches_store;
 use crate::state::Front;
 use rand::RngExt;
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
-use trouttrack_platform::{Change, Kind, Object, Reading, StoreError, Watched};
-use trouttrack_telemetry::{events, record};
+use trouttrack_platform::{Reading, StoreError};
 
 /// How long a watch waits. Each one is a call that is paid for; one that is
 /// answered tells peers that its VM is in contact with the store.
 const WATCH: Duration = Duration::from_secs(5);
 /// A watch that only asks what is new.
 const AT_ONCE: Duration = Duration::from_millis(1);
-/// How long a page of a list may take.
-const LIST: Duration = Duration::from_secs(2);
 /// How long news may be late before the store is asked for them: the same news
 /// come from several VMs.
 const NEWS_LATE: Duration = Duration::from_millis(250);
@@ -27,28 +26,6 @@
 /// How often a VM that does not watch looks whether it is to watch now.
 const LOOK: Duration = Duration::from_millis(500);
 
-/// Takes in what a kind's objects say.
-pub(super) trait Follower {
-    /// The kind.
-    const KIND: Kind;
-
-    /// The revision up to which everything is known; `None` if it must be
-    /// listed.
-    fn revision(&self) -> Option<u64>;
-
-    /// Whether a peer knows more.
-    fn is_behind(&self) -> bool;
-
-    /// Everything was listed, as of a revision.
-    fn listed(&self, objects: &[Object], revision: u64);
-
-    /// Changes came, up to a revision.
-    fn changed(&self, changes: Vec<Change>, revision: u64);
-
-    /// The store has forgotten what came after the known revision.
-    fn history_gone(&self);
-}
-
 /// Follows a kind for as long as the process runs.
 pub(super) async fn follow<F: Follower>(front: Rc<Front>, follower: F) {
     let mut backoff = Backoff::new();
@@ -82,84 +59,46 @@
 ) -> Result<(), StoreError> {
     match follower.revision() {
         None => list(front, follower, reading).await,
-        Some(since) if watches_store(front) => {
-            let changed = tokio::select! {
-                watched = watch(front, follower, since, WATCH) => watched,
-                () = missed(front, follower) => watch(front, follower, since, AT_ONCE).await,
-            };
-            if changed? {
-                let pause = rand::rng().random_range(GATHER_MS);
-                tokio::time::sleep(Duration::from_millis(pause)).await;
-            }
-            Ok(())
-        }
-        Some(since) => tokio::select! {
-            () = missed(front, follower) => {
-                watch(front, follower, since, AT_ONCE).await.map(drop)
-            }
-            () = tokio::time::sleep(LOOK) => Ok(()),
-        },
-    }
-}
-
-/// Waits until something was missed and did not come as news.
-async fn missed<F: Follower>(front: &Front, follower: &F) {
-    loop {
-        front.peers.behind().await;
-        tokio::time::sleep(NEWS_LATE).await;
-        if follower.is_behind() {
-            return;
-        }
+        Some(since) if watches_store(front) => keep_watching(front, follower, since).await,
+        Some(since) => catch_up(front, follower, since).await,
     }
 }
 
-/// Asks for changes, and takes them in. Returns whether there were any.
-async fn watch<F: Follower>(
+/// Watches the store once, and lets changes gather before the next time.
+async fn keep_watching<F: Follower>(
     front: &Front,
     follower: &F,
     since: u64,
-    wait: Duration,
-) -> Result<bool, StoreError> {
-    let watched = front.store.watch(F::KIND, since, wait).await?;
-    front.store_answered();
-    match watched {
-        Watched::Changes { changes, revision } => {
-            let any = !changes.is_empty();
-            follower.changed(changes, revision);
-            Ok(any)
-        }
-        Watched::HistoryGone => {
-            record!(
-                events::WATCH_RESTARTED,
-                kind = F::KIND.as_str(),
-                since = since,
-            );
-            follower.history_gone();
-            Ok(false)
+) -> Result<(), StoreError> {
+    let changed = tokio::select! {
+        watched = watch(front, follower, since, WATCH) => watched,
+        () = missed(front, follower) => watch(front, follower, since, AT_ONCE).await,
+    };
+    if changed? {
+        let pause = rand::rng().random_range(GATHER_MS);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+    Ok(())
+}
+
+/// Asks the store for what was missed, if something is, until it is time to look
+/// whether this VM is to watch.
+async fn catch_up<F: Follower>(front: &Front, follower: &F, since: u64) -> Result<(), StoreError> {
+    tokio::select! {
+        () = missed(front, follower) => {
+            watch(front, follower, since, AT_ONCE).await.map(drop)
         }
+        () = tokio::time::sleep(LOOK) => Ok(()),
     }
 }
 
-/// Lists everything, page by page.
-async fn list<F: Follower>(
-    front: &Front,
-    follower: &F,
-    reading: Reading,
-) -> Result<(), StoreError> {
-    let mut objects: Vec<Object> = Vec::new();
-    let mut oldest = u64::MAX;
+/// Waits until something was missed and did not come as news.
+async fn missed<F: Follower>(front: &Front, follower: &F) {
     loop {
-        let after = objects.last().map(|o| o.name.clone());
-        let listing = front.store.list(F::KIND, after.as_deref(), reading, LIST);
-        let page = listing.await?;
-        // Changes during the listing are asked for from its oldest page on.
-        oldest = oldest.min(page.revision);
-        let ended = !page.more || page.objects.is_empty();
-        objects.extend(page.objects);
-        if ended {
-            front.store_answered();
-            follower.listed(&objects, oldest);
-            return Ok(());
+        front.peers.behind().await;
+        tokio::time::sleep(NEWS_LATE).await;
+        if follower.is_behind() {
+            return;
         }
     }
 }
--- a/trouttrack_front/src/follow/mod.rs
+++ b/trouttrack_front/src/follow/mod.rs
@@ -7,8 +7,10 @@
 //! confirmation too old; the others take it from that VM's heartbeats.
 
 mod backoff;
+mod calls;
 mod config;
 mod confirm;
+mod follower;
 mod kind;
 mod upstreams;
 mod vms;
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -1,6 +1,6 @@
 //! The upstreams' entries.
 
-use super::kind::Follower;
+use super::follower::Follower;
 use crate::peers::{EntryChange, News};
 use crate::rescue;
 use crate::state::{Front, Upstream};
