Which VMs can watch, and who is told news, read in order

Hard to read: in `watches_store` the word "near" also meant alive and staying; the header of `tell` was broken off in the middle of a line, and its receivers were worked out in the loop's head. Change: `can_watch`, a summary line with a paragraph, and a name for the receivers.

--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -73,9 +73,9 @@
 }
 
 /// Sends news to those who are to hear them, for as long as the process runs.
-/// News wait for room
-/// in the socket: one that is lost costs its receiver a call to the store, and a
-/// generation the time to be moved.
+///
+/// News wait for room in the socket: one that is lost costs its receiver a call
+/// to the store, and a generation the time to be moved.
 pub(crate) async fn tell(front: Rc<Front>, socket: Rc<UdpSocket>, mut news: mpsc::Receiver<News>) {
     while let Some(news) = news.recv().await {
         if news.changes.len() > MOST_CHANGES {
@@ -85,7 +85,8 @@
             continue;
         };
         let near = |(name, _): &(String, _)| front.peers.is_in(name, &front.failure_domain);
-        for (name, addr) in told(front.peers.others(), near, &mut rand::rng()) {
+        let receivers = told(front.peers.others(), near, &mut rand::rng());
+        for (name, addr) in receivers {
             if let Err(e) = socket.send_to(&bytes, addr).await {
                 log::warn!("news to {name} at {addr}: {e}");
             }
--- a/trouttrack_front/src/peers/roles.rs
+++ b/trouttrack_front/src/peers/roles.rs
@@ -3,6 +3,7 @@
 use super::table::Heard;
 use crate::state::Front;
 use std::time::Duration;
+use trouttrack_core::Time;
 use trouttrack_core::membership::watches;
 
 /// Watchers in each failure domain. News go to every VM from every watcher, so
@@ -52,19 +53,13 @@
         return false;
     }
     let own = Contact::of(front.store_contact.age(now));
-    let near = |peer: &Heard| {
-        peer.failure_domain == front.failure_domain
-            && !peer.draining
-            && now.saturating_sub(peer.at) < ALIVE
-    };
     let contact = |peer: &Heard| Contact::of(peer.store_age);
-    let better = |peer: &Heard| near(peer) && contact(peer) > own;
+    let better = |peer: &Heard| can_watch(front, peer, now) && contact(peer) > own;
     if !front.peers.heard_where(better).is_empty() {
         return false;
     }
-    let others = front
-        .peers
-        .heard_where(|peer| near(peer) && contact(peer) == own);
+    let equal = |peer: &Heard| can_watch(front, peer, now) && contact(peer) == own;
+    let others = front.peers.heard_where(equal);
     watches(
         DUTY,
         &front.name,
@@ -72,3 +67,10 @@
         WATCHERS,
     )
 }
+
+/// Whether a peer stands in the own failure domain, lives and stays.
+fn can_watch(front: &Front, peer: &Heard, now: Time) -> bool {
+    peer.failure_domain == front.failure_domain
+        && !peer.draining
+        && now.saturating_sub(peer.at) < ALIVE
+}
