--- /dev/null
+++ b/trouttrack_soak/src/callers/ask.rs
@@ -0,0 +1,143 @@
+//! Callers that ask until they are to end.
+
+use super::call::{Call, Told};
+use crate::bed::{Bed, HOST, LASTING_KEY, RouteName};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::cell::{Cell, RefCell};
+use std::ops::Range;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use trouttrack_http::{Answer, Client, Reuse, SendError};
+use trouttrack_platform_standin::{CallerRequest, Reply};
+
+/// Pause of a caller between two requests, in milliseconds.
+const PAUSE_MS: Range<u64> = 2..60;
+/// How long callers wait: longer than a stream takes.
+const PATIENCE: Duration = Duration::from_secs(4);
+/// How much longer than that an answer is waited for before it is missed.
+const HUNG_AFTER: Duration = Duration::from_millis(2500);
+/// Tokens of a prompt.
+const PROMPT_TOKENS: u64 = 100;
+/// What callers say will be generated: four tokens in each of a stream's events.
+const GUESSED_TOKENS: u64 = 240;
+/// The share of requests on a route that only one configuration has.
+const MARKERS: f64 = 0.1;
+/// The share of requests with a key that comes and goes.
+const PASSING_KEYS: f64 = 0.3;
+
+/// Everything that callers asked.
+#[derive(Debug)]
+pub(crate) struct Callers {
+    bed: Rc<Bed>,
+    calls: RefCell<Vec<Call>>,
+    /// No more requests are made.
+    ending: Cell<bool>,
+}
+
+impl Callers {
+    /// Nobody has asked yet.
+    #[must_use]
+    pub(crate) fn new(bed: Rc<Bed>) -> Rc<Self> {
+        Rc::new(Self {
+            bed,
+            calls: RefCell::default(),
+            ending: Cell::new(false),
+        })
+    }
+
+    /// Makes the callers end after the request that they are at.
+    pub(crate) fn end(&self) {
+        self.ending.set(true);
+    }
+
+    /// What was asked and told.
+    #[must_use]
+    pub(crate) fn calls(&self) -> Vec<Call> {
+        self.calls.borrow().clone()
+    }
+
+    /// One caller, until callers are to end. It keeps its connections as long
+    /// as they are kept for it.
+    pub(crate) async fn run(self: Rc<Self>, number: usize, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed ^ ((number as u64 + 1) << 32));
+        let client = Client::builder().build();
+        let mut asked = 0;
+        while !self.ending.get() {
+            asked += 1;
+            let ready = self.bed.ready();
+            let vm = ready[rng.random_range(0..ready.len())];
+            let (route, key) = (self.route(&mut rng), self.key(&mut rng));
+            let id = format!("c{number}-{asked}");
+            let call = self.ask(&client, vm, id, route, key).await;
+            self.calls.borrow_mut().push(call);
+            let pause = rng.random_range(PAUSE_MS);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    fn route(&self, rng: &mut SmallRng) -> RouteName {
+        if !rng.random_bool(MARKERS) {
+            return RouteName::LASTING[rng.random_range(0..RouteName::LASTING.len())];
+        }
+        let newest = self.bed.configs.borrow().newest().version;
+        RouteName::Marker(rng.random_range(newest.saturating_sub(1).max(1)..=newest))
+    }
+
+    fn key(&self, rng: &mut SmallRng) -> String {
+        if !rng.random_bool(PASSING_KEYS) {
+            return LASTING_KEY.to_owned();
+        }
+        let configs = self.bed.configs.borrow();
+        let keys = &configs.passing_keys;
+        let one = rng.random_range(keys.len().saturating_sub(2)..keys.len());
+        keys[one].text.clone()
+    }
+
+    async fn ask(
+        &self,
+        client: &Client,
+        vm: usize,
+        id: String,
+        route: RouteName,
+        key: String,
+    ) -> Call {
+        let req = request(&id, route, &key);
+        let to = self.bed.caller_links[vm].addr();
+        let life = self.bed.vms[vm].life();
+        let sent = Instant::now();
+        let asking = async { take(client.send(to, req.build(), Reuse::Any).await).await };
+        let told = tokio::time::timeout(PATIENCE + HUNG_AFTER, asking).await;
+        let same_life = life == self.bed.vms[vm].life();
+        Call {
+            id,
+            vm,
+            life: same_life.then_some(life),
+            route,
+            key,
+            sent,
+            ended: Instant::now(),
+            told: told.unwrap_or(Told::Nothing),
+        }
+    }
+}
+
+fn request(id: &str, route: RouteName, key: &str) -> CallerRequest {
+    let req = CallerRequest::get(id, HOST, &route.target())
+        .key(key)
+        .patience(PATIENCE);
+    match route.kind().is_stream() {
+        true => req.post("a prompt").tokens(PROMPT_TOKENS, GUESSED_TOKENS),
+        false => req,
+    }
+}
+
+/// Takes an answer as far as it comes.
+async fn take(answer: Result<Answer, SendError>) -> Told {
+    match answer {
+        Ok(answer) => Told::Answer(Reply::read(answer).await),
+        Err(e) => Told::NoAnswer {
+            was_sent: !e.was_not_sent(),
+        },
+    }
+}
