The row of an upstream's name is found in one place

Hard to read: three methods of the scheduler looked a key up and then its row in the same two lines; one type was named by its whole path. Change: `UpstreamTable::get_by_id`, and a `use`.

--- a/trouttrack_core/src/upstream/table.rs
+++ b/trouttrack_core/src/upstream/table.rs
@@ -164,6 +164,19 @@
         self.rows.get(key)
     }
 
+    /// The row of a name.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use trouttrack_core::upstream::UpstreamTable;
+    /// assert!(UpstreamTable::default().get_by_id("e1").is_none());
+    /// ```
+    #[must_use]
+    pub fn get_by_id(&self, id: &str) -> Option<&Upstream> {
+        self.get(self.key(id)?)
+    }
+
     /// A row, to change.
     pub fn get_mut(&mut self, key: UpstreamKey) -> Option<&mut Upstream> {
         self.rows.get_mut(key)
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -5,7 +5,7 @@
 use crate::length::{LengthKey, LengthTable};
 use crate::membership::UpstreamUse;
 use crate::routing::{AnyPolicy, ExplanationTable};
-use crate::upstream::{Report, Spec, UpstreamKey, UpstreamTable};
+use crate::upstream::{Report, Spec, Upstream, UpstreamKey, UpstreamTable};
 use crate::{OrganisationId, RequestId, ServiceId, Time};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -247,7 +247,7 @@
         }
     }
 
-    fn row_mut(&mut self, upstream: &str) -> Option<&mut crate::upstream::Upstream> {
+    fn row_mut(&mut self, upstream: &str) -> Option<&mut Upstream> {
         let key = self.upstreams.key(upstream)?;
         self.upstreams.get_mut(key)
     }
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -179,8 +179,7 @@
     #[must_use]
     pub fn is_open(&self, upstream: &str) -> bool {
         let world = self.world.borrow();
-        let row = world.upstreams.key(upstream);
-        let row = row.and_then(|k| world.upstreams.get(k));
+        let row = world.upstreams.get_by_id(upstream);
         row.is_some_and(|u| u.open(self.clock.now()))
     }
 
@@ -188,8 +187,7 @@
     #[must_use]
     pub fn uses(&self, upstream: &str) -> bool {
         let world = self.world.borrow();
-        let row = world.upstreams.key(upstream);
-        let row = row.and_then(|k| world.upstreams.get(k));
+        let row = world.upstreams.get_by_id(upstream);
         row.is_some_and(|u| u.own_running > 0)
     }
 
@@ -197,8 +195,7 @@
     #[must_use]
     pub fn load_of(&self, upstream: &str) -> (f64, usize) {
         let world = self.world.borrow();
-        let row = world.upstreams.key(upstream);
-        let row = row.and_then(|k| world.upstreams.get(k));
+        let row = world.upstreams.get_by_id(upstream);
         row.map_or((0.0, 0), |u| (u.fill_with(None), u.estimated_running()))
     }
 }
