A new upstream and one that is gone are steps of their own

Hard to read: `seen` held the adding of an upstream and its record within a match; that one is gone took the same two lines in two places. Change: `Upstreams::add` and `remove`; the records and their order stay.

--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -114,6 +114,7 @@
     front.upstreams.advance(news.to);
 }
 
+/// Takes in changes, in order, and places what waits for them.
 fn apply(front: &Rc<Front>, changes: &[EntryChange]) {
     for change in changes {
         match &change.spec {
@@ -123,8 +124,7 @@
             }
             None => {
                 if let Some(gone) = front.upstreams.removed(&change.id) {
-                    depart(front, &gone);
-                    front.scheduler.remove_upstream(&change.id);
+                    remove(front, &gone);
                 }
             }
         }
@@ -148,6 +148,7 @@
     }
 }
 
+/// Takes in an entry that is there.
 fn see(front: &Rc<Front>, id: &str, revision: u64, spec: &str) {
     match UpstreamEntry::decode(spec) {
         Ok(entry) => {
@@ -169,6 +170,12 @@
     }
 }
 
+/// An upstream is gone: it leaves, and has no row any more.
+fn remove(front: &Rc<Front>, upstream: &Rc<Upstream>) {
+    depart(front, upstream);
+    front.scheduler.remove_upstream(&upstream.id);
+}
+
 /// Gives the decision tables their rows, and says whether requests can be
 /// served.
 pub(super) fn configure(front: &Front) {
@@ -192,8 +199,7 @@
         tokio::time::sleep(EXPIRE_EVERY).await;
         let gone = front.upstreams.expired();
         for upstream in &gone {
-            depart(&front, upstream);
-            front.scheduler.remove_upstream(&upstream.id);
+            remove(&front, upstream);
         }
         front.http.sweep();
     }
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -141,24 +141,27 @@
                 known.warm_at.set(self.clock.now() + entry.cold_for);
                 known
             }
-            None => {
-                record!(
-                    events::UPSTREAM_SEEN,
-                    upstream = id,
-                    revision = revision,
-                    service = entry.service.as_str(),
-                    leaving = leaving,
-                );
-                let new = Rc::new(Upstream::new(id, entry, self.clock.now()));
-                self.by_id
-                    .borrow_mut()
-                    .insert(id.to_owned(), Rc::clone(&new));
-                new
-            }
+            None => self.add(id, revision, entry),
         };
         (leaving && self.depart(&upstream, "announced")).then_some(upstream)
     }
 
+    /// Puts an upstream in the table: it is new, or its address or service has
+    /// changed.
+    fn add(&self, id: &str, revision: u64, entry: UpstreamEntry) -> Rc<Upstream> {
+        record!(
+            events::UPSTREAM_SEEN,
+            upstream = id,
+            revision = revision,
+            service = entry.service.as_str(),
+            leaving = entry.leaving,
+        );
+        let new = Rc::new(Upstream::new(id, entry, self.clock.now()));
+        let mut by_id = self.by_id.borrow_mut();
+        by_id.insert(id.to_owned(), Rc::clone(&new));
+        new
+    }
+
     /// Notes that an upstream leaves. Returns whether that is news.
     fn depart(&self, upstream: &Upstream, how: &str) -> bool {
         if upstream.is_leaving() {
