--- a/trouttrack_soak/src/check/mod.rs
+++ b/trouttrack_soak/src/check/mod.rs
@@ -1,9 +1,9 @@
 //! The promises, held against what callers were told and the upstreams' books.
 //!
-//! - [`answers`]: each caller gets its own whole answer, each token once.
-//! - [`runs`]: at most once, "not run" is true, retries stay in their budget.
-//! - [`keys`]: configurations never go back, removed keys are dead.
-//! - [`stops`]: planned work cuts off nothing; leaving upstreams get no work.
+//! - `answers`: each caller gets its own whole answer, each token once.
+//! - `runs`: at most once, "not run" is true, retries stay in their budget.
+//! - `keys`: configurations never go back, removed keys are dead.
+//! - `stops`: planned work cuts off nothing; leaving upstreams get no work.
 //!
 //! Those that hold within a time are checked only if [`Evidence::timed`] says
 //! so: on a machine that is busy with other work they prove nothing.
