--- a/trouttrack_http/tests/http/client.rs
+++ b/trouttrack_http/tests/http/client.rs
@@ -130,3 +130,20 @@
         Err(SendErrorKind::Garbled)
     );
 }
+
+#[actix_rt::test]
+async fn idle_connections_beyond_a_lowered_bound_are_closed() {
+    const WHOLE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    let addr = peer(WHOLE, false).await;
+    let client = Client::builder().idle_per_peer(4).build();
+    for _ in 0..3 {
+        assert_eq!(text(&client, addr, Reuse::Never).await.as_deref(), Ok("ok"));
+    }
+    assert_eq!(client.idle(), 3);
+    client.set_idle_per_peer(1);
+    assert_eq!(client.idle(), 1);
+    assert_eq!(text(&client, addr, Reuse::Never).await.as_deref(), Ok("ok"));
+    assert_eq!(client.idle(), 1);
+    client.set_idle_per_peer(0);
+    assert_eq!(client.idle(), 0);
+}
--- a/trouttrack_soak/tests/soak/check.rs
+++ b/trouttrack_soak/tests/soak/check.rs
@@ -242,3 +242,55 @@
         ["processes end when they are told to, and only then"]
     );
 }
+
+#[test]
+fn a_request_that_reaches_an_upstream_altered_is_found() {
+    let now = Instant::now();
+    let (call, mut ran) = served("a", RouteName::Many, now);
+    ran.arrival.organisation = Some("another".to_owned());
+    assert_eq!(
+        broken(&evidence(vec![call], vec![ran])),
+        ["upstreams get what the caller sent, and whose it is"]
+    );
+}
+
+#[test]
+fn a_run_that_nobody_asked_for_is_found() {
+    let unasked = run("b", RouteName::Many, "u1", Instant::now());
+    let found = broken(&evidence(Vec::new(), vec![unasked]));
+    assert_eq!(found, ["only what callers asked is run"]);
+}
+
+#[test]
+fn silence_is_found_unless_its_vm_was_disturbed() {
+    let now = Instant::now();
+    let mut silent = call("a", RouteName::Many, now, reply(200, "a", None, ""));
+    silent.told = Told::Nothing;
+    let mut evidence = evidence(vec![silent], Vec::new());
+    let lost = "no request is lost";
+    assert!(broken(&evidence).contains(&lost));
+    evidence.history.all.push(Disturbance {
+        act: Act::Pause(0),
+        from: now,
+        until: None,
+    });
+    assert!(!broken(&evidence).contains(&lost));
+}
+
+#[test]
+fn a_configuration_that_comes_late_is_found() {
+    let now = Instant::now();
+    let unknown = |sent| {
+        let denied = reply(404, "a", None, "");
+        let calls = vec![call("a", RouteName::Marker(2), sent, denied)];
+        let mut evidence = evidence(calls, Vec::new());
+        evidence.versions.push((2, now));
+        broken(&evidence)
+    };
+    assert!(unknown(now + SECOND).is_empty());
+    let found = unknown(now + 4 * SECOND);
+    assert_eq!(
+        found,
+        ["an accepted configuration is in force within seconds"]
+    );
+}
