Engines are asked whether they leave while the store is silent

Cause: an engine's leaving was known only from its entry in the store.

Change: while no VM that is heard of was answered by the store lately, each VM asks the engines that hold its generations for their reports every 250 ms, and moves what is at one that leaves. A move ends as soon as nobody listens at its engine. A switch, `[serving] ask_engines`. The weights of placement and the wait for a place are settings, so that each can be switched off; the line of an answered request says its route, its objective and its events.

--- a/trouttrack_config/src/settings/front.rs
+++ b/trouttrack_config/src/settings/front.rs
@@ -6,7 +6,7 @@
 use crate::ini::SectionReader;
 use std::net::SocketAddr;
 use std::time::Duration;
-use trouttrack_core::routing::AnyPolicy;
+use trouttrack_core::routing::{AnyPolicy, Weights};
 
 /// Everything that `trouttrack_front` reads.
 #[derive(Clone, Debug)]
@@ -25,6 +25,8 @@
     pub retry: RetrySettings,
     /// `[serving]`
     pub serving: ServingSettings,
+    /// `[placement]`
+    pub placement: Weights,
 }
 
 /// `[platform]`
@@ -129,11 +131,15 @@
     pub policy: AnyPolicy,
     /// Whether running generations are moved away from a leaving upstream.
     pub rescue: bool,
+    /// Whether engines are asked if they leave while the store is silent.
+    pub ask_engines: bool,
     /// The part of an engine's memory below which a new generation's memory is
     /// also kept at a second engine; 0 keeps none.
     pub backup_below: f64,
     /// Requests that wait; beyond it they are refused.
     pub max_queued: usize,
+    /// The part of its objective that a request may wait for an upstream.
+    pub wait_for_place: f64,
 }
 
 impl ServingSettings {
@@ -141,12 +147,30 @@
         Self {
             policy: r.parse("policy", AnyPolicy::default()),
             rescue: r.parse_with("rescue", true, on_off),
+            ask_engines: r.parse_with("ask_engines", true, on_off),
             backup_below: r.within("backup_below", 0.0, 0.0, 1.0),
             max_queued: r.within("max_queued", 500, 1, 1_000_000),
+            wait_for_place: r.within("wait_for_place", 0.6, 0.0, 10.0),
         }
     }
 }
 
+/// `[placement]`: what each part of an upstream's score counts; 0 switches it
+/// off.
+fn weights(r: &mut SectionReader<'_>) -> Weights {
+    let default = Weights::default();
+    let mut weight = |key, default| r.within(key, default, 0.0, 100.0);
+    Weights {
+        running: weight("running", default.running),
+        fill: weight("fill", default.fill),
+        remote: weight("remote", default.remote),
+        lane: weight("lane", default.lane),
+        backlog: weight("backlog", default.backlog),
+        cold: weight("cold", default.cold),
+        ..default
+    }
+}
+
 /// The platform writes nothing where its bounds do not say; then the key that was
 /// removed counts for more than the request.
 fn strictness(value: &str) -> Result<bool, String> {
@@ -177,6 +201,7 @@
             bounds: s.section("bounds", BoundSettings::read),
             retry: s.section("retry", RetrySettings::read),
             serving: s.section("serving", ServingSettings::read),
+            placement: s.section("placement", weights),
         }
     }
 }
--- a/trouttrack_config/src/settings/keys.rs
+++ b/trouttrack_config/src/settings/keys.rs
@@ -127,8 +127,16 @@
     key("retry", "window", "duration", "10s", FRONT, "The sliding window of both."),
     key("serving", "policy", "policy", "trouttrack", FRONT, "trouttrack, random, round-robin, least-outstanding or two-choices."),
     key("serving", "rescue", "on or off", "on", FRONT, "Whether running generations are moved away from a leaving upstream."),
+    key("serving", "ask_engines", "on or off", "on", FRONT, "Whether engines with running generations are asked if they leave while the store is silent."),
     key("serving", "backup_below", "0 to 1", "0", FRONT, "Below this share of an engine's memory in use, it also keeps copies of generations that run elsewhere; 0 keeps none."),
     key("serving", "max_queued", "requests", "500", FRONT, "Requests that wait; beyond it they are refused as not run."),
+    key("serving", "wait_for_place", "0 to 10", "0.6", FRONT, "How long a request may wait for an upstream, in parts of its objective; then it is refused as not run."),
+    key("placement", "running", "0 to 100", "1", FRONT, "What the requests at an upstream count in its score, over the most that may run there. The upstream with the lowest score is chosen; 0 switches a part off."),
+    key("placement", "fill", "0 to 100", "1", FRONT, "What an engine's forecast memory counts, over its capacity."),
+    key("placement", "remote", "0 to 100", "0.4", FRONT, "What another failure domain counts."),
+    key("placement", "lane", "0 to 100", "0.3", FRONT, "What the place in the packing order counts: urgent requests are packed from one end of the list of upstreams, the others from the other end."),
+    key("placement", "backlog", "0 to 100", "3", FRONT, "What a second of prompts that are still to be loaded counts."),
+    key("placement", "cold", "0 to 100", "0.5", FRONT, "What an upstream counts that has just started; less as it warms up."),
 ];
 
 /// The keys that a program reads, in the order of the reference page.
--- a/trouttrack_core/src/rescue/mod.rs
+++ b/trouttrack_core/src/rescue/mod.rs
@@ -19,6 +19,9 @@
 /// How long an engine is taken to serve on after its notice when it does not
 /// say; reclaimed engines give hardly more.
 const SHORTEST_NOTICE: Duration = Duration::from_millis(1500);
+/// Reports are up to this old when they come: engines were seen to say nothing of
+/// their leaving for half a second after it.
+pub const REPORT_AGE: Duration = Duration::from_millis(560);
 /// Before the end, time for the last parts of an engine's generations: each
 /// takes some ten milliseconds, and requests of several VMs queue.
 const LAST_PARTS: Duration = Duration::from_millis(350);
@@ -37,7 +40,7 @@
 /// use trouttrack_core::rescue::Departure;
 /// let ms = Duration::from_millis;
 /// let mut departure = Departure::noticed(ms(1000));
-/// departure.leaves_in(ms(1800));
+/// departure.leaves_in(ms(1000), ms(1800));
 /// assert_eq!(departure.ends_at(), ms(2800));
 /// ```
 #[derive(Clone, Debug, PartialEq)]
@@ -109,10 +112,18 @@
         }
     }
 
-    /// The engine said how much longer it serves. Its word is old by an unknown
-    /// time, but it knew of its leaving, so it counts from the notice.
-    pub fn leaves_in(&mut self, left: Duration) {
-        self.ends_at = self.noticed_at + left;
+    /// The engine itself said that it leaves, in a report asked for at `asked_at`.
+    #[must_use]
+    pub fn reported(asked_at: Time) -> Self {
+        Self::noticed(asked_at.saturating_sub(REPORT_AGE))
+    }
+
+    /// The engine said how much longer it serves, in a report asked for at
+    /// `asked_at`. Its word is old by up to [`REPORT_AGE`], but it knew of its
+    /// leaving then, so it counts from the notice at the earliest.
+    pub fn leaves_in(&mut self, asked_at: Time, left: Duration) {
+        let said_at = asked_at.saturating_sub(REPORT_AGE).max(self.noticed_at);
+        self.ends_at = said_at + left;
     }
 
     /// The engine said how many tokens each of its generations holds, those of
--- a/trouttrack_core/src/routing/policy.rs
+++ b/trouttrack_core/src/routing/policy.rs
@@ -1,7 +1,7 @@
 //! The trait that routing policies implement, and the choice among them.
 
 use super::baselines::{LeastOutstanding, RandomChoice, RoundRobin, TwoChoices};
-use super::score::Scored;
+use super::score::{Scored, Weights};
 use crate::upstream::UpstreamKey;
 use rand::Rng;
 use std::str::FromStr;
@@ -96,6 +96,15 @@
 }
 
 impl AnyPolicy {
+    /// The same policy with other weights of its score, if it has any.
+    #[must_use]
+    pub fn weighted(self, weights: Weights) -> Self {
+        match self {
+            Self::Scored(_) => Self::Scored(Scored { weights }),
+            baseline => baseline,
+        }
+    }
+
     /// Whether requests wait while no candidate fits.
     #[must_use]
     pub fn holds_back(&self) -> bool {
--- a/trouttrack_core/tests/core/relocate.rs
+++ b/trouttrack_core/tests/core/relocate.rs
@@ -84,9 +84,9 @@
 /// A departure noticed at one second with the last call at `last_call`.
 fn departure(last_call: u64, near_room: f64) -> Departure {
     let mut departure = Departure::noticed(ms(1000));
-    departure.leaves_in(ms(1000));
+    departure.leaves_in(ms(1000), ms(1000));
     let before_end = ms(2000) - departure.last_call();
-    departure.leaves_in(ms(last_call) + before_end - ms(1000));
+    departure.leaves_in(ms(1000), ms(last_call) + before_end - ms(1000));
     let held = [("large", 8000), ("small", 2000), ("mid", 4000)];
     let held = held.map(|(id, tokens)| (id.to_owned(), tokens));
     departure.holds(held.to_vec(), &link(), near_room);
--- a/trouttrack_front/src/app/start.rs
+++ b/trouttrack_front/src/app/start.rs
@@ -5,6 +5,7 @@
 use crate::caller::{Server, serve_readiness_and_metrics};
 use crate::follow;
 use crate::peers::{self, News};
+use crate::rescue;
 use crate::state::Front;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -46,9 +47,10 @@
     if front.peer_addr.set(own).is_err() {
         log::error!("the own address was set before");
     }
-    follow::start(&front, own, settings.bounds);
+    follow::start(&front, own);
     let scheduler = Rc::clone(&front.scheduler);
     actix_rt::spawn(async move { scheduler.run().await });
+    actix_rt::spawn(rescue::ask_engines(Rc::clone(&front)));
     start_peers(&front, socket, news);
     let server = Server::bind(Rc::clone(&front), listen.listen);
     let server = server.map_err(|e| AppError::Listen(listen.listen, e))?;
--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -8,15 +8,11 @@
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
-use trouttrack_config::settings::BoundSettings;
 use trouttrack_platform::{Kind, Reading, StoreError};
 
 /// How long a confirming call may take. Past it another is sent: on a link
 /// that loses packets a fresh try is quicker than waiting.
 const TIMEOUT: Duration = Duration::from_millis(900);
-/// The part of the bound on removed keys after which a confirmation is renewed:
-/// it leaves time for two calls that fail.
-const PART_OF_REVOKE: f64 = 0.4;
 /// The age at which a VM that watches the store makes the call, in parts of the
 /// time above: the others of its failure domain hear of it before their turn.
 const WATCHER: Range<f64> = 0.6..0.7;
@@ -35,7 +31,7 @@
 
 /// Confirms for as long as the process runs. The first call is made at once: a
 /// VM that has just started can say nothing of keys before its answer.
-pub(super) async fn confirm(front: Rc<Front>, bounds: BoundSettings) {
+pub(super) async fn confirm(front: Rc<Front>) {
     let mut backoff = Backoff::new();
     loop {
         match once(&front).await {
@@ -45,11 +41,11 @@
                 backoff.pause_as(watches_store(&front)).await;
             }
         }
-        wait_until_due(&front, bounds.config_apply).await;
+        wait_until_due(&front).await;
     }
 }
 
-async fn wait_until_due(front: &Front, config_apply: Duration) {
+async fn wait_until_due(front: &Front) {
     // While its calls fail, a VM keeps calling whatever others confirm: what
     // lapsed meanwhile is judged by its own contact with the store.
     if front.store_contact.is_away() {
@@ -57,7 +53,7 @@
     }
     wait_for_config(front).await;
     let turn = Turn::draw();
-    while let Some(left) = time_left(front, config_apply, &turn) {
+    while let Some(left) = time_left(front, &turn) {
         tokio::time::sleep(left.clamp(LOOK, LOOK_AT_LEAST)).await;
     }
 }
@@ -94,11 +90,10 @@
 }
 
 /// How long the newest confirmation will do, if it still does.
-fn time_left(front: &Front, config_apply: Duration, turn: &Turn) -> Option<Duration> {
+fn time_left(front: &Front, turn: &Turn) -> Option<Duration> {
     let part = turn.part(watches_store(front));
-    let revoke = front.routing.revoke();
-    let every = revoke.mul_f64(PART_OF_REVOKE).min(config_apply);
-    let left = every.mul_f64(part).checked_sub(front.routing.age()?)?;
+    let due = front.routing.renewed_after().mul_f64(part);
+    let left = due.checked_sub(front.routing.age()?)?;
     (!left.is_zero()).then_some(left)
 }
 
--- a/trouttrack_front/src/follow/mod.rs
+++ b/trouttrack_front/src/follow/mod.rs
@@ -15,15 +15,14 @@
 mod upstreams;
 mod vms;
 
-pub(crate) use upstreams::take_news;
+pub(crate) use upstreams::{said_leaving, take_news};
 
 use crate::state::Front;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use trouttrack_config::settings::BoundSettings;
 
 /// Starts every follower of a front.
-pub(crate) fn start(front: &Rc<Front>, own: SocketAddr, bounds: BoundSettings) {
+pub(crate) fn start(front: &Rc<Front>, own: SocketAddr) {
     let config = config::ConfigFollower::new(Rc::clone(front));
     let upstreams = upstreams::UpstreamFollower::new(Rc::clone(front));
     actix_rt::spawn(kind::follow(Rc::clone(front), config));
@@ -31,5 +30,5 @@
     actix_rt::spawn(vms::announce(Rc::clone(front), own));
     actix_rt::spawn(vms::list(Rc::clone(front)));
     actix_rt::spawn(upstreams::expire(Rc::clone(front)));
-    actix_rt::spawn(confirm::confirm(Rc::clone(front), bounds));
+    actix_rt::spawn(confirm::confirm(Rc::clone(front)));
 }
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -7,7 +7,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use trouttrack_core::UpstreamId;
+use trouttrack_core::rescue::Departure;
+use trouttrack_core::{Time, UpstreamId};
 use trouttrack_platform::{Change, Kind, Object, UpstreamEntry};
 
 /// How often lapsed entries are looked through.
@@ -170,6 +171,17 @@
     }
 }
 
+/// An upstream said itself that it leaves.
+pub(crate) fn said_leaving(front: &Rc<Front>, upstream: &Rc<Upstream>, asked_at: Time) {
+    let departure = Departure::reported(asked_at);
+    if front
+        .upstreams
+        .depart(upstream, departure, "said so itself")
+    {
+        depart(front, upstream);
+    }
+}
+
 /// An upstream is gone: it leaves, and has no row any more.
 fn remove(front: &Rc<Front>, upstream: &Rc<Upstream>) {
     depart(front, upstream);
--- a/trouttrack_front/src/peers/table.rs
+++ b/trouttrack_front/src/peers/table.rs
@@ -98,6 +98,16 @@
         self.heard.borrow().values().any(serves)
     }
 
+    /// Whether the store has answered a peer within `longest`, as far as was heard.
+    #[must_use]
+    pub fn any_in_contact(&self, now: Time, longest: Duration) -> bool {
+        let answered = |h: &Heard| {
+            let age = h.store_age.map(|age| age + now.saturating_sub(h.at));
+            age.is_some_and(|age| age < longest)
+        };
+        self.heard.borrow().values().any(answered)
+    }
+
     /// The peers of which something holds.
     #[must_use]
     pub fn heard_where(&self, f: impl Fn(&Heard) -> bool) -> Vec<String> {
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -138,7 +138,7 @@
 fn failed(e: &SendError) -> AttemptFailure {
     log::debug!("{e}");
     match e.kind {
-        SendErrorKind::NotConnected => {
+        SendErrorKind::NotConnected | SendErrorKind::NobodyThere => {
             AttemptFailure::new(Failure::NotConnected, "no connection to the upstream")
         }
         SendErrorKind::Garbled => AttemptFailure::new(Failure::Lost, "the answer is not HTTP"),
--- a/trouttrack_front/src/request/end.rs
+++ b/trouttrack_front/src/request/end.rs
@@ -139,24 +139,35 @@
     }
 }
 
+/// An upstream's answer that was passed on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Answered<'a> {
+    /// The upstream that ended it.
+    pub(crate) upstream: &'a str,
+    /// Its status.
+    pub(crate) status: u16,
+    /// Attempts that it took.
+    pub(crate) attempts: u32,
+    /// When its first byte was passed on.
+    pub(crate) first_byte_at: Time,
+    /// Events of a stream; zero for a plain call.
+    pub(crate) events: u64,
+}
+
 /// Logs and counts an upstream's answer.
-pub(crate) fn answered(
-    front: &Front,
-    admitted: &Admitted,
-    upstream: &str,
-    status: u16,
-    attempts: u32,
-    first_byte_at: Time,
-) {
+pub(crate) fn answered(front: &Front, admitted: &Admitted, answer: Answered<'_>) {
     let received = admitted.received_at;
-    let first = first_byte_at.saturating_sub(received);
+    let first = answer.first_byte_at.saturating_sub(received);
     let held = front.clock.now().saturating_sub(received);
     record!(
         events::ANSWERED,
         request = admitted.head.id.as_str(),
-        upstream = upstream,
-        status = status,
-        attempts = attempts,
+        upstream = answer.upstream,
+        route = admitted.route.name.as_str(),
+        status = answer.status,
+        attempts = answer.attempts,
+        events = answer.events,
+        objective_ms = admitted.route.objective.as_millis() as u64,
         first_ms = first.as_millis() as u64,
         held_ms = held.as_millis() as u64,
     );
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -1,7 +1,7 @@
 //! A plain call: one answer, taken whole before it is passed on.
 
 use super::attempt::{AttemptFailure, handover, send};
-use super::end::{End, answered};
+use super::end::{Answered, End, answered};
 use super::retry::{Attempts, is_attempt};
 use super::submission::submission;
 use crate::caller::{Admitted, Reply};
@@ -196,16 +196,14 @@
     }
 
     fn pass_on(&mut self, answer: WholeAnswer) -> Reply {
-        let now = self.front.clock.now();
-        let status = answer.head.status.as_u16();
-        answered(
-            self.front,
-            self.admitted,
-            &answer.upstream,
-            status,
-            self.attempts.sent,
-            now,
-        );
+        let passed = Answered {
+            upstream: &answer.upstream,
+            status: answer.head.status.as_u16(),
+            attempts: self.attempts.sent,
+            first_byte_at: self.front.clock.now(),
+            events: 0,
+        };
+        answered(self.front, self.admitted, passed);
         Reply::of_upstream(answer.head, answer.body)
     }
 
--- a/trouttrack_front/src/request/stream/finish.rs
+++ b/trouttrack_front/src/request/stream/finish.rs
@@ -3,7 +3,7 @@
 use super::run::StreamRun;
 use crate::caller::Reply;
 use crate::request::attempt::AttemptFailure;
-use crate::request::end::{End, answered};
+use crate::request::end::{Answered, End, answered};
 use bytes::Bytes;
 use trouttrack_platform::AnswerHead;
 use trouttrack_telemetry::{events, record};
@@ -66,13 +66,13 @@
         let first = self
             .first_event_at
             .unwrap_or_else(|| self.front.clock.now());
-        answered(
-            &self.front,
-            &self.admitted,
-            &self.at,
+        let answer = Answered {
+            upstream: &self.at,
             status,
-            self.attempts.sent,
-            first,
-        );
+            attempts: self.attempts.sent,
+            first_byte_at: first,
+            events: self.reader.events(),
+        };
+        answered(&self.front, &self.admitted, answer);
     }
 }
--- a/trouttrack_front/src/request/submission.rs
+++ b/trouttrack_front/src/request/submission.rs
@@ -6,11 +6,8 @@
 use trouttrack_core::world::Submission;
 use trouttrack_core::{ServiceId, UpstreamId};
 
-/// The part of its objective that a request may wait for an upstream. After
-/// it, a caller that comes back at once may still be served in time.
-const WAIT_FOR_PLACE: f64 = 0.6;
-/// The same for each further attempt, also when the time above is over: what
-/// was tried may still be answered late.
+/// The part of its objective that a request may wait for an upstream at each further attempt, also when the time for the first is over: what was
+/// tried may still be answered late.
 const WAIT_AGAIN: f64 = 0.2;
 /// A request whose caller guesses no more tokens than this is short: it needs
 /// no room to grow, and ends before it could be moved.
@@ -25,7 +22,10 @@
 ) -> Submission {
     let head = &admitted.head;
     let organisation = admitted.organisation.clone().unwrap_or_default();
-    let patience = admitted.route.objective.mul_f64(WAIT_FOR_PLACE);
+    let patience = admitted
+        .route
+        .objective
+        .mul_f64(front.serving.wait_for_place);
     let again = front.clock.now() + admitted.route.objective.mul_f64(WAIT_AGAIN);
     Submission {
         id: head.id.clone(),
--- a/trouttrack_front/src/rescue/carry.rs
+++ b/trouttrack_front/src/rescue/carry.rs
@@ -22,6 +22,20 @@
 /// tokens take a few milliseconds. It is well within the pause that callers may
 /// see.
 const IDLE_LINK: Duration = Duration::from_millis(70);
+/// Why a generation is not moved from an engine at which nobody listens any more.
+const ENDED: &str = "its engine has ended";
+
+/// What became of an order to copy.
+#[derive(Debug)]
+enum Ordered {
+    /// The engine answered.
+    Answered(MoveAnswer),
+    /// No usable answer came; the order may have been carried out.
+    Unanswered,
+    /// The engine has ended: asking again is of no use.
+    Ended,
+}
+
 /// One generation to be moved.
 #[derive(Debug)]
 pub(crate) struct Carry {
@@ -117,15 +131,18 @@
                 continue;
             };
             match self.order(&target, false, self.time_left(departure)).await {
-                Some(MoveAnswer::Copied { handle }) => {
+                Ordered::Answered(MoveAnswer::Copied { handle }) => {
                     *unused.borrow_mut() = Some(handle);
                     self.ticket.relocate(&target.id);
                     return Some(target);
                 }
-                Some(MoveAnswer::NoRoom { .. }) => avoid.push(target.id.clone()),
+                Ordered::Answered(MoveAnswer::NoRoom { .. }) => avoid.push(target.id.clone()),
                 // It has not begun, has just ended, or is being copied.
-                Some(MoveAnswer::NotFound | MoveAnswer::Busy) | None => {
-                    tokio::time::sleep(AGAIN).await;
+                Ordered::Answered(MoveAnswer::NotFound | MoveAnswer::Busy)
+                | Ordered::Unanswered => tokio::time::sleep(AGAIN).await,
+                Ordered::Ended => {
+                    held_up_by = ENDED;
+                    break;
                 }
             }
         }
@@ -149,8 +166,8 @@
             let answer = self.order(target, false, self.time_left(departure)).await;
             let took = self.front.clock.now().saturating_sub(began);
             match answer {
-                Some(MoveAnswer::Copied { .. }) if took < IDLE_LINK => return,
-                Some(MoveAnswer::Copied { .. }) => {}
+                Ordered::Answered(MoveAnswer::Copied { .. }) if took < IDLE_LINK => return,
+                Ordered::Answered(MoveAnswer::Copied { .. }) => {}
                 // What went wrong shows in the next step.
                 _ => return,
             }
@@ -168,16 +185,16 @@
         let mut may_be_stopped = false;
         while self.in_time(departure) {
             match self.order(&target, true, self.time_left(departure)).await {
-                Some(MoveAnswer::Copied { handle }) => {
+                Ordered::Answered(MoveAnswer::Copied { handle }) => {
                     return Carried::Moved(Moved {
                         target,
                         handle,
                         stopping: self.front.clock.now().saturating_sub(began),
                     });
                 }
-                Some(MoveAnswer::NotFound) if may_be_stopped => break,
-                Some(MoveAnswer::NotFound) => return Carried::NotMoved,
-                Some(MoveAnswer::NoRoom { .. }) => {
+                Ordered::Answered(MoveAnswer::NotFound) if may_be_stopped => break,
+                Ordered::Answered(MoveAnswer::NotFound) => return Carried::NotMoved,
+                Ordered::Answered(MoveAnswer::NoRoom { .. }) => {
                     may_be_stopped = true;
                     avoid.push(target.id.clone());
                     if let Some(other) = self.target(avoid) {
@@ -185,18 +202,22 @@
                         target = other;
                     }
                 }
-                Some(MoveAnswer::Busy) => tokio::time::sleep(AGAIN_STOPPED).await,
-                None => {
+                Ordered::Answered(MoveAnswer::Busy) => tokio::time::sleep(AGAIN_STOPPED).await,
+                Ordered::Unanswered => {
                     may_be_stopped = true;
                     tokio::time::sleep(AGAIN_STOPPED).await;
                 }
+                Ordered::Ended => {
+                    self.failed(ENDED);
+                    return Carried::Stopped;
+                }
             }
         }
         self.failed("the last part could not be copied in time");
         Carried::Stopped
     }
 
-    async fn order(&self, target: &Upstream, stop: bool, timeout: Duration) -> Option<MoveAnswer> {
+    async fn order(&self, target: &Upstream, stop: bool, timeout: Duration) -> Ordered {
         let began = self.front.clock.now();
         let answer = self
             .front
@@ -209,6 +230,7 @@
             Ok(MoveAnswer::NotFound) => "not found",
             Ok(MoveAnswer::Busy) => "busy",
             Ok(MoveAnswer::NoRoom { .. }) => "no room",
+            Err(e) if e.has_ended() => "ended",
             Err(_) => "no answer",
         };
         record!(
@@ -220,7 +242,11 @@
             answer = said,
             took_ms = took.as_millis() as u64,
         );
-        answer.inspect_err(|e| log::debug!("{e}")).ok()
+        match answer {
+            Ok(answer) => Ordered::Answered(answer),
+            Err(e) if e.has_ended() => Ordered::Ended,
+            Err(_) => Ordered::Unanswered,
+        }
     }
 
     fn failed(&self, reason: &'static str) {
--- a/trouttrack_front/src/rescue/observe.rs
+++ b/trouttrack_front/src/rescue/observe.rs
@@ -3,7 +3,9 @@
 use crate::state::{Front, Upstream};
 use std::rc::Rc;
 use std::time::Duration;
+use trouttrack_core::Time;
 use trouttrack_core::fleet::EngineSpec;
+use trouttrack_core::rescue::REPORT_AGE;
 use trouttrack_platform::EngineReport;
 use trouttrack_telemetry::{events, record};
 
@@ -11,9 +13,8 @@
 const REPORT: Duration = Duration::from_millis(500);
 
 /// When reports are asked for, after the notice. The first tells what the
-/// engine holds; reports are up to half a second old, so only the second tells
-/// how much time is left.
-const ASK_AFTER: [Duration; 2] = [Duration::ZERO, Duration::from_millis(560)];
+/// engine holds; reports are old, so only the second tells how much time is left.
+const ASK_AFTER: [Duration; 2] = [Duration::ZERO, REPORT_AGE];
 
 /// Asks a leaving engine for reports, and times the moves by them.
 pub(crate) async fn observe(front: Rc<Front>, upstream: Rc<Upstream>) {
@@ -24,20 +25,27 @@
     };
     for after in ASK_AFTER {
         tokio::time::sleep(after).await;
+        let asked_at = front.clock.now();
         match front.engines.report(upstream.addr, REPORT).await {
-            Ok(report) => take(&front, &upstream, &report, &engine),
+            Ok(report) => take(&front, &upstream, asked_at, &report, &engine),
             Err(e) => log::debug!("{e}"),
         }
     }
 }
 
-fn take(front: &Front, upstream: &Upstream, report: &EngineReport, engine: &EngineSpec) {
+fn take(
+    front: &Front,
+    upstream: &Upstream,
+    asked_at: Time,
+    report: &EngineReport,
+    engine: &EngineSpec,
+) {
     let held: u64 = report.generations.iter().map(|(_, tokens)| tokens).sum();
     let (service, home) = (&upstream.service, &upstream.failure_domain);
     let near_room = front.scheduler.room_near(service, home);
     upstream.update_departure(|departure| {
         if let Some(left) = report.leaves_in {
-            departure.leaves_in(left);
+            departure.leaves_in(asked_at, left);
         }
         departure.holds(report.generations.clone(), engine, near_room);
     });
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -29,6 +29,10 @@
 const IDLE_PER_UPSTREAM: usize = 4;
 /// How long a connection to the store may take.
 const STORE_CONNECT: Duration = Duration::from_millis(700);
+/// The age of the newest confirmation after which the store counts as silent, in
+/// parts of the age at which it is renewed: the VMs that watch the store renew it
+/// at 0.7 at the latest, and heartbeats spread it.
+const SILENT: f64 = 0.9;
 /// How much longer each priority may wait than the one above it.
 const AGEING: Duration = Duration::from_secs(2);
 /// A request that has waited this long goes before all shares.
@@ -118,6 +122,16 @@
         self.store_contact.answered(self.clock.now());
     }
 
+    /// Whether nobody tells any more which upstreams leave: no VM that is heard of
+    /// has been answered by the store for so long.
+    #[must_use]
+    pub fn store_is_silent(&self) -> bool {
+        let now = self.clock.now();
+        let longest = self.routing.renewed_after().mul_f64(SILENT);
+        let unconfirmed = self.routing.age().is_none_or(|age| age > longest);
+        unconfirmed || self.store_contact.is_away() && !self.peers.any_in_contact(now, longest)
+    }
+
     /// Divides anew what all VMs share: more of them are listed, or the
     /// configuration has changed.
     pub fn divide(&self) {
@@ -150,7 +164,7 @@
         urgent_reserve: URGENT_RESERVE,
         growth_quantile: GROWTH_QUANTILE,
         look_ahead: LOOK_AHEAD,
-        policy: settings.serving.policy.clone(),
+        policy: settings.serving.policy.clone().weighted(settings.placement),
         seed: rand::random(),
     }
 }
--- a/trouttrack_front/src/state/routing.rs
+++ b/trouttrack_front/src/state/routing.rs
@@ -14,6 +14,10 @@
 /// to travel to its upstream.
 const TRAVEL: Duration = Duration::from_millis(300);
 
+/// The part of the bound on removed keys after which a confirmation is renewed:
+/// it leaves time for two calls that fail.
+const PART_OF_REVOKE: f64 = 0.4;
+
 /// Routes, organisations and their freshness.
 #[derive(Debug)]
 pub struct Routing {
@@ -26,6 +30,8 @@
     revoke: Cell<Duration>,
     /// Whether that bound holds also while the store cannot be reached.
     strict: Cell<bool>,
+    /// The bound on the time in which a new configuration is in force.
+    config_apply: Duration,
     /// Whether staleness has been reported.
     stale: Cell<bool>,
 }
@@ -41,6 +47,7 @@
             revision: Cell::new(0),
             freshness: Cell::new(Freshness::new(revoke.saturating_sub(TRAVEL))),
             revoke: Cell::new(revoke),
+            config_apply: bounds.config_apply,
             strict: Cell::new(bounds.revoke_strict),
             stale: Cell::new(false),
         }
@@ -56,10 +63,11 @@
         self.revoke.set(revoke);
     }
 
-    /// The bound on removed keys that is in force.
+    /// The age after which a confirmation is renewed.
     #[must_use]
-    pub fn revoke(&self) -> Duration {
-        self.revoke.get()
+    pub fn renewed_after(&self) -> Duration {
+        let revoke = self.revoke.get();
+        revoke.mul_f64(PART_OF_REVOKE).min(self.config_apply)
     }
 
     /// The configuration in force.
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -191,6 +191,14 @@
         row.is_some_and(|u| u.own_running > 0)
     }
 
+    /// The upstreams at which requests of this VM are.
+    #[must_use]
+    pub fn used(&self) -> Vec<UpstreamId> {
+        let world = self.world.borrow();
+        let used = world.upstreams.iter().filter(|(_, u)| u.own_running > 0);
+        used.map(|(_, u)| u.spec.id.clone()).collect()
+    }
+
     /// The forecast memory over capacity and the requests of an upstream.
     #[must_use]
     pub fn load_of(&self, upstream: &str) -> (f64, usize) {
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -143,7 +143,7 @@
             }
             None => self.add(id, revision, entry),
         };
-        (leaving && self.depart(&upstream, "announced")).then_some(upstream)
+        (leaving && self.depart(&upstream, self.noticed(), "announced")).then_some(upstream)
     }
 
     /// Puts an upstream in the table: it is new, or its address or service has
@@ -164,14 +164,11 @@
     }
 
     /// Notes that an upstream leaves. Returns whether that is news.
-    fn depart(&self, upstream: &Upstream, how: &str) -> bool {
+    pub fn depart(&self, upstream: &Upstream, departure: Departure, how: &str) -> bool {
         if upstream.is_leaving() {
             return false;
         }
-        let now = self.clock.now();
-        upstream
-            .departure
-            .send_replace(Some(Departure::noticed(now)));
+        upstream.departure.send_replace(Some(departure));
         record!(
             events::DEPARTURE,
             upstream = upstream.id.as_str(),
@@ -180,6 +177,11 @@
         true
     }
 
+    /// A departure that the store tells of now.
+    fn noticed(&self) -> Departure {
+        Departure::noticed(self.clock.now())
+    }
+
     /// An entry disappeared. Returns the upstream if it is gone.
     pub fn removed(&self, id: &str) -> Option<Rc<Upstream>> {
         let now = self.clock.now();
@@ -214,7 +216,7 @@
     fn take_out(&self, id: &str) -> Option<Rc<Upstream>> {
         let upstream = self.by_id.borrow_mut().remove(id)?;
         record!(events::UPSTREAM_GONE, upstream = id);
-        self.depart(&upstream, "entry disappeared");
+        self.depart(&upstream, self.noticed(), "entry disappeared");
         Some(upstream)
     }
 
--- a/trouttrack_front/tests/front/moves.rs
+++ b/trouttrack_front/tests/front/moves.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{Bed, ENGINES, events, long, plain, until};
 use std::time::Duration;
-use trouttrack_platform_standin::{Behaviour, Reply, Upstream};
+use trouttrack_platform_standin::{Behaviour, Reply, StoreFault, Upstream};
 
 /// Longer than the notice of an engine that leaves.
 const EVENTS: u64 = 150;
@@ -176,3 +176,48 @@
     tokio::time::sleep(Duration::from_millis(800)).await;
     assert_eq!(other.reports(), 0);
 }
+
+/// Bounds that are short, so that the store counts as silent soon.
+const SHORT: &str = "[bounds]\nrevoke = 1500ms\nconfig_apply = 1s\nrevoke_strict = false\n";
+/// Events of a stream that lasts until the store counts as silent and longer.
+const MANY: u64 = 400;
+
+/// A long stream whose engine leaves while the store says nothing.
+async fn leave_in_silence(serving: &str) -> (Reply, Vec<(String, bool)>) {
+    let bed = Bed::with(ENGINES, &format!("{SHORT}[serving]\n{serving}\n")).await;
+    for upstream in &bed.upstreams {
+        upstream.always(Behaviour::Stream(MANY));
+        upstream.pace(PACE);
+    }
+    let (req, addr) = (long("r1", "draft"), bed.addr());
+    let answer = actix_rt::spawn(async move { req.send(addr).await });
+    until("an engine works", || bed.working().is_some()).await;
+    let left = bed.working().expect("it works");
+    bed.store.set_fault(StoreFault::Refuse);
+    left.say_leaving();
+    let reply = answer.await.expect("an answer");
+    (reply, left.copies())
+}
+
+#[actix_rt::test]
+async fn while_the_store_is_silent_engines_are_asked_whether_they_leave() {
+    let (reply, copies) = leave_in_silence("ask_engines = on").await;
+    assert!(reply.whole);
+    assert_eq!(reply.text(), events("r1", MANY));
+    assert!(copies.iter().any(|(_, stop)| *stop), "{copies:?}");
+}
+
+#[actix_rt::test]
+async fn switched_off_engines_are_not_asked() {
+    let (reply, copies) = leave_in_silence("ask_engines = off").await;
+    assert!(reply.whole);
+    assert!(copies.is_empty(), "{copies:?}");
+}
+
+#[actix_rt::test]
+async fn with_the_store_at_hand_no_engine_is_asked() {
+    let bed = bed().await;
+    let reply = bed.send(&long("r1", "draft")).await;
+    assert!(reply.whole);
+    assert!(bed.upstreams.iter().all(|u| u.reports() == 0));
+}
--- a/trouttrack_http/src/client.rs
+++ b/trouttrack_http/src/client.rs
@@ -12,6 +12,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -156,7 +157,12 @@
         let stream = tokio::time::timeout(self.shared.connect_timeout, connecting)
             .await
             .map_err(|_| not(&"no connection in time"))?
-            .map_err(|e| not(&e))?;
+            .map_err(|e| match e.kind() {
+                io::ErrorKind::ConnectionRefused => {
+                    SendError::new(SendErrorKind::NobodyThere, peer, e)
+                }
+                _ => not(&e),
+            })?;
         socket::set_options(&stream).map_err(|e| not(&e))?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
--- a/trouttrack_http/src/error.rs
+++ b/trouttrack_http/src/error.rs
@@ -10,6 +10,8 @@
 pub enum SendErrorKind {
     /// No connection could be made; nothing was sent.
     NotConnected,
+    /// The peer's VM answered that nobody listens there; nothing was sent.
+    NobodyThere,
     /// The request was written, at least in part, and no answer came: it may
     /// have been received.
     Lost,
@@ -40,7 +42,10 @@
     /// Whether the request certainly did not reach the peer.
     #[must_use]
     pub fn was_not_sent(&self) -> bool {
-        self.kind == SendErrorKind::NotConnected
+        matches!(
+            self.kind,
+            SendErrorKind::NotConnected | SendErrorKind::NobodyThere
+        )
     }
 }
 
@@ -48,6 +53,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let kind = match self.kind {
             SendErrorKind::NotConnected => "not connected",
+            SendErrorKind::NobodyThere => "nobody there",
             SendErrorKind::Lost => "no answer",
             SendErrorKind::Garbled => "not HTTP",
         };
--- a/trouttrack_http/tests/http/client.rs
+++ b/trouttrack_http/tests/http/client.rs
@@ -118,7 +118,7 @@
     let nobody = free.local_addr().expect("an address");
     drop(free);
     let refused = text(&client, nobody, Reuse::Any).await;
-    assert_eq!(refused, Err(SendErrorKind::NotConnected));
+    assert_eq!(refused, Err(SendErrorKind::NobodyThere));
     let silent = peer("", true).await;
     assert_eq!(
         text(&client, silent, Reuse::Any).await,
