VMs of a failure domain tell each other of connections lost with a request

A circuit opens after five failures in a row, and with 66 VMs each sends an upstream one request in two seconds: the upstream was back before any circuit opened.

Change: a heartbeat says which connections ended before an answer in the last half second, soon after it happens. Two VMs of the failure domain that say so, this one included, are believed for half a second, unless a request was answered since.

--- a/trouttrack_core/benches/decision.rs
+++ b/trouttrack_core/benches/decision.rs
@@ -129,7 +129,7 @@
             b.iter(|| {
                 peer = (peer + 1) % PEERS;
                 now += Duration::from_millis(1);
-                world.peer_uses(now, &format!("vm-{peer}"), &uses);
+                world.peer_uses(now, &format!("vm-{peer}"), "a", &uses);
             });
         });
         group.bench_function(BenchmarkId::new("entry", upstreams), |b| {
@@ -157,6 +157,7 @@
         running: 2,
         peak_tokens: 900,
         loading_tokens: 100,
+        lost_ms: None,
     }
 }
 
--- a/trouttrack_core/src/membership/peers.rs
+++ b/trouttrack_core/src/membership/peers.rs
@@ -18,6 +18,10 @@
     /// Prompt tokens of theirs that are thought to be still to be loaded.
     #[serde(default)]
     pub loading_tokens: u64,
+    /// How long ago a request there lost its connection before any answer, in
+    /// milliseconds, if that was lately.
+    #[serde(default)]
+    pub lost_ms: Option<u64>,
 }
 
 /// What a gateway says of itself in a heartbeat.
--- a/trouttrack_core/src/upstream/mod.rs
+++ b/trouttrack_core/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod circuit;
+mod losses;
 mod row;
 mod runs;
 mod spec;
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -2,6 +2,7 @@
 
 use super::backlog::Backlog;
 use super::circuit::{Circuit, CircuitState};
+use super::losses::Losses;
 use super::runs::{OwnRun, PeerUse, peak};
 use super::spec::{Report, Spec};
 use crate::Time;
@@ -48,6 +49,8 @@
     pub leaving: bool,
     /// Its recent failures.
     pub circuit: Circuit,
+    /// Connections that were lost with a request, here and at peers.
+    pub(crate) losses: Losses,
     own_at_report: usize,
 }
 
@@ -66,6 +69,7 @@
             ended_since_report: 0,
             leaving: false,
             circuit: Circuit::default(),
+            losses: Losses::default(),
             own_at_report: 0,
         }
     }
@@ -165,7 +169,9 @@
             CircuitState::Open => false,
             CircuitState::HalfOpen => self.own_running == 0,
         };
-        trial && !self.leaving && self.estimated_running() < self.spec.max_running
+        let peers = self.peers.iter().filter_map(|p| p.lost_at);
+        let suspected = self.losses.suspected(now, peers);
+        trial && !suspected && !self.leaving && self.estimated_running() < self.spec.max_running
     }
 
     /// Peers tell their use from now on.
--- a/trouttrack_core/src/upstream/runs.rs
+++ b/trouttrack_core/src/upstream/runs.rs
@@ -2,6 +2,7 @@
 //! they are forecast to need.
 
 use super::backlog::Backlog;
+use crate::Time;
 use crate::world::RequestKey;
 
 /// Where one of this process's running requests stands.
@@ -26,6 +27,8 @@
     pub peak_tokens: f64,
     /// Their prompts that are still to be loaded.
     pub(crate) loading: Backlog,
+    /// When a request of its own last lost its connection there before any answer.
+    pub(crate) lost_at: Option<Time>,
 }
 
 /// The largest sum of tokens of the runs, and of `new` if given, over the time
--- a/trouttrack_core/src/world/peers.rs
+++ b/trouttrack_core/src/world/peers.rs
@@ -58,8 +58,11 @@
 }
 
 impl World {
-    /// Takes in what a peer's heartbeat says of its use of upstreams.
-    pub fn peer_uses(&mut self, now: Time, peer: &str, uses: &[UpstreamUse]) {
+    /// Takes in what a peer's heartbeat says of its use of upstreams. The
+    /// connections that it lost count only if it stands in the own failure domain:
+    /// what is cut off from others may be reached from here.
+    pub fn peer_uses(&mut self, now: Time, peer: &str, failure_domain: &str, uses: &[UpstreamUse]) {
+        let near = failure_domain == self.settings.failure_domain;
         self.upstreams.hear_peers();
         self.peers.forget_silent(now, &mut self.upstreams);
         if let Some(before) = self.peers.by_name.get(peer) {
@@ -77,6 +80,10 @@
                     running: used.running as usize,
                     peak_tokens: used.peak_tokens as f64,
                     loading: Backlog::of(now, used.loading_tokens as f64),
+                    lost_at: used
+                        .lost_ms
+                        .filter(|_| near)
+                        .map(|ms| now.saturating_sub(Time::from_millis(ms))),
                 });
             }
         }
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -230,12 +230,14 @@
     /// The own use of upstreams, for the heartbeat.
     #[must_use]
     pub fn own_uses(&self, now: Time) -> Vec<UpstreamUse> {
-        let used = self.upstreams.iter().filter(|(_, u)| u.own_running > 0);
+        let told = |u: &Upstream| u.own_running > 0 || u.losses.age(now).is_some();
+        let used = self.upstreams.iter().filter(|(_, u)| told(u));
         used.map(|(_, u)| UpstreamUse {
             upstream: u.spec.id.clone(),
             running: u.own_running as u32,
             peak_tokens: u.own_peak() as u64,
             loading_tokens: u.backlog.tokens(now) as u64,
+            lost_ms: u.losses.age(now).map(|age| age.as_millis() as u64),
         })
         .collect()
     }
@@ -312,6 +314,7 @@
                 u.circuit.failed(now);
             } else {
                 u.circuit.succeeded();
+                u.losses.answered(now);
             }
         }
     }
@@ -325,6 +328,14 @@
         }
     }
 
+    /// The attempt's connection ended before any answer.
+    pub fn lost(&mut self, now: Time, key: RequestKey) {
+        let upstream = self.requests.get(key).and_then(|row| row.upstream);
+        if let Some(u) = upstream.and_then(|k| self.upstreams.get_mut(k)) {
+            u.losses.lost(now);
+        }
+    }
+
     fn leave_queue(&mut self, key: RequestKey, row: &Request) {
         if let Some(place) = row.place {
             self.queue.remove(place);
--- a/trouttrack_core/tests/core/membership.rs
+++ b/trouttrack_core/tests/core/membership.rs
@@ -78,6 +78,7 @@
             running,
             peak_tokens: 0,
             loading_tokens: 0,
+            lost_ms: None,
         }],
         ..Digest::default()
     };
--- a/trouttrack_core/tests/core/upstream_table.rs
+++ b/trouttrack_core/tests/core/upstream_table.rs
@@ -27,6 +27,7 @@
         running,
         peak_tokens: 10,
         loading_tokens: 0,
+        lost_ms: None,
     }
 }
 
@@ -75,19 +76,77 @@
 #[test]
 fn what_a_peer_no_longer_names_or_that_fell_silent_is_not_counted() {
     let mut world = world("trouttrack", vec![named(1, false), named(2, false)]);
-    world.peer_uses(SECOND, "p", &[running("e01", 3)]);
-    world.peer_uses(SECOND, "q", &[running("e01", 2)]);
+    world.peer_uses(SECOND, "p", HOME, &[running("e01", 3)]);
+    world.peer_uses(SECOND, "q", HOME, &[running("e01", 2)]);
     let count = |world: &trouttrack_core::world::World, id: &str| {
         let key = world.upstreams.key(id).expect("a row");
         let row = world.upstreams.get(key).expect("a row");
         row.estimated_running()
     };
     assert_eq!(count(&world, "e01"), 5);
-    world.peer_uses(2 * SECOND, "p", &[running("e02", 1)]);
+    world.peer_uses(2 * SECOND, "p", HOME, &[running("e02", 1)]);
     assert_eq!((count(&world, "e01"), count(&world, "e02")), (2, 1));
     // Only p is heard from then on; q fell silent.
     for second in 3..9 {
-        world.peer_uses(second * SECOND, "p", &[running("e02", 1)]);
+        world.peer_uses(second * SECOND, "p", HOME, &[running("e02", 1)]);
     }
     assert_eq!((count(&world, "e01"), count(&world, "e02")), (0, 1));
 }
+
+/// A peer lost a connection to an upstream this many milliseconds ago.
+fn lost(upstream: &str, lost_ms: u64) -> [UpstreamUse; 1] {
+    [UpstreamUse {
+        lost_ms: Some(lost_ms),
+        ..running(upstream, 0)
+    }]
+}
+
+fn is_open(world: &trouttrack_core::world::World, id: &str, now: Duration) -> bool {
+    let key = world.upstreams.key(id).expect("a row");
+    world.upstreams.get(key).is_some_and(|u| u.open(now))
+}
+
+#[test]
+fn two_vms_that_lost_connections_are_believed_for_a_while() {
+    let mut world = world("trouttrack", vec![named(1, false)]);
+    world.peer_uses(SECOND, "p", HOME, &lost("e01", 0));
+    assert!(is_open(&world, "e01", SECOND));
+    world.peer_uses(SECOND, "q", HOME, &lost("e01", 100));
+    assert!(!is_open(&world, "e01", SECOND));
+    assert!(is_open(&world, "e01", 2 * SECOND));
+}
+
+#[test]
+fn an_own_loss_counts_and_an_own_answer_since_says_more() {
+    let mut world = world("trouttrack", vec![named(1, false)]);
+    let place = |world: &mut trouttrack_core::world::World| {
+        let request = world.submit(SECOND, submission("r", "o", 1));
+        world.tick(SECOND);
+        request
+    };
+    let request = place(&mut world);
+    world.lost(SECOND, request);
+    world.ended(SECOND, request, true, None);
+    world.peer_uses(SECOND, "p", HOME, &lost("e01", 50));
+    assert!(!is_open(&world, "e01", SECOND));
+    // What it tells peers itself.
+    assert_eq!(world.own_uses(SECOND)[0].lost_ms, Some(0));
+    let later = SECOND + Duration::from_millis(600);
+    assert!(world.own_uses(later).is_empty());
+    // Answered since: what others lost before says nothing.
+    let request = world.submit(later, submission("r2", "o", 1));
+    world.tick(later);
+    world.ended(later, request, false, Some(1));
+    world.peer_uses(later, "p", HOME, &lost("e01", 50));
+    world.peer_uses(later, "q", HOME, &lost("e01", 50));
+    assert!(is_open(&world, "e01", later));
+}
+
+#[test]
+fn what_peers_elsewhere_lost_says_nothing_of_the_way_from_here() {
+    let mut world = world("trouttrack", vec![named(1, false)]);
+    for peer in ["p", "q", "r"] {
+        world.peer_uses(SECOND, peer, "b", &lost("e01", 0));
+    }
+    assert!(is_open(&world, "e01", SECOND));
+}
--- a/trouttrack_core/tests/core/world.rs
+++ b/trouttrack_core/tests/core/world.rs
@@ -345,8 +345,9 @@
             running: 0,
             peak_tokens: 0,
             loading_tokens: 9000,
+            lost_ms: None,
         }];
-        world.peer_uses(Duration::ZERO, "g2", &uses);
+        world.peer_uses(Duration::ZERO, "g2", "a", &uses);
         world.submit(loaded_for, submission("r1", "alpha", 1));
         (first, placed(&world.tick(loaded_for))[0].1.clone())
     };
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -50,7 +50,9 @@
         }
         Err(e) => log::debug!("{}: address `{}`: {e}", digest.name, digest.rpc_addr),
     }
-    front.scheduler.peer_uses(&digest.name, &digest.uses);
+    front
+        .scheduler
+        .peer_uses(&digest.name, &digest.failure_domain, &digest.uses);
     confirm(front, heartbeat);
     let newer_config = heartbeat.config_revision > front.routing.revision();
     let newer_upstreams = heartbeat.upstreams_revision > front.upstreams.revision();
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -13,6 +13,8 @@
 /// has forgotten. Upstreams were seen to forget after 300 ms; one that was used
 /// more recently than this is still open, and a new one costs little.
 const SURELY_OPEN: Duration = Duration::from_millis(150);
+/// What is said of an attempt whose connection ended before any answer.
+const ENDED_UNANSWERED: &str = "the connection ended without an answer";
 /// Taken off the time that upstreams are given, for the way back.
 const WAY_BACK: Duration = Duration::from_millis(5);
 
@@ -55,6 +57,11 @@
         Self { failure, reason }
     }
 
+    /// Whether the connection ended before any answer, which other VMs may meet too.
+    pub(crate) fn lost_connection(&self) -> bool {
+        self.reason == ENDED_UNANSWERED
+    }
+
     /// Logs and counts the failure.
     pub(crate) fn report(&self, front: &Front, admitted: &Admitted, upstream: &str, then: &str) {
         record!(
@@ -142,6 +149,6 @@
             AttemptFailure::new(Failure::NotConnected, "no connection to the upstream")
         }
         SendErrorKind::Garbled => AttemptFailure::new(Failure::Lost, "the answer is not HTTP"),
-        _ => AttemptFailure::new(Failure::Lost, "the connection ended without an answer"),
+        _ => AttemptFailure::new(Failure::Lost, ENDED_UNANSWERED),
     }
 }
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -239,11 +239,15 @@
 
 /// Tells the tables what an attempt says of its upstream.
 fn account(outcome: &Result<WholeAnswer, AttemptFailure>, ticket: &Ticket) {
-    match outcome.as_ref().map_err(|f| f.failure) {
+    match outcome {
         Ok(answer) if answer.head.status.is_server_error() => ticket.fault(),
-        Ok(_) | Err(Failure::Refused) => ticket.complete(0),
-        Err(Failure::NotConnected) => ticket.unreachable(),
-        Err(Failure::Lost | Failure::Aborted) => ticket.fault(),
+        Ok(_) => ticket.complete(0),
+        Err(failure) if failure.lost_connection() => ticket.lost(),
+        Err(failure) => match failure.failure {
+            Failure::Refused => ticket.complete(0),
+            Failure::NotConnected => ticket.unreachable(),
+            Failure::Lost | Failure::Aborted => ticket.fault(),
+        },
     }
 }
 
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -153,6 +153,7 @@
                 match failure.failure {
                     Failure::Refused => {}
                     Failure::NotConnected => ticket.unreachable(),
+                    Failure::Lost if failure.lost_connection() => ticket.lost(),
                     Failure::Lost | Failure::Aborted => ticket.fault(),
                 }
             }
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -125,7 +125,13 @@
         }
     }
 
-    /// Waits until a generation was given an engine.
+    /// Something has changed that the other VMs are to hear of soon.
+    pub(super) fn tell_soon(&self) {
+        self.placed.notify_one();
+    }
+
+    /// Waits until a generation was given an engine, or something else is to be
+    /// told soon.
     pub async fn placed(&self) {
         self.placed.notified().await;
     }
@@ -157,9 +163,11 @@
     }
 
     /// Takes in what a peer says of its use of upstreams.
-    pub fn peer_uses(&self, peer: &str, uses: &[UpstreamUse]) {
+    pub fn peer_uses(&self, peer: &str, failure_domain: &str, uses: &[UpstreamUse]) {
         let now = self.clock.now();
-        self.world.borrow_mut().peer_uses(now, peer, uses);
+        self.world
+            .borrow_mut()
+            .peer_uses(now, peer, failure_domain, uses);
     }
 
     /// The own use of upstreams.
--- a/trouttrack_front/src/state/ticket.rs
+++ b/trouttrack_front/src/state/ticket.rs
@@ -47,6 +47,14 @@
         world.unreachable(now, self.key);
     }
 
+    /// The attempt's connection ended before any answer: other VMs are told.
+    pub fn lost(&self) {
+        self.fault.set(true);
+        let now = self.now();
+        self.scheduler.world.borrow_mut().lost(now, self.key);
+        self.scheduler.tell_soon();
+    }
+
     /// The answer ended by itself after `tokens`.
     pub fn complete(&self, tokens: u64) {
         self.tokens.set(Some(tokens));
--- a/trouttrack_gateway/src/dispatch/actor.rs
+++ b/trouttrack_gateway/src/dispatch/actor.rs
@@ -309,7 +309,8 @@
 
     fn handle(&mut self, msg: PeerUses, _: &mut Context<Self>) {
         let now = self.now();
-        self.world.peer_uses(now, &msg.peer, &msg.uses);
+        self.world
+            .peer_uses(now, &msg.peer, &msg.failure_domain, &msg.uses);
     }
 }
 
--- a/trouttrack_gateway/src/dispatch/messages.rs
+++ b/trouttrack_gateway/src/dispatch/messages.rs
@@ -8,7 +8,7 @@
 use trouttrack_core::routing::Explanation;
 use trouttrack_core::upstream::{Report, Spec};
 use trouttrack_core::world::{NotRunReason, RequestKey, Submission};
-use trouttrack_core::{RequestId, UpstreamId};
+use trouttrack_core::{FailureDomain, RequestId, UpstreamId};
 use trouttrack_rpc::{RequestInfo, UpstreamInfo};
 
 /// A request is not placed.
@@ -107,6 +107,8 @@
 pub struct PeerUses {
     /// The peer.
     pub peer: String,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
     /// Its use.
     pub uses: Vec<UpstreamUse>,
 }
--- a/trouttrack_gateway/src/peers/heartbeats.rs
+++ b/trouttrack_gateway/src/peers/heartbeats.rs
@@ -58,6 +58,7 @@
     if digest.name != shared.settings.vm.name {
         shared.dispatcher.do_send(PeerUses {
             peer: digest.name.clone(),
+            failure_domain: digest.failure_domain.clone(),
             uses: digest.uses.clone(),
         });
     }
--- a/trouttrack_load/src/compare/bench.rs
+++ b/trouttrack_load/src/compare/bench.rs
@@ -14,6 +14,9 @@
 use trouttrack_core::world::{Decision, RequestKey, Submission, World};
 use trouttrack_engine::{Engine, EngineSettings, SequenceKey, StepOutput, Submit};
 
+/// All gateways of the model stand in one failure domain.
+const FAILURE_DOMAIN: &str = "a";
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival(usize),
@@ -95,7 +98,7 @@
         let own = matches!(policy, PolicyName::Trouttrack | PolicyName::Oracle);
         let spec = |(i, e): (usize, &EngineSettings)| Spec {
             id: format!("e{i}"),
-            failure_domain: "a".into(),
+            failure_domain: FAILURE_DOMAIN.into(),
             services: workload
                 .mix
                 .services
@@ -415,7 +418,7 @@
         let name = format!("g{w}");
         for (other, world) in self.worlds.iter_mut().enumerate() {
             if other != w {
-                world.peer_uses(self.now, &name, &uses);
+                world.peer_uses(self.now, &name, FAILURE_DOMAIN, &uses);
             }
         }
     }
--- a/trouttrack_rpc/tests/rpc/main.rs
+++ b/trouttrack_rpc/tests/rpc/main.rs
@@ -161,6 +161,7 @@
             running: 3,
             peak_tokens: 9,
             loading_tokens: 0,
+            lost_ms: None,
         }],
         marks: vec![MarkEntry {
             upstream: "e".into(),
