A ledger of lost, late and refused requests from the fronts' logs

Cause: what binds was found by scripts that nobody else has; an on-call engineer had only grep, one request at a time.

Change: `trouttrack_ledger` reads the logs of any number of VMs and counts each request once, by route, what it ended as and why, as a table whose shares add up and as an SVG chart over time. The line of a placed request names its route, so that what has no end in the logs is known by route.

--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -127,6 +127,7 @@
             events::PLACED,
             request = self.admitted.head.id.as_str(),
             upstream = upstream.id.as_str(),
+            route = self.admitted.route.name.as_str(),
             running = placed.running,
             attempt = self.attempts.sent + 1,
         );
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -130,6 +130,7 @@
             events::PLACED,
             request = self.admitted.head.id.as_str(),
             upstream = upstream.id.as_str(),
+            route = self.admitted.route.name.as_str(),
             running = placed.running,
             fill_percent = (placed.fill * 100.0) as u64,
             prompt_tokens = self.admitted.head.prompt_tokens,
--- /dev/null
+++ b/trouttrack_ledger/tests/ledger/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the ledger.
+
+mod shares;
