--- a/trouttrack_config/src/settings/front.rs
+++ b/trouttrack_config/src/settings/front.rs
@@ -164,10 +164,8 @@
         running: weight("running", default.running),
         fill: weight("fill", default.fill),
         remote: weight("remote", default.remote),
-        lane: weight("lane", default.lane),
         backlog: weight("backlog", default.backlog),
         cold: weight("cold", default.cold),
-        ..default
     }
 }
 
--- a/trouttrack_config/src/settings/keys.rs
+++ b/trouttrack_config/src/settings/keys.rs
@@ -134,7 +134,6 @@
     key("placement", "running", "0 to 100", "1", FRONT, "What the requests at an upstream count in its score, over the most that may run there. The upstream with the lowest score is chosen; 0 switches a part off."),
     key("placement", "fill", "0 to 100", "1", FRONT, "What an engine's forecast memory counts, over its capacity."),
     key("placement", "remote", "0 to 100", "0.4", FRONT, "What another failure domain counts."),
-    key("placement", "lane", "0 to 100", "0.3", FRONT, "What the place in the packing order counts: urgent requests are packed from one end of the list of upstreams, the others from the other end."),
     key("placement", "backlog", "0 to 100", "3", FRONT, "What a second of prompts that are still to be loaded counts."),
     key("placement", "cold", "0 to 100", "0.5", FRONT, "What an upstream counts that has just started; less as it warms up."),
 ];
--- a/trouttrack_core/src/routing/policy.rs
+++ b/trouttrack_core/src/routing/policy.rs
@@ -25,15 +25,10 @@
     /// Upstreams of the service in the caller's failure domain, in parts of those
     /// that are looked at for a choice; at least 1.
     pub alternatives: f64,
-    /// Where it stands in the order in which requests of this class are packed,
-    /// from 0 (first) to 1.
-    pub lane: f64,
     /// Seconds until it has loaded the prompts that it was given.
     pub backlog: f64,
     /// How cold it still is after its start, from 1 to 0 (warm).
     pub cold: f64,
-    /// The share of the prompt thought to be in its prefix cache, 0 to 1.
-    pub cached: f64,
 }
 
 /// Chooses among candidates.
--- a/trouttrack_core/src/routing/score.rs
+++ b/trouttrack_core/src/routing/score.rs
@@ -21,10 +21,6 @@
     /// off. With 19 engines in each failure domain, 1,394 of 14,297 long generations
     /// were lost and 494 late in place of 1,442 and 605, on ten days with a cut.
     pub remote: f64,
-    /// Taken off for a fully cached prompt.
-    pub cached: f64,
-    /// Added for the last in the packing order of the class.
-    pub lane: f64,
     /// Added for each second of prompts still to be loaded.
     pub backlog: f64,
     /// Added for an upstream that has just started; less as it warms up.
@@ -37,8 +33,6 @@
             running: 1.0,
             fill: 1.0,
             remote: 0.4,
-            cached: 0.4,
-            lane: 0.3,
             backlog: 3.0,
             cold: 0.5,
         }
@@ -94,12 +88,6 @@
         } else {
             w.remote * c.alternatives
         };
-        w.running * running
-            + w.fill * c.fill
-            + remote
-            + w.lane * c.lane
-            + w.backlog * c.backlog
-            + w.cold * c.cold
-            - w.cached * c.cached
+        w.running * running + w.fill * c.fill + remote + w.backlog * c.backlog + w.cold * c.cold
     }
 }
--- a/trouttrack_load/src/args.rs
+++ b/trouttrack_load/src/args.rs
@@ -93,7 +93,7 @@
             optional --look-ahead n: u64
             /// Share of memory kept for the most urgent.
             optional --urgent-reserve x: f64
-            /// Weights of the score: running,fill,lane,backlog.
+            /// Weights of the score: running,fill,backlog.
             optional --weights list: String
             /// Write every run's figures here.
             optional --json file: PathBuf
--- a/trouttrack_load/src/main.rs
+++ b/trouttrack_load/src/main.rs
@@ -158,13 +158,12 @@
     settings.look_ahead = a.look_ahead.unwrap_or(settings.look_ahead);
     settings.urgent_reserve = a.urgent_reserve.unwrap_or(settings.urgent_reserve);
     if let Some(given) = &a.weights {
-        let [running, fill, lane, backlog] = list::<f64>(Some(given), "")?[..] else {
-            return Err("--weights takes four numbers".to_owned());
+        let [running, fill, backlog] = list::<f64>(Some(given), "")?[..] else {
+            return Err("--weights takes three numbers".to_owned());
         };
         let weights = Weights {
             running,
             fill,
-            lane,
             backlog,
             ..Weights::default()
         };
