--- a/trouttrack_core/src/membership/mod.rs
+++ b/trouttrack_core/src/membership/mod.rs
@@ -7,12 +7,12 @@
 mod entries;
 mod marks;
 mod peers;
-mod told;
+mod receivers;
 mod watch;
 
 pub use echo::SentTimes;
 pub use entries::Entries;
 pub use marks::{Mark, MarkEntry, MarkSource, MarkTable};
 pub use peers::{Digest, Peer, PeerTable, UpstreamUse};
-pub use told::told;
+pub use receivers::news_receivers;
 pub use watch::watches;
--- a/trouttrack_core/src/membership/told.rs
+++ b/trouttrack_core/src/membership/receivers.rs
@@ -17,13 +17,17 @@
 /// # Examples
 ///
 /// ```
-/// use trouttrack_core::membership::told;
+/// use trouttrack_core::membership::news_receivers;
 /// let mut rng = rand::rng();
 /// let near = |peer: &usize| peer % 8 == 0;
-/// assert_eq!(told((0..60).collect(), near, &mut rng).len(), 60);
-/// assert_eq!(told((0..320).collect(), near, &mut rng).len(), 40 + 16);
+/// assert_eq!(news_receivers((0..60).collect(), near, &mut rng).len(), 60);
+/// assert_eq!(news_receivers((0..320).collect(), near, &mut rng).len(), 40 + 16);
 /// ```
-pub fn told<T, R: Rng>(mut others: Vec<T>, near: impl Fn(&T) -> bool, rng: &mut R) -> Vec<T> {
+pub fn news_receivers<T, R: Rng>(
+    mut others: Vec<T>,
+    near: impl Fn(&T) -> bool,
+    rng: &mut R,
+) -> Vec<T> {
     if others.len() <= ALL {
         return others;
     }
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -12,7 +12,7 @@
 /// Pause between heartbeats: a fraction of the time in which an engine's load
 /// changes much.
 const INTERVAL: Duration = Duration::from_millis(200);
-/// Pause after a placement before it is told; several are told together.
+/// Pause after a placement or a loss before it is told; several are told together.
 const SOON: Duration = Duration::from_millis(15);
 /// In a larger fleet the pause grows with it, by one more interval for each so
 /// many VMs: a VM's bytes stay within its budget for control, and each VM has a
@@ -45,9 +45,9 @@
     }
 }
 
-/// A placement is told soon: until then others choose the same upstream.
+/// A placement or a loss is told soon: until then others choose the same upstream.
 async fn soon_after_news(front: &Front) {
-    front.scheduler.placed().await;
+    front.scheduler.news().await;
     tokio::time::sleep(SOON).await;
 }
 
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
-use trouttrack_core::membership::told;
+use trouttrack_core::membership::news_receivers;
 
 /// The largest datagram taken.
 const MOST_BYTES: usize = 60_000;
@@ -96,7 +96,7 @@
             continue;
         };
         let near = |(name, _): &(String, _)| front.peers.is_in(name, &front.failure_domain);
-        let receivers = told(front.peers.others(), near, &mut rand::rng());
+        let receivers = news_receivers(front.peers.others(), near, &mut rand::rng());
         for (name, addr) in receivers {
             if let Err(e) = socket.send_to(&bytes, addr).await {
                 log::warn!("news to {name} at {addr}: {e}");
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -51,8 +51,8 @@
     pub(super) waiting: RefCell<HashMap<RequestKey, oneshot::Sender<Answer>>>,
     /// A request waits for an upstream.
     queued: Notify,
-    /// A generation was given an engine.
-    placed: Notify,
+    /// Something has changed that the other VMs are to hear of soon.
+    news: Notify,
 }
 
 impl Scheduler {
@@ -64,7 +64,7 @@
             world: RefCell::new(World::new(settings)),
             waiting: RefCell::default(),
             queued: Notify::new(),
-            placed: Notify::new(),
+            news: Notify::new(),
         }
     }
 
@@ -90,7 +90,7 @@
         }));
         let upstream = decided?;
         if is_generation {
-            self.placed.notify_one();
+            self.tell_soon();
         }
         let (fill, running) = self.load_of(&upstream);
         Ok(Placed {
@@ -127,13 +127,13 @@
 
     /// Something has changed that the other VMs are to hear of soon.
     pub(super) fn tell_soon(&self) {
-        self.placed.notify_one();
+        self.news.notify_one();
     }
 
-    /// Waits until a generation was given an engine, or something else is to be
-    /// told soon.
-    pub async fn placed(&self) {
-        self.placed.notified().await;
+    /// Waits until the other VMs are to hear of something soon: a generation was given
+    /// an engine, or a connection was lost.
+    pub async fn news(&self) {
+        self.news.notified().await;
     }
 
     /// Takes the upstreams that requests may be sent to.
--- a/trouttrack_telemetry/src/events/catalogue.rs
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -68,7 +68,7 @@
     UNCERTAIN = 84, Warn, "uncertain", "A request that may have run ended without a whole answer: the caller got 502 or 504, or its stream was broken off.";
     REJECTED = 85, Info, "rejected", "A request was answered 4xx: no route, no valid key, or not a proper request. Names the version of the configuration that said so.";
     LEFT_BY_CALLER = 86, Info, "left-by-caller", "A caller closed its connection; the upstream's work for it was cancelled.";
-    DEPARTURE = 90, Info, "departure", "An upstream announced that it leaves, or its entry disappeared; its streams are moved.";
+    DEPARTURE = 90, Info, "departure", "An upstream announced that it leaves, its entry disappeared, or it said so itself when it was asked; its streams are moved.";
     COPIED = 91, Info, "copied", "The memory of a running generation was copied to another upstream while it went on.";
     MOVED = 92, Info, "moved", "A generation goes on at another upstream as the same answer.";
     NOT_MOVED = 93, Warn, "not-moved", "A generation could not be moved away from an upstream that leaves; names the step that failed.";
@@ -76,7 +76,7 @@
     UPSTREAM_SEEN = 95, Info, "upstream-seen", "An upstream appeared or its entry changed.";
     UPSTREAM_GONE = 96, Info, "upstream-gone", "An upstream's entry disappeared and the time in which it may come back is over.";
     ENTRY_LAPSED = 97, Warn, "entry-lapsed", "An upstream's entry disappeared while the platform's service was away or just back; it is used until shortly after the return.";
-    STALE = 98, Warn, "stale", "The configuration could not be confirmed within its bound; requests with a key are refused until it is.";
+    STALE = 98, Warn, "stale", "The configuration could not be confirmed within its bound. Where the bound is strict, requests with a key are refused until it is; elsewhere known keys are served and nothing is denied.";
     FRESH = 99, Info, "fresh", "The configuration is confirmed again.";
     SETTINGS_RELOADED = 100, Info, "settings-reloaded", "The settings file was read again; bounds that changed are in force.";
     SETTINGS_REFUSED = 101, Warn, "settings-refused", "The changed settings file is not usable; the old settings stay in force.";
