Evacuated failure domains get no new work

Change: the operators' evacuations are followed like the configuration: watched by one VM of each failure domain, told whole in heartbeats and at once when they change, merged by the store's revision, so that neither silence nor an older word lifts one. Their upstreams are closed to new requests, retries and moves; what runs there ends there.

--- a/trouttrack_config/src/settings/front.rs
+++ b/trouttrack_config/src/settings/front.rs
@@ -87,6 +87,8 @@
     pub revoke_strict: bool,
     /// A new configuration is in force after this.
     pub config_apply: Duration,
+    /// The upstreams of an evacuated failure domain get no new work after this.
+    pub evacuate: Duration,
     /// Between the signal to stop and the end of the process.
     pub grace: Duration,
 }
@@ -97,6 +99,7 @@
             revoke: r.duration("revoke", Duration::from_secs(5)),
             revoke_strict: r.parse_with("revoke_strict", true, strictness),
             config_apply: r.duration("config_apply", Duration::from_secs(2)),
+            evacuate: r.duration("evacuate", Duration::from_secs(5)),
             grace: r.duration("grace", Duration::from_secs(8)),
         }
     }
--- a/trouttrack_core/src/membership/mod.rs
+++ b/trouttrack_core/src/membership/mod.rs
@@ -6,6 +6,7 @@
 mod duty;
 mod echo;
 mod entries;
+mod evacuations;
 mod marks;
 mod peers;
 mod receivers;
@@ -15,6 +16,7 @@
 pub use duty::{Contact, Duty, Standing};
 pub use echo::SentTimes;
 pub use entries::Entries;
+pub use evacuations::Evacuations;
 pub use marks::{Mark, MarkEntry, MarkSource, MarkTable};
 pub use peers::{Digest, Peer, PeerTable, UpstreamUse};
 pub use receivers::news_receivers;
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -46,6 +46,9 @@
     pub ended_since_report: usize,
     /// Whether it is leaving and gets no new work.
     pub leaving: bool,
+    /// Whether its failure domain is evacuated, so that it gets no new work until that
+    /// is taken back. What runs there ends there.
+    pub evacuated: bool,
     /// Its recent failures.
     pub circuit: Circuit,
     /// Connections that were lost with a request, here and at peers.
@@ -66,6 +69,7 @@
             since_report: 0,
             ended_since_report: 0,
             leaving: false,
+            evacuated: false,
             circuit: Circuit::default(),
             losses: Losses::default(),
             own_at_report: 0,
@@ -194,14 +198,16 @@
         };
         let peers = self.peers.iter().filter_map(|p| p.lost_at);
         let suspected = self.losses.suspected(now, peers);
-        trial && !suspected && !self.leaving && self.estimated_running() < self.spec.max_running
+        let stays = !self.leaving && !self.evacuated;
+        stays && trial && !suspected && self.estimated_running() < self.spec.max_running
     }
 
     /// When it may be given new work at the earliest, as far as is known; `None` if
-    /// it leaves.
+    /// it leaves, or nobody knows when its failure domain is taken back.
     #[must_use]
     pub fn opens_at(&self, now: Time) -> Option<Time> {
-        (!self.leaving).then(|| self.circuit.reopens_at(now))
+        let stays = !self.leaving && !self.evacuated;
+        stays.then(|| self.circuit.reopens_at(now))
     }
 
     /// Peers tell their use from now on.
--- a/trouttrack_core/src/upstream/table.rs
+++ b/trouttrack_core/src/upstream/table.rs
@@ -3,6 +3,7 @@
 use super::row::{Upstream, UpstreamKey};
 use super::spec::Spec;
 use crate::UpstreamId;
+use crate::membership::Evacuations;
 use slotmap::SlotMap;
 use std::collections::{HashMap, HashSet};
 use std::mem;
@@ -15,6 +16,8 @@
     by_service: HashMap<String, Serving>,
     /// Whether peers tell their use of upstreams.
     hears_peers: bool,
+    /// The failure domains whose upstreams get no new work.
+    evacuations: Evacuations,
 }
 
 /// The upstreams of a service: those of the own failure domain first.
@@ -59,14 +62,29 @@
     }
 
     fn put(&mut self, spec: Spec) {
-        match self.by_id.get(&spec.id) {
-            Some(&key) => self.rows[key].spec = spec,
+        let evacuated = self.evacuations.contains(&spec.failure_domain);
+        let key = match self.by_id.get(&spec.id) {
+            Some(&key) => {
+                self.rows[key].spec = spec;
+                key
+            }
             None => {
                 let id = spec.id.clone();
                 let key = self.rows.insert(Upstream::new(spec, self.hears_peers));
                 self.by_id.insert(id, key);
+                key
             }
+        };
+        self.rows[key].evacuated = evacuated;
+    }
+
+    /// Takes the failure domains whose upstreams get no new work, those that are put
+    /// later among them.
+    pub(crate) fn evacuate(&mut self, evacuations: Evacuations) {
+        for row in self.rows.values_mut() {
+            row.evacuated = evacuations.contains(&row.spec.failure_domain);
         }
+        self.evacuations = evacuations;
     }
 
     fn index_services(&mut self, home: &str) {
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -3,7 +3,7 @@
 use super::peers::PeersHeard;
 use super::queue::{FairQueue, Place};
 use crate::length::{LengthKey, LengthTable};
-use crate::membership::UpstreamUse;
+use crate::membership::{Evacuations, UpstreamUse};
 use crate::routing::{AnyPolicy, ExplanationTable};
 use crate::upstream::{Report, Spec, Upstream, UpstreamKey, UpstreamTable};
 use crate::{OrganisationId, RequestId, ServiceId, Time};
@@ -251,6 +251,11 @@
         }
     }
 
+    /// Takes the failure domains that are evacuated: their upstreams get no new work.
+    pub fn set_evacuations(&mut self, evacuations: Evacuations) {
+        self.upstreams.evacuate(evacuations);
+    }
+
     fn row_mut(&mut self, upstream: &str) -> Option<&mut Upstream> {
         let key = self.upstreams.key(upstream)?;
         self.upstreams.get_mut(key)
--- a/trouttrack_front/src/follow/follower.rs
+++ b/trouttrack_front/src/follow/follower.rs
@@ -1,5 +1,6 @@
 //! What follows a kind of object.
 
+use std::time::Duration;
 use trouttrack_platform::{Change, Kind, Object};
 
 /// Takes in what a kind's objects say.
@@ -11,6 +12,12 @@
     /// listed.
     fn revision(&self) -> Option<u64>;
 
+    /// How long a watch of it waits, if not as long as others: the bound within which
+    /// its changes must be in force is short, and a watch may fall silent.
+    fn watch_for(&self) -> Option<Duration> {
+        None
+    }
+
     /// Whether a peer knows more.
     fn is_behind(&self) -> bool;
 
--- a/trouttrack_front/src/follow/kind.rs
+++ b/trouttrack_front/src/follow/kind.rs
@@ -74,8 +74,9 @@
     follower: &F,
     since: u64,
 ) -> Result<(), StoreError> {
+    let wait = follower.watch_for().unwrap_or(WATCH);
     let changed = tokio::select! {
-        watched = watch(front, follower, since, WATCH) => watched,
+        watched = watch(front, follower, since, wait) => watched,
         () = missed(front, follower) => watch(front, follower, since, AT_ONCE).await,
     };
     if changed? {
--- a/trouttrack_front/src/follow/mod.rs
+++ b/trouttrack_front/src/follow/mod.rs
@@ -10,12 +10,14 @@
 mod calls;
 mod config;
 mod confirm;
+mod evacuations;
 mod follower;
 mod kind;
 mod upstreams;
 mod vms;
 
 pub(crate) use config::take_revision as take_config;
+pub(crate) use evacuations::{Told, take_evacuations};
 pub(crate) use upstreams::{Taken, said_leaving, take_news};
 
 use crate::state::Front;
@@ -28,6 +30,8 @@
     let upstreams = upstreams::UpstreamFollower::new(Rc::clone(front));
     actix_rt::spawn(kind::follow(Rc::clone(front), config));
     actix_rt::spawn(kind::follow(Rc::clone(front), upstreams));
+    let evacuations = evacuations::EvacuationFollower::new(Rc::clone(front));
+    actix_rt::spawn(kind::follow(Rc::clone(front), evacuations));
     actix_rt::spawn(vms::announce(Rc::clone(front), own));
     actix_rt::spawn(vms::list(Rc::clone(front)));
     actix_rt::spawn(upstreams::expire(Rc::clone(front)));
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -27,6 +27,8 @@
     pub moves: IntCounterVec,
     /// Requests in progress.
     pub in_flight: IntGauge,
+    /// Failure domains that are evacuated, as far as this VM knows.
+    pub evacuated: IntGauge,
     /// Calls to the platform's store.
     pub store_calls: IntGauge,
     /// Connections opened to upstreams.
@@ -110,6 +112,11 @@
                 &["result"],
             ),
             in_flight: gauge(&r, "trouttrack_in_flight", "Requests in progress"),
+            evacuated: gauge(
+                &r,
+                "trouttrack_evacuated_failure_domains",
+                "Failure domains whose upstreams get no new work",
+            ),
             store_calls: gauge(&r, "trouttrack_store_calls", "Calls to the store so far"),
             connections: gauge(
                 &r,
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -31,7 +31,7 @@
                 next = Instant::now() + front.peers.pause();
                 send_heartbeats(&front, &socket);
             }
-            () = front.peers.taken_watch() => send_heartbeats(&front, &socket),
+            () = front.peers.announcement() => send_heartbeats(&front, &socket),
             () = front.scheduler.news(), if tell_at.is_none() => {
                 tell_at = Some(Instant::now() + SOON);
             }
@@ -56,7 +56,11 @@
     let mut heartbeat = heartbeat(front);
     for (name, addr) in receivers {
         heartbeat.echo = front.peers.echo(&name);
-        post(socket, &Datagram::Heartbeat(heartbeat.clone()), addr);
+        post(
+            socket,
+            &Datagram::Heartbeat(Box::new(heartbeat.clone())),
+            addr,
+        );
     }
 }
 
@@ -65,7 +69,7 @@
 pub(super) fn greet(front: &Front, socket: &UdpSocket, name: &str, addr: SocketAddr) {
     let mut heartbeat = heartbeat(front);
     heartbeat.echo = front.peers.echo(name);
-    post(socket, &Datagram::Heartbeat(heartbeat), addr);
+    post(socket, &Datagram::Heartbeat(Box::new(heartbeat)), addr);
 }
 
 /// Tells the own use of upstreams to all VMs that choose among the same ones.
@@ -126,6 +130,7 @@
         config_revision: front.routing.revision(),
         confirmed_ms: front.routing.age_ms(),
         upstreams_revision: front.upstreams.revision(),
+        evacuations: front.evacuations.borrow().clone(),
         store_ms: front.store_contact.age_ms(front.clock.now()),
         domain_uses: match is_large(front) {
             true => front.scheduler.domain_uses(),
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -6,7 +6,7 @@
 use super::message::{Datagram, Heartbeat, Load, News, decode, encode};
 use super::post::post;
 use super::roles::hear_claim;
-use crate::follow::{self, Taken};
+use crate::follow::{self, Taken, Told};
 use crate::state::Front;
 use std::io;
 use std::net::SocketAddr;
@@ -82,6 +82,7 @@
             .domain_uses_told(domain, &heartbeat.domain_uses);
     }
     confirm(front, heartbeat);
+    follow::take_evacuations(front, &heartbeat.evacuations, Told::ByPeer(name));
     if heartbeat.watches {
         hear_claim(front, &digest.name);
     }
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -7,17 +7,17 @@
 
 use serde::{Deserialize, Serialize};
 use trouttrack_core::UpstreamId;
-use trouttrack_core::membership::{Digest, UpstreamUse};
+use trouttrack_core::membership::{Digest, Evacuations, UpstreamUse};
 use trouttrack_platform::UpstreamEntry;
 
 /// The form of the datagrams, which changes with any of the types below.
-const FORM: u8 = 1;
+const FORM: u8 = 2;
 
 /// What a VM sends.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) enum Datagram {
     /// The sender's state.
-    Heartbeat(Heartbeat),
+    Heartbeat(Box<Heartbeat>),
     /// The sender's use of upstreams, which has just changed.
     Load(Load),
     /// Changes in the store.
@@ -45,6 +45,8 @@
     pub(super) confirmed_ms: Option<u64>,
     /// The store's revision up to which it knows the upstreams' entries.
     pub(super) upstreams_revision: u64,
+    /// The failure domains that are evacuated, as far as it knows.
+    pub(super) evacuations: Evacuations,
     /// How long ago the store last answered it, in milliseconds.
     pub(super) store_ms: Option<u64>,
     /// The use that all VMs of its failure domain make of the upstreams there, told to
--- a/trouttrack_front/src/peers/table.rs
+++ b/trouttrack_front/src/peers/table.rs
@@ -52,8 +52,8 @@
     socket: OnceCell<Rc<UdpSocket>>,
     /// Whether this VM watches the store.
     duty: Cell<Duty>,
-    /// It does from now on, and says so at once.
-    taken_watch: Notify,
+    /// Something has changed that the next heartbeats are to say at once.
+    announcement: Notify,
 }
 
 /// A VM that the store lists, or that was heard of.
@@ -77,7 +77,7 @@
             behind: Notify::new(),
             socket: OnceCell::new(),
             duty: Cell::default(),
-            taken_watch: Notify::new(),
+            announcement: Notify::new(),
         }
     }
 
@@ -145,7 +145,7 @@
         self.duty.set(duty);
         if duty.holds() && !before.holds() {
             record!(events::WATCH_TAKEN, vm = self.own.as_str());
-            self.taken_watch.notify_one();
+            self.announce();
         }
         if before.holds() && !duty.holds() {
             record!(events::WATCH_LEFT, vm = self.own.as_str());
@@ -153,9 +153,15 @@
         outcome
     }
 
-    /// Waits until this VM has taken the watch.
-    pub async fn taken_watch(&self) {
-        self.taken_watch.notified().await;
+    /// Something has changed that other VMs are to hear of at once, such as who watches
+    /// the store, or an evacuation.
+    pub fn announce(&self) {
+        self.announcement.notify_one();
+    }
+
+    /// Waits until heartbeats are due at once.
+    pub async fn announcement(&self) {
+        self.announcement.notified().await;
     }
 
     /// Whether a peer was heard of lately.
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -17,6 +17,7 @@
 use trouttrack_config::settings::{FrontSettings, ServingSettings};
 use trouttrack_core::FailureDomain;
 use trouttrack_core::fleet::idle_share;
+use trouttrack_core::membership::Evacuations;
 use trouttrack_core::world::WorldSettings;
 use trouttrack_http::Client;
 use trouttrack_platform::{EngineClient, StoreClient, StoreError};
@@ -33,6 +34,9 @@
 /// parts of the age at which it is renewed: the VMs that watch the store renew it
 /// at 0.7 at the latest, and heartbeats spread it.
 const SILENT: f64 = 0.9;
+/// How long a watch for evacuations waits, in parts of the bound within which they are
+/// in force: one that fell silent leaves time for two more.
+const WATCHED_ANEW: f64 = 0.4;
 /// How much longer each priority may wait than the one above it.
 const AGEING: Duration = Duration::from_secs(2);
 /// A request that has waited this long goes before all shares.
@@ -79,6 +83,10 @@
     pub store_contact: StoreContact,
     /// News for the other VMs.
     pub news: mpsc::Sender<News>,
+    /// The failure domains that operators have evacuated.
+    pub evacuations: RefCell<Evacuations>,
+    /// How long a watch for them waits.
+    pub evacuation_watch: Duration,
     /// Policies that can be switched.
     pub serving: ServingSettings,
     /// Counters.
@@ -112,6 +120,8 @@
             store: StoreClient::new(to_store, settings.store.addr),
             store_contact: StoreContact::default(),
             news,
+            evacuations: RefCell::default(),
+            evacuation_watch: settings.bounds.evacuate.mul_f64(WATCHED_ANEW),
             serving: settings.serving.clone(),
             metrics: Metrics::new(),
         })
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 use trouttrack_core::UpstreamId;
-use trouttrack_core::membership::UpstreamUse;
+use trouttrack_core::membership::{Evacuations, UpstreamUse};
 use trouttrack_core::upstream::{Spec, Upstream};
 use trouttrack_core::world::{
     Decision, NotRunReason, RequestKey, Submission, World, WorldSettings,
@@ -177,6 +177,12 @@
         self.world.borrow_mut().set_leaving(upstream, true);
     }
 
+    /// Takes the failure domains that are evacuated, and decides anew on what waits.
+    pub fn set_evacuations(&self, evacuations: Evacuations) {
+        self.world.borrow_mut().set_evacuations(evacuations);
+        self.tick();
+    }
+
     /// Takes in what a peer says of its use of upstreams.
     pub fn peer_uses(&self, peer: &str, failure_domain: &str, uses: &[UpstreamUse]) {
         let now = self.clock.now();
--- a/trouttrack_front/tests/front/freshness.rs
+++ b/trouttrack_front/tests/front/freshness.rs
@@ -14,6 +14,7 @@
         revoke,
         revoke_strict: true,
         config_apply: Duration::from_secs(1),
+        evacuate: Duration::from_secs(5),
         grace: Duration::from_secs(8),
     }
 }
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod config;
+mod evacuation;
 mod freshness;
 mod leaving;
 mod moves;
--- a/trouttrack_telemetry/src/events/catalogue.rs
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -85,4 +85,6 @@
     WATCH_RESTARTED = 104, Info, "watch-restarted", "The platform's service no longer had the history that a watch asked for; everything was listed again.";
     WATCH_TAKEN = 105, Info, "watch-taken", "This VM watches the platform's service for its failure domain from now on: nobody that comes before it has said so for three heartbeats.";
     WATCH_LEFT = 106, Info, "watch-left", "This VM leaves the watch to another one of its failure domain, or stops.";
+    EVACUATED = 107, Info, "evacuated", "A failure domain is evacuated: its upstreams get no new work from this VM until that is taken back. What runs there ends there. Names the store's revision and whether the store or a peer said so.";
+    TAKEN_BACK = 108, Info, "taken-back", "A failure domain is no longer evacuated; its upstreams get work again.";
 }
