Cold upstreams are given no more than they bear, over all VMs

Cause: an upstream that is cold bears a rate of requests and falls over well above it. The rate is one over all VMs; nothing limited it. Change: each VM counts its hand-overs to a cold upstream within a second, tells them as it places, and adds what it hears. VMs of the upstream's failure domain use 0.95 of the rate together; those elsewhere half of an even share each, which is safe before they are heard. A VM that hears few of its peers takes a part by their number, by a draw a second where that is less than one request. At least nine tenths of the rate are used when only cold upstreams are left, at 6, 64 and 294 VMs.

--- a/trouttrack_config/src/fleet/view.rs
+++ b/trouttrack_config/src/fleet/view.rs
@@ -123,6 +123,7 @@
                 capacity_tokens: u.capacity_tokens,
                 max_running: u.max_running,
                 warm_at: Duration::ZERO,
+                cold_rate: 0.0,
             })
             .collect()
     }
--- a/trouttrack_core/benches/decision.rs
+++ b/trouttrack_core/benches/decision.rs
@@ -49,6 +49,7 @@
         capacity_tokens: 49_152,
         max_running: 64,
         warm_at: Duration::ZERO,
+        cold_rate: 0.0,
     }
 }
 
@@ -158,6 +159,7 @@
         peak_tokens: 900,
         loading_tokens: 100,
         lost_ms: None,
+        cold_starts: 0,
     }
 }
 
--- a/trouttrack_core/src/fleet/types.rs
+++ b/trouttrack_core/src/fleet/types.rs
@@ -96,6 +96,9 @@
     pub name: ServiceId,
     /// Connections that one of its upstreams takes, from all VMs together.
     pub max_connections: Option<usize>,
+    /// Requests a second that one of its upstreams bears while it is cold; zero if that
+    /// is not bounded.
+    pub cold_rate: f64,
     /// What its engines can do; `None` for a plain service.
     pub engine: Option<EngineSpec>,
 }
--- a/trouttrack_core/src/membership/peers.rs
+++ b/trouttrack_core/src/membership/peers.rs
@@ -22,6 +22,9 @@
     /// milliseconds, if that was lately.
     #[serde(default)]
     pub lost_ms: Option<u64>,
+    /// Hand-overs within the last second, while the upstream is cold.
+    #[serde(default)]
+    pub cold_starts: u32,
 }
 
 /// What a gateway says of itself in a heartbeat.
--- a/trouttrack_core/src/upstream/mod.rs
+++ b/trouttrack_core/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod circuit;
+mod cold;
 mod losses;
 mod row;
 mod runs;
@@ -10,6 +11,8 @@
 
 pub(crate) use backlog::Backlog;
 pub use circuit::{Circuit, CircuitState};
+pub use cold::ColdShare;
+pub(crate) use cold::ToldStarts;
 pub use row::{Upstream, UpstreamKey};
 pub use runs::OwnRun;
 pub(crate) use runs::{PeerUse, Teller};
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -2,6 +2,7 @@
 
 use super::backlog::seconds_to_load;
 use super::circuit::{Circuit, CircuitState};
+use super::cold::{self, ColdShare, ColdStarts};
 use super::losses::Losses;
 use super::runs::{OwnRun, PeerUse, Teller, peak};
 use super::spec::{Report, Spec};
@@ -51,6 +52,8 @@
     pub evacuated: bool,
     /// Its recent failures.
     pub circuit: Circuit,
+    /// Requests that this process has handed over while it is cold.
+    pub(crate) cold_starts: ColdStarts,
     /// Connections that were lost with a request, here and at peers.
     pub(crate) losses: Losses,
     own_at_report: usize,
@@ -71,6 +74,7 @@
             leaving: false,
             evacuated: false,
             circuit: Circuit::default(),
+            cold_starts: ColdStarts::default(),
             losses: Losses::default(),
             own_at_report: 0,
         }
@@ -202,6 +206,32 @@
         stays && trial && !suspected && self.estimated_running() < self.spec.max_running
     }
 
+    /// Whether one more request is within the rate that it bears while it is cold; `seed`
+    /// differs from VM to VM.
+    pub(crate) fn bears_one_more(
+        &self,
+        now: Time,
+        share: ColdShare,
+        near: bool,
+        seed: u64,
+    ) -> bool {
+        let (rate, is_cold) = (self.spec.cold_rate, self.spec.warm_at > now);
+        if rate <= 0.0 || !is_cold {
+            return true;
+        }
+        let peers: usize = self.peers.iter().map(|p| p.cold_starts.recent(now)).sum();
+        let known = self.cold_starts.recent(now) + peers;
+        let share = if near { share.near } else { share.far };
+        cold::admits(rate, share, known, now, &self.spec.id, seed)
+    }
+
+    /// A request is handed over.
+    pub(crate) fn given(&mut self, now: Time) {
+        if self.spec.cold_rate > 0.0 && self.spec.warm_at > now {
+            self.cold_starts.given(now);
+        }
+    }
+
     /// When it may be given new work at the earliest, as far as is known; `None` if
     /// it leaves, or nobody knows when its failure domain is taken back.
     #[must_use]
@@ -241,6 +271,7 @@
             peak_tokens: peak as u64,
             loading_tokens: loading as u64,
             lost_ms: None,
+            cold_starts: 0,
         }
     }
 
--- a/trouttrack_core/src/upstream/runs.rs
+++ b/trouttrack_core/src/upstream/runs.rs
@@ -2,6 +2,7 @@
 //! they are forecast to need.
 
 use super::backlog::Backlog;
+use super::cold::ToldStarts;
 use crate::world::RequestKey;
 use crate::{FailureDomain, Time};
 
@@ -42,6 +43,8 @@
     pub(crate) loading: Backlog,
     /// When a request of its own last lost its connection there before any answer.
     pub(crate) lost_at: Option<Time>,
+    /// Its hand-overs while the upstream is cold.
+    pub(crate) cold_starts: ToldStarts,
 }
 
 /// The largest sum of tokens of the runs, and of `new` if given, over the time
--- a/trouttrack_core/src/upstream/spec.rs
+++ b/trouttrack_core/src/upstream/spec.rs
@@ -3,7 +3,7 @@
 use crate::{FailureDomain, Time, UpstreamId};
 
 /// What the configuration says of an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Spec {
     /// Its name.
     pub id: UpstreamId,
@@ -17,6 +17,8 @@
     pub max_running: usize,
     /// Until when it is slow because it has just started.
     pub warm_at: Time,
+    /// Requests a second that it bears until then; zero if that is not bounded.
+    pub cold_rate: f64,
 }
 
 /// An upstream's own word on its load; it lags.
--- a/trouttrack_core/src/world/peers.rs
+++ b/trouttrack_core/src/world/peers.rs
@@ -10,7 +10,7 @@
 use super::tables::World;
 use crate::Time;
 use crate::membership::UpstreamUse;
-use crate::upstream::{Backlog, PeerUse, Teller, Upstream, UpstreamKey, UpstreamTable};
+use crate::upstream::{Backlog, PeerUse, Teller, ToldStarts, Upstream, UpstreamKey, UpstreamTable};
 use std::collections::HashMap;
 
 /// A peer that has been silent for this long is not counted any more.
@@ -135,6 +135,10 @@
         running: used.running as usize,
         peak_tokens: used.peak_tokens as f64,
         loading: Backlog::of(now, used.loading_tokens as f64),
+        cold_starts: ToldStarts {
+            at: now,
+            count: used.cold_starts as usize,
+        },
         lost_at: used
             .lost_ms
             .filter(|_| near)
--- a/trouttrack_core/src/world/relocate.rs
+++ b/trouttrack_core/src/world/relocate.rs
@@ -43,7 +43,8 @@
             .iter()
             .filter(|k| usable(k))
             .filter_map(|k| self.upstreams.get(*k))
-            .filter(|u| u.open(now) && !avoid.contains(&u.spec.id))
+            .filter(|u| u.open(now) && self.bears_one_more(now, u))
+            .filter(|u| !avoid.contains(&u.spec.id))
             .filter_map(|u| scored(u, run, home))
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, target)| target)
@@ -77,7 +78,7 @@
     }
 
     /// The request runs at another upstream from now on.
-    pub fn relocate(&mut self, key: RequestKey, to: &str) {
+    pub fn relocate(&mut self, now: Time, key: RequestKey, to: &str) {
         let Some(run) = self.run_of(key) else {
             return;
         };
@@ -93,6 +94,7 @@
         }
         if let Some(u) = self.upstreams.get_mut(target) {
             u.add_loaded(run);
+            u.given(now);
         }
     }
 }
--- a/trouttrack_core/src/world/systems.rs
+++ b/trouttrack_core/src/world/systems.rs
@@ -127,7 +127,7 @@
         }
         let chosen = self.settings.policy.choose(&candidates, &mut self.rng)?;
         self.explain(now, key, &candidates, chosen);
-        Some(self.hand_over(candidates[chosen].upstream, new))
+        Some(self.hand_over(now, candidates[chosen].upstream, new))
     }
 
     /// What a request holds after it has written `so_far`, and what it is
@@ -218,7 +218,7 @@
         self.explanations.keep(&id, explanation);
     }
 
-    fn hand_over(&mut self, upstream: UpstreamKey, new: OwnRun) -> Decision {
+    fn hand_over(&mut self, now: Time, upstream: UpstreamKey, new: OwnRun) -> Decision {
         let key = new.key;
         let row = &mut self.requests[key];
         row.upstream = Some(upstream);
@@ -235,6 +235,7 @@
             .get_mut(upstream)
             .expect("candidates come from the table");
         u.add(new);
+        u.given(now);
         Decision::Place {
             request: key,
             upstream: u.spec.id.clone(),
@@ -277,7 +278,7 @@
         let key = keys[place];
         let u = self.world.upstreams.get(key)?;
         let avoided = self.avoiding && self.submission.avoid.contains(&u.spec.id);
-        if avoided || !u.open(self.now) {
+        if avoided || !u.open(self.now) || !self.world.bears_one_more(self.now, u) {
             return None;
         }
         let urgent = self.submission.priority == 0;
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -5,7 +5,7 @@
 use crate::length::{LengthKey, LengthTable};
 use crate::membership::{Evacuations, UpstreamUse};
 use crate::routing::{AnyPolicy, ExplanationTable};
-use crate::upstream::{Report, Spec, Upstream, UpstreamKey, UpstreamTable};
+use crate::upstream::{ColdShare, Report, Spec, Upstream, UpstreamKey, UpstreamTable};
 use crate::{OrganisationId, RequestId, ServiceId, Time};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -18,6 +18,9 @@
     pub struct RequestKey;
 }
 
+/// VMs that share the rate of a cold upstream while their number is not known: more than
+/// there will be in the fleet planned for, 340.
+const VMS_UNTIL_KNOWN: usize = 512;
 /// Requests whose decisions are kept.
 const EXPLAINED: usize = 4096;
 
@@ -183,6 +186,8 @@
     pub(crate) deadlines: BTreeSet<(Time, RequestKey)>,
     pub(crate) limits: Limits,
     pub(crate) peers: PeersHeard,
+    /// What this VM may use of the rate of a cold upstream.
+    pub(crate) cold_share: ColdShare,
     pub(crate) rng: SmallRng,
     pub(crate) refused: Vec<Decision>,
 }
@@ -196,6 +201,7 @@
             lengths: LengthTable::default(),
             explanations: ExplanationTable::new(EXPLAINED),
             queue: FairQueue::new(settings.ageing, settings.max_wait),
+            cold_share: ColdShare::of(1, 1, VMS_UNTIL_KNOWN),
             rng: SmallRng::seed_from_u64(settings.seed),
             settings,
             requests: SlotMap::with_key(),
@@ -232,7 +238,10 @@
     /// The own use of upstreams, for the heartbeat.
     #[must_use]
     pub fn own_uses(&self, now: Time) -> Vec<UpstreamUse> {
-        let told = |u: &Upstream| u.own_running > 0 || u.losses.age(now).is_some();
+        let told = |u: &Upstream| {
+            let cold = u.cold_starts.recent(now) > 0;
+            u.own_running > 0 || cold || u.losses.age(now).is_some()
+        };
         let used = self.upstreams.iter().filter(|(_, u)| told(u));
         used.map(|(_, u)| UpstreamUse {
             upstream: u.spec.id.clone(),
@@ -240,6 +249,7 @@
             peak_tokens: u.own_peak() as u64,
             loading_tokens: u.own_loading() as u64,
             lost_ms: u.losses.age(now).map(|age| age.as_millis() as u64),
+            cold_starts: u.cold_starts.recent(now) as u32,
         })
         .collect()
     }
@@ -251,6 +261,18 @@
         }
     }
 
+    /// Takes how many VMs share the rate of a cold upstream, by how many of them are
+    /// heard.
+    pub fn set_cold_share(&mut self, share: ColdShare) {
+        self.cold_share = share;
+    }
+
+    /// Whether an upstream bears one more request, if it is cold.
+    pub(crate) fn bears_one_more(&self, now: Time, u: &Upstream) -> bool {
+        let near = u.spec.failure_domain == self.settings.failure_domain;
+        u.bears_one_more(now, self.cold_share, near, self.settings.seed)
+    }
+
     /// Takes the failure domains that are evacuated: their upstreams get no new work.
     pub fn set_evacuations(&mut self, evacuations: Evacuations) {
         self.upstreams.evacuate(evacuations);
--- a/trouttrack_core/tests/core/known_load.rs
+++ b/trouttrack_core/tests/core/known_load.rs
@@ -16,6 +16,7 @@
         peak_tokens: 1_000 * u64::from(running),
         loading_tokens: 3_000,
         lost_ms: None,
+        cold_starts: 0,
     }
 }
 
@@ -60,7 +61,7 @@
         panic!("placed");
     };
     let target = if upstream == "e1" { "e2" } else { "e1" };
-    world.relocate(*key, target);
+    world.relocate(NOW, *key, target);
     assert_eq!(world.own_uses(NOW)[0].loading_tokens, 0);
 }
 
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -1,6 +1,7 @@
 //! The decisions, without input or output.
 
 mod claims;
+mod cold;
 mod duty;
 mod entries;
 mod fleet_budget;
--- a/trouttrack_core/tests/core/relocate.rs
+++ b/trouttrack_core/tests/core/relocate.rs
@@ -53,7 +53,7 @@
         engine("source", "a", 50_000),
         engine("other", "a", 50_000),
     ]);
-    world.relocate(key, "other");
+    world.relocate(NOW, key, "other");
     let uses = world.own_uses(NOW);
     let [used] = uses.as_slice() else {
         panic!("{uses:?}");
--- a/trouttrack_core/tests/core/support.rs
+++ b/trouttrack_core/tests/core/support.rs
@@ -29,6 +29,7 @@
         capacity_tokens,
         max_running,
         warm_at: Duration::ZERO,
+        cold_rate: 0.0,
     }
 }
 
--- a/trouttrack_core/tests/core/upstream_table.rs
+++ b/trouttrack_core/tests/core/upstream_table.rs
@@ -28,6 +28,7 @@
         peak_tokens: 10,
         loading_tokens: 0,
         lost_ms: None,
+        cold_starts: 0,
     }
 }
 
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -18,6 +18,7 @@
 use tokio::time::Instant;
 use trouttrack_core::FailureDomain;
 use trouttrack_core::membership::{Digest, FAR_TOLD, NEAR_TOLD, UpstreamUse, tells_sums};
+use trouttrack_core::upstream::ColdShare;
 
 /// Pause after a placement or a loss before it is told, for until then others choose
 /// the same upstream; several are told together.
@@ -51,6 +52,7 @@
     front
         .peers
         .forget_silent(front.clock.now(), &front.failure_domain);
+    front.scheduler.set_cold_share(cold_share(front));
     let receivers = receivers(front);
     if receivers.is_empty() {
         return;
@@ -66,6 +68,14 @@
     }
 }
 
+/// What this VM may use of the rate of a cold upstream, by the VMs that it hears now.
+fn cold_share(front: &Front) -> ColdShare {
+    let home = &front.failure_domain;
+    let own = 1;
+    let heard = front.peers.heard_near(home) + own;
+    ColdShare::of(heard, front.peers.listed_in(home), front.peers.listed())
+}
+
 /// Answers a VM that has just been heard of for the first time, so that it need not
 /// wait for its turn among the peers told.
 pub(super) fn greet(front: &Front, socket: &UdpSocket, name: &str, addr: SocketAddr) {
--- a/trouttrack_front/src/peers/table.rs
+++ b/trouttrack_front/src/peers/table.rs
@@ -109,6 +109,22 @@
         self.listed.borrow().len()
     }
 
+    /// How many VMs of a failure domain are listed.
+    #[must_use]
+    pub fn listed_in(&self, failure_domain: &str) -> usize {
+        let listed = self.listed.borrow();
+        let there = listed
+            .values()
+            .filter(|l| l.failure_domain == failure_domain);
+        there.count()
+    }
+
+    /// How many peers of a failure domain were heard of lately.
+    #[must_use]
+    pub fn heard_near(&self, failure_domain: &str) -> usize {
+        self.count_heard(|_, h| h.failure_domain == failure_domain)
+    }
+
     /// The pause between two heartbeats of a VM.
     #[must_use]
     pub fn pause(&self) -> Duration {
@@ -324,7 +340,7 @@
     /// `home`, is lost then; others are heard when a draw falls on this VM, so that
     /// their silence says nothing.
     pub fn forget_silent(&self, now: Time, home: &str) {
-        let near = self.count_heard(|_, h| h.failure_domain == home);
+        let near = self.heard_near(home);
         let missed = longest_silence(self.listed(), near);
         let mut heard = self.heard.borrow_mut();
         heard.retain(|name, last| {
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{Notify, oneshot};
 use trouttrack_core::UpstreamId;
 use trouttrack_core::membership::{Evacuations, UpstreamUse};
-use trouttrack_core::upstream::{Spec, Upstream};
+use trouttrack_core::upstream::{ColdShare, Spec, Upstream};
 use trouttrack_core::world::{
     Decision, NotRunReason, RequestKey, Submission, World, WorldSettings,
 };
@@ -177,6 +177,11 @@
         self.world.borrow_mut().set_leaving(upstream, true);
     }
 
+    /// Takes what this VM may use of the rate of a cold upstream.
+    pub fn set_cold_share(&self, share: ColdShare) {
+        self.world.borrow_mut().set_cold_share(share);
+    }
+
     /// Takes the failure domains that are evacuated, and decides anew on what waits.
     pub fn set_evacuations(&self, evacuations: Evacuations) {
         self.world.borrow_mut().set_evacuations(evacuations);
--- a/trouttrack_front/src/state/ticket.rs
+++ b/trouttrack_front/src/state/ticket.rs
@@ -81,7 +81,10 @@
 
     /// The generation counts at another upstream from now on.
     pub fn relocate(&self, to: &str) {
-        self.scheduler.world.borrow_mut().relocate(self.key, to);
+        let now = self.now();
+        let mut world = self.scheduler.world.borrow_mut();
+        world.relocate(now, self.key, to);
+        drop(world);
         self.scheduler.tell_soon();
     }
 
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -258,9 +258,8 @@
 }
 
 fn spec(upstream: &Upstream, table: &RouteTable) -> Spec {
-    let engine = table
-        .service(&upstream.service)
-        .and_then(|s| s.engine.as_ref());
+    let service = table.service(&upstream.service);
+    let engine = service.and_then(|s| s.engine.as_ref());
     Spec {
         id: upstream.id.clone(),
         failure_domain: upstream.failure_domain.clone(),
@@ -268,5 +267,6 @@
         capacity_tokens: engine.map_or(0, |e| e.memory_tokens),
         max_running: upstream.slots,
         warm_at: upstream.warm_at.get(),
+        cold_rate: service.map_or(0.0, |s| s.cold_rate),
     }
 }
--- a/trouttrack_front/tests/front/support.rs
+++ b/trouttrack_front/tests/front/support.rs
@@ -62,11 +62,13 @@
             ServiceSpec {
                 name: PLAIN.to_owned(),
                 max_connections: Some(100),
+                cold_rate: 0.0,
                 engine: None,
             },
             ServiceSpec {
                 name: ENGINES.to_owned(),
                 max_connections: Some(100),
+                cold_rate: 0.0,
                 engine: Some(EngineSpec {
                     memory_tokens: 34_000,
                     bytes_per_token: 131_072.0,
--- a/trouttrack_load/src/patterns/fleet.rs
+++ b/trouttrack_load/src/patterns/fleet.rs
@@ -110,6 +110,7 @@
         capacity_tokens: settings.capacity_tokens(),
         max_running: settings.max_batch,
         warm_at: Duration::ZERO,
+        cold_rate: 0.0,
     }
 }
 
--- a/trouttrack_rpc/tests/rpc/main.rs
+++ b/trouttrack_rpc/tests/rpc/main.rs
@@ -162,6 +162,7 @@
             peak_tokens: 9,
             loading_tokens: 0,
             lost_ms: None,
+            cold_starts: 0,
         }],
         marks: vec![MarkEntry {
             upstream: "e".into(),
--- a/trouttrack_soak/src/bed/config.rs
+++ b/trouttrack_soak/src/bed/config.rs
@@ -112,6 +112,7 @@
         .map(|(name, engine)| ServiceSpec {
             name: name.to_owned(),
             max_connections: Some(100),
+            cold_rate: 0.0,
             engine,
         })
         .collect()
