--- a/trouttrack_ledger/src/args.rs
+++ b/trouttrack_ledger/src/args.rs
@@ -11,6 +11,10 @@
         optional --svg file: PathBuf
         /// Width of the chart's bars in seconds (default 2).
         optional --bar seconds: f64
+        /// Prints in place of the list what nobody could have saved, and the rest by
+        /// cause, priced by this sheet: an INI file with a section for each kind of
+        /// request, by the objective of its routes.
+        optional --sheet file: PathBuf
         /// Lists each cause by upstream too.
         optional --upstreams
     }
--- a/trouttrack_ledger/src/ledger/entry.rs
+++ b/trouttrack_ledger/src/ledger/entry.rs
@@ -6,7 +6,7 @@
 
 /// Stands for the cause of a request that was sent to an upstream and of which no
 /// log says an end: its VM ended, or the line was left out.
-pub(super) const NO_END: &str = "no end in the logs";
+pub(crate) const NO_END: &str = "no end in the logs";
 /// Stands for the route where no line names it.
 pub(super) const NO_ROUTE: &str = "-";
 
--- a/trouttrack_ledger/src/ledger/mod.rs
+++ b/trouttrack_ledger/src/ledger/mod.rs
@@ -3,12 +3,14 @@
 mod entry;
 mod table;
 
+pub(crate) use entry::NO_END;
 pub use entry::{Entry, Key, Outcome};
 
+use crate::bound::{Bound, Ended, Sheet};
 use crate::line::{Event, Said};
-use entry::{NO_END, NO_ROUTE};
+use entry::NO_ROUTE;
 use std::collections::{BTreeMap, HashMap};
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 use trouttrack_core::{RequestId, UpstreamId};
 
 /// A request, as far as the lines so far tell.
@@ -17,6 +19,10 @@
     at: SystemTime,
     route: Option<String>,
     upstream: Option<UpstreamId>,
+    /// Upstreams that it was sent to.
+    attempts: u32,
+    /// The status of an upstream's answer.
+    status: Option<u16>,
     end: Option<(Outcome, String)>,
 }
 
@@ -37,6 +43,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     requests: HashMap<RequestId, Request>,
+    /// The objectives of routes, as far as answers named them.
+    objectives: HashMap<String, Duration>,
 }
 
 impl Ledger {
@@ -47,10 +55,24 @@
             at: said.at,
             route: None,
             upstream: None,
+            attempts: 0,
+            status: None,
             end: None,
         });
         request.route = said.route.or(request.route.take());
         request.upstream = said.upstream.or(request.upstream.take());
+        match said.event {
+            Event::Placed => request.attempts += 1,
+            Event::Answered {
+                status, objective, ..
+            } => {
+                request.status = Some(status);
+                if let (Some(route), Some(objective)) = (&request.route, objective) {
+                    self.objectives.insert(route.clone(), objective);
+                }
+            }
+            _ => {}
+        }
         if let Some(end) = ended(&said.event, said.reason) {
             request.at = said.at;
             request.end = Some(end);
@@ -82,6 +104,23 @@
         entries
     }
 
+    /// What nobody could have saved, and what is left by cause, priced by a sheet.
+    #[must_use]
+    pub fn bound(&self, sheet: &Sheet) -> Bound {
+        Bound::of(sheet, self.requests.values().map(|r| self.end_of(r)))
+    }
+
+    fn end_of<'a>(&self, request: &'a Request) -> Ended<'a> {
+        let route = request.route.as_ref();
+        Ended {
+            outcome: request.outcome(),
+            cause: request.cause(),
+            status: request.status,
+            attempts: request.attempts,
+            objective: route.and_then(|r| self.objectives.get(r).copied()),
+        }
+    }
+
     /// When each request ended, and as what.
     pub(crate) fn ends(&self) -> impl Iterator<Item = (SystemTime, Outcome)> {
         self.requests.values().map(|r| (r.at, r.outcome()))
@@ -93,12 +132,15 @@
         self.end.as_ref().map_or(Outcome::Lost, |(o, _)| *o)
     }
 
+    fn cause(&self) -> &str {
+        self.end.as_ref().map_or(NO_END, |(_, cause)| cause)
+    }
+
     fn key(&self) -> Key {
-        let cause = self.end.as_ref().map_or(NO_END, |(_, cause)| cause);
         Key {
             outcome: self.outcome(),
             route: self.route.clone().unwrap_or_else(|| NO_ROUTE.to_owned()),
-            cause: cause.to_owned(),
+            cause: self.cause().to_owned(),
         }
     }
 }
--- a/trouttrack_ledger/src/main.rs
+++ b/trouttrack_ledger/src/main.rs
@@ -7,7 +7,7 @@
 use std::io::{self, BufRead, BufReader};
 use std::process::ExitCode;
 use std::time::Duration;
-use trouttrack_ledger::{Ledger, chart, line};
+use trouttrack_ledger::{Ledger, Sheet, chart, line};
 
 /// Width of the chart's bars unless another is given: wide enough for some dozen
 /// requests on a small fleet.
@@ -34,7 +34,10 @@
         let file = File::open(path).map_err(|e| format!("{}: {e}", path.display()))?;
         read(BufReader::new(file), &mut ledger)?;
     }
-    print!("{}", ledger.table(args.upstreams));
+    match &args.sheet {
+        Some(path) => print!("{}", ledger.bound(&Sheet::read(path)?).table()),
+        None => print!("{}", ledger.table(args.upstreams)),
+    }
     if let Some(path) = &args.svg {
         let bar = args
             .bar
--- a/trouttrack_ledger/tests/ledger/main.rs
+++ b/trouttrack_ledger/tests/ledger/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the ledger.
 
+mod bound;
 mod shares;
--- a/trouttrack_ledger/tests/ledger/shares.rs
+++ b/trouttrack_ledger/tests/ledger/shares.rs
@@ -4,7 +4,7 @@
 use trouttrack_ledger::{Ledger, chart, line};
 
 /// A line of a front at a second, with fields.
-fn log(second: u32, message: &str, fields: &str) -> String {
+pub(crate) fn log(second: u32, message: &str, fields: &str) -> String {
     format!(
         r#"  {second}.0 front-1 {{"timestamp":"2026-01-01T10:00:{second:02}+00:00","level":"INFO","message":"{message}","kvs":{{{fields}}}}}"#
     )
