The soak evacuates failure domains and turns upstreams cold

Cause: neither was drawn, so nothing held the promises on them against real processes. Each check has a test that finds it broken, and not broken just within its bound.

--- a/trouttrack_soak/src/bed/config.rs
+++ b/trouttrack_soak/src/bed/config.rs
@@ -98,6 +98,9 @@
     }
 }
 
+/// Requests a second that a cold upstream bears: few enough to bind here.
+pub const COLD_RATE: f64 = 4.0;
+
 fn services() -> Vec<ServiceSpec> {
     let engine = EngineSpec {
         memory_tokens: 34_000,
@@ -112,7 +115,7 @@
         .map(|(name, engine)| ServiceSpec {
             name: name.to_owned(),
             max_connections: Some(100),
-            cold_rate: 0.0,
+            cold_rate: COLD_RATE,
             engine,
         })
         .collect()
--- a/trouttrack_soak/src/bed/fleet.rs
+++ b/trouttrack_soak/src/bed/fleet.rs
@@ -10,8 +10,31 @@
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 use trouttrack_platform_standin::Store;
 
+/// A failure domain that was evacuated.
+#[derive(Clone, Copy, Debug)]
+pub struct Evacuated {
+    /// The failure domain.
+    pub domain: &'static str,
+    /// When the store had taken it.
+    pub from: Instant,
+    /// When it was taken back; `None` while it lasts.
+    pub until: Option<Instant>,
+}
+
+/// An upstream that was cold.
+#[derive(Clone, Debug)]
+pub struct TurnedCold {
+    /// The upstream.
+    pub upstream: String,
+    /// When the store had taken that.
+    pub from: Instant,
+    /// Until when.
+    pub until: Instant,
+}
+
 /// Everything that a run needs.
 #[derive(Debug)]
 pub(crate) struct Bed {
@@ -25,6 +48,10 @@
     pub(crate) vms: Vec<Rc<Vm>>,
     /// The upstreams.
     pub(crate) upstreams: Upstreams,
+    /// The evacuations so far.
+    pub(crate) evacuations: RefCell<Vec<Evacuated>>,
+    /// The upstreams that turned cold so far.
+    pub(crate) cold: RefCell<Vec<TurnedCold>>,
     /// The configurations so far.
     pub(crate) configs: RefCell<Configs>,
     /// Questions about readiness that each VM has missed in a row.
@@ -48,6 +75,8 @@
             caller_links: Vec::new(),
             vms: Vec::new(),
             upstreams,
+            evacuations: RefCell::default(),
+            cold: RefCell::default(),
             configs: RefCell::new(configs),
             misses: Vec::new(),
         };
@@ -62,6 +91,41 @@
         Ok(Rc::new(bed))
     }
 
+    /// Evacuates a failure domain for a while, unless it is evacuated.
+    pub(crate) async fn evacuate(&self, domain: &'static str, lasts: Duration) {
+        let lasting = |e: &Evacuated| e.domain == domain && e.until.is_none();
+        if self.evacuations.borrow().iter().any(lasting) {
+            return;
+        }
+        self.store.evacuate(domain);
+        let place = self.evacuations.borrow().len();
+        self.evacuations.borrow_mut().push(Evacuated {
+            domain,
+            from: Instant::now(),
+            until: None,
+        });
+        tokio::time::sleep(lasts).await;
+        // It may be taken back from here on.
+        self.evacuations.borrow_mut()[place].until = Some(Instant::now());
+        self.store.take_back(domain);
+    }
+
+    /// An upstream says that it has turned cold, and is warm again after a while.
+    pub(crate) async fn turn_cold(&self, place: usize, lasts: Duration) {
+        let member = self.upstreams.at(place);
+        self.store.put_cold(&member.upstream, lasts);
+        let from = Instant::now();
+        self.cold.borrow_mut().push(TurnedCold {
+            upstream: member.upstream.id.clone(),
+            from,
+            until: from + lasts,
+        });
+        tokio::time::sleep(lasts).await;
+        if self.upstreams.has(&member.upstream.id) && !member.upstream.is_leaving() {
+            self.store.put_upstream(&member.upstream, false);
+        }
+    }
+
     /// Puts the next configuration in the store.
     pub(crate) fn put_config(&self, next: impl FnOnce(&mut Configs)) {
         let mut configs = self.configs.borrow_mut();
--- a/trouttrack_soak/src/bed/mod.rs
+++ b/trouttrack_soak/src/bed/mod.rs
@@ -7,9 +7,10 @@
 mod upstreams;
 
 pub(crate) use config::Configs;
-pub use config::{Key, LASTING_KEY, ORGANISATION};
+pub use config::{COLD_RATE, Key, LASTING_KEY, ORGANISATION};
 pub(crate) use fleet::Bed;
+pub use fleet::{Evacuated, TurnedCold};
 pub use routes::RouteName;
 pub(crate) use routes::{ENGINES, HOST};
-pub use upstreams::EVENTS;
+pub use upstreams::{DOMAINS, EVENTS};
 pub(crate) use upstreams::{Member, Upstreams};
--- a/trouttrack_soak/src/bed/upstreams.rs
+++ b/trouttrack_soak/src/bed/upstreams.rs
@@ -8,6 +8,8 @@
 use std::time::{Duration, Instant};
 use trouttrack_platform_standin::{Behaviour, Store, Upstream};
 
+/// The failure domains in which upstreams stand, by turns.
+pub const DOMAINS: [&str; 2] = ["a", "b"];
 /// Events of every stream.
 pub const EVENTS: u64 = 60;
 /// Between two events: a stream takes about a second.
@@ -54,7 +56,8 @@
     async fn new_member(&self, service: &str) -> io::Result<Member> {
         let number = self.started.get() + 1;
         self.started.set(number);
-        let mut upstream = Upstream::start(&format!("u{number}"), service, "a").await;
+        let domain = DOMAINS[number % DOMAINS.len()];
+        let mut upstream = Upstream::start(&format!("u{number}"), service, domain).await;
         if service == ENGINES {
             upstream.pace(PACE);
             upstream.always(Behaviour::Stream(EVENTS));
--- a/trouttrack_soak/src/check/evidence.rs
+++ b/trouttrack_soak/src/check/evidence.rs
@@ -1,6 +1,6 @@
 //! What the promises are held against.
 
-use crate::bed::{Bed, Configs, Key};
+use crate::bed::{Bed, Configs, Evacuated, Key, TurnedCold};
 use crate::callers::Call;
 use crate::faults::History;
 use crate::vm::EndedBy;
@@ -14,6 +14,8 @@
 pub struct Run {
     /// The upstream.
     pub upstream: String,
+    /// Where that stands.
+    pub failure_domain: String,
     /// Its service.
     pub service: String,
     /// What reached it.
@@ -37,6 +39,10 @@
     pub runs: HashMap<String, Vec<Run>>,
     /// When the store took that an upstream leaves.
     pub left: HashMap<String, Instant>,
+    /// The failure domains that were evacuated.
+    pub evacuations: Vec<Evacuated>,
+    /// The upstreams that turned cold.
+    pub cold: Vec<TurnedCold>,
     /// When each version was acknowledged.
     pub versions: Vec<(ConfigVersion, Instant)>,
     /// The keys that came and went.
@@ -63,6 +69,7 @@
                 let of_request = runs.entry(arrival.id.clone()).or_default();
                 of_request.push(Run {
                     upstream: upstream.id.clone(),
+                    failure_domain: upstream.failure_domain.clone(),
                     service: upstream.service.clone(),
                     arrival,
                 });
@@ -74,6 +81,8 @@
             calls,
             runs,
             left,
+            evacuations: bed.evacuations.borrow().clone(),
+            cold: bed.cold.borrow().clone(),
             versions: configs.acknowledged.clone(),
             passing_keys: configs.passing_keys.clone(),
             lives: lives.collect(),
--- a/trouttrack_soak/src/check/mod.rs
+++ b/trouttrack_soak/src/check/mod.rs
@@ -3,7 +3,8 @@
 //! - `answers`: each caller gets its own whole answer, each token once.
 //! - `runs`: at most once, "not run" is true, retries stay in their budget.
 //! - `keys`: configurations never go back, removed keys are dead.
-//! - `stops`: planned work cuts off nothing; leaving upstreams get no work.
+//! - `stops`: planned work cuts off nothing; leaving upstreams and evacuated failure
+//!   domains get no work.
 //!
 //! Those that hold within a time are checked only if [`Evidence::timed`] says
 //! so: on a machine that is busy with other work they prove nothing.
@@ -21,6 +22,8 @@
 
 /// A key is dead this long after the store has acknowledged its removal.
 pub const REVOKE: Duration = Duration::from_secs(5);
+/// An evacuation is in force this long after the store has acknowledged it.
+pub const EVACUATE: Duration = Duration::from_secs(2);
 /// Retries that the fleet may make for each request in a window.
 pub const RETRY_RATIO: f64 = 0.2;
 /// Retries that the fleet may make in a window besides.
--- a/trouttrack_soak/src/check/stops.rs
+++ b/trouttrack_soak/src/check/stops.rs
@@ -1,14 +1,24 @@
 //! Planned work, upstreams that leave, and the ends of processes.
 
-use super::{CONTACT, Evidence, Finding};
+use super::{CONTACT, EVACUATE, Evidence, Finding};
+use crate::bed::{COLD_RATE, Evacuated, TurnedCold};
 use crate::callers::{Call, Told};
 use crate::vm::EndedBy;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const CUT: &str = "planned work cuts off no request";
 const NO_NEW_WORK: &str = "a leaving upstream gets no new work after a few seconds";
 const RUNS_ON: &str = "processes end when they are told to, and only then";
 
+const EMPTIED: &str = "an evacuated failure domain gets no new work within its bound";
+
+const BEARABLE: &str = "a cold upstream is given no more than it bears";
+
+/// What a cold upstream bears in any one second: its rate times this, and some more.
+const COLD_OVER: f64 = 1.5;
+const COLD_MORE: f64 = 5.0;
+/// What is placed just in time still has to be connected and to arrive.
+const TO_ARRIVE: Duration = Duration::from_millis(500);
 /// A leaving upstream gets no new work after this from a VM in touch: the
 /// platform's two seconds.
 const DRAINED: Duration = Duration::from_secs(2);
@@ -16,13 +26,39 @@
 pub(super) fn check(evidence: &Evidence) -> Vec<Finding> {
     let of_calls = evidence.calls.iter();
     let mut findings: Vec<Finding> = of_calls
-        .flat_map(|call| [cut(evidence, call), drained(evidence, call)])
+        .flat_map(|call| {
+            let evacuated = evacuated(evidence, call);
+            [cut(evidence, call), drained(evidence, call), evacuated]
+        })
         .flatten()
         .collect();
     findings.extend(lives(evidence));
+    findings.extend(evidence.cold.iter().filter_map(|c| overrun(evidence, c)));
     findings
 }
 
+/// A cold upstream is given no more in a second than it bears, by all VMs together, from
+/// when they may have heard that it is cold.
+fn overrun(evidence: &Evidence, cold: &TurnedCold) -> Option<Finding> {
+    let heard = cold.from + CONTACT;
+    let all = evidence.runs.values().flatten();
+    let mut arrived: Vec<Instant> = all
+        .filter(|r| r.upstream == cold.upstream)
+        .map(|r| r.arrival.at)
+        .filter(|at| *at > heard && *at < cold.until)
+        .collect();
+    arrived.sort_unstable();
+    let most = (COLD_RATE * COLD_OVER + COLD_MORE) as usize;
+    let too_many = arrived
+        .windows(most + 1)
+        .any(|w| w[most] < w[0] + Duration::from_secs(1));
+    (evidence.timed && too_many).then(|| Finding {
+        promise: BEARABLE,
+        request: None,
+        seen: format!("{} got more than {most} in a second", cold.upstream),
+    })
+}
+
 /// While only planned work is done, what reached an upstream is answered whole.
 fn cut(evidence: &Evidence, call: &Call) -> Option<Finding> {
     let lost = match &call.told {
@@ -57,6 +93,26 @@
     alone.then(|| Finding::of(NO_NEW_WORK, &call.id, format!("sent to {}", late.upstream)))
 }
 
+/// A VM in touch sends nothing to a failure domain that is evacuated.
+fn evacuated(evidence: &Evidence, call: &Call) -> Option<Finding> {
+    if !evidence.timed {
+        return None;
+    }
+    let late = evidence.runs_of(&call.id).iter().find(|r| {
+        let at = r.arrival.at;
+        let bound = |e: &&Evacuated| {
+            let lasts = e.until.is_none_or(|until| at < until);
+            e.domain == r.failure_domain && at > e.from + EVACUATE + TO_ARRIVE && lasts
+        };
+        evidence.evacuations.iter().any(|e| bound(&e))
+    })?;
+    let alone = evidence.left_alone(call, CONTACT + EVACUATE);
+    alone.then(|| {
+        let seen = format!("sent to {} in {}", late.upstream, late.failure_domain);
+        Finding::of(EMPTIED, &call.id, seen)
+    })
+}
+
 fn lives(evidence: &Evidence) -> Vec<Finding> {
     let of_vm = |(name, ended): &(String, Vec<EndedBy>)| {
         let wrong = ended.iter().find(|e| match e {
--- a/trouttrack_soak/src/faults/carry_out.rs
+++ b/trouttrack_soak/src/faults/carry_out.rs
@@ -73,6 +73,8 @@
             Act::Misbehave(place) => upstreams::misbehave(&bed.upstreams, place, rng),
             Act::Configure => bed.put_config(Configs::next),
             Act::Revoke => bed.put_config(Configs::revoke),
+            Act::Evacuate(domain) => bed.evacuate(domain, step.lasts).await,
+            Act::TurnCold(place) => bed.turn_cold(place, step.lasts).await,
         }
     }
 
--- a/trouttrack_soak/src/plan/act.rs
+++ b/trouttrack_soak/src/plan/act.rs
@@ -75,6 +75,10 @@
     Configure,
     /// A key is taken away.
     Revoke,
+    /// A failure domain is evacuated while it lasts.
+    Evacuate(&'static str),
+    /// An upstream turns cold while it lasts.
+    TurnCold(usize),
 }
 
 impl Act {
@@ -83,7 +87,13 @@
     pub fn is_planned(self) -> bool {
         matches!(
             self,
-            Self::Stop(_) | Self::Reload(_) | Self::Leave(_) | Self::Configure | Self::Revoke
+            Self::Stop(_)
+                | Self::Reload(_)
+                | Self::Leave(_)
+                | Self::Configure
+                | Self::Revoke
+                | Self::Evacuate(_)
+                | Self::TurnCold(_)
         )
     }
 }
--- a/trouttrack_soak/src/plan/draw.rs
+++ b/trouttrack_soak/src/plan/draw.rs
@@ -3,6 +3,7 @@
 
 use super::act::{Act, LinkFault, Place, StoreFailure};
 use super::size::Size;
+use crate::bed::DOMAINS;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::ops::Range;
@@ -19,6 +20,13 @@
 /// The share of plans that hold planned work only: what it must not cut off can
 /// be judged only where nothing else is amiss.
 const PLANNED_ONLY: f64 = 0.3;
+/// Taken with the seed for what is drawn by itself.
+const BESIDE: u64 = 0xe7ac;
+/// The most of that in a plan.
+const MOST_BESIDE: usize = 3;
+/// How long it lasts, in seconds: longer than the bound within which an evacuation is in
+/// force.
+const LASTS_BESIDE: Range<f64> = 2.5..7.0;
 /// How long bytes are delayed, in milliseconds.
 const DELAY_MS: Range<u64> = 5..400;
 
@@ -66,10 +74,31 @@
             }
             at += Duration::from_secs_f64(rng.random_range(GAP));
         }
+        steps.extend(beside(seed, size, ends));
+        steps.sort_by_key(|s| s.at);
         Self { steps }
     }
 }
 
+/// Evacuations and upstreams that turn cold, drawn by themselves: a seed that broke a
+/// promise before there were any gives the same other steps as then.
+fn beside(seed: u64, size: Size, ends: Duration) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ BESIDE);
+    let mut steps = Vec::new();
+    let most = ends.as_secs_f64().max(SETTLE.as_secs_f64() + GAP.end);
+    for _ in 0..rng.random_range(0..=MOST_BESIDE) {
+        let at = Duration::from_secs_f64(rng.random_range(SETTLE.as_secs_f64()..most));
+        let lasts = Duration::from_secs_f64(rng.random_range(LASTS_BESIDE));
+        let act = match rng.random_bool(0.5) {
+            true => Act::Evacuate(DOMAINS[rng.random_range(0..DOMAINS.len())]),
+            false => Act::TurnCold(rng.random_range(0..2 * size.upstreams)),
+        };
+        let lasts = lasts.min(ends.saturating_sub(at));
+        steps.push(Step { at, lasts, act });
+    }
+    steps
+}
+
 /// Any act. A VM and an upstream are drawn first, whether or not it needs them.
 fn act(rng: &mut SmallRng, size: Size) -> Act {
     let vm = rng.random_range(0..size.vms);
--- a/trouttrack_soak/src/vm/settings.rs
+++ b/trouttrack_soak/src/vm/settings.rs
@@ -2,7 +2,7 @@
 
 use super::ports::Ports;
 use super::supervisor::GRACE;
-use crate::check::{RETRY_EXTRA, RETRY_RATIO};
+use crate::check::{EVACUATE, RETRY_EXTRA, RETRY_RATIO};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,8 +19,9 @@
         "[vm]\nname = {name}\nfailure_domain = a\n[log]\nformat = json\n\
          [platform]\nurl = http://{store}\n\
          [front]\nlisten = {callers}\nready = {ready}\nmetrics = {metrics}\npeers = {peers}\n\
-         [bounds]\nrevoke = {}ms\ngrace = {}s\n[retry]\nratio = {RETRY_RATIO}\nextra = {RETRY_EXTRA}\n",
+         [bounds]\nrevoke = {}ms\nevacuate = {}ms\ngrace = {}s\n[retry]\nratio = {RETRY_RATIO}\nextra = {RETRY_EXTRA}\n",
         revoke.as_millis(),
+        EVACUATE.as_millis(),
         GRACE.as_secs(),
     )
 }
--- a/trouttrack_soak/tests/soak/check.rs
+++ b/trouttrack_soak/tests/soak/check.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 use trouttrack_platform_standin::{Arrival, Reply};
-use trouttrack_soak::bed::{EVENTS, Key, LASTING_KEY, ORGANISATION, RouteName};
+use trouttrack_soak::bed::{
+    EVENTS, Evacuated, Key, LASTING_KEY, ORGANISATION, RouteName, TurnedCold,
+};
 use trouttrack_soak::callers::{Call, Told};
 use trouttrack_soak::check::{Evidence, Run, check};
 use trouttrack_soak::faults::{Disturbance, History};
@@ -40,6 +42,7 @@
 fn run(id: &str, route: RouteName, upstream: &str, at: Instant) -> Run {
     Run {
         upstream: upstream.to_owned(),
+        failure_domain: "a".to_owned(),
         service: "quotes".to_owned(),
         arrival: Arrival {
             at,
@@ -69,6 +72,8 @@
         calls,
         runs,
         left: HashMap::new(),
+        evacuations: Vec::new(),
+        cold: Vec::new(),
         versions: Vec::new(),
         passing_keys: Vec::new(),
         lives: Vec::new(),
@@ -294,3 +299,58 @@
         ["an accepted configuration is in force within seconds"]
     );
 }
+
+#[test]
+fn work_for_an_evacuated_domain_is_found() {
+    let at = Instant::now();
+    let told = |sent| {
+        call(
+            "r1",
+            RouteName::Many,
+            sent,
+            reply(200, "r1", Some("u1"), &body("r1", RouteName::Many)),
+        )
+    };
+    let with = |from, until| {
+        let mut seen = evidence(vec![told(at)], vec![run("r1", RouteName::Many, "u1", at)]);
+        seen.evacuations.push(Evacuated {
+            domain: "a",
+            from,
+            until,
+        });
+        check(&seen).len()
+    };
+    assert_eq!(with(at - 10 * SECOND, None), 1);
+    // Within the bound, after it was taken back.
+    assert_eq!(with(at - SECOND, None), 0);
+    assert_eq!(with(at - 10 * SECOND, Some(at - SECOND)), 0);
+}
+
+#[test]
+fn a_cold_upstream_that_gets_too_much_is_found() {
+    let at = Instant::now();
+    let with = |requests: usize| {
+        let ids: Vec<String> = (0..requests).map(|n| format!("r{n}")).collect();
+        let runs = ids
+            .iter()
+            .map(|id| run(id, RouteName::Many, "u1", at))
+            .collect();
+        let told = |id: &String| {
+            call(
+                id,
+                RouteName::Many,
+                at,
+                reply(200, id, Some("u1"), &body(id, RouteName::Many)),
+            )
+        };
+        let mut seen = evidence(ids.iter().map(told).collect(), runs);
+        seen.cold.push(TurnedCold {
+            upstream: "u1".to_owned(),
+            from: at - 10 * SECOND,
+            until: at + 10 * SECOND,
+        });
+        check(&seen).len()
+    };
+    assert_eq!(with(11), 0);
+    assert_eq!(with(12), 1);
+}
