Operators evacuate failure domains by an order of our own interface

Cause: the decision tables could leave out evacuated failure domains, but only the users' platform could ask for it. Change: an evacuation is an entity of the configuration; `evacuate`, `take-back` and `show evacuations` are words of the operators' language. Gateways put it in force with the version, and show its upstreams as getting no new work. One that no upstream stands in is refused. Result: tests of the configuration, the language, the gateway and the controller pass; they were written with the change and were not seen failing.

--- a/trouttrack_config/src/fleet/change.rs
+++ b/trouttrack_config/src/fleet/change.rs
@@ -24,6 +24,8 @@
     Upstream,
     /// A routing rule.
     Rule,
+    /// The evacuation of a failure domain.
+    Evacuation,
 }
 
 impl EntityKind {
@@ -35,6 +37,7 @@
             Self::Organisation => "organisation",
             Self::Upstream => "upstream",
             Self::Rule => "rule",
+            Self::Evacuation => "evacuation",
         }
     }
 }
@@ -199,6 +202,7 @@
         EntityKind::Organisation => new.organisations.retain(|e| e.name != name),
         EntityKind::Upstream => new.upstreams.retain(|e| e.name != name),
         EntityKind::Rule => new.rules.retain(|e| e.name != name),
+        EntityKind::Evacuation => new.evacuations.retain(|e| e.name != name),
     }
     new
 }
@@ -219,6 +223,9 @@
         EntityKind::Rule => only
             .rules
             .extend(fleet.rules.iter().find(|e| e.name == name).cloned()),
+        EntityKind::Evacuation => only
+            .evacuations
+            .extend(fleet.evacuations.iter().find(|e| e.name == name).cloned()),
     }
     sections(&only).into_iter().next()
 }
--- a/trouttrack_config/src/fleet/from_ini.rs
+++ b/trouttrack_config/src/fleet/from_ini.rs
@@ -1,7 +1,8 @@
 //! A fleet as operators write it: one INI section for each entity.
 
 use super::types::{
-    Fleet, Organisation, Priority, Rule, Service, ServiceKind, Target, Upstream, hash_key,
+    Evacuation, Fleet, Organisation, Priority, Rule, Service, ServiceKind, Target, Upstream,
+    hash_key,
 };
 use super::validate::validate;
 use crate::finding::{Finding, FindingKind, Findings};
@@ -89,11 +90,12 @@
         "organisation" => fleet.organisations.push(organisation(&mut r, name)),
         "upstream" => fleet.upstreams.push(upstream(&mut r, name)),
         "rule" => fleet.rules.push(rule(&mut r, name)),
+        "evacuation" => fleet.evacuations.push(evacuation(&mut r, name)),
         _ => r.report(
             FindingKind::UnknownSection,
             "",
             section.line,
-            "a fleet has sections `service NAME`, `organisation NAME`, `upstream NAME` and `rule NAME`"
+            "a fleet has sections `service NAME`, `organisation NAME`, `upstream NAME`, `rule NAME` and `evacuation NAME`"
                 .to_owned(),
         ),
     }
@@ -190,6 +192,11 @@
     }
 }
 
+fn evacuation(r: &mut SectionReader<'_>, name: String) -> Evacuation {
+    r.only(&[]);
+    Evacuation { name }
+}
+
 /// Parses `service`, or `service:weight` separated by commas.
 fn targets(v: &str) -> Result<Vec<Target>, String> {
     v.split(',')
@@ -231,6 +238,9 @@
     for r in &fleet.rules {
         write_rule(&mut out, r);
     }
+    for e in &fleet.evacuations {
+        let _ = write!(out, "[evacuation {}]\n\n", e.name);
+    }
     out
 }
 
--- a/trouttrack_config/src/fleet/mod.rs
+++ b/trouttrack_config/src/fleet/mod.rs
@@ -15,7 +15,8 @@
 pub use from_ini::{from_document, read_file, to_ini};
 pub use parts::{ChangeRef, MAX_PART, Part, PartRef, PartsError, RECENT, Root, join, split};
 pub use types::{
-    Fleet, KeyHash, Organisation, Priority, Rule, Service, ServiceKind, Target, Upstream, hash_key,
+    Evacuation, Fleet, KeyHash, Organisation, Priority, Rule, Service, ServiceKind, Target,
+    Upstream, hash_key,
 };
 pub use validate::validate;
 pub use view::{FleetView, Resolved};
--- a/trouttrack_config/src/fleet/parts.rs
+++ b/trouttrack_config/src/fleet/parts.rs
@@ -1,6 +1,6 @@
 //! The form of a fleet in the platform's service: a root and its parts.
 
-use super::types::{Fleet, Organisation, Rule, Service, Upstream, hex};
+use super::types::{Evacuation, Fleet, Organisation, Rule, Service, Upstream, hex};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -24,7 +24,7 @@
 /// How the root names a part.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartRef {
-    /// `services`, `organisations`, `upstreams` or `rules`.
+    /// `services`, `organisations`, `upstreams`, `rules` or `evacuations`.
     pub kind: String,
     /// The part's hash.
     pub hash: String,
@@ -92,6 +92,7 @@
 const ORGANISATIONS: &str = "organisations";
 const UPSTREAMS: &str = "upstreams";
 const RULES: &str = "rules";
+const EVACUATIONS: &str = "evacuations";
 
 /// Splits a fleet into parts of at most [`MAX_PART`] bytes (or one entity).
 ///
@@ -113,6 +114,7 @@
     split_kind(ORGANISATIONS, &fleet.organisations, &mut refs, &mut parts);
     split_kind(UPSTREAMS, &fleet.upstreams, &mut refs, &mut parts);
     split_kind(RULES, &fleet.rules, &mut refs, &mut parts);
+    split_kind(EVACUATIONS, &fleet.evacuations, &mut refs, &mut parts);
     (refs, parts)
 }
 
@@ -169,6 +171,7 @@
             ORGANISATIONS => fleet.organisations.extend(read::<Organisation>(part)?),
             UPSTREAMS => fleet.upstreams.extend(read::<Upstream>(part)?),
             RULES => fleet.rules.extend(read::<Rule>(part)?),
+            EVACUATIONS => fleet.evacuations.extend(read::<Evacuation>(part)?),
             other => return Err(PartsError::UnknownKind(other.to_owned())),
         }
     }
--- a/trouttrack_config/src/fleet/types.rs
+++ b/trouttrack_config/src/fleet/types.rs
@@ -193,6 +193,14 @@
     pub priority: Option<Priority>,
 }
 
+/// A failure domain whose upstreams get no new work; what runs there ends there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Evacuation {
+    /// The failure domain.
+    pub name: FailureDomain,
+}
+
 /// A whole configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -209,6 +217,9 @@
     /// Routing rules, by name.
     #[serde(default)]
     pub rules: Vec<Rule>,
+    /// Evacuated failure domains, by name.
+    #[serde(default)]
+    pub evacuations: Vec<Evacuation>,
 }
 
 impl Fleet {
@@ -218,5 +229,6 @@
         self.organisations.sort_by(|a, b| a.name.cmp(&b.name));
         self.upstreams.sort_by(|a, b| a.name.cmp(&b.name));
         self.rules.sort_by(|a, b| a.name.cmp(&b.name));
+        self.evacuations.sort_by(|a, b| a.name.cmp(&b.name));
     }
 }
--- a/trouttrack_config/src/fleet/validate.rs
+++ b/trouttrack_config/src/fleet/validate.rs
@@ -1,6 +1,6 @@
 //! Checks a whole fleet, however it was written.
 
-use super::types::{Fleet, Rule, Service, ServiceKind, Upstream};
+use super::types::{Evacuation, Fleet, Rule, Service, ServiceKind, Upstream};
 use crate::finding::{Finding, FindingKind, Findings};
 use std::collections::{HashMap, HashSet};
 
@@ -83,6 +83,8 @@
     c.unique("organisation", organisations.clone());
     c.unique("upstream", fleet.upstreams.iter().map(|u| u.name.as_str()));
     c.unique("rule", fleet.rules.iter().map(|r| r.name.as_str()));
+    let evacuations = fleet.evacuations.iter().map(|e| e.name.as_str());
+    c.unique("evacuation", evacuations);
     let known = Known {
         services: fleet
             .services
@@ -101,9 +103,22 @@
     for r in &fleet.rules {
         check_rule(&mut c, r, &known);
     }
+    for e in &fleet.evacuations {
+        check_evacuation(&mut c, e, fleet);
+    }
     c.findings.into_result(())
 }
 
+/// A name that no upstream stands in is a slip of the pen.
+fn check_evacuation(c: &mut Checker, e: &Evacuation, fleet: &Fleet) {
+    let stands_there = |u: &Upstream| u.failure_domain == e.name;
+    if !fleet.upstreams.iter().any(stands_there) {
+        let message = format!("no upstream stands in `{}`", e.name);
+        let section = format!("evacuation {}", e.name);
+        c.report(FindingKind::MissingReference, section, "name", message);
+    }
+}
+
 fn check_service(c: &mut Checker, s: &Service) {
     let section = || format!("service {}", s.name);
     if s.kind == ServiceKind::Model && s.model.is_empty() {
--- a/trouttrack_config/tests/config/changes.rs
+++ b/trouttrack_config/tests/config/changes.rs
@@ -131,3 +131,19 @@
     assert_eq!(diff(&before, &after)[0].change, DiffKind::Removed);
     assert_eq!(diff(&after, &before)[0].change, DiffKind::Added);
 }
+
+#[test]
+fn a_failure_domain_is_evacuated_and_taken_back() {
+    let evacuate = |name: &str| Change::Create(EntityKind::Evacuation, name.into(), Vec::new());
+    let evacuated = evacuate("a").apply(&base()).unwrap();
+    assert_eq!(evacuated.evacuations[0].name, "a");
+    // Twice, and where nothing stands.
+    assert!(evacuate("a").apply(&evacuated).is_err());
+    assert!(evacuate("b").apply(&base()).is_err());
+    let lines = diff(&base(), &evacuated);
+    assert_eq!(lines[0].entity, "evacuation a");
+    assert_eq!(lines[0].change, DiffKind::Added);
+    let take_back = Change::Delete(EntityKind::Evacuation, "a".into());
+    assert_eq!(take_back.apply(&evacuated).unwrap(), base());
+    assert!(take_back.apply(&base()).is_err());
+}
--- a/trouttrack_config/tests/config/fleets.rs
+++ b/trouttrack_config/tests/config/fleets.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 use trouttrack_config::Findings;
 use trouttrack_config::fleet::{
-    Fleet, FleetView, Organisation, PartsError, Priority, Root, Rule, Service, ServiceKind, Target,
-    Upstream, from_document, hash_key, join, split, to_ini,
+    Evacuation, Fleet, FleetView, Organisation, PartsError, Priority, Root, Rule, Service,
+    ServiceKind, Target, Upstream, from_document, hash_key, join, split, to_ini,
 };
 use trouttrack_config::ini::Document;
 use trouttrack_core::request::Delivery;
@@ -117,6 +117,7 @@
                 to: vec![Target { service: name(i % services), weight: 1 + u32::from(i) }],
                 priority: (i % 2 == 1).then_some(Priority::High),
             }).collect(),
+            evacuations: (0..upstreams % 2).map(|_| Evacuation { name: "a".into() }).collect(),
         };
         fleet.sort();
         fleet
--- a/trouttrack_controller/src/http/command.rs
+++ b/trouttrack_controller/src/http/command.rs
@@ -97,7 +97,9 @@
         | Command::Set(..)
         | Command::Delete(..)
         | Command::Drain(_)
-        | Command::Undrain(_) => {
+        | Command::Undrain(_)
+        | Command::Evacuate(_)
+        | Command::TakeBack(_) => {
             operator(shared, req, Role::Operator)?;
             let summary = command.to_string();
             let change = to_change(command);
@@ -174,6 +176,8 @@
         Command::Delete(kind, name) => Change::Delete(entity_kind(kind), name),
         Command::Drain(name) => draining(name, true),
         Command::Undrain(name) => draining(name, false),
+        Command::Evacuate(name) => Change::Create(EntityKind::Evacuation, name, Vec::new()),
+        Command::TakeBack(name) => Change::Delete(EntityKind::Evacuation, name),
         Command::Show(_)
         | Command::Watch(_)
         | Command::Why(_)
--- a/trouttrack_controller/src/tables/mod.rs
+++ b/trouttrack_controller/src/tables/mod.rs
@@ -58,7 +58,12 @@
         Table::Requests => Ok(requests(gateways).await),
         Table::Leases => leases(store).await,
         Table::Upstreams => upstreams(store, gateways).await,
-        Table::Services | Table::Organisations | Table::Rules | Table::Config | Table::History => {
+        Table::Services
+        | Table::Organisations
+        | Table::Rules
+        | Table::Evacuations
+        | Table::Config
+        | Table::History => {
             let current = Current::best(store, gateways).await?;
             Ok(Rows {
                 rows: configured(table, &current),
@@ -74,6 +79,7 @@
         Table::Services => fleet.services.iter().map(row).collect(),
         Table::Organisations => fleet.organisations.iter().map(organisation).collect(),
         Table::Rules => fleet.rules.iter().map(row).collect(),
+        Table::Evacuations => fleet.evacuations.iter().map(row).collect(),
         Table::History => current.stored.root.recent.iter().map(row).collect(),
         _ => {
             let root = &current.stored.root;
@@ -86,6 +92,7 @@
                 "organisations": fleet.organisations.len(),
                 "upstreams": fleet.upstreams.len(),
                 "rules": fleet.rules.len(),
+                "evacuations": fleet.evacuations.len(),
             }))]
         }
     }
--- a/trouttrack_controller/tests/controller/queries.rs
+++ b/trouttrack_controller/tests/controller/queries.rs
@@ -81,3 +81,19 @@
     assert!(text.contains("gets no new work"), "{text}");
     assert_eq!(bed.say("why upstream nobody").await.0, 404);
 }
+
+#[actix_rt::test]
+async fn an_evacuation_is_an_order_that_is_shown() {
+    let bed = Bed::serving(1, 1).await;
+    let _engine = bed.engine().await;
+    let (_, shown) = bed.say("show upstreams").await;
+    let domain = shown["rows"][0]["failure_domain"].as_str().unwrap();
+    bed.change(&format!("evacuate {domain}")).await;
+    let (_, evacuated) = bed.say("show evacuations").await;
+    assert_eq!(evacuated["rows"][0]["name"], domain, "{evacuated}");
+    let (_, why) = bed.say("why upstream engine-1").await;
+    assert!(why["findings"].to_string().contains("gets no new work"));
+    bed.change(&format!("take-back {domain}")).await;
+    let (_, evacuated) = bed.say("show evacuations").await;
+    assert_eq!(evacuated["rows"].as_array().map(Vec::len), Some(0));
+}
--- a/trouttrack_gateway/src/app/shared.rs
+++ b/trouttrack_gateway/src/app/shared.rs
@@ -137,7 +137,10 @@
         };
         let view = FleetView::new(bundle.root.clone(), fleet);
         let version = view.version();
-        self.dispatcher.do_send(Configure(view.specs()));
+        self.dispatcher.do_send(Configure {
+            specs: view.specs(),
+            evacuations: view.evacuations(),
+        });
         self.view.store(Arc::new(view));
         self.bundle.store(Some(Arc::new(bundle)));
         self.metrics.config_version.set(version as i64);
--- a/trouttrack_gateway/src/dispatch/actor.rs
+++ b/trouttrack_gateway/src/dispatch/actor.rs
@@ -197,7 +197,8 @@
     type Result = ();
 
     fn handle(&mut self, msg: Configure, cx: &mut Context<Self>) {
-        self.world.configure(msg.0);
+        self.world.configure(msg.specs);
+        self.world.set_evacuations(msg.evacuations);
         self.tick_soon(cx);
     }
 }
@@ -273,7 +274,7 @@
                 own_running: u.own_running as u32,
                 running: u.estimated_running() as u32,
                 fill: u.peak_tokens(None) / capacity,
-                leaving: u.leaving,
+                leaving: u.leaving || u.evacuated,
                 circuit: match u.circuit.state(now) {
                     CircuitState::Closed => "closed",
                     CircuitState::Open => "open",
--- a/trouttrack_gateway/src/dispatch/messages.rs
+++ b/trouttrack_gateway/src/dispatch/messages.rs
@@ -4,7 +4,7 @@
 use actix::Message;
 use std::time::Duration;
 use tokio::sync::oneshot;
-use trouttrack_core::membership::UpstreamUse;
+use trouttrack_core::membership::{Evacuations, UpstreamUse};
 use trouttrack_core::routing::Explanation;
 use trouttrack_core::upstream::{Report, Spec};
 use trouttrack_core::world::{NotRunReason, RequestKey, Submission};
@@ -47,7 +47,12 @@
 /// A new configuration's upstreams.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
-pub struct Configure(pub Vec<Spec>);
+pub struct Configure {
+    /// The upstreams.
+    pub specs: Vec<Spec>,
+    /// The failure domains whose upstreams get no new work.
+    pub evacuations: Evacuations,
+}
 
 /// An upstream's load report.
 #[derive(Debug, Message)]
--- a/trouttrack_gateway/tests/gateway/leaving.rs
+++ b/trouttrack_gateway/tests/gateway/leaving.rs
@@ -2,6 +2,7 @@
 //! runs there goes on.
 
 use crate::support::{Bed, until};
+use trouttrack_config::fleet::Evacuation;
 use trouttrack_standin::platform::{PlatformFault, PlatformFaultKind, VmEntry, VmState};
 
 async fn gets_no_new_work(bed: &Bed) {
@@ -72,6 +73,27 @@
     assert_eq!(bed.engines[0].state.ledger().len(), before + 1);
 }
 
+#[actix_web::test]
+async fn by_an_evacuation_of_its_failure_domain() {
+    let bed = Bed::new(1).await;
+    let mut fleet = bed.fleet();
+    let name = fleet.upstreams[0].failure_domain.clone();
+    fleet.evacuations.push(Evacuation { name });
+    let version = bed.configure(&fleet).await;
+    let shared = bed.gateways[0].shared.clone();
+    until("the configuration is in force", || {
+        shared.view().version() == version
+    })
+    .await;
+    gets_no_new_work(&bed).await;
+    fleet.evacuations.clear();
+    let version = bed.configure(&fleet).await;
+    until("it is taken back", || shared.view().version() == version).await;
+    let before = bed.engines[0].state.ledger().len();
+    bed.ask("stream-many", "work again", 3).await;
+    assert_eq!(bed.engines[0].state.ledger().len(), before + 1);
+}
+
 /// With the platform down, a peer's word is enough.
 #[actix_web::test]
 async fn by_a_peer() {
--- a/trouttrack_language/src/command.rs
+++ b/trouttrack_language/src/command.rs
@@ -47,6 +47,10 @@
         Drain = "drain",
         /// Work again.
         Undrain = "undrain",
+        /// No new work for a failure domain.
+        Evacuate = "evacuate",
+        /// Work again for it.
+        TakeBack = "take-back",
         /// Compare versions.
         Diff = "diff",
         /// Go back to a version.
@@ -71,6 +75,8 @@
         Requests = "requests",
         /// Leases and their holders.
         Leases = "leases",
+        /// Evacuated failure domains.
+        Evacuations = "evacuations",
         /// The configuration's version and who made it.
         Config = "config",
         /// The last changes.
@@ -129,6 +135,10 @@
     Drain(String),
     /// Give an upstream work again.
     Undrain(String),
+    /// Give the upstreams of a failure domain no new work.
+    Evacuate(String),
+    /// Give them work again.
+    TakeBack(String),
     /// What changed from one version to another (or to now).
     Diff(u64, Option<u64>),
     /// Put an earlier version in force, as a new one.
@@ -154,6 +164,8 @@
             | Self::Delete(..)
             | Self::Drain(_)
             | Self::Undrain(_)
+            | Self::Evacuate(_)
+            | Self::TakeBack(_)
             | Self::Undo(_) => true,
         }
     }
@@ -187,6 +199,8 @@
             Self::Delete(kind, name) => write!(f, "delete {kind} {name}"),
             Self::Drain(name) => write!(f, "drain {name}"),
             Self::Undrain(name) => write!(f, "undrain {name}"),
+            Self::Evacuate(name) => write!(f, "evacuate {name}"),
+            Self::TakeBack(name) => write!(f, "take-back {name}"),
             Self::Diff(from, None) => write!(f, "diff {from}"),
             Self::Diff(from, Some(to)) => write!(f, "diff {from} {to}"),
             Self::Undo(version) => write!(f, "undo {version}"),
--- a/trouttrack_language/src/parser/grammar.rs
+++ b/trouttrack_language/src/parser/grammar.rs
@@ -102,6 +102,8 @@
         Verb::Delete => delete(input),
         Verb::Drain => upstream_name.map(Command::Drain).parse_next(input),
         Verb::Undrain => upstream_name.map(Command::Undrain).parse_next(input),
+        Verb::Evacuate => then(name).map(Command::Evacuate).parse_next(input),
+        Verb::TakeBack => then(name).map(Command::TakeBack).parse_next(input),
         Verb::Diff => diff(input),
         Verb::Undo => then(number).map(Command::Undo).parse_next(input),
     }
