VMs that hear few of their peers leave room for chance at cold upstreams

Cause: a drawn fleet of 64 VMs out of touch handed 37 requests in a second to one cold upstream that bears 35: even shares of the rate add up to 26 in the mean and to more by chance. Change: a VM that hears none of its peers takes half of its even share, and more the more of them it hears.

--- a/trouttrack_core/src/upstream/cold.rs
+++ b/trouttrack_core/src/upstream/cold.rs
@@ -21,6 +21,10 @@
 /// leave it to them: at most one and a half times the rate in any second.
 const ELSEWHERE: f64 = 0.5;
 
+/// The part of an even share that VMs use that hear none of their peers: what they hand
+/// over adds up by chance, and 37 came in a second where 26 were meant and 35 are borne.
+const CHANCE: f64 = 0.5;
+
 /// The parts of a cold upstream's rate that this VM and the peers that it hears may use
 /// together.
 ///
@@ -33,7 +37,7 @@
 /// assert_eq!((share.near, share.far), (1.0, 0.125));
 /// // One that hears nobody takes what is safe if all others do the same.
 /// let share = ColdShare::of(1, 16, 64);
-/// assert_eq!(share.near, 0.0625);
+/// assert_eq!(share.near, 0.033203125);
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdShare {
@@ -51,9 +55,10 @@
         let heard = heard.max(1) as f64;
         let near = (near as f64).max(heard);
         let all = (all as f64).max(near);
+        let certain = CHANCE + (1.0 - CHANCE) * heard / near;
         Self {
-            near: heard / near,
-            far: heard / all * ELSEWHERE,
+            near: heard / near * certain,
+            far: heard / all * ELSEWHERE * certain,
         }
     }
 }
--- a/trouttrack_core/tests/core/cold.rs
+++ b/trouttrack_core/tests/core/cold.rs
@@ -168,6 +168,7 @@
                 upstream: id.clone(),
                 running: 0,
                 peak_tokens: 0,
+                held_tokens: 0,
                 loading_tokens: 0,
                 lost_ms: None,
                 cold_starts: *starts,
@@ -192,7 +193,12 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(24))]
+    #![proptest_config(ProptestConfig {
+        cases: 48,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_202),
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn no_upstream_is_given_more_than_it_bears(
@@ -210,6 +216,24 @@
     }
 }
 
+/// What was drawn once, and broke the bound with 37 in a second: out of touch, an even
+/// share for each VM adds up to more by chance.
+#[test]
+fn vms_out_of_touch_leave_room_for_chance() {
+    let fleet = Fleet {
+        domains: 4,
+        vms: 16,
+        upstreams: 6,
+        in_touch: false,
+        loss: 0.0,
+        asked: 304.827_684_431_297_8,
+    };
+    for seed in 70..90 {
+        let most = most_in_a_second(&Play::new(fleet, seed).run(Duration::from_secs(6)));
+        assert!(most <= bound(), "{most} in a second with seed {seed}");
+    }
+}
+
 /// The part of the rate that is used by a fleet that has few cold upstreams and far more
 /// requests than they bear.
 fn used(domains: usize, vms: usize) -> f64 {
