An upstream that turns cold is logged; the gateway's tests of leaving share their steps

Cause: that a known upstream says that it is cold changes a belief and left no line; two tests wrote the same steps.

--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::watch;
 use trouttrack_core::fleet::RouteTable;
 use trouttrack_core::membership::Entries;
@@ -138,7 +139,7 @@
         let known = self.get(id);
         let upstream = match known.filter(|u| u.addr == entry.addr && u.service == entry.service) {
             Some(known) => {
-                known.warm_at.set(self.clock.now() + entry.cold_for);
+                self.note_cold(&known, entry.cold_for);
                 known
             }
             None => self.add(id, revision, entry),
@@ -146,6 +147,19 @@
         (leaving && self.depart(&upstream, self.noticed(), "announced")).then_some(upstream)
     }
 
+    /// Notes for how long a known upstream is cold: it may turn cold at any time, and
+    /// warm before its time.
+    fn note_cold(&self, upstream: &Upstream, cold_for: Duration) {
+        upstream.warm_at.set(self.clock.now() + cold_for);
+        if !cold_for.is_zero() {
+            record!(
+                events::UPSTREAM_COLD,
+                upstream = upstream.id.as_str(),
+                cold_ms = cold_for.as_millis() as u64,
+            );
+        }
+    }
+
     /// Puts an upstream in the table: it is new, or its address or service has
     /// changed.
     fn add(&self, id: &str, revision: u64, entry: UpstreamEntry) -> Rc<Upstream> {
--- a/trouttrack_gateway/tests/gateway/leaving.rs
+++ b/trouttrack_gateway/tests/gateway/leaving.rs
@@ -2,7 +2,7 @@
 //! runs there goes on.
 
 use crate::support::{Bed, until};
-use trouttrack_config::fleet::Evacuation;
+use trouttrack_config::fleet::{Evacuation, Fleet};
 use trouttrack_standin::platform::{PlatformFault, PlatformFaultKind, VmEntry, VmState};
 
 async fn gets_no_new_work(bed: &Bed) {
@@ -14,6 +14,21 @@
     assert_eq!(bed.engines[0].state.ledger().len(), before);
 }
 
+async fn gets_work_again(bed: &Bed) {
+    let before = bed.engines[0].state.ledger().len();
+    bed.ask("stream-many", "work again", 3).await;
+    assert_eq!(bed.engines[0].state.ledger().len(), before + 1);
+}
+
+async fn put_in_force(bed: &Bed, fleet: &Fleet) {
+    let version = bed.configure(fleet).await;
+    let shared = bed.gateways[0].shared.clone();
+    until("the configuration is in force", || {
+        shared.view().version() == version
+    })
+    .await;
+}
+
 async fn known_at(bed: &Bed, gateway: usize) {
     let shared = bed.gateways[gateway].shared.clone();
     until("the gateway knows", || {
@@ -58,19 +73,11 @@
     let bed = Bed::new(1).await;
     let mut fleet = bed.fleet();
     fleet.upstreams[0].draining = true;
-    let version = bed.configure(&fleet).await;
-    let shared = bed.gateways[0].shared.clone();
-    until("the configuration is in force", || {
-        shared.view().version() == version
-    })
-    .await;
+    put_in_force(&bed, &fleet).await;
     gets_no_new_work(&bed).await;
     fleet.upstreams[0].draining = false;
-    let version = bed.configure(&fleet).await;
-    until("it is taken back", || shared.view().version() == version).await;
-    let before = bed.engines[0].state.ledger().len();
-    bed.ask("stream-many", "work again", 3).await;
-    assert_eq!(bed.engines[0].state.ledger().len(), before + 1);
+    put_in_force(&bed, &fleet).await;
+    gets_work_again(&bed).await;
 }
 
 #[actix_web::test]
@@ -79,19 +86,11 @@
     let mut fleet = bed.fleet();
     let name = fleet.upstreams[0].failure_domain.clone();
     fleet.evacuations.push(Evacuation { name });
-    let version = bed.configure(&fleet).await;
-    let shared = bed.gateways[0].shared.clone();
-    until("the configuration is in force", || {
-        shared.view().version() == version
-    })
-    .await;
+    put_in_force(&bed, &fleet).await;
     gets_no_new_work(&bed).await;
     fleet.evacuations.clear();
-    let version = bed.configure(&fleet).await;
-    until("it is taken back", || shared.view().version() == version).await;
-    let before = bed.engines[0].state.ledger().len();
-    bed.ask("stream-many", "work again", 3).await;
-    assert_eq!(bed.engines[0].state.ledger().len(), before + 1);
+    put_in_force(&bed, &fleet).await;
+    gets_work_again(&bed).await;
 }
 
 /// With the platform down, a peer's word is enough.
--- a/trouttrack_telemetry/src/events/catalogue.rs
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -87,4 +87,5 @@
     WATCH_LEFT = 106, Info, "watch-left", "This VM leaves the watch to another one of its failure domain, or stops.";
     EVACUATED = 107, Info, "evacuated", "A failure domain is evacuated: its upstreams get no new work from this VM until that is taken back. What runs there ends there. Names the store's revision and whether the store or a peer said so.";
     TAKEN_BACK = 108, Info, "taken-back", "A failure domain is no longer evacuated; its upstreams get work again.";
+    UPSTREAM_COLD = 109, Info, "upstream-cold", "An upstream that is known says that it is cold from now on: it gets no more than its service's rate until then, over all VMs.";
 }
