A test of lookups told from elsewhere, known to be red

Cause: a VM elsewhere tells the lookups that it has running beside its generations, and not that they have ended. Result: the test fails with 0 of 1 placed; program code is unchanged.

--- a/trouttrack_core/tests/core/known_load.rs
+++ b/trouttrack_core/tests/core/known_load.rs
@@ -148,3 +148,24 @@
     let row = world.upstreams.get_by_id("e1").expect("a row");
     assert!((row.peak_tokens(None) - 8_750.0).abs() < 1e-9);
 }
+
+/// Long after a lookup of some 30 ms, and before its VM says anything again.
+const LOOKUP_IS_OVER: Duration = Duration::from_millis(200);
+
+#[test]
+fn lookups_told_from_elsewhere_do_not_keep_an_upstream_closed() {
+    let slots = 6;
+    let mut world = world("trouttrack", vec![spec("p", HOME, 0, slots)]);
+    let lookups = UpstreamUse {
+        peak_tokens: 0,
+        held_tokens: 0,
+        loading_tokens: 0,
+        ..use_of("p", slots as u32)
+    };
+    world.peer_uses(NOW, "far", OTHER, &[lookups]);
+    let later = NOW + LOOKUP_IS_OVER;
+    let mut wanted = submission("r", "o", 2);
+    wanted.prompt_tokens = 0;
+    world.submit(later, wanted);
+    assert_eq!(placed(&world.tick(later)).len(), 1);
+}
