A failed attempt names the request by its fingerprint

Cause: the lines name a request by the id of one arrival, so two arrivals of the same request cannot be told from two requests, and whether an upstream ended under one request or under whatever it had cannot be read. Change: attempt-failed carries a digest of method, host, path, query, organisation and body where the request may have run, how long the upstream had it and its events; an address at which nobody listens is told from a connection that does not come up. No decision reads it.

--- a/trouttrack_core/src/ids.rs
+++ b/trouttrack_core/src/ids.rs
@@ -16,6 +16,8 @@
 pub type RequestId = String;
 /// The id that the gateway gives to one hand-over; an upstream runs it at most once.
 pub type StreamId = String;
+/// What two arrivals of the same request have in common, whatever their ids.
+pub type Fingerprint = u128;
 /// The engine's number for one generation of one answer.
 pub type Generation = u64;
 /// Zero-based position of a token in its generation.
--- a/trouttrack_core/src/lib.rs
+++ b/trouttrack_core/src/lib.rs
@@ -33,7 +33,7 @@
 mod debug_asserts;
 
 pub use ids::{
-    ConfigVersion, FailureDomain, Generation, OrganisationId, RequestId, ServiceId, StreamId, Time,
-    TokenIndex, UpstreamId,
+    ConfigVersion, FailureDomain, Fingerprint, Generation, OrganisationId, RequestId, ServiceId,
+    StreamId, Time, TokenIndex, UpstreamId,
 };
 pub use outcome::Outcome;
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -1,9 +1,11 @@
 //! One hand-over of a request to an upstream, up to the head of the answer.
 
+use super::fingerprint::fingerprint;
 use crate::caller::Admitted;
 use crate::state::{Front, Upstream};
 use bytes::Bytes;
 use std::time::Duration;
+use trouttrack_core::Time;
 use trouttrack_core::request::Failure;
 use trouttrack_http::{AnswerBody, Reuse, SendError, SendErrorKind};
 use trouttrack_platform::{AnswerHead, Handover};
@@ -43,6 +45,19 @@
     }
 }
 
+/// An attempt that has failed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Attempt<'a> {
+    /// Where it was made.
+    pub(crate) upstream: &'a str,
+    /// The request's body.
+    pub(crate) body: &'a Bytes,
+    /// When it was handed over.
+    pub(crate) began_at: Time,
+    /// Events of the stream that were passed on by then, also from earlier attempts.
+    pub(crate) events: u64,
+}
+
 /// Why an attempt gave no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct AttemptFailure {
@@ -62,14 +77,22 @@
         self.reason == ENDED_UNANSWERED
     }
 
-    /// Logs and counts the failure.
-    pub(crate) fn report(&self, front: &Front, admitted: &Admitted, upstream: &str, then: &str) {
+    /// Logs and counts the failure. What may have run is named by its fingerprint, so that
+    /// it is known again when it comes back.
+    pub(crate) fn report(&self, front: &Front, admitted: &Admitted, attempt: &Attempt<'_>) {
+        let may_have_run = matches!(self.failure, Failure::Lost | Failure::Aborted);
+        let fingerprint = may_have_run.then(|| fingerprint(admitted, attempt.body));
+        let fingerprint = fingerprint.map(|f| format!("{f:032x}"));
+        let held = front.clock.now().saturating_sub(attempt.began_at);
         record!(
             events::ATTEMPT_FAILED,
             request = admitted.head.id.as_str(),
-            upstream = upstream,
+            upstream = attempt.upstream,
             reason = self.reason,
-            then = then,
+            then = "retry rule",
+            fingerprint = fingerprint.as_deref(),
+            events = attempt.events,
+            held_ms = held.as_millis() as u64,
         );
         let result = match self.failure {
             Failure::NotConnected => "not-connected",
@@ -145,9 +168,13 @@
 fn failed(e: &SendError) -> AttemptFailure {
     log::debug!("{e}");
     match e.kind {
-        SendErrorKind::NotConnected | SendErrorKind::NobodyThere => {
+        SendErrorKind::NotConnected => {
             AttemptFailure::new(Failure::NotConnected, "no connection to the upstream")
         }
+        SendErrorKind::NobodyThere => AttemptFailure::new(
+            Failure::NotConnected,
+            "nobody listens at the upstream's address",
+        ),
         SendErrorKind::Garbled => AttemptFailure::new(Failure::Lost, "the answer is not HTTP"),
         _ => AttemptFailure::new(Failure::Lost, ENDED_UNANSWERED),
     }
--- a/trouttrack_front/src/request/mod.rs
+++ b/trouttrack_front/src/request/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod end;
 mod events;
+mod fingerprint;
 pub(crate) mod plain;
 mod retry;
 pub(crate) mod stream;
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -1,6 +1,6 @@
 //! A plain call: one answer, taken whole before it is passed on.
 
-use super::attempt::{AttemptFailure, handover, send};
+use super::attempt::{Attempt, AttemptFailure, handover, send};
 use super::end::{Answered, End, answered};
 use super::retry::{Attempts, is_attempt};
 use super::submission::submission;
@@ -139,7 +139,13 @@
         self.placed_at = self.front.clock.now();
         let outcome = self.exchange(&upstream).await;
         if let Err(failure) = &outcome {
-            failure.report(self.front, self.admitted, &upstream.id, "retry rule");
+            let attempt = Attempt {
+                upstream: &upstream.id,
+                body: &self.body,
+                began_at: self.placed_at,
+                events: 0,
+            };
+            failure.report(self.front, self.admitted, &attempt);
         }
         if let Some(ticket) = self.handed_over.take() {
             account(&outcome, &ticket);
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -6,7 +6,7 @@
 use super::source::Source;
 use crate::caller::Admitted;
 use crate::request::EventReader;
-use crate::request::attempt::{AttemptFailure, handover};
+use crate::request::attempt::{Attempt, AttemptFailure, handover};
 use crate::request::end::End;
 use crate::request::retry::Attempts;
 use crate::request::submission::{is_short, submission};
@@ -40,6 +40,8 @@
     avoid: Vec<UpstreamId>,
     /// The upstream that has the request now, or had it last.
     pub(super) at: UpstreamId,
+    /// When that upstream was given it.
+    began_at: Time,
     /// The attempts so far.
     pub(super) attempts: Attempts,
     /// An upstream may have begun to run it.
@@ -75,6 +77,7 @@
             reader: EventReader::default(),
             avoid: Vec::new(),
             at: UpstreamId::new(),
+            began_at: Time::ZERO,
             attempts: Attempts::default(),
             may_have_run: false,
             head: None,
@@ -141,6 +144,7 @@
             attempt = self.attempts.sent + 1,
         );
         self.at.clone_from(&upstream.id);
+        self.began_at = self.front.clock.now();
         self.avoid.push(upstream.id.clone());
         let ticket = Rc::new(placed.ticket);
         let outcome = self.stream_from(upstream, &ticket).await;
@@ -153,7 +157,13 @@
         match outcome {
             Ok(()) => ticket.complete(self.tokens()),
             Err(Stopped::Failed(failure)) => {
-                failure.report(&self.front, &self.admitted, &self.at, "retry rule");
+                let attempt = Attempt {
+                    upstream: &self.at,
+                    body: &self.body,
+                    began_at: self.began_at,
+                    events: self.reader.events(),
+                };
+                failure.report(&self.front, &self.admitted, &attempt);
                 match failure.failure {
                     Failure::Refused => {}
                     Failure::NotConnected => ticket.unreachable(),
