--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -8,6 +8,7 @@
 mod moves;
 mod peers;
 mod plain;
+mod repeats;
 mod soak;
 mod stop;
 mod store;
