A request under which three upstreams ended is given to none, on all VMs

Cause: attempts, budget and avoided upstreams belong to one arrival. Change: core remembers by fingerprint which upstreams ended under a request. An end is an attempt that broke off, with nobody listening at the address just after, at an upstream that had not announced that it leaves. From three ends in a row on, with no run that came to its end in between, the request is refused at once as not run, and told when the hold is over ([quarantine] ends, hold). VMs tell each other at once and by a sum in their heartbeats. Property tests of the merged belief.

--- a/trouttrack_config/src/settings/front.rs
+++ b/trouttrack_config/src/settings/front.rs
@@ -6,6 +6,7 @@
 use crate::ini::SectionReader;
 use std::net::SocketAddr;
 use std::time::Duration;
+use trouttrack_core::quarantine::QuarantineSettings;
 use trouttrack_core::routing::{AnyPolicy, Weights};
 
 /// Everything that `trouttrack_front` reads.
@@ -23,6 +24,8 @@
     pub bounds: BoundSettings,
     /// `[retry]`
     pub retry: RetrySettings,
+    /// `[quarantine]`
+    pub quarantine: QuarantineSettings,
     /// `[serving]`
     pub serving: ServingSettings,
     /// `[placement]`
@@ -127,6 +130,15 @@
     }
 }
 
+/// `[quarantine]`: requests that end what runs them.
+fn quarantine(r: &mut SectionReader<'_>) -> QuarantineSettings {
+    let default = QuarantineSettings::default();
+    QuarantineSettings {
+        ends: r.within("ends", default.ends, 0, 1000),
+        hold: r.duration("hold", default.hold),
+    }
+}
+
 /// `[serving]`: policies that can be switched and measured.
 #[derive(Clone, Debug)]
 pub struct ServingSettings {
@@ -204,6 +216,7 @@
             front: s.section("front", ListenSettings::read),
             bounds: s.section("bounds", BoundSettings::read),
             retry: s.section("retry", RetrySettings::read),
+            quarantine: s.section("quarantine", quarantine),
             serving: s.section("serving", ServingSettings::read),
             placement: s.section("placement", weights),
         }
--- a/trouttrack_config/src/settings/keys.rs
+++ b/trouttrack_config/src/settings/keys.rs
@@ -126,6 +126,8 @@
     key("retry", "ratio", "0 to 1", "0.2", FRONT, "Attempts beyond the first that a service may get for each request, all VMs together."),
     key("retry", "extra", "attempts", "20", FRONT, "Attempts beyond the first that a service may get in a window besides, all VMs together."),
     key("retry", "window", "duration", "10s", FRONT, "The sliding window of both."),
+    key("quarantine", "ends", "upstreams", "3", FRONT, "A request under which so many upstreams ended in a row is given to none, on all VMs; 0 switches this off."),
+    key("quarantine", "hold", "duration", "10m", FRONT, "How long that lasts after the last of them ended."),
     key("serving", "policy", "policy", "trouttrack", FRONT, "trouttrack, random, round-robin, least-outstanding or two-choices."),
     key("serving", "tell_changes", "on or off", "on", FRONT, "Whether a change of the own use of upstreams is told at once to all VMs of the failure domain; heartbeats tell it in any case."),
     key("serving", "rescue", "on or off", "on", FRONT, "Whether running generations are moved away from a leaving upstream."),
--- a/trouttrack_core/src/lib.rs
+++ b/trouttrack_core/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`claims`] makes callers' keys run at most once across VMs.
 //! - [`lease`] says when a holder may act.
 //! - [`length`] learns how many tokens remain.
+//! - [`quarantine`] remembers the requests under which upstreams ended.
 //! - [`membership`] merges what peers tell each other.
 
 pub mod claims;
@@ -24,6 +25,7 @@
 pub mod membership;
 pub mod outcome;
 pub mod prefix;
+pub mod quarantine;
 pub mod request;
 pub mod rescue;
 pub mod routing;
--- /dev/null
+++ b/trouttrack_core/src/quarantine/table.rs
@@ -0,0 +1,216 @@
+//! The requests under which upstreams ended.
+
+use super::record::Record;
+use super::settings::QuarantineSettings;
+use super::suspect::Suspect;
+use crate::upstream::Incarnation;
+use crate::{Fingerprint, Time};
+use std::collections::HashMap;
+use std::hash::{Hash, Hasher};
+use std::time::Duration;
+
+/// Requests that are remembered. One takes some 0.3 kB, so all take 0.6 MB; the loss of
+/// a sixth of 122 engines with 24 requests each is remembered whole.
+const MOST_REQUESTS: usize = 2048;
+
+/// A request that no upstream is to run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hold {
+    /// Upstreams that ended under it.
+    pub ends: usize,
+    /// How long it is still held.
+    pub left: Duration,
+}
+
+/// The requests under which upstreams ended.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use trouttrack_core::quarantine::{Quarantine, QuarantineSettings};
+/// use trouttrack_core::upstream::Incarnation;
+///
+/// let mut quarantine = Quarantine::new(QuarantineSettings::default());
+/// let now = Duration::from_secs(1);
+/// for id in ["u1", "u2", "u3"] {
+///     assert!(quarantine.hold(now, 7).is_none());
+///     quarantine.ended(now, 7, &Incarnation::new(id, 0));
+/// }
+/// assert_eq!(quarantine.hold(now, 7).unwrap().ends, 3);
+/// // Another one is not held, although it ran there as well once.
+/// quarantine.ended(now, 8, &Incarnation::new("u1", 0));
+/// assert!(quarantine.hold(now, 8).is_none());
+/// ```
+#[derive(Clone, Debug)]
+pub struct Quarantine {
+    settings: QuarantineSettings,
+    /// Their times are those of the clock put off by a hold, so that what happened before
+    /// this VM started keeps its order.
+    requests: HashMap<Fingerprint, Record>,
+}
+
+impl Quarantine {
+    /// Nothing is remembered yet.
+    #[must_use]
+    pub fn new(settings: QuarantineSettings) -> Self {
+        Self {
+            settings,
+            requests: HashMap::new(),
+        }
+    }
+
+    /// Whether nothing is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// How many requests are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// An upstream ended while it ran a request. Returns whether that is new.
+    pub fn ended(&mut self, now: Time, request: Fingerprint, upstream: &Incarnation) -> bool {
+        self.ended_at(self.put_off(now), request, upstream)
+    }
+
+    fn put_off(&self, now: Time) -> Time {
+        now + self.settings.hold
+    }
+
+    fn ended_at(&mut self, at: Time, request: Fingerprint, upstream: &Incarnation) -> bool {
+        if self.settings.ends == 0 {
+            return false;
+        }
+        if !self.requests.contains_key(&request) {
+            self.make_room();
+        }
+        let record = self.requests.entry(request).or_default();
+        record.ended(upstream, at)
+    }
+
+    /// A run of a request came to its end: what ended under it before speaks no more
+    /// against it. Returns whether anything did.
+    pub fn ran_well(&mut self, now: Time, request: Fingerprint) -> bool {
+        let now = self.put_off(now);
+        let Some(record) = self.requests.get_mut(&request) else {
+            return false;
+        };
+        let counted = record.count() > 0;
+        record.ran_well(now);
+        counted
+    }
+
+    /// Whether a request is to be run by no upstream.
+    #[must_use]
+    pub fn hold(&self, now: Time, request: Fingerprint) -> Option<Hold> {
+        let record = self.requests.get(&request)?;
+        self.hold_of(now, record)
+    }
+
+    fn hold_of(&self, now: Time, record: &Record) -> Option<Hold> {
+        let ends = record.count();
+        if ends < self.settings.ends {
+            return None;
+        }
+        let over_at = record.last_at() + self.settings.hold;
+        let left = over_at.saturating_sub(self.put_off(now));
+        (!left.is_zero()).then_some(Hold { ends, left })
+    }
+
+    /// How many requests are held.
+    #[must_use]
+    pub fn held(&self, now: Time) -> usize {
+        let records = self.requests.values();
+        records.filter(|r| self.hold_of(now, r).is_some()).count()
+    }
+
+    /// Forgets what is older than a hold.
+    pub fn expire(&mut self, now: Time) {
+        let (now, keep) = (self.put_off(now), self.settings.hold);
+        self.requests.retain(|_, record| record.keep(now, keep));
+    }
+
+    /// What is told of some requests.
+    #[must_use]
+    pub fn told_of(&self, now: Time, requests: &[Fingerprint]) -> Vec<Suspect> {
+        let now = self.put_off(now);
+        let known = requests.iter().filter_map(|&request| {
+            let record = self.requests.get(&request)?;
+            Some(record.told(request, now))
+        });
+        known.collect()
+    }
+
+    /// What is told to a VM that knows something else: of at most `most` requests, those
+    /// with the most ends first, then those whose last end is the newest.
+    #[must_use]
+    pub fn told(&self, now: Time, most: usize) -> Vec<Suspect> {
+        let mut order: Vec<(&Fingerprint, &Record)> = self.requests.iter().collect();
+        order.sort_unstable_by_key(|(request, r)| {
+            std::cmp::Reverse((r.count(), r.last_at(), **request))
+        });
+        let now = self.put_off(now);
+        let first = order.into_iter().take(most);
+        first.map(|(request, r)| r.told(*request, now)).collect()
+    }
+
+    /// Takes in what another VM knows. Returns the requests that are held from now on.
+    pub fn hear(&mut self, now: Time, told: &[Suspect]) -> Vec<Fingerprint> {
+        let mut held = Vec::new();
+        for suspect in told {
+            let request = suspect.fingerprint;
+            let was_held = self.hold(now, request).is_some();
+            self.merge(now, suspect);
+            if !was_held && self.hold(now, request).is_some() {
+                held.push(request);
+            }
+        }
+        held
+    }
+
+    fn merge(&mut self, now: Time, suspect: &Suspect) {
+        let now = self.put_off(now);
+        let at = |ago_ms: u64| now.saturating_sub(Duration::from_millis(ago_ms));
+        let recent = |ago_ms: u64| Duration::from_millis(ago_ms) < self.settings.hold;
+        let ends: Vec<_> = suspect.ends.iter().filter(|e| recent(e.ago_ms)).collect();
+        for end in ends {
+            self.ended_at(at(end.ago_ms), suspect.fingerprint, &end.upstream);
+        }
+        if let Some(ago_ms) = suspect.ran_well_ago_ms
+            && let Some(record) = self.requests.get_mut(&suspect.fingerprint)
+        {
+            record.ran_well(at(ago_ms));
+        }
+    }
+
+    /// A sum over all that counts: two VMs with the same one know the same. 0 for nothing.
+    #[must_use]
+    pub fn checksum(&self) -> u64 {
+        let counted = self.requests.iter().flat_map(|(request, record)| {
+            let upstreams = record.upstreams();
+            upstreams.map(move |upstream| (request, upstream))
+        });
+        counted.fold(0, |sum, (request, upstream)| {
+            let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+            request.hash(&mut hasher);
+            upstream.hash(&mut hasher);
+            sum ^ hasher.finish()
+        })
+    }
+
+    /// Makes room for one more: what has the fewest ends goes first, then the oldest.
+    fn make_room(&mut self) {
+        if self.requests.len() < MOST_REQUESTS {
+            return;
+        }
+        let least = self.requests.iter();
+        let least = least.min_by_key(|(request, r)| (r.count(), r.last_at(), **request));
+        if let Some(request) = least.map(|(request, _)| *request) {
+            self.requests.remove(&request);
+        }
+    }
+}
--- a/trouttrack_core/src/upstream/mod.rs
+++ b/trouttrack_core/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod backlog;
 mod circuit;
 mod cold;
+mod incarnation;
 mod losses;
 mod row;
 mod runs;
@@ -13,6 +14,7 @@
 pub use circuit::{Circuit, CircuitState};
 pub use cold::ColdShare;
 pub(crate) use cold::ToldStarts;
+pub use incarnation::Incarnation;
 pub use row::{Upstream, UpstreamKey};
 pub use runs::OwnRun;
 pub(crate) use runs::{PeerUse, Teller};
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -10,6 +10,7 @@
 mod length;
 mod membership;
 mod policies;
+mod quarantine;
 mod relocate;
 mod retry_rule;
 mod support;
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -29,6 +29,8 @@
     pub in_flight: IntGauge,
     /// Failure domains that are evacuated, as far as this VM knows.
     pub evacuated: IntGauge,
+    /// Requests that are given to no upstream, as far as this VM knows.
+    pub held: IntGauge,
     /// Calls to the platform's store.
     pub store_calls: IntGauge,
     /// Connections opened to upstreams.
@@ -117,6 +119,11 @@
                 "trouttrack_evacuated_failure_domains",
                 "Failure domains whose upstreams get no new work",
             ),
+            held: gauge(
+                &r,
+                "trouttrack_held_requests",
+                "Requests that are given to no upstream, since upstreams ended under them",
+            ),
             store_calls: gauge(&r, "trouttrack_store_calls", "Calls to the store so far"),
             connections: gauge(
                 &r,
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -9,6 +9,7 @@
 use super::message::{Datagram, Heartbeat, Load};
 use super::post::{post, post_to_all};
 use super::roles::watches_store;
+use super::suspects;
 use crate::state::Front;
 use rand::seq::SliceRandom;
 use std::net::SocketAddr;
@@ -35,6 +36,7 @@
                 send_heartbeats(&front, &socket);
             }
             () = front.peers.announcement() => send_heartbeats(&front, &socket),
+            () = front.suspects.news() => suspects::tell_all(&front, &socket),
             () = front.scheduler.news(), if tell_at.is_none() => {
                 tell_at = Some(Instant::now() + SOON);
             }
@@ -53,6 +55,8 @@
         .peers
         .forget_silent(front.clock.now(), &front.failure_domain);
     front.scheduler.set_cold_share(cold_share(front));
+    front.suspects.expire();
+    front.metrics.held.set(front.suspects.held() as i64);
     let receivers = receivers(front);
     if receivers.is_empty() {
         return;
@@ -161,6 +165,7 @@
         upstreams_revision: front.upstreams.revision(),
         evacuations: front.evacuations.borrow().clone(),
         store_ms: front.store_contact.age_ms(front.clock.now()),
+        suspects: front.suspects.checksum(),
         domain_uses: match is_large(front) {
             true => front.scheduler.domain_uses(),
             false => Vec::new(),
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -6,6 +6,7 @@
 use super::message::{Datagram, Heartbeat, Load, News, decode, encode};
 use super::post::post;
 use super::roles::hear_claim;
+use super::suspects::CatchUp;
 use crate::follow::{self, Taken, Told};
 use crate::state::Front;
 use std::io;
@@ -29,6 +30,7 @@
 pub(crate) async fn listen(front: Rc<Front>, socket: Rc<UdpSocket>) -> io::Result<()> {
     let mut buf = vec![0; MOST_BYTES];
     let configs = ConfigExchange::default();
+    let catch_up = CatchUp::default();
     loop {
         let (length, from) = match socket.recv_from(&mut buf).await {
             Ok(received) => received,
@@ -41,6 +43,7 @@
                 let name = &heartbeat.digest.name;
                 let is_new = !front.peers.has_heard(name);
                 hear(&front, &heartbeat);
+                catch_up.tell(&front, &socket, &heartbeat, from);
                 // Those of other failure domains are heard too rarely to be kept.
                 if is_new && front.peers.is_in(name, &front.failure_domain) {
                     greet(&front, &socket, name, from);
@@ -50,6 +53,7 @@
                 }
             }
             Some(Datagram::Load(load)) => hear_load(&front, &load),
+            Some(Datagram::Suspects(told)) => front.suspects.hear(&told, &from.to_string()),
             Some(Datagram::ConfigWanted) => configs.answer(&front, &socket, from),
             Some(Datagram::Config(told)) => config::take(&front, &told),
             Some(Datagram::NewsWanted(after)) => tell_again(&front, &socket, from, after),
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -8,10 +8,11 @@
 use serde::{Deserialize, Serialize};
 use trouttrack_core::UpstreamId;
 use trouttrack_core::membership::{Digest, Evacuations, UpstreamUse};
+use trouttrack_core::quarantine::Suspect;
 use trouttrack_platform::UpstreamEntry;
 
 /// The form of the datagrams, which changes with any of the types below.
-const FORM: u8 = 2;
+const FORM: u8 = 3;
 
 /// What a VM sends.
 #[derive(Debug, Serialize, Deserialize)]
@@ -28,6 +29,8 @@
     ConfigWanted,
     /// The configuration that the sender has in force.
     Config(ToldConfig),
+    /// Requests under which upstreams ended.
+    Suspects(Vec<Suspect>),
 }
 
 /// A sender's state.
@@ -52,6 +55,8 @@
     /// The use that all VMs of its failure domain make of the upstreams there, told to
     /// other failure domains of a large fleet.
     pub(super) domain_uses: Vec<UpstreamUse>,
+    /// A sum over what it knows of requests under which upstreams ended.
+    pub(super) suspects: u64,
 }
 
 /// A sender's use of upstreams: what of its state changes most often.
--- a/trouttrack_front/src/peers/mod.rs
+++ b/trouttrack_front/src/peers/mod.rs
@@ -25,6 +25,7 @@
 mod message;
 mod post;
 mod roles;
+mod suspects;
 mod table;
 
 pub(crate) use catch_up::ask_for_news;
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::fingerprint::fingerprint;
 use crate::caller::Admitted;
-use crate::state::{Front, Upstream};
+use crate::state::{Front, Upstream, fingerprint_text};
 use bytes::Bytes;
 use std::time::Duration;
 use trouttrack_core::Time;
@@ -17,6 +17,10 @@
 const SURELY_OPEN: Duration = Duration::from_millis(150);
 /// What is said of an attempt whose connection ended before any answer.
 const ENDED_UNANSWERED: &str = "the connection ended without an answer";
+/// What is said of an answer that ended before it was whole.
+const BROKE_OFF: &str = "the answer broke off";
+/// The same of a stream.
+pub(super) const STREAM_BROKE_OFF: &str = "the stream broke off";
 /// Taken off the time that upstreams are given, for the way back.
 const WAY_BACK: Duration = Duration::from_millis(5);
 
@@ -40,7 +44,7 @@
     pub(crate) async fn whole_body(&mut self, most: usize) -> Result<Bytes, AttemptFailure> {
         let lost = |reason| AttemptFailure::new(Failure::Lost, reason);
         let body = self.body.whole(most).await;
-        body.map_err(|_| lost("the answer broke off"))?
+        body.map_err(|_| lost(BROKE_OFF))?
             .ok_or(lost("the answer is too large"))
     }
 }
@@ -77,12 +81,18 @@
         self.reason == ENDED_UNANSWERED
     }
 
+    /// Whether the connection ended with the request on it, as it does when the upstream
+    /// ends.
+    pub(super) fn broke_off(&self) -> bool {
+        [ENDED_UNANSWERED, BROKE_OFF, STREAM_BROKE_OFF].contains(&self.reason)
+    }
+
     /// Logs and counts the failure. What may have run is named by its fingerprint, so that
     /// it is known again when it comes back.
     pub(crate) fn report(&self, front: &Front, admitted: &Admitted, attempt: &Attempt<'_>) {
         let may_have_run = matches!(self.failure, Failure::Lost | Failure::Aborted);
         let fingerprint = may_have_run.then(|| fingerprint(admitted, attempt.body));
-        let fingerprint = fingerprint.map(|f| format!("{f:032x}"));
+        let fingerprint = fingerprint.map(fingerprint_text);
         let held = front.clock.now().saturating_sub(attempt.began_at);
         record!(
             events::ATTEMPT_FAILED,
--- a/trouttrack_front/src/request/end.rs
+++ b/trouttrack_front/src/request/end.rs
@@ -3,6 +3,7 @@
 use crate::caller::{Admitted, Reply};
 use crate::state::{Front, Refusal};
 use std::time::Duration;
+use trouttrack_core::quarantine::Hold;
 use trouttrack_core::world::NotRunReason;
 use trouttrack_core::{Outcome, Time};
 use trouttrack_telemetry::{events, record};
@@ -60,6 +61,14 @@
         }
     }
 
+    /// Upstreams end when they run it.
+    pub(crate) fn held(hold: Hold) -> Self {
+        Self::NotRun {
+            reason: "upstreams ended while they ran it",
+            retry_after: hold.left,
+        }
+    }
+
     /// It has not run; the caller may come back soon.
     pub(crate) fn not_run(reason: &'static str) -> Self {
         Self::NotRun {
--- a/trouttrack_front/src/request/mod.rs
+++ b/trouttrack_front/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod retry;
 pub(crate) mod stream;
 mod submission;
+mod suspicion;
 
 pub use events::EventReader;
 
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -4,6 +4,7 @@
 use super::end::{Answered, End, answered};
 use super::retry::{Attempts, is_attempt};
 use super::submission::submission;
+use super::suspicion::Suspicion;
 use crate::caller::{Admitted, Reply};
 use crate::state::{Front, Ticket, Upstream};
 use bytes::Bytes;
@@ -44,6 +45,8 @@
     upstream: UpstreamId,
     head: AnswerHead,
     body: Bytes,
+    /// Whether its end was marked: one that is not may be an upstream's.
+    end_marked: bool,
 }
 
 /// One plain call.
@@ -55,6 +58,8 @@
     machine: Machine,
     /// Upstreams that it was sent to.
     avoid: Vec<UpstreamId>,
+    /// What is known against the request.
+    suspicion: Suspicion,
     attempts: Attempts,
     /// The attempt at an upstream that has it, while no answer has come.
     handed_over: Option<Ticket>,
@@ -81,6 +86,7 @@
             body,
             machine: Machine::new(traits, admitted.route.max_attempts),
             avoid: Vec::new(),
+            suspicion: Suspicion::default(),
             attempts: Attempts::default(),
             handed_over: None,
             placed_at: Time::ZERO,
@@ -112,12 +118,15 @@
 
     /// One try at one upstream, from its choice to its whole answer.
     async fn attempt(&mut self) -> Result<WholeAnswer, Stopped> {
+        self.check_held()?;
         let submission = submission(self.front, self.admitted, &self.service, &self.avoid);
         let placed = self.front.scheduler.place(submission).await;
         let placed = placed.map_err(|refusal| Stopped::Ended(End::refused(&refusal)))?;
         if !self.admitted.still_admitted(self.front) {
             return Err(Stopped::Ended(End::not_run("keys cannot be confirmed")));
         }
+        // Another VM may have told of it while it waited.
+        self.check_held()?;
         let Some(upstream) = self.front.upstreams.get(&placed.upstream) else {
             self.attempts.unconnected += 1;
             let failure = AttemptFailure::new(Failure::NotConnected, "the upstream is gone");
@@ -150,9 +159,31 @@
         if let Some(ticket) = self.handed_over.take() {
             account(&outcome, &ticket);
         }
+        self.learn(&upstream, &outcome).await;
         outcome.map_err(Stopped::Failed)
     }
 
+    /// Ends the request if upstreams end when they run it.
+    fn check_held(&self) -> Result<(), Stopped> {
+        let held = self.suspicion.held(self.front, self.admitted, &self.body);
+        held.map_or(Ok(()), |end| Err(Stopped::Ended(end)))
+    }
+
+    /// What an attempt says of the request.
+    async fn learn(&self, upstream: &Upstream, outcome: &Result<WholeAnswer, AttemptFailure>) {
+        let (front, admitted, body) = (self.front, self.admitted, &self.body);
+        match outcome {
+            Ok(answer) if answer.end_marked => self.suspicion.ran_well(front, admitted, body),
+            Ok(_) => {}
+            Err(failure) => {
+                let learning = self
+                    .suspicion
+                    .failed(front, admitted, body, upstream, failure);
+                learning.await;
+            }
+        }
+    }
+
     /// Sends the request to one upstream and takes its whole answer.
     async fn exchange(&mut self, upstream: &Upstream) -> Result<WholeAnswer, AttemptFailure> {
         let to = handover(self.front, self.admitted, upstream);
@@ -172,6 +203,7 @@
             upstream: upstream.id.clone(),
             head: sent.head,
             body,
+            end_marked: sent.framed,
         };
         if answer.head.status.is_server_error() && self.machine.traits().repeatable {
             self.unwanted = Some(answer);
--- a/trouttrack_front/src/request/stream/finish.rs
+++ b/trouttrack_front/src/request/stream/finish.rs
@@ -36,6 +36,12 @@
     }
 }
 
+impl From<End> for Stopped {
+    fn from(end: End) -> Self {
+        Self::Finished(Finish::Ended(end))
+    }
+}
+
 impl StreamRun {
     /// Tells the caller and the log how the stream ended.
     pub(super) async fn finish(&mut self, finish: Finish) {
@@ -56,7 +62,7 @@
                 events::LEFT_BY_CALLER,
                 request = id.as_str(),
                 phase = "streaming",
-                upstream = self.at.as_str(),
+                upstream = self.at_id(),
                 events = self.reader.events(),
             ),
         }
@@ -67,7 +73,7 @@
             .first_event_at
             .unwrap_or_else(|| self.front.clock.now());
         let answer = Answered {
-            upstream: &self.at,
+            upstream: self.at_id(),
             status,
             attempts: self.attempts.sent,
             first_byte_at: first,
--- a/trouttrack_front/src/request/stream/go_on.rs
+++ b/trouttrack_front/src/request/stream/go_on.rs
@@ -104,7 +104,7 @@
         // The answer keeps the head of its first upstream.
         self.head.get_or_insert_with(|| source.head.clone());
         let sent = self.send(target, &to).await.map_err(lost_midway)?;
-        self.at.clone_from(&target.id);
+        self.at = Some(Rc::clone(target));
         Ok(Source::new(Rc::clone(target), sent, backup))
     }
 
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -4,7 +4,7 @@
 use super::finish::{Finish, Stopped};
 use super::run::StreamRun;
 use super::source::{Next, Source};
-use crate::request::attempt::AttemptFailure;
+use crate::request::attempt::{AttemptFailure, STREAM_BROKE_OFF};
 use crate::request::submission::{SHORT_TOKENS, is_short};
 use crate::rescue::{Carried, Carry, CarryTask};
 use crate::state::Ticket;
@@ -131,6 +131,7 @@
 
     /// Ends with what came after the last whole event.
     async fn end_whole(&mut self, source: &Source) -> Result<Relayed, Stopped> {
+        self.end_marked = source.framed;
         let rest = self.reader.rest();
         if !rest.is_empty() || !self.output.is_begun() {
             self.give(source, rest).await?;
@@ -150,9 +151,14 @@
         {
             return self.go_on(source, moved, ticket).await;
         }
+        let failure = AttemptFailure::new(Failure::Lost, STREAM_BROKE_OFF);
         match source.backup.take().filter(|b| !b.is_leaving()) {
-            Some(target) => self.restore(source, target, ticket).await,
-            None => Err(AttemptFailure::new(Failure::Lost, "the stream broke off").into()),
+            Some(target) => {
+                self.learn_failed(&source.upstream, &failure).await;
+                self.check_held()?;
+                self.restore(source, target, ticket).await
+            }
+            None => Err(failure.into()),
         }
     }
 
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -10,6 +10,7 @@
 use crate::request::end::End;
 use crate::request::retry::Attempts;
 use crate::request::submission::{is_short, submission};
+use crate::request::suspicion::Suspicion;
 use crate::state::{Front, InFlight, Ticket, Upstream};
 use bytes::Bytes;
 use std::rc::Rc;
@@ -39,9 +40,11 @@
     /// Upstreams that it was placed on.
     avoid: Vec<UpstreamId>,
     /// The upstream that has the request now, or had it last.
-    pub(super) at: UpstreamId,
+    pub(super) at: Option<Rc<Upstream>>,
     /// When that upstream was given it.
     began_at: Time,
+    /// What is known against the request.
+    pub(super) suspicion: Suspicion,
     /// The attempts so far.
     pub(super) attempts: Attempts,
     /// An upstream may have begun to run it.
@@ -50,6 +53,8 @@
     pub(super) head: Option<AnswerHead>,
     /// When the first event was passed on.
     pub(super) first_event_at: Option<Time>,
+    /// Whether the end of the stream was marked: one that is not may be an upstream's.
+    pub(super) end_marked: bool,
 }
 
 impl StreamRun {
@@ -76,12 +81,14 @@
             output,
             reader: EventReader::default(),
             avoid: Vec::new(),
-            at: UpstreamId::new(),
+            at: None,
             began_at: Time::ZERO,
+            suspicion: Suspicion::default(),
             attempts: Attempts::default(),
             may_have_run: false,
             head: None,
             first_event_at: None,
+            end_marked: false,
         }
     }
 
@@ -115,6 +122,7 @@
 
     /// One placing of the request, up to the end of its stream.
     async fn attempt(&mut self) -> Result<(), Stopped> {
+        self.check_held()?;
         let submission = submission(&self.front, &self.admitted, &self.service, &self.avoid);
         let placed = self.front.scheduler.place(submission).await;
         let placed = placed.map_err(|refusal| {
@@ -125,6 +133,8 @@
             let end = End::not_run("keys cannot be confirmed").unless_run(self.may_have_run);
             return Err(Stopped::Finished(Finish::Ended(end)));
         }
+        // Another VM may have told of it while it waited.
+        self.check_held()?;
         let Some(upstream) = self.front.upstreams.get(&placed.upstream) else {
             self.attempts.unconnected += 1;
             return Err(AttemptFailure::new(Failure::NotConnected, "the upstream is gone").into());
@@ -143,22 +153,56 @@
             guessed_tokens = self.admitted.head.guessed_tokens,
             attempt = self.attempts.sent + 1,
         );
-        self.at.clone_from(&upstream.id);
+        self.at = Some(Rc::clone(&upstream));
         self.began_at = self.front.clock.now();
         self.avoid.push(upstream.id.clone());
         let ticket = Rc::new(placed.ticket);
         let outcome = self.stream_from(upstream, &ticket).await;
         self.account(&outcome, &ticket);
+        drop(ticket);
+        self.learn(&outcome).await;
         outcome
     }
 
+    /// Ends the request if upstreams end when they run it.
+    pub(super) fn check_held(&self) -> Result<(), End> {
+        let held = self.suspicion.held(&self.front, &self.admitted, &self.body);
+        held.map_or(Ok(()), |end| Err(end.unless_run(self.may_have_run)))
+    }
+
+    /// What an attempt says of the request.
+    async fn learn(&self, outcome: &Result<(), Stopped>) {
+        match (outcome, &self.at) {
+            (Ok(()), _) if self.end_marked => {
+                let (front, admitted) = (&self.front, &self.admitted);
+                self.suspicion.ran_well(front, admitted, &self.body);
+            }
+            (Err(Stopped::Failed(failure)), Some(at)) => self.learn_failed(at, failure).await,
+            _ => {}
+        }
+    }
+
+    /// What a failure at an upstream says of the request.
+    pub(super) async fn learn_failed(&self, at: &Upstream, failure: &AttemptFailure) {
+        let (front, admitted) = (&self.front, &self.admitted);
+        let learning = self
+            .suspicion
+            .failed(front, admitted, &self.body, at, failure);
+        learning.await;
+    }
+
+    /// The id of the upstream that has the request now, or had it last.
+    pub(super) fn at_id(&self) -> &str {
+        self.at.as_ref().map_or("", |at| at.id.as_str())
+    }
+
     /// Tells the tables what an attempt says of its upstream.
     fn account(&self, outcome: &Result<(), Stopped>, ticket: &Ticket) {
         match outcome {
             Ok(()) => ticket.complete(self.tokens()),
             Err(Stopped::Failed(failure)) => {
                 let attempt = Attempt {
-                    upstream: &self.at,
+                    upstream: self.at_id(),
                     body: &self.body,
                     began_at: self.began_at,
                     events: self.reader.events(),
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -6,6 +6,7 @@
 use super::routing::Routing;
 use super::scheduler::Scheduler;
 use super::store_contact::StoreContact;
+use super::suspects::Suspects;
 use super::upstreams::Upstreams;
 use crate::metrics::Metrics;
 use crate::peers::{News, NewsHistory, PeerTable};
@@ -74,6 +75,8 @@
     pub history: RefCell<NewsHistory>,
     /// Retry budgets.
     pub budgets: Budgets,
+    /// Requests under which upstreams ended.
+    pub suspects: Suspects,
     /// Carries requests to upstreams.
     pub http: Client,
     /// Calls engines beside requests.
@@ -116,6 +119,7 @@
             peers: PeerTable::new(&settings.vm.name),
             history: RefCell::default(),
             budgets: Budgets::new(settings.retry),
+            suspects: Suspects::new(clock, settings.quarantine),
             engines: EngineClient::new(http.clone()),
             http,
             store: StoreClient::new(to_store, settings.store.addr),
--- a/trouttrack_front/src/state/mod.rs
+++ b/trouttrack_front/src/state/mod.rs
@@ -7,6 +7,7 @@
 mod routing;
 mod scheduler;
 mod store_contact;
+mod suspects;
 mod ticket;
 mod upstreams;
 
@@ -17,5 +18,6 @@
 pub use routing::Routing;
 pub use scheduler::{Placed, Refusal, Scheduler};
 pub use store_contact::StoreContact;
+pub use suspects::{Suspects, text as fingerprint_text};
 pub use ticket::Ticket;
 pub use upstreams::{Upstream, Upstreams};
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -10,7 +10,7 @@
 use trouttrack_core::fleet::RouteTable;
 use trouttrack_core::membership::Entries;
 use trouttrack_core::rescue::Departure;
-use trouttrack_core::upstream::Spec;
+use trouttrack_core::upstream::{Incarnation, Spec};
 use trouttrack_core::{FailureDomain, ServiceId, Time, UpstreamId};
 use trouttrack_platform::UpstreamEntry;
 use trouttrack_telemetry::{events, record};
@@ -18,8 +18,10 @@
 /// One incarnation of an upstream.
 #[derive(Debug)]
 pub struct Upstream {
-    /// The incarnation's id.
+    /// The upstream's id.
     pub id: UpstreamId,
+    /// When this life of it began, in Unix milliseconds; 0 if it does not say.
+    pub born: u64,
     /// Where it takes requests.
     pub addr: SocketAddr,
     /// The service it runs.
@@ -36,6 +38,7 @@
     fn new(id: &str, entry: UpstreamEntry, now: Time) -> Self {
         Self {
             id: id.to_owned(),
+            born: entry.born,
             addr: entry.addr,
             service: entry.service,
             failure_domain: entry.failure_domain,
@@ -45,6 +48,17 @@
         }
     }
 
+    /// This life of it.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation::new(&self.id, self.born)
+    }
+
+    /// Whether an entry is one of this life.
+    fn is_of(&self, entry: &UpstreamEntry) -> bool {
+        self.addr == entry.addr && self.service == entry.service && self.born == entry.born
+    }
+
     /// Whether and when it leaves.
     #[must_use]
     pub fn departure(&self) -> watch::Receiver<Option<Departure>> {
@@ -137,7 +151,7 @@
         self.entries.borrow_mut().listed(id);
         let leaving = entry.leaving;
         let known = self.get(id);
-        let upstream = match known.filter(|u| u.addr == entry.addr && u.service == entry.service) {
+        let upstream = match known.filter(|u| u.is_of(&entry)) {
             Some(known) => {
                 self.note_cold(&known, entry.cold_for);
                 known
@@ -166,6 +180,7 @@
         record!(
             events::UPSTREAM_SEEN,
             upstream = id,
+            born = entry.born,
             revision = revision,
             service = entry.service.as_str(),
             failure_domain = entry.failure_domain.as_str(),
--- a/trouttrack_http/src/client.rs
+++ b/trouttrack_http/src/client.rs
@@ -24,6 +24,10 @@
 /// Idle connections kept to one peer, unless the builder is told.
 const IDLE_PER_PEER: usize = 8;
 
+/// How long a connection that only asked whether the peer is there is kept: its peer has
+/// said nothing of that.
+const PROBED_FOR: Duration = Duration::from_secs(1);
+
 /// Which connection may carry a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reuse {
@@ -193,6 +197,21 @@
         }
     }
 
+    /// Whether anybody listens at a peer's address. A connection that comes up is kept for
+    /// the next request.
+    ///
+    /// # Errors
+    ///
+    /// No connection came up; [`SendErrorKind::NobodyThere`] is the peer's VM saying that
+    /// the process is gone.
+    pub async fn probe(&self, peer: SocketAddr) -> Result<(), SendError> {
+        let mut sender = self.connect(peer).await?;
+        if sender.ready().await.is_ok() {
+            self.keep(peer, sender, PROBED_FOR);
+        }
+        Ok(())
+    }
+
     /// Keeps a connection whose answer has been taken whole.
     pub(crate) fn keep(&self, peer: SocketAddr, sender: Sender, kept_for: Duration) {
         let mut pool = self.shared.pool.borrow_mut();
--- a/trouttrack_telemetry/src/events/catalogue.rs
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -88,4 +88,7 @@
     EVACUATED = 107, Info, "evacuated", "A failure domain is evacuated: its upstreams get no new work from this VM until that is taken back. What runs there ends there. Names the store's revision and whether the store or a peer said so.";
     TAKEN_BACK = 108, Info, "taken-back", "A failure domain is no longer evacuated; its upstreams get work again.";
     UPSTREAM_COLD = 109, Info, "upstream-cold", "An upstream that is known says that it is cold from now on: it gets no more than its service's rate until then, over all VMs.";
+    ENDED_UNDER = 110, Warn, "ended-under", "An upstream ended while it ran a request: the connection broke off and nobody listens at its address. Names the request's fingerprint and how many upstreams have ended under it since it last ran well.";
+    HELD = 111, Warn, "held", "A request is given to no upstream from now on: so many ended under it. Names its fingerprint, whether this VM found that or a peer told it, and when it is over.";
+    RAN_WELL = 112, Info, "ran-well", "A request under which upstreams had ended ran to its end: those ends speak no more against it.";
 }
