Tests of spoiled upstream entries, known to be red

Cause: a change that cannot be read is dropped, so the entry before it stays in use; missing fields become defaults; one entry that is no text makes the list unreadable.

--- /dev/null
+++ b/trouttrack_front/tests/front/entries.rs
@@ -0,0 +1,110 @@
+//! Entries in the store that another writer has spoiled.
+
+use crate::support::{Bed, PLAIN, plain, until};
+use serde_json::{Value, json};
+use trouttrack_front::state::Front;
+
+/// Requests of which each of two upstreams would get some.
+const MANY: usize = 12;
+
+fn knows(front: &Front, id: &str) -> bool {
+    let takes_work = |u: &trouttrack_front::state::Upstream| !u.is_leaving();
+    front.upstreams.get(id).is_some_and(|u| takes_work(&u))
+}
+
+/// Sends requests, all of which are served, and returns how many reached the first
+/// upstream.
+async fn reach_the_first(bed: &Bed, ids: &str) -> usize {
+    let before = bed.upstreams[0].arrivals().len();
+    for n in 0..MANY {
+        let reply = bed.send(&plain(&format!("{ids}-{n}"), "many")).await;
+        assert_eq!(reply.status, 200);
+    }
+    bed.upstreams[0].arrivals().len() - before
+}
+
+/// Entries that name no upstream to use: a field is missing, has another type, or names
+/// what is not known.
+fn spoiled(bed: &Bed) -> Vec<Value> {
+    let good = bed.store.upstream_spec("u1");
+    let mut spoiled = vec![json!(null), json!("\u{0}"), json!([]), json!({})];
+    for field in [
+        "service",
+        "address",
+        "zone",
+        "version",
+        "slots",
+        "state",
+        "cold_left_ms",
+        "call_seq",
+    ] {
+        let mut without = good.clone();
+        without.as_object_mut().expect("an object").remove(field);
+        spoiled.push(without);
+        for other in [json!(null), json!(["x"]), json!({"a": 1})] {
+            let mut of_another_type = good.clone();
+            of_another_type[field] = other;
+            spoiled.push(of_another_type);
+        }
+    }
+    for (field, value) in [
+        ("state", json!("resting")),
+        ("slots", json!(0)),
+        ("slots", json!(-6)),
+        ("slots", json!("6")),
+        ("cold_left_ms", json!(-1)),
+        ("address", json!("nowhere")),
+        ("service", json!("")),
+        ("born", json!("yesterday")),
+        ("born", json!(1.5)),
+    ] {
+        let mut unknown = good.clone();
+        unknown[field] = value;
+        spoiled.push(unknown);
+    }
+    spoiled
+}
+
+#[actix_rt::test]
+async fn a_spoiled_entry_takes_its_upstream_out_and_costs_the_others_nothing() {
+    let bed = Bed::new(PLAIN).await;
+    let front = &bed.front.front;
+    assert!(reach_the_first(&bed, "good").await > 0);
+    for (n, spec) in spoiled(&bed).into_iter().enumerate() {
+        let text = spec.to_string();
+        bed.store.put_upstream_spec("u1", spec);
+        until(&format!("it is out: {text}"), || !knows(front, "u1")).await;
+        assert!(knows(front, "u2"));
+        // It comes back with a proper entry.
+        bed.store.put_upstream(&bed.upstreams[0], false);
+        until(&format!("it is back after {n}"), || knows(front, "u1")).await;
+    }
+    bed.store.put_upstream_spec("u1", json!({}));
+    until("it is out", || !knows(front, "u1")).await;
+    assert_eq!(reach_the_first(&bed, "spoiled").await, 0);
+}
+
+#[actix_rt::test]
+async fn a_vm_that_starts_uses_only_what_can_be_read() {
+    let bed = Bed::new(PLAIN).await;
+    bed.store.put_upstream_spec("u1", json!({"service": 7}));
+    let more = crate::support::settings(&bed.store, "front-2", "");
+    let other = trouttrack_front::app::start(&more).await.expect("a front");
+    until("it is ready", || other.front.lifecycle.is_ready()).await;
+    assert!(!knows(&other.front, "u1"));
+    assert!(knows(&other.front, "u2"));
+}
+
+#[actix_rt::test]
+async fn bytes_that_are_no_text_cost_only_their_entry() {
+    let bed = Bed::new(PLAIN).await;
+    let front = &bed.front.front;
+    bed.store.spoil_bytes("u1");
+    until("it is out", || !knows(front, "u1")).await;
+    assert!(knows(front, "u2"));
+    let more = crate::support::settings(&bed.store, "front-2", "");
+    let other = trouttrack_front::app::start(&more).await.expect("a front");
+    until("it is ready", || other.front.lifecycle.is_ready()).await;
+    assert!(!knows(&other.front, "u1"));
+    assert!(knows(&other.front, "u2"));
+}
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod config;
+mod entries;
 mod evacuation;
 mod freshness;
 mod leaving;
