An upstream's entry that cannot be read takes the upstream out, and costs no other

One that is not is told to the other VMs as unreadable and takes its upstream out at once, also while the store is away; it is logged with field and reason and counted. Where upstreams say when they started, one that does not is another writer's.

--- a/trouttrack_core/src/membership/entries.rs
+++ b/trouttrack_core/src/membership/entries.rs
@@ -67,6 +67,11 @@
         true
     }
 
+    /// An entry is there and vouches for nobody: it does not come back by itself.
+    pub fn forget(&mut self, id: &str) {
+        self.by_id.remove(id);
+    }
+
     /// Whether an entry disappeared and may come back.
     #[must_use]
     pub fn is_lapsed(&self, id: &str) -> bool {
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -1,7 +1,7 @@
 //! The upstreams' entries.
 
 use super::follower::Follower;
-use crate::peers::{EntryChange, News, ask_for_news};
+use crate::peers::{EntryChange, EntryState, News, ask_for_news};
 use crate::rescue;
 use crate::state::{Front, Upstream};
 use std::cell::Cell;
@@ -9,7 +9,8 @@
 use std::time::Duration;
 use trouttrack_core::rescue::Departure;
 use trouttrack_core::{Time, UpstreamId};
-use trouttrack_platform::{Change, Kind, Object, UpstreamEntry};
+use trouttrack_platform::{Change, EntryError, Kind, Object, UpstreamEntry};
+use trouttrack_telemetry::{events, record};
 
 /// How often lapsed entries are looked through.
 const EXPIRE_EVERY: Duration = Duration::from_millis(500);
@@ -59,10 +60,17 @@
     }
 
     fn listed(&self, objects: &[Object], revision: u64) {
+        let decoded_all = objects.iter().map(|o| UpstreamEntry::decode(o.spec.get()));
+        if decoded_all.flatten().any(|entry| entry.born > 0) {
+            self.front.upstreams.set_say_births();
+        }
         for object in objects {
-            if let Some(entry) = decoded(object) {
-                see(&self.front, &object.name, object.revision, entry);
-            }
+            let change = EntryChange {
+                id: object.name.clone(),
+                revision: object.revision,
+                entry: decoded(&self.front, object),
+            };
+            take_in(&self.front, &change);
         }
         let ids: Vec<UpstreamId> = objects.iter().map(|o| o.name.clone()).collect();
         for gone in self.front.upstreams.listed(&ids) {
@@ -75,7 +83,8 @@
 
     fn changed(&self, changes: Vec<Change>, revision: u64) {
         let from = self.front.upstreams.revision();
-        let changes: Vec<EntryChange> = changes.into_iter().filter_map(entry_change).collect();
+        let changes = changes.into_iter().map(|c| entry_change(&self.front, c));
+        let changes: Vec<EntryChange> = changes.collect();
         apply(&self.front, &changes);
         self.front.upstreams.advance(revision);
         if revision > from {
@@ -88,24 +97,50 @@
     }
 }
 
-/// A change as it is told; `None` if it cannot be read.
-fn entry_change(change: Change) -> Option<EntryChange> {
+/// A change as it is told.
+fn entry_change(front: &Front, change: Change) -> EntryChange {
     let entry = match change.deleted {
-        true => None,
-        false => Some(decoded(&change.object)?),
+        true => EntryState::Gone,
+        false => decoded(front, &change.object),
     };
-    Some(EntryChange {
+    EntryChange {
         id: change.object.name,
         revision: change.object.revision,
         entry,
-    })
+    }
+}
+
+/// What an entry says.
+fn decoded(front: &Front, object: &Object) -> EntryState {
+    let entry = UpstreamEntry::decode(object.spec.get());
+    let entry = entry.and_then(|entry| match front.upstreams.say_births() {
+        true => entry.with_birth(),
+        false => Ok(entry),
+    });
+    match entry {
+        Ok(entry) => {
+            if entry.born > 0 {
+                front.upstreams.set_say_births();
+            }
+            EntryState::Listed(entry)
+        }
+        Err(e) => {
+            unreadable(front, object, e);
+            EntryState::Unreadable
+        }
+    }
 }
 
-/// What an entry says; `None` if it cannot be read.
-fn decoded(object: &Object) -> Option<UpstreamEntry> {
-    UpstreamEntry::decode(object.spec.get())
-        .inspect_err(|e| log::warn!("upstream {}: entry cannot be read: {e}", object.name))
-        .ok()
+fn unreadable(front: &Front, object: &Object, e: EntryError) {
+    record!(
+        events::ENTRY_UNREADABLE,
+        upstream = object.name.as_str(),
+        revision = object.revision,
+        field = e.field,
+        reason = e.kind.as_str(),
+    );
+    let counted = &front.metrics.unreadable;
+    counted.with_label_values(&[e.kind.as_str()]).inc();
 }
 
 /// What became of news.
@@ -149,23 +184,29 @@
 /// Takes in changes, in order, and places what waits for them.
 fn apply(front: &Rc<Front>, changes: &[EntryChange]) {
     for change in changes {
-        match &change.entry {
-            Some(entry) => {
-                see(front, &change.id, change.revision, entry.clone());
-                put_row(front, &change.id);
-            }
-            None => {
-                if let Some(gone) = front.upstreams.removed(&change.id) {
-                    remove(front, &gone);
-                }
-            }
-        }
+        take_in(front, change);
     }
     if !changes.is_empty() {
         front.scheduler.upstreams_changed();
     }
 }
 
+/// Takes in what became of one entry.
+fn take_in(front: &Rc<Front>, change: &EntryChange) {
+    let gone = match &change.entry {
+        EntryState::Listed(entry) => {
+            see(front, &change.id, change.revision, entry.clone());
+            put_row(front, &change.id);
+            None
+        }
+        EntryState::Gone => front.upstreams.removed(&change.id),
+        EntryState::Unreadable => front.upstreams.disowned(&change.id),
+    };
+    if let Some(gone) = gone {
+        remove(front, &gone);
+    }
+}
+
 /// Gives the decision tables the row of one upstream.
 fn put_row(front: &Front, id: &str) {
     let Some(table) = front.routing.table() else {
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -29,6 +29,8 @@
     pub in_flight: IntGauge,
     /// Failure domains that are evacuated, as far as this VM knows.
     pub evacuated: IntGauge,
+    /// Upstreams' entries that could not be read, by reason.
+    pub unreadable: IntCounterVec,
     /// Requests that are given to no upstream, as far as this VM knows.
     pub held: IntGauge,
     /// Calls to the platform's store.
@@ -119,6 +121,12 @@
                 "trouttrack_evacuated_failure_domains",
                 "Failure domains whose upstreams get no new work",
             ),
+            unreadable: vec(
+                &r,
+                "trouttrack_unreadable_entries_total",
+                "Upstreams' entries that could not be read, by reason",
+                &["reason"],
+            ),
             held: gauge(
                 &r,
                 "trouttrack_held_requests",
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -97,8 +97,19 @@
     pub id: UpstreamId,
     /// The store's revision of the change.
     pub revision: u64,
-    /// What the entry says; `None` if it is gone.
-    pub entry: Option<UpstreamEntry>,
+    /// What became of the entry.
+    pub entry: EntryState,
+}
+
+/// What became of an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EntryState {
+    /// It says this.
+    Listed(UpstreamEntry),
+    /// It is gone.
+    Gone,
+    /// It cannot be read, so nobody vouches for the upstream.
+    Unreadable,
 }
 
 /// A configuration as the store has it.
--- a/trouttrack_front/src/peers/mod.rs
+++ b/trouttrack_front/src/peers/mod.rs
@@ -33,6 +33,6 @@
 pub(crate) use heartbeat::send;
 pub use history::NewsHistory;
 pub(crate) use listen::{listen, tell};
-pub use message::{EntryChange, News};
+pub use message::{EntryChange, EntryState, News};
 pub use roles::watches_store;
 pub use table::{Heard, PeerTable};
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -94,6 +94,9 @@
     revision: Cell<u64>,
     /// The newest revision of the store that is known of.
     store_at: Cell<u64>,
+    /// Whether upstreams here say when they started. Where they do, an entry that does not
+    /// is another writer's.
+    say_births: Cell<bool>,
 }
 
 impl Upstreams {
@@ -107,6 +110,7 @@
             listed: Cell::new(false),
             revision: Cell::new(0),
             store_at: Cell::new(0),
+            say_births: Cell::new(false),
         }
     }
 
@@ -132,6 +136,17 @@
         self.store_at.set(self.store_at.get().max(revision));
     }
 
+    /// Upstreams here say when they started.
+    pub fn set_say_births(&self) {
+        self.say_births.set(true);
+    }
+
+    /// Whether upstreams here say when they started.
+    #[must_use]
+    pub fn say_births(&self) -> bool {
+        self.say_births.get()
+    }
+
     /// Whether the store has changed since the entries were looked at; the
     /// change may be one of something else.
     #[must_use]
@@ -225,6 +240,13 @@
         if gone { self.take_out(id) } else { None }
     }
 
+    /// An entry cannot be read, so nobody vouches for the upstream any more: it is gone at
+    /// once, also during an outage of the store. Returns it if it was known.
+    pub fn disowned(&self, id: &str) -> Option<Rc<Upstream>> {
+        self.entries.borrow_mut().forget(id);
+        self.take_out(id)
+    }
+
     /// Everything was listed. Returns the upstreams that are gone.
     pub fn listed(&self, ids: &[UpstreamId]) -> Vec<Rc<Upstream>> {
         self.listed.set(true);
--- a/trouttrack_front/tests/front/entries.rs
+++ b/trouttrack_front/tests/front/entries.rs
@@ -108,3 +108,22 @@
     assert!(!knows(&other.front, "u1"));
     assert!(knows(&other.front, "u2"));
 }
+
+#[actix_rt::test]
+async fn where_upstreams_say_when_they_started_one_that_does_not_is_not_used() {
+    let bed = Bed::new(PLAIN).await;
+    let front = &bed.front.front;
+    let mut born = bed.store.upstream_spec("u2");
+    born["born"] = json!(1_789_000_000_000_u64);
+    bed.store.put_upstream_spec("u2", born);
+    until("it is known", || {
+        front.upstreams.get("u2").is_some_and(|u| u.born > 0)
+    })
+    .await;
+    // The same entry as before, written again.
+    let mut unborn = bed.store.upstream_spec("u1");
+    unborn["call_seq"] = json!(9);
+    bed.store.put_upstream_spec("u1", unborn);
+    until("it is out", || !knows(front, "u1")).await;
+    assert!(knows(front, "u2"));
+}
--- a/trouttrack_telemetry/src/events/catalogue.rs
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -91,4 +91,5 @@
     ENDED_UNDER = 110, Warn, "ended-under", "An upstream ended while it ran a request: the connection broke off and nobody listens at its address. Names the request's fingerprint and how many upstreams have ended under it since it last ran well.";
     HELD = 111, Warn, "held", "A request is given to no upstream from now on: so many ended under it. Names its fingerprint, whether this VM found that or a peer told it, and when it is over.";
     RAN_WELL = 112, Info, "ran-well", "A request under which upstreams had ended ran to its end: those ends speak no more against it.";
+    ENTRY_UNREADABLE = 113, Warn, "entry-unreadable", "An upstream's entry lacks a field, has one of another type or an unknown value, or is no entry at all: the upstream gets no new work until its entry can be read. Names the field and what is amiss.";
 }
