--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -5,6 +5,7 @@
 mod entries;
 mod evacuation;
 mod freshness;
+mod incarnations;
 mod leaving;
 mod moves;
 mod peers;
