What is believed of an upstream ends with its life

Cause: an upstream that starts again under its id kept the row of the life before: marked as leaving it never got work again, with an open circuit it got none until a probe, and a late word of the earlier life replaced the later one. Change: an entry of another life takes out everything that hangs on the id before its own row is made; one of an earlier life is dropped and logged. Lives are compared in one place.

--- a/trouttrack_core/src/upstream/incarnation.rs
+++ b/trouttrack_core/src/upstream/incarnation.rs
@@ -9,7 +9,11 @@
 ///
 /// ```
 /// use trouttrack_core::upstream::Incarnation;
-/// assert_ne!(Incarnation::new("u1", 7), Incarnation::new("u1", 9));
+/// let (first, next) = (Incarnation::new("u1", 7), Incarnation::new("u1", 9));
+/// assert_ne!(first, next);
+/// assert!(next.is_after(&first));
+/// assert!(!first.is_after(&next));
+/// assert!(!next.is_after(&Incarnation::new("u2", 7)));
 /// ```
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Incarnation {
@@ -20,6 +24,13 @@
 }
 
 impl Incarnation {
+    /// Whether this is a later life of the same upstream than `other`. One that does not
+    /// say when it started is neither earlier nor later.
+    #[must_use]
+    pub fn is_after(&self, other: &Self) -> bool {
+        self.id == other.id && other.born != 0 && self.born > other.born
+    }
+
     /// The life that began at `born`.
     #[must_use]
     pub fn new(id: &str, born: u64) -> Self {
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -221,9 +221,14 @@
     }
 }
 
-/// Takes in an entry that is there.
+/// Takes in an entry that is there. With a new life everything that was believed of the
+/// one before goes: its load and circuit, its connections, what it holds.
 fn see(front: &Rc<Front>, id: &str, revision: u64, entry: UpstreamEntry) {
-    if let Some(leaving) = front.upstreams.seen(id, revision, entry) {
+    let seen = front.upstreams.seen(id, revision, entry);
+    if let Some(before) = seen.before {
+        remove(front, &before);
+    }
+    if let Some(leaving) = seen.leaves {
         depart(front, &leaving);
     }
 }
--- a/trouttrack_front/src/state/mod.rs
+++ b/trouttrack_front/src/state/mod.rs
@@ -20,4 +20,4 @@
 pub use store_contact::StoreContact;
 pub use suspects::{Suspects, text as fingerprint_text};
 pub use ticket::Ticket;
-pub use upstreams::{Upstream, Upstreams};
+pub use upstreams::{Seen, Upstream, Upstreams};
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -83,6 +83,16 @@
     }
 }
 
+/// What an entry changes.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Another life of the upstream, which is over: what was believed of it is of no use
+    /// for the one that is listed now.
+    pub before: Option<Rc<Upstream>>,
+    /// The upstream, if it has just announced that it leaves.
+    pub leaves: Option<Rc<Upstream>>,
+}
+
 /// Everything that the store lists, and what may still come back.
 #[derive(Debug)]
 pub struct Upstreams {
@@ -160,20 +170,39 @@
         self.listed.get()
     }
 
-    /// Takes in an entry. Returns the upstream if it has just announced that
-    /// it leaves.
-    pub fn seen(&self, id: &str, revision: u64, entry: UpstreamEntry) -> Option<Rc<Upstream>> {
+    /// Takes in an entry, and says what it changes.
+    pub fn seen(&self, id: &str, revision: u64, entry: UpstreamEntry) -> Seen {
+        let known = self.get(id);
+        let life = Incarnation::new(id, entry.born);
+        if known
+            .as_ref()
+            .is_some_and(|u| u.incarnation().is_after(&life))
+        {
+            record!(
+                events::EARLIER_LIFE,
+                upstream = id,
+                born = entry.born,
+                revision = revision,
+            );
+            return Seen::default();
+        }
         self.entries.borrow_mut().listed(id);
         let leaving = entry.leaving;
-        let known = self.get(id);
-        let upstream = match known.filter(|u| u.is_of(&entry)) {
-            Some(known) => {
+        let (upstream, before) = match known {
+            Some(known) if known.is_of(&entry) => {
                 self.note_cold(&known, entry.cold_for);
-                known
+                (known, None)
             }
-            None => self.add(id, revision, entry),
+            before => (self.add(id, revision, entry), before),
         };
-        (leaving && self.depart(&upstream, self.noticed(), "announced")).then_some(upstream)
+        if let Some(before) = &before {
+            self.depart(before, self.noticed(), "another life");
+        }
+        let leaves = leaving && self.depart(&upstream, self.noticed(), "announced");
+        Seen {
+            before,
+            leaves: leaves.then_some(upstream),
+        }
     }
 
     /// Notes for how long a known upstream is cold: it may turn cold at any time, and
--- a/trouttrack_front/tests/front/incarnations.rs
+++ b/trouttrack_front/tests/front/incarnations.rs
@@ -82,3 +82,21 @@
     assert!(takes_work(&bed, "u1"));
     assert!(reaches(&bed, &next, "next").await > 0);
 }
+
+#[actix_rt::test]
+async fn a_late_word_of_the_life_before_changes_nothing() {
+    let bed = bed().await;
+    let before = entry(&bed, "u1", FIRST);
+    let next = entry(&bed, "u1", SECOND);
+    bed.store.put_upstream_spec("u1", next);
+    until("the next life is known", || born(&bed, "u1") == SECOND).await;
+    let mut late = before;
+    late["state"] = json!("draining");
+    bed.store.put_upstream_spec("u1", late);
+    // A later change shows that the late word has been heard.
+    let other = entry(&bed, "u2", SECOND);
+    bed.store.put_upstream_spec("u2", other);
+    until("the other's is known", || born(&bed, "u2") == SECOND).await;
+    assert_eq!(born(&bed, "u1"), SECOND);
+    assert!(takes_work(&bed, "u1"));
+}
