Ages count the time in which the machine was suspended

Cause: the steady clock stands still while a machine is suspended, so keys looked confirmed, the store and peers looked in touch, and retry windows looked full of what was long over. Idle connections' ages are still by the steady clock: open.

--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -59,7 +59,7 @@
     pub failure_domain: FailureDomain,
     /// Where peers reach it, once that is known.
     pub peer_addr: OnceCell<SocketAddr>,
-    /// The monotonic clock.
+    /// The clock.
     pub clock: Clock,
     /// Readiness and requests in progress.
     pub lifecycle: Rc<Lifecycle>,
@@ -111,11 +111,11 @@
             name: settings.vm.name.clone(),
             failure_domain: settings.vm.failure_domain.clone(),
             peer_addr: OnceCell::new(),
-            clock,
+            clock: clock.clone(),
             lifecycle: Rc::default(),
-            routing: Routing::new(clock, &settings.bounds),
-            upstreams: Upstreams::new(clock),
-            scheduler: Rc::new(Scheduler::new(clock, world_settings(settings))),
+            routing: Routing::new(clock.clone(), &settings.bounds),
+            upstreams: Upstreams::new(clock.clone()),
+            scheduler: Rc::new(Scheduler::new(clock.clone(), world_settings(settings))),
             peers: PeerTable::new(&settings.vm.name),
             history: RefCell::default(),
             budgets: Budgets::new(settings.retry),
--- a/trouttrack_front/tests/front/freshness.rs
+++ b/trouttrack_front/tests/front/freshness.rs
@@ -120,3 +120,20 @@
     })
     .await;
 }
+
+#[actix_rt::test]
+async fn a_vm_that_wakes_believes_no_key_until_that_is_confirmed() {
+    let bed = Bed::with(PLAIN, SHORT).await;
+    assert_eq!(bed.send(&plain("r1", "many")).await.status, 200);
+    // Its key may have been removed meanwhile, and nobody could tell this VM.
+    bed.store.set_fault(StoreFault::Silent);
+    bed.front.front.clock.suspended(Duration::from_secs(10));
+    assert!(!bed.front.front.routing.is_fresh());
+    let reply = bed.send(&plain("r2", "many")).await;
+    assert_eq!(reply.status, 503);
+    assert!(reply.retry_after.is_some());
+    assert!(bed.ran("r2").is_empty());
+    bed.store.set_fault(StoreFault::None);
+    until("it is confirmed", || bed.front.front.routing.is_fresh()).await;
+    assert_eq!(bed.send(&plain("r3", "many")).await.status, 200);
+}
