Clearing a request that was not held costs no call to the store

Cause: found on reading: each request that ran well after a single end was taken for one whose hold is over, and two VMs removed an object that was never written. The line of an end did not say how many count. Change: only what was held is removed; the line says the count.

--- a/trouttrack_core/src/quarantine/table.rs
+++ b/trouttrack_core/src/quarantine/table.rs
@@ -145,7 +145,7 @@
         records.filter(|r| self.hold_of(now, r).is_some()).count()
     }
 
-    /// The upstreams that ended under a request that is held.
+    /// The upstreams whose ends count against a request.
     #[must_use]
     pub fn ended_under(&self, request: Fingerprint) -> Vec<Incarnation> {
         let record = self.requests.get(&request);
--- a/trouttrack_front/src/state/suspects.rs
+++ b/trouttrack_front/src/state/suspects.rs
@@ -73,6 +73,7 @@
             upstream = upstream.id.as_str(),
             born = upstream.born,
             fingerprint = text(request).as_str(),
+            ends = self.ended_under(request).len(),
         );
         if !was_held {
             self.begin_hold(request, "own");
@@ -83,9 +84,13 @@
     /// A run of a request came to its end.
     pub fn ran_well(&self, request: Fingerprint) {
         let now = self.clock.now();
+        let was_held = self.hold(request).is_some();
         if self.table.borrow_mut().ran_well(now, request) {
             record!(events::RAN_WELL, fingerprint = text(request).as_str());
             self.tell(request);
+        }
+        if was_held {
+            // A call to the store costs, and only what was held lies there.
             self.keep(request);
         }
     }
@@ -98,7 +103,7 @@
         }
     }
 
-    /// The upstreams that ended under a request that is held.
+    /// The upstreams whose ends count against a request.
     #[must_use]
     pub fn ended_under(&self, request: Fingerprint) -> Vec<Incarnation> {
         self.table.borrow().ended_under(request)
