A hold lasts from the last end, however long before the others were

Cause: found on reading: each end was forgotten by itself after a hold, so ends at 1, 300 and 500 s held until 601 s and not until 1,100. Change: what is known of a request goes as a whole when its last end is that old, here and in what peers tell.

--- a/trouttrack_core/src/quarantine/record.rs
+++ b/trouttrack_core/src/quarantine/record.rs
@@ -75,10 +75,9 @@
         self.ends.last().map_or(Time::ZERO, |e| e.at)
     }
 
-    /// Forgets ends that are older than `keep`. Returns whether any are left.
-    pub(super) fn keep(&mut self, now: Time, keep: Duration) -> bool {
-        self.ends.retain(|e| now.saturating_sub(e.at) < keep);
-        !self.ends.is_empty()
+    /// Whether it still says anything: its last end is younger than `keep`.
+    pub(super) fn says_anything(&self, now: Time, keep: Duration) -> bool {
+        now.saturating_sub(self.last_at()) < keep
     }
 
     /// What is told of it.
--- a/trouttrack_core/src/quarantine/table.rs
+++ b/trouttrack_core/src/quarantine/table.rs
@@ -170,9 +170,8 @@
         let ends = self.settings.ends;
         let mut over = Vec::new();
         self.requests.retain(|request, record| {
-            let was_held = record.count() >= ends;
-            let keeps = record.keep(now, keep);
-            if was_held && record.count() < ends {
+            let keeps = record.says_anything(now, keep);
+            if !keeps && record.count() >= ends {
                 over.push(*request);
             }
             keeps
@@ -246,9 +245,12 @@
     fn merge(&mut self, now: Time, suspect: &Suspect) {
         let now = self.put_off(now);
         let at = |ago_ms: u64| now.saturating_sub(Duration::from_millis(ago_ms));
-        let recent = |ago_ms: u64| Duration::from_millis(ago_ms) < self.settings.hold;
-        let ends: Vec<_> = suspect.ends.iter().filter(|e| recent(e.ago_ms)).collect();
-        for end in ends {
+        let last = suspect.ends.iter().map(|e| e.ago_ms).min();
+        let is_over = |ago_ms| Duration::from_millis(ago_ms) >= self.settings.hold;
+        if last.is_none_or(is_over) {
+            return;
+        }
+        for end in &suspect.ends {
             self.ended_at(at(end.ago_ms), suspect.fingerprint, &end.upstream);
         }
         if let Some(ago_ms) = suspect.ran_well_ago_ms
--- a/trouttrack_core/tests/core/quarantine.rs
+++ b/trouttrack_core/tests/core/quarantine.rs
@@ -45,6 +45,22 @@
     assert!(quarantine.hold(at(3), HARMLESS).is_none());
 }
 
+#[test]
+fn an_end_long_before_the_last_does_not_shorten_the_hold() {
+    let mut quarantine = quarantine();
+    for (n, seconds) in [1, 300, 500].into_iter().enumerate() {
+        quarantine.ended(at(seconds), FATAL, &upstream(n as u64));
+    }
+    assert!(quarantine.expire(at(700)).is_empty());
+    assert!(quarantine.hold(at(700), FATAL).is_some());
+    assert!(quarantine.hold(at(1_099), FATAL).is_some());
+    let mut started = self::quarantine();
+    let heard = started.hear(at(1), &quarantine.told(at(1_000), 10));
+    assert_eq!(heard.held, [FATAL]);
+    assert_eq!(started.checksum(), quarantine.checksum());
+    assert_eq!(quarantine.expire(at(1_100)), [FATAL]);
+}
+
 #[test]
 fn one_more_end_after_the_hold_begins_another() {
     let mut quarantine = holding();
--- a/trouttrack_front/src/peers/suspects.rs
+++ b/trouttrack_front/src/peers/suspects.rs
@@ -27,8 +27,8 @@
     }
 }
 
-/// Who is to hear of a request. Those who keep account of one that has been cleared may
-/// have told all that it is held.
+/// Who is to hear of a request: all, if it is held, and otherwise those who keep account
+/// of it. That a hold has ended early the others learn by the sums in their heartbeats.
 fn concerned(front: &Front, request: Fingerprint) -> Vec<SocketAddr> {
     let others = front.peers.others().into_iter();
     let all = match front.suspects.hold(request) {
