The soak sends a request that ends engines

Cause: no drawn plan had one. Change: a third of the unplanned plans; what they draw besides is as before.

--- a/trouttrack_soak/src/bed/mod.rs
+++ b/trouttrack_soak/src/bed/mod.rs
@@ -12,5 +12,5 @@
 pub use fleet::{Evacuated, TurnedCold};
 pub use routes::RouteName;
 pub(crate) use routes::{ENGINES, HOST};
-pub use upstreams::{DOMAINS, EVENTS};
+pub use upstreams::{DOMAINS, EVENTS, FATAL};
 pub(crate) use upstreams::{Member, Upstreams};
--- a/trouttrack_soak/src/bed/upstreams.rs
+++ b/trouttrack_soak/src/bed/upstreams.rs
@@ -12,6 +12,8 @@
 pub const DOMAINS: [&str; 2] = ["a", "b"];
 /// Events of every stream.
 pub const EVENTS: u64 = 60;
+/// The body of a request that ends each engine that begins to run it.
+pub const FATAL: &str = "what ends an engine";
 /// Between two events: a stream takes about a second.
 const PACE: Duration = Duration::from_millis(15);
 
@@ -24,6 +26,14 @@
     pub(crate) link: Link,
 }
 
+impl Member {
+    /// Nobody listens at the link either once the upstream has ended.
+    async fn refuse_after_its_end(self) {
+        self.upstream.end().await;
+        self.link.set(Some(LinkFault::Refuse));
+    }
+}
+
 /// All upstreams: those of now, and the books of those that were.
 #[derive(Debug)]
 pub(crate) struct Upstreams {
@@ -61,11 +71,22 @@
         if service == ENGINES {
             upstream.pace(PACE);
             upstream.always(Behaviour::Stream(EVENTS));
+            upstream.ends_under(FATAL);
         }
         let link = Link::before(upstream.addr).await?;
         self.all.borrow_mut().push(upstream.clone());
         upstream.addr = link.addr();
-        Ok(Member { upstream, link })
+        let member = Member { upstream, link };
+        actix_rt::spawn(member.clone().refuse_after_its_end());
+        Ok(member)
+    }
+
+    /// Those of now that have ended.
+    #[must_use]
+    pub(crate) fn ended(&self) -> Vec<Member> {
+        let now = self.now.borrow();
+        let ended = now.iter().filter(|m| m.upstream.has_ended());
+        ended.cloned().collect()
     }
 
     /// The upstream at a place.
--- a/trouttrack_soak/src/callers/ask.rs
+++ b/trouttrack_soak/src/callers/ask.rs
@@ -1,7 +1,7 @@
 //! Callers that ask until they are to end.
 
 use super::call::{Call, Told};
-use crate::bed::{Bed, HOST, LASTING_KEY, RouteName};
+use crate::bed::{Bed, FATAL, HOST, LASTING_KEY, RouteName};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::cell::{Cell, RefCell};
@@ -21,6 +21,8 @@
 const PROMPT_TOKENS: u64 = 100;
 /// What callers say will be generated: four tokens in each of a stream's events.
 const GUESSED_TOKENS: u64 = 240;
+/// Begins the ids of requests that end engines.
+pub(crate) const FATAL_ID: &str = "fatal-";
 /// The share of requests on a route that only one configuration has.
 const MARKERS: f64 = 0.1;
 /// The share of requests with a key that comes and goes.
@@ -76,6 +78,24 @@
         }
     }
 
+    /// Asks once, at any VM, for what ends each engine that runs it.
+    pub(crate) async fn ask_fatal(self: Rc<Self>, number: usize, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let ready = self.bed.ready();
+        let vm = ready[rng.random_range(0..ready.len())];
+        let streams: Vec<RouteName> = RouteName::LASTING
+            .into_iter()
+            .filter(|route| route.kind().is_stream())
+            .collect();
+        let route = streams[number % streams.len()];
+        let id = format!("{FATAL_ID}{number}");
+        let client = Client::builder().build();
+        let req = request(&id, route, LASTING_KEY).post(FATAL);
+        let call = self.send(&client, vm, id, route, LASTING_KEY.to_owned(), req);
+        let call = call.await;
+        self.calls.borrow_mut().push(call);
+    }
+
     fn route(&self, rng: &mut SmallRng) -> RouteName {
         if !rng.random_bool(MARKERS) {
             return RouteName::LASTING[rng.random_range(0..RouteName::LASTING.len())];
@@ -103,6 +123,18 @@
         key: String,
     ) -> Call {
         let req = request(&id, route, &key);
+        self.send(client, vm, id, route, key, req).await
+    }
+
+    async fn send(
+        &self,
+        client: &Client,
+        vm: usize,
+        id: String,
+        route: RouteName,
+        key: String,
+        req: CallerRequest,
+    ) -> Call {
         let to = self.bed.caller_links[vm].addr();
         let life = self.bed.vms[vm].life();
         let sent = Instant::now();
--- a/trouttrack_soak/src/callers/mod.rs
+++ b/trouttrack_soak/src/callers/mod.rs
@@ -3,6 +3,6 @@
 mod ask;
 mod call;
 
-pub(crate) use ask::Callers;
+pub(crate) use ask::{Callers, FATAL_ID};
 pub(crate) use call::is_success;
 pub use call::{Call, Told};
--- a/trouttrack_soak/src/check/mod.rs
+++ b/trouttrack_soak/src/check/mod.rs
@@ -3,6 +3,7 @@
 //! - `answers`: each caller gets its own whole answer, each token once.
 //! - `runs`: at most once, "not run" is true, retries stay in their budget.
 //! - `keys`: configurations never go back, removed keys are dead.
+//! - `ends`: a request that ends engines is stopped.
 //! - `stops`: planned work cuts off nothing; leaving upstreams and evacuated failure
 //!   domains get no work.
 //!
@@ -10,6 +11,7 @@
 //! so: on a machine that is busy with other work they prove nothing.
 
 mod answers;
+mod ends;
 mod evidence;
 mod keys;
 mod runs;
@@ -61,5 +63,6 @@
     findings.extend(runs::check(evidence));
     findings.extend(keys::check(evidence));
     findings.extend(stops::check(evidence));
+    findings.extend(ends::check(evidence));
     findings
 }
--- a/trouttrack_soak/src/faults/carry_out.rs
+++ b/trouttrack_soak/src/faults/carry_out.rs
@@ -3,11 +3,13 @@
 use super::history::History;
 use super::{store, upstreams};
 use crate::bed::{Bed, Configs};
+use crate::callers::Callers;
 use crate::plan::{Act, LinkFault, Place, Plan, Step};
 use crate::vm::GRACE;
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use std::cell::RefCell;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -18,19 +20,33 @@
 /// How long a kill counts as lasting: until the VM has been started again.
 const KILL_LASTS: Duration = Duration::from_secs(1);
 
+/// Pause between two arrivals of a request that ends engines, in milliseconds.
+const FATAL_PAUSE_MS: Range<u64> = 100..900;
+
 /// Carries a plan out against a fleet.
 #[derive(Debug)]
 pub(crate) struct Faults {
     bed: Rc<Bed>,
     history: Rc<RefCell<History>>,
+    callers: Rc<Callers>,
     seed: u64,
 }
 
 impl Faults {
     /// Faults on a fleet, whose details are drawn from `seed`.
     #[must_use]
-    pub(crate) fn new(bed: Rc<Bed>, history: Rc<RefCell<History>>, seed: u64) -> Self {
-        Self { bed, history, seed }
+    pub(crate) fn new(
+        bed: Rc<Bed>,
+        history: Rc<RefCell<History>>,
+        callers: Rc<Callers>,
+        seed: u64,
+    ) -> Self {
+        Self {
+            bed,
+            history,
+            callers,
+            seed,
+        }
     }
 
     /// Carries out a plan; returns when its last fault has ended.
@@ -75,6 +91,18 @@
             Act::Revoke => bed.put_config(Configs::revoke),
             Act::Evacuate(domain) => bed.evacuate(domain, step.lasts).await,
             Act::TurnCold(place) => bed.turn_cold(place, step.lasts).await,
+            Act::EndEngines => self.end_engines(step.lasts, rng).await,
+        }
+    }
+
+    async fn end_engines(&self, lasts: Duration, rng: &mut SmallRng) {
+        let until = Instant::now() + lasts;
+        let mut asked = 0;
+        while Instant::now() < until {
+            asked += 1;
+            let callers = Rc::clone(&self.callers);
+            actix_rt::spawn(callers.ask_fatal(asked, rng.random()));
+            sleep(Duration::from_millis(rng.random_range(FATAL_PAUSE_MS))).await;
         }
     }
 
--- a/trouttrack_soak/src/plan/act.rs
+++ b/trouttrack_soak/src/plan/act.rs
@@ -79,6 +79,9 @@
     Evacuate(&'static str),
     /// An upstream turns cold while it lasts.
     TurnCold(usize),
+    /// A request that ends each engine that begins to run it comes again and again, at
+    /// any VM, while it lasts.
+    EndEngines,
 }
 
 impl Act {
--- a/trouttrack_soak/src/plan/draw.rs
+++ b/trouttrack_soak/src/plan/draw.rs
@@ -27,6 +27,11 @@
 /// How long it lasts, in seconds: longer than the bound within which an evacuation is in
 /// force.
 const LASTS_BESIDE: Range<f64> = 2.5..7.0;
+/// Taken with the seed for the request that ends engines; the share of plans with one, and
+/// how long it comes, in seconds: longer than until all VMs must know.
+const ENDS_ENGINES: u64 = 0x3d1e;
+const ENDING: f64 = 0.35;
+const LASTS_ENDING: f64 = 6.5;
 /// How long bytes are delayed, in milliseconds.
 const DELAY_MS: Range<u64> = 5..400;
 
@@ -75,6 +80,9 @@
             at += Duration::from_secs_f64(rng.random_range(GAP));
         }
         steps.extend(beside(seed, size, ends));
+        if !planned_only {
+            steps.extend(end_engines(seed, ends));
+        }
         steps.sort_by_key(|s| s.at);
         Self { steps }
     }
@@ -99,6 +107,21 @@
     steps
 }
 
+/// The request that ends engines, drawn by itself as well.
+fn end_engines(seed: u64, ends: Duration) -> Option<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ ENDS_ENGINES);
+    let first = SETTLE.as_secs_f64();
+    let latest = ends.as_secs_f64() - LASTS_ENDING;
+    if !rng.random_bool(ENDING) || latest <= first {
+        return None;
+    }
+    Some(Step {
+        at: Duration::from_secs_f64(rng.random_range(first..latest)),
+        lasts: Duration::from_secs_f64(LASTS_ENDING),
+        act: Act::EndEngines,
+    })
+}
+
 /// Any act. A VM and an upstream are drawn first, whether or not it needs them.
 fn act(rng: &mut SmallRng, size: Size) -> Act {
     let vm = rng.random_range(0..size.vms);
--- a/trouttrack_soak/src/run.rs
+++ b/trouttrack_soak/src/run.rs
@@ -12,6 +12,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
@@ -48,6 +49,9 @@
     pub findings: Vec<Finding>,
 }
 
+/// How often engines that have ended are replaced: about as long as they are away.
+const LOOK_EVERY: Duration = Duration::from_secs(2);
+
 /// A run could not be made.
 #[derive(Debug, Error)]
 #[non_exhaustive]
@@ -115,17 +119,32 @@
     let balancing = actix_rt::spawn(Rc::clone(bed).balance());
     let asking = start_callers(&callers, options);
     let began = Instant::now();
-    let faults = Faults::new(Rc::clone(bed), Rc::clone(&history), options.seed);
+    let (history_of, asking_too) = (Rc::clone(&history), Rc::clone(&callers));
+    let faults = Faults::new(Rc::clone(bed), history_of, asking_too, options.seed);
+    let replacing = actix_rt::spawn(replace_ended(Rc::clone(bed)));
     let disturbing = actix_rt::spawn(faults.carry_out(plan));
     tokio::time::sleep_until(began + options.size.lasts).await;
     callers.end();
     wait_for_callers(asking).await;
     disturbing.abort();
+    replacing.abort();
     balancing.abort();
     let history = history.borrow().clone();
     (callers.calls(), history)
 }
 
+/// Puts other engines in the place of those that have ended, for as long as it runs.
+async fn replace_ended(bed: Rc<Bed>) {
+    loop {
+        tokio::time::sleep(LOOK_EVERY).await;
+        for member in bed.upstreams.ended() {
+            if let Err(e) = bed.upstreams.replace(&bed.store, &member).await {
+                eprintln!("{}: not replaced: {e}", member.upstream.id);
+            }
+        }
+    }
+}
+
 fn start_callers(callers: &Rc<Callers>, options: &SoakOptions) -> Vec<JoinHandle<()>> {
     (0..options.size.callers)
         .map(|n| actix_rt::spawn(Rc::clone(callers).run(n, options.seed)))
