An upstream's end is noticed though its port closes last

Cause: found by the soak: whoever asks at once whether the upstream is there is still taken up, by a port that closes after the connections do or by what stands before the process, so no end was noticed and the request was tried on. One that lasts is kept for the next request.

--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -170,7 +170,7 @@
     }
 
     /// What an attempt says of the request.
-    async fn learn(&self, upstream: &Upstream, outcome: &Result<WholeAnswer, AttemptFailure>) {
+    async fn learn(&self, upstream: &Rc<Upstream>, outcome: &Result<WholeAnswer, AttemptFailure>) {
         let (front, admitted, body) = (self.front, self.admitted, &self.body);
         match outcome {
             Ok(answer) if answer.end_marked => self.suspicion.ran_well(front, admitted, body),
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -183,7 +183,7 @@
     }
 
     /// What a failure at an upstream says of the request.
-    pub(super) async fn learn_failed(&self, at: &Upstream, failure: &AttemptFailure) {
+    pub(super) async fn learn_failed(&self, at: &Rc<Upstream>, failure: &AttemptFailure) {
         let (front, admitted) = (&self.front, &self.admitted);
         let learning = self
             .suspicion
--- a/trouttrack_front/tests/front/repeats.rs
+++ b/trouttrack_front/tests/front/repeats.rs
@@ -35,6 +35,11 @@
 
 impl Fatal {
     async fn new(service: &str) -> Self {
+        Self::lingering(service, Duration::ZERO).await
+    }
+
+    /// Their ports outlive their connections by so much.
+    async fn lingering(service: &str, lingers: Duration) -> Self {
         let bed = Bed::new(service).await;
         let other = start(&settings(&bed.store, "front-2", "")).await;
         let other = other.expect("a front");
@@ -44,6 +49,7 @@
         }
         for upstream in &upstreams {
             upstream.ends_under(FATAL);
+            upstream.lingers(lingers);
             upstream.always(match service {
                 ENGINES => Behaviour::Stream(4),
                 _ => Behaviour::Whole,
@@ -119,7 +125,10 @@
 }
 
 async fn is_stopped(service: &str, route: &str) {
-    let fatal = Fatal::new(service).await;
+    stops(Fatal::new(service).await, route).await;
+}
+
+async fn stops(fatal: Fatal, route: &str) {
     let (early, all) = fatal.comes_again(route).await;
     assert!((1..=MOST_ENDED).contains(&early), "{early} before all knew");
     assert!(
@@ -167,6 +176,19 @@
     is_stopped(ENGINES, "draft").await;
 }
 
+/// A process that ends may break off its connections before it closes its port.
+#[actix_rt::test]
+async fn an_end_is_noticed_though_the_port_closes_last() {
+    let fatal = Fatal::lingering(ENGINES, Duration::from_millis(30)).await;
+    let before = fatal.comes("resume", "first").await;
+    assert!(before.iter().all(|reply| reply.status == 502));
+    until("it is held", || {
+        let held = |f: &&Running| f.front.suspects.held() > 0;
+        fatal.fronts().iter().all(held)
+    })
+    .await;
+}
+
 #[actix_rt::test]
 async fn a_fatal_call_is_not_tried_for_ever() {
     is_stopped(PLAIN, "many").await;
--- a/trouttrack_http/src/client.rs
+++ b/trouttrack_http/src/client.rs
@@ -28,6 +28,9 @@
 /// said nothing of that.
 const PROBED_FOR: Duration = Duration::from_secs(1);
 
+/// How often it is looked at whether such a connection is still there.
+const PRESENCE_STEP: Duration = Duration::from_millis(10);
+
 /// Which connection may carry a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reuse {
@@ -197,19 +200,18 @@
         }
     }
 
-    /// Whether anybody listens at a peer's address. A connection that comes up is kept for
-    /// the next request.
+    /// Whether anybody listens at a peer's address.
     ///
     /// # Errors
     ///
     /// No connection came up; [`SendErrorKind::NobodyThere`] is the peer's VM saying that
     /// the process is gone.
-    pub async fn probe(&self, peer: SocketAddr) -> Result<(), SendError> {
-        let mut sender = self.connect(peer).await?;
-        if sender.ready().await.is_ok() {
-            self.keep(peer, sender, PROBED_FOR);
-        }
-        Ok(())
+    pub async fn probe(&self, peer: SocketAddr) -> Result<Presence, SendError> {
+        Ok(Presence {
+            client: self.clone(),
+            peer,
+            sender: self.connect(peer).await?,
+        })
     }
 
     /// Keeps a connection whose answer has been taken whole.
@@ -246,6 +248,30 @@
     }
 }
 
+/// A connection that only asked whether a peer is there.
+#[derive(Debug)]
+pub struct Presence {
+    client: Client,
+    peer: SocketAddr,
+    sender: Sender,
+}
+
+impl Presence {
+    /// Whether the peer keeps the connection for so long: a process that is ending may
+    /// still have taken it up. One that lasts is kept for the next request.
+    pub async fn lasts(mut self, time: Duration) -> bool {
+        let until = tokio::time::Instant::now() + time;
+        while tokio::time::Instant::now() < until {
+            tokio::time::sleep(PRESENCE_STEP).await;
+            if self.sender.is_closed() || self.sender.ready().await.is_err() {
+                return false;
+            }
+        }
+        self.client.keep(self.peer, self.sender, PROBED_FOR);
+        true
+    }
+}
+
 enum Unanswered {
     /// The connection was closed before anything was written.
     Unsent(Box<Request<Full<Bytes>>>),
--- a/trouttrack_http/src/lib.rs
+++ b/trouttrack_http/src/lib.rs
@@ -20,5 +20,5 @@
 mod pool;
 
 pub use answer::{Answer, AnswerBody};
-pub use client::{Client, ClientBuilder, Reuse};
+pub use client::{Client, ClientBuilder, Presence, Reuse};
 pub use error::{BodyError, SendError, SendErrorKind};
