--- a/trouttrack_soak/src/bed/upstreams.rs
+++ b/trouttrack_soak/src/bed/upstreams.rs
@@ -28,9 +28,9 @@
 
 impl Member {
     /// Nobody listens at the link either once the upstream has ended.
-    async fn refuse_after_its_end(self) {
+    async fn close_after_its_end(self) {
         self.upstream.end().await;
-        self.link.set(Some(LinkFault::Refuse));
+        self.link.close();
     }
 }
 
@@ -77,7 +77,7 @@
         self.all.borrow_mut().push(upstream.clone());
         upstream.addr = link.addr();
         let member = Member { upstream, link };
-        actix_rt::spawn(member.clone().refuse_after_its_end());
+        actix_rt::spawn(member.clone().close_after_its_end());
         Ok(member)
     }
 
--- a/trouttrack_soak/src/link/condition.rs
+++ b/trouttrack_soak/src/link/condition.rs
@@ -14,16 +14,28 @@
     cut_from_server: bool,
     /// Connections are refused.
     pub(super) refuses: bool,
+    /// Nobody listens any more.
+    pub(super) closed: bool,
     /// Counts resets: a connection that saw a smaller number is reset.
     pub(super) resets: u64,
 }
 
 impl Condition {
+    /// The condition of a link that closes for good.
+    pub(super) fn closing(self) -> Self {
+        Self {
+            closed: true,
+            resets: self.resets + 1,
+            ..self
+        }
+    }
+
     /// The condition under another fault. Resets are counted on: connections
     /// compare the number with the one that they began with.
     pub(super) fn with(self, fault: Option<LinkFault>) -> Self {
         let mut new = Self {
             resets: self.resets,
+            closed: self.closed,
             ..Self::default()
         };
         match fault {
--- a/trouttrack_soak/src/link/proxy.rs
+++ b/trouttrack_soak/src/link/proxy.rs
@@ -32,13 +32,32 @@
         };
         let serving = link.clone();
         actix_rt::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                actix_rt::spawn(serving.clone().serve(client));
+            tokio::select! {
+                () = serving.accept(&listener) => {}
+                () = serving.closed() => {}
             }
         });
         Ok(link)
     }
 
+    async fn accept(&self, listener: &TcpListener) {
+        while let Ok((client, _)) = listener.accept().await {
+            actix_rt::spawn(self.clone().serve(client));
+        }
+    }
+
+    async fn closed(&self) {
+        let mut condition = self.condition.subscribe();
+        // The sender is part of the link.
+        drop(condition.wait_for(|c| c.closed).await);
+    }
+
+    /// Resets all connections, and listens no more.
+    pub fn close(&self) {
+        self.condition
+            .send_modify(|condition| *condition = condition.closing());
+    }
+
     /// Where it listens.
     #[must_use]
     pub fn addr(&self) -> SocketAddr {
