--- a/trouttrack_front/tests/front/entries.rs
+++ b/trouttrack_front/tests/front/entries.rs
@@ -1,14 +1,15 @@
 //! Entries in the store that another writer has spoiled.
 
-use crate::support::{Bed, PLAIN, plain, until};
+use crate::support::{Bed, PLAIN, plain, settings, until};
 use serde_json::{Value, json};
-use trouttrack_front::state::Front;
+use trouttrack_front::app::start;
+use trouttrack_front::state::{Front, Upstream};
 
 /// Requests of which each of two upstreams would get some.
 const MANY: usize = 12;
 
 fn knows(front: &Front, id: &str) -> bool {
-    let takes_work = |u: &trouttrack_front::state::Upstream| !u.is_leaving();
+    let takes_work = |u: &Upstream| !u.is_leaving();
     front.upstreams.get(id).is_some_and(|u| takes_work(&u))
 }
 
@@ -23,6 +24,14 @@
     bed.upstreams[0].arrivals().len() - before
 }
 
+async fn a_vm_that_starts_uses_only_the_second(bed: &Bed) {
+    let other = start(&settings(&bed.store, "front-2", "")).await;
+    let other = other.expect("a front").front;
+    until("it is ready", || other.lifecycle.is_ready()).await;
+    assert!(!knows(&other, "u1"));
+    assert!(knows(&other, "u2"));
+}
+
 /// Entries that name no upstream to use: a field is missing, has another type, or names
 /// what is not known.
 fn spoiled(bed: &Bed) -> Vec<Value> {
@@ -88,11 +97,7 @@
 async fn a_vm_that_starts_uses_only_what_can_be_read() {
     let bed = Bed::new(PLAIN).await;
     bed.store.put_upstream_spec("u1", json!({"service": 7}));
-    let more = crate::support::settings(&bed.store, "front-2", "");
-    let other = trouttrack_front::app::start(&more).await.expect("a front");
-    until("it is ready", || other.front.lifecycle.is_ready()).await;
-    assert!(!knows(&other.front, "u1"));
-    assert!(knows(&other.front, "u2"));
+    a_vm_that_starts_uses_only_the_second(&bed).await;
 }
 
 #[actix_rt::test]
@@ -102,11 +107,7 @@
     bed.store.spoil_bytes("u1");
     until("it is out", || !knows(front, "u1")).await;
     assert!(knows(front, "u2"));
-    let more = crate::support::settings(&bed.store, "front-2", "");
-    let other = trouttrack_front::app::start(&more).await.expect("a front");
-    until("it is ready", || other.front.lifecycle.is_ready()).await;
-    assert!(!knows(&other.front, "u1"));
-    assert!(knows(&other.front, "u2"));
+    a_vm_that_starts_uses_only_the_second(&bed).await;
 }
 
 #[actix_rt::test]
