The platform's field names in tests of entries move to its stand-in

Cause: two test files of the front wrote entries by the platform's names, which only platform/ is to know.

--- a/trouttrack_front/tests/front/entries.rs
+++ b/trouttrack_front/tests/front/entries.rs
@@ -1,12 +1,18 @@
 //! Entries in the store that another writer has spoiled.
 
 use crate::support::{Bed, PLAIN, plain, settings, until};
-use serde_json::{Value, json};
+use serde_json::json;
+use std::time::Duration;
 use trouttrack_front::app::start;
 use trouttrack_front::state::{Front, Upstream};
 
 /// Requests of which each of two upstreams would get some.
 const MANY: usize = 12;
+/// Spoiled forms of an entry: four are none, eight fields are missing or of three other
+/// types, nine values are unknown.
+const SPOILED: usize = 4 + 8 * 4 + 9;
+/// A start, in Unix milliseconds.
+const BORN: u64 = 1_789_000_000_000;
 
 fn knows(front: &Front, id: &str) -> bool {
     let takes_work = |u: &Upstream| !u.is_leaving();
@@ -32,63 +38,23 @@
     assert!(knows(&other, "u2"));
 }
 
-/// Entries that name no upstream to use: a field is missing, has another type, or names
-/// what is not known.
-fn spoiled(bed: &Bed) -> Vec<Value> {
-    let good = bed.store.upstream_spec("u1");
-    let mut spoiled = vec![json!(null), json!("\u{0}"), json!([]), json!({})];
-    for field in [
-        "service",
-        "address",
-        "zone",
-        "version",
-        "slots",
-        "state",
-        "cold_left_ms",
-        "call_seq",
-    ] {
-        let mut without = good.clone();
-        without.as_object_mut().expect("an object").remove(field);
-        spoiled.push(without);
-        for other in [json!(null), json!(["x"]), json!({"a": 1})] {
-            let mut of_another_type = good.clone();
-            of_another_type[field] = other;
-            spoiled.push(of_another_type);
-        }
-    }
-    for (field, value) in [
-        ("state", json!("resting")),
-        ("slots", json!(0)),
-        ("slots", json!(-6)),
-        ("slots", json!("6")),
-        ("cold_left_ms", json!(-1)),
-        ("address", json!("nowhere")),
-        ("service", json!("")),
-        ("born", json!("yesterday")),
-        ("born", json!(1.5)),
-    ] {
-        let mut unknown = good.clone();
-        unknown[field] = value;
-        spoiled.push(unknown);
-    }
-    spoiled
-}
-
 #[actix_rt::test]
 async fn a_spoiled_entry_takes_its_upstream_out_and_costs_the_others_nothing() {
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
     assert!(reach_the_first(&bed, "good").await > 0);
-    for (n, spec) in spoiled(&bed).into_iter().enumerate() {
-        let text = spec.to_string();
-        bed.store.put_upstream_spec("u1", spec);
+    let spoiled = bed.store.spoiled_entries("u1");
+    assert_eq!(spoiled.len(), SPOILED);
+    for (n, entry) in spoiled.into_iter().enumerate() {
+        let text = entry.to_string();
+        bed.store.put_entry("u1", entry);
         until(&format!("it is out: {text}"), || !knows(front, "u1")).await;
         assert!(knows(front, "u2"));
         // It comes back with a proper entry.
         bed.store.put_upstream(&bed.upstreams[0], false);
         until(&format!("it is back after {n}"), || knows(front, "u1")).await;
     }
-    bed.store.put_upstream_spec("u1", json!({}));
+    bed.store.put_entry("u1", json!({}));
     until("it is out", || !knows(front, "u1")).await;
     assert_eq!(reach_the_first(&bed, "spoiled").await, 0);
 }
@@ -96,7 +62,7 @@
 #[actix_rt::test]
 async fn a_vm_that_starts_uses_only_what_can_be_read() {
     let bed = Bed::new(PLAIN).await;
-    bed.store.put_upstream_spec("u1", json!({"service": 7}));
+    bed.store.put_entry("u1", json!({}));
     a_vm_that_starts_uses_only_the_second(&bed).await;
 }
 
@@ -114,17 +80,14 @@
 async fn where_upstreams_say_when_they_started_one_that_does_not_is_not_used() {
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
-    let mut born = bed.store.upstream_spec("u2");
-    born["born"] = json!(1_789_000_000_000_u64);
-    bed.store.put_upstream_spec("u2", born);
+    bed.store.put_life(&bed.upstreams[1], BORN, false);
     until("it is known", || {
         front.upstreams.get("u2").is_some_and(|u| u.born > 0)
     })
     .await;
     // The same entry as before, written again.
-    let mut unborn = bed.store.upstream_spec("u1");
-    unborn["call_seq"] = json!(9);
-    bed.store.put_upstream_spec("u1", unborn);
+    bed.store
+        .put_cold(&bed.upstreams[0], Duration::from_millis(1));
     until("it is out", || !knows(front, "u1")).await;
     assert!(knows(front, "u2"));
 }
--- a/trouttrack_front/tests/front/incarnations.rs
+++ b/trouttrack_front/tests/front/incarnations.rs
@@ -1,7 +1,6 @@
 //! Upstreams that start again under the id that they had.
 
 use crate::support::{Bed, PLAIN, plain, until};
-use serde_json::{Value, json};
 use trouttrack_platform_standin::{Behaviour, Upstream};
 
 /// Requests of which each of two upstreams would get some.
@@ -13,9 +12,8 @@
 /// Two upstreams that say when they started.
 async fn bed() -> Bed {
     let bed = Bed::new(PLAIN).await;
-    for id in ["u1", "u2"] {
-        let spec = entry(&bed, id, FIRST);
-        bed.store.put_upstream_spec(id, spec);
+    for upstream in &bed.upstreams {
+        bed.store.put_life(upstream, FIRST, false);
     }
     until("they are known", || {
         ["u1", "u2"].iter().all(|id| born(&bed, id) == FIRST)
@@ -24,13 +22,6 @@
     bed
 }
 
-fn entry(bed: &Bed, id: &str, born: u64) -> Value {
-    let mut spec = bed.store.upstream_spec(id);
-    spec["born"] = json!(born);
-    spec["state"] = json!("ready");
-    spec
-}
-
 fn born(bed: &Bed, id: &str) -> u64 {
     let known = bed.front.front.upstreams.get(id);
     known.map_or(0, |u| u.born)
@@ -54,12 +45,9 @@
 #[actix_rt::test]
 async fn one_that_had_left_gets_work_in_its_next_life() {
     let bed = bed().await;
-    let mut leaving = entry(&bed, "u1", FIRST);
-    leaving["state"] = json!("draining");
-    bed.store.put_upstream_spec("u1", leaving);
+    bed.store.put_life(&bed.upstreams[0], FIRST, true);
     until("it leaves", || !takes_work(&bed, "u1")).await;
-    let next = entry(&bed, "u1", SECOND);
-    bed.store.put_upstream_spec("u1", next);
+    bed.store.put_life(&bed.upstreams[0], SECOND, false);
     until("it is back", || takes_work(&bed, "u1")).await;
     assert!(reaches(&bed, &bed.upstreams[0], "back").await > 0);
 }
@@ -75,9 +63,7 @@
     // At another address, under its id.
     let next = Upstream::start("u1", PLAIN, "a").await;
     next.always(Behaviour::Whole);
-    let mut spec = entry(&bed, "u1", SECOND);
-    spec["address"] = json!(next.addr.to_string());
-    bed.store.put_upstream_spec("u1", spec);
+    bed.store.put_life(&next, SECOND, false);
     until("it is known", || born(&bed, "u1") == SECOND).await;
     assert!(takes_work(&bed, "u1"));
     assert!(reaches(&bed, &next, "next").await > 0);
@@ -86,16 +72,11 @@
 #[actix_rt::test]
 async fn a_late_word_of_the_life_before_changes_nothing() {
     let bed = bed().await;
-    let before = entry(&bed, "u1", FIRST);
-    let next = entry(&bed, "u1", SECOND);
-    bed.store.put_upstream_spec("u1", next);
+    bed.store.put_life(&bed.upstreams[0], SECOND, false);
     until("the next life is known", || born(&bed, "u1") == SECOND).await;
-    let mut late = before;
-    late["state"] = json!("draining");
-    bed.store.put_upstream_spec("u1", late);
+    bed.store.put_life(&bed.upstreams[0], FIRST, true);
     // A later change shows that the late word has been heard.
-    let other = entry(&bed, "u2", SECOND);
-    bed.store.put_upstream_spec("u2", other);
+    bed.store.put_life(&bed.upstreams[1], SECOND, false);
     until("the other's is known", || born(&bed, "u2") == SECOND).await;
     assert_eq!(born(&bed, "u1"), SECOND);
     assert!(takes_work(&bed, "u1"));
