One digest an arrival, one reading a list, one row an entry

Cause: found on reading the change: a failed attempt's line made the digest of the request again; a list of upstreams was decoded twice, for births and for entries, and gave each row to the tables before all rows were given; a hold read from the store was written there again. Change: the line takes the digest that the arrival has; a list is decoded once and its rows come with the configuration's; only holds found or heard of are written. Result: the front's tests pass as they were; not measured.

--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -60,15 +60,15 @@
     }
 
     fn listed(&self, objects: &[Object], revision: u64) {
-        let decoded_all = objects.iter().map(|o| UpstreamEntry::decode(o.spec.get()));
-        if decoded_all.flatten().any(|entry| entry.born > 0) {
-            self.front.upstreams.set_say_births();
-        }
-        for object in objects {
+        let read = objects.iter().map(|o| UpstreamEntry::decode(o.spec.get()));
+        let read: Vec<Read> = read.collect();
+        // Any of them shows what the others are to say.
+        read.iter().for_each(|r| note_birth(&self.front, r));
+        for (object, read) in objects.iter().zip(read) {
             let change = EntryChange {
                 id: object.name.clone(),
                 revision: object.revision,
-                entry: decoded(&self.front, object),
+                entry: state(&self.front, object, read),
             };
             take_in(&self.front, &change);
         }
@@ -110,25 +110,36 @@
     }
 }
 
+/// An entry that was read, or what is amiss with it.
+type Read = Result<UpstreamEntry, EntryError>;
+
 /// What an entry says.
 fn decoded(front: &Front, object: &Object) -> EntryState {
-    let entry = UpstreamEntry::decode(object.spec.get());
-    let entry = entry.and_then(|entry| match front.upstreams.say_births() {
+    let read = UpstreamEntry::decode(object.spec.get());
+    note_birth(front, &read);
+    state(front, object, read)
+}
+
+/// Notes that upstreams here say when they started.
+fn note_birth(front: &Front, read: &Read) {
+    if read.as_ref().is_ok_and(|entry| entry.born > 0) {
+        front.upstreams.set_say_births();
+    }
+}
+
+/// What became of an entry that is there.
+fn state(front: &Front, object: &Object, read: Read) -> EntryState {
+    let entry = read.and_then(|entry| match front.upstreams.say_births() {
         true => entry.with_birth(),
         false => Ok(entry),
     });
-    match entry {
-        Ok(entry) => {
-            if entry.born > 0 {
-                front.upstreams.set_say_births();
-            }
-            EntryState::Listed(entry)
-        }
-        Err(e) => {
+    entry.map_or_else(
+        |e| {
             unreadable(front, object, e);
             EntryState::Unreadable
-        }
-    }
+        },
+        EntryState::Listed,
+    )
 }
 
 fn unreadable(front: &Front, object: &Object, e: EntryError) {
@@ -185,18 +196,20 @@
 fn apply(front: &Rc<Front>, changes: &[EntryChange]) {
     for change in changes {
         take_in(front, change);
+        if matches!(change.entry, EntryState::Listed(_)) {
+            put_row(front, &change.id);
+        }
     }
     if !changes.is_empty() {
         front.scheduler.upstreams_changed();
     }
 }
 
-/// Takes in what became of one entry.
+/// Takes in what became of one entry, but for its row of the decision tables.
 fn take_in(front: &Rc<Front>, change: &EntryChange) {
     let gone = match &change.entry {
         EntryState::Listed(entry) => {
             see(front, &change.id, change.revision, entry.clone());
-            put_row(front, &change.id);
             None
         }
         EntryState::Gone => front.upstreams.removed(&change.id),
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -55,7 +55,7 @@
     /// The use that all VMs of its failure domain make of the upstreams there, told to
     /// other failure domains of a large fleet.
     pub(super) domain_uses: Vec<UpstreamUse>,
-    /// A sum over what it knows of requests under which upstreams ended.
+    /// A sum over the requests that are held there.
     pub(super) suspects: u64,
 }
 
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -1,6 +1,6 @@
 //! One hand-over of a request to an upstream, up to the head of the answer.
 
-use super::fingerprint::fingerprint;
+use super::suspicion::Suspicion;
 use crate::caller::Admitted;
 use crate::state::{Front, Upstream, fingerprint_text};
 use bytes::Bytes;
@@ -56,6 +56,8 @@
     pub(crate) upstream: &'a str,
     /// The request's body.
     pub(crate) body: &'a Bytes,
+    /// What is known against it.
+    pub(super) suspicion: &'a Suspicion,
     /// When it was handed over.
     pub(crate) began_at: Time,
     /// Events of the stream that were passed on by then, also from earlier attempts.
@@ -91,8 +93,10 @@
     /// it is known again when it comes back.
     pub(crate) fn report(&self, front: &Front, admitted: &Admitted, attempt: &Attempt<'_>) {
         let may_have_run = matches!(self.failure, Failure::Lost | Failure::Aborted);
-        let fingerprint = may_have_run.then(|| fingerprint(admitted, attempt.body));
-        let fingerprint = fingerprint.map(fingerprint_text);
+        let fingerprint = may_have_run.then(|| {
+            let request = attempt.suspicion.fingerprint(admitted, attempt.body);
+            fingerprint_text(request)
+        });
         let held = front.clock.now().saturating_sub(attempt.began_at);
         record!(
             events::ATTEMPT_FAILED,
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -151,6 +151,7 @@
             let attempt = Attempt {
                 upstream: &upstream.id,
                 body: &self.body,
+                suspicion: &self.suspicion,
                 began_at: self.placed_at,
                 events: 0,
             };
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -204,6 +204,7 @@
                 let attempt = Attempt {
                     upstream: self.at_id(),
                     body: &self.body,
+                    suspicion: &self.suspicion,
                     began_at: self.began_at,
                     events: self.reader.events(),
                 };
--- a/trouttrack_front/src/request/suspicion.rs
+++ b/trouttrack_front/src/request/suspicion.rs
@@ -32,7 +32,8 @@
 }
 
 impl Suspicion {
-    fn fingerprint(&self, admitted: &Admitted, body: &Bytes) -> Fingerprint {
+    /// The request's fingerprint.
+    pub(super) fn fingerprint(&self, admitted: &Admitted, body: &Bytes) -> Fingerprint {
         *self.fingerprint.get_or_init(|| fingerprint(admitted, body))
     }
 
--- a/trouttrack_front/src/state/suspects.rs
+++ b/trouttrack_front/src/state/suspects.rs
@@ -76,7 +76,8 @@
             ends = self.ended_under(request).len(),
         );
         if !was_held {
-            self.begin_hold(request, "own");
+            self.log_hold(request, "own");
+            self.keep(request);
         }
         self.tell(request);
     }
@@ -95,11 +96,11 @@
         }
     }
 
-    /// A request that VMs held before, read from the store.
+    /// A request that VMs held before, read from the store, where it lies already.
     pub fn restore(&self, request: Fingerprint, ended: &[Incarnation]) {
         let now = self.clock.now();
         if self.table.borrow_mut().restore(now, request, ended) {
-            self.begin_hold(request, "store");
+            self.log_hold(request, "store");
         }
     }
 
@@ -161,7 +162,8 @@
     pub fn hear(&self, told: &[Suspect], peer: &str) -> Vec<Suspect> {
         let heard = self.table.borrow_mut().hear(self.clock.now(), told);
         for &request in &heard.held {
-            self.begin_hold(request, peer);
+            self.log_hold(request, peer);
+            self.keep(request);
             let said_by_one = |s: &&Suspect| s.fingerprint == request;
             let known_there = told.iter().find(said_by_one).map_or(0, |s| s.ends.len());
             if self.hold(request).is_some_and(|h| h.ends > known_there) {
@@ -183,9 +185,8 @@
         over.into_iter().for_each(|request| self.keep(request));
     }
 
-    fn begin_hold(&self, request: Fingerprint, told_by: &str) {
+    fn log_hold(&self, request: Fingerprint, told_by: &str) {
         if let Some(hold) = self.hold(request) {
-            self.keep(request);
             record!(
                 events::HELD,
                 fingerprint = text(request).as_str(),
