The soak's check of a request that ends engines can fail

Change: one route, arrivals each 0.1 to 0.5 s, engines back within 0.5 s; 12 sends in all are a finding also where time is not judged. What is asked of a VM is one type.

--- a/trouttrack_soak/src/callers/ask.rs
+++ b/trouttrack_soak/src/callers/ask.rs
@@ -64,14 +64,16 @@
     pub(crate) async fn run(self: Rc<Self>, number: usize, seed: u64) {
         let mut rng = SmallRng::seed_from_u64(seed ^ ((number as u64 + 1) << 32));
         let client = Client::builder().build();
-        let mut asked = 0;
+        let mut count = 0;
         while !self.ending.get() {
-            asked += 1;
+            count += 1;
             let ready = self.bed.ready();
             let vm = ready[rng.random_range(0..ready.len())];
             let (route, key) = (self.route(&mut rng), self.key(&mut rng));
-            let id = format!("c{number}-{asked}");
-            let call = self.ask(&client, vm, id, route, key).await;
+            let id = format!("c{number}-{count}");
+            let asked = Asked { id, vm, route, key };
+            let req = asked.request();
+            let call = self.ask(&client, asked, &req).await;
             self.calls.borrow_mut().push(call);
             let pause = rng.random_range(PAUSE_MS);
             tokio::time::sleep(Duration::from_millis(pause)).await;
@@ -83,16 +85,15 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let ready = self.bed.ready();
         let vm = ready[rng.random_range(0..ready.len())];
-        let streams: Vec<RouteName> = RouteName::LASTING
-            .into_iter()
-            .filter(|route| route.kind().is_stream())
-            .collect();
-        let route = streams[number % streams.len()];
-        let id = format!("{FATAL_ID}{number}");
+        let asked = Asked {
+            id: format!("{FATAL_ID}{number}"),
+            vm,
+            route: RouteName::Resume,
+            key: LASTING_KEY.to_owned(),
+        };
         let client = Client::builder().build();
-        let req = request(&id, route, LASTING_KEY).post(FATAL);
-        let call = self.send(&client, vm, id, route, LASTING_KEY.to_owned(), req);
-        let call = call.await;
+        let req = asked.request().post(FATAL);
+        let call = self.ask(&client, asked, &req).await;
         self.calls.borrow_mut().push(call);
     }
 
@@ -114,27 +115,8 @@
         keys[one].text.clone()
     }
 
-    async fn ask(
-        &self,
-        client: &Client,
-        vm: usize,
-        id: String,
-        route: RouteName,
-        key: String,
-    ) -> Call {
-        let req = request(&id, route, &key);
-        self.send(client, vm, id, route, key, req).await
-    }
-
-    async fn send(
-        &self,
-        client: &Client,
-        vm: usize,
-        id: String,
-        route: RouteName,
-        key: String,
-        req: CallerRequest,
-    ) -> Call {
+    async fn ask(&self, client: &Client, asked: Asked, req: &CallerRequest) -> Call {
+        let Asked { id, vm, route, key } = asked;
         let to = self.bed.caller_links[vm].addr();
         let life = self.bed.vms[vm].life();
         let sent = Instant::now();
@@ -154,13 +136,23 @@
     }
 }
 
-fn request(id: &str, route: RouteName, key: &str) -> CallerRequest {
-    let req = CallerRequest::get(id, HOST, &route.target())
-        .key(key)
-        .patience(PATIENCE);
-    match route.kind().is_stream() {
-        true => req.post("a prompt").tokens(PROMPT_TOKENS, GUESSED_TOKENS),
-        false => req,
+/// What is asked, and of which VM.
+struct Asked {
+    id: String,
+    vm: usize,
+    route: RouteName,
+    key: String,
+}
+
+impl Asked {
+    fn request(&self) -> CallerRequest {
+        let req = CallerRequest::get(&self.id, HOST, &self.route.target())
+            .key(&self.key)
+            .patience(PATIENCE);
+        match self.route.kind().is_stream() {
+            true => req.post("a prompt").tokens(PROMPT_TOKENS, GUESSED_TOKENS),
+            false => req,
+        }
     }
 }
 
--- a/trouttrack_soak/src/check/ends.rs
+++ b/trouttrack_soak/src/check/ends.rs
@@ -8,8 +8,9 @@
 /// Engines that have ended before sends are counted, and those that are allowed then.
 const COUNTED_FROM: usize = 3;
 const MOST_LATE: usize = 3;
-/// How much longer a busy machine may take until all VMs know.
-const WHERE_BUSY: u32 = 2;
+/// Sends that are allowed in all, whenever all VMs came to know: twice as many as hold the
+/// request, at each of three VMs. One that nothing holds was sent 16 to 26 times.
+const MOST_IN_ALL: usize = 12;
 
 pub(super) fn check(evidence: &Evidence) -> Option<Finding> {
     let mut sends: Vec<(Instant, &str)> = evidence
@@ -20,18 +21,18 @@
         .collect();
     sends.sort_unstable();
     let (third_at, _) = *sends.get(COUNTED_FROM - 1)?;
-    let all_know = match evidence.timed {
-        true => CONTACT,
-        false => CONTACT * WHERE_BUSY,
-    };
     let counts = |(at, id): &&(Instant, &str)| {
-        *at > third_at + all_know && by_a_vm_left_alone(evidence, id, all_know)
+        *at > third_at + CONTACT && by_a_vm_left_alone(evidence, id, CONTACT)
+    };
+    let late = match evidence.timed {
+        true => sends.iter().filter(counts).count(),
+        false => 0,
     };
-    let late = sends.iter().filter(counts).count();
-    (late > MOST_LATE).then(|| Finding {
+    let all = sends.len();
+    (late > MOST_LATE || all > MOST_IN_ALL).then(|| Finding {
         promise: STOPPED,
         request: None,
-        seen: format!("{late} of {} sends are late", sends.len()),
+        seen: format!("{all} sends, {late} of them late"),
     })
 }
 
--- a/trouttrack_soak/src/faults/carry_out.rs
+++ b/trouttrack_soak/src/faults/carry_out.rs
@@ -21,7 +21,7 @@
 const KILL_LASTS: Duration = Duration::from_secs(1);
 
 /// Pause between two arrivals of a request that ends engines, in milliseconds.
-const FATAL_PAUSE_MS: Range<u64> = 100..900;
+const FATAL_PAUSE_MS: Range<u64> = 100..500;
 
 /// Carries a plan out against a fleet.
 #[derive(Debug)]
--- a/trouttrack_soak/src/plan/draw.rs
+++ b/trouttrack_soak/src/plan/draw.rs
@@ -31,7 +31,7 @@
 /// how long it comes, in seconds: longer than until all VMs must know.
 const ENDS_ENGINES: u64 = 0x3d1e;
 const ENDING: f64 = 0.35;
-const LASTS_ENDING: f64 = 6.5;
+const LASTS_ENDING: f64 = 6.0;
 /// How long bytes are delayed, in milliseconds.
 const DELAY_MS: Range<u64> = 5..400;
 
--- a/trouttrack_soak/src/run.rs
+++ b/trouttrack_soak/src/run.rs
@@ -49,8 +49,9 @@
     pub findings: Vec<Finding>,
 }
 
-/// How often engines that have ended are replaced: about as long as they are away.
-const LOOK_EVERY: Duration = Duration::from_secs(2);
+/// How often engines that have ended are replaced: soon enough that a request that ends
+/// them always finds one.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
 
 /// A run could not be made.
 #[derive(Debug, Error)]
