What an upstream says of itself in an answer is decoded and logged

The lines of the VMs could not tell whether an answer's head said that its upstream leaves or wants nothing for a while, so the hypotheses of the incident could not be told apart. Nothing decides by it.

--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -150,6 +150,7 @@
     let sent = front.http.send(upstream.addr, req, reuse).await;
     let answer = sent.map_err(|e| failed(&e))?;
     let head = AnswerHead::decode(&answer.head);
+    log_word(admitted, upstream, &head);
     let mut sent = Sent {
         head,
         body: answer.body,
@@ -159,6 +160,21 @@
     Ok(sent)
 }
 
+/// Logs what an upstream says of itself in an answer.
+fn log_word(admitted: &Admitted, upstream: &Upstream, head: &AnswerHead) {
+    if head.word.is_empty() {
+        return;
+    }
+    record!(
+        events::UPSTREAM_SAID,
+        request = admitted.head.id.as_str(),
+        upstream = upstream.id.as_str(),
+        status = head.status.as_u16(),
+        leaving = head.word.leaving,
+        pause_ms = head.word.pause.map(|p| p.as_millis() as u64),
+    );
+}
+
 /// Whether the answer is one to this request, and says that it ran.
 fn check(admitted: &Admitted, sent: &mut Sent) -> Result<(), AttemptFailure> {
     let lost = |reason| Err(AttemptFailure::new(Failure::Lost, reason));
