Tests of what upstreams say in their answers, known to be red

A stand-in of an upstream can say in each answer that it leaves, and turn requests away with a wish for a pause.

--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -8,6 +8,7 @@
 mod incarnations;
 mod leaving;
 mod moves;
+mod own_words;
 mod peers;
 mod plain;
 mod repeats;
