What an upstream says of itself binds, whatever carried the word

Cause: that an upstream leaves was read from the store's entry and from engines' reports while the store is silent; the head of an answer, which says so too, and says with a 503 how long its upstream wants nothing, was passed on unread, and a refusal counted as a good end. Change: core keeps what each life of an upstream has said (upstream::Words); the rows that decisions are made on ask it, so placing, retries, moves, copies and reports do. All carriers meet in the front's follow::words. What was placed and waits for its connection is withdrawn (Client::send_if). Where every upstream rests, a caller is refused at once and told the time that is left. A row made anew, a new configuration or an entry that says nothing of it take nothing back; the next life begins with nothing said.

--- a/trouttrack_config/src/fleet/view.rs
+++ b/trouttrack_config/src/fleet/view.rs
@@ -131,6 +131,7 @@
                 capacity_tokens: u.capacity_tokens,
                 max_running: u.max_running,
                 warm_at: Duration::ZERO,
+                born: 0,
                 cold_rate: 0.0,
             })
             .collect()
--- a/trouttrack_core/benches/decision.rs
+++ b/trouttrack_core/benches/decision.rs
@@ -51,6 +51,7 @@
         capacity_tokens: 49_152,
         max_running: 64,
         warm_at: Duration::ZERO,
+        born: 0,
         cold_rate: 0.0,
     }
 }
--- a/trouttrack_core/src/upstream/mod.rs
+++ b/trouttrack_core/src/upstream/mod.rs
@@ -9,6 +9,7 @@
 mod runs;
 mod spec;
 mod table;
+mod words;
 
 pub(crate) use backlog::Backlog;
 pub use circuit::{Circuit, CircuitState};
@@ -20,3 +21,4 @@
 pub(crate) use runs::{PeerUse, Teller};
 pub use spec::{Report, Spec};
 pub use table::{Serving, UpstreamTable};
+pub use words::{LONGEST_PAUSE, Said, Word, Words};
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -3,9 +3,11 @@
 use super::backlog::seconds_to_load;
 use super::circuit::{Circuit, CircuitState};
 use super::cold::{self, ColdShare, ColdStarts};
+use super::incarnation::Incarnation;
 use super::losses::Losses;
 use super::runs::{OwnRun, PeerUse, Teller, peak};
 use super::spec::{Report, Spec};
+use super::words::Word;
 use crate::Time;
 use crate::debug_asserts::assert_positive;
 use crate::membership::UpstreamUse;
@@ -42,8 +44,10 @@
     pub since_report: usize,
     /// Ends since the last report.
     pub ended_since_report: usize,
-    /// Whether it is leaving and gets no new work.
+    /// Whether others say that it leaves: it gets no new work until they take it back.
     pub leaving: bool,
+    /// What it has said of itself.
+    pub(crate) word: Word,
     /// Whether its failure domain is evacuated, so that it gets no new work until that
     /// is taken back. What runs there ends there.
     pub evacuated: bool,
@@ -69,6 +73,7 @@
             since_report: 0,
             ended_since_report: 0,
             leaving: false,
+            word: Word::default(),
             evacuated: false,
             circuit: Circuit::default(),
             cold_starts: ColdStarts::default(),
@@ -194,6 +199,17 @@
         (left.as_secs_f64() / COLD_FOR.as_secs_f64()).min(1.0)
     }
 
+    /// Whether it is to get new work at `now`, by its own word and that of operators.
+    #[must_use]
+    pub fn wants_work(&self, now: Time) -> bool {
+        self.stays() && self.word.wants_work(now)
+    }
+
+    /// Whether nobody but itself says that it is to get no new work.
+    fn stays(&self) -> bool {
+        !self.leaving && !self.evacuated
+    }
+
     /// Whether it may be given new work at `now`.
     #[must_use]
     pub fn open(&self, now: Time) -> bool {
@@ -204,8 +220,8 @@
         };
         let peers = self.peers.iter().filter_map(|p| p.lost_at);
         let suspected = self.losses.suspected(now, peers);
-        let stays = !self.leaving && !self.evacuated;
-        stays && trial && !suspected && self.estimated_running() < self.spec.max_running
+        let wanted = self.wants_work(now);
+        wanted && trial && !suspected && self.estimated_running() < self.spec.max_running
     }
 
     /// Whether one more request is within the rate that it bears while it is cold; `seed`
@@ -238,8 +254,13 @@
     /// it leaves, or nobody knows when its failure domain is taken back.
     #[must_use]
     pub fn opens_at(&self, now: Time) -> Option<Time> {
-        let stays = !self.leaving && !self.evacuated;
-        stays.then(|| self.circuit.reopens_at(now))
+        let wanted_at = self.word.wants_work_at(now).filter(|_| self.stays())?;
+        Some(wanted_at.max(self.circuit.reopens_at(now)))
+    }
+
+    /// The life that it is in.
+    pub(crate) fn life(&self) -> Incarnation {
+        Incarnation::new(&self.spec.id, self.spec.born)
     }
 
     /// Peers tell their use from now on.
--- a/trouttrack_core/src/upstream/spec.rs
+++ b/trouttrack_core/src/upstream/spec.rs
@@ -7,6 +7,8 @@
 pub struct Spec {
     /// Its name.
     pub id: UpstreamId,
+    /// When this life of it began, in Unix milliseconds; 0 if nobody says.
+    pub born: u64,
     /// Where it stands.
     pub failure_domain: FailureDomain,
     /// The services that it can run.
--- a/trouttrack_core/src/upstream/table.rs
+++ b/trouttrack_core/src/upstream/table.rs
@@ -45,6 +45,7 @@
     ///     capacity_tokens: 1000,
     ///     max_running: 8,
     ///     warm_at: std::time::Duration::ZERO,
+    ///     born: 0,
     ///     cold_rate: 0.0,
     /// };
     /// table.configure(vec![spec], "a");
--- a/trouttrack_core/src/world/mod.rs
+++ b/trouttrack_core/src/world/mod.rs
@@ -5,6 +5,7 @@
 mod relocate;
 mod systems;
 mod tables;
+mod words;
 
 pub use queue::FairQueue;
 pub use relocate::Target;
--- a/trouttrack_core/src/world/systems.rs
+++ b/trouttrack_core/src/world/systems.rs
@@ -33,28 +33,38 @@
     /// work before the request's deadline. Its caller learns it 90 ms sooner where the
     /// objective is 150 ms, and when the first upstream is tried again.
     fn give_up(&mut self, now: Time) {
-        let mut opens_at: HashMap<&str, Option<Time>> = HashMap::new();
+        let mut openings: HashMap<&str, Option<Opening>> = HashMap::new();
         let mut hopeless = Vec::new();
         for &(deadline, key) in &self.deadlines {
             let service = self.requests[key].submission.service.as_str();
-            let at = opens_at
+            let opening = openings
                 .entry(service)
-                .or_insert_with(|| self.opens_at(now, service));
-            if at.is_none_or(|at| at > deadline) {
-                hopeless.push((key, *at));
+                .or_insert_with(|| self.opening(now, service));
+            if opening.is_none_or(|opening| opening.at > deadline) {
+                hopeless.push((key, *opening));
             }
         }
-        for (key, at) in hopeless {
-            let wait = at.map_or(RETRY_AFTER, |at| at.saturating_sub(now));
-            self.refuse_for(key, NotRunReason::Unreachable, wait);
+        for (key, opening) in hopeless {
+            let wait = opening.map_or(RETRY_AFTER, |o| o.at.saturating_sub(now));
+            let reason = match opening {
+                Some(Opening { rests: true, .. }) => NotRunReason::Resting,
+                _ => NotRunReason::Unreachable,
+            };
+            self.refuse_for(key, reason, wait);
         }
     }
 
     /// When an upstream of a service may be given work at the earliest.
-    fn opens_at(&self, now: Time, service: &str) -> Option<Time> {
+    fn opening(&self, now: Time, service: &str) -> Option<Opening> {
         let serving = self.upstreams.serving(service)?;
         let rows = serving.keys.iter().filter_map(|k| self.upstreams.get(*k));
-        rows.filter_map(|u| u.opens_at(now)).min()
+        let openings = rows.filter_map(|u| {
+            Some(Opening {
+                at: u.opens_at(now)?,
+                rests: !u.wants_work(now),
+            })
+        });
+        openings.min_by_key(|opening| opening.at)
     }
 
     /// Refuses what could not be placed by its deadline.
@@ -243,6 +253,14 @@
     }
 }
 
+/// When an upstream may be given work again.
+#[derive(Clone, Copy, Debug)]
+struct Opening {
+    at: Time,
+    /// Whether it has asked for rest until then.
+    rests: bool,
+}
+
 /// One look at upstreams for one request.
 struct Scan<'a> {
     world: &'a World,
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -5,7 +5,7 @@
 use crate::length::{LengthKey, LengthTable};
 use crate::membership::{Evacuations, UpstreamUse};
 use crate::routing::{AnyPolicy, ExplanationTable};
-use crate::upstream::{ColdShare, Report, Spec, Upstream, UpstreamKey, UpstreamTable};
+use crate::upstream::{ColdShare, Report, Spec, Upstream, UpstreamKey, UpstreamTable, Words};
 use crate::{OrganisationId, RequestId, ServiceId, Time};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -121,6 +121,9 @@
     NoUpstream,
     /// Every upstream leaves or gets no work before its deadline.
     Unreachable,
+    /// The first upstream that gets work again has asked for a pause that lasts beyond its
+    /// deadline.
+    Resting,
     /// A retry was due and the service's retry budget is used up.
     RetryBudget,
 }
@@ -208,6 +211,8 @@
     pub(crate) deadlines: BTreeSet<(Time, RequestKey)>,
     pub(crate) limits: Limits,
     pub(crate) peers: PeersHeard,
+    /// What upstreams have said of themselves; each row has its own.
+    pub(crate) words: Words,
     /// What this VM may use of the rate of a cold upstream.
     pub(crate) cold_share: ColdShare,
     pub(crate) rng: SmallRng,
@@ -230,6 +235,7 @@
             deadlines: BTreeSet::new(),
             limits: Limits::default(),
             peers: PeersHeard::default(),
+            words: Words::default(),
             refused: Vec::new(),
         }
     }
@@ -238,11 +244,14 @@
     pub fn configure(&mut self, specs: Vec<Spec>) {
         self.upstreams
             .configure(specs, &self.settings.failure_domain);
+        self.remind_all();
     }
 
     /// Takes one upstream, or what is new of it.
     pub fn put_upstream(&mut self, spec: Spec) {
+        let id = spec.id.clone();
         self.upstreams.insert(spec, &self.settings.failure_domain);
+        self.remind(&id);
     }
 
     /// An upstream is gone.
@@ -277,7 +286,7 @@
         .collect()
     }
 
-    /// Marks an upstream as leaving, or as staying after all.
+    /// Others mark an upstream as leaving, or as staying after all.
     pub fn set_leaving(&mut self, upstream: &str, leaving: bool) {
         if let Some(row) = self.row_mut(upstream) {
             row.leaving = leaving;
--- a/trouttrack_core/tests/core/cold.rs
+++ b/trouttrack_core/tests/core/cold.rs
@@ -27,6 +27,7 @@
 fn cold(id: &str, domain: &str) -> Spec {
     Spec {
         warm_at: Duration::from_secs(1_000),
+        born: 0,
         cold_rate: RATE,
         ..spec(id, domain, 0, 1_000)
     }
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -15,4 +15,5 @@
 mod retry_rule;
 mod support;
 mod upstream_table;
+mod words;
 mod world;
--- a/trouttrack_core/tests/core/support.rs
+++ b/trouttrack_core/tests/core/support.rs
@@ -31,6 +31,7 @@
         capacity_tokens,
         max_running,
         warm_at: Duration::ZERO,
+        born: 0,
         cold_rate: 0.0,
     }
 }
--- a/trouttrack_front/src/follow/mod.rs
+++ b/trouttrack_front/src/follow/mod.rs
@@ -16,10 +16,12 @@
 mod kind;
 mod upstreams;
 mod vms;
+mod words;
 
 pub(crate) use config::take_revision as take_config;
 pub(crate) use evacuations::{Told, take_evacuations};
-pub(crate) use upstreams::{Taken, said_leaving, take_news};
+pub(crate) use upstreams::{Taken, take_news};
+pub(crate) use words::{heard_in_answer, heard_in_report};
 
 use crate::state::Front;
 use std::net::SocketAddr;
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -7,8 +7,9 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use trouttrack_core::UpstreamId;
 use trouttrack_core::rescue::Departure;
-use trouttrack_core::{Time, UpstreamId};
+use trouttrack_core::upstream::Said;
 use trouttrack_platform::{Change, EntryError, Kind, Object, UpstreamEntry};
 use trouttrack_telemetry::{events, record};
 
@@ -242,8 +243,15 @@
         remove(front, &before);
     }
     if let Some(leaving) = seen.leaves {
+        front.scheduler.hear(&leaving.incarnation(), Said::Leaves);
         depart(front, &leaving);
     }
+    if let Some(upstream) = front.upstreams.get(id)
+        && front.scheduler.word_of(&upstream.incarnation()).leaves()
+    {
+        // It is listed anew in the life in which it has said so.
+        leaves(front, &upstream, Departure::noticed(front.clock.now()));
+    }
 }
 
 /// An upstream leaves: no new work, and its generations are moved.
@@ -256,9 +264,8 @@
     }
 }
 
-/// An upstream said itself that it leaves.
-pub(crate) fn said_leaving(front: &Rc<Front>, upstream: &Rc<Upstream>, asked_at: Time) {
-    let departure = Departure::reported(asked_at);
+/// An upstream has said itself that it leaves.
+pub(super) fn leaves(front: &Rc<Front>, upstream: &Rc<Upstream>, departure: Departure) {
     if front
         .upstreams
         .depart(upstream, departure, "said so itself")
@@ -299,5 +306,6 @@
             remove(&front, upstream);
         }
         front.http.sweep();
+        front.scheduler.forget_words();
     }
 }
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -31,6 +31,8 @@
     pub evacuated: IntGauge,
     /// Upstreams' entries that could not be read, by reason.
     pub unreadable: IntCounterVec,
+    /// What upstreams have said of themselves, by word.
+    pub words: IntCounterVec,
     /// Requests that are given to no upstream, as far as this VM knows.
     pub held: IntGauge,
     /// Calls to the platform's store.
@@ -97,6 +99,12 @@
                 "Requests that ended, by kind and how",
                 &["kind", "end"],
             ),
+            words: vec(
+                &r,
+                "trouttrack_upstream_words_total",
+                "News of what upstreams say of themselves: that they leave, or want a pause",
+                &["word"],
+            ),
             refused: vec(
                 &r,
                 "trouttrack_refused_total",
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -2,8 +2,10 @@
 
 use super::suspicion::Suspicion;
 use crate::caller::Admitted;
+use crate::follow::heard_in_answer;
 use crate::state::{Front, Upstream, fingerprint_text};
 use bytes::Bytes;
+use std::rc::Rc;
 use std::time::Duration;
 use trouttrack_core::Time;
 use trouttrack_core::request::Failure;
@@ -21,6 +23,8 @@
 const BROKE_OFF: &str = "the answer broke off";
 /// The same of a stream.
 pub(super) const STREAM_BROKE_OFF: &str = "the stream broke off";
+/// What is said of an attempt that was not sent because its upstream wants no work any more.
+const WITHDRAWN: &str = "the upstream wants no work any more";
 /// Taken off the time that upstreams are given, for the way back.
 const WAY_BACK: Duration = Duration::from_millis(5);
 
@@ -83,6 +87,11 @@
         self.reason == ENDED_UNANSWERED
     }
 
+    /// Whether the attempt says nothing against its upstream: it was not sent.
+    pub(crate) fn was_withdrawn(&self) -> bool {
+        self.reason == WITHDRAWN
+    }
+
     /// Whether the connection ended with the request on it, as it does when the upstream
     /// ends.
     pub(super) fn broke_off(&self) -> bool {
@@ -132,10 +141,14 @@
 
 /// Sends a request and waits for the head of an answer that belongs to it.
 /// Dropping the future cancels the upstream's work by closing the connection.
+///
+/// A connection may come up long after the request was placed: what the upstream does not
+/// want any more by then is not sent. A generation that goes on there from a copy is: its
+/// target was chosen anew just before.
 pub(crate) async fn send(
-    front: &Front,
+    front: &Rc<Front>,
     admitted: &Admitted,
-    upstream: &Upstream,
+    upstream: &Rc<Upstream>,
     to: &Handover,
     body: Bytes,
 ) -> Result<Sent, AttemptFailure> {
@@ -147,10 +160,12 @@
         true => Reuse::Any,
         false => Reuse::IdleLessThan(SURELY_OPEN),
     };
-    let sent = front.http.send(upstream.addr, req, reuse).await;
+    let goes_on = to.continue_from.is_some();
+    let still = || goes_on || front.scheduler.wants_work(&upstream.id);
+    let sent = front.http.send_if(upstream.addr, req, reuse, still).await;
     let answer = sent.map_err(|e| failed(&e))?;
     let head = AnswerHead::decode(&answer.head);
-    log_word(admitted, upstream, &head);
+    heard_in_answer(front, upstream, &admitted.head.id, &head);
     let mut sent = Sent {
         head,
         body: answer.body,
@@ -160,21 +175,6 @@
     Ok(sent)
 }
 
-/// Logs what an upstream says of itself in an answer.
-fn log_word(admitted: &Admitted, upstream: &Upstream, head: &AnswerHead) {
-    if head.word.is_empty() {
-        return;
-    }
-    record!(
-        events::UPSTREAM_SAID,
-        request = admitted.head.id.as_str(),
-        upstream = upstream.id.as_str(),
-        status = head.status.as_u16(),
-        leaving = head.word.leaving,
-        pause_ms = head.word.pause.map(|p| p.as_millis() as u64),
-    );
-}
-
 /// Whether the answer is one to this request, and says that it ran.
 fn check(admitted: &Admitted, sent: &mut Sent) -> Result<(), AttemptFailure> {
     let lost = |reason| Err(AttemptFailure::new(Failure::Lost, reason));
@@ -205,6 +205,7 @@
             Failure::NotConnected,
             "nobody listens at the upstream's address",
         ),
+        SendErrorKind::Withdrawn => AttemptFailure::new(Failure::NotConnected, WITHDRAWN),
         SendErrorKind::Garbled => AttemptFailure::new(Failure::Lost, "the answer is not HTTP"),
         _ => AttemptFailure::new(Failure::Lost, ENDED_UNANSWERED),
     }
--- a/trouttrack_front/src/request/end.rs
+++ b/trouttrack_front/src/request/end.rs
@@ -4,6 +4,7 @@
 use crate::state::{Front, Refusal};
 use std::time::Duration;
 use trouttrack_core::quarantine::Hold;
+use trouttrack_core::upstream::LONGEST_PAUSE;
 use trouttrack_core::world::NotRunReason;
 use trouttrack_core::{Outcome, Time};
 use trouttrack_telemetry::{events, record};
@@ -45,11 +46,17 @@
             NotRunReason::NoUpstream => "no upstream runs the service",
             NotRunReason::Unreachable => "no upstream can be reached in time",
             NotRunReason::RetryBudget => "the retry budget is used up",
+            NotRunReason::Resting => "every upstream has asked for a pause",
             _ => "refused",
         };
+        // A pause is known to its end: who comes back sooner is refused once more.
+        let at_most = match refusal.reason {
+            NotRunReason::Resting => LONGEST_PAUSE,
+            _ => COME_BACK_AT_MOST,
+        };
         Self::NotRun {
             reason,
-            retry_after: refusal.retry_after.clamp(COME_BACK, COME_BACK_AT_MOST),
+            retry_after: refusal.retry_after.clamp(COME_BACK, at_most),
         }
     }
 
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -186,7 +186,7 @@
     }
 
     /// Sends the request to one upstream and takes its whole answer.
-    async fn exchange(&mut self, upstream: &Upstream) -> Result<WholeAnswer, AttemptFailure> {
+    async fn exchange(&mut self, upstream: &Rc<Upstream>) -> Result<WholeAnswer, AttemptFailure> {
         let to = handover(self.front, self.admitted, upstream);
         let sending = send(self.front, self.admitted, upstream, &to, self.body.clone());
         let sent = match self.patience() {
@@ -286,6 +286,7 @@
         Ok(answer) if answer.head.status.is_server_error() => ticket.fault(),
         Ok(_) => ticket.complete(0),
         Err(failure) if failure.lost_connection() => ticket.lost(),
+        Err(failure) if failure.was_withdrawn() => {}
         Err(failure) => match failure.failure {
             Failure::Refused => ticket.complete(0),
             Failure::NotConnected => ticket.unreachable(),
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -7,7 +7,7 @@
 use crate::request::attempt::{AttemptFailure, STREAM_BROKE_OFF};
 use crate::request::submission::{SHORT_TOKENS, is_short};
 use crate::rescue::{Carried, Carry, CarryTask};
-use crate::state::Ticket;
+use crate::state::{Ticket, Upstream};
 use bytes::Bytes;
 use std::rc::Rc;
 use std::time::Duration;
@@ -152,7 +152,8 @@
             return self.go_on(source, moved, ticket).await;
         }
         let failure = AttemptFailure::new(Failure::Lost, STREAM_BROKE_OFF);
-        match source.backup.take().filter(|b| !b.is_leaving()) {
+        let wants = |b: &Rc<Upstream>| self.front.scheduler.wants_work(&b.id);
+        match source.backup.take().filter(wants) {
             Some(target) => {
                 self.learn_failed(&source.upstream, &failure).await;
                 self.check_held()?;
--- a/trouttrack_front/src/request/stream/send.rs
+++ b/trouttrack_front/src/request/stream/send.rs
@@ -4,6 +4,7 @@
 use super::run::StreamRun;
 use crate::request::attempt::{AttemptFailure, Sent, send};
 use crate::state::Upstream;
+use std::rc::Rc;
 use trouttrack_core::request::Failure;
 use trouttrack_platform::Handover;
 
@@ -14,7 +15,7 @@
     /// Sends the request, and takes an answer that is no stream.
     pub(super) async fn send(
         &mut self,
-        upstream: &Upstream,
+        upstream: &Rc<Upstream>,
         to: &Handover,
     ) -> Result<Sent, Stopped> {
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
--- a/trouttrack_front/src/rescue/ask.rs
+++ b/trouttrack_front/src/rescue/ask.rs
@@ -33,18 +33,17 @@
 }
 
 /// Whether it matters that an upstream leaves: an engine whose generations can be
-/// moved, and that is not known to leave.
+/// moved, that is not known to leave, and that has not asked to be left alone.
 fn may_leave(front: &Front, upstream: &Upstream) -> bool {
     let table = front.routing.table();
     let engine = table.and_then(|t| t.service(&upstream.service)?.engine.clone());
-    engine.is_some_and(|e| e.moves) && !upstream.is_leaving()
+    engine.is_some_and(|e| e.moves) && front.scheduler.wants_work(&upstream.id)
 }
 
 async fn ask(front: Rc<Front>, upstream: Rc<Upstream>) {
     let asked_at = front.clock.now();
     match front.engines.report(upstream.addr, EVERY).await {
-        Ok(report) if report.leaving => follow::said_leaving(&front, &upstream, asked_at),
-        Ok(_) => {}
+        Ok(report) => follow::heard_in_report(&front, &upstream, asked_at, &report),
         Err(e) => log::debug!("{e}"),
     }
 }
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{Notify, oneshot};
 use trouttrack_core::UpstreamId;
 use trouttrack_core::membership::{Evacuations, UpstreamUse};
-use trouttrack_core::upstream::{ColdShare, Spec, Upstream};
+use trouttrack_core::upstream::{ColdShare, Incarnation, Said, Spec, Upstream, Word};
 use trouttrack_core::world::{
     Decision, NotRunReason, RequestKey, Submission, World, WorldSettings,
 };
@@ -177,6 +177,31 @@
         self.world.borrow_mut().set_leaving(upstream, true);
     }
 
+    /// Takes in what an upstream says of itself. Returns whether that is news.
+    pub fn hear(&self, life: &Incarnation, said: Said) -> bool {
+        let now = self.clock.now();
+        self.world.borrow_mut().hear(now, life, said)
+    }
+
+    /// What a life of an upstream has said of itself.
+    #[must_use]
+    pub fn word_of(&self, life: &Incarnation) -> Word {
+        self.world.borrow().word_of(life)
+    }
+
+    /// Forgets what was said long ago by upstreams that are listed no more.
+    pub fn forget_words(&self) {
+        self.world.borrow_mut().forget_words(self.clock.now());
+    }
+
+    /// Whether an upstream is to get new work, by its own word and that of operators.
+    #[must_use]
+    pub fn wants_work(&self, upstream: &str) -> bool {
+        let world = self.world.borrow();
+        let row = world.upstreams.get_by_id(upstream);
+        row.is_some_and(|u| u.wants_work(self.clock.now()))
+    }
+
     /// Takes what this VM may use of the rate of a cold upstream.
     pub fn set_cold_share(&self, share: ColdShare) {
         self.world.borrow_mut().set_cold_share(share);
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -342,6 +342,7 @@
     let engine = service.and_then(|s| s.engine.as_ref());
     Spec {
         id: upstream.id.clone(),
+        born: upstream.born,
         failure_domain: upstream.failure_domain.clone(),
         services: vec![upstream.service.clone()],
         capacity_tokens: engine.map_or(0, |e| e.memory_tokens),
--- a/trouttrack_http/src/client.rs
+++ b/trouttrack_http/src/client.rs
@@ -132,11 +132,27 @@
         peer: SocketAddr,
         req: Request<Bytes>,
         reuse: Reuse,
+    ) -> Result<Answer, SendError> {
+        self.send_if(peer, req, reuse, || true).await
+    }
+
+    /// The same, but for a request that may be withdrawn until its connection is there:
+    /// `still` is asked right before the request is written.
+    ///
+    /// # Errors
+    ///
+    /// No answer came, or the request was withdrawn ([`SendErrorKind::Withdrawn`]).
+    pub async fn send_if(
+        &self,
+        peer: SocketAddr,
+        req: Request<Bytes>,
+        reuse: Reuse,
+        still: impl Fn() -> bool,
     ) -> Result<Answer, SendError> {
         let mut req = req.map(Full::new);
         let pooled = self.shared.pool.borrow_mut().take(peer, reuse.within());
         if let Some(sender) = pooled {
-            match Self::exchange(peer, sender, req).await {
+            match Self::exchange(peer, sender, req, &still).await {
                 Ok((parts, body, sender)) => {
                     return Ok(Answer::new(self, peer, parts, body, sender));
                 }
@@ -145,7 +161,7 @@
             }
         }
         let sender = self.connect(peer).await?;
-        match Self::exchange(peer, sender, req).await {
+        match Self::exchange(peer, sender, req, &still).await {
             Ok((parts, body, sender)) => Ok(Answer::new(self, peer, parts, body, sender)),
             Err(Unanswered::Unsent(_)) => Err(SendError::new(
                 SendErrorKind::NotConnected,
@@ -184,10 +200,15 @@
         peer: SocketAddr,
         mut sender: Sender,
         req: Request<Full<Bytes>>,
+        still: &impl Fn() -> bool,
     ) -> Result<(Parts, Incoming, Sender), Unanswered> {
         if sender.ready().await.is_err() {
             return Err(Unanswered::Unsent(Box::new(req)));
         }
+        if !still() {
+            let withdrawn = SendError::new(SendErrorKind::Withdrawn, peer, "withdrawn");
+            return Err(Unanswered::Failed(withdrawn));
+        }
         match sender.try_send_request(req).await {
             Ok(res) => {
                 let (parts, body) = res.into_parts();
--- a/trouttrack_http/src/error.rs
+++ b/trouttrack_http/src/error.rs
@@ -12,6 +12,8 @@
     NotConnected,
     /// The peer's VM answered that nobody listens there; nothing was sent.
     NobodyThere,
+    /// The request was withdrawn while its connection came up; nothing was sent.
+    Withdrawn,
     /// The request was written, at least in part, and no answer came: it may
     /// have been received.
     Lost,
@@ -44,7 +46,7 @@
     pub fn was_not_sent(&self) -> bool {
         matches!(
             self.kind,
-            SendErrorKind::NotConnected | SendErrorKind::NobodyThere
+            SendErrorKind::NotConnected | SendErrorKind::NobodyThere | SendErrorKind::Withdrawn
         )
     }
 }
@@ -54,6 +56,7 @@
         let kind = match self.kind {
             SendErrorKind::NotConnected => "not connected",
             SendErrorKind::NobodyThere => "nobody there",
+            SendErrorKind::Withdrawn => "not sent",
             SendErrorKind::Lost => "no answer",
             SendErrorKind::Garbled => "not HTTP",
         };
--- a/trouttrack_http/tests/http/client.rs
+++ b/trouttrack_http/tests/http/client.rs
@@ -147,3 +147,21 @@
     client.set_idle_per_peer(0);
     assert_eq!(client.idle(), 0);
 }
+
+#[actix_rt::test]
+async fn what_is_withdrawn_while_its_connection_comes_up_is_not_sent() {
+    let addr = peer("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", false).await;
+    let client = Client::builder().build();
+    for reuse in [Reuse::Never, Reuse::Any] {
+        let asked = std::cell::Cell::new(0);
+        let still = || {
+            asked.set(asked.get() + 1);
+            client.opened() == 0
+        };
+        let sent = client.send_if(addr, request(), reuse, still).await;
+        let e = sent.expect_err("it was withdrawn");
+        assert_eq!(e.kind, SendErrorKind::Withdrawn);
+        assert!(e.was_not_sent());
+        assert_eq!(asked.get(), 1, "asked when the connection is there");
+    }
+}
--- a/trouttrack_load/src/compare/bench.rs
+++ b/trouttrack_load/src/compare/bench.rs
@@ -109,6 +109,7 @@
             // A baseline hands everything over at once; engines queue it.
             max_running: if own { e.max_batch } else { usize::MAX },
             warm_at: Duration::ZERO,
+            born: 0,
             cold_rate: 0.0,
         };
         let specs: Vec<Spec> = options.engines.iter().enumerate().map(spec).collect();
--- a/trouttrack_load/src/patterns/fleet.rs
+++ b/trouttrack_load/src/patterns/fleet.rs
@@ -115,6 +115,7 @@
         capacity_tokens: settings.capacity_tokens(),
         max_running: settings.max_batch,
         warm_at,
+        born: 0,
         cold_rate,
     }
 }
