--- a/trouttrack_front/tests/front/own_words.rs
+++ b/trouttrack_front/tests/front/own_words.rs
@@ -208,3 +208,23 @@
     let reached = bed.upstreams.iter().map(|u| u.arrivals().len());
     assert_eq!(reached.sum::<usize>(), 2);
 }
+
+/// A refusal that names no pause says as much for the next moment: an upstream that refuses at
+/// once has nothing running and would else be taken for the best one.
+#[actix_rt::test]
+async fn one_that_turns_away_without_a_wish_costs_few_callers_their_answer() {
+    let bed = Bed::new(PLAIN).await;
+    bed.upstreams[0].always(Behaviour::Refuse);
+    reach(&bed, &bed.upstreams[0], "once").await;
+    let mut refused = 0;
+    for n in 0..60 {
+        let reply = bed.send(&plain(&format!("r{n}"), "once")).await;
+        refused += usize::from(reply.status != 200);
+        tokio::time::sleep(Duration::from_millis(15)).await;
+    }
+    // Beside one upstream that serves, less than one in ten.
+    assert!(refused <= 6, "{refused} of 60 were refused");
+    bed.upstreams[0].always(Behaviour::Whole);
+    tokio::time::sleep(PAUSE).await;
+    assert!(served_there(&bed, &bed.upstreams[0], "after").await > 0);
+}
