--- a/trouttrack_core/tests/core/world.rs
+++ b/trouttrack_core/tests/core/world.rs
@@ -403,3 +403,32 @@
     world.submit(SECOND, submission("r", "o", 1));
     assert_eq!(refusals(&world.tick(SECOND)), [NotRunReason::Unreachable]);
 }
+
+/// A caller that leaves before any answer has learned nothing of the upstream: that is no
+/// good end that clears its failures.
+#[test]
+fn an_end_without_news_clears_nothing() {
+    let mut world = world("trouttrack", vec![spec("e1", "a", 0, 8)]);
+    let mut failing = |world: &mut World, fault, tokens| {
+        let key = world.submit(SECOND, submission("r", "o", 1));
+        world.tick(SECOND);
+        world.ended(SECOND, key, fault, tokens);
+    };
+    for _ in 0..4 {
+        failing(&mut world, true, None);
+    }
+    failing(&mut world, false, None);
+    failing(&mut world, true, None);
+    let open = |world: &World| {
+        let row = world.upstreams.get_by_id("e1").expect("a row");
+        row.open(SECOND)
+    };
+    assert!(!open(&world), "five in a row, and an end without news");
+    let mut other = crate::support::world("trouttrack", vec![spec("e1", "a", 0, 8)]);
+    for _ in 0..4 {
+        failing(&mut other, true, None);
+    }
+    failing(&mut other, false, Some(3));
+    failing(&mut other, true, None);
+    assert!(open(&other), "a whole answer clears them");
+}
--- a/trouttrack_front/tests/front/streams.rs
+++ b/trouttrack_front/tests/front/streams.rs
@@ -185,3 +185,18 @@
     .await;
     assert!(answer.await.expect("an answer").whole);
 }
+
+/// What it fails ends at once, so it has nothing running and looks like the best one.
+#[actix_rt::test]
+async fn an_engine_that_fails_streams_that_may_not_be_repeated_is_left_alone() {
+    let bed = Bed::new(ENGINES).await;
+    bed.upstreams[0].always(Behaviour::Fail);
+    bed.upstreams[1].always(Behaviour::Stream(2));
+    let mut failed = 0;
+    for n in 0..40 {
+        let reply = bed.send(&long(&format!("r{n}"), "draft")).await;
+        failed += usize::from(reply.status != 200);
+    }
+    // Five failures in a row are believed; one more for each trial after that.
+    assert!(failed <= 8, "{failed} of 40 failed");
+}
