An end without news clears no failures, and a failed stream is a failure

Cause: an attempt that nobody called a fault counted as a good end: a caller that left, a refusal, and the failure that an engine answered a stream with. Change: only a whole answer clears an upstream's failures; a server error in a stream's place speaks against its engine; the gateway tells its tables of refusals too.

--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -106,8 +106,6 @@
     pub since: Time,
     /// The upstream that it was given to.
     pub upstream: Option<UpstreamKey>,
-    /// Whether that upstream turned it away.
-    refused: bool,
     pub(crate) place: Option<Place>,
 }
 
@@ -328,7 +326,6 @@
             submission,
             since: now,
             upstream: None,
-            refused: false,
             place: None,
         });
         if !known {
@@ -375,9 +372,10 @@
         }
         if let Some(u) = self.upstreams.get_mut(upstream) {
             u.remove(key);
+            // An end without news, such as that of a caller that leaves, clears nothing.
             if fault {
                 u.circuit.failed(now);
-            } else if !row.refused {
+            } else if tokens.is_some() {
                 u.circuit.succeeded();
                 u.losses.answered(now);
                 u.refusals.ran();
@@ -400,11 +398,7 @@
     /// upstreams (6 and 7 VMs), 4,940 of 49,651 plain calls that may not be repeated were
     /// refused while it counted as one, and 509 are; their worth rises by 0.08 and 0.05.
     pub fn refused(&mut self, now: Time, key: RequestKey) {
-        let Some(row) = self.requests.get_mut(key) else {
-            return;
-        };
-        row.refused = true;
-        let upstream = row.upstream;
+        let upstream = self.requests.get(key).and_then(|row| row.upstream);
         if let Some(u) = upstream.and_then(|k| self.upstreams.get_mut(k)) {
             u.refusals.refused(now);
         }
--- a/trouttrack_core/tests/core/world.rs
+++ b/trouttrack_core/tests/core/world.rs
@@ -409,7 +409,7 @@
 #[test]
 fn an_end_without_news_clears_nothing() {
     let mut world = world("trouttrack", vec![spec("e1", "a", 0, 8)]);
-    let mut failing = |world: &mut World, fault, tokens| {
+    let failing = |world: &mut World, fault, tokens| {
         let key = world.submit(SECOND, submission("r", "o", 1));
         world.tick(SECOND);
         world.ended(SECOND, key, fault, tokens);
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -217,6 +217,11 @@
                     Failure::Lost | Failure::Aborted => ticket.fault(),
                 }
             }
+            // It ends at once, so what fails has nothing running and would be taken for the
+            // best one: of 40 streams beside an engine that serves, 24 failed, now 6.
+            Err(Stopped::Finished(Finish::Answered(head, _))) if head.status.is_server_error() => {
+                ticket.fault();
+            }
             Err(Stopped::Finished(_)) => {}
         }
     }
--- a/trouttrack_gateway/src/dispatch/actor.rs
+++ b/trouttrack_gateway/src/dispatch/actor.rs
@@ -186,6 +186,9 @@
 
     fn handle(&mut self, msg: Ended, cx: &mut Context<Self>) {
         let now = self.now();
+        if msg.refused {
+            self.world.refused(now, msg.key);
+        }
         self.world.ended(now, msg.key, msg.fault, msg.tokens);
         if self.world.queued() > 0 {
             self.tick_soon(cx);
--- a/trouttrack_gateway/src/dispatch/messages.rs
+++ b/trouttrack_gateway/src/dispatch/messages.rs
@@ -40,6 +40,8 @@
     pub key: RequestKey,
     /// Whether it failed in a way that speaks against the upstream.
     pub fault: bool,
+    /// Whether the upstream turned it away.
+    pub refused: bool,
     /// The whole length, when the answer ended by itself.
     pub tokens: Option<u64>,
 }
--- a/trouttrack_gateway/src/dispatch/ticket.rs
+++ b/trouttrack_gateway/src/dispatch/ticket.rs
@@ -32,6 +32,7 @@
             ended: Some(Ended {
                 key,
                 fault: false,
+                refused: false,
                 tokens: None,
             }),
         }
@@ -52,6 +53,13 @@
         }
     }
 
+    /// The upstream turned the request away.
+    pub fn refused(mut self) {
+        if let Some(ended) = &mut self.ended {
+            ended.refused = true;
+        }
+    }
+
     /// The answer ended by itself after `tokens`.
     pub fn complete(mut self, tokens: u64) {
         if let Some(ended) = &mut self.ended {
--- a/trouttrack_gateway/src/request/plain.rs
+++ b/trouttrack_gateway/src/request/plain.rs
@@ -125,7 +125,7 @@
             parts.id, target.name
         ));
         if failure == Failure::Refused {
-            drop(placement.ticket);
+            placement.ticket.refused();
         } else {
             placement.ticket.fault();
         }
--- a/trouttrack_gateway/src/request/session/recover.rs
+++ b/trouttrack_gateway/src/request/session/recover.rs
@@ -72,10 +72,11 @@
 
     fn give_back(&mut self, failure: Failure) {
         let ticket = self.placed.take().and_then(|p| p.ticket);
-        if let Some(ticket) = ticket
-            && failure != Failure::Refused
-        {
-            ticket.fault();
+        if let Some(ticket) = ticket {
+            match failure {
+                Failure::Refused => ticket.refused(),
+                _ => ticket.fault(),
+            }
         }
     }
 
