The soak's upstreams ask for rest and leave by their answers

Cause: what upstreams say in their answers was disturbed by no run of the real programs. Change: two acts, drawn by themselves so that earlier seeds keep their other steps: an upstream turns away all that reaches it for 2.5 to 6 s and asks for 3 s of rest each time; one says in its answers that it leaves, seconds before the store takes that. Two checks, a life of a VM each: no request 2 s after such an answer was passed on, two at most in a rest.

--- a/trouttrack_soak/src/check/mod.rs
+++ b/trouttrack_soak/src/check/mod.rs
@@ -6,6 +6,7 @@
 //! - `ends`: a request that ends engines is stopped.
 //! - `stops`: planned work cuts off nothing; leaving upstreams and evacuated failure
 //!   domains get no work.
+//! - `words`: what upstreams say in their answers is heeded.
 //!
 //! Those that hold within a time are checked only if [`Evidence::timed`] says
 //! so: on a machine that is busy with other work they prove nothing.
@@ -16,6 +17,7 @@
 mod keys;
 mod runs;
 mod stops;
+mod words;
 
 pub use evidence::{Evidence, Run};
 
@@ -64,5 +66,6 @@
     findings.extend(keys::check(evidence));
     findings.extend(stops::check(evidence));
     findings.extend(ends::check(evidence));
+    findings.extend(words::check(evidence));
     findings
 }
--- a/trouttrack_soak/src/faults/carry_out.rs
+++ b/trouttrack_soak/src/faults/carry_out.rs
@@ -91,6 +91,10 @@
             Act::Revoke => bed.put_config(Configs::revoke),
             Act::Evacuate(domain) => bed.evacuate(domain, step.lasts).await,
             Act::TurnCold(place) => bed.turn_cold(place, step.lasts).await,
+            Act::TurnAway(place) => upstreams::turn_away(bed, place, step.lasts).await,
+            Act::LeaveByAnswers(place) => {
+                upstreams::leave_by_answers(bed, place, step.lasts).await;
+            }
             Act::EndEngines => self.end_engines(step.lasts, rng).await,
         }
     }
--- a/trouttrack_soak/src/faults/upstreams.rs
+++ b/trouttrack_soak/src/faults/upstreams.rs
@@ -14,6 +14,8 @@
 const SERVES_ON: Duration = Duration::from_millis(2300);
 /// From an upstream's crash until its entry disappears: three heartbeats.
 const ENTRY_LASTS: Duration = Duration::from_millis(3600);
+/// What an upstream that turns away asks for: the platform's example.
+const REST: Duration = Duration::from_secs(3);
 /// Requests that an upstream that misbehaves answers badly.
 const BAD_ANSWERS: Range<usize> = 1..5;
 
@@ -37,6 +39,24 @@
     serve_on_and_end(bed, &member).await;
 }
 
+/// An upstream turns away all that reaches it, and asks for rest each time.
+pub(super) async fn turn_away(bed: &Bed, place: usize, lasts: Duration) {
+    let upstream = bed.upstreams.at(place).upstream;
+    upstream.turn_away(Some(REST));
+    sleep(lasts).await;
+    upstream.turn_away(None);
+}
+
+/// An upstream says in its answers that it leaves; the store takes that later.
+pub(super) async fn leave_by_answers(bed: &Bed, place: usize, lasts: Duration) {
+    let Some(member) = staying(bed, place) else {
+        return;
+    };
+    member.upstream.say_leaving_in_answers();
+    sleep(lasts).await;
+    leave(bed, place).await;
+}
+
 /// An upstream crashes; another takes its place later.
 pub(super) async fn crash(bed: &Bed, place: usize, lasts: Duration) {
     let Some(member) = staying(bed, place) else {
--- a/trouttrack_soak/src/plan/act.rs
+++ b/trouttrack_soak/src/plan/act.rs
@@ -79,6 +79,11 @@
     Evacuate(&'static str),
     /// An upstream turns cold while it lasts.
     TurnCold(usize),
+    /// An upstream turns away all that reaches it while it lasts, and asks for rest.
+    TurnAway(usize),
+    /// An upstream says in its answers that it leaves, the store takes that only when it
+    /// is over; then the upstream serves on for a while and ends.
+    LeaveByAnswers(usize),
     /// A request that ends each engine that begins to run it comes again and again, at
     /// any VM, while it lasts.
     EndEngines,
@@ -93,6 +98,7 @@
             Self::Stop(_)
                 | Self::Reload(_)
                 | Self::Leave(_)
+                | Self::LeaveByAnswers(_)
                 | Self::Configure
                 | Self::Revoke
                 | Self::Evacuate(_)
--- a/trouttrack_soak/src/plan/draw.rs
+++ b/trouttrack_soak/src/plan/draw.rs
@@ -32,6 +32,11 @@
 const ENDS_ENGINES: u64 = 0x3d1e;
 const ENDING: f64 = 0.35;
 const LASTS_ENDING: f64 = 6.0;
+/// Taken with the seed for what upstreams say in their answers; the most of that in a plan.
+const WORDS: u64 = 0x51a7;
+const MOST_WORDS: usize = 3;
+/// How long it lasts, in seconds: longer than the bound within which it must be heeded.
+const LASTS_WORDS: Range<f64> = 2.5..6.0;
 /// How long bytes are delayed, in milliseconds.
 const DELAY_MS: Range<u64> = 5..400;
 
@@ -83,6 +88,8 @@
         if !planned_only {
             steps.extend(end_engines(seed, ends));
         }
+        let spoken = words(seed, size, ends).into_iter();
+        steps.extend(spoken.filter(|s| !planned_only || s.act.is_planned()));
         steps.sort_by_key(|s| s.at);
         Self { steps }
     }
@@ -122,6 +129,25 @@
     })
 }
 
+/// Upstreams that turn away and ask for rest, or leave by their answers, drawn by themselves.
+fn words(seed: u64, size: Size, ends: Duration) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ WORDS);
+    let mut steps = Vec::new();
+    let most = ends.as_secs_f64().max(SETTLE.as_secs_f64() + GAP.end);
+    for _ in 0..rng.random_range(0..=MOST_WORDS) {
+        let at = Duration::from_secs_f64(rng.random_range(SETTLE.as_secs_f64()..most));
+        let lasts = Duration::from_secs_f64(rng.random_range(LASTS_WORDS));
+        let upstream = rng.random_range(0..2 * size.upstreams);
+        let act = match rng.random_bool(0.5) {
+            true => Act::TurnAway(upstream),
+            false => Act::LeaveByAnswers(upstream),
+        };
+        let lasts = lasts.min(ends.saturating_sub(at));
+        steps.push(Step { at, lasts, act });
+    }
+    steps
+}
+
 /// Any act. A VM and an upstream are drawn first, whether or not it needs them.
 fn act(rng: &mut SmallRng, size: Size) -> Act {
     let vm = rng.random_range(0..size.vms);
--- a/trouttrack_soak/tests/soak/check.rs
+++ b/trouttrack_soak/tests/soak/check.rs
@@ -59,6 +59,8 @@
             continued_from: None,
             backup_at: None,
             ran: true,
+            asked_rest: None,
+            said_leaving: false,
         },
     }
 }
@@ -393,3 +395,53 @@
     });
     assert!(broken(&evidence).is_empty());
 }
+
+/// What an upstream said in its answer to `a`, and a later request that reaches it all the
+/// same.
+fn after_a_word(later: Duration, say: impl Fn(&mut Arrival)) -> Evidence {
+    let now = Instant::now();
+    let (first, mut said) = served("a", RouteName::Many, now);
+    say(&mut said.arrival);
+    let (second, ran) = served("b", RouteName::Many, now + later);
+    evidence(vec![first, second], vec![said, ran])
+}
+
+#[test]
+fn work_for_one_that_leaves_by_its_answers_is_found() {
+    let promise = "an upstream whose answers said that it leaves gets no new work";
+    let late = |seconds| after_a_word(SECOND * seconds, |a| a.said_leaving = true);
+    assert_eq!(broken(&late(3)), [promise]);
+    assert!(broken(&late(1)).is_empty());
+    // Another life of the VM has heard nothing.
+    let mut restarted = late(3);
+    restarted.calls[1].life = Some(2);
+    assert!(broken(&restarted).is_empty());
+    let mut frozen = late(3);
+    frozen.history.all.push(Disturbance {
+        act: Act::Pause(0),
+        from: frozen.calls[0].ended,
+        until: None,
+    });
+    assert!(broken(&frozen).is_empty());
+    // Going on with a generation is no new work.
+    let mut moved = late(3);
+    let run = &mut moved.runs.get_mut("b").expect("it ran")[0];
+    run.arrival.continued_from = Some("copy".to_owned());
+    assert!(broken(&moved).is_empty());
+}
+
+#[test]
+fn requests_within_a_rest_are_found() {
+    let promise = "an upstream that asked for rest is left alone";
+    let mut many = after_a_word(SECOND, |a| a.asked_rest = Some(SECOND * 3));
+    assert!(broken(&many).is_empty(), "one is allowed");
+    let now = many.calls[0].sent;
+    for (id, ms) in [("c", 1_500), ("d", 2_500)] {
+        let (call, run) = served(id, RouteName::Many, now + Duration::from_millis(ms));
+        many.calls.push(call);
+        many.runs.insert(id.to_owned(), vec![run]);
+    }
+    assert_eq!(broken(&many), [promise]);
+    many.timed = false;
+    assert!(broken(&many).is_empty());
+}
