--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -143,8 +143,8 @@
 /// Dropping the future cancels the upstream's work by closing the connection.
 ///
 /// A connection may come up long after the request was placed: what the upstream does not
-/// want any more by then is not sent. A generation that goes on there from a copy is: its
-/// target was chosen anew just before.
+/// want any more by then is not sent. A generation that goes on there from a copy is: it would
+/// be lost.
 pub(crate) async fn send(
     front: &Rc<Front>,
     admitted: &Admitted,
--- a/trouttrack_front/src/rescue/carry.rs
+++ b/trouttrack_front/src/rescue/carry.rs
@@ -196,9 +196,6 @@
         let began = self.front.clock.now();
         let mut may_be_stopped = false;
         while self.in_time(departure) {
-            if !self.wants_it(&target) {
-                self.retarget(&mut target, avoid);
-            }
             match self.order(&target, true, self.time_left(departure)).await {
                 Ordered::Answered(MoveAnswer::Copied { handle }) => {
                     return Carried::Moved(Moved {
@@ -211,7 +208,11 @@
                 Ordered::Answered(MoveAnswer::NotFound) => return Carried::NotMoved,
                 Ordered::Answered(MoveAnswer::NoRoom { .. }) => {
                     may_be_stopped = true;
-                    self.retarget(&mut target, avoid);
+                    avoid.push(target.id.clone());
+                    if let Some(other) = self.target(avoid) {
+                        self.ticket.relocate(&other.id);
+                        target = other;
+                    }
                 }
                 Ordered::Answered(MoveAnswer::Busy) => tokio::time::sleep(AGAIN_STOPPED).await,
                 Ordered::Unanswered => {
@@ -228,21 +229,6 @@
         Carried::Stopped
     }
 
-    /// Whether an engine that was chosen has not said meanwhile that it wants nothing.
-    fn wants_it(&self, target: &Upstream) -> bool {
-        let word = self.front.scheduler.word_of(&target.incarnation());
-        word.wants_work(self.front.clock.now())
-    }
-
-    /// Goes to another engine, if there is one.
-    fn retarget(&self, target: &mut Rc<Upstream>, avoid: &mut Vec<UpstreamId>) {
-        avoid.push(target.id.clone());
-        if let Some(other) = self.target(avoid) {
-            self.ticket.relocate(&other.id);
-            *target = other;
-        }
-    }
-
     async fn order(&self, target: &Upstream, stop: bool, timeout: Duration) -> Ordered {
         let began = self.front.clock.now();
         let answer = self
--- a/trouttrack_front/tests/front/own_words.rs
+++ b/trouttrack_front/tests/front/own_words.rs
@@ -228,3 +228,32 @@
     tokio::time::sleep(PAUSE).await;
     assert!(served_there(&bed, &bed.upstreams[0], "after").await > 0);
 }
+
+/// An engine's address may be that of its next life before the store tells of that.
+#[actix_rt::test]
+async fn a_report_of_another_life_says_nothing_of_this_one() {
+    const EVENTS: u64 = 250;
+    for (born, leaves) in [(FIRST, true), (SECOND, false)] {
+        let bounds = "[bounds]\nrevoke = 600ms\nconfig_apply = 400ms\n";
+        let bed = Bed::with(ENGINES, bounds).await;
+        let front = &bed.front.front;
+        for upstream in &bed.upstreams {
+            bed.store.put_life(upstream, FIRST, false);
+            upstream.always(Behaviour::Stream(EVENTS));
+            upstream.pace(Duration::from_millis(10));
+            upstream.say_born(born);
+            upstream.say_leaving();
+        }
+        let known = |id: &str| front.upstreams.get(id).is_some_and(|u| u.born == FIRST);
+        until("lives are known", || known("u1") && known("u2")).await;
+        let (req, addr) = (long("r1", "draft"), bed.addr());
+        let answer = actix_rt::spawn(async move { req.send(addr).await });
+        until("an engine works", || bed.working().is_some()).await;
+        let engine = bed.working().expect("it works").clone();
+        bed.store.set_fault(StoreFault::Refuse);
+        until("it is asked twice", || engine.reports() >= 2).await;
+        let known = front.upstreams.get(&engine.id).expect("it is known");
+        assert_eq!(known.is_leaving(), leaves, "born {born}");
+        answer.abort();
+    }
+}
