A leaving word reaches the upstream as it is listed now

Cause: an answer to a request that was there while its upstream's entry went and came back speaks of a row that is no longer listed, so its generations' moves would not have begun. Change: the upstream listed now, if it is in the same life, departs; two names that say more. Result: tests of words, leaving, moves and lives pass; no figure is expected to change.

--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -244,14 +244,14 @@
     pub fn configure(&mut self, specs: Vec<Spec>) {
         self.upstreams
             .configure(specs, &self.settings.failure_domain);
-        self.remind_all();
+        self.refresh_words();
     }
 
     /// Takes one upstream, or what is new of it.
     pub fn put_upstream(&mut self, spec: Spec) {
         let id = spec.id.clone();
         self.upstreams.insert(spec, &self.settings.failure_domain);
-        self.remind(&id);
+        self.refresh_word(&id);
     }
 
     /// An upstream is gone.
--- a/trouttrack_core/src/world/words.rs
+++ b/trouttrack_core/src/world/words.rs
@@ -6,7 +6,7 @@
 
 impl World {
     /// Gives a row what its upstream has said, so that a row that was made anew knows it.
-    pub(super) fn remind(&mut self, id: &str) {
+    pub(super) fn refresh_word(&mut self, id: &str) {
         let Some(row) = self
             .upstreams
             .key(id)
@@ -21,7 +21,7 @@
     /// is news.
     pub fn hear(&mut self, now: Time, life: &Incarnation, said: Said) -> bool {
         let news = self.words.hear(now, life, said);
-        self.remind(&life.id);
+        self.refresh_word(&life.id);
         news
     }
 
@@ -42,12 +42,12 @@
     }
 
     /// Gives every row what its upstream has said.
-    pub(super) fn remind_all(&mut self) {
+    pub(super) fn refresh_words(&mut self) {
         let ids: Vec<UpstreamId> = self
             .upstreams
             .iter()
             .map(|(_, u)| u.spec.id.clone())
             .collect();
-        ids.iter().for_each(|id| self.remind(id));
+        ids.iter().for_each(|id| self.refresh_word(id));
     }
 }
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -250,7 +250,7 @@
         && front.scheduler.word_of(&upstream.incarnation()).leaves()
     {
         // It is listed anew in the life in which it has said so.
-        leaves(front, &upstream, Departure::noticed(front.clock.now()));
+        said_leaving(front, &upstream, Departure::noticed(front.clock.now()));
     }
 }
 
@@ -265,7 +265,7 @@
 }
 
 /// An upstream has said itself that it leaves.
-pub(super) fn leaves(front: &Rc<Front>, upstream: &Rc<Upstream>, departure: Departure) {
+pub(super) fn said_leaving(front: &Rc<Front>, upstream: &Rc<Upstream>, departure: Departure) {
     if front
         .upstreams
         .depart(upstream, departure, "said so itself")
--- a/trouttrack_front/src/follow/words.rs
+++ b/trouttrack_front/src/follow/words.rs
@@ -4,7 +4,7 @@
 //! nobody else can, or that it wants nothing from this VM for a while. The store's entry and
 //! an engine's report say the former too.
 
-use super::upstreams::leaves;
+use super::upstreams::said_leaving;
 use crate::state::{Front, Upstream};
 use std::rc::Rc;
 use trouttrack_core::Time;
@@ -80,8 +80,11 @@
     if rests || leaving {
         record(front, upstream, told);
     }
-    if told.word.leaving {
-        leaves(front, upstream, departure);
+    // Its entry may have gone and come back while the request was there.
+    let listed = front.upstreams.get(&upstream.id);
+    let listed = listed.filter(|u| u.incarnation() == life);
+    if let Some(current) = listed.filter(|_| told.word.leaving) {
+        said_leaving(front, &current, departure);
     }
 }
 
