Two VMs that an upstream turned away are believed by the others

Cause: in a large fleet each VM sends an upstream few calls, so a VM learns nothing from its own refusals; found by the new pattern of a service that sheds load in waves. Change: a refusal is told and believed as a lost connection is. The pattern is played without network at 6, 64 and 295 VMs, with delay and loss: shed with a named rest and without, and a sixth that leaves while the store is away, before (a refusal is a good end, no word is read), with each VM heeding its own, and now.

--- a/trouttrack_core/src/upstream/losses.rs
+++ b/trouttrack_core/src/upstream/losses.rs
@@ -1,10 +1,15 @@
-//! Connections lost with a request, put together from several VMs.
+//! Requests lost with their connection or turned away, put together from several VMs.
 //!
 //! An upstream that goes down and comes up again loses the requests that it has. In
 //! a large fleet each VM sends it few, so that no VM by itself sees enough failures
 //! in a row to open its circuit before the upstream is back. So VMs tell each other
 //! when a connection ended before any answer, and two that say so are believed.
 //!
+//! So it is with an upstream that turns requests away: at 295 VMs before 196 upstreams each
+//! VM sends it one every two seconds, and learns nothing from its own refusals. In the model
+//! of such a service 19,734 of 157,447 calls are turned away where each VM goes by its own,
+//! and 5,631 where two in a failure domain are believed (64 VMs: 2,111 and 878 of 33,716).
+//!
 //! With 66 VMs before 61 upstreams, of which one goes down and up on some of ten
 //! days, 676 of 49,304 plain calls that may not be repeated were lost with it and 944
 //! without.
@@ -19,7 +24,7 @@
 /// upstream gets no new work. One alone may be at fault itself.
 const BELIEVED: usize = 2;
 
-/// What this VM has seen of its own connections to an upstream.
+/// What this VM has seen of its own requests at an upstream.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Losses {
     lost_at: Option<Time>,
@@ -27,7 +32,8 @@
 }
 
 impl Losses {
-    /// A connection ended with a request on it, before any answer.
+    /// A connection ended with a request on it before any answer, or the request was turned
+    /// away.
     pub(crate) fn lost(&mut self, now: Time) {
         self.lost_at = Some(now);
     }
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -401,6 +401,7 @@
         let upstream = self.requests.get(key).and_then(|row| row.upstream);
         if let Some(u) = upstream.and_then(|k| self.upstreams.get_mut(k)) {
             u.refusals.refused(now);
+            u.losses.lost(now);
         }
     }
 
--- a/trouttrack_front/src/state/ticket.rs
+++ b/trouttrack_front/src/state/ticket.rs
@@ -51,10 +51,11 @@
         world.unreachable(now, self.key);
     }
 
-    /// The upstream turned the request away.
+    /// The upstream turned the request away: other VMs are told.
     pub fn refused(&self) {
         let now = self.now();
         self.scheduler.world.borrow_mut().refused(now, self.key);
+        self.scheduler.tell_soon();
     }
 
     /// The attempt's connection ended before any answer: other VMs are told.
--- a/trouttrack_load/src/patterns/mod.rs
+++ b/trouttrack_load/src/patterns/mod.rs
@@ -8,9 +8,11 @@
 mod fleet;
 mod outcome;
 mod pattern;
+mod shed;
 mod telling;
 
 pub use fleet::play;
 pub use outcome::Outcome;
 pub use pattern::{Layout, Pattern};
+pub use shed::{Heeds, ShedOutcome, Word, play_shed};
 pub use telling::Telling;
--- a/trouttrack_load/tests/load/main.rs
+++ b/trouttrack_load/tests/load/main.rs
@@ -2,4 +2,5 @@
 
 mod faults;
 mod patterns;
+mod shed;
 mod suspects;
