--- a/trouttrack_load/src/patterns/shed.rs
+++ b/trouttrack_load/src/patterns/shed.rs
@@ -320,8 +320,8 @@
     fn speaks(&self, upstream: usize) -> bool {
         let seconds = self.now.as_secs();
         match self.word {
-            Word::Leaves => upstream % 6 == 0 && seconds >= WAVES[0].start,
-            _ => upstream % 4 == 0 && WAVES.iter().any(|wave| wave.contains(&seconds)),
+            Word::Leaves => upstream.is_multiple_of(6) && seconds >= WAVES[0].start,
+            _ => upstream.is_multiple_of(4) && WAVES.iter().any(|wave| wave.contains(&seconds)),
         }
     }
 
