The pattern of shed load in four files, one set of tables' settings

Change: layout, words, what comes late, and the play, each in a file; settings shared with the other patterns.

--- a/trouttrack_load/src/patterns/fleet.rs
+++ b/trouttrack_load/src/patterns/fleet.rs
@@ -2,6 +2,7 @@
 
 use super::outcome::Outcome;
 use super::pattern::{Arrival, Layout, Pattern, engine_settings};
+use super::settings::world_settings;
 use super::telling::{self, SOON, Telling};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -11,11 +12,8 @@
 use std::time::Duration;
 use trouttrack_core::length::LengthKey;
 use trouttrack_core::membership::{Evacuations, UpstreamUse};
-use trouttrack_core::routing::AnyPolicy;
 use trouttrack_core::upstream::{ColdShare, Spec};
-use trouttrack_core::world::{
-    Decision, MOVED_FILL, PLACED_FILL, RequestKey, Submission, World, WorldSettings,
-};
+use trouttrack_core::world::{Decision, RequestKey, Submission, World};
 use trouttrack_engine::{Engine, SequenceKey, StepOutput, Submit};
 
 const SERVICE: &str = "drafts";
@@ -126,19 +124,8 @@
 }
 
 fn new_world(pattern: Pattern, layout: &Layout, vm: usize, seed: u64) -> World {
-    let mut world = World::new(WorldSettings {
-        failure_domain: domain_name(vm / layout.vms),
-        ageing: Duration::from_secs(2),
-        max_wait: Duration::from_secs(4),
-        max_queued: 500,
-        urgent_reserve: 0.1,
-        growth_quantile: 0.5,
-        placed_fill: PLACED_FILL,
-        moved_fill: MOVED_FILL,
-        look_ahead: 512,
-        policy: AnyPolicy::default(),
-        seed: seed.wrapping_mul(1_000).wrapping_add(vm as u64),
-    });
+    let domain = domain_name(vm / layout.vms);
+    let mut world = World::new(world_settings(domain, vm, seed));
     let specs = (0..layout.all_engines()).map(|e| spec(pattern, layout, e));
     world.configure(specs.collect());
     world.set_cold_share(ColdShare::of(layout.vms, layout.vms, layout.all_vms()));
--- a/trouttrack_load/src/patterns/mod.rs
+++ b/trouttrack_load/src/patterns/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod outcome;
 mod pattern;
+mod settings;
 mod shed;
 mod telling;
 
--- a/trouttrack_load/src/patterns/shed.rs
+++ b/trouttrack_load/src/patterns/shed/play.rs
@@ -1,10 +1,9 @@
-//! Upstreams that turn work away, or leave by their answers' word, before many VMs.
-//!
-//! Plain calls that may not be repeated, so that each refusal costs a caller its answer. An
-//! upstream that refuses does so at once, and so has nothing running. A VM that was refused
-//! tells the others of its failure domain so, with delay and loss.
+//! The calls, the upstreams and what passes between VMs, in virtual time.
 
-use super::telling::SOON;
+use super::layout::{SERVICE, SLOTS, WORK, domain, id, new_world, number, upstreams};
+use super::told::Told;
+use super::word::{Heeds, ShedOutcome, Word};
+use crate::patterns::telling::SOON;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::cmp::Reverse;
@@ -15,16 +14,9 @@
 use trouttrack_core::Time;
 use trouttrack_core::length::LengthKey;
 use trouttrack_core::membership::UpstreamUse;
-use trouttrack_core::routing::AnyPolicy;
-use trouttrack_core::upstream::{Incarnation, Said, Spec};
-use trouttrack_core::world::{
-    Decision, MOVED_FILL, PLACED_FILL, RequestKey, Submission, World, WorldSettings,
-};
+use trouttrack_core::upstream::{Incarnation, Said};
+use trouttrack_core::world::{Decision, RequestKey, Submission, World};
 
-const SERVICE: &str = "desk";
-/// Slots of an upstream, and the work of a call, as one customer's sheet gives them.
-const SLOTS: usize = 6;
-const WORK: Duration = Duration::from_millis(60);
 /// A call's objective there: it waits for a place no longer.
 const OBJECTIVE: Duration = Duration::from_millis(300);
 /// The way between a VM and an upstream.
@@ -40,47 +32,6 @@
 const WAVES: [Range<u64>; 2] = [3..8, 12..17];
 /// How long calls come.
 const LASTS: Duration = Duration::from_secs(20);
-/// The part of a rest after which a VM must have heard of it, and the time after which one
-/// must have stopped sending to an upstream that leaves; both as the platform bounds them.
-const HEARD: Duration = Duration::from_millis(500);
-const DRAIN: Duration = Duration::from_secs(2);
-
-/// What upstreams say in their answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
-    /// A fourth of them turns away in waves, and names no time.
-    Refuses,
-    /// A fourth of them turns away in waves, and asks for so much rest.
-    Rests(Duration),
-    /// A sixth of them leaves; the store is away, so that only their answers say it.
-    Leaves,
-}
-
-/// What the VMs do about it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Heeds {
-    /// A refusal counts as a good end, and no word is read.
-    Nothing,
-    /// Each VM heeds what was answered to itself.
-    Own,
-    /// The same, and what others of its failure domain tell.
-    All,
-}
-
-/// How callers and upstreams fared.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ShedOutcome {
-    /// Calls.
-    pub asked: usize,
-    /// Those that an upstream turned away.
-    pub turned_away: usize,
-    /// Those that found no place within their objective.
-    pub unplaced: usize,
-    /// Sends that came to an upstream too late after its word, over all VMs.
-    pub after_word: usize,
-    /// The most of them from one VM to one upstream after one word.
-    pub after_word_most: usize,
-}
 
 struct Vm {
     world: World,
@@ -117,14 +68,6 @@
     Hear(usize, usize),
 }
 
-/// What a VM was told by an upstream, and what it sent there too late.
-#[derive(Default)]
-struct Told {
-    at: Time,
-    until: Option<Time>,
-    late: usize,
-}
-
 struct Play {
     word: Word,
     heeds: Heeds,
@@ -161,55 +104,6 @@
     play.outcome
 }
 
-/// Two thirds as many upstreams as VMs at six, as the smallest deployments have.
-fn upstreams(vms: usize) -> usize {
-    (vms * 2 / 3).max(4)
-}
-
-fn id(upstream: usize) -> String {
-    format!("u{upstream:03}")
-}
-
-fn number(id: &str) -> usize {
-    id[1..].parse().expect("upstreams are numbered")
-}
-
-/// Failure domains; VMs and upstreams stand in them by turns.
-fn domain(place: usize) -> String {
-    format!("d{}", place % 4)
-}
-
-fn spec(upstream: usize) -> Spec {
-    Spec {
-        id: id(upstream),
-        born: 0,
-        failure_domain: domain(upstream),
-        services: vec![SERVICE.to_owned()],
-        capacity_tokens: 0,
-        max_running: SLOTS,
-        warm_at: Time::ZERO,
-        cold_rate: 0.0,
-    }
-}
-
-fn new_world(vm: usize, upstreams: usize, seed: u64) -> World {
-    let mut world = World::new(WorldSettings {
-        failure_domain: domain(vm),
-        ageing: Duration::from_secs(2),
-        max_wait: Duration::from_secs(4),
-        max_queued: 500,
-        urgent_reserve: 0.1,
-        growth_quantile: 0.5,
-        placed_fill: PLACED_FILL,
-        moved_fill: MOVED_FILL,
-        look_ahead: 512,
-        policy: AnyPolicy::default(),
-        seed: seed.wrapping_mul(1_000).wrapping_add(vm as u64),
-    });
-    world.configure((0..upstreams).map(spec).collect());
-    world
-}
-
 impl Play {
     fn new(vms: usize, word: Word, heeds: Heeds, seed: u64) -> Self {
         let upstreams = upstreams(vms);
@@ -327,8 +221,13 @@
 
     fn reach(&mut self, sent: usize) {
         let Sent { vm, upstream, .. } = self.sent[sent];
-        self.count_late(vm, upstream);
-        if self.speaks(upstream) && self.word != Word::Leaves {
+        let word = self.speaks(upstream).then_some(self.word);
+        let told = self.told.entry((vm, upstream)).or_default();
+        if let Some(late) = told.reached(self.now, word) {
+            self.outcome.after_word += 1;
+            self.outcome.after_word_most = self.outcome.after_word_most.max(late);
+        }
+        if word.is_some_and(|word| word != Word::Leaves) {
             self.schedule(self.now + WAY, Event::Refused(sent));
             return;
         }
@@ -338,37 +237,6 @@
         self.schedule(done, Event::Served(sent));
     }
 
-    /// Counts what comes too late after a word, and notes the word that is said now.
-    fn count_late(&mut self, vm: usize, upstream: usize) {
-        let speaks = self.speaks(upstream);
-        let told = self.told.entry((vm, upstream)).or_default();
-        if told
-            .until
-            .is_some_and(|until| self.now > told.at && self.now < until)
-        {
-            told.late += 1;
-            self.outcome.after_word += 1;
-            self.outcome.after_word_most = self.outcome.after_word_most.max(told.late);
-            return;
-        }
-        if !speaks || told.until.is_some_and(|until| self.now < until) {
-            return;
-        }
-        *told = match self.word {
-            Word::Refuses => Told::default(),
-            Word::Rests(rest) => Told {
-                at: self.now + HEARD,
-                until: Some(self.now + rest),
-                late: 0,
-            },
-            Word::Leaves => Told {
-                at: self.now + WORK + DRAIN,
-                until: Some(Time::MAX),
-                late: 0,
-            },
-        };
-    }
-
     fn refused(&mut self, sent: usize) {
         let Sent { vm, key, upstream } = self.sent[sent];
         self.outcome.turned_away += 1;
