Parts of the retry budget below one retry are drawn

Cause: each VM takes an equal part of the fleet's extra retries. Where 985 VMs share 1,040, of which 0.8 are used, that is 0.84 of one, so none of them ever made any.

Change: where the part is below one, a VM draws once a window whether it has one. A fifth as much, and half of that, is drawn in the first window after a start, for draws add up to their mean only nearly.

--- a/trouttrack_core/tests/core/fleet_budget.rs
+++ b/trouttrack_core/tests/core/fleet_budget.rs
@@ -121,3 +121,51 @@
 fn all_vms_killed_at_once_in_a_storm_do_not_get_a_second_budget() {
     assert!(!restarted([2_000; 7], 2));
 }
+
+/// VMs of the largest fleet, and what they may retry in a window besides.
+const MANY: usize = 985;
+const MANY_EXTRA: f64 = 1040.0;
+
+#[test]
+fn parts_below_one_retry_add_up_to_most_of_the_budget_and_no_more() {
+    for (vms, seed) in [(MANY, 1), (MANY, 2), (2 * MANY, 3)] {
+        let budget = |vm| SharedBudget::new(RATIO, MANY_EXTRA, WINDOW).seeded(seed << 32 | vm);
+        let mut budgets: Vec<SharedBudget> = (0..vms as u64).map(budget).collect();
+        let mut retries = Vec::new();
+        // All VMs want to retry all the time, for three windows.
+        for now in (10..40).map(Duration::from_secs) {
+            let made = budgets
+                .iter_mut()
+                .filter_map(|b| b.try_retry(now, vms).then_some(now));
+            retries.extend(made);
+        }
+        assert!(retries.len() > 2 * MANY_EXTRA as usize, "{vms} VMs");
+        let within = |end: &Time| {
+            let in_window = |t: &&Time| **t <= *end && **t + WINDOW > *end;
+            retries.iter().filter(in_window).count() as f64
+        };
+        let most = retries.iter().map(within).fold(0.0, f64::max);
+        assert!(most <= MANY_EXTRA, "{vms} VMs: {most}");
+    }
+}
+
+#[test]
+fn vms_that_all_start_again_stay_within_the_bound_with_parts_below_one_retry() {
+    let budget =
+        |seed| move |vm| SharedBudget::new(RATIO, MANY_EXTRA, WINDOW).seeded(seed << 32 | vm);
+    let spend = |seed: u64, now: Time| {
+        let mut budgets: Vec<SharedBudget> = (0..MANY as u64).map(budget(seed)).collect();
+        budgets
+            .iter_mut()
+            .filter_map(|b| b.try_retry(now, MANY).then_some(()))
+            .count()
+    };
+    for seed in 0..10 {
+        let before = spend(2 * seed, WINDOW);
+        let after = spend(2 * seed + 1, Duration::from_secs(1));
+        assert!(
+            (before + after) as f64 <= MANY_EXTRA,
+            "seed {seed}: {before} + {after}"
+        );
+    }
+}
--- a/trouttrack_front/src/state/budgets.rs
+++ b/trouttrack_front/src/state/budgets.rs
@@ -6,15 +6,17 @@
 use trouttrack_core::request::SharedBudget;
 use trouttrack_core::{ServiceId, Time};
 
-/// VMs that the budget is taken to be shared by while their number is not
-/// known: more than there will be in the fleet planned for, 340, so that the sum
-/// stays within the bound when all start together.
+/// VMs that the budget is taken to be shared by while their number is not known. A fifth of
+/// the budget is used in a VM's first window, so that the sum stays within the bound when
+/// up to five times as many start together.
 const VMS_UNTIL_KNOWN: usize = 512;
 
 /// This VM's part of the fleet's retry budgets.
 #[derive(Debug)]
 pub struct Budgets {
     settings: RetrySettings,
+    /// Differs from VM to VM.
+    seed: u64,
     vms: Cell<usize>,
     by_service: RefCell<HashMap<ServiceId, SharedBudget>>,
 }
@@ -25,6 +27,7 @@
     pub fn new(settings: RetrySettings) -> Self {
         Self {
             settings,
+            seed: rand::random(),
             vms: Cell::new(VMS_UNTIL_KNOWN),
             by_service: RefCell::default(),
         }
@@ -52,7 +55,7 @@
             return f(budget);
         }
         let s = self.settings;
-        let budget = SharedBudget::new(s.ratio, s.extra, s.window);
+        let budget = SharedBudget::new(s.ratio, s.extra, s.window).seeded(self.seed);
         f(all.entry(service.to_owned()).or_insert(budget))
     }
 }
