The lists of all services are made by sorting the rows once

Cause: with a new configuration each row was put in its place in a list, which moved the thousands behind it: quadratic in the upstreams. Same lists by the property test.

--- a/trouttrack_core/src/upstream/table.rs
+++ b/trouttrack_core/src/upstream/table.rs
@@ -89,12 +89,22 @@
         self.evacuations = evacuations;
     }
 
+    /// Makes the lists of all services anew, at the cost of sorting the rows once.
     fn index_services(&mut self, home: &str) {
         self.by_service.clear();
-        let mut keys: Vec<UpstreamKey> = self.rows.keys().collect();
-        keys.sort_unstable_by(|a, b| self.rows[*a].spec.id.cmp(&self.rows[*b].spec.id));
+        let rows = &self.rows;
+        let mut keys: Vec<UpstreamKey> = rows.keys().collect();
+        keys.sort_unstable_by_key(|key| {
+            let spec = &rows[*key].spec;
+            (spec.failure_domain != home, &spec.id)
+        });
         for key in keys {
-            self.index(key, home);
+            let spec = &self.rows[key].spec;
+            for service in &spec.services {
+                let serving = self.by_service.entry(service.clone()).or_default();
+                serving.keys.push(key);
+                serving.local += usize::from(spec.failure_domain == home);
+            }
         }
     }
 
