What bounds the watch does not grow with the fleet; a model of what spreads

Change: watchers' heartbeats come each 0.5 s at most, in any fleet. News of entries may be passed on by some of those told (relays). Entries that a peer saw lapse.

--- a/trouttrack_core/src/membership/entries.rs
+++ b/trouttrack_core/src/membership/entries.rs
@@ -53,6 +53,11 @@
         self.by_id.insert(id.to_owned(), Listing::Listed);
     }
 
+    /// Another VM tells of an entry that it saw disappear and that may come back.
+    pub fn lapsed(&mut self, id: &str) {
+        self.by_id.insert(id.to_owned(), Listing::Lapsed);
+    }
+
     /// An entry disappeared. Returns whether its upstream is gone; if not, it
     /// may come back.
     pub fn removed(&mut self, now: Time, id: &str) -> bool {
--- a/trouttrack_core/src/membership/mod.rs
+++ b/trouttrack_core/src/membership/mod.rs
@@ -19,6 +19,8 @@
 pub use evacuations::Evacuations;
 pub use marks::{Mark, MarkEntry, MarkSource, MarkTable};
 pub use peers::{Digest, Peer, PeerTable, UpstreamUse};
-pub use receivers::news_receivers;
-pub use telling::{FAR_TOLD, NEAR_TOLD, heartbeat_pause, longest_silence, tells_sums};
+pub use receivers::{news_receivers, relays};
+pub use telling::{
+    FAR_TOLD, NEAR_TOLD, heartbeat_pause, longest_silence, tells_sums, watchers_pause,
+};
 pub use watch::watches;
--- a/trouttrack_core/src/membership/receivers.rs
+++ b/trouttrack_core/src/membership/receivers.rs
@@ -39,3 +39,31 @@
     let (near, far): (Vec<T>, Vec<T>) = others.into_iter().partition(near);
     near.into_iter().chain(far.into_iter().take(FAR)).collect()
 }
+
+/// Whom a VM tells itself, and to whom each of these passes it on: in a large group about
+/// as many of the one as of the other, so that what a VM sends grows with the root of the
+/// group.
+///
+/// # Examples
+///
+/// ```
+/// use trouttrack_core::membership::relays;
+/// assert!(relays((0..24).collect()).iter().all(|(_, pass_on)| pass_on.is_empty()));
+/// let told = relays((0..168).collect());
+/// assert_eq!(told.len(), 13);
+/// assert!(told.iter().all(|(_, pass_on)| pass_on.len() <= 12));
+/// ```
+#[must_use]
+pub fn relays<T>(receivers: Vec<T>) -> Vec<(T, Vec<T>)> {
+    if receivers.len() <= ALL {
+        return receivers.into_iter().map(|r| (r, Vec::new())).collect();
+    }
+    let count = (receivers.len() as f64).sqrt().ceil() as usize;
+    let mut receivers = receivers.into_iter();
+    let told: Vec<T> = receivers.by_ref().take(count).collect();
+    let mut told: Vec<(T, Vec<T>)> = told.into_iter().map(|r| (r, Vec::new())).collect();
+    for (i, receiver) in receivers.enumerate() {
+        told[i % count].1.push(receiver);
+    }
+    told
+}
--- a/trouttrack_core/src/membership/telling.rs
+++ b/trouttrack_core/src/membership/telling.rs
@@ -15,6 +15,12 @@
 /// In a larger fleet the pause grows with it, by one more of the above for each so
 /// many VMs.
 const VMS_PER_PAUSE: usize = 64;
+/// The longest pause between heartbeats of a VM that watches the store, which go to its
+/// whole failure domain: a lost one is followed after three of them, well within the five
+/// seconds in which a configuration or a removed key has to be in force everywhere. With
+/// the pause of the others the watch of 164 VMs was vacant for 9.3 s at least. It costs a
+/// watcher 0.3 kB for each VM of its failure domain, twice a second.
+const WATCHERS_PAUSE: Duration = Duration::from_millis(500);
 /// Peers of the own failure domain that are told by each heartbeat, drawn anew.
 pub const NEAR_TOLD: usize = 16;
 /// Peers of other failure domains that are told by each heartbeat, drawn anew. Bytes
@@ -42,6 +48,22 @@
     PAUSE.mul_f64((vms as f64 / VMS_PER_PAUSE as f64).max(1.0))
 }
 
+/// The pause between two heartbeats of a VM that watches the store for its failure domain.
+/// Whoever waits for its word waits no longer in a larger fleet.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use trouttrack_core::membership::watchers_pause;
+/// assert_eq!(watchers_pause(7), Duration::from_millis(200));
+/// assert_eq!(watchers_pause(2000), Duration::from_millis(500));
+/// ```
+#[must_use]
+pub fn watchers_pause(vms: usize) -> Duration {
+    heartbeat_pause(vms).min(WATCHERS_PAUSE)
+}
+
 /// Whether a fleet is too large for each VM to tell all others of each request.
 #[must_use]
 pub fn tells_sums(vms: usize) -> bool {
--- a/trouttrack_core/tests/core/duty.rs
+++ b/trouttrack_core/tests/core/duty.rs
@@ -1,14 +1,21 @@
-//! One VM of a failure domain watches the store: patterns of 49 VMs, with loss.
+//! One VM of a failure domain watches the store: patterns of 49 VMs and more, with loss.
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
 use trouttrack_core::Time;
-use trouttrack_core::membership::{Contact, Duty, Standing, heartbeat_pause};
+use trouttrack_core::membership::{Contact, Duty, Standing, watchers_pause};
 
 /// VMs of the failure domain, of a fleet of six such.
 const VMS: usize = 49;
-const FLEET: usize = 6 * VMS;
+const DOMAINS: usize = 6;
+/// The same in fleets of 295, 985 and 2,000 VMs.
+const SIZES: [usize; 3] = [VMS, 164, 333];
+/// The share of a fleet that loses power at one moment.
+const LOST_AT_ONCE: f64 = 0.55;
+/// A failure domain may be without a watcher for so long: a configuration has to be in
+/// force in five seconds, and a second is left for it to reach all VMs.
+const VACANT: Duration = Duration::from_secs(4);
 /// The share of datagrams lost; good links lose one in a hundred.
 const LOSS: f64 = 0.05;
 /// How often a VM asks itself whether it watches.
@@ -21,6 +28,8 @@
     duty: Duty,
     contact: Contact,
     alive: bool,
+    /// Whether the others still take it for alive.
+    counts: bool,
     tells_at: Time,
 }
 
@@ -33,11 +42,16 @@
 impl Domain {
     /// All VMs start within a third of a second.
     fn start(seed: u64) -> Self {
+        Self::of(VMS, seed)
+    }
+
+    fn of(vms: usize, seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let vms = (0..VMS).map(|_| Vm {
+        let vms = (0..vms).map(|_| Vm {
             duty: Duty::default(),
             contact: Contact::Answered,
             alive: true,
+            counts: true,
             tells_at: Duration::from_millis(rng.random_range(0..300)),
         });
         Self {
@@ -53,34 +67,52 @@
 
     fn holders(&self) -> Vec<usize> {
         let holds = |i: &usize| self.vms[*i].alive && self.vms[*i].duty.holds();
-        (0..VMS).filter(holds).collect()
+        (0..self.vms.len()).filter(holds).collect()
+    }
+
+    fn pause(&self) -> Duration {
+        watchers_pause(DOMAINS * self.vms.len())
     }
 
     fn play(&mut self, pauses: u32) {
-        let pause = heartbeat_pause(FLEET);
-        let ends = self.now + pause * pauses;
+        let ends = self.now + self.pause() * pauses;
         while self.now < ends {
-            self.now += LOOK;
-            for i in 0..VMS {
-                if !self.vms[i].alive {
-                    continue;
-                }
-                let own = self.standing(i);
-                let before = (0..VMS).filter(|j| self.vms[*j].alive && self.standing(*j) > own);
-                let before = before.count();
-                let held = self.vms[i].duty.holds();
-                let holds = self.vms[i].duty.decide(self.now, before, pause);
-                if holds && (!held || self.now >= self.vms[i].tells_at) {
-                    self.vms[i].tells_at = self.now + pause;
-                    self.claim(i);
-                }
+            self.step();
+        }
+    }
+
+    /// How long it takes until somebody watches.
+    fn vacant(&mut self) -> Duration {
+        let since = self.now;
+        while self.holders().is_empty() {
+            self.step();
+        }
+        self.now - since
+    }
+
+    fn step(&mut self) {
+        let pause = self.pause();
+        let vms = self.vms.len();
+        let standings: Vec<Standing> = (0..vms).map(|i| self.standing(i)).collect();
+        self.now += LOOK;
+        for i in 0..vms {
+            if !self.vms[i].alive {
+                continue;
+            }
+            let before = |j: &usize| self.vms[*j].counts && standings[*j] > standings[i];
+            let before = (0..vms).filter(before).count();
+            let held = self.vms[i].duty.holds();
+            let holds = self.vms[i].duty.decide(self.now, before, pause);
+            if holds && (!held || self.now >= self.vms[i].tells_at) {
+                self.vms[i].tells_at = self.now + pause;
+                self.claim(i);
             }
         }
     }
 
     fn claim(&mut self, from: usize) {
         let standing = self.standing(from);
-        for to in 0..VMS {
+        for to in 0..self.vms.len() {
             let lost = self.rng.random_bool(LOSS);
             if to != from && !lost && standing > self.standing(to) {
                 self.vms[to].duty.claimed(self.now);
@@ -106,6 +138,7 @@
         for _ in 0..3 {
             let holder = domain.holders()[0];
             domain.vms[holder].alive = false;
+            domain.vms[holder].counts = false;
             domain.play(SETTLED);
             assert_eq!(domain.holders().len(), 1, "seed {seed}");
         }
@@ -150,3 +183,31 @@
     domain.play(3);
     assert_eq!(domain.holders().len(), 1);
 }
+
+#[test]
+fn after_a_start_the_watch_is_vacant_for_no_longer_in_a_larger_fleet() {
+    for vms in SIZES {
+        let vacant = Domain::of(vms, 3).vacant();
+        assert!(vacant < VACANT, "{vms} VMs: {vacant:?}");
+    }
+}
+
+#[test]
+fn after_half_of_the_vms_were_lost_the_watch_is_vacant_for_no_longer_in_a_larger_fleet() {
+    for (vms, seed) in SIZES
+        .into_iter()
+        .flat_map(|vms| (0..5).map(move |s| (vms, s)))
+    {
+        let mut domain = Domain::of(vms, seed);
+        domain.play(SETTLED);
+        let holder = domain.holders()[0];
+        for i in 0..vms {
+            // The others count those that are lost for a while yet.
+            domain.vms[i].alive = i != holder && !domain.rng.random_bool(LOST_AT_ONCE);
+        }
+        let vacant = domain.vacant();
+        assert!(vacant < VACANT, "{vms} VMs, seed {seed}: {vacant:?}");
+        domain.play(SETTLED);
+        assert_eq!(domain.holders().len(), 1, "{vms} VMs, seed {seed}");
+    }
+}
--- a/trouttrack_load/src/args.rs
+++ b/trouttrack_load/src/args.rs
@@ -100,6 +100,13 @@
             /// Write a page with plots here.
             optional --report file: PathBuf
         }
+        /// Plays how long it takes until all VMs know what is new, at 7 to 2,000 VMs.
+        cmd spread {
+            /// Seed (default 1).
+            optional --seed n: u64
+            /// Write a page with plots here.
+            optional --report file: PathBuf
+        }
         /// Measures what control costs.
         cmd control {
             /// Base URL of the administration API.
--- a/trouttrack_load/src/lib.rs
+++ b/trouttrack_load/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`compare`] compares routing policies in virtual time.
 //! - [`control`] measures what control costs.
 //! - [`faults`] sends mixed requests under faults and checks the books.
+//! - [`spread`] plays how long it takes until all VMs know what is new.
 //! - [`client`] reads streams; [`process`] reads what a process has used.
 
 pub mod ask;
@@ -19,6 +20,7 @@
 pub mod path;
 pub mod patterns;
 pub mod process;
+pub mod spread;
 pub mod suspects;
 
 use hdrhistogram::Histogram;
--- a/trouttrack_load/src/main.rs
+++ b/trouttrack_load/src/main.rs
@@ -2,7 +2,9 @@
 
 mod args;
 
-use args::{Ask, Claims, Compare, Control, Faults, Path, TrouttrackLoad, TrouttrackLoadCmd};
+use args::{
+    Ask, Claims, Compare, Control, Faults, Path, Spread, TrouttrackLoad, TrouttrackLoadCmd,
+};
 use std::process::ExitCode;
 use std::time::Duration;
 use trouttrack_core::routing::{AnyPolicy, Scored, Weights};
@@ -13,6 +15,7 @@
 use trouttrack_load::control::{self, ControlOptions};
 use trouttrack_load::faults::{self, FaultsOptions};
 use trouttrack_load::path::{PathOptions, measure};
+use trouttrack_load::spread;
 
 const DEFAULT_STREAMS: &[usize] = &[1, 64, 512];
 const CLIENT_THREADS: usize = 2;
@@ -27,6 +30,7 @@
         TrouttrackLoadCmd::Faults(a) => run_faults(a),
         TrouttrackLoadCmd::Compare(a) => run_compare(&a),
         TrouttrackLoadCmd::Control(a) => run_control(a),
+        TrouttrackLoadCmd::Spread(a) => run_spread(&a),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -37,6 +41,15 @@
     }
 }
 
+fn run_spread(a: &Spread) -> Result<(), String> {
+    let seed = a.seed.unwrap_or(1);
+    print!("{}", spread::table(seed));
+    match &a.report {
+        Some(file) => spread::write_report(file, seed).map_err(|e| e.to_string()),
+        None => Ok(()),
+    }
+}
+
 fn run_ask(a: &Ask) -> Result<(), String> {
     let examples = ask::read(&a.file).map_err(|e| e.to_string())?;
     if a.url.is_empty() {
--- /dev/null
+++ b/trouttrack_load/src/spread/start.rs
@@ -0,0 +1,199 @@
+//! All VMs start at one moment, and each needs every upstream's entry.
+
+use super::layout::Layout;
+use super::link::Link;
+use super::queue::Queue;
+use super::reached::Reached;
+use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
+use rand::{RngExt, SeedableRng};
+use std::time::Duration;
+use trouttrack_core::membership::NEAR_TOLD;
+
+/// Entries on one page of the store's list.
+const PAGE: usize = 200;
+/// Bytes of an entry in the store's form.
+const ENTRY: f64 = 300.0;
+/// Bytes of an entry in a snapshot.
+const TOLD: f64 = 45.0;
+/// Bytes of the list of VMs that each reads at its start, a VM.
+const VM_ENTRY: f64 = 200.0;
+/// The program's figures: VMs of a failure domain that list, how long the others wait
+/// before as many do again, the pause between two questions, and how many are
+/// answered at once.
+const LISTERS: f64 = 3.0;
+const ROUND: Duration = Duration::from_secs(2);
+const ASK_AGAIN: Duration = Duration::from_millis(150);
+const AT_ONCE: usize = 2;
+/// Longer than this no start may take.
+const ENDS: Duration = Duration::from_secs(120);
+
+/// Who lists from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    /// Every VM.
+    Each,
+    /// A few of each failure domain; the others take it from whoever has it.
+    Few,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// A VM asks for its next page of the list.
+    List(usize, usize),
+    /// It draws whether it lists; the first time it begins to ask as well.
+    Draw(usize, bool),
+    Ask(usize),
+    /// A VM was answered by another one.
+    Answered(usize, usize),
+    /// A VM has heard that another one has the list.
+    Heard(usize, usize),
+}
+
+struct Fleet<'a> {
+    layout: &'a Layout,
+    queue: Queue<Event>,
+    store: Link,
+    down: Vec<Link>,
+    up: Vec<Link>,
+    has: Vec<Option<Duration>>,
+    lists: Vec<bool>,
+    answering: Vec<usize>,
+    heard: Vec<Vec<usize>>,
+    calls: usize,
+    rng: SmallRng,
+}
+
+/// Plays a start of all VMs.
+///
+/// # Examples
+///
+/// ```
+/// use trouttrack_load::spread::Layout;
+/// use trouttrack_load::spread::start::{Listing, play};
+/// let layout = Layout::of(66);
+/// assert!(play(&layout, Listing::Few, 1).all());
+/// ```
+#[must_use]
+pub fn play(layout: &Layout, listing: Listing, seed: u64) -> Reached {
+    let mut fleet = Fleet::new(layout, seed);
+    for vm in 0..layout.vms {
+        let vms = layout.vms as f64 * VM_ENTRY;
+        let known = fleet.fetch(vm, Duration::ZERO, vms);
+        let event = match listing {
+            Listing::Each => Event::List(vm, 0),
+            Listing::Few => Event::Draw(vm, true),
+        };
+        fleet.queue.put(known, event);
+    }
+    fleet.run();
+    let busiest = fleet.up.iter().map(|l| l.carried).fold(0.0, f64::max);
+    Reached::new(fleet.has, busiest, fleet.store.carried, fleet.calls)
+}
+
+impl<'a> Fleet<'a> {
+    fn new(layout: &'a Layout, seed: u64) -> Self {
+        let links = || vec![Link::new(layout.vm_link); layout.vms];
+        Self {
+            layout,
+            queue: Queue::new(),
+            store: Link::new(layout.store_link),
+            down: links(),
+            up: links(),
+            has: vec![None; layout.vms],
+            lists: vec![false; layout.vms],
+            answering: vec![0; layout.vms],
+            heard: vec![Vec::new(); layout.vms],
+            calls: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// When an answer of the store has come.
+    fn fetch(&mut self, vm: usize, now: Duration, bytes: f64) -> Duration {
+        self.calls += 1;
+        let sent = self.store.carry(now + self.layout.call, bytes);
+        let first = sent.saturating_sub(Duration::from_secs_f64(bytes / self.layout.vm_link));
+        self.down[vm].carry(first, bytes)
+    }
+
+    fn run(&mut self) {
+        while let Some((now, event)) = self.queue.next() {
+            if now > ENDS {
+                return;
+            }
+            match event {
+                Event::List(vm, page) => self.list(vm, page, now),
+                Event::Draw(vm, is_first) => self.draw(vm, is_first, now),
+                Event::Ask(vm) => self.ask(vm, now),
+                Event::Answered(vm, by) => self.answered(vm, by, now),
+                Event::Heard(vm, of) => self.heard[vm].push(of),
+            }
+        }
+    }
+
+    fn list(&mut self, vm: usize, page: usize, now: Duration) {
+        if self.has[vm].is_some() {
+            return;
+        }
+        let left = self.layout.upstreams.saturating_sub(page * PAGE);
+        if left == 0 {
+            self.take(vm, now);
+            return;
+        }
+        let came = self.fetch(vm, now, left.min(PAGE) as f64 * ENTRY);
+        self.queue.put(came, Event::List(vm, page + 1));
+    }
+
+    fn draw(&mut self, vm: usize, is_first: bool, now: Duration) {
+        if self.has[vm].is_some() {
+            return;
+        }
+        if self.rng.random_range(0.0..self.layout.near() as f64) < LISTERS {
+            self.lists[vm] = true;
+            self.queue.put(now, Event::List(vm, 0));
+            return;
+        }
+        self.queue.put(now + ROUND, Event::Draw(vm, false));
+        if is_first {
+            self.queue.put(now + ASK_AGAIN, Event::Ask(vm));
+        }
+    }
+
+    fn ask(&mut self, vm: usize, now: Duration) {
+        if self.has[vm].is_some() || self.lists[vm] {
+            return;
+        }
+        let of = self.heard[vm].iter().copied().choose(&mut self.rng);
+        let Some(of) = of.filter(|of| self.answering[*of] < AT_ONCE) else {
+            self.queue.put(now + ASK_AGAIN, Event::Ask(vm));
+            return;
+        };
+        self.answering[of] += 1;
+        let bytes = self.layout.upstreams as f64 * TOLD;
+        let sent = self.up[of].carry(now + 3 * self.layout.way, bytes);
+        let first = sent.saturating_sub(Duration::from_secs_f64(bytes / self.layout.vm_link));
+        let came = self.down[vm].carry(first, bytes);
+        self.queue.put(came, Event::Answered(vm, of));
+    }
+
+    fn answered(&mut self, vm: usize, by: usize, now: Duration) {
+        self.answering[by] -= 1;
+        self.take(vm, now);
+    }
+
+    /// A VM has the list, and tells some of its failure domain.
+    fn take(&mut self, vm: usize, now: Duration) {
+        if self.has[vm].is_some() {
+            return;
+        }
+        self.has[vm] = Some(now);
+        let near = self.layout.in_domain(self.layout.domain_of(vm));
+        let told = near.filter(|to| *to != vm).sample(&mut self.rng, NEAR_TOLD);
+        for to in told {
+            if !self.rng.random_bool(self.layout.loss) {
+                self.queue.put(now + self.layout.way, Event::Heard(to, vm));
+            }
+        }
+    }
+}
--- a/trouttrack_load/tests/load/main.rs
+++ b/trouttrack_load/tests/load/main.rs
@@ -3,4 +3,5 @@
 mod faults;
 mod patterns;
 mod shed;
+mod spread;
 mod suspects;
