--- a/trouttrack_front/src/follow/bootstrap.rs
+++ b/trouttrack_front/src/follow/bootstrap.rs
@@ -8,7 +8,7 @@
 
 use super::backoff::Backoff;
 use super::upstreams::take_snapshot;
-use crate::peers::fetch_upstreams;
+use crate::peers::{fetch_upstreams, watches_store};
 use crate::state::Front;
 use rand::RngExt;
 use rand::seq::IndexedRandom;
@@ -32,7 +32,8 @@
 /// known now; if not, this VM is to ask the store itself.
 pub(super) async fn take_from_peers(front: &Rc<Front>, known: u64) -> bool {
     find_others(front).await;
-    while !draws_list(front) {
+    // Others wait for what a watcher knows.
+    while !watches_store(front) && !draws_list(front) {
         if tokio::time::timeout(ROUND, ask(front, known)).await.is_ok() {
             return true;
         }
--- a/trouttrack_front/tests/front/large_fleet.rs
+++ b/trouttrack_front/tests/front/large_fleet.rs
@@ -17,6 +17,9 @@
 const UPSTREAMS: usize = 24;
 /// Pages of the whole list.
 const PAGES: u64 = 12;
+/// VMs that the store lists besides and that are gone: with them a VM is drawn to list
+/// once in a hundred times.
+const GONE: usize = 300;
 /// Routes of a configuration that no datagram holds: some 60 kB.
 const MANY_ROUTES: usize = 400;
 
@@ -85,6 +88,28 @@
     }
 }
 
+#[actix_rt::test]
+async fn a_watcher_lists_by_itself_at_the_start_and_when_its_history_is_gone() {
+    let (store, upstreams) = store().await;
+    for i in 0..GONE {
+        let nobody = "127.0.0.1:9".parse().expect("an address");
+        store.put_vm(&format!("gone-{i}"), nobody, "a");
+    }
+    let fleet = fleet(&store, "").await;
+    for turn in 0..4 {
+        store.forget_history();
+        store.put_upstream(&upstreams[turn], true);
+        for vm in &fleet {
+            until("it leaves", || {
+                let id = &upstreams[turn].id;
+                let upstream = vm.front.upstreams.get(id);
+                upstream.is_some_and(|u| u.is_leaving())
+            })
+            .await;
+        }
+    }
+}
+
 /// A configuration that is too large for a datagram.
 fn large(version: u64) -> FleetConfig {
     let mut large = config(version);
--- a/trouttrack_load/src/main.rs
+++ b/trouttrack_load/src/main.rs
@@ -43,7 +43,7 @@
 
 fn run_spread(a: &Spread) -> Result<(), String> {
     let seed = a.seed.unwrap_or(1);
-    print!("{}", spread::table(seed));
+    println!("{}\n{}", spread::table(seed), spread::confirmations(seed));
     match &a.report {
         Some(file) => spread::write_report(file, seed).map_err(|e| e.to_string()),
         None => Ok(()),
--- a/trouttrack_load/src/spread/mod.rs
+++ b/trouttrack_load/src/spread/mod.rs
@@ -8,8 +8,10 @@
 //! - [`start`]: all VMs start and need the list of upstreams.
 //! - [`news`]: upstreams' entries have changed.
 //! - [`configuration`]: a configuration has changed.
+//! - [`confirmation`]: none has, which every VM needs to know.
 
 pub mod configuration;
+pub mod confirmation;
 pub mod news;
 pub mod start;
 
@@ -21,4 +23,4 @@
 
 pub use layout::{Layout, SIZES};
 pub use reached::Reached;
-pub use report::{SpreadError, table, write_report};
+pub use report::{SpreadError, confirmations, table, write_report};
--- a/trouttrack_load/src/spread/report.rs
+++ b/trouttrack_load/src/spread/report.rs
@@ -1,6 +1,7 @@
 //! The plays of all sizes as a table, and as a page with plots over the size.
 
 use super::configuration::{self, Passing};
+use super::confirmation::{self, Confirming};
 use super::layout::{Layout, SIZES};
 use super::news::{self, Telling};
 use super::reached::Reached;
@@ -119,6 +120,32 @@
     out
 }
 
+/// What it takes to keep the configuration confirmed, in one failure domain, in Markdown.
+#[must_use]
+pub fn confirmations(seed: u64) -> String {
+    let mut out = String::from(
+        "| way | VMs | calls a second beside the watcher's | datagrams of the watcher a second | oldest s |\n\
+         | --- | ---: | ---: | ---: | ---: |\n",
+    );
+    let ways = [
+        ("by heartbeats", Confirming::ByHeartbeats),
+        ("asked", Confirming::Asked),
+    ];
+    for (name, way) in ways {
+        for vms in SIZES {
+            let c = confirmation::play(&Layout::of(vms), way, seed);
+            let _ = writeln!(
+                out,
+                "| {name} | {vms} | {:.1} | {:.0} | {:.2} |",
+                c.calls_a_second,
+                c.datagrams_a_second,
+                c.oldest.as_secs_f64()
+            );
+        }
+    }
+    out
+}
+
 /// Writes a page with the table, and a plot over the size for each subject.
 ///
 /// # Errors
--- a/trouttrack_load/tests/load/spread.rs
+++ b/trouttrack_load/tests/load/spread.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 use trouttrack_load::spread::configuration::{self, Passing};
+use trouttrack_load::spread::confirmation::{self, Confirming};
 use trouttrack_load::spread::news::{self, Telling};
 use trouttrack_load::spread::start::{self, Listing};
 use trouttrack_load::spread::{Layout, SIZES};
@@ -15,6 +16,8 @@
 const LEAVING_WITHIN: Duration = Duration::from_secs(5);
 /// A configuration is in force everywhere after this.
 const IN_FORCE: Duration = Duration::from_secs(5);
+/// A removed key is refused after this, less the way of a request.
+const KEYS_REFUSED: Duration = Duration::from_millis(4700);
 /// Requests are served again so long after all VMs have started.
 const RECOVERED: Duration = Duration::from_secs(18);
 /// Seeds that are played.
@@ -63,6 +66,18 @@
     }
 }
 
+#[test]
+fn no_vm_but_the_watcher_calls_the_store_to_confirm_a_configuration() {
+    for (layout, seed) in plays() {
+        let asked = confirmation::play(&layout, Confirming::Asked, seed);
+        assert_eq!(asked.calls_a_second, 0.0, "{} VMs", layout.vms);
+        assert!(asked.oldest < KEYS_REFUSED, "{:?}", asked.oldest);
+        // Heartbeats alone leave it to the store: a call of nearly every VM.
+        let told = confirmation::play(&layout, Confirming::ByHeartbeats, seed);
+        assert!(told.calls_a_second > layout.near() as f64 / 4.0);
+    }
+}
+
 #[test]
 fn in_small_fleets_nothing_is_slower() {
     for layout in SIZES.map(Layout::of).into_iter().take(2) {
