After a start VMs know each other before one watches, and few call the store at once

Changes: a VM that has just started tells its whole failure domain once it has the list of VMs, and its turn to watch counts from then; VMs that find the others' entries at once list them once; beyond 256 VMs the first confirmation is asked of peers unless lots are drawn.

--- a/trouttrack_front/src/follow/bootstrap.rs
+++ b/trouttrack_front/src/follow/bootstrap.rs
@@ -33,7 +33,7 @@
 pub(super) async fn take_from_peers(front: &Rc<Front>, known: u64) -> bool {
     find_others(front).await;
     // Others wait for what a watcher knows.
-    while !watches_store(front) && !draws_list(front) {
+    while !watches_store(front) && !draws_call(front) {
         if tokio::time::timeout(ROUND, ask(front, known)).await.is_ok() {
             return true;
         }
@@ -45,15 +45,16 @@
     false
 }
 
-async fn find_others(front: &Front) {
+/// Waits until the VMs that the store lists are known, for so long as that may take.
+pub(super) async fn find_others(front: &Front) {
     let waits_until = front.clock.now() + FIND_OTHERS;
-    while !front.peers.is_listed() && front.clock.now() < waits_until {
+    while front.peers.listed_at().is_none() && front.clock.now() < waits_until {
         tokio::time::sleep(LOOK).await;
     }
 }
 
-/// Whether it falls to this VM to list.
-fn draws_list(front: &Front) -> bool {
+/// Whether it falls to this VM to ask the store for what others need as well.
+pub(super) fn draws_call(front: &Front) -> bool {
     let near = front.peers.listed_in(&front.failure_domain).max(1);
     rand::rng().random_range(0.0..near as f64) < LISTERS
 }
--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -1,6 +1,7 @@
 //! Confirming that the configuration is current.
 
 use super::backoff::Backoff;
+use super::bootstrap::{draws_call, find_others};
 use super::config;
 use crate::peers::watches_store;
 use crate::state::Front;
@@ -19,6 +20,11 @@
 /// The age at which the others make it themselves. It is drawn anew each time,
 /// so that one VM is first and the others hear of it.
 const OTHERS: Range<f64> = 1.1..1.5;
+/// VMs that may all call the store at one moment: 256 configurations of 90 kB take its link
+/// a fifth of a second.
+const CALL_AT_ONCE: usize = 256;
+/// Pause between two times that it is drawn which VMs make their first call.
+const FIRST_ROUND: Duration = Duration::from_millis(700);
 /// Pause between two looks whether a configuration is known.
 const LOOK_FOR_CONFIG: Duration = Duration::from_millis(100);
 /// While the configuration that the store has cannot be put in force, pause
@@ -31,10 +37,11 @@
 /// bound is seen that a reload lowered.
 const LOOK_AT_LEAST: Duration = Duration::from_millis(200);
 
-/// Confirms for as long as the process runs. The first call is made at once: a
-/// VM that has just started can say nothing of keys before its answer.
+/// Confirms for as long as the process runs. A VM that has just started can say nothing of
+/// keys before its first confirmation.
 pub(super) async fn confirm(front: Rc<Front>) {
     let mut backoff = Backoff::new();
+    await_first(&front).await;
     loop {
         match once(&front).await {
             Ok(()) => backoff.succeeded(),
@@ -47,6 +54,20 @@
     }
 }
 
+/// Waits for a first confirmation from a peer, unless this VM is drawn to call the store
+/// for it. When all VMs of a large fleet start, their calls alone, 90 kB each, fill the
+/// store's link for a second, the time after which each is made once more; the store of 985
+/// VMs did not recover from that for 15 s.
+async fn await_first(front: &Front) {
+    find_others(front).await;
+    if front.peers.listed() <= CALL_AT_ONCE {
+        return;
+    }
+    while !draws_call(front) && front.routing.age().is_none() && !watches_store(front) {
+        tokio::time::sleep(FIRST_ROUND).await;
+    }
+}
+
 async fn wait_until_due(front: &Front) {
     if front.store_contact.is_away() {
         wait_for_return(front).await;
--- a/trouttrack_front/src/follow/follower.rs
+++ b/trouttrack_front/src/follow/follower.rs
@@ -33,6 +33,11 @@
     /// Asks a peer that knows more for what was missed.
     fn ask_peers(&self);
 
+    /// Whether peers no longer remember all that was missed.
+    fn is_far_behind(&self) -> bool {
+        false
+    }
+
     /// Takes a list that is long from a peer that has it. Returns whether it was taken; if
     /// not, this VM is to list everything itself.
     async fn take_from_peers(&self) -> bool {
--- a/trouttrack_front/src/follow/kind.rs
+++ b/trouttrack_front/src/follow/kind.rs
@@ -84,15 +84,16 @@
     Ok(())
 }
 
-/// Takes what was missed, if something is, from a peer or else from the store, until it is
-/// time to look whether this VM is to watch.
+/// Asks the store for what was missed, if something is, until it is time to look whether
+/// this VM is to watch. What is more than peers remember is taken from one of them: to make
+/// all rows anew costs more than a call for a few changes.
 async fn catch_up<F: Follower>(front: &Front, follower: &F) -> Result<(), StoreError> {
     let missed = missed(front, follower);
     tokio::pin!(missed);
     loop {
         tokio::select! {
             () = &mut missed => {
-                if follower.take_from_peers().await {
+                if follower.is_far_behind() && follower.take_from_peers().await {
                     return Ok(());
                 }
                 // Peers have told of some of it meanwhile.
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -62,11 +62,16 @@
         ask_for_news(&self.front);
     }
 
+    fn is_far_behind(&self) -> bool {
+        self.front.peers.is_far_behind()
+    }
+
     async fn take_from_peers(&self) -> bool {
         let taken = take_from_peers(&self.front, self.front.upstreams.revision()).await;
         if taken {
             self.forgotten.set(false);
         }
+        self.front.peers.set_far_behind(false);
         taken
     }
 
--- a/trouttrack_front/src/follow/vms.rs
+++ b/trouttrack_front/src/follow/vms.rs
@@ -48,7 +48,9 @@
         log::debug!("{e}");
     }
     if front.peers.listed() > 1 {
-        front.peers.set_listed();
+        // Whoever is missing tells its failure domain when it starts.
+        front.peers.set_listed(front.clock.now());
+        tokio::time::sleep(pause(front.peers.listed())).await;
     }
     tokio::time::sleep(OTHERS_START).await;
     // The others have just written their entries: an older list lacks them.
@@ -57,7 +59,7 @@
         match once(&front, reading).await {
             Ok(()) => {
                 backoff.succeeded();
-                front.peers.set_listed();
+                front.peers.set_listed(front.clock.now());
                 reading = Reading::MayLag;
                 tokio::time::sleep(pause(front.peers.listed())).await;
             }
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -25,6 +25,11 @@
 /// the same upstream; several are told together.
 const SOON: Duration = Duration::from_millis(3);
 
+/// For how long a VM that has started tells its whole failure domain of itself. Drawn as
+/// later, it would be known to all of 164 peers after half a minute, and each would take
+/// itself for the one that is to watch.
+const JUST_STARTED: Duration = Duration::from_secs(4);
+
 /// Sends heartbeats and changes of load for as long as the process runs.
 pub(crate) async fn send(front: Rc<Front>, socket: Rc<UdpSocket>) {
     let mut next = Instant::now();
@@ -143,8 +148,10 @@
     let (near, far): (Vec<_>, Vec<_>) = others
         .into_iter()
         .partition(|(name, _)| front.peers.is_in(name, own_domain));
-    // All who leave the watch to this VM must hear that it watches.
-    let told = if watches_store(front) {
+    // All who leave the watch to this VM must hear that it watches, and all who would take
+    // it after this VM that it has started.
+    let just_started = front.clock.now() < JUST_STARTED;
+    let told = if just_started || watches_store(front) {
         near.len()
     } else {
         NEAR_TOLD
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -56,6 +56,7 @@
             }
             Some(Datagram::Confirmation(told)) => confirm::take(&front, &told),
             Some(Datagram::NewsWanted(after)) => tell_again(&front, &socket, from, after),
+            Some(Datagram::NewsForgotten) => front.peers.set_far_behind(true),
             Some(Datagram::News(news, pass_on)) => {
                 hear_news(&front, &socket, from, news, &pass_on);
             }
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -26,6 +26,9 @@
     News(News, Vec<SocketAddr>),
     /// The receiver knows of changes after this revision, and is asked for them.
     NewsWanted(u64),
+    /// The sender knows more than the receiver and does not remember what changed: all
+    /// upstreams may be fetched.
+    NewsForgotten,
     /// The receiver has a newer configuration, and is asked for it.
     ConfigWanted,
     /// The configuration that the sender has in force.
--- a/trouttrack_front/src/peers/news.rs
+++ b/trouttrack_front/src/peers/news.rs
@@ -71,6 +71,9 @@
 /// answered asks another VM, or the store.
 pub(super) fn tell_again(front: &Front, socket: &UdpSocket, peer: SocketAddr, revision: u64) {
     let Some(news) = front.history.borrow().after(revision) else {
+        if front.upstreams.revision() > revision {
+            post(socket, &Datagram::NewsForgotten, peer);
+        }
         return;
     };
     for part in news.in_parts(MOST_CHANGES).into_iter().take(MOST_ANSWERS) {
--- a/trouttrack_front/src/peers/roles.rs
+++ b/trouttrack_front/src/peers/roles.rs
@@ -3,14 +3,17 @@
 use super::table::Heard;
 use crate::state::Front;
 use std::time::Duration;
+use trouttrack_core::Time;
 use trouttrack_core::membership::{Contact, Standing};
 
 /// A VM that the store has answered this recently can watch it. A watch that
 /// nothing happens on is answered somewhat sooner.
 const IN_CONTACT: Duration = Duration::from_millis(6500);
-/// After its start a VM knows no peers, and each would take itself for the only
-/// one. What it listed will do until it has heard the others.
-const HEARS_OTHERS: Duration = Duration::from_millis(1500);
+/// After its start a VM knows no peers, and each would take itself for the only one. Once
+/// it has the list of them it takes so long to be heard by them and to hear them.
+const HEARS_OTHERS: Duration = Duration::from_millis(700);
+/// How long the list of them is waited for.
+const LISTS_OTHERS: Duration = Duration::from_secs(5);
 
 /// Whether this VM is to watch the store: nobody of its failure domain that comes
 /// before it, by contact with the store and then by name, says that it does. While the
@@ -18,7 +21,9 @@
 #[must_use]
 pub fn watches_store(front: &Front) -> bool {
     let now = front.clock.now();
-    if now < HEARS_OTHERS {
+    if !knows_others(front, now) {
+        // Its turn is counted from when it does.
+        front.peers.duty(|duty| duty.claimed(now));
         return false;
     }
     if front.lifecycle.is_stopping() {
@@ -32,6 +37,12 @@
     front.peers.duty(|duty| duty.decide(now, before, pause))
 }
 
+/// Whether this VM has had time to hear of the others.
+fn knows_others(front: &Front, now: Time) -> bool {
+    let listed_at = front.peers.listed_at();
+    listed_at.is_some_and(|at| now >= at + HEARS_OTHERS) || now >= LISTS_OTHERS
+}
+
 /// A peer said that it watches: this VM leaves it the watch if it comes first.
 pub(super) fn hear_claim(front: &Front, name: &str) {
     if front.peers.is_in(name, &front.failure_domain) {
--- a/trouttrack_front/src/peers/table.rs
+++ b/trouttrack_front/src/peers/table.rs
@@ -50,8 +50,10 @@
     heard: RefCell<HashMap<String, Heard>>,
     /// The peer of the own failure domain that was the last to say that it watches.
     watcher: RefCell<Option<String>>,
-    /// Whether the VMs that the store lists were all known once.
-    all_listed: Cell<bool>,
+    /// Since when the VMs that the store lists are known.
+    listed_at: Cell<Option<Time>>,
+    /// Whether peers no longer remember what this VM has missed.
+    far_behind: Cell<bool>,
     /// Someone knows more of the store than this VM.
     behind: Notify,
     /// Where datagrams are sent from, once that is known.
@@ -81,7 +83,8 @@
             listed: RefCell::default(),
             heard: RefCell::default(),
             watcher: RefCell::default(),
-            all_listed: Cell::new(false),
+            listed_at: Cell::new(None),
+            far_behind: Cell::new(false),
             behind: Notify::new(),
             socket: OnceCell::new(),
             duty: Cell::default(),
@@ -112,13 +115,16 @@
     }
 
     /// The VMs that the store lists are all known.
-    pub(crate) fn set_listed(&self) {
-        self.all_listed.set(true);
+    pub(crate) fn set_listed(&self, now: Time) {
+        if self.listed_at.get().is_none() {
+            self.listed_at.set(Some(now));
+            self.announce();
+        }
     }
 
-    /// Whether the VMs that the store lists were all known once.
-    pub(crate) fn is_listed(&self) -> bool {
-        self.all_listed.get()
+    /// Since when the VMs that the store lists are known.
+    pub(crate) fn listed_at(&self) -> Option<Time> {
+        self.listed_at.get()
     }
 
     /// How many VMs are listed, this one included once it is.
@@ -270,6 +276,16 @@
             .collect()
     }
 
+    /// Whether peers no longer remember what this VM has missed.
+    pub(crate) fn is_far_behind(&self) -> bool {
+        self.far_behind.get()
+    }
+
+    /// A peer no longer remembers what this VM has missed, or it is made up for.
+    pub(crate) fn set_far_behind(&self, far_behind: bool) {
+        self.far_behind.set(far_behind);
+    }
+
     /// Where the peers are that know the upstreams' entries beyond a revision, each with
     /// its failure domain.
     pub(crate) fn ahead(&self, known: u64) -> Vec<(SocketAddr, FailureDomain)> {
--- a/trouttrack_front/tests/front/large_fleet.rs
+++ b/trouttrack_front/tests/front/large_fleet.rs
@@ -96,13 +96,12 @@
         store.put_vm(&format!("gone-{i}"), nobody, "a");
     }
     let fleet = fleet(&store, "").await;
-    for turn in 0..4 {
+    for leaving in upstreams.iter().take(4) {
         store.forget_history();
-        store.put_upstream(&upstreams[turn], true);
+        store.put_upstream(leaving, true);
         for vm in &fleet {
             until("it leaves", || {
-                let id = &upstreams[turn].id;
-                let upstream = vm.front.upstreams.get(id);
+                let upstream = vm.front.upstreams.get(&leaving.id);
                 upstream.is_some_and(|u| u.is_leaving())
             })
             .await;
