A first confirmation from a peer saves the call; the second list of VMs comes later and spread

A VM that a peer had confirmed made its first call all the same. The list that a VM reads at once may lack some that started just before, and a part of it is no whole list.

--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -42,6 +42,9 @@
 pub(super) async fn confirm(front: Rc<Front>) {
     let mut backoff = Backoff::new();
     await_first(&front).await;
+    if front.routing.age().is_some() {
+        wait_until_due(&front).await;
+    }
     loop {
         match once(&front).await {
             Ok(()) => backoff.succeeded(),
--- a/trouttrack_front/src/follow/vms.rs
+++ b/trouttrack_front/src/follow/vms.rs
@@ -6,7 +6,9 @@
 use super::backoff::Backoff;
 use super::holds;
 use crate::state::Front;
+use rand::RngExt;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 use trouttrack_platform::{Kind, Object, Reading, StoreError, VmEntry};
@@ -23,6 +25,9 @@
 /// By how much a list that may lag is older than the store, at most, while nothing is
 /// wrong with it.
 const LAG: Duration = Duration::from_millis(1500);
+/// When the VMs are listed the second time if the first list had others, in parts of the
+/// pause: not by all VMs at once.
+const SECOND_LIST: Range<f64> = 0.25..0.5;
 /// From the own entry's writing to the first listing: VMs start together.
 const OTHERS_START: Duration = Duration::from_millis(700);
 
@@ -44,13 +49,15 @@
 /// the others' entries there, and again when VMs that started together have written theirs.
 pub(super) async fn list(front: Rc<Front>) {
     let mut backoff = Backoff::new();
-    if let Err(e) = once(&front, Reading::MayLag).await {
-        log::debug!("{e}");
-    }
-    if front.peers.listed() > 1 {
-        // Whoever is missing tells its failure domain when it starts.
-        front.peers.set_listed(front.clock.now());
-        tokio::time::sleep(pause(front.peers.listed())).await;
+    match once(&front, Reading::MayLag).await {
+        Ok(()) if front.peers.listed() > 1 => {
+            front.peers.set_listed(front.clock.now());
+            // Whoever is missing tells its failure domain when it starts.
+            let part = rand::rng().random_range(SECOND_LIST);
+            tokio::time::sleep(pause(front.peers.listed()).mul_f64(part)).await;
+        }
+        Ok(()) => {}
+        Err(e) => log::debug!("{e}"),
     }
     tokio::time::sleep(OTHERS_START).await;
     // The others have just written their entries: an older list lacks them.
