--- a/trouttrack_config/src/settings/front.rs
+++ b/trouttrack_config/src/settings/front.rs
@@ -63,7 +63,8 @@
     pub ready: SocketAddr,
     /// Where metrics are served.
     pub metrics: SocketAddr,
-    /// Where peers send their heartbeats, over UDP.
+    /// Where peers send their heartbeats, over UDP, and ask for what no datagram holds,
+    /// over TCP.
     pub peers: SocketAddr,
 }
 
--- a/trouttrack_front/src/follow/kind.rs
+++ b/trouttrack_front/src/follow/kind.rs
@@ -121,14 +121,21 @@
     }
 }
 
-/// Whether what was missed comes neither by itself nor from the peers asked.
+/// Whether what was missed comes neither by itself nor from the peers asked. As long as they
+/// bring some of it the store is not asked: when thousands of upstreams register at once,
+/// all VMs are behind for seconds.
 async fn still_missed<F: Follower>(follower: &F) -> bool {
-    let until = Instant::now() + follower.patience();
+    let mut known = follower.revision();
+    let mut until = Instant::now() + follower.patience();
     while Instant::now() < until {
         tokio::time::sleep(NEWS_LATE).await;
         if !follower.is_behind() {
             return false;
         }
+        if follower.revision() > known {
+            known = follower.revision();
+            until = Instant::now() + follower.patience();
+        }
         follower.ask_peers();
     }
     tokio::time::sleep(NEWS_LATE).await;
