While the number of VMs is not known there is no retry, and nothing for cold upstreams

Cause: 512 VMs were assumed until any is listed, fewer than the 985 that run. For cold upstreams the figure was without effect besides: the first heartbeat, sent before any VM is listed, replaced it by the share of a VM that is alone, the whole rate.

Change: until VMs are listed there is no part of either. The constants are gone.

VMs are listed within a second of a start.

--- a/trouttrack_core/src/upstream/cold.rs
+++ b/trouttrack_core/src/upstream/cold.rs
@@ -48,6 +48,12 @@
 }
 
 impl ColdShare {
+    /// Nothing: while the number of VMs is not known, any part may be too much.
+    pub const NONE: Self = Self {
+        near: 0.0,
+        far: 0.0,
+    };
+
     /// The shares of a VM that hears `heard` of the `near` VMs of its failure domain,
     /// itself included, in a fleet of `all`.
     #[must_use]
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -33,9 +33,6 @@
 /// The same for moves. A generation that finds no target is lost, one that finds no room
 /// at it is told so and goes elsewhere.
 pub const MOVED_FILL: f64 = 1.25;
-/// VMs that share the rate of a cold upstream while their number is not known: more than
-/// there will be in the fleet planned for, 340.
-const VMS_UNTIL_KNOWN: usize = 512;
 /// Requests whose decisions are kept.
 const EXPLAINED: usize = 4096;
 
@@ -213,7 +210,7 @@
     pub(crate) peers: PeersHeard,
     /// What upstreams have said of themselves; each row has its own.
     pub(crate) words: Words,
-    /// What this VM may use of the rate of a cold upstream.
+    /// What this VM may use of the rate of a cold upstream; nothing until it is told.
     pub(crate) cold_share: ColdShare,
     pub(crate) rng: SmallRng,
     pub(crate) refused: Vec<Decision>,
@@ -228,7 +225,7 @@
             lengths: LengthTable::default(),
             explanations: ExplanationTable::new(EXPLAINED),
             queue: FairQueue::new(settings.ageing, settings.max_wait),
-            cold_share: ColdShare::of(1, 1, VMS_UNTIL_KNOWN),
+            cold_share: ColdShare::NONE,
             rng: SmallRng::seed_from_u64(settings.seed),
             settings,
             requests: SlotMap::with_key(),
--- a/trouttrack_core/tests/core/cold.rs
+++ b/trouttrack_core/tests/core/cold.rs
@@ -275,6 +275,18 @@
     }
 }
 
+#[test]
+fn while_the_number_of_vms_is_not_known_a_cold_upstream_gets_nothing() {
+    let mut world = World::new(settings("trouttrack"));
+    world.configure(vec![cold("u", "a")]);
+    let mut wanted = submission("r", "o", 1);
+    wanted.deadline = SECOND + AT_ONCE;
+    world.submit(SECOND, wanted);
+    assert!(placed(&world.tick(SECOND)).is_empty());
+    world.set_cold_share(ColdShare::of(1, 1, 1));
+    assert!(!placed(&world.tick(SECOND)).is_empty());
+}
+
 #[test]
 fn a_warm_upstream_is_not_bounded_and_one_that_turns_cold_is() {
     let mut world = World::new(settings("trouttrack"));
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -70,7 +70,9 @@
     front
         .peers
         .forget_silent(front.clock.now(), &front.failure_domain);
-    front.scheduler.set_cold_share(cold_share(front));
+    if front.peers.listed() > 0 {
+        front.scheduler.set_cold_share(cold_share(front));
+    }
     front.suspects.expire();
     front.metrics.held.set(front.suspects.held() as i64);
     let receivers = receivers(front);
--- a/trouttrack_front/src/state/budgets.rs
+++ b/trouttrack_front/src/state/budgets.rs
@@ -6,18 +6,14 @@
 use trouttrack_core::request::SharedBudget;
 use trouttrack_core::{ServiceId, Time};
 
-/// VMs that the budget is taken to be shared by while their number is not known. A fifth of
-/// the budget is used in a VM's first window, so that the sum stays within the bound when
-/// up to five times as many start together.
-const VMS_UNTIL_KNOWN: usize = 512;
-
 /// This VM's part of the fleet's retry budgets.
 #[derive(Debug)]
 pub struct Budgets {
     settings: RetrySettings,
     /// Differs from VM to VM.
     seed: u64,
-    vms: Cell<usize>,
+    /// How many VMs share the budgets; `None` until any is listed.
+    vms: Cell<Option<usize>>,
     by_service: RefCell<HashMap<ServiceId, SharedBudget>>,
 }
 
@@ -28,14 +24,14 @@
         Self {
             settings,
             seed: rand::random(),
-            vms: Cell::new(VMS_UNTIL_KNOWN),
+            vms: Cell::default(),
             by_service: RefCell::default(),
         }
     }
 
     /// The number of VMs that share the budgets.
     pub fn set_vms(&self, vms: usize) {
-        self.vms.set(vms.max(1));
+        self.vms.set(Some(vms.max(1)));
     }
 
     /// A request is sent to a service for the first time.
@@ -43,10 +39,11 @@
         self.with(service, |budget| budget.first_attempt(now));
     }
 
-    /// Takes one retry, if there is one left.
+    /// Takes one retry, if there is one left. There is none while the number of VMs is not
+    /// known: any number that were assumed would be too small for some fleet.
     pub fn try_retry(&self, now: Time, service: &str) -> bool {
-        let vms = self.vms.get();
-        self.with(service, |budget| budget.try_retry(now, vms))
+        let retry = |vms| self.with(service, |budget| budget.try_retry(now, vms));
+        self.vms.get().is_some_and(retry)
     }
 
     fn with<T>(&self, service: &str, f: impl FnOnce(&mut SharedBudget) -> T) -> T {
