The program and the model go by the same figures; one way to draw a peer

Found by reading the change: the model had its own copies of ten of the front's figures, so that it could not show what a change of them does; three places drew a peer, the near ones or the far ones first; the whole configuration, 90 kB, was copied for each VM that asked for it, to look at its length.

Figures of what spreads are in trouttrack_core::membership now; PeerTable::draw draws; the configuration as the store has it is shared. Behaviour is unchanged but that the model's watcher renews at 0.7, the latest, in place of 0.65.

--- a/trouttrack_core/src/membership/mod.rs
+++ b/trouttrack_core/src/membership/mod.rs
@@ -10,6 +10,7 @@
 mod marks;
 mod peers;
 mod receivers;
+mod spreading;
 mod telling;
 mod watch;
 
@@ -20,6 +21,10 @@
 pub use marks::{Mark, MarkEntry, MarkSource, MarkTable};
 pub use peers::{Digest, Peer, PeerTable, UpstreamUse};
 pub use receivers::{news_receivers, relays};
+pub use spreading::{
+    ANSWERED_AT_ONCE, CALLERS, CHANGES_IN_DATAGRAM, CONFIRMATION_ASKED_AGAIN, CONFIRMED_BY_PEER,
+    CONFIRMED_BY_STORE, CONFIRMED_BY_WATCHER, LISTS_AGAIN, NEWS_ANSWERS, NEWS_LATE,
+};
 pub use telling::{
     FAR_TOLD, NEAR_TOLD, heartbeat_pause, longest_silence, tells_sums, watchers_pause,
 };
--- a/trouttrack_front/src/follow/bootstrap.rs
+++ b/trouttrack_front/src/follow/bootstrap.rs
@@ -11,18 +11,10 @@
 use crate::peers::{fetch_upstreams, watches_store};
 use crate::state::Front;
 use rand::RngExt;
-use rand::seq::IndexedRandom;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use trouttrack_core::membership::{CALLERS, LISTS_AGAIN};
 
-/// VMs of a failure domain that list for it, in the mean, each time that lots are drawn:
-/// one of them may be slow or lost, and with three none is drawn once in twenty. More each
-/// time would slow the store down for those that list already, and so bring on the next
-/// time: in the model all of 2,000 VMs listed in the end.
-const LISTERS: f64 = 3.0;
-/// How long the others wait before they draw again.
-const ROUND: Duration = Duration::from_secs(2);
 /// How long a VM that starts waits to learn which others there are.
 const FIND_OTHERS: Duration = Duration::from_millis(3500);
 /// Pause between two looks whether it has.
@@ -34,7 +26,10 @@
     find_others(front).await;
     // Others wait for what a watcher knows.
     while !watches_store(front) && !draws_call(front) {
-        if tokio::time::timeout(ROUND, ask(front, known)).await.is_ok() {
+        if tokio::time::timeout(LISTS_AGAIN, ask(front, known))
+            .await
+            .is_ok()
+        {
             return true;
         }
         if front.peers.heard_near(&front.failure_domain) == 0 {
@@ -56,7 +51,7 @@
 /// Whether it falls to this VM to ask the store for what others need as well.
 pub(super) fn draws_call(front: &Front) -> bool {
     let near = front.peers.listed_in(&front.failure_domain).max(1);
-    rand::rng().random_range(0.0..near as f64) < LISTERS
+    rand::rng().random_range(0.0..near as f64) < CALLERS
 }
 
 /// Asks peers until one gives the list.
@@ -64,7 +59,7 @@
     let mut backoff = Backoff::new();
     loop {
         backoff.pause_for_peers().await;
-        let Some(peer) = ahead(front, known) else {
+        let Some(peer) = front.peers.draw_ahead(&front.failure_domain, known) else {
             backoff.succeeded();
             continue;
         };
@@ -78,14 +73,3 @@
         }
     }
 }
-
-/// A VM that knows more, of the own failure domain if there is one.
-fn ahead(front: &Front, known: u64) -> Option<SocketAddr> {
-    let home = &front.failure_domain;
-    let ahead = front.peers.ahead(known);
-    let near = ahead.iter().filter(|(_, domain)| domain == home);
-    let near: Vec<_> = near.collect();
-    let rng = &mut rand::rng();
-    let chosen = near.choose(rng).copied().or_else(|| ahead.choose(rng));
-    chosen.map(|(addr, _)| *addr)
-}
--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -6,20 +6,14 @@
 use crate::peers::watches_store;
 use crate::state::Front;
 use rand::RngExt;
-use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
+use trouttrack_core::membership::{CONFIRMED_BY_STORE, CONFIRMED_BY_WATCHER};
 use trouttrack_platform::{Kind, Reading, StoreError};
 
 /// How long a confirming call may take. Past it another is sent: on a link
 /// that loses packets a fresh try is quicker than waiting.
 const TIMEOUT: Duration = Duration::from_millis(900);
-/// The age at which a VM that watches the store makes the call, in parts of the
-/// time above: the others of its failure domain hear of it before their turn.
-const WATCHER: Range<f64> = 0.6..0.7;
-/// The age at which the others make it themselves. It is drawn anew each time,
-/// so that one VM is first and the others hear of it.
-const OTHERS: Range<f64> = 1.1..1.5;
 /// VMs that may all call the store at one moment: 256 configurations of 90 kB take its link
 /// a fifth of a second.
 const CALL_AT_ONCE: usize = 256;
@@ -116,8 +110,8 @@
 impl Turn {
     fn draw() -> Self {
         Self {
-            watcher: rand::rng().random_range(WATCHER),
-            other: rand::rng().random_range(OTHERS),
+            watcher: rand::rng().random_range(CONFIRMED_BY_WATCHER),
+            other: rand::rng().random_range(CONFIRMED_BY_STORE),
         }
     }
 
--- a/trouttrack_front/src/follow/kind.rs
+++ b/trouttrack_front/src/follow/kind.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
+use trouttrack_core::membership::NEWS_LATE;
 use trouttrack_platform::{Reading, StoreError};
 
 /// How long a watch waits. Each one is a call that is paid for; one that is
@@ -17,10 +18,6 @@
 const WATCH: Duration = Duration::from_secs(5);
 /// A watch that only asks what is new.
 const AT_ONCE: Duration = Duration::from_millis(1);
-/// How long news may be late before a peer is asked for them, and again before the
-/// next one is: watchers of other failure domains are up to the longest pause below
-/// ahead, and an answer takes a few milliseconds.
-const NEWS_LATE: Duration = Duration::from_millis(250);
 /// Pause after a watch that brought changes, in milliseconds: changes come in
 /// bursts, and each answer is paid for. It is drawn, so that one of the watchers
 /// of all failure domains is back soon: with four, in 90 ms in the mean.
--- a/trouttrack_front/src/peers/catch_up.rs
+++ b/trouttrack_front/src/peers/catch_up.rs
@@ -3,7 +3,6 @@
 use super::message::Datagram;
 use super::post::post;
 use crate::state::Front;
-use rand::seq::IndexedRandom;
 
 /// Asks a peer for what changed since this VM's revision. One of the own failure domain
 /// is asked if it can be.
@@ -12,16 +11,7 @@
         return;
     };
     let known = front.upstreams.revision();
-    let home = &front.failure_domain;
-    let ahead = |near: bool| {
-        let peers = &front.peers;
-        peers.addresses_where(|h| {
-            h.upstreams_revision > known && (h.failure_domain == *home) == near
-        })
-    };
-    let rng = &mut rand::rng();
-    let near = ahead(true).choose(rng).copied();
-    if let Some(addr) = near.or_else(|| ahead(false).choose(rng).copied()) {
+    if let Some(addr) = front.peers.draw_ahead(&front.failure_domain, known) {
         post(&socket, &Datagram::NewsWanted(known), addr);
     }
 }
--- a/trouttrack_front/src/peers/config.rs
+++ b/trouttrack_front/src/peers/config.rs
@@ -10,7 +10,6 @@
 use super::transfer::fetch_config;
 use crate::follow;
 use crate::state::Front;
-use rand::seq::IndexedRandom;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -53,6 +52,7 @@
         if spec.len() > MOST_BYTES {
             post(socket, &Datagram::ConfigReady(revision), peer);
         } else if may_again(front, &self.answered_at, ANSWER_AGAIN) {
+            let spec = spec.as_ref().into();
             let told = ToldConfig { revision, spec };
             post(socket, &Datagram::Config(told), peer);
         }
@@ -81,9 +81,9 @@
         return;
     };
     let known = front.routing.revision();
-    let newer = front.peers.addresses_where(|h| h.config_revision > known);
-    if let Some(addr) = newer.choose(&mut rand::rng()) {
-        post(&socket, &Datagram::ConfigWanted, *addr);
+    let newer = front.peers.draw(|h| h.config_revision > known, |_| true);
+    if let Some(addr) = newer {
+        post(&socket, &Datagram::ConfigWanted, addr);
     }
 }
 
--- a/trouttrack_front/src/peers/confirm.rs
+++ b/trouttrack_front/src/peers/confirm.rs
@@ -9,19 +9,14 @@
 use super::message::{Confirmation, Datagram, Echo, Heartbeat};
 use super::post::post;
 use super::roles::watches_store;
+use super::table::Heard;
 use crate::state::Front;
-use rand::seq::IndexedRandom;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use trouttrack_core::membership::{CONFIRMATION_ASKED_AGAIN, CONFIRMED_BY_PEER};
 
-/// The age at which a confirmation is asked for, in parts of the time after which it is
-/// renewed: watchers do that at 0.7 at the latest, and others ask the store from 1.1 on.
-const ASKED: f64 = 0.75;
-/// Pause after the first question: an answer is there before, or was lost. Every second
-/// one goes to a VM of another failure domain, for the own watcher may be gone.
-const ASK_AGAIN: Duration = Duration::from_millis(100);
 /// The longest pause: while the store is away nobody has a newer confirmation.
 const ASK_AT_LEAST: Duration = Duration::from_millis(800);
 /// The longest pause between two looks at the age: bounds may be lowered by a reload.
@@ -29,13 +24,15 @@
 /// The shortest one.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// Asks peers when the own confirmation grows old, for as long as the process runs.
+/// Asks peers when the own confirmation grows old: the watcher, and each second time a VM
+/// of another failure domain, for the own watcher may be
+/// gone. Goes on for as long as the process runs.
 pub(crate) async fn keep_confirmed(front: Rc<Front>, socket: Rc<UdpSocket>) {
-    let mut pause = ASK_AGAIN;
+    let mut pause = CONFIRMATION_ASKED_AGAIN;
     let mut of_watcher = true;
     loop {
         if let Some(left) = time_left(&front) {
-            pause = ASK_AGAIN;
+            pause = CONFIRMATION_ASKED_AGAIN;
             of_watcher = true;
             tokio::time::sleep(left.clamp(LOOK, LOOK_AT_LEAST)).await;
             continue;
@@ -52,7 +49,7 @@
     if !front.routing.is_known() || watches_store(front) {
         return Some(LOOK_AT_LEAST);
     }
-    let due = front.routing.renewed_after().mul_f64(ASKED);
+    let due = front.routing.renewed_after().mul_f64(CONFIRMED_BY_PEER);
     let left = due.checked_sub(front.routing.age()?)?;
     (!left.is_zero()).then_some(left)
 }
@@ -70,14 +67,9 @@
 /// one.
 fn elsewhere(front: &Front) -> Option<SocketAddr> {
     let own = front.routing.revision();
-    let home = &front.failure_domain;
-    let same = |far: bool| {
-        let peers = &front.peers;
-        peers.addresses_where(|h| h.config_revision == own && (h.failure_domain != *home) == far)
-    };
-    let rng = &mut rand::rng();
-    let far = same(true).choose(rng).copied();
-    far.or_else(|| same(false).choose(rng).copied())
+    let has_same = |h: &Heard| h.config_revision == own;
+    let is_far = |h: &Heard| h.failure_domain != front.failure_domain;
+    front.peers.draw(has_same, is_far)
 }
 
 /// Answers a VM that asks.
--- a/trouttrack_front/src/peers/news.rs
+++ b/trouttrack_front/src/peers/news.rs
@@ -14,12 +14,7 @@
 use std::rc::Rc;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
-use trouttrack_core::membership::{news_receivers, relays};
-
-/// The most changes in one datagram, of some 60 bytes each.
-const MOST_CHANGES: usize = 100;
-/// The most datagrams in answer to one question; whoever misses more asks again.
-const MOST_ANSWERS: usize = 4;
+use trouttrack_core::membership::{CHANGES_IN_DATAGRAM, NEWS_ANSWERS, news_receivers, relays};
 
 /// Sends news to those who are to hear them, for as long as the process runs.
 ///
@@ -27,7 +22,7 @@
 /// generation the time to be moved.
 pub(crate) async fn tell(front: Rc<Front>, socket: Rc<UdpSocket>, mut news: mpsc::Receiver<News>) {
     while let Some(news) = news.recv().await {
-        for part in news.in_parts(MOST_CHANGES) {
+        for part in news.in_parts(CHANGES_IN_DATAGRAM) {
             tell_part(&front, &socket, part).await;
         }
     }
@@ -76,7 +71,11 @@
         }
         return;
     };
-    for part in news.in_parts(MOST_CHANGES).into_iter().take(MOST_ANSWERS) {
+    for part in news
+        .in_parts(CHANGES_IN_DATAGRAM)
+        .into_iter()
+        .take(NEWS_ANSWERS)
+    {
         post(socket, &Datagram::News(part, Vec::new()), peer);
     }
 }
--- a/trouttrack_front/src/peers/table.rs
+++ b/trouttrack_front/src/peers/table.rs
@@ -1,6 +1,7 @@
 //! Where the peers are, and what was heard of them last.
 
 use super::message::{Echo, Heartbeat, Load};
+use rand::seq::IndexedRandom;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -267,13 +268,20 @@
         heard.iter().filter(|(name, h)| f(name, h)).count()
     }
 
-    /// The addresses of the peers of which something holds, as far as was heard.
-    pub(super) fn addresses_where(&self, f: impl Fn(&Heard) -> bool) -> Vec<SocketAddr> {
+    /// Draws a peer of which something holds, as far as was heard; one that is preferred,
+    /// if there is any.
+    pub(crate) fn draw(
+        &self,
+        holds: impl Fn(&Heard) -> bool,
+        preferred: impl Fn(&Heard) -> bool,
+    ) -> Option<SocketAddr> {
         let (heard, listed) = (self.heard.borrow(), self.listed.borrow());
-        let found = heard.iter().filter(|(_, h)| f(h));
-        found
-            .filter_map(|(name, _)| listed.get(name).map(|l| l.addr))
-            .collect()
+        let found = heard.iter().filter(|(_, h)| holds(h));
+        let found = found.filter_map(|(name, h)| Some((h, listed.get(name)?.addr)));
+        let (first, others): (Vec<_>, Vec<_>) = found.partition(|(h, _)| preferred(h));
+        let rng = &mut rand::rng();
+        let drawn = first.choose(rng).or_else(|| others.choose(rng));
+        drawn.map(|(_, addr)| *addr)
     }
 
     /// Whether peers no longer remember what this VM has missed.
@@ -286,14 +294,11 @@
         self.far_behind.set(far_behind);
     }
 
-    /// Where the peers are that know the upstreams' entries beyond a revision, each with
-    /// its failure domain.
-    pub(crate) fn ahead(&self, known: u64) -> Vec<(SocketAddr, FailureDomain)> {
-        let (heard, listed) = (self.heard.borrow(), self.listed.borrow());
-        let ahead = heard.iter().filter(|(_, h)| h.upstreams_revision > known);
-        ahead
-            .filter_map(|(name, h)| Some((listed.get(name)?.addr, h.failure_domain.clone())))
-            .collect()
+    /// Draws a peer that knows the upstreams' entries beyond a revision, of the failure
+    /// domain `home` if there is one.
+    pub(crate) fn draw_ahead(&self, home: &str, known: u64) -> Option<SocketAddr> {
+        let knows_more = |h: &Heard| h.upstreams_revision > known;
+        self.draw(knows_more, |h| h.failure_domain == home)
     }
 
     /// The newest revision of the configuration that a peer has in force.
--- a/trouttrack_front/src/peers/transfer/serve.rs
+++ b/trouttrack_front/src/peers/transfer/serve.rs
@@ -17,11 +17,8 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use trouttrack_core::Time;
+use trouttrack_core::membership::ANSWERED_AT_ONCE;
 
-/// VMs that are answered at once. Each that has been is another one that answers, so two
-/// at a time reach 2,000 VMs in seven rounds, and on a link of 20 Mbit/s a round of 0.4 MB
-/// to both is over in a third of a second.
-const AT_ONCE: usize = 2;
 /// How long an encoded snapshot is used again: for how long upstreams are cold is told as
 /// of its making.
 const KEPT: Duration = Duration::from_millis(500);
@@ -63,7 +60,7 @@
         let (Some(kind), Some(known)) = (kind, known) else {
             return refuse(StatusCode::NOT_FOUND);
         };
-        if self.sending.get() >= AT_ONCE {
+        if self.sending.get() >= ANSWERED_AT_ONCE {
             return refuse(StatusCode::SERVICE_UNAVAILABLE);
         }
         let bytes = match kind {
@@ -99,6 +96,7 @@
         let routing = &self.front.routing;
         let revision = routing.revision();
         let spec = routing.spec().filter(|_| revision > known)?;
+        let spec = spec.as_ref().into();
         encode(&ToldConfig { revision, spec })
     }
 }
--- a/trouttrack_front/src/state/routing.rs
+++ b/trouttrack_front/src/state/routing.rs
@@ -26,7 +26,7 @@
     /// The store's revision of the configuration in force.
     revision: Cell<u64>,
     /// The configuration in force as the store has it.
-    spec: RefCell<Option<Box<str>>>,
+    spec: RefCell<Option<Rc<str>>>,
     freshness: Cell<Freshness>,
     /// The bound on removed keys.
     revoke: Cell<Duration>,
@@ -105,7 +105,7 @@
 
     /// The configuration in force as the store has it.
     #[must_use]
-    pub fn spec(&self) -> Option<Box<str>> {
+    pub fn spec(&self) -> Option<Rc<str>> {
         self.spec.borrow().clone()
     }
 
--- a/trouttrack_load/src/spread/configuration.rs
+++ b/trouttrack_load/src/spread/configuration.rs
@@ -2,22 +2,21 @@
 
 use super::layout::Layout;
 use super::link::Link;
+use super::peers::Peers;
 use super::queue::Queue;
 use super::reached::Reached;
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
-use trouttrack_core::membership::{FAR_TOLD, NEAR_TOLD, heartbeat_pause, watchers_pause};
+use trouttrack_core::membership::{
+    FAR_TOLD, NEAR_TOLD, NEWS_LATE, heartbeat_pause, watchers_pause,
+};
 
 /// Bytes of a configuration for 333 organisations and 250 routes.
 const BYTES: f64 = 90_000.0;
 /// A watch is answered, and asked again after a pause for changes to gather.
 const LEARNED: Duration = Duration::from_millis(250);
-/// The program's figures: how many are answered at once, and the pause before another VM
-/// is asked.
-const AT_ONCE: usize = 2;
-const ASK_AGAIN: Duration = Duration::from_millis(250);
 /// How long a VM waited, as it was, before it asked the store.
 const STORE_AFTER: Duration = Duration::from_millis(750);
 const ENDS: Duration = Duration::from_secs(60);
@@ -47,11 +46,9 @@
     passing: Passing,
     queue: Queue<Event>,
     store: Link,
-    up: Vec<Link>,
+    peers: Peers,
     has: Vec<Option<Duration>>,
     fetching: Vec<bool>,
-    answering: Vec<usize>,
-    heard: Vec<Vec<usize>>,
     calls: usize,
     rng: SmallRng,
 }
@@ -77,7 +74,7 @@
         fleet.queue.put(offset, Event::Heartbeat(vm));
     }
     fleet.run();
-    let busiest = fleet.up.iter().map(|l| l.carried).fold(0.0, f64::max);
+    let busiest = fleet.peers.busiest();
     Reached::new(fleet.has, busiest, fleet.store.carried, fleet.calls)
 }
 
@@ -88,11 +85,9 @@
             passing,
             queue: Queue::new(),
             store: Link::new(layout.store_link),
-            up: vec![Link::new(layout.vm_link); layout.vms],
+            peers: Peers::new(layout),
             has: vec![None; layout.vms],
             fetching: vec![false; layout.vms],
-            answering: vec![0; layout.vms],
-            heard: vec![Vec::new(); layout.vms],
             calls: 0,
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -117,7 +112,7 @@
             match event {
                 Event::Learned(vm) => self.take(vm, now),
                 Event::Answered(vm, by) => {
-                    self.answering[by] -= 1;
+                    self.peers.answered(by);
                     self.take(vm, now);
                 }
                 Event::Heard(vm, of) => self.hear(vm, of, now),
@@ -167,37 +162,36 @@
         if self.has[vm].is_some() {
             return;
         }
-        let is_first = self.heard[vm].is_empty();
-        self.heard[vm].push(of);
+        let is_first = self.peers.hear(vm, of);
         match self.passing {
             Passing::ByStore if is_first => self.queue.put(now + STORE_AFTER, Event::Store(vm)),
             Passing::ByStore => {}
             Passing::FromVmToVm => self.fetch(vm, of, now),
         }
         if is_first && self.passing == Passing::FromVmToVm {
-            self.queue.put(now + ASK_AGAIN, Event::Ask(vm));
+            self.queue.put(now + NEWS_LATE, Event::Ask(vm));
         }
     }
 
     /// Fetches it, unless it is on its way or the other VM is busy.
     fn fetch(&mut self, vm: usize, of: usize, now: Duration) {
-        if self.fetching[vm] || self.answering[of] >= AT_ONCE {
+        if self.fetching[vm] {
             return;
         }
-        self.fetching[vm] = true;
-        self.answering[of] += 1;
-        let came = self.up[of].carry(now + 4 * self.layout.way, BYTES);
-        self.queue.put(came, Event::Answered(vm, of));
+        if let Some(came) = self.peers.answer(of, now + 4 * self.layout.way, BYTES) {
+            self.fetching[vm] = true;
+            self.queue.put(came, Event::Answered(vm, of));
+        }
     }
 
     fn ask(&mut self, vm: usize, now: Duration) {
         if self.has[vm].is_some() {
             return;
         }
-        if let Some(of) = self.heard[vm].iter().copied().choose(&mut self.rng) {
+        if let Some(of) = self.peers.draw(vm, &mut self.rng) {
             self.fetch(vm, of, now);
         }
-        self.queue.put(now + ASK_AGAIN, Event::Ask(vm));
+        self.queue.put(now + NEWS_LATE, Event::Ask(vm));
     }
 
     fn ask_store(&mut self, vm: usize, now: Duration) {
--- a/trouttrack_load/src/spread/confirmation.rs
+++ b/trouttrack_load/src/spread/confirmation.rs
@@ -6,17 +6,13 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
-use trouttrack_core::membership::{NEAR_TOLD, heartbeat_pause, watchers_pause};
+use trouttrack_core::membership::{
+    CONFIRMATION_ASKED_AGAIN, CONFIRMED_BY_PEER, CONFIRMED_BY_STORE, CONFIRMED_BY_WATCHER,
+    NEAR_TOLD, heartbeat_pause, watchers_pause,
+};
 
 /// The age at which a confirmation is renewed: 0.4 of the bound of five seconds.
 const RENEWED: Duration = Duration::from_secs(2);
-/// The program's figures, in parts of that: when a watcher calls the store, when a VM asks
-/// a peer, when it calls the store itself.
-const WATCHER: f64 = 0.65;
-const ASKED: f64 = 0.75;
-const OTHERS: std::ops::Range<f64> = 1.1..1.5;
-/// Pause between two questions.
-const ASK_AGAIN: Duration = Duration::from_millis(100);
 /// What is played, and from when on it counts.
 const PLAYED: Duration = Duration::from_secs(40);
 const SETTLED: Duration = Duration::from_secs(10);
@@ -119,7 +115,7 @@
         let vms = (0..layout.near()).map(|_| Vm {
             confirmed: Duration::ZERO,
             heard: None,
-            calls_at: rng.random_range(OTHERS),
+            calls_at: rng.random_range(CONFIRMED_BY_STORE),
         });
         Self {
             vms: vms.collect(),
@@ -135,8 +131,10 @@
 
     fn confirm(&mut self, now: Duration) {
         self.watcher = now;
-        self.queue
-            .put(now + RENEWED.mul_f64(WATCHER), Event::Confirm);
+        self.queue.put(
+            now + RENEWED.mul_f64(CONFIRMED_BY_WATCHER.end),
+            Event::Confirm,
+        );
     }
 
     /// What is said is worth what it was when the last heartbeat heard was sent.
@@ -167,17 +165,18 @@
     }
 
     fn look(&mut self, vm: usize, confirming: Confirming, now: Duration) {
-        self.queue.put(now + ASK_AGAIN, Event::Look(vm));
+        self.queue
+            .put(now + CONFIRMATION_ASKED_AGAIN, Event::Look(vm));
         let age = now - self.vms[vm].confirmed;
         if now > SETTLED {
             self.oldest = self.oldest.max(age);
         }
-        if confirming == Confirming::Asked && age > RENEWED.mul_f64(ASKED) {
+        if confirming == Confirming::Asked && age > RENEWED.mul_f64(CONFIRMED_BY_PEER) {
             self.ask(vm, now);
         } else if age > RENEWED.mul_f64(self.vms[vm].calls_at) {
             self.calls += usize::from(now > SETTLED);
             self.vms[vm].confirmed = now;
-            self.vms[vm].calls_at = self.rng.random_range(OTHERS);
+            self.vms[vm].calls_at = self.rng.random_range(CONFIRMED_BY_STORE);
         }
     }
 
--- a/trouttrack_load/src/spread/link.rs
+++ b/trouttrack_load/src/spread/link.rs
@@ -21,6 +21,11 @@
         }
     }
 
+    /// Bytes that the busiest of some links carried.
+    pub(super) fn busiest(links: &[Self]) -> f64 {
+        links.iter().map(|l| l.carried).fold(0.0, f64::max)
+    }
+
     /// When bytes that are given to it at `now` have been carried.
     pub(super) fn carry(&mut self, now: Duration, bytes: f64) -> Duration {
         self.carried += bytes;
--- a/trouttrack_load/src/spread/mod.rs
+++ b/trouttrack_load/src/spread/mod.rs
@@ -17,6 +17,7 @@
 
 mod layout;
 mod link;
+mod peers;
 mod queue;
 mod reached;
 mod report;
--- a/trouttrack_load/src/spread/news.rs
+++ b/trouttrack_load/src/spread/news.rs
@@ -8,17 +8,14 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
-use trouttrack_core::membership::{relays, watchers_pause};
+use trouttrack_core::membership::{
+    CHANGES_IN_DATAGRAM, NEWS_ANSWERS, NEWS_LATE, relays, watchers_pause,
+};
 
 /// Bytes of a change.
 const CHANGE: f64 = 60.0;
 /// Bytes of a receiver's address, for one that passes news on.
 const ADDRESS: f64 = 8.0;
-/// The program's figures: changes in one datagram, how long news may be late before a peer
-/// is asked, datagrams of one answer.
-const IN_ONE: usize = 100;
-const NEWS_LATE: Duration = Duration::from_millis(250);
-const ANSWERS: usize = 4;
 /// After so long no more are told.
 const ENDS: Duration = Duration::from_secs(30);
 
@@ -68,14 +65,14 @@
     let first = pause.mul_f64(domain.rng.random_range(0.0..1.0));
     domain.queue.put(first, Event::Heartbeat);
     domain.run();
-    let busiest = domain.up.iter().map(|l| l.carried).fold(0.0, f64::max);
+    let busiest = Link::busiest(&domain.up);
     Reached::new(domain.has, busiest, 0.0, 0)
 }
 
 impl<'a> Domain<'a> {
     fn new(layout: &'a Layout, changes: usize, seed: u64) -> Self {
         let near = layout.near();
-        let parts = changes.div_ceil(IN_ONE).max(1);
+        let parts = changes.div_ceil(CHANGES_IN_DATAGRAM).max(1);
         let mut domain = Self {
             layout,
             queue: Queue::new(),
@@ -104,7 +101,7 @@
     }
 
     fn send(&mut self, from: usize, now: Duration, to: usize, part: usize, pass_on: Vec<usize>) {
-        let bytes = CHANGE * IN_ONE as f64 + ADDRESS * pass_on.len() as f64;
+        let bytes = CHANGE * CHANGES_IN_DATAGRAM as f64 + ADDRESS * pass_on.len() as f64;
         let sent = self.up[from].carry(now, bytes);
         if !self.rng.random_bool(self.layout.loss) {
             let came = sent + self.layout.way;
@@ -153,7 +150,7 @@
             return;
         }
         let missing = (0..self.parts[vm].len()).filter(|p| !self.parts[vm][*p]);
-        let missing: Vec<usize> = missing.take(ANSWERS).collect();
+        let missing: Vec<usize> = missing.take(NEWS_ANSWERS).collect();
         for part in missing {
             self.send(of, now + self.layout.way, vm, part, Vec::new());
         }
--- a/trouttrack_load/src/spread/start.rs
+++ b/trouttrack_load/src/spread/start.rs
@@ -2,13 +2,14 @@
 
 use super::layout::Layout;
 use super::link::Link;
+use super::peers::Peers;
 use super::queue::Queue;
 use super::reached::Reached;
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
-use trouttrack_core::membership::NEAR_TOLD;
+use trouttrack_core::membership::{CALLERS, LISTS_AGAIN, NEAR_TOLD};
 
 /// Entries on one page of the store's list.
 const PAGE: usize = 200;
@@ -18,14 +19,9 @@
 const TOLD: f64 = 45.0;
 /// Bytes of the list of VMs that each reads at its start, a VM.
 const VM_ENTRY: f64 = 200.0;
-/// The program's figures: VMs of a failure domain that list, how long the others wait
-/// before as many do again, the first and the longest pause between two questions, and how
-/// many are answered at once.
-const LISTERS: f64 = 3.0;
-const ROUND: Duration = Duration::from_secs(2);
+/// The first and the longest pause between two questions, as in the program.
 const ASK_AGAIN: Duration = Duration::from_millis(100);
 const ASK_AT_LEAST: Duration = Duration::from_millis(1200);
-const AT_ONCE: usize = 2;
 /// Longer than this no start may take.
 const ENDS: Duration = Duration::from_secs(120);
 
@@ -57,11 +53,9 @@
     queue: Queue<Event>,
     store: Link,
     down: Vec<Link>,
-    up: Vec<Link>,
+    peers: Peers,
     has: Vec<Option<Duration>>,
     lists: Vec<bool>,
-    answering: Vec<usize>,
-    heard: Vec<Vec<usize>>,
     calls: usize,
     rng: SmallRng,
 }
@@ -89,23 +83,20 @@
         fleet.queue.put(known, event);
     }
     fleet.run();
-    let busiest = fleet.up.iter().map(|l| l.carried).fold(0.0, f64::max);
+    let busiest = fleet.peers.busiest();
     Reached::new(fleet.has, busiest, fleet.store.carried, fleet.calls)
 }
 
 impl<'a> Fleet<'a> {
     fn new(layout: &'a Layout, seed: u64) -> Self {
-        let links = || vec![Link::new(layout.vm_link); layout.vms];
         Self {
             layout,
             queue: Queue::new(),
             store: Link::new(layout.store_link),
-            down: links(),
-            up: links(),
+            down: vec![Link::new(layout.vm_link); layout.vms],
+            peers: Peers::new(layout),
             has: vec![None; layout.vms],
             lists: vec![false; layout.vms],
-            answering: vec![0; layout.vms],
-            heard: vec![Vec::new(); layout.vms],
             calls: 0,
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -129,7 +120,9 @@
                 Event::Draw(vm, is_first) => self.draw(vm, is_first, now),
                 Event::Ask(vm, pause) => self.ask(vm, pause, now),
                 Event::Answered(vm, by) => self.answered(vm, by, now),
-                Event::Heard(vm, of) => self.heard[vm].push(of),
+                Event::Heard(vm, of) => {
+                    self.peers.hear(vm, of);
+                }
             }
         }
     }
@@ -151,12 +144,12 @@
         if self.has[vm].is_some() {
             return;
         }
-        if self.rng.random_range(0.0..self.layout.near() as f64) < LISTERS {
+        if self.rng.random_range(0.0..self.layout.near() as f64) < CALLERS {
             self.lists[vm] = true;
             self.queue.put(now, Event::List(vm, 0));
             return;
         }
-        self.queue.put(now + ROUND, Event::Draw(vm, false));
+        self.queue.put(now + LISTS_AGAIN, Event::Draw(vm, false));
         if is_first {
             self.queue.put(now + ASK_AGAIN, Event::Ask(vm, ASK_AGAIN));
         }
@@ -166,26 +159,24 @@
         if self.has[vm].is_some() || self.lists[vm] {
             return;
         }
-        let Some(of) = self.heard[vm].iter().copied().choose(&mut self.rng) else {
+        let Some(of) = self.peers.draw(vm, &mut self.rng) else {
             self.queue.put(now + ASK_AGAIN, Event::Ask(vm, ASK_AGAIN));
             return;
         };
-        if self.answering[of] >= AT_ONCE {
+        let bytes = self.layout.upstreams as f64 * TOLD;
+        let Some(sent) = self.peers.answer(of, now + 3 * self.layout.way, bytes) else {
             let next = now + pause.mul_f64(self.rng.random_range(0.5..1.0));
             self.queue
                 .put(next, Event::Ask(vm, (pause * 2).min(ASK_AT_LEAST)));
             return;
-        }
-        self.answering[of] += 1;
-        let bytes = self.layout.upstreams as f64 * TOLD;
-        let sent = self.up[of].carry(now + 3 * self.layout.way, bytes);
+        };
         let first = sent.saturating_sub(Duration::from_secs_f64(bytes / self.layout.vm_link));
         let came = self.down[vm].carry(first, bytes);
         self.queue.put(came, Event::Answered(vm, of));
     }
 
     fn answered(&mut self, vm: usize, by: usize, now: Duration) {
-        self.answering[by] -= 1;
+        self.peers.answered(by);
         self.take(vm, now);
     }
 
