--- a/trouttrack_front/src/peers/config.rs
+++ b/trouttrack_front/src/peers/config.rs
@@ -42,20 +42,23 @@
         }
     }
 
-    /// Answers a VM that asks. One that is not answered asks another VM, or the
-    /// store.
+    /// Answers a VM that asks. What is too large for a datagram, or was just sent to another
+    /// VM, may be fetched: nearly all of a failure domain ask at one moment, and each that
+    /// got no answer asked again after a quarter of a second.
     pub(super) fn answer(&self, front: &Front, socket: &UdpSocket, peer: SocketAddr) {
         let Some(spec) = front.routing.spec() else {
             return;
         };
         let revision = front.routing.revision();
-        if spec.len() > MOST_BYTES {
-            post(socket, &Datagram::ConfigReady(revision), peer);
-        } else if may_again(front, &self.answered_at, ANSWER_AGAIN) {
-            let spec = spec.as_ref().into();
-            let told = ToldConfig { revision, spec };
-            post(socket, &Datagram::Config(told), peer);
-        }
+        let fits = spec.len() <= MOST_BYTES;
+        let answer = match fits && may_again(front, &self.answered_at, ANSWER_AGAIN) {
+            true => Datagram::Config(ToldConfig {
+                revision,
+                spec: spec.as_ref().into(),
+            }),
+            false => Datagram::ConfigReady(revision),
+        };
+        post(socket, &answer, peer);
     }
 
     /// Fetches a configuration that a VM has, unless another one is being fetched.
