--- a/trouttrack_front/tests/front/large_fleet.rs
+++ b/trouttrack_front/tests/front/large_fleet.rs
@@ -4,10 +4,11 @@
 use crate::support::{KEY, PLAIN, config, route, settings, until};
 use std::collections::BTreeSet;
 use std::time::Duration;
+use trouttrack_config::settings::RetrySettings;
 use trouttrack_core::fleet::{FleetConfig, RouteKind};
 use trouttrack_front::app::{Running, start};
 use trouttrack_front::peers::{EntryChange, EntryState, News, Snapshot, watches_store};
-use trouttrack_front::state::{Clock, Upstreams};
+use trouttrack_front::state::{Budgets, Clock, Upstreams};
 use trouttrack_platform::UpstreamEntry;
 use trouttrack_platform_standin::{Store, Upstream};
 
@@ -23,6 +24,14 @@
 /// Routes of a configuration that no datagram holds: some 60 kB.
 const MANY_ROUTES: usize = 400;
 
+/// Lists VMs that are gone besides.
+fn list_those_gone(store: &Store) {
+    for i in 0..GONE {
+        let nobody = "127.0.0.1:9".parse().expect("an address");
+        store.put_vm(&format!("gone-{i}"), nobody, "a");
+    }
+}
+
 /// A store that lists upstreams on several pages.
 async fn store() -> (Store, Vec<Upstream>) {
     let store = Store::start().await;
@@ -91,10 +100,7 @@
 #[actix_rt::test]
 async fn a_watcher_lists_by_itself_at_the_start_and_when_its_history_is_gone() {
     let (store, upstreams) = store().await;
-    for i in 0..GONE {
-        let nobody = "127.0.0.1:9".parse().expect("an address");
-        store.put_vm(&format!("gone-{i}"), nobody, "a");
-    }
+    list_those_gone(&store);
     let fleet = fleet(&store, "").await;
     for leaving in upstreams.iter().take(4) {
         store.forget_history();
@@ -109,6 +115,35 @@
     }
 }
 
+#[actix_rt::test]
+async fn of_vms_that_start_together_few_call_the_store_to_confirm() {
+    let store = Store::start().await;
+    store.put_config(&config(1));
+    list_those_gone(&store);
+    let fleet = fleet(&store, "").await;
+    until("all are confirmed", || {
+        fleet.iter().all(|f| f.front.routing.is_fresh())
+    })
+    .await;
+    // Each VM lists it once to know it.
+    let calls = store.config_lists();
+    assert!(calls < 2 * VMS as u64, "{calls} calls");
+}
+
+#[test]
+fn while_the_number_of_vms_is_not_known_nobody_retries() {
+    let settings = RetrySettings {
+        ratio: 0.2,
+        extra: 20.0,
+        window: Duration::from_secs(10),
+    };
+    let budgets = Budgets::new(settings);
+    let later = 2 * settings.window;
+    assert!(!budgets.try_retry(later, PLAIN));
+    budgets.set_vms(1);
+    assert!(budgets.try_retry(later, PLAIN));
+}
+
 /// A configuration that is too large for a datagram.
 fn large(version: u64) -> FleetConfig {
     let mut large = config(version);
