--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -14,7 +14,7 @@
 /// How long a confirming call may take. Past it another is sent: on a link
 /// that loses packets a fresh try is quicker than waiting.
 const TIMEOUT: Duration = Duration::from_millis(900);
-/// VMs that may all call the store at one moment: 256 configurations of 90 kB take its link
+/// VMs that may all call the store at one moment: 256 configurations of some 90 kB take its link
 /// a fifth of a second.
 const CALL_AT_ONCE: usize = 256;
 /// Pause between two times that it is drawn which VMs make their first call.
@@ -52,7 +52,7 @@
 }
 
 /// Waits for a first confirmation from a peer, unless this VM is drawn to call the store
-/// for it. When all VMs of a large fleet start, their calls alone, 90 kB each, fill the
+/// for it. When all VMs of a large fleet start, their calls alone, some 90 kB each, fill the
 /// store's link for a second, the time after which each is made once more; the store of 985
 /// VMs did not recover from that for 15 s.
 async fn await_first(front: &Front) {
--- a/trouttrack_load/src/spread/configuration.rs
+++ b/trouttrack_load/src/spread/configuration.rs
@@ -13,7 +13,7 @@
     FAR_TOLD, NEAR_TOLD, NEWS_LATE, heartbeat_pause, watchers_pause,
 };
 
-/// Bytes of a configuration for 333 organisations and 250 routes.
+/// Bytes of a configuration for 333 organisations and 250 routes, by the form of one.
 const BYTES: f64 = 90_000.0;
 /// A watch is answered, and asked again after a pause for changes to gather.
 const LEARNED: Duration = Duration::from_millis(250);
