Answers' heads are read for the rate limit that an upstream names; nothing goes by it yet

The lines of the incident could not show whether a limit was decoded and dropped, nor which VM knew of it when. upstream-said names limit_per_s when it changes. A limit ends by an answer that does not name it, if that is to a request sent after the limit was last heard: answers overtake each other.

--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -5,6 +5,7 @@
 use super::cold::{self, ColdShare, ColdStarts};
 use super::incarnation::Incarnation;
 use super::losses::Losses;
+use super::rate_limit::RateLimit;
 use super::refusals::Refusals;
 use super::runs::{OwnRun, PeerUse, Teller, peak};
 use super::spec::{Report, Spec};
@@ -209,6 +210,12 @@
         self.stays() && self.word.wants_work(now)
     }
 
+    /// The requests that it has said to take from all VMs together.
+    #[must_use]
+    pub fn named_limit(&self) -> RateLimit {
+        self.word.rate_limit()
+    }
+
     /// Whether nobody but itself says that it is to get no new work.
     fn stays(&self) -> bool {
         !self.leaving && !self.evacuated
--- a/trouttrack_core/src/upstream/words.rs
+++ b/trouttrack_core/src/upstream/words.rs
@@ -1,13 +1,10 @@
 //! What upstreams say of themselves, whatever carried the word.
 //!
 //! A word binds for the life that it was said in: an entry that comes back, a new
-//! configuration or a word that says nothing of it take nothing back. Before, such words
-//! were read where the store brought them and nowhere else: of 12 requests 5 to 7 reached an
-//! upstream whose answers had said that it leaves, and one that had asked for 3 s of rest got
-//! 43 in 2.5 s, with 55 callers refused beside an upstream that served (two upstreams, one
-//! VM, in the tests of the front).
+//! configuration or a word that says nothing of it take nothing back.
 
 use super::incarnation::Incarnation;
+use super::rate_limit::{RateLimit, RateStatement};
 use crate::Time;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -20,12 +17,14 @@
 const KEPT: Duration = LONGEST_PAUSE;
 
 /// What one life of an upstream has said of itself.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Word {
     /// It leaves and wants no new work any more.
     leaves: bool,
     /// Until when it wants nothing from this VM.
     rests_until: Time,
+    /// The requests that it takes from all VMs together.
+    rate_limit: RateLimit,
 }
 
 impl Word {
@@ -35,6 +34,12 @@
         self.leaves
     }
 
+    /// The requests that it takes from all VMs together.
+    #[must_use]
+    pub fn rate_limit(&self) -> RateLimit {
+        self.rate_limit
+    }
+
     /// Whether it wants new work at `now`.
     #[must_use]
     pub fn wants_work(&self, now: Time) -> bool {
@@ -49,12 +54,14 @@
 }
 
 /// What an upstream says at one moment.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Said {
     /// It leaves.
     Leaves,
     /// It wants nothing from this VM for so long.
     Rests(Duration),
+    /// It takes so many requests from all VMs together.
+    Takes(RateStatement),
 }
 
 /// What upstreams have said of themselves, each life for itself.
@@ -83,22 +90,42 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Heard {
     word: Word,
+    /// What it last said of the requests that it takes.
+    rate: RateStatement,
     /// When it last said something.
     at: Time,
 }
 
+impl Heard {
+    fn take_rate(&mut self, statement: RateStatement) {
+        if statement.replaces(&self.rate) {
+            self.rate = statement;
+            self.word.rate_limit = statement.limit;
+        }
+    }
+}
+
+/// Whether a word is what is believed of a life that has said nothing.
+fn says_nothing(said: &Said) -> bool {
+    matches!(said, Said::Takes(statement) if !statement.limit.is_limited())
+}
+
 impl Words {
     /// Takes in what a life says. Returns whether that is news: a shorter pause does not end
-    /// a longer one.
+    /// a longer one, nor an answer a limit that was named after its request was sent.
     pub fn hear(&mut self, now: Time, life: &Incarnation, said: Said) -> bool {
+        if says_nothing(&said) && !self.by_life.contains_key(life) {
+            return false;
+        }
         let heard = self.by_life.entry(life.clone()).or_default();
         let before = heard.word;
-        let word = &mut heard.word;
         match said {
-            Said::Leaves => word.leaves = true,
+            Said::Leaves => heard.word.leaves = true,
             Said::Rests(pause) => {
-                word.rests_until = word.rests_until.max(now + pause.min(LONGEST_PAUSE));
+                let until = now + pause.min(LONGEST_PAUSE);
+                heard.word.rests_until = heard.word.rests_until.max(until);
             }
+            Said::Takes(statement) => heard.take_rate(statement),
         }
         heard.at = now;
         heard.word != before
--- a/trouttrack_core/tests/core/words.rs
+++ b/trouttrack_core/tests/core/words.rs
@@ -193,6 +193,8 @@
                         Said::Rests(pause) => {
                             promise.rests_until = promise.rests_until.max(now + pause);
                         }
+                        // Limits do not keep work away for good; see `rate_limits`.
+                        Said::Takes(_) => {}
                     }
                 }
                 Step::Listed(born) => {
--- a/trouttrack_front/src/follow/words.rs
+++ b/trouttrack_front/src/follow/words.rs
@@ -1,15 +1,16 @@
 //! What upstreams say of themselves: here all carriers of such a word meet.
 //!
 //! The head of any answer may say that its upstream leaves, also while the store is away and
-//! nobody else can, or that it wants nothing from this VM for a while. The store's entry and
-//! an engine's report say the former too.
+//! nobody else can, that it wants nothing from this VM for a while, or how many requests a
+//! second it takes from all VMs together. The store's entry and an engine's report say the
+//! first too.
 
 use super::upstreams::said_leaving;
 use crate::state::{Front, Upstream};
 use std::rc::Rc;
 use trouttrack_core::Time;
 use trouttrack_core::rescue::Departure;
-use trouttrack_core::upstream::Said;
+use trouttrack_core::upstream::{RateLimit, RateStatement, Said};
 use trouttrack_platform::{AnswerHead, EngineReport, OwnWord};
 use trouttrack_telemetry::{events, record};
 
@@ -23,20 +24,30 @@
     request: Option<&'a str>,
     /// The answer's status.
     status: Option<u16>,
+    /// When it was asked.
+    asked_at: Time,
 }
 
-/// An answer to a request has come, whatever it is worth to the caller.
+/// An answer to a request that was sent at `asked_at` or later has come, whatever it is worth
+/// to the caller.
 pub(crate) fn heard_in_answer(
     front: &Rc<Front>,
     upstream: &Rc<Upstream>,
     request: &str,
+    asked_at: Time,
     head: &AnswerHead,
 ) {
+    let mut word = head.word;
+    if !head.answers(request) {
+        // An answer to an earlier request may be older than a limit that was named since.
+        word.rate_limit = word.rate_limit.filter(|limit| limit.is_limited());
+    }
     let told = Told {
-        word: head.word,
+        word,
         carrier: "answer",
         request: Some(request),
         status: Some(head.status.as_u16()),
+        asked_at,
     };
     let departure = Departure::noticed(front.clock.now());
     heard(front, upstream, &told, departure);
@@ -56,28 +67,40 @@
     let told = Told {
         word: OwnWord {
             leaving: report.leaving || report.word.leaving,
+            // Only answers to requests promise to name a limit.
+            rate_limit: report.word.rate_limit.filter(|limit| limit.is_limited()),
             ..report.word
         },
         carrier: "report",
         request: None,
         status: None,
+        asked_at,
     };
     heard(front, upstream, &told, Departure::reported(asked_at));
 }
 
 /// Takes in a word. What was placed by then and not yet sent goes elsewhere.
 fn heard(front: &Rc<Front>, upstream: &Rc<Upstream>, told: &Told<'_>, departure: Departure) {
-    if told.word.is_empty() {
+    let ends_limit = told.word.rate_limit == Some(RateLimit::Unlimited)
+        && front.scheduler.rate_limit(&upstream.id).is_limited();
+    if told.word.is_empty() && !ends_limit {
         return;
     }
     let life = upstream.incarnation();
     let hear = |said| front.scheduler.hear(&life, said);
+    let limit_changed = told.word.rate_limit.is_some_and(|limit| {
+        hear(Said::Takes(RateStatement {
+            limit,
+            asked_at: told.asked_at,
+            heard_at: front.clock.now(),
+        }))
+    });
     let rests = told
         .word
         .pause
         .is_some_and(|pause| hear(Said::Rests(pause)));
     let leaving = told.word.leaving && hear(Said::Leaves);
-    if rests || leaving {
+    if rests || leaving || limit_changed {
         record(front, upstream, told);
     }
     // Its entry may have gone and come back while the request was there.
@@ -89,6 +112,7 @@
 }
 
 fn record(front: &Front, upstream: &Upstream, told: &Told<'_>) {
+    let limit = told.word.rate_limit;
     let pause_ms = told.word.pause.map(|p| p.as_millis() as u64);
     record!(
         events::UPSTREAM_SAID,
@@ -99,6 +123,7 @@
         status = told.status,
         leaving = told.word.leaving,
         pause_ms = pause_ms,
+        limit_per_s = limit.and_then(RateLimit::per_second),
     );
     let counted = &front.metrics.words;
     if told.word.leaving {
@@ -107,4 +132,7 @@
     if pause_ms.is_some() {
         counted.with_label_values(&["pause"]).inc();
     }
+    if limit.is_some_and(RateLimit::is_limited) {
+        counted.with_label_values(&["limit"]).inc();
+    }
 }
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -107,7 +107,7 @@
             words: vec(
                 &r,
                 "trouttrack_upstream_words_total",
-                "News of what upstreams say of themselves: that they leave, or want a pause",
+                "News of what upstreams say of themselves: that they leave, want a pause or name a limit",
                 &["word"],
             ),
             refused: vec(
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -161,11 +161,12 @@
         false => Reuse::IdleLessThan(SURELY_OPEN),
     };
     let goes_on = to.continue_from.is_some();
+    let sent_at = front.clock.now();
     let still = || goes_on || front.scheduler.wants_work(&upstream.id);
     let sent = front.http.send_if(upstream.addr, req, reuse, still).await;
     let answer = sent.map_err(|e| failed(&e))?;
     let head = AnswerHead::decode(&answer.head);
-    heard_in_answer(front, upstream, &admitted.head.id, &head);
+    heard_in_answer(front, upstream, &admitted.head.id, sent_at, &head);
     let mut sent = Sent {
         head,
         body: answer.body,
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{Notify, oneshot};
 use trouttrack_core::UpstreamId;
 use trouttrack_core::membership::{Evacuations, UpstreamUse};
-use trouttrack_core::upstream::{ColdShare, Incarnation, Said, Spec, Upstream, Word};
+use trouttrack_core::upstream::{ColdShare, Incarnation, RateLimit, Said, Spec, Upstream, Word};
 use trouttrack_core::world::{
     Decision, NotRunReason, RequestKey, Submission, World, WorldSettings,
 };
@@ -183,6 +183,14 @@
         self.world.borrow_mut().hear(now, life, said)
     }
 
+    /// The requests that an upstream takes from all VMs together.
+    #[must_use]
+    pub fn rate_limit(&self, upstream: &str) -> RateLimit {
+        let world = self.world.borrow();
+        let row = world.upstreams.get_by_id(upstream);
+        row.map_or(RateLimit::Unlimited, Upstream::named_limit)
+    }
+
     /// What a life of an upstream has said of itself.
     #[must_use]
     pub fn word_of(&self, life: &Incarnation) -> Word {
