Tests of the rate limits that upstreams name, red on this code

What callers' VMs do: an upstream that names two requests a second for all VMs together gets 281 plain calls in 4 s, 558 with second attempts, 282 streams where 17 are borne; VMs that passed on no such answer never hear of it.

The fleet of worlds moves out of the tests of cold upstreams, so that both use it; the assertions there are unchanged.

--- a/trouttrack_core/tests/core/cold.rs
+++ b/trouttrack_core/tests/core/cold.rs
@@ -1,192 +1,25 @@
 //! What a fleet hands over to upstreams that are cold, under drawn arrivals, delays and
 //! losses.
 
-use crate::support::{placed, settings, spec, submission};
+use crate::bounded_fleet::{Bounded, Fleet, cold, most_within};
+use crate::support::{placed, settings, submission};
 use proptest::prelude::*;
-use rand::rngs::SmallRng;
-use rand::{RngExt, SeedableRng};
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use std::time::Duration;
 use trouttrack_core::Time;
-use trouttrack_core::membership::UpstreamUse;
 use trouttrack_core::upstream::{ColdShare, Spec};
-use trouttrack_core::world::{World, WorldSettings};
+use trouttrack_core::world::World;
 
 /// What one customer's upstreams bear while cold, a second.
 const RATE: f64 = 20.0;
 /// What they bear in any one second: the rate times this, and some more.
 const MOST_OVER: f64 = 1.5;
 const MOST_MORE: f64 = 5.0;
-/// The longest that a VM's word takes: its pause before it tells, and the way.
-const TOLD_WITHIN_MS: u64 = 6;
 const SECOND: Duration = Duration::from_secs(1);
 /// How long a request may wait here: it is decided on as it comes.
 const AT_ONCE: Duration = Duration::from_millis(1);
 
-fn cold(id: &str, domain: &str) -> Spec {
-    Spec {
-        warm_at: Duration::from_secs(1_000),
-        born: 0,
-        cold_rate: RATE,
-        ..spec(id, domain, 0, 1_000)
-    }
-}
-
-fn domain(n: usize) -> String {
-    format!("d{n}")
-}
-
-/// A fleet that has cold upstreams alone.
-#[derive(Clone, Copy, Debug)]
-struct Fleet {
-    domains: usize,
-    vms: usize,
-    upstreams: usize,
-    /// Whether VMs hear each other.
-    in_touch: bool,
-    /// The share of datagrams that are lost.
-    loss: f64,
-    /// Requests a second, over all VMs.
-    asked: f64,
-}
-
-/// What passes between the VMs of a fleet.
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    Arrival,
-    Hear(usize, usize, Vec<(String, u32)>),
-}
-
-struct Play {
-    fleet: Fleet,
-    worlds: Vec<World>,
-    events: BinaryHeap<Reverse<(Time, u64, Event)>>,
-    order: u64,
-    given: Vec<(String, Time)>,
-    rng: SmallRng,
-}
-
-impl Play {
-    fn new(fleet: Fleet, seed: u64) -> Self {
-        let all = fleet.domains * fleet.vms;
-        let world = |vm: usize| {
-            let mut world = World::new(WorldSettings {
-                failure_domain: domain(vm / fleet.vms),
-                seed: seed + vm as u64,
-                ..settings("trouttrack")
-            });
-            let upstream = |n: usize| cold(&format!("u{n}"), &domain(n % fleet.domains));
-            world.configure((0..fleet.upstreams).map(upstream).collect());
-            let heard = if fleet.in_touch { fleet.vms } else { 1 };
-            world.set_cold_share(ColdShare::of(heard, fleet.vms, all));
-            world
-        };
-        Self {
-            fleet,
-            worlds: (0..all).map(world).collect(),
-            events: BinaryHeap::new(),
-            order: 0,
-            given: Vec::new(),
-            rng: SmallRng::seed_from_u64(seed),
-        }
-    }
-
-    fn schedule(&mut self, at: Time, event: Event) {
-        self.order += 1;
-        self.events.push(Reverse((at, self.order, event)));
-    }
-
-    fn schedule_arrival(&mut self, now: Time) {
-        let pause = -self.rng.random_range(f64::EPSILON..1.0).ln() / self.fleet.asked;
-        self.schedule(now + Duration::from_secs_f64(pause), Event::Arrival);
-    }
-
-    /// Plays for some seconds and returns what each upstream was given, and when.
-    fn run(mut self, lasts: Time) -> Vec<(String, Time)> {
-        self.schedule_arrival(SECOND);
-        while let Some(Reverse((now, _, event))) = self.events.pop() {
-            if now > lasts {
-                break;
-            }
-            match event {
-                Event::Arrival => {
-                    self.arrive(now);
-                    self.schedule_arrival(now);
-                }
-                Event::Hear(to, from, told) => self.hear(now, to, from, &told),
-            }
-        }
-        self.given
-    }
-
-    /// A request comes to a drawn VM; one that is not placed is refused.
-    fn arrive(&mut self, now: Time) {
-        let vm = self.rng.random_range(0..self.worlds.len());
-        let world = &mut self.worlds[vm];
-        let mut wanted = submission("r", "o", 1);
-        wanted.prompt_tokens = 0;
-        wanted.deadline = now + AT_ONCE;
-        let key = world.submit(now, wanted);
-        let decided = placed(&world.tick(now));
-        for (_, upstream) in &decided {
-            self.given.push((upstream.clone(), now));
-        }
-        // It is answered at once, so that nothing but the rate binds.
-        world.ended(now, key, false, None);
-        if !decided.is_empty() && self.fleet.in_touch {
-            self.tell(now, vm);
-        }
-    }
-
-    /// Tells the own failure domain, and those where the used upstreams stand.
-    fn tell(&mut self, now: Time, from: usize) {
-        let uses = self.worlds[from].own_uses(now);
-        let told: Vec<(String, u32)> = uses
-            .iter()
-            .map(|u| (u.upstream.clone(), u.cold_starts))
-            .collect();
-        let number = |id: &str| id[1..].parse::<usize>().expect("numbered");
-        let there: Vec<usize> = told
-            .iter()
-            .map(|(id, _)| number(id) % self.fleet.domains)
-            .collect();
-        for to in 0..self.worlds.len() {
-            let domain = to / self.fleet.vms;
-            let concerned = domain == from / self.fleet.vms || there.contains(&domain);
-            if to == from || !concerned || self.rng.random_bool(self.fleet.loss) {
-                continue;
-            }
-            let way = Duration::from_millis(self.rng.random_range(3..=TOLD_WITHIN_MS));
-            self.schedule(now + way, Event::Hear(to, from, told.clone()));
-        }
-    }
-
-    fn hear(&mut self, now: Time, to: usize, from: usize, told: &[(String, u32)]) {
-        let uses: Vec<UpstreamUse> = told
-            .iter()
-            .map(|(id, starts)| UpstreamUse {
-                upstream: id.clone(),
-                running: 0,
-                peak_tokens: 0,
-                held_tokens: 0,
-                loading_tokens: 0,
-                lost_ms: None,
-                cold_starts: *starts,
-            })
-            .collect();
-        let home = domain(from / self.fleet.vms);
-        self.worlds[to].peer_uses(now, &format!("v{from}"), &home, &uses);
-    }
-}
-
-/// The most that one upstream was given within a second.
-fn most_in_a_second(given: &[(String, Time)]) -> usize {
-    let within = |(id, at): &(String, Time)| {
-        let same = |(other, t): &&(String, Time)| other == id && t >= at && *t < *at + SECOND;
-        given.iter().filter(same).count()
-    };
-    given.iter().map(within).max().unwrap_or(0)
+fn most_in_a_second(given: &[(String, Duration)]) -> usize {
+    most_within(given, SECOND)
 }
 
 fn bound() -> usize {
@@ -210,8 +43,10 @@
         in_touch in any::<bool>(),
         seed in 0u64..1_000,
     ) {
-        let fleet = Fleet { domains, vms, upstreams, in_touch, loss, asked };
-        let given = Play::new(fleet, seed).run(Duration::from_secs(6));
+        let fleet = Fleet {
+            domains, vms, upstreams, bounded: Bounded::Cold(RATE), in_touch, loss, asked
+        };
+        let given = fleet.play(seed, Duration::from_secs(6));
         let most = most_in_a_second(&given);
         prop_assert!(most <= bound(), "{most} in a second");
     }
@@ -225,12 +60,13 @@
         domains: 4,
         vms: 16,
         upstreams: 6,
+        bounded: Bounded::Cold(RATE),
         in_touch: false,
         loss: 0.0,
         asked: 304.827_684_431_297_8,
     };
     for seed in 70..90 {
-        let most = most_in_a_second(&Play::new(fleet, seed).run(Duration::from_secs(6)));
+        let most = most_in_a_second(&fleet.play(seed, Duration::from_secs(6)));
         assert!(most <= bound(), "{most} in a second with seed {seed}");
     }
 }
@@ -242,12 +78,13 @@
         domains,
         vms,
         upstreams: domains,
+        bounded: Bounded::Cold(RATE),
         in_touch: true,
         loss: 0.0,
         asked: 10.0 * RATE * domains as f64,
     };
     let lasts = 5;
-    let given = Play::new(fleet, 1).run(Duration::from_secs(1 + lasts));
+    let given = fleet.play(1, Duration::from_secs(1 + lasts));
     given.len() as f64 / (RATE * fleet.upstreams as f64 * lasts as f64)
 }
 
@@ -266,11 +103,12 @@
             domains: 6,
             vms: 49,
             upstreams: 6,
+            bounded: Bounded::Cold(RATE),
             in_touch: seed != 2,
             loss: 0.01,
             asked: 600.0,
         };
-        let most = most_in_a_second(&Play::new(fleet, seed).run(Duration::from_secs(4)));
+        let most = most_in_a_second(&fleet.play(seed, Duration::from_secs(4)));
         assert!(most <= bound(), "{most} in a second");
     }
 }
@@ -278,7 +116,7 @@
 #[test]
 fn while_the_number_of_vms_is_not_known_a_cold_upstream_gets_nothing() {
     let mut world = World::new(settings("trouttrack"));
-    world.configure(vec![cold("u", "a")]);
+    world.configure(vec![cold("u", "a", RATE)]);
     let mut wanted = submission("r", "o", 1);
     wanted.deadline = SECOND + AT_ONCE;
     world.submit(SECOND, wanted);
@@ -292,7 +130,7 @@
     let mut world = World::new(settings("trouttrack"));
     let warm = Spec {
         warm_at: Duration::ZERO,
-        ..cold("u", "a")
+        ..cold("u", "a", RATE)
     };
     world.configure(vec![warm.clone()]);
     world.set_cold_share(ColdShare::of(1, 1, 1));
@@ -305,7 +143,7 @@
         given
     };
     assert!((0..100).all(|_| give(&mut world, SECOND)));
-    world.put_upstream(cold("u", "a"));
+    world.put_upstream(cold("u", "a", RATE));
     let given = (0..100).filter(|_| give(&mut world, 3 * SECOND)).count();
     assert_eq!(given as f64, (RATE * 0.95).floor());
     world.put_upstream(warm);
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -1,5 +1,6 @@
 //! The decisions, without input or output.
 
+mod bounded_fleet;
 mod claims;
 mod cold;
 mod duty;
@@ -11,6 +12,7 @@
 mod membership;
 mod policies;
 mod quarantine;
+mod rate_limits;
 mod relocate;
 mod retry_rule;
 mod support;
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -12,6 +12,7 @@
 mod own_words;
 mod peers;
 mod plain;
+mod rate_limits;
 mod repeats;
 mod soak;
 mod stop;
--- a/trouttrack_front/tests/front/support.rs
+++ b/trouttrack_front/tests/front/support.rs
@@ -93,8 +93,17 @@
 }
 
 pub(crate) fn settings(store: &Store, name: &str, more: &str) -> FrontSettings {
+    settings_in(store, name, "a", more)
+}
+
+pub(crate) fn settings_in(
+    store: &Store,
+    name: &str,
+    failure_domain: &str,
+    more: &str,
+) -> FrontSettings {
     let text = format!(
-        "[vm]\nname = {name}\nfailure_domain = a\n[platform]\nurl = http://{}\n\
+        "[vm]\nname = {name}\nfailure_domain = {failure_domain}\n[platform]\nurl = http://{}\n\
          [front]\nlisten = 127.0.0.1:0\nready = 127.0.0.1:0\nmetrics = 127.0.0.1:0\n\
          peers = 127.0.0.1:0\n{more}",
         store.addr()
