What bounds the rate of cold upstreams is named for any bounded rate

Before a second cause uses it: cold.rs becomes shared_rate.rs, ColdShare RateShare, cold_starts recent_handovers. No behaviour changed; the tests of cold upstreams pass as they were.

--- a/trouttrack_core/benches/decision.rs
+++ b/trouttrack_core/benches/decision.rs
@@ -163,7 +163,7 @@
         held_tokens: 0,
         loading_tokens: 100,
         lost_ms: None,
-        cold_starts: 0,
+        recent_handovers: 0,
     }
 }
 
--- a/trouttrack_core/src/membership/peers.rs
+++ b/trouttrack_core/src/membership/peers.rs
@@ -25,9 +25,9 @@
     /// milliseconds, if that was lately.
     #[serde(default)]
     pub lost_ms: Option<u64>,
-    /// Hand-overs within the last second, while the upstream is cold.
+    /// Hand-overs within the last second, while the upstream's rate is bounded.
     #[serde(default)]
-    pub cold_starts: u32,
+    pub recent_handovers: u32,
 }
 
 /// What a gateway says of itself in a heartbeat.
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -2,12 +2,12 @@
 
 use super::backlog::seconds_to_load;
 use super::circuit::{Circuit, CircuitState};
-use super::cold::{self, ColdShare, ColdStarts};
 use super::incarnation::Incarnation;
 use super::losses::Losses;
 use super::rate_limit::RateLimit;
 use super::refusals::Refusals;
 use super::runs::{OwnRun, PeerUse, Teller, peak};
+use super::shared_rate::{self, RateShare, RecentHandovers};
 use super::spec::{Report, Spec};
 use super::words::Word;
 use crate::Time;
@@ -57,8 +57,8 @@
     pub circuit: Circuit,
     /// Requests that it has turned away.
     pub(crate) refusals: Refusals,
-    /// Requests that this process has handed over while it is cold.
-    pub(crate) cold_starts: ColdStarts,
+    /// Requests that this process has handed over while its rate is bounded.
+    pub(crate) recent_handovers: RecentHandovers,
     /// Connections that were lost with a request, here and at peers.
     pub(crate) losses: Losses,
     own_at_report: usize,
@@ -81,7 +81,7 @@
             evacuated: false,
             circuit: Circuit::default(),
             refusals: Refusals::default(),
-            cold_starts: ColdStarts::default(),
+            recent_handovers: RecentHandovers::default(),
             losses: Losses::default(),
             own_at_report: 0,
         }
@@ -240,7 +240,7 @@
     pub(crate) fn bears_one_more(
         &self,
         now: Time,
-        share: ColdShare,
+        share: RateShare,
         near: bool,
         seed: u64,
     ) -> bool {
@@ -248,17 +248,21 @@
         if rate <= 0.0 || !is_cold {
             return true;
         }
-        let peers: usize = self.peers.iter().map(|p| p.cold_starts.recent(now)).sum();
-        let known = self.cold_starts.recent(now) + peers;
+        let peers: usize = self
+            .peers
+            .iter()
+            .map(|p| p.recent_handovers.count(now))
+            .sum();
+        let known = self.recent_handovers.count(now) + peers;
         let share = if near { share.near } else { share.far };
-        cold::admits(rate, share, known, now, &self.spec.id, seed)
+        shared_rate::admits(rate, share, known, now, &self.spec.id, seed)
     }
 
     /// A request is handed over.
     pub(crate) fn given(&mut self, now: Time) {
         self.refusals.given();
         if self.spec.cold_rate > 0.0 && self.spec.warm_at > now {
-            self.cold_starts.given(now);
+            self.recent_handovers.given(now);
         }
     }
 
@@ -310,7 +314,7 @@
             held_tokens: held as u64,
             loading_tokens: loading as u64,
             lost_ms: None,
-            cold_starts: 0,
+            recent_handovers: 0,
         }
     }
 
--- a/trouttrack_core/src/upstream/cold.rs
+++ b/trouttrack_core/src/upstream/shared_rate.rs
@@ -1,4 +1,4 @@
-//! How many requests an upstream is given while it is cold.
+//! How many requests an upstream is given whose rate is bounded over all VMs.
 //!
 //! An upstream that has just started bears a rate of requests, and falls over well above
 //! it. The rate is one over all VMs, and there is nobody to ask: each VM counts what it
@@ -22,32 +22,31 @@
 const ELSEWHERE: f64 = 0.5;
 
 /// The part of an even share that VMs use that hear none of their peers: what they hand
-/// over adds up by chance, and 37 came in a second where 26 were meant and 35 are borne.
+/// over adds up by chance, at times to more than is meant.
 const CHANCE: f64 = 0.5;
 
-/// The parts of a cold upstream's rate that this VM and the peers that it hears may use
-/// together.
+/// The parts of a bounded rate that this VM and the peers that it hears may use together.
 ///
 /// # Examples
 ///
 /// ```
-/// use trouttrack_core::upstream::ColdShare;
+/// use trouttrack_core::upstream::RateShare;
 /// // All 16 VMs of one of four equal failure domains hear each other.
-/// let share = ColdShare::of(16, 16, 64);
+/// let share = RateShare::of(16, 16, 64);
 /// assert_eq!((share.near, share.far), (1.0, 0.125));
 /// // One that hears nobody takes what is safe if all others do the same.
-/// let share = ColdShare::of(1, 16, 64);
+/// let share = RateShare::of(1, 16, 64);
 /// assert_eq!(share.near, 0.033203125);
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ColdShare {
+pub struct RateShare {
     /// Of upstreams in the own failure domain.
     pub near: f64,
     /// Of upstreams elsewhere.
     pub far: f64,
 }
 
-impl ColdShare {
+impl RateShare {
     /// Nothing: while the number of VMs is not known, any part may be too much.
     pub const NONE: Self = Self {
         near: 0.0,
@@ -69,13 +68,13 @@
     }
 }
 
-/// The requests that this VM has handed over to an upstream while that was cold.
+/// The requests that this VM has handed over to an upstream while its rate was bounded.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct ColdStarts {
+pub(crate) struct RecentHandovers {
     given_at: VecDeque<Time>,
 }
 
-impl ColdStarts {
+impl RecentHandovers {
     /// A request is handed over.
     pub(crate) fn given(&mut self, now: Time) {
         self.given_at.retain(|at| now.saturating_sub(*at) < WINDOW);
@@ -83,24 +82,24 @@
     }
 
     /// Requests handed over within the last second.
-    pub(crate) fn recent(&self, now: Time) -> usize {
+    pub(crate) fn count(&self, now: Time) -> usize {
         let recent = |at: &&Time| now.saturating_sub(**at) < WINDOW;
         self.given_at.iter().filter(recent).count()
     }
 }
 
-/// What a peer told of its requests to an upstream that is cold.
+/// What a peer told of its requests to an upstream whose rate is bounded.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct ToldStarts {
+pub(crate) struct ToldHandovers {
     /// When.
     pub(crate) at: Time,
     /// How many it had handed over within the second before.
     pub(crate) count: usize,
 }
 
-impl ToldStarts {
+impl ToldHandovers {
     /// Those that may lie within the last second.
-    pub(crate) fn recent(&self, now: Time) -> usize {
+    pub(crate) fn count(&self, now: Time) -> usize {
         match now.saturating_sub(self.at) < WINDOW {
             true => self.count,
             false => 0,
--- a/trouttrack_core/src/world/peers.rs
+++ b/trouttrack_core/src/world/peers.rs
@@ -10,7 +10,9 @@
 use super::tables::World;
 use crate::Time;
 use crate::membership::UpstreamUse;
-use crate::upstream::{Backlog, PeerUse, Teller, ToldStarts, Upstream, UpstreamKey, UpstreamTable};
+use crate::upstream::{
+    Backlog, PeerUse, Teller, ToldHandovers, Upstream, UpstreamKey, UpstreamTable,
+};
 use std::collections::HashMap;
 
 /// A peer that has been silent for this long is not counted any more.
@@ -136,9 +138,9 @@
         peak_tokens: used.peak_tokens as f64,
         held_tokens: used.held_tokens as f64,
         loading: Backlog::of(now, used.loading_tokens as f64),
-        cold_starts: ToldStarts {
+        recent_handovers: ToldHandovers {
             at: now,
-            count: used.cold_starts as usize,
+            count: used.recent_handovers as usize,
         },
         lost_at: used
             .lost_ms
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -5,7 +5,7 @@
 use crate::length::{LengthKey, LengthTable};
 use crate::membership::{Evacuations, UpstreamUse};
 use crate::routing::{AnyPolicy, ExplanationTable};
-use crate::upstream::{ColdShare, Report, Spec, Upstream, UpstreamKey, UpstreamTable, Words};
+use crate::upstream::{RateShare, Report, Spec, Upstream, UpstreamKey, UpstreamTable, Words};
 use crate::{OrganisationId, RequestId, ServiceId, Time};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -210,8 +210,8 @@
     pub(crate) peers: PeersHeard,
     /// What upstreams have said of themselves; each row has its own.
     pub(crate) words: Words,
-    /// What this VM may use of the rate of a cold upstream; nothing until it is told.
-    pub(crate) cold_share: ColdShare,
+    /// What this VM may use of a rate that is bounded over all VMs; nothing until it is told.
+    pub(crate) rate_share: RateShare,
     pub(crate) rng: SmallRng,
     pub(crate) refused: Vec<Decision>,
 }
@@ -225,7 +225,7 @@
             lengths: LengthTable::default(),
             explanations: ExplanationTable::new(EXPLAINED),
             queue: FairQueue::new(settings.ageing, settings.max_wait),
-            cold_share: ColdShare::NONE,
+            rate_share: RateShare::NONE,
             rng: SmallRng::seed_from_u64(settings.seed),
             settings,
             requests: SlotMap::with_key(),
@@ -267,8 +267,8 @@
     #[must_use]
     pub fn own_uses(&self, now: Time) -> Vec<UpstreamUse> {
         let told = |u: &Upstream| {
-            let cold = u.cold_starts.recent(now) > 0;
-            u.own_running > 0 || cold || u.losses.age(now).is_some()
+            let bounded = u.recent_handovers.count(now) > 0;
+            u.own_running > 0 || bounded || u.losses.age(now).is_some()
         };
         let used = self.upstreams.iter().filter(|(_, u)| told(u));
         used.map(|(_, u)| UpstreamUse {
@@ -278,7 +278,7 @@
             held_tokens: u.own_held() as u64,
             loading_tokens: u.own_loading() as u64,
             lost_ms: u.losses.age(now).map(|age| age.as_millis() as u64),
-            cold_starts: u.cold_starts.recent(now) as u32,
+            recent_handovers: u.recent_handovers.count(now) as u32,
         })
         .collect()
     }
@@ -290,16 +290,15 @@
         }
     }
 
-    /// Takes how many VMs share the rate of a cold upstream, by how many of them are
-    /// heard.
-    pub fn set_cold_share(&mut self, share: ColdShare) {
-        self.cold_share = share;
+    /// Takes how many VMs share a bounded rate, by how many of them are heard.
+    pub fn set_rate_share(&mut self, share: RateShare) {
+        self.rate_share = share;
     }
 
-    /// Whether an upstream bears one more request, if it is cold.
+    /// Whether an upstream bears one more request, if its rate is bounded.
     pub(crate) fn bears_one_more(&self, now: Time, u: &Upstream) -> bool {
         let near = u.spec.failure_domain == self.settings.failure_domain;
-        u.bears_one_more(now, self.cold_share, near, self.settings.seed)
+        u.bears_one_more(now, self.rate_share, near, self.settings.seed)
     }
 
     /// Takes the failure domains that are evacuated: their upstreams get no new work.
--- a/trouttrack_core/tests/core/bounded_fleet.rs
+++ b/trouttrack_core/tests/core/bounded_fleet.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use trouttrack_core::Time;
 use trouttrack_core::membership::UpstreamUse;
-use trouttrack_core::upstream::{ColdShare, Incarnation, RateLimit, RateStatement, Said, Spec};
+use trouttrack_core::upstream::{Incarnation, RateLimit, RateShare, RateStatement, Said, Spec};
 use trouttrack_core::world::{World, WorldSettings};
 
 /// The longest that a VM's word takes: its pause before it tells, and the way.
@@ -122,7 +122,7 @@
                 }
             }
             let heard = if fleet.in_touch { fleet.vms } else { 1 };
-            world.set_cold_share(ColdShare::of(heard, fleet.vms, all));
+            world.set_rate_share(RateShare::of(heard, fleet.vms, all));
             world
         };
         Self {
@@ -187,7 +187,7 @@
         let uses = self.worlds[from].own_uses(now);
         let told: Vec<(String, u32)> = uses
             .iter()
-            .map(|u| (u.upstream.clone(), u.cold_starts))
+            .map(|u| (u.upstream.clone(), u.recent_handovers))
             .collect();
         let number = |id: &str| id[1..].parse::<usize>().expect("numbered");
         let there: Vec<usize> = told
@@ -215,7 +215,7 @@
                 held_tokens: 0,
                 loading_tokens: 0,
                 lost_ms: None,
-                cold_starts: *starts,
+                recent_handovers: *starts,
             })
             .collect();
         let home = domain(from / self.fleet.vms);
--- a/trouttrack_core/tests/core/cold.rs
+++ b/trouttrack_core/tests/core/cold.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use std::time::Duration;
 use trouttrack_core::Time;
-use trouttrack_core::upstream::{ColdShare, Spec};
+use trouttrack_core::upstream::{RateShare, Spec};
 use trouttrack_core::world::World;
 
 /// What one customer's upstreams bear while cold, a second.
@@ -121,7 +121,7 @@
     wanted.deadline = SECOND + AT_ONCE;
     world.submit(SECOND, wanted);
     assert!(placed(&world.tick(SECOND)).is_empty());
-    world.set_cold_share(ColdShare::of(1, 1, 1));
+    world.set_rate_share(RateShare::of(1, 1, 1));
     assert!(!placed(&world.tick(SECOND)).is_empty());
 }
 
@@ -133,7 +133,7 @@
         ..cold("u", "a", RATE)
     };
     world.configure(vec![warm.clone()]);
-    world.set_cold_share(ColdShare::of(1, 1, 1));
+    world.set_rate_share(RateShare::of(1, 1, 1));
     let give = |world: &mut World, now: Time| {
         let mut wanted = submission("r", "o", 1);
         wanted.deadline = now + AT_ONCE;
--- a/trouttrack_core/tests/core/rate_limits.rs
+++ b/trouttrack_core/tests/core/rate_limits.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 use std::time::Duration;
 use trouttrack_core::Time;
-use trouttrack_core::upstream::{ColdShare, Incarnation, RateLimit, RateStatement, Said};
+use trouttrack_core::upstream::{Incarnation, RateLimit, RateShare, RateStatement, Said};
 use trouttrack_core::world::{Decision, World};
 
 /// The time over which a limit is judged.
@@ -84,7 +84,7 @@
 fn one() -> World {
     let mut world = World::new(settings("trouttrack"));
     world.configure(vec![spec("u", "a", 0, 1_000)]);
-    world.set_cold_share(ColdShare::of(1, 1, 1));
+    world.set_rate_share(RateShare::of(1, 1, 1));
     world
 }
 
--- a/trouttrack_core/tests/core/upstream_table.rs
+++ b/trouttrack_core/tests/core/upstream_table.rs
@@ -29,7 +29,7 @@
         held_tokens: 0,
         loading_tokens: 0,
         lost_ms: None,
-        cold_starts: 0,
+        recent_handovers: 0,
     }
 }
 
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -19,7 +19,7 @@
 use tokio::time::Instant;
 use trouttrack_core::FailureDomain;
 use trouttrack_core::membership::{Digest, FAR_TOLD, NEAR_TOLD, UpstreamUse, tells_sums};
-use trouttrack_core::upstream::ColdShare;
+use trouttrack_core::upstream::RateShare;
 
 /// Pause after a placement or a loss before it is told, for until then others choose
 /// the same upstream; several are told together.
@@ -71,7 +71,7 @@
         .peers
         .forget_silent(front.clock.now(), &front.failure_domain);
     if front.peers.listed() > 0 {
-        front.scheduler.set_cold_share(cold_share(front));
+        front.scheduler.set_rate_share(rate_share(front));
     }
     front.suspects.expire();
     front.metrics.held.set(front.suspects.held() as i64);
@@ -90,12 +90,12 @@
     }
 }
 
-/// What this VM may use of the rate of a cold upstream, by the VMs that it hears now.
-fn cold_share(front: &Front) -> ColdShare {
+/// What this VM may use of a bounded rate, by the VMs that it hears now.
+fn rate_share(front: &Front) -> RateShare {
     let home = &front.failure_domain;
     let own = 1;
     let heard = front.peers.heard_near(home) + own;
-    ColdShare::of(heard, front.peers.listed_in(home), front.peers.listed())
+    RateShare::of(heard, front.peers.listed_in(home), front.peers.listed())
 }
 
 /// Answers a VM that has just been heard of for the first time, so that it need not
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{Notify, oneshot};
 use trouttrack_core::UpstreamId;
 use trouttrack_core::membership::{Evacuations, UpstreamUse};
-use trouttrack_core::upstream::{ColdShare, Incarnation, RateLimit, Said, Spec, Upstream, Word};
+use trouttrack_core::upstream::{Incarnation, RateLimit, RateShare, Said, Spec, Upstream, Word};
 use trouttrack_core::world::{
     Decision, NotRunReason, RequestKey, Submission, World, WorldSettings,
 };
@@ -210,9 +210,9 @@
         row.is_some_and(|u| u.wants_work(self.clock.now()))
     }
 
-    /// Takes what this VM may use of the rate of a cold upstream.
-    pub fn set_cold_share(&self, share: ColdShare) {
-        self.world.borrow_mut().set_cold_share(share);
+    /// Takes what this VM may use of a rate that is bounded over all VMs.
+    pub fn set_rate_share(&self, share: RateShare) {
+        self.world.borrow_mut().set_rate_share(share);
     }
 
     /// Takes the failure domains that are evacuated, and decides anew on what waits.
--- a/trouttrack_load/src/patterns/fleet.rs
+++ b/trouttrack_load/src/patterns/fleet.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use trouttrack_core::length::LengthKey;
 use trouttrack_core::membership::{Evacuations, UpstreamUse};
-use trouttrack_core::upstream::{ColdShare, Spec};
+use trouttrack_core::upstream::{RateShare, Spec};
 use trouttrack_core::world::{Decision, RequestKey, Submission, World};
 use trouttrack_engine::{Engine, SequenceKey, StepOutput, Submit};
 
@@ -128,7 +128,7 @@
     let mut world = World::new(world_settings(domain, vm, seed));
     let specs = (0..layout.all_engines()).map(|e| spec(pattern, layout, e));
     world.configure(specs.collect());
-    world.set_cold_share(ColdShare::of(layout.vms, layout.vms, layout.all_vms()));
+    world.set_rate_share(RateShare::of(layout.vms, layout.vms, layout.all_vms()));
     world
 }
 
--- a/trouttrack_rpc/tests/rpc/main.rs
+++ b/trouttrack_rpc/tests/rpc/main.rs
@@ -163,7 +163,7 @@
             held_tokens: 0,
             loading_tokens: 0,
             lost_ms: None,
-            cold_starts: 0,
+            recent_handovers: 0,
         }],
         marks: vec![MarkEntry {
             upstream: "e".into(),
