What is placed where the VMs share a rate is told to them at once, calls too

What upstreams saw: a cold plain upstream got more than it bears, for only generations were told as they were placed; calls were told by heartbeats, every 200 ms and more rarely in a larger fleet, and until then each VM of its failure domain used the whole rate.

--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -235,8 +235,14 @@
         wanted && trial && !suspected && self.estimated_running() < self.spec.max_running
     }
 
-    /// Whether one more request is within the rate that it bears while it is cold; `seed`
-    /// differs from VM to VM.
+    /// The requests a second that it takes from all VMs together, if they are bounded.
+    #[must_use]
+    pub fn bounded_rate(&self, now: Time) -> Option<f64> {
+        let is_cold = self.spec.warm_at > now;
+        (is_cold && self.spec.cold_rate > 0.0).then_some(self.spec.cold_rate)
+    }
+
+    /// Whether one more request is within its bounded rate; `seed` differs from VM to VM.
     pub(crate) fn bears_one_more(
         &self,
         now: Time,
@@ -244,10 +250,9 @@
         near: bool,
         seed: u64,
     ) -> bool {
-        let (rate, is_cold) = (self.spec.cold_rate, self.spec.warm_at > now);
-        if rate <= 0.0 || !is_cold {
+        let Some(rate) = self.bounded_rate(now) else {
             return true;
-        }
+        };
         let peers: usize = self
             .peers
             .iter()
@@ -261,7 +266,7 @@
     /// A request is handed over.
     pub(crate) fn given(&mut self, now: Time) {
         self.refusals.given();
-        if self.spec.cold_rate > 0.0 && self.spec.warm_at > now {
+        if self.bounded_rate(now).is_some() {
             self.recent_handovers.given(now);
         }
     }
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -3,8 +3,9 @@
 //! Two datagrams tell of load. A heartbeat says all that a VM knows of itself, at a
 //! pause and to some peers that grow no faster than the fleet's budget for control. The
 //! own use of upstreams changes with each generation that is handed over, and matters
-//! within the fifth of a second that a prompt takes to load: it is told at once to all
-//! VMs that choose among the same upstreams.
+//! within the fifth of a second that a prompt takes to load; so does each request to an
+//! upstream whose rate the VMs share. It is told at once to all VMs that choose among the
+//! same upstreams.
 
 use super::message::{Datagram, Heartbeat, Load};
 use super::post::{post, post_to_all};
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -94,12 +94,19 @@
             retry_after: Duration::ZERO,
         }));
         let upstream = decided?;
-        if own_prompt > 0 {
+        if own_prompt > 0 || self.is_bounded(&upstream) {
             self.tell_soon();
         }
         Ok(self.placed(upstream, ticket, own_prompt))
     }
 
+    /// Whether the rate of an upstream is bounded over all VMs.
+    fn is_bounded(&self, upstream: &str) -> bool {
+        let world = self.world.borrow();
+        let row = world.upstreams.get_by_id(upstream);
+        row.is_some_and(|u| u.bounded_rate(self.clock.now()).is_some())
+    }
+
     /// What a decision was made by. The request counts at its upstream already, with its
     /// prompt.
     fn placed(&self, upstream: UpstreamId, ticket: Ticket, own_prompt: u64) -> Placed {
@@ -146,7 +153,7 @@
     }
 
     /// Waits until the other VMs are to hear of something soon: a generation was given
-    /// an engine, or a connection was lost.
+    /// an engine, a rate that they share was used, or a connection was lost.
     pub async fn news(&self) {
         self.news.notified().await;
     }
