VMs keep together to the rate limit that an upstream names

What callers' upstreams saw: one in need that named 2.8 requests a second got what it got before, 50 calls in 7 s from one VM.

A row's rate is now bounded by its cold rate or by the limit of its word, whichever is lower, so placing, second attempts, resumed streams and targets of moves all ask. A limit below one in 20 s is tried that often, for only an answer can end it. VMs draw independently now: seeds that followed each other drew the same seconds.

--- a/trouttrack_core/benches/decision.rs
+++ b/trouttrack_core/benches/decision.rs
@@ -163,6 +163,7 @@
         held_tokens: 0,
         loading_tokens: 100,
         lost_ms: None,
+        handovers: 0,
         recent_handovers: 0,
     }
 }
--- a/trouttrack_core/src/membership/peers.rs
+++ b/trouttrack_core/src/membership/peers.rs
@@ -25,7 +25,10 @@
     /// milliseconds, if that was lately.
     #[serde(default)]
     pub lost_ms: Option<u64>,
-    /// Hand-overs within the last second, while the upstream's rate is bounded.
+    /// Hand-overs since its start while the upstream's rate was bounded.
+    #[serde(default)]
+    pub handovers: u32,
+    /// Those of the last four seconds.
     #[serde(default)]
     pub recent_handovers: u32,
 }
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -7,7 +7,7 @@
 use super::rate_limit::RateLimit;
 use super::refusals::Refusals;
 use super::runs::{OwnRun, PeerUse, Teller, peak};
-use super::shared_rate::{Allowance, RateShare, RecentHandovers};
+use super::shared_rate::{Allowance, Handovers, RateShare};
 use super::spec::{Report, Spec};
 use super::words::Word;
 use crate::Time;
@@ -19,6 +19,9 @@
 /// An upstream that is slow for this long or longer counts as wholly cold; the
 /// users' upstreams are slow for some seconds after their start.
 const COLD_FOR: Time = Time::from_secs(4);
+/// The lowest limit that is gone by, in requests a second: only the answer to a request can
+/// say that a limit has ended.
+const TRIAL_RATE: f64 = 0.05;
 /// How much others' memory may be taken to rise with the own.
 const LARGEST_RISE: f64 = 1.5;
 
@@ -57,8 +60,8 @@
     pub circuit: Circuit,
     /// Requests that it has turned away.
     pub(crate) refusals: Refusals,
-    /// Requests that this process has handed over while its rate is bounded.
-    pub(crate) recent_handovers: RecentHandovers,
+    /// What was handed over while its rate was bounded.
+    pub(crate) handovers: Handovers,
     /// Connections that were lost with a request, here and at peers.
     pub(crate) losses: Losses,
     own_at_report: usize,
@@ -81,7 +84,7 @@
             evacuated: false,
             circuit: Circuit::default(),
             refusals: Refusals::default(),
-            recent_handovers: RecentHandovers::default(),
+            handovers: Handovers::default(),
             losses: Losses::default(),
             own_at_report: 0,
         }
@@ -238,8 +241,11 @@
     /// The requests a second that it takes from all VMs together, if they are bounded.
     #[must_use]
     pub fn bounded_rate(&self, now: Time) -> Option<f64> {
-        let is_cold = self.spec.warm_at > now;
-        (is_cold && self.spec.cold_rate > 0.0).then_some(self.spec.cold_rate)
+        let is_cold = self.spec.warm_at > now && self.spec.cold_rate > 0.0;
+        let cold = is_cold.then_some(self.spec.cold_rate);
+        let named = self.word.rate_limit().per_second();
+        let named = named.map(|rate| rate.max(TRIAL_RATE));
+        cold.into_iter().chain(named).min_by(f64::total_cmp)
     }
 
     /// Whether one more request is within its bounded rate; `seed` differs from VM to VM.
@@ -253,21 +259,16 @@
         let Some(rate) = self.bounded_rate(now) else {
             return true;
         };
-        let peers: usize = self
-            .peers
-            .iter()
-            .map(|p| p.recent_handovers.count(now))
-            .sum();
-        let known = self.recent_handovers.count(now) + peers;
         let part = if near { share.near } else { share.far };
-        Allowance::of(rate, part, share.vms).admits(known, now, &self.spec.id, seed)
+        let allowance = Allowance::of(rate, part, share.vms);
+        allowance.admits(&self.handovers, now, &self.spec.id, seed)
     }
 
     /// A request is handed over.
     pub(crate) fn given(&mut self, now: Time) {
         self.refusals.given();
         if self.bounded_rate(now).is_some() {
-            self.recent_handovers.given(now);
+            self.handovers.given(now);
         }
     }
 
@@ -319,6 +320,7 @@
             held_tokens: held as u64,
             loading_tokens: loading as u64,
             lost_ms: None,
+            handovers: 0,
             recent_handovers: 0,
         }
     }
--- a/trouttrack_core/src/upstream/runs.rs
+++ b/trouttrack_core/src/upstream/runs.rs
@@ -2,7 +2,6 @@
 //! they are forecast to need.
 
 use super::backlog::Backlog;
-use super::shared_rate::ToldHandovers;
 use crate::world::RequestKey;
 use crate::{FailureDomain, Time};
 
@@ -45,8 +44,6 @@
     pub(crate) loading: Backlog,
     /// When a request of its own last lost its connection there before any answer.
     pub(crate) lost_at: Option<Time>,
-    /// Its hand-overs while the upstream's rate is bounded.
-    pub(crate) recent_handovers: ToldHandovers,
 }
 
 /// Peaks of several VMs' requests do not come at the same time: this share of the
--- a/trouttrack_core/src/upstream/shared_rate.rs
+++ b/trouttrack_core/src/upstream/shared_rate.rs
@@ -7,14 +7,19 @@
 //! together; those of another one hear each other, and keep to a part that is safe
 //! whatever others do.
 
+use super::runs::Teller;
 use crate::Time;
-use std::collections::VecDeque;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use std::collections::{HashMap, VecDeque};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// The time over which requests are counted: the rate is one a second.
-const WINDOW: Time = Time::from_secs(1);
-/// The part of the rate that is used: what several VMs place within the milliseconds
-/// that it takes to tell comes on top.
+/// The time over which requests that come together are counted: the rate is one a second.
+const BURST: Time = Time::from_secs(1);
+/// The time over which a rate is kept to, whatever comes together.
+const STEADY: Time = Time::from_secs(4);
+/// The most requests that one word of a peer adds.
+const MOST_COUNTED: usize = 1000;
+/// The part of the rate that is used in any one second: what several VMs place within the
+/// milliseconds that it takes to tell comes on top.
 const USED: f64 = 0.95;
 /// The part of an even share that VMs elsewhere use. With all failure domains but one
 /// elsewhere they use half of the rate before the VMs nearby have heard of it, who then
@@ -73,43 +78,69 @@
     }
 }
 
-/// The requests that this VM has handed over to an upstream while its rate was bounded.
+/// What a VM tells of its hand-overs to an upstream whose rate is bounded.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct ToldHandovers {
+    /// All since it started.
+    pub(crate) all: u32,
+    /// Those of the last seconds.
+    pub(crate) recent: u32,
+}
+
+/// What was handed over to an upstream while its rate was bounded, as far as is known.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct RecentHandovers {
-    given_at: VecDeque<Time>,
+pub(crate) struct Handovers {
+    /// How many this VM has handed over in all.
+    own: u32,
+    /// When it handed the last ones over.
+    own_at: VecDeque<Time>,
+    /// How many each peer has told of in all.
+    told: HashMap<Teller, u32>,
+    /// When the last ones were handed over or told of.
+    at: VecDeque<Time>,
 }
 
-impl RecentHandovers {
-    /// A request is handed over.
+impl Handovers {
+    /// This VM hands over a request.
     pub(crate) fn given(&mut self, now: Time) {
-        self.given_at.retain(|at| now.saturating_sub(*at) < WINDOW);
-        self.given_at.push_back(now);
+        self.own = self.own.saturating_add(1);
+        self.own_at.retain(|at| now.saturating_sub(*at) < STEADY);
+        self.own_at.push_back(now);
+        self.add(now, 1);
     }
 
-    /// Requests handed over within the last second.
-    pub(crate) fn count(&self, now: Time) -> usize {
-        let recent = |at: &&Time| now.saturating_sub(**at) < WINDOW;
-        self.given_at.iter().filter(recent).count()
+    /// A peer tells how many it has handed over, in all and lately. What it told before may
+    /// be unknown, or of a former start of it.
+    pub(crate) fn told(&mut self, now: Time, teller: &Teller, told: ToldHandovers) {
+        if told.all == 0 {
+            return;
+        }
+        let before = self.told.insert(teller.clone(), told.all);
+        let new = before.and_then(|before| told.all.checked_sub(before));
+        self.add(now, new.unwrap_or(told.recent));
     }
-}
 
-/// What a peer told of its requests to an upstream whose rate is bounded.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct ToldHandovers {
-    /// When.
-    pub(crate) at: Time,
-    /// How many it had handed over within the second before.
-    pub(crate) count: usize,
-}
+    fn add(&mut self, now: Time, count: u32) {
+        self.at.retain(|at| now.saturating_sub(*at) < STEADY);
+        let most = usize::try_from(count)
+            .unwrap_or(MOST_COUNTED)
+            .min(MOST_COUNTED);
+        self.at.extend(std::iter::repeat_n(now, most));
+    }
 
-impl ToldHandovers {
-    /// Those that may lie within the last second.
-    pub(crate) fn count(&self, now: Time) -> usize {
-        match now.saturating_sub(self.at) < WINDOW {
-            true => self.count,
-            false => 0,
+    /// What this VM has handed over, to be told.
+    pub(crate) fn own(&self, now: Time) -> ToldHandovers {
+        let recent = |at: &&Time| now.saturating_sub(**at) < STEADY;
+        ToldHandovers {
+            all: self.own,
+            recent: self.own_at.iter().filter(recent).count() as u32,
         }
     }
+
+    fn within(&self, now: Time, window: Time) -> usize {
+        let recent = |at: &&Time| now.saturating_sub(**at) < window;
+        self.at.iter().filter(recent).count()
+    }
 }
 
 /// Requests a second that some VMs may hand over together.
@@ -125,27 +156,32 @@
     /// What may be used of a rate of which `part` is left to these VMs.
     pub(crate) fn of(rate: f64, part: f64, vms: usize) -> Self {
         Self {
-            per_second: rate * USED * part,
+            per_second: rate * part,
             vms,
         }
     }
 
-    /// Whether one more request is within it; `known` were handed over in the last second,
-    /// as far as was heard.
+    /// Whether one more request is within it.
     ///
     /// What it has beyond whole requests is one request more in some of the seconds. Each VM
     /// draws for itself, with its part of the chance: `id` and `seed` make the VMs of a fleet
     /// draw differently.
-    pub(crate) fn admits(self, known: usize, now: Time, id: &str, seed: u64) -> bool {
-        let whole = self.per_second.floor();
-        let chance = self.per_second.fract() / self.vms as f64;
-        let known = known as f64;
+    pub(crate) fn admits(self, known: &Handovers, now: Time, id: &str, seed: u64) -> bool {
+        let steady = (self.per_second * STEADY.as_secs_f64()).floor().max(1.0);
+        if known.within(now, STEADY) as f64 >= steady {
+            return false;
+        }
+        let at_once = self.per_second * USED;
+        let whole = at_once.floor();
+        let chance = at_once.fract() / self.vms as f64;
+        let known = known.within(now, BURST) as f64;
         known < whole || (known - whole).abs() < 0.5 && draw(now, id, seed) < chance
     }
 }
 
 /// A number from 0 to 1 that stays the same for a second.
 fn draw(now: Time, id: &str, seed: u64) -> f64 {
-    let drawn = xxh3_64_with_seed(id.as_bytes(), seed.wrapping_add(now.as_secs()));
+    let second = xxh3_64(&now.as_secs().to_le_bytes());
+    let drawn = xxh3_64_with_seed(id.as_bytes(), seed ^ second);
     drawn as f64 / u64::MAX as f64
 }
--- a/trouttrack_core/src/world/peers.rs
+++ b/trouttrack_core/src/world/peers.rs
@@ -123,6 +123,7 @@
                 continue;
             };
             rows.push(key);
+            u.handovers.told(now, &teller, told_handovers(used));
             u.take_peer(peer_use(now, &teller, used, near));
         }
         let heard = PeerHeard { at: now, rows };
@@ -130,6 +131,13 @@
     }
 }
 
+fn told_handovers(used: &UpstreamUse) -> ToldHandovers {
+    ToldHandovers {
+        all: used.handovers,
+        recent: used.recent_handovers,
+    }
+}
+
 fn peer_use(now: Time, teller: &Teller, used: &UpstreamUse, near: bool) -> PeerUse {
     PeerUse {
         teller: teller.clone(),
@@ -138,10 +146,6 @@
         peak_tokens: used.peak_tokens as f64,
         held_tokens: used.held_tokens as f64,
         loading: Backlog::of(now, used.loading_tokens as f64),
-        recent_handovers: ToldHandovers {
-            at: now,
-            count: used.recent_handovers as usize,
-        },
         lost_at: used
             .lost_ms
             .filter(|_| near)
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -267,7 +267,7 @@
     #[must_use]
     pub fn own_uses(&self, now: Time) -> Vec<UpstreamUse> {
         let told = |u: &Upstream| {
-            let bounded = u.recent_handovers.count(now) > 0;
+            let bounded = u.handovers.own(now).recent > 0;
             u.own_running > 0 || bounded || u.losses.age(now).is_some()
         };
         let used = self.upstreams.iter().filter(|(_, u)| told(u));
@@ -278,7 +278,8 @@
             held_tokens: u.own_held() as u64,
             loading_tokens: u.own_loading() as u64,
             lost_ms: u.losses.age(now).map(|age| age.as_millis() as u64),
-            recent_handovers: u.recent_handovers.count(now) as u32,
+            handovers: u.handovers.own(now).all,
+            recent_handovers: u.handovers.own(now).recent,
         })
         .collect()
     }
--- a/trouttrack_core/tests/core/bounded_fleet.rs
+++ b/trouttrack_core/tests/core/bounded_fleet.rs
@@ -82,11 +82,14 @@
     given.iter().map(within).max().unwrap_or(0)
 }
 
+/// A VM's use of an upstream: hand-overs in all, and of the last seconds.
+type Use = (String, u32, u32);
+
 /// What passes between the VMs of a fleet.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival,
-    Hear(usize, usize, Vec<(String, u32)>),
+    Hear(usize, usize, Vec<Use>),
 }
 
 struct Play {
@@ -185,14 +188,14 @@
     /// Tells the own failure domain, and those where the used upstreams stand.
     fn tell(&mut self, now: Time, from: usize) {
         let uses = self.worlds[from].own_uses(now);
-        let told: Vec<(String, u32)> = uses
+        let told: Vec<Use> = uses
             .iter()
-            .map(|u| (u.upstream.clone(), u.recent_handovers))
+            .map(|u| (u.upstream.clone(), u.handovers, u.recent_handovers))
             .collect();
         let number = |id: &str| id[1..].parse::<usize>().expect("numbered");
         let there: Vec<usize> = told
             .iter()
-            .map(|(id, _)| number(id) % self.fleet.domains)
+            .map(|(id, ..)| number(id) % self.fleet.domains)
             .collect();
         for to in 0..self.worlds.len() {
             let domain = to / self.fleet.vms;
@@ -205,17 +208,18 @@
         }
     }
 
-    fn hear(&mut self, now: Time, to: usize, from: usize, told: &[(String, u32)]) {
+    fn hear(&mut self, now: Time, to: usize, from: usize, told: &[Use]) {
         let uses: Vec<UpstreamUse> = told
             .iter()
-            .map(|(id, starts)| UpstreamUse {
+            .map(|(id, handovers, recent)| UpstreamUse {
                 upstream: id.clone(),
                 running: 0,
                 peak_tokens: 0,
                 held_tokens: 0,
                 loading_tokens: 0,
                 lost_ms: None,
-                recent_handovers: *starts,
+                handovers: *handovers,
+                recent_handovers: *recent,
             })
             .collect();
         let home = domain(from / self.fleet.vms);
--- a/trouttrack_core/tests/core/known_load.rs
+++ b/trouttrack_core/tests/core/known_load.rs
@@ -17,6 +17,7 @@
         held_tokens: 1_000 * u64::from(running),
         loading_tokens: 3_000,
         lost_ms: None,
+        handovers: 0,
         recent_handovers: 0,
     }
 }
--- a/trouttrack_core/tests/core/membership.rs
+++ b/trouttrack_core/tests/core/membership.rs
@@ -80,6 +80,7 @@
             held_tokens: 0,
             loading_tokens: 0,
             lost_ms: None,
+            handovers: 0,
             recent_handovers: 0,
         }],
         ..Digest::default()
--- a/trouttrack_core/tests/core/upstream_table.rs
+++ b/trouttrack_core/tests/core/upstream_table.rs
@@ -29,6 +29,7 @@
         held_tokens: 0,
         loading_tokens: 0,
         lost_ms: None,
+        handovers: 0,
         recent_handovers: 0,
     }
 }
--- a/trouttrack_core/tests/core/world.rs
+++ b/trouttrack_core/tests/core/world.rs
@@ -351,6 +351,7 @@
             held_tokens: 0,
             loading_tokens: 9000,
             lost_ms: None,
+            handovers: 0,
             recent_handovers: 0,
         }];
         world.peer_uses(Duration::ZERO, "g2", "a", &uses);
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -13,7 +13,7 @@
 use trouttrack_platform::UpstreamEntry;
 
 /// The form of the datagrams, which changes with any of the types below.
-const FORM: u8 = 4;
+const FORM: u8 = 5;
 
 /// What a VM sends.
 #[derive(Debug, Serialize, Deserialize)]
--- a/trouttrack_rpc/tests/rpc/main.rs
+++ b/trouttrack_rpc/tests/rpc/main.rs
@@ -163,6 +163,7 @@
             held_tokens: 0,
             loading_tokens: 0,
             lost_ms: None,
+            handovers: 0,
             recent_handovers: 0,
         }],
         marks: vec![MarkEntry {
