VMs tell each other which rate limits upstreams have named, and that they have ended

What was seen: a limit bound only VMs that had passed on an answer naming it; others sent as before, and in a large fleet each VM would have to exceed it to learn of it. A limit that ended lasted at each VM until that VM got an answer by itself, at 295 VMs after minutes.

A change is told at once to the failure domain and to that of the upstream, and with heartbeats for as long as the limit lasts, its end for 10 s; at most 16 in a datagram.

--- a/trouttrack_core/src/membership/mod.rs
+++ b/trouttrack_core/src/membership/mod.rs
@@ -26,6 +26,7 @@
     CONFIRMED_BY_STORE, CONFIRMED_BY_WATCHER, LISTS_AGAIN, NEWS_ANSWERS, NEWS_LATE,
 };
 pub use telling::{
-    FAR_TOLD, NEAR_TOLD, heartbeat_pause, longest_silence, tells_sums, watchers_pause,
+    CHANGED_LIMIT_TOLD, FAR_TOLD, LIMITS_TOLD, NEAR_TOLD, heartbeat_pause, longest_silence,
+    tells_sums, watchers_pause,
 };
 pub use watch::watches;
--- a/trouttrack_core/src/membership/telling.rs
+++ b/trouttrack_core/src/membership/telling.rs
@@ -29,6 +29,10 @@
 /// Up to this many VMs each tells its use of upstreams to all others. In a larger fleet
 /// it tells those of its failure domain, and others hear of sums.
 const TELL_ALL: usize = 24;
+/// The most limits of upstreams that one datagram tells of, some 40 bytes each.
+pub const LIMITS_TOLD: usize = 16;
+/// For how long a limit that has changed is told with each change of use.
+pub const CHANGED_LIMIT_TOLD: Duration = Duration::from_secs(1);
 /// Turns that a peer must have missed to count as lost. Where a third of the peers is
 /// drawn each time, one that lives is left out for four turns once in 130.
 const MISSED_TURNS: f64 = 4.0;
--- a/trouttrack_core/src/upstream/mod.rs
+++ b/trouttrack_core/src/upstream/mod.rs
@@ -16,7 +16,7 @@
 pub(crate) use backlog::Backlog;
 pub use circuit::{Circuit, CircuitState};
 pub use incarnation::Incarnation;
-pub use rate_limit::{RateLimit, RateStatement};
+pub use rate_limit::{RateLimit, RateStatement, ToldLimit};
 pub use row::{Upstream, UpstreamKey};
 pub use runs::OwnRun;
 pub(crate) use runs::{PeerUse, Teller};
--- a/trouttrack_core/src/upstream/words.rs
+++ b/trouttrack_core/src/upstream/words.rs
@@ -4,7 +4,7 @@
 //! configuration or a word that says nothing of it take nothing back.
 
 use super::incarnation::Incarnation;
-use super::rate_limit::{RateLimit, RateStatement};
+use super::rate_limit::{RateLimit, RateStatement, ToldLimit};
 use crate::Time;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -16,6 +16,9 @@
 /// pause, and far longer than the seconds in which a listed upstream comes back.
 const KEPT: Duration = LONGEST_PAUSE;
 
+/// How long VMs are told that a limit has ended.
+const END_TOLD: Duration = Duration::from_secs(10);
+
 /// What one life of an upstream has said of itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Word {
@@ -92,17 +95,30 @@
     word: Word,
     /// What it last said of the requests that it takes.
     rate: RateStatement,
+    /// When the limit changed by it.
+    rate_changed_at: Time,
     /// When it last said something.
     at: Time,
 }
 
 impl Heard {
-    fn take_rate(&mut self, statement: RateStatement) {
-        if statement.replaces(&self.rate) {
-            self.rate = statement;
+    fn take_rate(&mut self, now: Time, statement: RateStatement) {
+        if !statement.replaces(&self.rate) {
+            return;
+        }
+        self.rate = statement;
+        if self.word.rate_limit != statement.limit {
             self.word.rate_limit = statement.limit;
+            self.rate_changed_at = now;
         }
     }
+
+    /// Whether other VMs are to hear of its limit, or that it has ended.
+    fn tells_limit(&self, now: Time) -> bool {
+        let ended = self.rate_changed_at > Time::ZERO
+            && now.saturating_sub(self.rate_changed_at) < END_TOLD;
+        self.word.rate_limit.is_limited() || ended
+    }
 }
 
 /// Whether a word is what is believed of a life that has said nothing.
@@ -125,7 +141,7 @@
                 let until = now + pause.min(LONGEST_PAUSE);
                 heard.word.rests_until = heard.word.rests_until.max(until);
             }
-            Said::Takes(statement) => heard.take_rate(statement),
+            Said::Takes(statement) => heard.take_rate(now, statement),
         }
         heard.at = now;
         heard.word != before
@@ -137,6 +153,21 @@
         self.by_life.get(life).copied().unwrap_or_default().word
     }
 
+    /// The limits that other VMs are to hear of, with their ends, those heard last first: of
+    /// all lives, or of those whose limit has changed since `changed_after`.
+    #[must_use]
+    pub fn limits(&self, now: Time, changed_after: Time) -> Vec<ToldLimit> {
+        let told = self
+            .by_life
+            .iter()
+            .filter(|(_, heard)| heard.tells_limit(now) && heard.rate_changed_at >= changed_after);
+        let mut told: Vec<ToldLimit> = told
+            .map(|(life, heard)| ToldLimit::new(life, &heard.rate, now))
+            .collect();
+        told.sort_by_key(|limit| limit.heard_ms);
+        told
+    }
+
     /// Forgets what was said long ago in lives that are listed no more.
     pub fn forget(&mut self, now: Time, listed: impl Fn(&Incarnation) -> bool) {
         self.by_life
--- a/trouttrack_core/src/world/words.rs
+++ b/trouttrack_core/src/world/words.rs
@@ -1,7 +1,7 @@
 //! What upstreams say of themselves, in the tables that decisions are made on.
 
 use super::tables::World;
-use crate::upstream::{Incarnation, Said, Word};
+use crate::upstream::{Incarnation, Said, ToldLimit, Word};
 use crate::{Time, UpstreamId};
 
 impl World {
@@ -25,6 +25,12 @@
         news
     }
 
+    /// The limits of upstreams that other VMs are to hear of; see [`Words::limits`].
+    #[must_use]
+    pub fn limits(&self, now: Time, changed_after: Time) -> Vec<ToldLimit> {
+        self.words.limits(now, changed_after)
+    }
+
     /// What a life of an upstream has said of itself.
     #[must_use]
     pub fn word_of(&self, life: &Incarnation) -> Word {
--- a/trouttrack_core/tests/core/bounded_fleet.rs
+++ b/trouttrack_core/tests/core/bounded_fleet.rs
@@ -39,11 +39,8 @@
 
 /// What an upstream says whose limit is so many requests a second.
 pub(crate) fn takes(now: Time, per_second: f64) -> Said {
-    Said::Takes(RateStatement {
-        limit: RateLimit::PerSecond(per_second),
-        asked_at: now,
-        heard_at: now,
-    })
+    let limit = RateLimit::PerSecond(per_second);
+    Said::Takes(RateStatement::new(limit, now, now))
 }
 
 fn domain(n: usize) -> String {
--- a/trouttrack_core/tests/core/rate_limits.rs
+++ b/trouttrack_core/tests/core/rate_limits.rs
@@ -105,11 +105,8 @@
 #[test]
 fn a_limit_ends_with_an_answer_that_is_surely_newer() {
     let unlimited = |asked_at| {
-        Said::Takes(RateStatement {
-            limit: RateLimit::Unlimited,
-            asked_at,
-            heard_at: NOW + SECOND,
-        })
+        let heard_at = NOW + SECOND;
+        Said::Takes(RateStatement::new(RateLimit::Unlimited, asked_at, heard_at))
     };
     let mut world = one();
     world.hear(NOW, &life(), takes(NOW, 2.0));
--- a/trouttrack_front/src/follow/mod.rs
+++ b/trouttrack_front/src/follow/mod.rs
@@ -22,7 +22,7 @@
 pub(crate) use config::take_revision as take_config;
 pub(crate) use evacuations::{Told, take_evacuations};
 pub(crate) use upstreams::{Taken, take_news};
-pub(crate) use words::{heard_in_answer, heard_in_report};
+pub(crate) use words::{heard_from_peer, heard_in_answer, heard_in_report};
 
 use crate::state::Front;
 use std::net::SocketAddr;
--- a/trouttrack_front/src/follow/words.rs
+++ b/trouttrack_front/src/follow/words.rs
@@ -3,14 +3,14 @@
 //! The head of any answer may say that its upstream leaves, also while the store is away and
 //! nobody else can, that it wants nothing from this VM for a while, or how many requests a
 //! second it takes from all VMs together. The store's entry and an engine's report say the
-//! first too.
+//! first too. Limits are also told by VM to VM: one that gets no answer goes by them too.
 
 use super::upstreams::said_leaving;
 use crate::state::{Front, Upstream};
 use std::rc::Rc;
 use trouttrack_core::Time;
 use trouttrack_core::rescue::Departure;
-use trouttrack_core::upstream::{RateLimit, RateStatement, Said};
+use trouttrack_core::upstream::{Incarnation, RateLimit, RateStatement, Said, ToldLimit};
 use trouttrack_platform::{AnswerHead, EngineReport, OwnWord};
 use trouttrack_telemetry::{events, record};
 
@@ -20,6 +20,8 @@
     word: OwnWord,
     /// What carried the word.
     carrier: &'static str,
+    /// The VM that told of it.
+    peer: Option<&'a str>,
     /// The request that the answer is to.
     request: Option<&'a str>,
     /// The answer's status.
@@ -45,6 +47,7 @@
     let told = Told {
         word,
         carrier: "answer",
+        peer: None,
         request: Some(request),
         status: Some(head.status.as_u16()),
         asked_at,
@@ -72,6 +75,7 @@
             ..report.word
         },
         carrier: "report",
+        peer: None,
         request: None,
         status: None,
         asked_at,
@@ -79,6 +83,29 @@
     heard(front, upstream, &told, Departure::reported(asked_at));
 }
 
+/// A peer has told of limits that upstreams named, or that have ended.
+pub(crate) fn heard_from_peer(front: &Front, peer: &str, limits: &[ToldLimit]) {
+    let now = front.clock.now();
+    for limit in limits {
+        let statement = limit.statement(now);
+        if !front.scheduler.hear(&limit.life, Said::Takes(statement)) {
+            continue;
+        }
+        let told = Told {
+            word: OwnWord {
+                rate_limit: Some(statement.limit),
+                ..OwnWord::default()
+            },
+            carrier: "peer",
+            peer: Some(peer),
+            request: None,
+            status: None,
+            asked_at: now,
+        };
+        record(front, &limit.life, &told);
+    }
+}
+
 /// Takes in a word. What was placed by then and not yet sent goes elsewhere.
 fn heard(front: &Rc<Front>, upstream: &Rc<Upstream>, told: &Told<'_>, departure: Departure) {
     let ends_limit = told.word.rate_limit == Some(RateLimit::Unlimited)
@@ -89,11 +116,8 @@
     let life = upstream.incarnation();
     let hear = |said| front.scheduler.hear(&life, said);
     let limit_changed = told.word.rate_limit.is_some_and(|limit| {
-        hear(Said::Takes(RateStatement {
-            limit,
-            asked_at: told.asked_at,
-            heard_at: front.clock.now(),
-        }))
+        let now = front.clock.now();
+        hear(Said::Takes(RateStatement::new(limit, told.asked_at, now)))
     });
     let rests = told
         .word
@@ -101,7 +125,10 @@
         .is_some_and(|pause| hear(Said::Rests(pause)));
     let leaving = told.word.leaving && hear(Said::Leaves);
     if rests || leaving || limit_changed {
-        record(front, upstream, told);
+        record(front, &life, told);
+    }
+    if limit_changed {
+        front.scheduler.tell_soon();
     }
     // Its entry may have gone and come back while the request was there.
     let listed = front.upstreams.get(&upstream.id);
@@ -111,14 +138,15 @@
     }
 }
 
-fn record(front: &Front, upstream: &Upstream, told: &Told<'_>) {
+fn record(front: &Front, life: &Incarnation, told: &Told<'_>) {
     let limit = told.word.rate_limit;
     let pause_ms = told.word.pause.map(|p| p.as_millis() as u64);
     record!(
         events::UPSTREAM_SAID,
-        upstream = upstream.id.as_str(),
-        born = upstream.born,
+        upstream = life.id.as_str(),
+        born = life.born,
         carrier = told.carrier,
+        peer = told.peer,
         request = told.request,
         status = told.status,
         leaving = told.word.leaving,
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -19,8 +19,10 @@
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 use trouttrack_core::FailureDomain;
-use trouttrack_core::membership::{Digest, FAR_TOLD, NEAR_TOLD, UpstreamUse, tells_sums};
-use trouttrack_core::upstream::RateShare;
+use trouttrack_core::membership::{
+    CHANGED_LIMIT_TOLD, Digest, FAR_TOLD, NEAR_TOLD, UpstreamUse, tells_sums,
+};
+use trouttrack_core::upstream::{RateShare, ToldLimit};
 
 /// Pause after a placement or a loss before it is told, for until then others choose
 /// the same upstream; several are told together.
@@ -118,7 +120,8 @@
 fn send_load(front: &Front, socket: &UdpSocket) {
     let everyone = !is_large(front);
     let uses = front.scheduler.own_uses();
-    let domains = domains_of(front, &uses);
+    let limits = front.scheduler.limits(Some(CHANGED_LIMIT_TOLD));
+    let domains = domains_of(front, &uses, &limits);
     let concerned = |domain: &str| {
         everyone || domain == front.failure_domain || domains.iter().any(|d| d == domain)
     };
@@ -130,14 +133,17 @@
         name: front.name.clone(),
         number: front.peers.next(front.clock.now()),
         uses,
+        limits,
     };
     post_to_all(socket, &Datagram::Load(load), receivers);
 }
 
-/// Where the upstreams stand that are used.
-fn domains_of(front: &Front, uses: &[UpstreamUse]) -> Vec<FailureDomain> {
-    let used = uses.iter().filter_map(|u| front.upstreams.get(&u.upstream));
-    used.map(|u| u.failure_domain.clone()).collect()
+/// Where the upstreams stand that are used, or whose limits have changed.
+fn domains_of(front: &Front, uses: &[UpstreamUse], limits: &[ToldLimit]) -> Vec<FailureDomain> {
+    let used = uses.iter().map(|u| &u.upstream);
+    let named = used.chain(limits.iter().map(|limit| &limit.life.id));
+    let known = named.filter_map(|id| front.upstreams.get(id));
+    known.map(|u| u.failure_domain.clone()).collect()
 }
 
 fn is_large(front: &Front) -> bool {
@@ -187,6 +193,7 @@
         evacuations: front.evacuations.borrow().clone(),
         store_ms: front.store_contact.age_ms(front.clock.now()),
         suspects: front.suspects.checksum(),
+        limits: front.scheduler.limits(None),
         domain_uses: match is_large(front) {
             true => front.scheduler.domain_uses(),
             false => Vec::new(),
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -10,6 +10,7 @@
 use trouttrack_core::UpstreamId;
 use trouttrack_core::membership::{Digest, Evacuations, UpstreamUse};
 use trouttrack_core::quarantine::Suspect;
+use trouttrack_core::upstream::ToldLimit;
 use trouttrack_platform::UpstreamEntry;
 
 /// The form of the datagrams, which changes with any of the types below.
@@ -69,6 +70,8 @@
     pub(super) domain_uses: Vec<UpstreamUse>,
     /// A sum over the requests that are held there.
     pub(super) suspects: u64,
+    /// The limits that upstreams have named, as far as it knows.
+    pub(super) limits: Vec<ToldLimit>,
 }
 
 /// How long ago a VM's configuration was confirmed.
@@ -91,6 +94,8 @@
     pub(super) number: Echo,
     /// Its use of upstreams.
     pub(super) uses: Vec<UpstreamUse>,
+    /// The limits that upstreams have named lately, as far as it knows.
+    pub(super) limits: Vec<ToldLimit>,
 }
 
 /// Names a numbered datagram.
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -8,8 +8,10 @@
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 use trouttrack_core::UpstreamId;
-use trouttrack_core::membership::{Evacuations, UpstreamUse};
-use trouttrack_core::upstream::{Incarnation, RateLimit, RateShare, Said, Spec, Upstream, Word};
+use trouttrack_core::membership::{Evacuations, LIMITS_TOLD, UpstreamUse};
+use trouttrack_core::upstream::{
+    Incarnation, RateLimit, RateShare, Said, Spec, ToldLimit, Upstream, Word,
+};
 use trouttrack_core::world::{
     Decision, NotRunReason, RequestKey, Submission, World, WorldSettings,
 };
@@ -148,7 +150,7 @@
     }
 
     /// Something has changed that the other VMs are to hear of soon.
-    pub(super) fn tell_soon(&self) {
+    pub(crate) fn tell_soon(&self) {
         self.news.notify_one();
     }
 
@@ -198,6 +200,17 @@
         row.map_or(RateLimit::Unlimited, Upstream::named_limit)
     }
 
+    /// The limits of upstreams that other VMs are to hear of, or those that have changed
+    /// within a time.
+    #[must_use]
+    pub fn limits(&self, changed_within: Option<Duration>) -> Vec<ToldLimit> {
+        let now = self.clock.now();
+        let after = changed_within.map_or(Duration::ZERO, |time| now.saturating_sub(time));
+        let mut limits = self.world.borrow().limits(now, after);
+        limits.truncate(LIMITS_TOLD);
+        limits
+    }
+
     /// What a life of an upstream has said of itself.
     #[must_use]
     pub fn word_of(&self, life: &Incarnation) -> Word {
