What the rates of all upstreams do not let through in time is refused at once

Where every upstream of a service bounds its rate, callers beyond that waited until their deadline and were refused then. Now those who would not be reached in time, even if this VM used all that it shares with others, are told so as they come, and when their turn would be. The first in line stays: its turn may come at any time. Requests are taken in the order of their class, then of arrival.

--- a/trouttrack_core/src/upstream/rate_limit.rs
+++ b/trouttrack_core/src/upstream/rate_limit.rs
@@ -139,6 +139,7 @@
         RateStatement {
             limit: self
                 .per_second
+                .filter(|rate| rate.is_finite())
                 .map_or(RateLimit::Unlimited, RateLimit::PerSecond),
             asked_at: at(self.asked_ms),
             heard_at: at(self.heard_ms),
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -22,6 +22,8 @@
 /// The lowest limit that is gone by, in requests a second: only the answer to a request can
 /// say that a limit has ended.
 const TRIAL_RATE: f64 = 0.05;
+/// The highest rate that is gone by, in requests a second: more than a VM can hand over.
+const HIGHEST_RATE: f64 = 1e5;
 /// How much others' memory may be taken to rise with the own.
 const LARGEST_RISE: f64 = 1.5;
 
@@ -245,7 +247,8 @@
         let cold = is_cold.then_some(self.spec.cold_rate);
         let named = self.word.rate_limit().per_second();
         let named = named.map(|rate| rate.max(TRIAL_RATE));
-        cold.into_iter().chain(named).min_by(f64::total_cmp)
+        let lowest = cold.into_iter().chain(named).min_by(f64::total_cmp);
+        lowest.map(|rate| rate.min(HIGHEST_RATE))
     }
 
     /// Whether one more request is within its bounded rate; `seed` differs from VM to VM.
@@ -256,14 +259,25 @@
         near: bool,
         seed: u64,
     ) -> bool {
-        let Some(rate) = self.bounded_rate(now) else {
+        let Some(allowance) = self.allowance(now, share, near) else {
             return true;
         };
-        let part = if near { share.near } else { share.far };
-        let allowance = Allowance::of(rate, part, share.vms);
         allowance.admits(&self.handovers, now, &self.spec.id, seed)
     }
 
+    /// The requests a second that the VMs of a share may hand over together, if its rate is
+    /// bounded.
+    pub(crate) fn shared_rate(&self, now: Time, share: RateShare, near: bool) -> Option<f64> {
+        let allowance = self.allowance(now, share, near)?;
+        Some(allowance.per_second)
+    }
+
+    fn allowance(&self, now: Time, share: RateShare, near: bool) -> Option<Allowance> {
+        let part = if near { share.near } else { share.far };
+        let rate = self.bounded_rate(now)?;
+        Some(Allowance::of(rate, part, share.vms))
+    }
+
     /// A request is handed over.
     pub(crate) fn given(&mut self, now: Time) {
         self.refusals.given();
--- a/trouttrack_core/src/world/systems.rs
+++ b/trouttrack_core/src/world/systems.rs
@@ -15,6 +15,8 @@
 const EXACT: usize = 16;
 /// Candidates kept in an explanation.
 const EXPLAINED_CANDIDATES: usize = 8;
+/// The longest time that a turn is computed for; no request waits that long.
+const LONGEST_TURN: Duration = Duration::from_secs(3600);
 /// The shortest time after which a refused caller may come back.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -25,6 +27,7 @@
         let mut decisions = std::mem::take(&mut self.refused);
         self.place(now, &mut decisions);
         self.give_up(now);
+        self.give_up_beyond_rates(now);
         decisions.append(&mut self.refused);
         decisions
     }
@@ -54,6 +57,56 @@
         }
     }
 
+    /// Refuses at once what waits for a service all of whose upstreams bound their rates, and
+    /// would not be reached in time even if this VM used all that its fleet may use there.
+    fn give_up_beyond_rates(&mut self, now: Time) {
+        let mut supplies: HashMap<&str, Option<f64>> = HashMap::new();
+        let mut waiting: HashMap<&str, Vec<RequestKey>> = HashMap::new();
+        for &(_, key) in &self.deadlines {
+            let service = self.requests[key].submission.service.as_str();
+            let supply = supplies
+                .entry(service)
+                .or_insert_with(|| self.bounded_supply(now, service));
+            if supply.is_some() {
+                waiting.entry(service).or_default().push(key);
+            }
+        }
+        let mut late = Vec::new();
+        for (service, mut keys) in waiting {
+            let Some(rate) = supplies[service] else {
+                continue;
+            };
+            keys.sort_by_key(|key| {
+                let request = &self.requests[*key];
+                (request.submission.priority, request.since)
+            });
+            // The first one's turn may come at any time.
+            let mut before = 0;
+            for key in keys {
+                let turn = (f64::from(before) / rate).min(LONGEST_TURN.as_secs_f64());
+                let turn = Duration::from_secs_f64(turn);
+                match now + turn > self.requests[key].submission.deadline {
+                    true => late.push((key, turn)),
+                    false => before += 1,
+                }
+            }
+        }
+        for (key, turn) in late {
+            self.refuse_for(key, NotRunReason::RateLimited, turn.max(RETRY_AFTER));
+        }
+    }
+
+    /// The requests a second that a service's upstreams take from the VMs that share their
+    /// rates with this one; `None` if one takes as many as come, or it is not known.
+    fn bounded_supply(&self, now: Time, service: &str) -> Option<f64> {
+        let serving = self.upstreams.serving(service)?;
+        let rows = serving.keys.iter().filter_map(|k| self.upstreams.get(*k));
+        let wanted = rows.filter(|u| u.wants_work(now));
+        let rates: Option<Vec<f64>> = wanted.map(|u| self.shared_rate(now, u)).collect();
+        let supply: f64 = rates?.iter().sum();
+        (supply > 0.0).then_some(supply)
+    }
+
     /// When an upstream of a service may be given work at the earliest.
     fn opening(&self, now: Time, service: &str) -> Option<Opening> {
         let serving = self.upstreams.serving(service)?;
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -121,6 +121,8 @@
     /// The first upstream that gets work again has asked for a pause that lasts beyond its
     /// deadline.
     Resting,
+    /// Every upstream takes so few requests a second that its turn comes after its deadline.
+    RateLimited,
     /// A retry was due and the service's retry budget is used up.
     RetryBudget,
 }
@@ -302,6 +304,13 @@
         u.bears_one_more(now, self.rate_share, near, self.settings.seed)
     }
 
+    /// The requests a second that this VM and those that share a rate with it may hand over
+    /// to an upstream, if that is bounded.
+    pub(crate) fn shared_rate(&self, now: Time, u: &Upstream) -> Option<f64> {
+        let near = u.spec.failure_domain == self.settings.failure_domain;
+        u.shared_rate(now, self.rate_share, near)
+    }
+
     /// Takes the failure domains that are evacuated: their upstreams get no new work.
     pub fn set_evacuations(&mut self, evacuations: Evacuations) {
         self.upstreams.evacuate(evacuations);
--- a/trouttrack_core/tests/core/rate_limits.rs
+++ b/trouttrack_core/tests/core/rate_limits.rs
@@ -133,6 +133,24 @@
     assert!((1..=60).contains(&tries), "{tries} in ten minutes");
 }
 
+#[test]
+fn a_limit_that_is_hardly_one_lets_all_through_and_one_of_nearly_nothing_almost_none() {
+    let names = |world: &mut World, rate| world.hear(NOW, &life(), takes(NOW, rate));
+    for huge in [1e6, f64::MAX] {
+        let mut world = one();
+        names(&mut world, huge);
+        assert_eq!(placed_of(&mut world, NOW, 100), 100, "{huge}");
+    }
+    for tiny in [-1.0, f64::MIN_POSITIVE] {
+        let mut world = one();
+        names(&mut world, tiny);
+        let given: usize = (0..20)
+            .map(|s| placed_of(&mut world, NOW + SECOND * s, 20))
+            .sum();
+        assert!(given < 5, "{given} in 20 s at {tiny}");
+    }
+}
+
 /// Those that come in excess of a limit wait for nothing: who is not reached in time at the
 /// rate that is left is told so at once, and when to come back.
 #[test]
--- a/trouttrack_front/src/request/end.rs
+++ b/trouttrack_front/src/request/end.rs
@@ -46,6 +46,7 @@
             NotRunReason::NoUpstream => "no upstream runs the service",
             NotRunReason::Unreachable => "no upstream can be reached in time",
             NotRunReason::RetryBudget => "the retry budget is used up",
+            NotRunReason::RateLimited => "every upstream takes few requests a second",
             NotRunReason::Resting => "every upstream has asked for a pause",
             _ => "refused",
         };
