--- a/trouttrack_soak/src/check/mod.rs
+++ b/trouttrack_soak/src/check/mod.rs
@@ -7,6 +7,7 @@
 //! - `stops`: planned work cuts off nothing; leaving upstreams and evacuated failure
 //!   domains get no work.
 //! - `words`: what upstreams say in their answers is heeded.
+//! - `limits`: VMs keep together to the limits that upstreams name.
 //!
 //! Those that hold within a time are checked only if [`Evidence::timed`] says
 //! so: on a machine that is busy with other work they prove nothing.
@@ -15,6 +16,7 @@
 mod ends;
 mod evidence;
 mod keys;
+mod limits;
 mod runs;
 mod stops;
 mod words;
@@ -67,5 +69,6 @@
     findings.extend(stops::check(evidence));
     findings.extend(ends::check(evidence));
     findings.extend(words::check(evidence));
+    findings.extend(limits::check(evidence));
     findings
 }
--- a/trouttrack_soak/src/faults/carry_out.rs
+++ b/trouttrack_soak/src/faults/carry_out.rs
@@ -95,6 +95,7 @@
             Act::LeaveByAnswers(place) => {
                 upstreams::leave_by_answers(bed, place, step.lasts).await;
             }
+            Act::NameLimit(place) => upstreams::name_limit(bed, place, step.lasts).await,
             Act::EndEngines => self.end_engines(step.lasts, rng).await,
         }
     }
--- a/trouttrack_soak/src/faults/upstreams.rs
+++ b/trouttrack_soak/src/faults/upstreams.rs
@@ -16,6 +16,8 @@
 const ENTRY_LASTS: Duration = Duration::from_millis(3600);
 /// What an upstream that turns away asks for: the platform's example.
 const REST: Duration = Duration::from_secs(3);
+/// The requests a second that an upstream in need takes.
+const LIMIT: f64 = 1.0;
 /// Requests that an upstream that misbehaves answers badly.
 const BAD_ANSWERS: Range<usize> = 1..5;
 
@@ -47,6 +49,14 @@
     upstream.turn_away(None);
 }
 
+/// An upstream names a limit in its answers.
+pub(super) async fn name_limit(bed: &Bed, place: usize, lasts: Duration) {
+    let upstream = bed.upstreams.at(place).upstream;
+    upstream.name_limit(Some(LIMIT));
+    sleep(lasts).await;
+    upstream.name_limit(None);
+}
+
 /// An upstream says in its answers that it leaves; the store takes that later.
 pub(super) async fn leave_by_answers(bed: &Bed, place: usize, lasts: Duration) {
     let Some(member) = staying(bed, place) else {
--- a/trouttrack_soak/src/plan/act.rs
+++ b/trouttrack_soak/src/plan/act.rs
@@ -84,6 +84,8 @@
     /// An upstream says in its answers that it leaves, the store takes that only when it
     /// is over; then the upstream serves on for a while and ends.
     LeaveByAnswers(usize),
+    /// An upstream names a limit of requests a second in its answers while it lasts.
+    NameLimit(usize),
     /// A request that ends each engine that begins to run it comes again and again, at
     /// any VM, while it lasts.
     EndEngines,
@@ -103,6 +105,7 @@
                 | Self::Revoke
                 | Self::Evacuate(_)
                 | Self::TurnCold(_)
+                | Self::NameLimit(_)
         )
     }
 }
--- a/trouttrack_soak/src/plan/draw.rs
+++ b/trouttrack_soak/src/plan/draw.rs
@@ -37,6 +37,11 @@
 const MOST_WORDS: usize = 3;
 /// How long it lasts, in seconds: longer than the bound within which it must be heeded.
 const LASTS_WORDS: Range<f64> = 2.5..6.0;
+/// Taken with the seed for upstreams that name a limit; the most of them in a plan, and how
+/// long it lasts, in seconds: longer than until it is judged and the time that it is judged by.
+const LIMITS: u64 = 0x11a3;
+const MOST_LIMITS: usize = 2;
+const LASTS_LIMIT: Range<f64> = 7.5..12.0;
 /// How long bytes are delayed, in milliseconds.
 const DELAY_MS: Range<u64> = 5..400;
 
@@ -90,6 +95,7 @@
         }
         let spoken = words(seed, size, ends).into_iter();
         steps.extend(spoken.filter(|s| !planned_only || s.act.is_planned()));
+        steps.extend(limits(seed, size, ends));
         steps.sort_by_key(|s| s.at);
         Self { steps }
     }
@@ -129,6 +135,22 @@
     })
 }
 
+/// Upstreams that name a limit, drawn by themselves.
+fn limits(seed: u64, size: Size, ends: Duration) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ LIMITS);
+    let first = SETTLE.as_secs_f64();
+    let latest = (ends.as_secs_f64() - LASTS_LIMIT.end).max(first + GAP.end);
+    let mut steps = Vec::new();
+    for _ in 0..rng.random_range(0..=MOST_LIMITS) {
+        let at = Duration::from_secs_f64(rng.random_range(first..latest));
+        let lasts = Duration::from_secs_f64(rng.random_range(LASTS_LIMIT));
+        let act = Act::NameLimit(rng.random_range(0..2 * size.upstreams));
+        let lasts = lasts.min(ends.saturating_sub(at));
+        steps.push(Step { at, lasts, act });
+    }
+    steps
+}
+
 /// Upstreams that turn away and ask for rest, or leave by their answers, drawn by themselves.
 fn words(seed: u64, size: Size, ends: Duration) -> Vec<Step> {
     let mut rng = SmallRng::seed_from_u64(seed ^ WORDS);
--- a/trouttrack_soak/tests/soak/check.rs
+++ b/trouttrack_soak/tests/soak/check.rs
@@ -61,6 +61,7 @@
             ran: true,
             asked_rest: None,
             said_leaving: false,
+            named_limit: None,
         },
     }
 }
@@ -445,3 +446,30 @@
     many.timed = false;
     assert!(broken(&many).is_empty());
 }
+
+/// Calls to an upstream that names a limit, at an even rate for so many seconds.
+fn under_a_limit(per_second: u32, seconds: u32) -> Evidence {
+    let begin = Instant::now();
+    let (mut calls, mut runs) = (Vec::new(), Vec::new());
+    for n in 0..per_second * seconds {
+        let (call, mut run) = served(
+            &format!("c{n}"),
+            RouteName::Many,
+            begin + SECOND * n / per_second,
+        );
+        run.arrival.named_limit = Some(2.0);
+        calls.push(call);
+        runs.push(run);
+    }
+    evidence(calls, runs)
+}
+
+#[test]
+fn more_than_a_limit_allows_is_found() {
+    // Seventeen are borne in four seconds.
+    assert!(broken(&under_a_limit(4, 10)).is_empty());
+    let promise = "VMs keep together to the limit that an upstream names";
+    assert_eq!(broken(&under_a_limit(5, 10)), [promise]);
+    // It is judged from three seconds after it was first named on.
+    assert!(broken(&under_a_limit(5, 3)).is_empty());
+}
