Calls that others told of do not keep a plain upstream closed after they have ended

What callers saw: lookups refused, "no upstream had room in time", while plain upstreams had places free. A VM tells of its calls when it tells of a generation, and that they have ended only by a heartbeat, which is rare in a large fleet and may go to others. So a plain upstream of six places looked full. Whether it is full now leaves out calls of peers told of more than 100 ms ago; scores go by what was told, as before.

--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -118,6 +118,16 @@
             .max(self.own_running)
     }
 
+    /// The same, without calls of peers that have ended by now.
+    fn running_at(&self, now: Time) -> usize {
+        let is_plain = self.spec.capacity_tokens == 0;
+        if !self.hears_peers || !is_plain {
+            return self.estimated_running();
+        }
+        let peers: usize = self.peers.iter().map(|p| p.running_calls(now)).sum();
+        self.own_running + peers
+    }
+
     /// Tokens of memory in use by requests of other processes, by the last
     /// report.
     #[must_use]
@@ -237,7 +247,7 @@
         let peers = self.peers.iter().filter_map(|p| p.lost_at);
         let suspected = self.losses.suspected(now, peers);
         let wanted = self.wants_work(now) && self.refusals.allow(now);
-        wanted && trial && !suspected && self.estimated_running() < self.spec.max_running
+        wanted && trial && !suspected && self.running_at(now) < self.spec.max_running
     }
 
     /// The requests a second that it takes from all VMs together, if they are bounded.
--- a/trouttrack_core/src/upstream/runs.rs
+++ b/trouttrack_core/src/upstream/runs.rs
@@ -46,12 +46,24 @@
     pub(crate) lost_at: Option<Time>,
 }
 
+/// How long a call that a peer told of is taken to run.
+const CALL_RUNS: Time = Time::from_millis(100);
 /// Peaks of several VMs' requests do not come at the same time: this share of the
 /// growth up to them is counted. Tuned in the decision bench; see
 /// docs/design/decisions.md.
 const PEAKS_TOGETHER: f64 = 0.75;
 
 impl PeerUse {
+    /// Its calls that may still run at a plain upstream. It tells of a call when it tells of
+    /// something else, and that the call has ended with the next heartbeat, which may go to
+    /// others.
+    pub(crate) fn running_calls(&self, now: Time) -> usize {
+        match now.saturating_sub(self.loading.at()) > CALL_RUNS {
+            true => 0,
+            false => self.running,
+        }
+    }
+
     /// The tokens that are counted for it: all that is held, which surely is there, and
     /// part of the growth up to its peak. With long prompts nearly all is held; taking
     /// the same part of the whole peak saw engines as 85 in 100 full that held more
--- a/trouttrack_core/tests/core/known_load.rs
+++ b/trouttrack_core/tests/core/known_load.rs
@@ -170,3 +170,27 @@
     world.submit(later, wanted);
     assert_eq!(placed(&world.tick(later)).len(), 1);
 }
+
+/// Guards against: what a VM tells of its calls as it really does, with the tokens that its
+/// forecast takes them to write, was taken for generations that last.
+#[test]
+fn calls_as_they_are_told_do_not_keep_an_upstream_closed() {
+    let slots = 6;
+    let mut teller = world("trouttrack", vec![spec("p", HOME, 0, slots)]);
+    let mut listener = world("trouttrack", vec![spec("p", HOME, 0, slots)]);
+    let call = |id: &str| {
+        let mut wanted = submission(id, "o", 2);
+        wanted.prompt_tokens = 0;
+        wanted
+    };
+    for n in 0..slots {
+        teller.submit(NOW, call(&format!("c{n}")));
+    }
+    assert_eq!(placed(&teller.tick(NOW)).len(), slots);
+    listener.peer_uses(NOW, "teller", HOME, &teller.own_uses(NOW));
+    let at_once = listener.submit(NOW, call("at once"));
+    assert!(placed(&listener.tick(NOW)).is_empty(), "it is full");
+    let later = NOW + LOOKUP_IS_OVER;
+    assert_eq!(placed(&listener.tick(later)).len(), 1);
+    listener.ended(later, at_once, false, Some(0));
+}
