--- a/trouttrack_core/src/upstream/shared_rate.rs
+++ b/trouttrack_core/src/upstream/shared_rate.rs
@@ -12,8 +12,9 @@
 use std::collections::{HashMap, VecDeque};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+/// A rate of less than one request in this time is drawn for.
 const SECOND: Time = Time::from_secs(1);
-/// The part of a second's requests that may come together.
+/// The requests of this time may come together.
 const BURST: Time = Time::from_millis(250);
 /// For how long hand-overs are counted.
 const STEADY: Time = Time::from_secs(4);
@@ -26,7 +27,6 @@
 /// elsewhere they use half of the rate before the VMs nearby have heard of it, who then
 /// leave it to them: at most one and a half times the rate in any second.
 const ELSEWHERE: f64 = 0.5;
-
 /// The part of an even share that VMs use that hear none of their peers: what they hand
 /// over adds up by chance, at times to more than is meant.
 const CHANCE: f64 = 0.5;
--- a/trouttrack_core/src/world/systems.rs
+++ b/trouttrack_core/src/world/systems.rs
@@ -71,31 +71,42 @@
                 waiting.entry(service).or_default().push(key);
             }
         }
-        let mut late = Vec::new();
-        for (service, mut keys) in waiting {
-            let Some(rate) = supplies[service] else {
-                continue;
-            };
-            keys.sort_by_key(|key| {
-                let request = &self.requests[*key];
-                (request.submission.priority, request.since)
-            });
-            // The first one's turn may come at any time.
-            let mut before = 0;
-            for key in keys {
-                let turn = (f64::from(before) / rate).min(LONGEST_TURN.as_secs_f64());
-                let turn = Duration::from_secs_f64(turn);
-                match now + turn > self.requests[key].submission.deadline {
-                    true => late.push((key, turn)),
-                    false => before += 1,
-                }
-            }
-        }
+        let late: Vec<(RequestKey, Duration)> = waiting
+            .into_iter()
+            .filter_map(|(service, keys)| Some(self.late_turns(now, keys, supplies[service]?)))
+            .flatten()
+            .collect();
         for (key, turn) in late {
             self.refuse_for(key, NotRunReason::RateLimited, turn.max(RETRY_AFTER));
         }
     }
 
+    /// Those of some waiting requests whose turn comes after their deadline at so many
+    /// requests a second, and when it would come.
+    fn late_turns(
+        &self,
+        now: Time,
+        mut keys: Vec<RequestKey>,
+        rate: f64,
+    ) -> Vec<(RequestKey, Duration)> {
+        keys.sort_by_key(|key| {
+            let request = &self.requests[*key];
+            (request.submission.priority, request.since)
+        });
+        let mut late = Vec::new();
+        // The first one's turn may come at any time.
+        let mut before = 0;
+        for key in keys {
+            let turn = (f64::from(before) / rate).min(LONGEST_TURN.as_secs_f64());
+            let turn = Duration::from_secs_f64(turn);
+            match now + turn > self.requests[key].submission.deadline {
+                true => late.push((key, turn)),
+                false => before += 1,
+            }
+        }
+        late
+    }
+
     /// The requests a second that a service's upstreams take from the VMs that share their
     /// rates with this one; `None` if one takes as many as come, or it is not known.
     fn bounded_supply(&self, now: Time, service: &str) -> Option<f64> {
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -102,7 +102,7 @@
 
 /// A peer's use of upstreams has changed. One whose heartbeat was not heard yet says
 /// too little of itself.
-fn hear_load(front: &Rc<Front>, load: &Load) {
+fn hear_load(front: &Front, load: &Load) {
     follow::heard_from_peer(front, &load.name, &load.limits);
     if let Some(domain) = front.peers.hear_load(front.clock.now(), load) {
         front.scheduler.peer_uses(&load.name, &domain, &load.uses);
