Track the store's epoch and log when the store was restored

A store restored from a backup answers "history gone" to watches, as does a store that has dropped old history. No log line distinguished the two cases or showed which VM had noticed and when.

Every answer of the store carries its epoch, which increases by one with each restore. The store client keeps the highest epoch received, and a VM logs `store-restored` with the new and the previous epoch. No decision depends on the epoch yet.

--- a/trouttrack_core/src/ids.rs
+++ b/trouttrack_core/src/ids.rs
@@ -22,5 +22,7 @@
 pub type Generation = u64;
 /// Zero-based position of a token in its generation.
 pub type TokenIndex = u64;
+/// Number of times the platform's store has been restored from a backup.
+pub type StoreEpoch = u64;
 /// Version of the fleet configuration; only ever grows.
 pub type ConfigVersion = u64;
--- a/trouttrack_core/src/lib.rs
+++ b/trouttrack_core/src/lib.rs
@@ -36,6 +36,6 @@
 
 pub use ids::{
     ConfigVersion, FailureDomain, Fingerprint, Generation, OrganisationId, RequestId, ServiceId,
-    StreamId, Time, TokenIndex, UpstreamId,
+    StoreEpoch, StreamId, Time, TokenIndex, UpstreamId,
 };
 pub use outcome::Outcome;
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -146,6 +146,9 @@
     pub fn store_answered(&self) {
         self.upstreams.store_back();
         self.store_contact.answered(self.clock.now());
+        if let Some(epoch) = self.store.epoch() {
+            self.store_contact.note_epoch(epoch);
+        }
     }
 
     /// Whether the store has answered a peer of the own failure domain within `longest`,
--- a/trouttrack_front/src/state/store_contact.rs
+++ b/trouttrack_front/src/state/store_contact.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::Notify;
-use trouttrack_core::Time;
+use trouttrack_core::{StoreEpoch, Time};
 use trouttrack_platform::StoreError;
 use trouttrack_telemetry::{events, record};
 
@@ -12,6 +12,8 @@
 pub struct StoreContact {
     away: Cell<bool>,
     answered_at: Cell<Option<Time>>,
+    /// The highest store epoch noted so far.
+    epoch: Cell<Option<StoreEpoch>>,
     returned: Notify,
 }
 
@@ -34,6 +36,19 @@
         }
     }
 
+    /// Notes the store's epoch and logs a restore if it is higher than the previous one: the
+    /// store was restored from a backup and has lost its latest writes.
+    pub fn note_epoch(&self, epoch: StoreEpoch) {
+        let before = self.epoch.get();
+        if before.is_some_and(|before| epoch <= before) {
+            return;
+        }
+        self.epoch.set(Some(epoch));
+        if let Some(before) = before {
+            record!(events::STORE_RESTORED, epoch = epoch, before = before);
+        }
+    }
+
     /// Peers are answered again; no call of this VM was.
     pub fn heard_back(&self) {
         if self.away.replace(false) {
