--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -17,5 +17,6 @@
 mod soak;
 mod stop;
 mod store;
+mod store_restored;
 mod streams;
 mod support;
