--- a/trouttrack_config/src/fleet/view.rs
+++ b/trouttrack_config/src/fleet/view.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 use trouttrack_core::ConfigVersion;
-use trouttrack_core::membership::Evacuations;
+use trouttrack_core::membership::{Evacuations, Revision};
 use trouttrack_core::upstream::Spec;
 
 /// What a request's `model` and organisation resolve to.
@@ -116,7 +116,7 @@
     #[must_use]
     pub fn evacuations(&self) -> Evacuations {
         let names = self.fleet.evacuations.iter().map(|e| e.name.clone());
-        Evacuations::as_of(self.version(), names)
+        Evacuations::as_of(Revision::new(0, self.version()), names)
     }
 
     /// The upstreams as the decision tables take them.
--- a/trouttrack_core/src/membership/evacuations.rs
+++ b/trouttrack_core/src/membership/evacuations.rs
@@ -1,5 +1,6 @@
 //! Failure domains that an operator has evacuated.
 
+use super::Revision;
 use crate::FailureDomain;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -14,24 +15,25 @@
 /// # Examples
 ///
 /// ```
-/// use trouttrack_core::membership::Evacuations;
-/// let mut known = Evacuations::as_of(7, ["a".to_owned()]);
+/// use trouttrack_core::membership::{Evacuations, Revision};
+/// let at = |number| Revision::new(0, number);
+/// let mut known = Evacuations::as_of(at(7), ["a".to_owned()]);
 /// assert!(known.contains("a"));
 /// // Told late by a peer: it was so once, and is no more.
-/// assert!(!known.merge(&Evacuations::as_of(5, ["b".to_owned()])));
-/// assert!(known.merge(&Evacuations::as_of(9, [])));
+/// assert!(!known.merge(&Evacuations::as_of(at(5), ["b".to_owned()])));
+/// assert!(known.merge(&Evacuations::as_of(at(9), [])));
 /// assert!(!known.contains("a"));
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evacuations {
-    revision: u64,
+    revision: Revision,
     domains: BTreeSet<FailureDomain>,
 }
 
 impl Evacuations {
     /// What holds as of a revision.
     #[must_use]
-    pub fn as_of(revision: u64, domains: impl IntoIterator<Item = FailureDomain>) -> Self {
+    pub fn as_of(revision: Revision, domains: impl IntoIterator<Item = FailureDomain>) -> Self {
         Self {
             revision,
             domains: domains.into_iter().collect(),
@@ -58,13 +60,13 @@
     }
 
     /// Everything up to a revision is known.
-    pub fn advance(&mut self, revision: u64) {
+    pub fn advance(&mut self, revision: Revision) {
         self.revision = self.revision.max(revision);
     }
 
     /// The store's revision up to which it is known.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
--- a/trouttrack_core/src/membership/mod.rs
+++ b/trouttrack_core/src/membership/mod.rs
@@ -10,6 +10,7 @@
 mod marks;
 mod peers;
 mod receivers;
+mod revision;
 mod spreading;
 mod telling;
 mod watch;
@@ -21,6 +22,7 @@
 pub use marks::{Mark, MarkEntry, MarkSource, MarkTable};
 pub use peers::{Digest, Peer, PeerTable, UpstreamUse};
 pub use receivers::{news_receivers, relays};
+pub use revision::Revision;
 pub use spreading::{
     ANSWERED_AT_ONCE, CALLERS, CHANGES_IN_DATAGRAM, CONFIRMATION_ASKED_AGAIN, CONFIRMED_BY_PEER,
     CONFIRMED_BY_STORE, CONFIRMED_BY_WATCHER, LISTS_AGAIN, NEWS_ANSWERS, NEWS_LATE,
--- a/trouttrack_front/src/follow/bootstrap.rs
+++ b/trouttrack_front/src/follow/bootstrap.rs
@@ -13,7 +13,7 @@
 use rand::RngExt;
 use std::rc::Rc;
 use std::time::Duration;
-use trouttrack_core::membership::{CALLERS, LISTS_AGAIN};
+use trouttrack_core::membership::{CALLERS, LISTS_AGAIN, Revision};
 
 /// How long a VM that starts waits to learn which others there are.
 const FIND_OTHERS: Duration = Duration::from_millis(3500);
@@ -22,7 +22,7 @@
 
 /// Takes the upstreams from a VM that knows them after a revision. Returns whether they are
 /// known now; if not, this VM is to ask the store itself.
-pub(super) async fn take_from_peers(front: &Rc<Front>, known: u64) -> bool {
+pub(super) async fn take_from_peers(front: &Rc<Front>, known: Revision) -> bool {
     find_others(front).await;
     // Others wait for what a watcher knows.
     while !watches_store(front) && !draws_call(front) {
@@ -55,7 +55,7 @@
 }
 
 /// Asks peers until one gives the list.
-async fn ask(front: &Rc<Front>, known: u64) {
+async fn ask(front: &Rc<Front>, known: Revision) {
     let mut backoff = Backoff::new();
     loop {
         backoff.pause_for_peers().await;
--- a/trouttrack_front/src/follow/calls.rs
+++ b/trouttrack_front/src/follow/calls.rs
@@ -4,6 +4,7 @@
 use super::follower::Follower;
 use crate::state::Front;
 use std::time::Duration;
+use trouttrack_core::membership::Revision;
 use trouttrack_platform::{Listed, Object, Reading, StoreError, Watched};
 use trouttrack_telemetry::{events, record};
 
@@ -17,7 +18,7 @@
 pub(super) async fn watch<F: Follower>(
     front: &Front,
     follower: &F,
-    since: u64,
+    since: Revision,
     wait: Duration,
 ) -> Result<bool, StoreError> {
     let watched = front.store.watch(F::KIND, since, wait).await?;
@@ -32,7 +33,8 @@
             record!(
                 events::WATCH_RESTARTED,
                 kind = F::KIND.as_str(),
-                since = since,
+                epoch = since.epoch,
+                since = since.number,
             );
             follower.history_gone();
             Ok(false)
@@ -48,14 +50,20 @@
     reading: Reading,
 ) -> Result<(), StoreError> {
     let mut objects: Vec<Object> = Vec::new();
-    let mut oldest = u64::MAX;
+    let mut oldest: Option<Revision> = None;
     loop {
         let is_first = objects.is_empty();
         let after = objects.last().map(|o| o.name.clone());
         let page = page_after::<F>(front, after.as_deref(), reading).await?;
         front.store_answered();
         // Changes during the listing are asked for from its oldest page on.
-        oldest = oldest.min(page.revision);
+        let lowest = oldest.get_or_insert(page.revision);
+        if lowest.epoch != page.revision.epoch {
+            // The store was restored between two pages: they are from different histories.
+            return Ok(());
+        }
+        *lowest = page.revision.min(*lowest);
+        let oldest = *lowest;
         let ended = !page.more || page.objects.is_empty();
         if is_first && !ended && follower.take_from_peers().await {
             return Ok(());
--- a/trouttrack_front/src/follow/config.rs
+++ b/trouttrack_front/src/follow/config.rs
@@ -7,6 +7,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use trouttrack_core::membership::Revision;
 use trouttrack_platform::objects::fleet_config;
 use trouttrack_platform::{Change, Kind, Object};
 use trouttrack_telemetry::{events, record};
@@ -22,7 +23,7 @@
 pub(super) struct ConfigFollower {
     front: Rc<Front>,
     /// The store's revision up to which the kind is known.
-    known_to: Cell<Option<u64>>,
+    known_to: Cell<Option<Revision>>,
 }
 
 impl ConfigFollower {
@@ -45,7 +46,7 @@
 
 /// Takes in a configuration, if it is not in force yet. Returns whether it is in
 /// force.
-pub(crate) fn take_revision(front: &Front, revision: u64, spec: &str) -> bool {
+pub(crate) fn take_revision(front: &Front, revision: Revision, spec: &str) -> bool {
     if front.routing.has_revision(revision) {
         return true;
     }
@@ -62,7 +63,8 @@
             let error = e.to_string();
             record!(
                 events::CONFIG_REFUSED,
-                revision = revision,
+                epoch = revision.epoch,
+                revision = revision.number,
                 error = error.as_str(),
             );
         }
@@ -73,12 +75,12 @@
 impl Follower for ConfigFollower {
     const KIND: Kind = Kind::Config;
 
-    fn revision(&self) -> Option<u64> {
+    fn revision(&self) -> Option<Revision> {
         self.known_to.get()
     }
 
     fn is_behind(&self) -> bool {
-        self.front.peers.newest_config() > self.front.routing.revision()
+        self.front.peers.newest_config() > self.front.routing.version()
     }
 
     fn patience(&self) -> Duration {
@@ -89,14 +91,14 @@
         ask_for_config(&self.front);
     }
 
-    fn listed(&self, objects: &[Object], revision: u64) {
+    fn listed(&self, objects: &[Object], revision: Revision) {
         for object in objects {
             take(&self.front, object);
         }
         self.known_to.set(Some(revision));
     }
 
-    fn changed(&self, changes: Vec<Change>, revision: u64) {
+    fn changed(&self, changes: Vec<Change>, revision: Revision) {
         for change in changes.iter().filter(|c| !c.deleted) {
             take(&self.front, &change.object);
         }
--- a/trouttrack_front/src/follow/evacuations.rs
+++ b/trouttrack_front/src/follow/evacuations.rs
@@ -9,7 +9,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use trouttrack_core::membership::Evacuations;
+use trouttrack_core::membership::{Evacuations, Revision};
 use trouttrack_platform::{Change, Kind, Object};
 use trouttrack_telemetry::{events, record};
 
@@ -51,7 +51,7 @@
 impl Follower for EvacuationFollower {
     const KIND: Kind = Kind::Evacuations;
 
-    fn revision(&self) -> Option<u64> {
+    fn revision(&self) -> Option<Revision> {
         let known = !self.forgotten.get();
         known.then(|| self.front.evacuations.borrow().revision())
     }
@@ -66,7 +66,7 @@
 
     fn ask_peers(&self) {}
 
-    fn listed(&self, objects: &[Object], revision: u64) {
+    fn listed(&self, objects: &[Object], revision: Revision) {
         let domains = objects.iter().map(|o| o.name.clone());
         take_evacuations(
             &self.front,
@@ -76,7 +76,7 @@
         self.forgotten.set(false);
     }
 
-    fn changed(&self, changes: Vec<Change>, revision: u64) {
+    fn changed(&self, changes: Vec<Change>, revision: Revision) {
         let mut next = self.front.evacuations.borrow().clone();
         for change in changes {
             next.change(&change.object.name, !change.deleted);
@@ -108,7 +108,8 @@
         record!(
             events::EVACUATED,
             failure_domain = domain.as_str(),
-            revision = now.revision(),
+            epoch = now.revision().epoch,
+            revision = now.revision().number,
             told_by = by.name(),
         );
     }
@@ -116,7 +117,8 @@
         record!(
             events::TAKEN_BACK,
             failure_domain = domain.as_str(),
-            revision = now.revision(),
+            epoch = now.revision().epoch,
+            revision = now.revision().number,
             told_by = by.name(),
         );
     }
--- a/trouttrack_front/src/follow/follower.rs
+++ b/trouttrack_front/src/follow/follower.rs
@@ -1,6 +1,7 @@
 //! What follows a kind of object.
 
 use std::time::Duration;
+use trouttrack_core::membership::Revision;
 use trouttrack_platform::{Change, Kind, Object};
 
 /// How long peers are given to bring news: a fraction of the time in which a leaving
@@ -14,7 +15,7 @@
 
     /// The revision up to which everything is known; `None` if it must be
     /// listed.
-    fn revision(&self) -> Option<u64>;
+    fn revision(&self) -> Option<Revision>;
 
     /// How long a watch of it waits, if not as long as others: the bound within which
     /// its changes must be in force is short, and a watch may fall silent.
@@ -45,10 +46,10 @@
     }
 
     /// Everything was listed, as of a revision.
-    fn listed(&self, objects: &[Object], revision: u64);
+    fn listed(&self, objects: &[Object], revision: Revision);
 
     /// Changes came, up to a revision.
-    fn changed(&self, changes: Vec<Change>, revision: u64);
+    fn changed(&self, changes: Vec<Change>, revision: Revision);
 
     /// The store has forgotten what came after the known revision.
     fn history_gone(&self);
--- a/trouttrack_front/src/follow/kind.rs
+++ b/trouttrack_front/src/follow/kind.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
-use trouttrack_core::membership::NEWS_LATE;
+use trouttrack_core::membership::{NEWS_LATE, Revision};
 use trouttrack_platform::{Reading, StoreError};
 
 /// How long a watch waits. Each one is a call that is paid for; one that is
@@ -67,7 +67,7 @@
 async fn keep_watching<F: Follower>(
     front: &Front,
     follower: &F,
-    since: u64,
+    since: Revision,
 ) -> Result<(), StoreError> {
     let wait = follower.watch_for().unwrap_or(WATCH);
     let changed = tokio::select! {
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use trouttrack_core::membership::Revision;
 use trouttrack_core::rescue::Departure;
 use trouttrack_core::upstream::Said;
 use trouttrack_platform::{Change, EntryError, Kind, Object, UpstreamEntry};
@@ -35,7 +36,7 @@
     }
 
     /// Tells the other VMs what the store said.
-    fn tell(&self, from: u64, to: u64, changes: Vec<EntryChange>) {
+    fn tell(&self, from: Revision, to: Revision, changes: Vec<EntryChange>) {
         let news = News { from, to, changes };
         self.front.history.borrow_mut().learned(news.clone());
         // With a full queue the others will ask the store.
@@ -48,7 +49,7 @@
 impl Follower for UpstreamFollower {
     const KIND: Kind = Kind::Upstreams;
 
-    fn revision(&self) -> Option<u64> {
+    fn revision(&self) -> Option<Revision> {
         let known = !self.forgotten.get();
         known.then(|| self.front.upstreams.revision())
     }
@@ -75,7 +76,7 @@
         taken
     }
 
-    fn listed(&self, objects: &[Object], revision: u64) {
+    fn listed(&self, objects: &[Object], revision: Revision) {
         let read = objects.iter().map(|o| UpstreamEntry::decode(o.spec.get()));
         let read: Vec<Read> = read.collect();
         // Any of them shows what the others are to say.
@@ -93,7 +94,7 @@
         self.forgotten.set(false);
     }
 
-    fn changed(&self, changes: Vec<Change>, revision: u64) {
+    fn changed(&self, changes: Vec<Change>, revision: Revision) {
         let from = self.front.upstreams.revision();
         let changes = changes.into_iter().map(|c| entry_change(&self.front, c));
         let changes: Vec<EntryChange> = changes.collect();
@@ -132,7 +133,7 @@
 
 /// All entries up to a revision were taken in, and these are there. Other VMs hear at once
 /// that this one has them.
-fn take_whole(front: &Rc<Front>, ids: &HashSet<&str>, revision: u64, told_by: &str) {
+fn take_whole(front: &Rc<Front>, ids: &HashSet<&str>, revision: Revision, told_by: &str) {
     for gone in front.upstreams.listed(ids) {
         depart(front, &gone);
     }
@@ -140,7 +141,8 @@
     record!(
         events::UPSTREAMS_LISTED,
         upstreams = ids.len(),
-        revision = revision,
+        epoch = revision.epoch,
+        revision = revision.number,
         told_by = told_by,
     );
     configure(front);
@@ -196,7 +198,8 @@
     record!(
         events::ENTRY_UNREADABLE,
         upstream = object.name.as_str(),
-        revision = object.revision,
+        epoch = object.revision.epoch,
+        revision = object.revision.number,
         field = e.field,
         reason = e.kind.as_str(),
     );
@@ -286,7 +289,7 @@
 
 /// Takes in an entry that is there. With a new life everything that was believed of the
 /// one before goes: its load and circuit, its connections, what it holds.
-fn see(front: &Rc<Front>, id: &str, revision: u64, entry: UpstreamEntry) {
+fn see(front: &Rc<Front>, id: &str, revision: Revision, entry: UpstreamEntry) {
     let seen = front.upstreams.seen(id, revision, entry);
     if let Some(before) = seen.before {
         remove(front, &before);
--- a/trouttrack_front/src/peers/config.rs
+++ b/trouttrack_front/src/peers/config.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use trouttrack_core::Time;
+use trouttrack_core::{ConfigVersion, Time};
 
 /// The largest configuration that is passed on in a datagram. A larger one is fetched.
 const MOST_BYTES: usize = 40_000;
@@ -49,26 +49,25 @@
         let Some(spec) = front.routing.spec() else {
             return;
         };
-        let revision = front.routing.revision();
         let fits = spec.len() <= MOST_BYTES;
         let answer = match fits && may_again(front, &self.answered_at, ANSWER_AGAIN) {
             true => Datagram::Config(ToldConfig {
-                revision,
+                revision: front.routing.revision(),
                 spec: spec.as_ref().into(),
             }),
-            false => Datagram::ConfigReady(revision),
+            false => Datagram::ConfigReady(front.routing.version()),
         };
         post(socket, &answer, peer);
     }
 
     /// Fetches a configuration that a VM has, unless another one is being fetched.
-    pub(super) fn fetch(&self, front: &Rc<Front>, peer: SocketAddr, revision: u64) {
-        if revision <= front.routing.revision() || self.fetching.replace(true) {
+    pub(super) fn fetch(&self, front: &Rc<Front>, peer: SocketAddr, version: ConfigVersion) {
+        if version <= front.routing.version() || self.fetching.replace(true) {
             return;
         }
         let (front, fetching) = (Rc::clone(front), Rc::clone(&self.fetching));
         actix_rt::spawn(async move {
-            let known = front.routing.revision();
+            let known = front.routing.version();
             let told = fetch_config(&front, peer, known).await;
             fetching.set(false);
             if let Some(told) = told {
@@ -83,8 +82,8 @@
     let Some(socket) = front.peers.socket() else {
         return;
     };
-    let known = front.routing.revision();
-    let newer = front.peers.draw(|h| h.config_revision > known, |_| true);
+    let known = front.routing.version();
+    let newer = front.peers.draw(|h| h.config_version > known, |_| true);
     if let Some(addr) = newer {
         post(&socket, &Datagram::ConfigWanted, addr);
     }
--- a/trouttrack_front/src/peers/confirm.rs
+++ b/trouttrack_front/src/peers/confirm.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use trouttrack_core::ConfigVersion;
 use trouttrack_core::membership::{CONFIRMATION_ASKED_AGAIN, CONFIRMED_BY_PEER};
 
 /// The longest pause: while the store is away nobody has a newer confirmation.
@@ -66,8 +67,8 @@
 /// A VM that has the same configuration in force, of another failure domain if there is
 /// one.
 fn elsewhere(front: &Front) -> Option<SocketAddr> {
-    let own = front.routing.revision();
-    let has_same = |h: &Heard| h.config_revision == own;
+    let own = front.routing.version();
+    let has_same = |h: &Heard| h.config_version == own;
     let is_far = |h: &Heard| h.failure_domain != front.failure_domain;
     front.peers.draw(has_same, is_far)
 }
@@ -79,7 +80,7 @@
     };
     let told = Confirmation {
         echo,
-        config_revision: front.routing.revision(),
+        config_version: front.routing.version(),
         age_ms,
     };
     post(socket, &Datagram::Confirmation(told), peer);
@@ -88,20 +89,20 @@
 /// Takes in an answer.
 pub(super) fn take(front: &Front, told: &Confirmation) {
     let age = Duration::from_millis(told.age_ms);
-    confirmed(front, told.config_revision, told.echo, age);
+    confirmed(front, told.config_version, told.echo, age);
 }
 
 /// Takes in what a heartbeat says of its sender's configuration.
 pub(super) fn hear(front: &Front, heartbeat: &Heartbeat) {
     if let (Some(age_ms), Some(echo)) = (heartbeat.confirmed_ms, heartbeat.echo) {
         let age = Duration::from_millis(age_ms);
-        confirmed(front, heartbeat.config_revision, echo, age);
+        confirmed(front, heartbeat.digest.config_version, echo, age);
     }
 }
 
 /// A peer has had a configuration confirmed so long before it answered a datagram of ours.
-fn confirmed(front: &Front, config_revision: u64, echo: Echo, age: Duration) {
-    if config_revision != front.routing.revision() || !front.routing.is_known() {
+fn confirmed(front: &Front, config_version: ConfigVersion, echo: Echo, age: Duration) {
+    if config_version != front.routing.version() || !front.routing.is_known() {
         return;
     }
     if let Some(at) = front.peers.at_least(echo, age) {
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -187,7 +187,6 @@
         },
         echo: None,
         watches: watches_store(front),
-        config_revision: front.routing.revision(),
         confirmed_ms: front.routing.age_ms(),
         upstreams_revision: front.upstreams.revision(),
         evacuations: front.evacuations.borrow().clone(),
--- a/trouttrack_front/src/peers/history.rs
+++ b/trouttrack_front/src/peers/history.rs
@@ -8,6 +8,7 @@
 
 use super::message::{EntryChange, News};
 use std::collections::VecDeque;
+use trouttrack_core::membership::Revision;
 
 /// Changes that are kept, of some 0.2 kB each: those of twenty seconds in which two hundred
 /// upstreams a second change, as in a release of half a fleet of 20,000. With a hundred, one
@@ -19,14 +20,16 @@
 /// # Examples
 ///
 /// ```
+/// use trouttrack_core::membership::Revision;
 /// use trouttrack_front::peers::{News, NewsHistory};
-/// let news = |from, to| News { from, to, changes: Vec::new() };
+/// let at = |number| Revision::new(1, number);
+/// let news = |from, to| News { from: at(from), to: at(to), changes: Vec::new() };
 /// let mut history = NewsHistory::default();
 /// history.learned(news(10, 12));
 /// history.learned(news(12, 15));
-/// assert_eq!(history.after(11).map(|n| (n.from, n.to)), Some((11, 15)));
-/// assert!(history.after(9).is_none());
-/// assert!(history.after(15).is_none());
+/// assert_eq!(history.after(at(11)).map(|n| (n.from, n.to)), Some((at(11), at(15))));
+/// assert!(history.after(at(9)).is_none());
+/// assert!(history.after(at(15)).is_none());
 /// ```
 #[derive(Debug, Default)]
 pub struct NewsHistory {
@@ -55,7 +58,7 @@
 
     /// All that changed after a revision, if it is known here.
     #[must_use]
-    pub fn after(&self, revision: u64) -> Option<News> {
+    pub fn after(&self, revision: Revision) -> Option<News> {
         let (first, last) = (self.news.front()?, self.news.back()?);
         if revision < first.from || revision >= last.to {
             return None;
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -12,6 +12,7 @@
 use std::io;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
+use trouttrack_core::membership::Revision;
 
 /// The largest datagram taken.
 const MOST_BYTES: usize = 60_000;
@@ -42,7 +43,7 @@
                 if is_new && front.peers.is_in(name, &front.failure_domain) {
                     greet(&front, &socket, name, from);
                 }
-                if heartbeat.config_revision > front.routing.revision() {
+                if heartbeat.digest.config_version > front.routing.version() {
                     configs.ask(&front, &socket, from);
                 }
             }
@@ -50,7 +51,7 @@
             Some(Datagram::Suspects(told)) => suspects::hear(&front, &socket, &told, from),
             Some(Datagram::ConfigWanted) => configs.answer(&front, &socket, from),
             Some(Datagram::Config(told)) => config::take(&front, &told),
-            Some(Datagram::ConfigReady(revision)) => configs.fetch(&front, from, revision),
+            Some(Datagram::ConfigReady(version)) => configs.fetch(&front, from, version),
             Some(Datagram::ConfirmationWanted(echo)) => {
                 confirm::answer(&front, &socket, from, echo);
             }
@@ -87,13 +88,17 @@
             .scheduler
             .domain_uses_told(domain, &heartbeat.domain_uses);
     }
+    // A peer that has not listed the upstreams yet reports the default revision.
+    if heartbeat.upstreams_revision > Revision::default() {
+        front.note_store_epoch(heartbeat.upstreams_revision.epoch);
+    }
     confirm::hear(front, heartbeat);
     follow::heard_from_peer(front, name, &heartbeat.limits);
     follow::take_evacuations(front, &heartbeat.evacuations, Told::ByPeer(name));
     if heartbeat.watches {
         hear_claim(front, &digest.name);
     }
-    let newer_config = heartbeat.config_revision > front.routing.revision();
+    let newer_config = digest.config_version > front.routing.version();
     let newer_upstreams = heartbeat.upstreams_revision > front.upstreams.revision();
     if newer_config || newer_upstreams {
         front.peers.set_behind();
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -7,14 +7,14 @@
 
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use trouttrack_core::UpstreamId;
-use trouttrack_core::membership::{Digest, Evacuations, UpstreamUse};
+use trouttrack_core::membership::{Digest, Evacuations, Revision, UpstreamUse};
 use trouttrack_core::quarantine::Suspect;
 use trouttrack_core::upstream::ToldLimit;
+use trouttrack_core::{ConfigVersion, UpstreamId};
 use trouttrack_platform::UpstreamEntry;
 
 /// The form of the datagrams, which changes with any of the types below.
-const FORM: u8 = 5;
+const FORM: u8 = 6;
 
 /// What a VM sends.
 #[derive(Debug, Serialize, Deserialize)]
@@ -26,7 +26,7 @@
     /// Changes in the store, and who else is to hear of them from the receiver.
     News(News, Vec<SocketAddr>),
     /// The receiver knows of changes after this revision, and is asked for them.
-    NewsWanted(u64),
+    NewsWanted(Revision),
     /// The sender knows more than the receiver and does not remember what changed: all
     /// upstreams may be fetched.
     NewsForgotten,
@@ -34,9 +34,9 @@
     ConfigWanted,
     /// The configuration that the sender has in force.
     Config(ToldConfig),
-    /// The sender has a configuration of this revision in force that is too large for a
+    /// The sender has a configuration of this version in force that is too large for a
     /// datagram; it may be fetched.
-    ConfigReady(u64),
+    ConfigReady(ConfigVersion),
     /// Requests under which upstreams ended.
     Suspects(Vec<Suspect>),
     /// The receiver is asked how long ago its configuration was confirmed. Numbered with
@@ -55,12 +55,10 @@
     pub(super) echo: Option<Echo>,
     /// Whether it watches the store for its failure domain.
     pub(super) watches: bool,
-    /// The store's revision of the configuration in force there.
-    pub(super) config_revision: u64,
-    /// How long ago that configuration was confirmed, in milliseconds.
+    /// How long ago the configuration in force there was confirmed, in milliseconds.
     pub(super) confirmed_ms: Option<u64>,
     /// The store's revision up to which it knows the upstreams' entries.
-    pub(super) upstreams_revision: u64,
+    pub(super) upstreams_revision: Revision,
     /// The failure domains that are evacuated, as far as it knows.
     pub(super) evacuations: Evacuations,
     /// How long ago the store last answered it, in milliseconds.
@@ -79,8 +77,8 @@
 pub(super) struct Confirmation {
     /// The question.
     pub(super) echo: Echo,
-    /// The store's revision of the configuration in force there.
-    pub(super) config_revision: u64,
+    /// The version of the configuration in force there.
+    pub(super) config_version: ConfigVersion,
     /// How long ago that configuration was confirmed, in milliseconds.
     pub(super) age_ms: u64,
 }
@@ -111,9 +109,9 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct News {
     /// Everything up to this revision is known already.
-    pub from: u64,
+    pub from: Revision,
     /// Everything up to this revision is known with the changes.
-    pub to: u64,
+    pub to: Revision,
     /// The changes, in order.
     pub changes: Vec<EntryChange>,
 }
@@ -125,11 +123,14 @@
     /// # Examples
     ///
     /// ```
+    /// use trouttrack_core::membership::Revision;
     /// use trouttrack_front::peers::{EntryChange, EntryState, News};
-    /// let gone = |revision| EntryChange { id: "e1".into(), revision, entry: EntryState::Gone };
+    /// let at = |number| Revision::new(0, number);
+    /// let gone = |n| EntryChange { id: "e1".into(), revision: at(n), entry: EntryState::Gone };
     /// let changes = vec![gone(11), gone(12), gone(14)];
-    /// let parts = News { from: 10, to: 20, changes }.in_parts(2);
-    /// let ends: Vec<_> = parts.iter().map(|n| (n.from, n.to, n.changes.len())).collect();
+    /// let parts = News { from: at(10), to: at(20), changes }.in_parts(2);
+    /// let ends = parts.iter().map(|n| (n.from.number, n.to.number, n.changes.len()));
+    /// let ends: Vec<_> = ends.collect();
     /// assert_eq!(ends, [(10, 12, 2), (12, 20, 1)]);
     /// ```
     #[must_use]
@@ -165,14 +166,14 @@
 }
 
 /// For each change the oldest revision among those after it; `None` after the last.
-fn oldest_after(changes: &[EntryChange]) -> Vec<Option<u64>> {
+fn oldest_after(changes: &[EntryChange]) -> Vec<Option<Revision>> {
     let mut oldest = None;
     let backwards = changes.iter().rev().map(|change| {
         let after = oldest;
-        oldest = Some(oldest.map_or(change.revision, |o: u64| o.min(change.revision)));
+        oldest = Some(oldest.map_or(change.revision, |o: Revision| o.min(change.revision)));
         after
     });
-    let mut found: Vec<Option<u64>> = backwards.collect();
+    let mut found: Vec<Option<Revision>> = backwards.collect();
     found.reverse();
     found
 }
@@ -183,7 +184,7 @@
     /// The upstream.
     pub id: UpstreamId,
     /// The store's revision of the change.
-    pub revision: u64,
+    pub revision: Revision,
     /// What became of the entry.
     pub entry: EntryState,
 }
@@ -203,7 +204,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct ToldConfig {
     /// The store's revision.
-    pub(super) revision: u64,
+    pub(super) revision: Revision,
     /// What it says.
     pub(super) spec: Box<str>,
 }
--- a/trouttrack_front/src/peers/news.rs
+++ b/trouttrack_front/src/peers/news.rs
@@ -14,7 +14,9 @@
 use std::rc::Rc;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
-use trouttrack_core::membership::{CHANGES_IN_DATAGRAM, NEWS_ANSWERS, news_receivers, relays};
+use trouttrack_core::membership::{
+    CHANGES_IN_DATAGRAM, NEWS_ANSWERS, Revision, news_receivers, relays,
+};
 
 /// Sends news to those who are to hear them, for as long as the process runs.
 ///
@@ -64,7 +66,7 @@
 
 /// Answers a VM that has missed what changed after a revision. One that is not
 /// answered asks another VM, or the store.
-pub(super) fn tell_again(front: &Front, socket: &UdpSocket, peer: SocketAddr, revision: u64) {
+pub(super) fn tell_again(front: &Front, socket: &UdpSocket, peer: SocketAddr, revision: Revision) {
     let Some(news) = front.history.borrow().after(revision) else {
         if front.upstreams.revision() > revision {
             post(socket, &Datagram::NewsForgotten, peer);
--- a/trouttrack_front/src/peers/table.rs
+++ b/trouttrack_front/src/peers/table.rs
@@ -10,9 +10,9 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use trouttrack_core::membership::{
-    Duty, SentTimes, heartbeat_pause, longest_silence, watchers_pause,
+    Duty, Revision, SentTimes, heartbeat_pause, longest_silence, watchers_pause,
 };
-use trouttrack_core::{FailureDomain, Time};
+use trouttrack_core::{ConfigVersion, FailureDomain, Time};
 use trouttrack_telemetry::{events, record};
 
 /// The shortest silence after which a peer counts as lost: several heartbeats, and as
@@ -32,10 +32,10 @@
     pub draining: bool,
     /// How long before that the store had last answered it.
     pub store_age: Option<Duration>,
-    /// The store's revision of the configuration in force there.
-    pub config_revision: u64,
+    /// The version of the configuration in force there.
+    pub config_version: ConfigVersion,
     /// The store's revision up to which it knows the upstreams' entries.
-    pub upstreams_revision: u64,
+    pub upstreams_revision: Revision,
     /// The heartbeat itself.
     last: Echo,
 }
@@ -296,27 +296,27 @@
 
     /// Draws a peer that knows the upstreams' entries beyond a revision, of the failure
     /// domain `home` if there is one.
-    pub(crate) fn draw_ahead(&self, home: &str, known: u64) -> Option<SocketAddr> {
+    pub(crate) fn draw_ahead(&self, home: &str, known: Revision) -> Option<SocketAddr> {
         let knows_more = |h: &Heard| h.upstreams_revision > known;
         self.draw(knows_more, |h| h.failure_domain == home)
     }
 
-    /// The newest revision of the configuration that a peer has in force.
+    /// The newest version of the configuration that a peer has in force; 0 if no peer has one.
     #[must_use]
-    pub fn newest_config(&self) -> u64 {
+    pub fn newest_config(&self) -> ConfigVersion {
         let heard = self.heard.borrow();
-        heard.values().map(|h| h.config_revision).max().unwrap_or(0)
+        heard.values().map(|h| h.config_version).max().unwrap_or(0)
     }
 
     /// The newest revision up to which a peer knows the upstreams' entries.
     #[must_use]
-    pub fn newest_upstreams(&self) -> u64 {
+    pub fn newest_upstreams(&self) -> Revision {
         let heard = self.heard.borrow();
         heard
             .values()
             .map(|h| h.upstreams_revision)
             .max()
-            .unwrap_or(0)
+            .unwrap_or_default()
     }
 
     /// Numbers the next heartbeat.
@@ -380,7 +380,7 @@
             at: now,
             failure_domain: digest.failure_domain.clone(),
             draining: digest.draining,
-            config_revision: heartbeat.config_revision,
+            config_version: digest.config_version,
             upstreams_revision: heartbeat.upstreams_revision,
             store_age: heartbeat.store_ms.map(Duration::from_millis),
             last: Echo {
--- a/trouttrack_front/src/peers/transfer/fetch.rs
+++ b/trouttrack_front/src/peers/transfer/fetch.rs
@@ -8,6 +8,8 @@
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::time::Duration;
+use trouttrack_core::ConfigVersion;
+use trouttrack_core::membership::Revision;
 use trouttrack_http::Reuse;
 
 /// How long an answer may take: several times that of a megabyte over the slowest links,
@@ -21,7 +23,7 @@
 pub(crate) async fn fetch_upstreams(
     front: &Front,
     peer: SocketAddr,
-    known: u64,
+    known: Revision,
 ) -> Option<Snapshot> {
     fetch(front, peer, &format!("/upstreams/{known}")).await
 }
@@ -30,7 +32,7 @@
 pub(crate) async fn fetch_config(
     front: &Front,
     peer: SocketAddr,
-    known: u64,
+    known: ConfigVersion,
 ) -> Option<ToldConfig> {
     fetch(front, peer, &format!("/config/{known}")).await
 }
--- a/trouttrack_front/src/peers/transfer/serve.rs
+++ b/trouttrack_front/src/peers/transfer/serve.rs
@@ -16,8 +16,8 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use trouttrack_core::Time;
-use trouttrack_core::membership::ANSWERED_AT_ONCE;
+use trouttrack_core::membership::{ANSWERED_AT_ONCE, Revision};
+use trouttrack_core::{ConfigVersion, Time};
 
 /// How long an encoded snapshot is used again: for how long upstreams are cold is told as
 /// of its making.
@@ -40,7 +40,7 @@
     /// Answers that are on their way.
     sending: Rc<Cell<usize>>,
     /// The last snapshot, and when it was made.
-    snapshot: RefCell<Option<(Time, u64, Bytes)>>,
+    snapshot: RefCell<Option<(Time, Revision, Bytes)>>,
 }
 
 impl Server {
@@ -52,11 +52,11 @@
         }
     }
 
-    /// Answers `/upstreams/REVISION` and `/config/REVISION` with what is newer here.
+    /// Answers `/upstreams/REVISION` and `/config/VERSION` with what is newer here.
     fn answer(&self, req: &Request) -> Response<Piecewise> {
         let mut parts = req.path().trim_start_matches('/').split('/');
         let kind = parts.next();
-        let known: Option<u64> = parts.next().and_then(|r| r.parse().ok());
+        let known = parts.next();
         let (Some(kind), Some(known)) = (kind, known) else {
             return refuse(StatusCode::NOT_FOUND);
         };
@@ -64,17 +64,18 @@
             return refuse(StatusCode::SERVICE_UNAVAILABLE);
         }
         let bytes = match kind {
-            "upstreams" => self.upstreams(known),
-            "config" => self.config(known),
+            "upstreams" => known.parse().map(|known| self.upstreams(known)),
+            "config" => known.parse().map(|known| self.config(known)),
             _ => return refuse(StatusCode::NOT_FOUND),
         };
         match bytes {
-            Some(bytes) => Response::ok().set_body(Piecewise::new(bytes, &self.sending)),
-            None => refuse(StatusCode::NO_CONTENT),
+            Ok(Some(bytes)) => Response::ok().set_body(Piecewise::new(bytes, &self.sending)),
+            Ok(None) => refuse(StatusCode::NO_CONTENT),
+            Err(_) => refuse(StatusCode::NOT_FOUND),
         }
     }
 
-    fn upstreams(&self, known: u64) -> Option<Bytes> {
+    fn upstreams(&self, known: Revision) -> Option<Bytes> {
         let upstreams = &self.front.upstreams;
         if !upstreams.is_listed() || upstreams.revision() <= known {
             return None;
@@ -92,10 +93,10 @@
         Some(bytes)
     }
 
-    fn config(&self, known: u64) -> Option<Bytes> {
+    fn config(&self, known: ConfigVersion) -> Option<Bytes> {
         let routing = &self.front.routing;
+        let spec = routing.spec().filter(|_| routing.version() > known)?;
         let revision = routing.revision();
-        let spec = routing.spec().filter(|_| revision > known)?;
         let spec = spec.as_ref().into();
         encode(&ToldConfig { revision, spec })
     }
--- a/trouttrack_front/src/peers/transfer/snapshot.rs
+++ b/trouttrack_front/src/peers/transfer/snapshot.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
+use trouttrack_core::membership::Revision;
 use trouttrack_core::{FailureDomain, ServiceId, Time, UpstreamId};
 use trouttrack_platform::UpstreamEntry;
 
@@ -20,11 +21,12 @@
 /// use trouttrack_front::state::{Clock, Upstreams};
 /// let known = Upstreams::new(Clock::start());
 /// let snapshot = Snapshot::of(&known);
-/// assert_eq!((snapshot.revision(), snapshot.entries().count()), (0, 0));
+/// assert_eq!(snapshot.revision(), Default::default());
+/// assert_eq!(snapshot.entries().count(), 0);
 /// ```
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Snapshot {
-    revision: u64,
+    revision: Revision,
     /// Whether upstreams here say when they started.
     say_births: bool,
     services: Vec<ServiceId>,
@@ -80,7 +82,7 @@
 
     /// The store's revision up to which the entries are known.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -16,10 +16,10 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use trouttrack_config::settings::{FrontSettings, ServingSettings};
-use trouttrack_core::FailureDomain;
 use trouttrack_core::fleet::idle_share;
 use trouttrack_core::membership::Evacuations;
 use trouttrack_core::world::{MOVED_FILL, PLACED_FILL, WorldSettings};
+use trouttrack_core::{FailureDomain, StoreEpoch};
 use trouttrack_http::Client;
 use trouttrack_platform::{EngineClient, StoreClient, StoreError};
 
@@ -147,10 +147,16 @@
         self.upstreams.store_back();
         self.store_contact.answered(self.clock.now());
         if let Some(epoch) = self.store.epoch() {
-            self.store_contact.note_epoch(epoch);
+            self.note_store_epoch(epoch);
         }
     }
 
+    /// Notes a store epoch reported by the store or by a peer.
+    pub fn note_store_epoch(&self, epoch: StoreEpoch) {
+        self.store.note_epoch(epoch);
+        self.store_contact.note_epoch(epoch);
+    }
+
     /// Whether the store has answered a peer of the own failure domain within `longest`,
     /// as far as was heard.
     #[must_use]
--- a/trouttrack_front/src/state/routing.rs
+++ b/trouttrack_front/src/state/routing.rs
@@ -7,6 +7,7 @@
 use trouttrack_config::settings::BoundSettings;
 use trouttrack_core::fleet::{FleetConfig, RouteTable};
 use trouttrack_core::freshness::Freshness;
+use trouttrack_core::membership::Revision;
 use trouttrack_core::{ConfigVersion, Time};
 use trouttrack_telemetry::{events, record};
 
@@ -24,7 +25,7 @@
     clock: Clock,
     table: RefCell<Option<Rc<RouteTable>>>,
     /// The store's revision of the configuration in force.
-    revision: Cell<u64>,
+    revision: Cell<Revision>,
     /// The configuration in force as the store has it.
     spec: RefCell<Option<Rc<str>>>,
     freshness: Cell<Freshness>,
@@ -46,7 +47,7 @@
         Self {
             clock,
             table: RefCell::default(),
-            revision: Cell::new(0),
+            revision: Cell::default(),
             spec: RefCell::default(),
             freshness: Cell::new(Freshness::new(revoke.saturating_sub(TRAVEL))),
             revoke: Cell::new(revoke),
@@ -97,9 +98,9 @@
         self.table.borrow().is_some()
     }
 
-    /// The store's revision of the configuration in force; 0 if there is none.
+    /// The store's revision of the configuration in force; the default one if there is none.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision.get()
     }
 
@@ -116,13 +117,13 @@
 
     /// Whether the configuration in force is the one of this revision.
     #[must_use]
-    pub fn has_revision(&self, revision: u64) -> bool {
+    pub fn has_revision(&self, revision: Revision) -> bool {
         self.revision.get() == revision
     }
 
     /// Puts a configuration in force, unless a newer one is. Returns whether
     /// it did.
-    pub fn put(&self, revision: u64, config: FleetConfig) -> bool {
+    pub fn put(&self, revision: Revision, config: FleetConfig) -> bool {
         let (before, version) = (self.version(), config.version);
         if self.table.borrow().is_some() && version <= before {
             if version == before {
@@ -135,7 +136,8 @@
             events::CONFIG_IN_FORCE,
             version = version,
             before = before,
-            revision = revision,
+            epoch = revision.epoch,
+            revision = revision.number,
             routes = config.routes.len(),
         );
         *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use trouttrack_core::fleet::{RouteTable, ServiceSpec};
-use trouttrack_core::membership::Entries;
+use trouttrack_core::membership::{Entries, Revision};
 use trouttrack_core::rescue::Departure;
 use trouttrack_core::upstream::{Incarnation, Spec};
 use trouttrack_core::{FailureDomain, ServiceId, Time, UpstreamId};
@@ -113,9 +113,9 @@
     entries: RefCell<Entries>,
     listed: Cell<bool>,
     /// The store's revision up to which the entries are known.
-    revision: Cell<u64>,
+    revision: Cell<Revision>,
     /// The newest revision of the store that is known of.
-    store_at: Cell<u64>,
+    store_at: Cell<Revision>,
     /// Whether upstreams here say when they started. Where they do, an entry that does not
     /// is another writer's.
     say_births: Cell<bool>,
@@ -132,8 +132,8 @@
             by_id: RefCell::default(),
             entries: RefCell::default(),
             listed: Cell::new(false),
-            revision: Cell::new(0),
-            store_at: Cell::new(0),
+            revision: Cell::default(),
+            store_at: Cell::default(),
             say_births: Cell::new(false),
             made_for: RefCell::default(),
         }
@@ -162,17 +162,17 @@
 
     /// The store's revision up to which the entries are known.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision.get()
     }
 
     /// The entries are known up to a revision.
-    pub fn advance(&self, revision: u64) {
+    pub fn advance(&self, revision: Revision) {
         self.revision.set(self.revision.get().max(revision));
     }
 
     /// The store was seen at a revision.
-    pub fn store_is_at(&self, revision: u64) {
+    pub fn store_is_at(&self, revision: Revision) {
         self.store_at.set(self.store_at.get().max(revision));
     }
 
@@ -201,7 +201,7 @@
     }
 
     /// Takes in an entry, and says what it changes.
-    pub fn seen(&self, id: &str, revision: u64, entry: UpstreamEntry) -> Seen {
+    pub fn seen(&self, id: &str, revision: Revision, entry: UpstreamEntry) -> Seen {
         let known = self.get(id);
         let life = Incarnation::new(id, entry.born);
         if known
@@ -212,7 +212,8 @@
                 events::EARLIER_LIFE,
                 upstream = id,
                 born = entry.born,
-                revision = revision,
+                epoch = revision.epoch,
+                revision = revision.number,
             );
             return Seen::default();
         }
@@ -250,7 +251,7 @@
 
     /// Puts an upstream in the table: it is new, or its address or service has
     /// changed.
-    fn add(&self, id: &str, revision: u64, entry: UpstreamEntry) -> Rc<Upstream> {
+    fn add(&self, id: &str, revision: Revision, entry: UpstreamEntry) -> Rc<Upstream> {
         if self.is_listed() {
             log_seen(id, revision, &entry);
         }
@@ -378,12 +379,13 @@
 
 /// Logs an upstream that is new. Those of a first list are told by their number: ten
 /// thousand lines at once would crowd out all others.
-fn log_seen(id: &str, revision: u64, entry: &UpstreamEntry) {
+fn log_seen(id: &str, revision: Revision, entry: &UpstreamEntry) {
     record!(
         events::UPSTREAM_SEEN,
         upstream = id,
         born = entry.born,
-        revision = revision,
+        epoch = revision.epoch,
+        revision = revision.number,
         service = entry.service.as_str(),
         failure_domain = entry.failure_domain.as_str(),
         cold_ms = entry.cold_for.as_millis() as u64,
--- a/trouttrack_front/tests/front/config.rs
+++ b/trouttrack_front/tests/front/config.rs
@@ -2,6 +2,7 @@
 
 use crate::support::{Bed, HOST, KEY, PLAIN, config, plain, route, until};
 use trouttrack_core::fleet::RouteKind;
+use trouttrack_core::membership::Revision;
 use trouttrack_platform_standin::{CallerRequest, Upstream};
 
 #[actix_rt::test]
@@ -41,10 +42,12 @@
 async fn a_revision_told_late_takes_nothing_back() {
     let bed = Bed::new(PLAIN).await;
     let routing = &bed.front.front.routing;
-    let later = routing.revision() + 100;
+    let known = routing.revision();
+    let after_known = |offset| Revision::new(known.epoch, known.number + offset);
+    let later = after_known(100);
     assert!(routing.put(later, config(9)));
-    assert!(!routing.put(later - 1, config(9)));
-    assert!(!routing.put(later - 2, config(8)));
+    assert!(!routing.put(after_known(99), config(9)));
+    assert!(!routing.put(after_known(98), config(8)));
     assert_eq!((routing.revision(), routing.version()), (later, 9));
 }
 
--- a/trouttrack_front/tests/front/large_fleet.rs
+++ b/trouttrack_front/tests/front/large_fleet.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use trouttrack_config::settings::RetrySettings;
 use trouttrack_core::fleet::{FleetConfig, RouteKind};
+use trouttrack_core::membership::Revision;
 use trouttrack_front::app::{Running, start};
 use trouttrack_front::peers::{EntryChange, EntryState, News, Snapshot, watches_store};
 use trouttrack_front::state::{Budgets, Clock, Upstreams};
@@ -205,6 +206,10 @@
     assert_eq!(vm.front.metrics.rows_made.get(), made + UPSTREAMS as u64);
 }
 
+fn at(number: u64) -> Revision {
+    Revision::new(0, number)
+}
+
 fn entry(leaving: bool, born: u64) -> UpstreamEntry {
     UpstreamEntry {
         service: PLAIN.to_owned(),
@@ -221,15 +226,15 @@
 fn a_snapshot_says_what_its_vm_knows() {
     let known = Upstreams::new(Clock::start());
     known.set_say_births();
-    known.seen("stays", 3, entry(false, 100));
-    known.seen("leaves", 4, entry(true, 200));
-    known.seen("lapsed", 5, entry(false, 300));
+    known.seen("stays", at(3), entry(false, 100));
+    known.seen("leaves", at(4), entry(true, 200));
+    known.seen("lapsed", at(5), entry(false, 300));
     known.store_lost();
     assert!(known.removed("lapsed").is_none());
-    known.advance(6);
+    known.advance(at(6));
 
     let snapshot = Snapshot::of(&known);
-    assert_eq!(snapshot.revision(), 6);
+    assert_eq!(snapshot.revision(), at(6));
     assert!(snapshot.say_births());
     let mut told: Vec<_> = snapshot.entries().collect();
     told.sort_by(|a, b| a.id.cmp(&b.id));
@@ -242,7 +247,7 @@
 #[test]
 fn news_in_parts_are_all_there_and_each_follows_the_one_before() {
     // A change that bears an older revision than the one before it is not cut off from it.
-    let revisions = [11, 12, 15, 14, 16, 17, 13, 20, 21, 22, 22, 30];
+    let revisions = [11, 12, 15, 14, 16, 17, 13, 20, 21, 22, 22, 30].map(at);
     let changes: Vec<EntryChange> = revisions
         .into_iter()
         .map(|revision| EntryChange {
@@ -253,14 +258,14 @@
         .collect();
     for most in 1..=revisions.len() {
         let news = News {
-            from: 10,
-            to: 40,
+            from: at(10),
+            to: at(40),
             changes: changes.clone(),
         };
         let parts = news.in_parts(most);
         let told = parts.iter().flat_map(|part| &part.changes);
         assert!(told.map(|c| c.revision).eq(revisions));
-        assert_eq!((parts[0].from, parts[parts.len() - 1].to), (10, 40));
+        assert_eq!((parts[0].from, parts[parts.len() - 1].to), (at(10), at(40)));
         for pair in parts.windows(2) {
             assert_eq!(pair[0].to, pair[1].from);
             // Whoever has only the first part is told the second again.
--- a/trouttrack_front/tests/front/store_restored.rs
+++ b/trouttrack_front/tests/front/store_restored.rs
@@ -1,5 +1,5 @@
-//! A store that was restored from a copy has lost its latest writes and gives their revisions
-//! out again.
+//! Tests of VMs whose store is restored from a backup, which loses its latest writes and
+//! reuses their revisions.
 
 use crate::support::{Bed, PLAIN, config, plain, settings, until};
 use std::time::Duration;
@@ -7,23 +7,23 @@
 use trouttrack_front::state::Front;
 use trouttrack_platform_standin::{Store, StoreData, StoreFault, Upstream};
 
-/// How long the store is away before it is back from its copy.
-const AWAY: Duration = Duration::from_millis(1500);
-/// A time within which a VM lists a store that is back.
-const LISTED: Duration = Duration::from_secs(1);
-/// Longer than what is missing from the copy is waited for.
-const PAST_THE_RETURN: Duration = Duration::from_secs(3);
-/// Calls that a VM may make in a second in which a store is back from its copy: it lists and
-/// watches three kinds, writes its entry and confirms the configuration.
+/// How long the store does not answer before it is restored.
+const OUTAGE: Duration = Duration::from_millis(1500);
+/// A time within which a VM lists a restored store.
+const LISTING: Duration = Duration::from_secs(1);
+/// Longer than VMs wait for entries that are missing from the backup.
+const PAST_MISSING_ENTRY_WAIT: Duration = Duration::from_secs(3);
+/// The most calls that a VM may make to a restored store in a second: it lists and watches
+/// three kinds, writes its entry and confirms the configuration.
 const MOST_CALLS: u64 = 30;
-/// Requests of which each of two upstreams would get some.
-const MANY: usize = 12;
+/// Enough requests that each of two upstreams in use gets some.
+const REQUESTS: usize = 12;
 
 fn is_leaving(front: &Front, id: &str) -> bool {
     front.upstreams.get(id).is_some_and(|u| u.is_leaving())
 }
 
-/// Has an upstream write something, and waits until VMs know it.
+/// Writes an upstream's entry and waits until the VMs know of the write.
 async fn write_entry(bed: &Bed, upstream: &Upstream, fronts: &[&Front]) {
     let before: Vec<_> = fronts.iter().map(|f| f.upstreams.revision()).collect();
     bed.store.put_cold(upstream, Duration::from_millis(1));
@@ -34,105 +34,110 @@
     .await;
 }
 
-/// The store goes away and loses what was written since the copy was made. What is written
-/// before it answers again takes the revisions that were lost.
-async fn lose_writes(store: &Store, backup: &StoreData) {
+/// Stops the store's answers, then restores it from a backup. Writes made before it answers
+/// again get the lost revisions.
+async fn restore_after_outage(store: &Store, backup: &StoreData) {
     store.set_fault(StoreFault::Silent);
-    tokio::time::sleep(AWAY).await;
+    tokio::time::sleep(OUTAGE).await;
     store.restore(backup);
 }
 
-/// The store is restored without being away, and the VM lists it.
-async fn restore_at_once(bed: &Bed, backup: &StoreData) {
+/// Restores the store without an outage and waits until the VM has listed it.
+async fn restore_without_outage(bed: &Bed, backup: &StoreData) {
     let pages = bed.store.upstream_pages();
     bed.store.restore(backup);
-    until("it is listed", || bed.store.upstream_pages() > pages).await;
-    tokio::time::sleep(LISTED).await;
+    until("the list is read", || bed.store.upstream_pages() > pages).await;
+    tokio::time::sleep(LISTING).await;
 }
 
-/// How many of a number of requests reach an upstream.
-async fn served_there(bed: &Bed, upstream: &Upstream, ids: &str) -> usize {
+/// Sends requests and returns how many of them reach an upstream.
+async fn count_served_by(bed: &Bed, upstream: &Upstream, ids: &str) -> usize {
     let before = upstream.arrivals().len();
-    for n in 0..MANY {
+    for n in 0..REQUESTS {
         let reply = bed.send(&plain(&format!("{ids}-{n}"), "many")).await;
         assert_eq!(reply.status, 200, "{ids}-{n}: {}", reply.text());
     }
     upstream.arrivals().len() - before
 }
 
-async fn second(bed: &Bed) -> Running {
+async fn start_second_vm(bed: &Bed) -> Running {
     let other = start(&settings(&bed.store, "front-2", "")).await;
     let other = other.expect("a front");
-    until("both know each other", || {
+    until("both VMs know each other", || {
         let knows = |front: &Running| !front.front.peers.others().is_empty();
         knows(&bed.front) && knows(&other)
     })
     .await;
-    until("the second is ready", || other.front.lifecycle.is_ready()).await;
+    until("front-2 is ready", || other.front.lifecycle.is_ready()).await;
     other
 }
 
+// A VM misses a departure written at a reused revision and keeps sending requests there.
 #[actix_rt::test]
-async fn a_departure_at_a_revision_given_out_again_is_seen() {
+async fn a_departure_at_a_reused_revision_is_seen() {
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
     let backup = bed.store.backup();
     write_entry(&bed, &bed.upstreams[1], &[front]).await;
-    lose_writes(&bed.store, &backup).await;
+    restore_after_outage(&bed.store, &backup).await;
     bed.store.put_upstream(&bed.upstreams[0], true);
     bed.store.set_fault(StoreFault::None);
-    until("it leaves", || is_leaving(front, "u1")).await;
+    until("u1 is leaving", || is_leaving(front, "u1")).await;
     until("keys are confirmed", || front.routing.is_fresh()).await;
-    assert_eq!(served_there(&bed, &bed.upstreams[0], "after").await, 0);
+    assert_eq!(count_served_by(&bed, &bed.upstreams[0], "after").await, 0);
 }
 
+// VMs that exchange news miss a departure written at a reused revision.
 #[actix_rt::test]
-async fn a_departure_at_a_revision_given_out_again_is_seen_by_each_vm() {
+async fn a_departure_at_a_reused_revision_is_seen_by_each_vm() {
     let bed = Bed::new(PLAIN).await;
-    let other = second(&bed).await;
+    let other = start_second_vm(&bed).await;
     let both = [bed.front.front.as_ref(), other.front.as_ref()];
     let backup = bed.store.backup();
     write_entry(&bed, &bed.upstreams[1], &both).await;
-    lose_writes(&bed.store, &backup).await;
+    restore_after_outage(&bed.store, &backup).await;
     bed.store.put_upstream(&bed.upstreams[0], true);
     bed.store.set_fault(StoreFault::None);
-    until("both see it leave", || {
+    until("both VMs see u1 leaving", || {
         both.iter().all(|f| is_leaving(f, "u1"))
     })
     .await;
 }
 
+// A configuration at a reused revision is taken for the one already in force.
 #[actix_rt::test]
-async fn a_configuration_at_a_revision_given_out_again_is_put_in_force() {
+async fn a_configuration_at_a_reused_revision_is_put_in_force() {
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
     let backup = bed.store.backup();
     bed.store.put_config(&config(2));
     until("version 2 is in force", || front.routing.version() == 2).await;
-    lose_writes(&bed.store, &backup).await;
+    restore_after_outage(&bed.store, &backup).await;
     bed.store.put_config(&config(3));
     bed.store.set_fault(StoreFault::None);
     until("version 3 is in force", || front.routing.version() == 3).await;
 }
 
+// A restore reverts the configuration, or keeps peers from passing it on.
 #[actix_rt::test]
-async fn a_configuration_that_the_store_has_lost_stays_in_force() {
+async fn a_configuration_lost_by_the_store_stays_in_force() {
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
     let backup = bed.store.backup();
     bed.store.put_config(&config(2));
     until("version 2 is in force", || front.routing.version() == 2).await;
-    restore_at_once(&bed, &backup).await;
-    let late = second(&bed).await;
-    until("a VM that starts has it from its peer", || {
+    restore_without_outage(&bed, &backup).await;
+    let late = start_second_vm(&bed).await;
+    until("the second VM has version 2 from its peer", || {
         late.front.routing.version() == 2
     })
     .await;
     assert_eq!(front.routing.version(), 2);
 }
 
+// A VM ignores an evacuation written at a reused revision.
 #[actix_rt::test]
-async fn an_evacuation_at_a_revision_given_out_again_is_put_in_force() {
+async fn an_evacuation_at_a_reused_revision_is_put_in_force() {
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
     let backup = bed.store.backup();
@@ -141,137 +146,147 @@
         front.evacuations.borrow().contains("b")
     })
     .await;
-    lose_writes(&bed.store, &backup).await;
+    restore_after_outage(&bed.store, &backup).await;
     bed.store.evacuate("a");
     bed.store.set_fault(StoreFault::None);
     until("a is evacuated", || !front.scheduler.is_open("u1")).await;
 }
 
+// A restore ends an evacuation before an operator can write it again.
 #[actix_rt::test]
-async fn an_evacuation_that_the_store_has_lost_holds_until_it_is_written_again() {
+async fn an_evacuation_lost_by_the_store_holds_until_it_is_rewritten() {
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
     let backup = bed.store.backup();
     bed.store.evacuate("a");
-    until("it is in force", || !front.scheduler.is_open("u1")).await;
-    restore_at_once(&bed, &backup).await;
+    until("a is evacuated", || !front.scheduler.is_open("u1")).await;
+    restore_without_outage(&bed, &backup).await;
     assert!(!front.scheduler.is_open("u1"));
     bed.store.evacuate("a");
-    tokio::time::sleep(LISTED).await;
+    tokio::time::sleep(LISTING).await;
     assert!(!front.scheduler.is_open("u1"));
     bed.store.take_back("a");
-    until("it is taken back", || front.scheduler.is_open("u1")).await;
+    until("a is taken back", || front.scheduler.is_open("u1")).await;
 }
 
+// An evacuation lost in a restore stays in force forever.
 #[actix_rt::test]
-async fn an_evacuation_that_is_not_written_again_ends() {
+async fn an_evacuation_that_is_not_rewritten_ends() {
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
     let backup = bed.store.backup();
     bed.store.evacuate("a");
-    until("it is in force", || !front.scheduler.is_open("u1")).await;
-    restore_at_once(&bed, &backup).await;
-    until("it has ended", || front.scheduler.is_open("u1")).await;
+    until("a is evacuated", || !front.scheduler.is_open("u1")).await;
+    restore_without_outage(&bed, &backup).await;
+    until("the evacuation ends", || front.scheduler.is_open("u1")).await;
 }
 
+// An upstream whose entry was lost in a restore is dropped before it can write it again.
 #[actix_rt::test]
-async fn an_upstream_whose_entry_was_lost_is_used_until_it_is_written_again() {
+async fn an_upstream_whose_entry_was_lost_is_used_until_it_is_rewritten() {
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
     let backup = bed.store.backup();
     let late = Upstream::start("u3", PLAIN, "a").await;
     bed.store.put_upstream(&late, false);
-    until("it is known", || front.upstreams.get("u3").is_some()).await;
-    restore_at_once(&bed, &backup).await;
-    assert!(served_there(&bed, &late, "lost").await > 0);
+    until("u3 is known", || front.upstreams.get("u3").is_some()).await;
+    restore_without_outage(&bed, &backup).await;
+    assert!(count_served_by(&bed, &late, "lost").await > 0);
     bed.store.put_upstream(&late, false);
-    tokio::time::sleep(PAST_THE_RETURN).await;
-    assert!(served_there(&bed, &late, "back").await > 0);
+    tokio::time::sleep(PAST_MISSING_ENTRY_WAIT).await;
+    assert!(count_served_by(&bed, &late, "back").await > 0);
 }
 
+// An upstream whose entry was lost in a restore is never removed.
 #[actix_rt::test]
-async fn an_upstream_whose_entry_is_not_written_again_is_gone() {
+async fn an_upstream_whose_entry_is_not_rewritten_is_removed() {
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
     let backup = bed.store.backup();
     let late = Upstream::start("u3", PLAIN, "a").await;
     bed.store.put_upstream(&late, false);
-    until("it is known", || front.upstreams.get("u3").is_some()).await;
-    restore_at_once(&bed, &backup).await;
-    until("it is gone", || front.upstreams.get("u3").is_none()).await;
+    until("u3 is known", || front.upstreams.get("u3").is_some()).await;
+    restore_without_outage(&bed, &backup).await;
+    until("u3 is gone", || front.upstreams.get("u3").is_none()).await;
 }
 
+// A leaving upstream gets requests again once a restore reverts its entry.
 #[actix_rt::test]
-async fn an_upstream_that_said_it_leaves_gets_nothing_after_the_store_lost_that() {
+async fn a_leaving_upstream_gets_no_requests_after_the_store_lost_its_departure() {
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
     let backup = bed.store.backup();
     bed.store.put_upstream(&bed.upstreams[0], true);
-    until("it leaves", || is_leaving(front, "u1")).await;
-    restore_at_once(&bed, &backup).await;
-    assert_eq!(served_there(&bed, &bed.upstreams[0], "after").await, 0);
+    until("u1 is leaving", || is_leaving(front, "u1")).await;
+    restore_without_outage(&bed, &backup).await;
+    assert_eq!(count_served_by(&bed, &bed.upstreams[0], "after").await, 0);
 }
 
+// A removed upstream gets requests again once a restore brings its entry back.
 #[actix_rt::test]
-async fn an_upstream_that_left_unsaid_gets_nothing_after_the_store_lost_that() {
+async fn a_removed_upstream_gets_no_requests_after_the_store_lost_its_removal() {
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
     let backup = bed.store.backup();
     bed.store.remove_upstream("u1");
-    until("it is gone", || front.upstreams.get("u1").is_none()).await;
-    restore_at_once(&bed, &backup).await;
-    assert_eq!(served_there(&bed, &bed.upstreams[0], "copy").await, 0);
+    until("u1 is gone", || front.upstreams.get("u1").is_none()).await;
+    restore_without_outage(&bed, &backup).await;
+    assert_eq!(count_served_by(&bed, &bed.upstreams[0], "copy").await, 0);
     bed.store.remove_upstream("u1");
-    tokio::time::sleep(LISTED).await;
-    assert_eq!(served_there(&bed, &bed.upstreams[0], "removed").await, 0);
+    tokio::time::sleep(LISTING).await;
+    assert_eq!(count_served_by(&bed, &bed.upstreams[0], "removed").await, 0);
 }
 
+// An upstream that was removed before a restore stays unused after it writes its entry again.
 #[actix_rt::test]
 async fn an_upstream_that_writes_its_entry_after_the_restore_is_used() {
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
     let backup = bed.store.backup();
     bed.store.remove_upstream("u1");
-    until("it is gone", || front.upstreams.get("u1").is_none()).await;
-    restore_at_once(&bed, &backup).await;
+    until("u1 is gone", || front.upstreams.get("u1").is_none()).await;
+    restore_without_outage(&bed, &backup).await;
     bed.store
         .put_cold(&bed.upstreams[0], Duration::from_millis(1));
-    until("it is open", || front.scheduler.is_open("u1")).await;
-    assert!(served_there(&bed, &bed.upstreams[0], "back").await > 0);
+    until("u1 is open", || front.scheduler.is_open("u1")).await;
+    assert!(count_served_by(&bed, &bed.upstreams[0], "back").await > 0);
 }
 
+// A VM whose entry was lost in a restore stays missing from the store.
 #[actix_rt::test]
-async fn a_vm_writes_its_entry_again() {
+async fn a_vm_rewrites_its_entry_after_a_restore() {
     let bed = Bed::new(PLAIN).await;
-    let nothing = Store::start().await.backup();
+    let empty = Store::start().await.backup();
     assert_eq!(bed.store.vms(), ["front-1"]);
-    bed.store.restore(&nothing);
+    bed.store.restore(&empty);
     assert!(bed.store.vms().is_empty());
     until("its entry is back", || bed.store.vms() == ["front-1"]).await;
 }
 
+// Held requests that were lost in a restore stay missing from the store.
 #[actix_rt::test]
-async fn a_vm_writes_held_requests_again() {
+async fn a_vm_rewrites_held_requests_after_a_restore() {
     const REQUEST: u128 = 7;
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
     let backup = bed.store.backup();
     for id in ["u1", "u2"] {
-        let upstream = front.upstreams.get(id).expect("it is known");
+        let upstream = front.upstreams.get(id).expect("a known upstream");
         front.suspects.ended(REQUEST, &upstream);
     }
-    until("it is kept", || bed.store.holds().len() == 1).await;
+    until("a hold is stored", || bed.store.holds().len() == 1).await;
     bed.store.restore(&backup);
     assert!(bed.store.holds().is_empty());
-    until("it is kept again", || bed.store.holds().len() == 1).await;
+    until("it is stored again", || bed.store.holds().len() == 1).await;
 }
 
+// A VM with a lost revision lists and watches a restored store in a tight loop.
 #[actix_rt::test]
-async fn a_store_that_lost_revisions_is_not_asked_again_and_again() {
+async fn calls_to_a_restored_store_stay_bounded() {
     let bed = Bed::new(PLAIN).await;
     let backup = bed.store.backup();
     write_entry(&bed, &bed.upstreams[0], &[&bed.front.front]).await;
-    restore_at_once(&bed, &backup).await;
+    restore_without_outage(&bed, &backup).await;
     let before = bed.store.calls();
     tokio::time::sleep(Duration::from_secs(1)).await;
     let made = bed.store.calls() - before;
--- a/trouttrack_load/src/patterns/fleet.rs
+++ b/trouttrack_load/src/patterns/fleet.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use trouttrack_core::length::LengthKey;
-use trouttrack_core::membership::{Evacuations, UpstreamUse};
+use trouttrack_core::membership::{Evacuations, Revision, UpstreamUse};
 use trouttrack_core::upstream::{RateShare, Spec};
 use trouttrack_core::world::{Decision, RequestKey, Submission, World};
 use trouttrack_engine::{Engine, SequenceKey, StepOutput, Submit};
@@ -415,7 +415,7 @@
     /// on it.
     fn evacuate(&mut self, begins: bool) {
         let domains = begins.then(|| domain_name(0));
-        let revision = 1 + u64::from(!begins);
+        let revision = Revision::new(0, 1 + u64::from(!begins));
         for vm in &mut self.vms {
             let told = Evacuations::as_of(revision, domains.clone());
             vm.world.set_evacuations(told);
