Keep upstreams and evacuations that a store restore has lost

A store restored from a backup lacks writes made shortly before the restore, and contains entries that had been removed, until their writers have written them again.

- An entry that is missing from the first list of an epoch is treated like one that lapsed in an outage: it has 2.2 s to come back.
- An upstream whose entry disappeared is remembered for 60 s.
If a list of a later epoch contains the same incarnation again, with a revision that is not after the first list, the upstream gets no work until it writes its entry again, or until the entry is still listed after 10 s.
The event `removal-undone` reports it.
- An evacuation that was in force stays in force for 10 s unless it is written again.
After it is written again, it can be taken back as usual.
- The configuration counts as confirmed by the store only if no peer has a newer one in force.

Two tests are new and were not run on the previous code: an_upstream_still_listed_after_the_restore_grace_is_used and a_key_removed_by_a_lost_configuration_stays_removed (at a VM that starts after the restore).

--- a/trouttrack_core/src/membership/entries.rs
+++ b/trouttrack_core/src/membership/entries.rs
@@ -3,7 +3,8 @@
 //! An entry that disappears means that its upstream leaves. Entries also lapse
 //! while the store is away, because nobody can renew them; those of upstreams
 //! that live are back shortly after the store's return. So what disappears
-//! around an outage is judged only then.
+//! around an outage is judged only then. A restore of the store from a backup
+//! can lose entries, so it counts as the end of an outage.
 
 use crate::{Time, UpstreamId};
 use std::collections::HashMap;
@@ -97,6 +98,12 @@
         was_away
     }
 
+    /// The store was restored from a backup. Missing entries may have been lost, and live
+    /// upstreams write theirs again as after an outage.
+    pub fn store_restored(&mut self, now: Time) {
+        self.returned_at = Some(now);
+    }
+
     fn just_back(&self, now: Time) -> bool {
         self.returned_at.is_some_and(|t| now < t + RETURN_GRACE)
     }
--- a/trouttrack_core/src/membership/evacuations.rs
+++ b/trouttrack_core/src/membership/evacuations.rs
@@ -51,6 +51,25 @@
         changed
     }
 
+    /// Returns the failure domains that a restore of the store may have lost: those that are
+    /// missing from `restored`, if it belongs to a later epoch.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use trouttrack_core::membership::{Evacuations, Revision};
+    /// let known = Evacuations::as_of(Revision::new(1, 39), ["a".to_owned()]);
+    /// let taken_back = Evacuations::as_of(Revision::new(1, 40), []);
+    /// assert_eq!(known.lost_in(&taken_back).count(), 0);
+    /// let restored = Evacuations::as_of(Revision::new(2, 37), []);
+    /// assert!(known.lost_in(&restored).eq(["a"]));
+    /// ```
+    pub fn lost_in<'a>(&'a self, restored: &'a Self) -> impl Iterator<Item = &'a FailureDomain> {
+        let later = restored.revision.epoch > self.revision.epoch;
+        let missing = self.domains.difference(&restored.domains);
+        missing.filter(move |_| later)
+    }
+
     /// A failure domain was evacuated, or taken back.
     pub fn change(&mut self, domain: &str, evacuated: bool) {
         match evacuated {
--- a/trouttrack_core/src/membership/mod.rs
+++ b/trouttrack_core/src/membership/mod.rs
@@ -3,6 +3,7 @@
 //! Everything here is merged by taking the newer of two entries, so the order
 //! in which digests arrive, or arrive twice, does not matter.
 
+mod departures;
 mod duty;
 mod echo;
 mod entries;
@@ -15,6 +16,7 @@
 mod telling;
 mod watch;
 
+pub use departures::{Departures, RESTORE_GRACE};
 pub use duty::{Contact, Duty, Standing};
 pub use echo::SentTimes;
 pub use entries::Entries;
--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -138,10 +138,12 @@
     let listing = store.list(Kind::Config, None, Reading::Current, TIMEOUT);
     let page = listing.await?;
     front.store_answered();
-    if page.objects.iter().any(|o| config::take(front, o)) {
+    let in_force = page.objects.iter().any(|o| config::take(front, o));
+    if in_force && front.peers.newest_config() <= front.routing.version() {
         front.routing.confirmed(sent_at);
     } else {
-        // It was taken away, or cannot be read: asking at once brings no other.
+        // It was removed or cannot be read, or the store has lost the newest one: asking again
+        // at once brings no other.
         tokio::time::sleep(NOT_IN_FORCE).await;
     }
     front.upstreams.store_is_at(page.revision);
--- a/trouttrack_front/src/follow/evacuations.rs
+++ b/trouttrack_front/src/follow/evacuations.rs
@@ -9,7 +9,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use trouttrack_core::membership::{Evacuations, Revision};
+use trouttrack_core::membership::{Evacuations, RESTORE_GRACE, Revision};
 use trouttrack_platform::{Change, Kind, Object};
 use trouttrack_telemetry::{events, record};
 
@@ -93,16 +93,60 @@
 /// Takes in which failure domains are evacuated, if that is newer than what is known.
 /// Where something changes, it binds from now on, and the other VMs hear of it at once.
 pub(crate) fn take_evacuations(front: &Front, told: &Evacuations, by: Told<'_>) {
-    let before = front.evacuations.borrow().clone();
+    let known = front.evacuations.borrow().clone();
+    let before = in_force(front);
     if !front.evacuations.borrow_mut().merge(told) {
         return;
     }
-    log_changes(&before, told, by);
-    front.metrics.evacuated.set(told.domains().len() as i64);
-    front.scheduler.set_evacuations(told.clone());
+    let until = front.clock.now() + RESTORE_GRACE;
+    let newly_lost = known.lost_in(told).map(|domain| (domain.clone(), until));
+    let mut lost_evacuations = front.lost_evacuations.borrow_mut();
+    lost_evacuations.retain(|(domain, _)| !told.contains(domain));
+    lost_evacuations.extend(newly_lost);
+    drop(lost_evacuations);
+    put_in_force(front, &before, by);
     front.peers.announce();
 }
 
+/// Ends evacuations that a restore of the store has lost and that were not written again in
+/// time.
+pub(super) fn expire_lost_evacuations(front: &Front) {
+    let now = front.clock.now();
+    if front.lost_evacuations.borrow().is_empty() {
+        return;
+    }
+    let before = in_force(front);
+    let mut lost_evacuations = front.lost_evacuations.borrow_mut();
+    let before_expiry = lost_evacuations.len();
+    lost_evacuations.retain(|(_, until)| now < *until);
+    let any_expired = lost_evacuations.len() < before_expiry;
+    drop(lost_evacuations);
+    if any_expired {
+        put_in_force(front, &before, Told::ByStore);
+    }
+}
+
+/// The known evacuations, and those that a restore of the store has lost and that stay in force
+/// for now.
+fn in_force(front: &Front) -> Evacuations {
+    let mut evacuated = front.evacuations.borrow().clone();
+    for (domain, _) in front.lost_evacuations.borrow().iter() {
+        evacuated.change(domain, true);
+    }
+    evacuated
+}
+
+/// Applies the evacuations in force, and logs what differs from `before`.
+fn put_in_force(front: &Front, before: &Evacuations, by: Told<'_>) {
+    let evacuated = in_force(front);
+    log_changes(before, &evacuated, by);
+    front
+        .metrics
+        .evacuated
+        .set(evacuated.domains().len() as i64);
+    front.scheduler.set_evacuations(evacuated);
+}
+
 fn log_changes(before: &Evacuations, now: &Evacuations, by: Told<'_>) {
     for domain in now.domains().filter(|d| !before.contains(d)) {
         record!(
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -1,6 +1,7 @@
 //! The upstreams' entries.
 
 use super::bootstrap::take_from_peers;
+use super::evacuations::expire_lost_evacuations;
 use super::follower::Follower;
 use crate::peers::{EntryChange, EntryState, News, Snapshot, ToldUpstream, ask_for_news};
 use crate::rescue;
@@ -134,7 +135,7 @@
 /// All entries up to a revision were taken in, and these are there. Other VMs hear at once
 /// that this one has them.
 fn take_whole(front: &Rc<Front>, ids: &HashSet<&str>, revision: Revision, told_by: &str) {
-    for gone in front.upstreams.listed(ids) {
+    for gone in front.upstreams.listed(ids, revision) {
         depart(front, &gone);
     }
     front.upstreams.advance(revision);
@@ -290,6 +291,9 @@
 /// Takes in an entry that is there. With a new life everything that was believed of the
 /// one before goes: its load and circuit, its connections, what it holds.
 fn see(front: &Rc<Front>, id: &str, revision: Revision, entry: UpstreamEntry) {
+    if front.upstreams.defer_if_undone(id, revision, &entry) {
+        return;
+    }
     let seen = front.upstreams.seen(id, revision, entry);
     if let Some(before) = seen.before {
         remove(front, &before);
@@ -379,6 +383,11 @@
         for upstream in &gone {
             remove(&front, upstream);
         }
+        for (id, revision, entry) in front.upstreams.take_deferred() {
+            see(&front, &id, revision, entry);
+            put_row(&front, &id);
+        }
+        expire_lost_evacuations(&front);
         front.http.sweep();
         front.scheduler.forget_words();
     }
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -19,7 +19,7 @@
 use trouttrack_core::fleet::idle_share;
 use trouttrack_core::membership::Evacuations;
 use trouttrack_core::world::{MOVED_FILL, PLACED_FILL, WorldSettings};
-use trouttrack_core::{FailureDomain, StoreEpoch};
+use trouttrack_core::{FailureDomain, StoreEpoch, Time};
 use trouttrack_http::Client;
 use trouttrack_platform::{EngineClient, StoreClient, StoreError};
 
@@ -93,6 +93,9 @@
     pub news: mpsc::Sender<News>,
     /// The failure domains that operators have evacuated.
     pub evacuations: RefCell<Evacuations>,
+    /// Evacuations that a restore of the store has lost, and the time until which each stays in
+    /// force.
+    pub lost_evacuations: RefCell<Vec<(FailureDomain, Time)>>,
     /// How long a watch for them waits.
     pub evacuation_watch: Duration,
     /// Policies that can be switched.
@@ -134,6 +137,7 @@
             store_contact: StoreContact::default(),
             news,
             evacuations: RefCell::default(),
+            lost_evacuations: RefCell::default(),
             evacuation_watch: settings.bounds.evacuate.mul_f64(WATCHED_ANEW),
             serving: settings.serving.clone(),
             metrics: Metrics::new(),
--- a/trouttrack_front/tests/front/store_restored.rs
+++ b/trouttrack_front/tests/front/store_restored.rs
@@ -292,3 +292,43 @@
     let made = bed.store.calls() - before;
     assert!(made <= MOST_CALLS, "{made} calls in a second");
 }
+
+// A live upstream whose entry was brought back by a restore is never used again.
+#[actix_rt::test]
+async fn an_upstream_still_listed_after_the_restore_grace_is_used() {
+    let bed = Bed::new(PLAIN).await;
+    let front = &bed.front.front;
+    let backup = bed.store.backup();
+    bed.store.remove_upstream("u1");
+    until("u1 is gone", || front.upstreams.get("u1").is_none()).await;
+    restore_without_outage(&bed, &backup).await;
+    assert!(front.upstreams.get("u1").is_none());
+    until("u1 is used", || front.scheduler.is_open("u1")).await;
+    assert!(count_served_by(&bed, &bed.upstreams[0], "listed").await > 0);
+}
+
+// A VM that starts after the restore accepts a key that a lost configuration had removed.
+#[actix_rt::test]
+async fn a_key_removed_by_a_lost_configuration_stays_removed() {
+    let bed = Bed::new(PLAIN).await;
+    let front = &bed.front.front;
+    let backup = bed.store.backup();
+    let mut next = config(2);
+    next.organisations
+        .iter_mut()
+        .flatten()
+        .for_each(|o| o.keys.clear());
+    bed.store.put_config(&next);
+    until("version 2 is in force", || front.routing.version() == 2).await;
+    restore_without_outage(&bed, &backup).await;
+    let late = start_second_vm(&bed).await;
+    until("the second VM has version 2", || {
+        late.front.routing.version() == 2
+    })
+    .await;
+    for addr in [bed.addr(), late.callers] {
+        let reply = plain("removed", "many").send(addr).await;
+        assert!([401, 503].contains(&reply.status), "{}", reply.status);
+    }
+    assert!(bed.ran("removed").is_empty());
+}
--- a/trouttrack_telemetry/src/events/catalogue.rs
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -96,4 +96,5 @@
     UPSTREAM_SAID = 115, Info, "upstream-said", "An upstream said of itself, in an answer's head or a report, or to a peer that tells of a limit, that it leaves, that it wants nothing from this VM for a while, or how many requests a second it takes from all VMs together, and that is news: it gets no new work from this VM in this life of it, or for so long, or no more than that until it says otherwise.";
     UPSTREAMS_LISTED = 116, Info, "upstreams-listed", "All upstreams' entries up to a revision are known. Names their number and whether the store or a peer, by its address, gave them; those of a first list have no line of their own.";
     STORE_RESTORED = 117, Warn, "store-restored", "The platform's service was restored from a backup and has lost its latest writes; revision numbers are reused. Names the epoch and the previous one.";
+    REMOVAL_UNDONE = 118, Info, "removal-undone", "An upstream's entry is listed again only because a restore of the platform's service has undone its removal. The upstream gets no work until it writes its entry again, or until the time for repeating lost writes has passed with the entry still listed.";
 }
