Rewrite VM entries and held requests after a store restore

VMs wrote their own data to the store only once. After a restore, a VM's entry stayed missing, so VMs that started then did not find it. A held request that was lost in the restore stayed missing, and one whose hold had been removed was in the store again.

A VM now notes the epoch in which its entry was accepted and writes the entry again in each later epoch. Each request that is held, or that ran well after upstreams had ended under it, is written again, or removed again, by the VMs responsible for it. All VMs do so at the same moment, so each first waits for a random time of up to 5 ms per VM of the fleet: at most 1.7 s with 340 VMs.

--- a/trouttrack_core/src/quarantine/table.rs
+++ b/trouttrack_core/src/quarantine/table.rs
@@ -145,6 +145,14 @@
         records.filter(|r| self.hold_of(now, r).is_some()).count()
     }
 
+    /// The requests that are held, and those that ran well after upstreams had ended under them,
+    /// which may have been held before.
+    pub fn held_now_or_before(&self, now: Time) -> impl Iterator<Item = Fingerprint> {
+        let records = self.requests.iter();
+        let chosen = records.filter(move |(_, r)| r.count() == 0 || self.hold_of(now, r).is_some());
+        chosen.map(|(request, _)| *request)
+    }
+
     /// The upstreams whose ends count against a request.
     #[must_use]
     pub fn ended_under(&self, request: Fingerprint) -> Vec<Incarnation> {
--- a/trouttrack_front/src/follow/holds.rs
+++ b/trouttrack_front/src/follow/holds.rs
@@ -5,6 +5,7 @@
 //! hold is over. It lies beside the VMs' own entries, so that reading it costs no call.
 
 use super::backoff::Backoff;
+use super::vms::pause_after_restore;
 use crate::state::Front;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,10 +18,22 @@
 /// VMs that write a request: one of them may be gone.
 const WRITERS: usize = 2;
 
-/// Keeps what is held in the store for as long as the process runs.
+/// Keeps held requests in the store for as long as the process runs. A restore of the store may
+/// lose written entries and bring removed ones back, so after it all remembered requests are
+/// written or removed again.
 pub(super) async fn keep(front: Rc<Front>) {
+    let mut epoch = None;
     loop {
-        for request in front.suspects.changed().await {
+        let requests = tokio::select! {
+            biased;
+            restored_epoch = front.store_contact.restored_after(epoch) => {
+                epoch = restored_epoch;
+                pause_after_restore(&front).await;
+                front.suspects.held_now_or_before()
+            }
+            changed = front.suspects.changed() => changed,
+        };
+        for request in requests {
             if writes(&front, request) {
                 actix_rt::spawn(write(Rc::clone(&front), request));
             }
--- a/trouttrack_front/src/follow/vms.rs
+++ b/trouttrack_front/src/follow/vms.rs
@@ -22,6 +22,8 @@
 /// many VMs: else the store would send with the square of the fleet, 40 MB a second to
 /// 2,000 VMs.
 const VMS_PER_PAUSE: usize = 256;
+/// The longest pause before writing to a restored store, for each VM of the fleet.
+const WRITE_PAUSE_PER_VM: Duration = Duration::from_millis(5);
 /// By how much a list that may lag is older than the store, at most, while nothing is
 /// wrong with it.
 const LAG: Duration = Duration::from_millis(1500);
@@ -31,20 +33,33 @@
 /// From the own entry's writing to the first listing: VMs start together.
 const OTHERS_START: Duration = Duration::from_millis(700);
 
-/// Writes the own entry. It is the same at each start of a VM, and a lost
-/// answer is met by writing again.
+/// Writes the own entry, and writes it again after each restore of the store, which may have lost
+/// it. The entry is the same at each start of a VM, so a write whose answer was lost is retried.
 pub(super) async fn announce(front: Rc<Front>, own: SocketAddr) {
     let entry = VmEntry {
         peers: own,
         failure_domain: front.failure_domain.clone(),
     };
-    let mut backoff = Backoff::new();
-    while let Err(e) = front.store.put(Kind::Vms, &front.name, &entry, CALL).await {
-        log::debug!("{e}");
-        backoff.pause().await;
+    loop {
+        let mut backoff = Backoff::new();
+        while let Err(e) = front.store.put(Kind::Vms, &front.name, &entry, CALL).await {
+            log::debug!("{e}");
+            backoff.pause().await;
+        }
+        let written_epoch = front.store.epoch();
+        front.store_contact.restored_after(written_epoch).await;
+        pause_after_restore(&front).await;
     }
 }
 
+/// Waits for a random time that grows with the fleet: all VMs notice a restore at once, and the
+/// store's write rate is limited.
+pub(super) async fn pause_after_restore(front: &Front) {
+    let longest = WRITE_PAUSE_PER_VM * u32::try_from(front.peers.listed()).unwrap_or(u32::MAX);
+    let part = rand::rng().random_range(0.0..1.0);
+    tokio::time::sleep(longest.mul_f64(part)).await;
+}
+
 /// Lists the VMs for as long as the process runs. At once, for a VM that starts again finds
 /// the others' entries there, and again when VMs that started together have written theirs.
 pub(super) async fn list(front: Rc<Front>) {
--- a/trouttrack_front/src/state/store_contact.rs
+++ b/trouttrack_front/src/state/store_contact.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use trouttrack_core::{StoreEpoch, Time};
 use trouttrack_platform::StoreError;
 use trouttrack_telemetry::{events, record};
@@ -13,7 +13,7 @@
     away: Cell<bool>,
     answered_at: Cell<Option<Time>>,
     /// The highest store epoch noted so far.
-    epoch: Cell<Option<StoreEpoch>>,
+    epoch: watch::Sender<Option<StoreEpoch>>,
     returned: Notify,
 }
 
@@ -39,16 +39,29 @@
     /// Notes the store's epoch and logs a restore if it is higher than the previous one: the
     /// store was restored from a backup and has lost its latest writes.
     pub fn note_epoch(&self, epoch: StoreEpoch) {
-        let before = self.epoch.get();
+        let before = *self.epoch.borrow();
         if before.is_some_and(|before| epoch <= before) {
             return;
         }
-        self.epoch.set(Some(epoch));
+        self.epoch.send_replace(Some(epoch));
         if let Some(before) = before {
             record!(events::STORE_RESTORED, epoch = epoch, before = before);
         }
     }
 
+    /// Waits until the store's epoch is higher than the given one, or, for `None`, than the
+    /// current one once it is known: writes from before the restore may be lost. Returns the
+    /// new epoch.
+    pub async fn restored_after(&self, epoch: Option<StoreEpoch>) -> Option<StoreEpoch> {
+        let mut epochs = self.epoch.subscribe();
+        let previous = match epoch {
+            Some(_) => epoch,
+            None => *epochs.wait_for(Option::is_some).await.ok()?,
+        };
+        let current = epochs.wait_for(|e| *e > previous).await.ok()?;
+        *current
+    }
+
     /// Peers are answered again; no call of this VM was.
     pub fn heard_back(&self) {
         if self.away.replace(false) {
--- a/trouttrack_front/src/state/suspects.rs
+++ b/trouttrack_front/src/state/suspects.rs
@@ -110,6 +110,13 @@
         self.table.borrow().ended_under(request)
     }
 
+    /// The requests that are held, and those that may have been held before.
+    #[must_use]
+    pub fn held_now_or_before(&self) -> Vec<Fingerprint> {
+        let table = self.table.borrow();
+        table.held_now_or_before(self.clock.now()).collect()
+    }
+
     fn keep(&self, request: Fingerprint) {
         self.to_keep.borrow_mut().push(request);
         self.kept.notify_one();
--- a/trouttrack_front/tests/front/store_restored.rs
+++ b/trouttrack_front/tests/front/store_restored.rs
@@ -332,3 +332,54 @@
     }
     assert!(bed.ran("removed").is_empty());
 }
+
+// A restore brings back a hold that had ended, and VMs that start later hold the request again.
+#[actix_rt::test]
+async fn a_vm_removes_held_requests_again_after_a_restore() {
+    const REQUEST: u128 = 7;
+    let bed = Bed::new(PLAIN).await;
+    let front = &bed.front.front;
+    for id in ["u1", "u2"] {
+        let upstream = front.upstreams.get(id).expect("a known upstream");
+        front.suspects.ended(REQUEST, &upstream);
+    }
+    until("the hold is stored", || bed.store.holds().len() == 1).await;
+    let backup = bed.store.backup();
+    front.suspects.ran_well(REQUEST);
+    until("the hold is removed", || bed.store.holds().is_empty()).await;
+    bed.store.restore(&backup);
+    assert_eq!(bed.store.holds().len(), 1);
+    until("the hold is removed again", || bed.store.holds().is_empty()).await;
+}
+
+// A VM that starts with the restored configuration accepts a removed key until it hears from
+// its peers.
+#[actix_rt::test]
+async fn a_vm_that_starts_after_a_restore_accepts_no_removed_key() {
+    let bed = Bed::new(PLAIN).await;
+    let front = &bed.front.front;
+    let backup = bed.store.backup();
+    let mut next = config(2);
+    next.organisations
+        .iter_mut()
+        .flatten()
+        .for_each(|o| o.keys.clear());
+    bed.store.put_config(&next);
+    until("version 2 is in force", || front.routing.version() == 2).await;
+    restore_without_outage(&bed, &backup).await;
+    let late = start(&settings(&bed.store, "front-2", "")).await;
+    let late = late.expect("a front");
+    for n in 0.. {
+        let id = format!("removed-{n}");
+        let reply = plain(&id, "many").send(late.callers).await;
+        assert_ne!(
+            reply.status,
+            200,
+            "{id}: {:?}",
+            late.front.routing.version()
+        );
+        if late.front.routing.version() == 2 {
+            break;
+        }
+    }
+}
