Back off when the store repeatedly answers "history gone"

The first restart still lists immediately. A list that succeeds no longer resets the pause by itself.

--- a/trouttrack_front/src/follow/calls.rs
+++ b/trouttrack_front/src/follow/calls.rs
@@ -14,20 +14,35 @@
 /// How long a page of a list may take.
 const LIST: Duration = Duration::from_secs(2);
 
-/// Asks for changes, and takes them in. Returns whether there were any.
+/// The result of a watch that the store answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum WatchOutcome {
+    /// The answer contained changes.
+    Changes,
+    /// The answer contained no changes.
+    NoChanges,
+    /// The store has no history after the revision, so a new list is needed.
+    HistoryGone,
+}
+
+/// Asks for changes since a revision and applies them to the follower.
 pub(super) async fn watch<F: Follower>(
     front: &Front,
     follower: &F,
     since: Revision,
     wait: Duration,
-) -> Result<bool, StoreError> {
+) -> Result<WatchOutcome, StoreError> {
     let watched = front.store.watch(F::KIND, since, wait).await?;
     front.store_answered();
     match watched {
         Watched::Changes { changes, revision } => {
             let any = !changes.is_empty();
             follower.changed(changes, revision);
-            Ok(any)
+            Ok(if any {
+                WatchOutcome::Changes
+            } else {
+                WatchOutcome::NoChanges
+            })
         }
         Watched::HistoryGone => {
             record!(
@@ -37,7 +52,7 @@
                 since = since.number,
             );
             follower.history_gone();
-            Ok(false)
+            Ok(WatchOutcome::HistoryGone)
         }
     }
 }
--- a/trouttrack_front/src/follow/kind.rs
+++ b/trouttrack_front/src/follow/kind.rs
@@ -1,7 +1,7 @@
 //! Listing a kind of object, then following its changes.
 
 use super::backoff::Backoff;
-use super::calls::{list, watch};
+use super::calls::{WatchOutcome, list, watch};
 use super::follower::Follower;
 use crate::peers::watches_store;
 use crate::state::Front;
@@ -31,6 +31,8 @@
     // What a first list lacks is asked for from its revision on. A later one
     // makes up for history that is gone.
     let mut reading = Reading::MayLag;
+    // Restarts since the last `StepOutcome::Continued`; a list does not reset the count.
+    let mut consecutive_restarts = 0;
     loop {
         if follower.revision().is_some() {
             reading = Reading::Current;
@@ -40,7 +42,19 @@
             () = front.store_contact.returned() => continue,
         };
         match outcome {
-            Ok(()) => backoff.succeeded(),
+            Ok(StepOutcome::Continued) => {
+                consecutive_restarts = 0;
+                backoff.succeeded();
+            }
+            Ok(StepOutcome::Listed) => {}
+            Ok(StepOutcome::Restarted) => {
+                consecutive_restarts += 1;
+                if consecutive_restarts > 1 {
+                    // The store rejects a revision that it just returned. Without a pause, lists
+                    // and watches would alternate in a tight loop.
+                    backoff.pause().await;
+                }
+            }
             Err(e) => {
                 log::debug!("{e}");
                 backoff.pause().await;
@@ -49,15 +63,37 @@
     }
 }
 
+/// The result of a [`step`] that did not fail.
+enum StepOutcome {
+    /// The step ran a list.
+    Listed,
+    /// The step neither listed nor restarted.
+    Continued,
+    /// The store has no history after the revision, so a new list is needed.
+    Restarted,
+}
+
+impl From<WatchOutcome> for StepOutcome {
+    fn from(outcome: WatchOutcome) -> Self {
+        match outcome {
+            WatchOutcome::HistoryGone => Self::Restarted,
+            WatchOutcome::Changes | WatchOutcome::NoChanges => Self::Continued,
+        }
+    }
+}
+
 /// Lists, watches, or waits for what this VM has missed: whichever is its part
 /// now.
 async fn step<F: Follower>(
     front: &Front,
     follower: &F,
     reading: Reading,
-) -> Result<(), StoreError> {
+) -> Result<StepOutcome, StoreError> {
     match follower.revision() {
-        None => list(front, follower, reading).await,
+        None => {
+            list(front, follower, reading).await?;
+            Ok(StepOutcome::Listed)
+        }
         Some(since) if watches_store(front) => keep_watching(front, follower, since).await,
         Some(_) => catch_up(front, follower).await,
     }
@@ -68,40 +104,40 @@
     front: &Front,
     follower: &F,
     since: Revision,
-) -> Result<(), StoreError> {
+) -> Result<StepOutcome, StoreError> {
     let wait = follower.watch_for().unwrap_or(WATCH);
-    let changed = tokio::select! {
-        watched = watch(front, follower, since, wait) => watched,
-        () = missed(front, follower) => watch(front, follower, since, AT_ONCE).await,
+    let outcome = tokio::select! {
+        watched = watch(front, follower, since, wait) => watched?,
+        () = missed(front, follower) => watch(front, follower, since, AT_ONCE).await?,
     };
-    if changed? {
+    if outcome == WatchOutcome::Changes {
         let pause = rand::rng().random_range(GATHER_MS);
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
-    Ok(())
+    Ok(outcome.into())
 }
 
 /// Asks the store for what was missed, if something is, until it is time to look whether
 /// this VM is to watch. What is more than peers remember is taken from one of them: to make
 /// all rows anew costs more than a call for a few changes.
-async fn catch_up<F: Follower>(front: &Front, follower: &F) -> Result<(), StoreError> {
+async fn catch_up<F: Follower>(front: &Front, follower: &F) -> Result<StepOutcome, StoreError> {
     let missed = missed(front, follower);
     tokio::pin!(missed);
     loop {
         tokio::select! {
             () = &mut missed => {
                 if follower.is_far_behind() && follower.take_from_peers().await {
-                    return Ok(());
+                    return Ok(StepOutcome::Continued);
                 }
                 // Peers have told of some of it meanwhile.
                 let Some(since) = follower.revision() else {
-                    return Ok(());
+                    return Ok(StepOutcome::Continued);
                 };
-                return watch(front, follower, since, AT_ONCE).await.map(drop);
+                return watch(front, follower, since, AT_ONCE).await.map(StepOutcome::from);
             }
             () = tokio::time::sleep(LOOK) => {
                 if watches_store(front) {
-                    return Ok(());
+                    return Ok(StepOutcome::Continued);
                 }
             }
         }
--- a/trouttrack_front/tests/front/store_restored.rs
+++ b/trouttrack_front/tests/front/store_restored.rs
@@ -383,3 +383,17 @@
         }
     }
 }
+
+// A VM lists and watches a restored store in a tight loop if answers carry no epoch.
+#[actix_rt::test]
+async fn calls_to_a_restored_store_without_epochs_stay_bounded() {
+    let bed = Bed::new(PLAIN).await;
+    bed.store.omit_epoch();
+    let backup = bed.store.backup();
+    write_entry(&bed, &bed.upstreams[0], &[&bed.front.front]).await;
+    restore_without_outage(&bed, &backup).await;
+    let before = bed.store.calls();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let made = bed.store.calls() - before;
+    assert!(made <= MOST_CALLS, "{made} calls in a second");
+}
