Restore the store in the soak; test a large fleet after a restore

Plans with unplanned faults now back up the store with a probability of 0.4. The store becomes unavailable 0.5 to 3 s after the backup, for 0.2 to 1.5 s, and is then restored. Operators and upstreams rewrite the lost data within 1.5 s of the restore. The backup and the restore are drawn with a separate generator: the other steps of existing seeds keep their times and acts, but those that come after them draw different details. Only the outage and the rewriting count as a disturbance, not the age of the backup.

A new test restores the store of 12 VMs in one failure domain with 24 upstreams. It checks that all VMs see a departure that is written right after the restore, that they retain a departure that the restore has lost, and that fewer than 72 pages of the upstream list are requested (144 if every VM listed it).

--- a/trouttrack_front/tests/front/large_fleet.rs
+++ b/trouttrack_front/tests/front/large_fleet.rs
@@ -131,6 +131,35 @@
     assert!(calls < 2 * VMS as u64, "{calls} calls");
 }
 
+// Guards against every VM listing all upstreams after a store restore, against missing a departure
+// that is written right after it, and against undoing a departure that the restore has lost.
+#[actix_rt::test]
+async fn after_a_restore_all_vms_see_a_departure_and_few_list_upstreams() {
+    let (store, upstreams) = store().await;
+    list_those_gone(&store);
+    let fleet = fleet(&store, "").await;
+    let is_leaving = |vm: &Running, id: &str| {
+        let upstream = vm.front.upstreams.get(id);
+        upstream.is_some_and(|u| u.is_leaving())
+    };
+    let backup = store.backup();
+    store.put_upstream(&upstreams[3], true);
+    until("all VMs see u03 leaving", || {
+        fleet.iter().all(|vm| is_leaving(vm, "u03"))
+    })
+    .await;
+    let pages_before = store.upstream_pages();
+    store.restore(&backup);
+    store.put_upstream(&upstreams[5], true);
+    until("all VMs see u05 leaving", || {
+        fleet.iter().all(|vm| is_leaving(vm, "u05"))
+    })
+    .await;
+    assert!(fleet.iter().all(|vm| is_leaving(vm, "u03")));
+    let pages = store.upstream_pages() - pages_before;
+    assert!(pages < VMS as u64 * PAGES / 2, "{pages} pages");
+}
+
 #[test]
 fn while_the_number_of_vms_is_not_known_nobody_retries() {
     let settings = RetrySettings {
--- a/trouttrack_soak/src/bed/fleet.rs
+++ b/trouttrack_soak/src/bed/fleet.rs
@@ -11,7 +11,7 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use trouttrack_platform_standin::Store;
+use trouttrack_platform_standin::{Store, StoreData, Upstream};
 
 /// A failure domain that was evacuated.
 #[derive(Clone, Copy, Debug)]
@@ -48,6 +48,8 @@
     pub(crate) vms: Vec<Rc<Vm>>,
     /// The upstreams.
     pub(crate) upstreams: Upstreams,
+    /// The last backup of the store.
+    pub(crate) store_backup: RefCell<Option<StoreData>>,
     /// The evacuations so far.
     pub(crate) evacuations: RefCell<Vec<Evacuated>>,
     /// The upstreams that turned cold so far.
@@ -75,6 +77,7 @@
             caller_links: Vec::new(),
             vms: Vec::new(),
             upstreams,
+            store_backup: RefCell::default(),
             evacuations: RefCell::default(),
             cold: RefCell::default(),
             configs: RefCell::new(configs),
@@ -126,6 +129,47 @@
         }
     }
 
+    /// Backs up the store, replacing the last backup.
+    pub(crate) fn back_up_store(&self) {
+        *self.store_backup.borrow_mut() = Some(self.store.backup());
+    }
+
+    /// Rewrites the current configuration, evacuations and upstream entries, and removes outdated
+    /// evacuations and entries that a restore has brought back.
+    pub(crate) fn rewrite_current_state(&self) {
+        self.store.put_config(self.configs.borrow().newest());
+        for evacuated in self.evacuations.borrow().iter() {
+            match evacuated.until {
+                None => self.store.evacuate(evacuated.domain),
+                Some(_) => self.store.take_back(evacuated.domain),
+            }
+        }
+        for id in self.store.upstream_ids() {
+            if !self.upstreams.has(&id) {
+                self.store.remove_upstream(&id);
+            }
+        }
+        for member in self.upstreams.now() {
+            self.rewrite_entry(&member.upstream);
+        }
+    }
+
+    /// Rewrites the entry of a current upstream, or removes it if the upstream left without
+    /// announcing it.
+    fn rewrite_entry(&self, upstream: &Upstream) {
+        let now = Instant::now();
+        let cold = self.cold.borrow();
+        let cold = cold
+            .iter()
+            .find(|c| c.upstream == upstream.id && c.until > now);
+        match (self.upstreams.left_at(&upstream.id), cold) {
+            (Some(_), _) if upstream.is_leaving() => self.store.put_upstream(upstream, true),
+            (Some(_), _) => self.store.remove_upstream(&upstream.id),
+            (None, Some(cold)) => self.store.put_cold(upstream, cold.until - now),
+            (None, None) => self.store.put_upstream(upstream, false),
+        }
+    }
+
     /// Puts the next configuration in the store.
     pub(crate) fn put_config(&self, next: impl FnOnce(&mut Configs)) {
         let mut configs = self.configs.borrow_mut();
--- a/trouttrack_soak/src/faults/carry_out.rs
+++ b/trouttrack_soak/src/faults/carry_out.rs
@@ -83,6 +83,8 @@
             Act::Link(place, fault) => self.link(place, fault, step.lasts).await,
             Act::Store(failure) => store::fail(bed, failure, step.lasts, rng).await,
             Act::ForgetHistory => bed.store.forget_history(),
+            Act::BackUpStore => bed.back_up_store(),
+            Act::RestoreStore => store::restore(bed, rng).await,
             Act::Leave(place) => upstreams::leave(bed, place).await,
             Act::LeaveUnsaid(place) => upstreams::leave_unsaid(bed, place).await,
             Act::Crash(place) => upstreams::crash(bed, place, step.lasts).await,
--- a/trouttrack_soak/src/faults/store.rs
+++ b/trouttrack_soak/src/faults/store.rs
@@ -4,6 +4,7 @@
 use crate::plan::StoreFailure;
 use rand::RngExt;
 use rand::rngs::SmallRng;
+use std::ops::Range;
 use std::time::Duration;
 use tokio::time::sleep;
 use trouttrack_platform_standin::StoreFault;
@@ -11,6 +12,9 @@
 /// After the store's return, entries that lapsed are back within this.
 const ENTRIES_RETURN: Duration = Duration::from_millis(1500);
 
+/// How long the store is unavailable before it is restored, in milliseconds.
+const RESTORE_OUTAGE_MS: Range<u64> = 200..1500;
+
 /// Makes the store fail for a while.
 pub(super) async fn fail(bed: &Bed, failure: StoreFailure, lasts: Duration, rng: &mut SmallRng) {
     bed.store.set_fault(fault(failure));
@@ -26,6 +30,20 @@
     return_entries(bed, &lapsed, rng).await;
 }
 
+/// Restores the store from the last backup, if any, after a short outage. Operators and upstreams
+/// rewrite the lost data within [`ENTRIES_RETURN`] of the restore.
+pub(super) async fn restore(bed: &Bed, rng: &mut SmallRng) {
+    let Some(backup) = bed.store_backup.borrow().clone() else {
+        return;
+    };
+    bed.store.set_fault(StoreFault::Silent);
+    sleep(Duration::from_millis(rng.random_range(RESTORE_OUTAGE_MS))).await;
+    bed.store.restore(&backup);
+    bed.store.set_fault(StoreFault::None);
+    sleep(ENTRIES_RETURN.mul_f64(rng.random())).await;
+    bed.rewrite_current_state();
+}
+
 fn fault(failure: StoreFailure) -> StoreFault {
     match failure {
         StoreFailure::Refuse => StoreFault::Refuse,
--- a/trouttrack_soak/src/plan/act.rs
+++ b/trouttrack_soak/src/plan/act.rs
@@ -62,6 +62,11 @@
     Store(StoreFailure),
     /// The store forgets its history.
     ForgetHistory,
+    /// The store is backed up, without any disturbance.
+    BackUpStore,
+    /// The store becomes unavailable and is restored from the last backup. Operators and upstreams
+    /// then rewrite the lost data.
+    RestoreStore,
     /// An upstream says that it leaves, serves on for a while and ends; another
     /// takes its place.
     Leave(usize),
@@ -101,6 +106,7 @@
                 | Self::Reload(_)
                 | Self::Leave(_)
                 | Self::LeaveByAnswers(_)
+                | Self::BackUpStore
                 | Self::Configure
                 | Self::Revoke
                 | Self::Evacuate(_)
--- a/trouttrack_soak/src/plan/draw.rs
+++ b/trouttrack_soak/src/plan/draw.rs
@@ -42,6 +42,14 @@
 const LIMITS: u64 = 0x11a3;
 const MOST_LIMITS: usize = 2;
 const LASTS_LIMIT: Range<f64> = 7.5..12.0;
+/// XORed with the seed to draw the backup and restore of the store.
+const RESTORE_SALT: u64 = 0x6b05;
+/// The probability that a plan with unplanned faults restores the store.
+const RESTORE_PROBABILITY: f64 = 0.4;
+/// The age of the backup when the outage before the restore begins, in seconds.
+const BACKUP_AGE: Range<f64> = 0.5..3.0;
+/// The longest time from the start of the outage until the lost data is rewritten, in seconds.
+const MAX_RESTORE_DURATION: f64 = 3.0;
 /// How long bytes are delayed, in milliseconds.
 const DELAY_MS: Range<u64> = 5..400;
 
@@ -92,6 +100,7 @@
         steps.extend(beside(seed, size, ends));
         if !planned_only {
             steps.extend(end_engines(seed, ends));
+            steps.extend(restore_store(seed, ends));
         }
         let spoken = words(seed, size, ends).into_iter();
         steps.extend(spoken.filter(|s| !planned_only || s.act.is_planned()));
@@ -135,6 +144,28 @@
     })
 }
 
+/// Draws a backup of the store and the restore from it. A separate generator keeps the times and
+/// acts of a seed's other steps unchanged.
+fn restore_store(seed: u64, ends: Duration) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ RESTORE_SALT);
+    let first = SETTLE.as_secs_f64();
+    let latest = ends.as_secs_f64() - BACKUP_AGE.end - MAX_RESTORE_DURATION;
+    if !rng.random_bool(RESTORE_PROBABILITY) || latest <= first {
+        return Vec::new();
+    }
+    let at = Duration::from_secs_f64(rng.random_range(first..latest));
+    let age = Duration::from_secs_f64(rng.random_range(BACKUP_AGE));
+    let step = |at, act| Step {
+        at,
+        lasts: Duration::ZERO,
+        act,
+    };
+    vec![
+        step(at, Act::BackUpStore),
+        step(at + age, Act::RestoreStore),
+    ]
+}
+
 /// Upstreams that name a limit, drawn by themselves.
 fn limits(seed: u64, size: Size, ends: Duration) -> Vec<Step> {
     let mut rng = SmallRng::seed_from_u64(seed ^ LIMITS);
