Don't restart the restore grace period on each new list

An upstream whose removal was undone by a restore of the store gets work again after 10 s if it is still listed. Each further list of the same epoch, for example after the store dropped history, restarted the 10 s, so a live upstream could stay unused on a VM. Found by code reading; the test forces a list every 2 s.

The grace period now starts with the first list of the epoch that contains the entry of that incarnation.

--- a/trouttrack_front/src/state/mod.rs
+++ b/trouttrack_front/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod budgets;
 mod clock;
+mod deferred;
 mod front;
 mod lifecycle;
 mod routing;
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -1,6 +1,7 @@
 //! The upstreams that the store lists.
 
 use super::clock::Clock;
+use super::deferred::DeferredEntries;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -8,7 +9,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use trouttrack_core::fleet::{RouteTable, ServiceSpec};
-use trouttrack_core::membership::{Departures, Entries, RESTORE_GRACE, Revision};
+use trouttrack_core::membership::{Entries, Revision};
 use trouttrack_core::rescue::Departure;
 use trouttrack_core::upstream::{Incarnation, Spec};
 use trouttrack_core::{FailureDomain, ServiceId, Time, UpstreamId};
@@ -105,27 +106,15 @@
     pub leaves: Option<Rc<Upstream>>,
 }
 
-/// An entry that is not used yet because a restore of the store has undone its removal.
-#[derive(Debug)]
-struct DeferredEntry {
-    entry: UpstreamEntry,
-    revision: Revision,
-    /// When it is used if it is still listed.
-    accept_at: Time,
-}
-
 /// Everything that the store lists, and what may still come back.
 #[derive(Debug)]
 pub struct Upstreams {
     clock: Clock,
     by_id: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
     entries: RefCell<Entries>,
-    /// Upstreams whose entries were removed.
-    departures: RefCell<Departures>,
-    /// Listed entries whose removal was undone by a restore of the store.
-    deferred: RefCell<HashMap<UpstreamId, DeferredEntry>>,
-    /// The revision of the first list of the store's epoch.
-    first_list_revision: Cell<Revision>,
+    /// The removed upstreams, and the listed entries whose removal a restore of the store has
+    /// undone.
+    deferred: RefCell<DeferredEntries>,
     listed: Cell<bool>,
     /// The store's revision up to which the entries are known.
     revision: Cell<Revision>,
@@ -146,9 +135,7 @@
             clock,
             by_id: RefCell::default(),
             entries: RefCell::default(),
-            departures: RefCell::default(),
             deferred: RefCell::default(),
-            first_list_revision: Cell::default(),
             listed: Cell::new(false),
             revision: Cell::default(),
             store_at: Cell::default(),
@@ -221,44 +208,20 @@
     /// Defers a listed entry if a restore of the store has undone its removal. Returns whether
     /// it was deferred. [`Self::take_deferred`] returns it if it is still listed after
     /// [`RESTORE_GRACE`].
+    ///
+    /// [`RESTORE_GRACE`]: trouttrack_core::membership::RESTORE_GRACE
     pub fn defer_if_undone(&self, id: &str, revision: Revision, entry: &UpstreamEntry) -> bool {
-        self.deferred.borrow_mut().remove(id);
-        let life = Incarnation::new(id, entry.born);
-        let now = self.clock.now();
-        let first_list = match revision.epoch > self.first_list_revision.get().epoch {
-            true => revision,
-            false => self.first_list_revision.get(),
-        };
-        let departures = self.departures.borrow();
-        if self.get(id).is_some() || !departures.is_removal_undone(now, &life, revision, first_list)
-        {
+        let mut deferred = self.deferred.borrow_mut();
+        if self.get(id).is_some() {
+            deferred.remove(id);
             return false;
         }
-        record!(
-            events::REMOVAL_UNDONE,
-            upstream = id,
-            born = entry.born,
-            epoch = revision.epoch,
-            revision = revision.number,
-        );
-        let deferred = DeferredEntry {
-            entry: entry.clone(),
-            revision,
-            accept_at: now + RESTORE_GRACE,
-        };
-        self.deferred.borrow_mut().insert(id.to_owned(), deferred);
-        true
+        deferred.defer(self.clock.now(), id, revision, entry)
     }
 
-    /// Takes out the deferred entries that are still listed after [`RESTORE_GRACE`].
+    /// Removes and returns the deferred entries that are still listed after the grace period.
     pub fn take_deferred(&self) -> Vec<(UpstreamId, Revision, UpstreamEntry)> {
-        let now = self.clock.now();
-        let mut departures = self.departures.borrow_mut();
-        departures.expire(now);
-        let mut deferred = self.deferred.borrow_mut();
-        let due = deferred.extract_if(|_, d| now >= d.accept_at);
-        let due = due.inspect(|(id, d)| departures.forget(&Incarnation::new(id, d.entry.born)));
-        due.map(|(id, d)| (id, d.revision, d.entry)).collect()
+        self.deferred.borrow_mut().take_due(self.clock.now())
     }
 
     /// Takes in an entry, and says what it changes.
@@ -365,14 +328,9 @@
 
     /// Everything was listed as of a revision. Returns the upstreams that are gone.
     pub fn listed(&self, ids: &HashSet<&str>, revision: Revision) -> Vec<Rc<Upstream>> {
-        self.deferred
-            .borrow_mut()
-            .retain(|id, _| ids.contains(id.as_str()));
-        if revision.epoch > self.first_list_revision.get().epoch {
-            self.first_list_revision.set(revision);
-            if self.listed.get() {
-                self.entries.borrow_mut().store_restored(self.clock.now());
-            }
+        let is_first = self.deferred.borrow_mut().retain_listed(ids, revision);
+        if is_first && self.listed.get() {
+            self.entries.borrow_mut().store_restored(self.clock.now());
         }
         self.listed.set(true);
         let missing: Vec<UpstreamId> = {
@@ -398,10 +356,9 @@
     fn take_out(&self, id: &str) -> Option<Rc<Upstream>> {
         let upstream = self.by_id.borrow_mut().remove(id)?;
         record!(events::UPSTREAM_GONE, upstream = id);
-        let life = upstream.incarnation();
-        let mut departures = self.departures.borrow_mut();
-        departures.insert(self.clock.now(), &life, self.revision());
-        drop(departures);
+        let mut deferred = self.deferred.borrow_mut();
+        deferred.record_removal(self.clock.now(), &upstream.incarnation(), self.revision());
+        drop(deferred);
         self.depart(&upstream, self.noticed(), "entry disappeared");
         Some(upstream)
     }
--- a/trouttrack_front/tests/front/store_restored.rs
+++ b/trouttrack_front/tests/front/store_restored.rs
@@ -397,3 +397,26 @@
     let made = bed.store.calls() - before;
     assert!(made <= MOST_CALLS, "{made} calls in a second");
 }
+
+// Each list of the same epoch restarts the grace period, so a live upstream is never used again.
+#[actix_rt::test]
+async fn a_new_list_does_not_extend_the_restore_grace() {
+    let bed = Bed::new(PLAIN).await;
+    let front = &bed.front.front;
+    let backup = bed.store.backup();
+    bed.store.remove_upstream("u1");
+    until("u1 is gone", || front.upstreams.get("u1").is_none()).await;
+    restore_without_outage(&bed, &backup).await;
+    let (store, other) = (bed.store.clone(), bed.upstreams[1].clone());
+    let list_task = actix_rt::spawn(async move {
+        for n in 1.. {
+            store.set_fault(StoreFault::DeafWatches);
+            store.put_cold(&other, Duration::from_millis(n));
+            store.forget_history();
+            store.set_fault(StoreFault::None);
+            tokio::time::sleep(Duration::from_secs(2)).await;
+        }
+    });
+    until("u1 is used", || front.scheduler.is_open("u1")).await;
+    list_task.abort();
+}
