Take the upstreams from a peer when the restored store is unreachable

After a restore, peers' news do not follow what a VM knows, so the VM has to take everything anew. In a failure domain of few VMs each of them is drawn to ask the store for it. A VM that the store did not answer never asked a peer instead: it saw no departure for as long as it was cut off, although it heard its peers. Found by code reading.

When a call to the store fails, and peers no longer remember what the VM lacks or it has to list anew, it now takes all upstreams from a peer that is ahead.

A VM's entry now counts as written in the epoch before the call, because a restore during the call may have lost it; no test covers that.

a_vm_cut_off_from_the_restored_store_sees_departures fails on the previous commit (the departure is not seen within 20 s) and passes now. 22 of 22 tests of store_restored pass.

--- a/trouttrack_front/src/follow/bootstrap.rs
+++ b/trouttrack_front/src/follow/bootstrap.rs
@@ -40,6 +40,13 @@
     false
 }
 
+/// Takes the upstreams from a VM that knows them after a revision, within a time limit and without
+/// falling back to the store. Returns whether they are known now.
+pub(super) async fn try_take_from_peers(front: &Rc<Front>, known: Revision) -> bool {
+    let asking = tokio::time::timeout(LISTS_AGAIN, ask(front, known));
+    asking.await.is_ok()
+}
+
 /// Waits until the VMs that the store lists are known, for so long as that may take.
 pub(super) async fn find_others(front: &Front) {
     let waits_until = front.clock.now() + FIND_OTHERS;
--- a/trouttrack_front/src/follow/follower.rs
+++ b/trouttrack_front/src/follow/follower.rs
@@ -45,6 +45,10 @@
         false
     }
 
+    /// Called after a failed call to the store. Takes everything from a peer that knows more, if
+    /// peers' news do not follow what is known.
+    async fn take_from_peers_after_failure(&self) {}
+
     /// Everything was listed, as of a revision.
     fn listed(&self, objects: &[Object], revision: Revision);
 
--- a/trouttrack_front/src/follow/kind.rs
+++ b/trouttrack_front/src/follow/kind.rs
@@ -57,6 +57,7 @@
             }
             Err(e) => {
                 log::debug!("{e}");
+                follower.take_from_peers_after_failure().await;
                 backoff.pause().await;
             }
         }
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -1,6 +1,6 @@
 //! The upstreams' entries.
 
-use super::bootstrap::take_from_peers;
+use super::bootstrap::{take_from_peers, try_take_from_peers};
 use super::evacuations::expire_lost_evacuations;
 use super::follower::Follower;
 use crate::peers::{EntryChange, EntryState, News, Snapshot, ToldUpstream, ask_for_news};
@@ -77,6 +77,19 @@
         taken
     }
 
+    async fn take_from_peers_after_failure(&self) {
+        let peers = &self.front.peers;
+        let known = self.front.upstreams.revision();
+        let lacks_history = self.forgotten.get() || peers.is_far_behind();
+        if lacks_history
+            && peers.newest_upstreams() > known
+            && try_take_from_peers(&self.front, known).await
+        {
+            self.forgotten.set(false);
+            peers.set_far_behind(false);
+        }
+    }
+
     fn listed(&self, objects: &[Object], revision: Revision) {
         let read = objects.iter().map(|o| UpstreamEntry::decode(o.spec.get()));
         let read: Vec<Read> = read.collect();
--- a/trouttrack_front/src/follow/vms.rs
+++ b/trouttrack_front/src/follow/vms.rs
@@ -41,13 +41,14 @@
         failure_domain: front.failure_domain.clone(),
     };
     loop {
+        // Read before the write: a restore during the call may lose the written entry.
+        let epoch = front.store.epoch();
         let mut backoff = Backoff::new();
         while let Err(e) = front.store.put(Kind::Vms, &front.name, &entry, CALL).await {
             log::debug!("{e}");
             backoff.pause().await;
         }
-        let written_epoch = front.store.epoch();
-        front.store_contact.restored_after(written_epoch).await;
+        front.store_contact.restored_after(epoch).await;
         pause_after_restore(&front).await;
     }
 }
--- a/trouttrack_front/tests/front/store_restored.rs
+++ b/trouttrack_front/tests/front/store_restored.rs
@@ -420,3 +420,27 @@
     until("u1 is used", || front.scheduler.is_open("u1")).await;
     list_task.abort();
 }
+
+// A VM that cannot reach the restored store misses departures: its peers' news do not follow its
+// revision and are dropped.
+#[actix_rt::test]
+async fn a_vm_cut_off_from_the_restored_store_sees_departures() {
+    let bed = Bed::new(PLAIN).await;
+    // The second VM has a store of its own with the same entries, so that only it is cut off.
+    let cut_off_store = Store::start().await;
+    cut_off_store.put_config(&config(1));
+    for upstream in &bed.upstreams {
+        cut_off_store.put_upstream(upstream, false);
+    }
+    let late = start(&settings(&cut_off_store, "front-2", "")).await;
+    let late = late.expect("a front");
+    until("the second VM is ready", || late.front.lifecycle.is_ready()).await;
+    cut_off_store.set_fault(StoreFault::Silent);
+    let (peers, first) = (&late.front.peers, &bed.front.front);
+    let addr = *first.peer_addr.get().expect("an address");
+    peers.insert(&first.name, addr, &first.failure_domain);
+    until("it hears the first VM", || peers.has_heard(&first.name)).await;
+    bed.store.restore(&bed.store.backup());
+    bed.store.put_upstream(&bed.upstreams[0], true);
+    until("u1 is leaving", || is_leaving(&late.front, "u1")).await;
+}
