End open watches on a store restore and list without a failing watch

A watch that stopped reporting changes in a restore of the store was waited for until it timed out, unless a call of its VM failed in the meantime. Found by code reading.

When a VM notices a new store epoch, in any answer of the store or from a peer, its followers now restart. A follower whose revision is from an earlier epoch lists without first asking the store for a history that it cannot have.

Tests: steps shared by four tests and by two tests are moved into one function each; assertions are unchanged.

--- a/trouttrack_front/src/follow/kind.rs
+++ b/trouttrack_front/src/follow/kind.rs
@@ -106,6 +106,11 @@
     follower: &F,
     since: Revision,
 ) -> Result<StepOutcome, StoreError> {
+    if front.store.epoch().is_some_and(|epoch| epoch > since.epoch) {
+        // The revision predates a restore of the store, which has no history after it.
+        follower.history_gone();
+        return Ok(StepOutcome::Restarted);
+    }
     let wait = follower.watch_for().unwrap_or(WATCH);
     let outcome = tokio::select! {
         watched = watch(front, follower, since, wait) => watched?,
--- a/trouttrack_front/src/state/store_contact.rs
+++ b/trouttrack_front/src/state/store_contact.rs
@@ -36,8 +36,8 @@
         }
     }
 
-    /// Notes the store's epoch and logs a restore if it is higher than the previous one: the
-    /// store was restored from a backup and has lost its latest writes.
+    /// Notes the store's epoch. If it is higher than the previous one, the store was restored
+    /// from a backup and has lost its latest writes: logs the restore and wakes watches.
     pub fn note_epoch(&self, epoch: StoreEpoch) {
         let before = *self.epoch.borrow();
         if before.is_some_and(|before| epoch <= before) {
@@ -46,6 +46,8 @@
         self.epoch.send_replace(Some(epoch));
         if let Some(before) = before {
             record!(events::STORE_RESTORED, epoch = epoch, before = before);
+            // A watch that was open during the restore may report no changes until it times out.
+            self.returned.notify_waiters();
         }
     }
 
--- a/trouttrack_front/tests/front/store_restored.rs
+++ b/trouttrack_front/tests/front/store_restored.rs
@@ -50,6 +50,30 @@
     tokio::time::sleep(LISTING).await;
 }
 
+/// Removes u1's entry, then restores the store without an outage to its state before the removal.
+async fn restore_removed_entry(bed: &Bed) {
+    let front = &bed.front.front;
+    let backup = bed.store.backup();
+    bed.store.remove_upstream("u1");
+    until("u1 is gone", || front.upstreams.get("u1").is_none()).await;
+    restore_without_outage(bed, &backup).await;
+}
+
+/// Removes all keys with version 2 of the configuration, then restores the store without an
+/// outage to its state before that version.
+async fn restore_removed_key(bed: &Bed) {
+    let front = &bed.front.front;
+    let backup = bed.store.backup();
+    let mut next = config(2);
+    next.organisations
+        .iter_mut()
+        .flatten()
+        .for_each(|o| o.keys.clear());
+    bed.store.put_config(&next);
+    until("version 2 is in force", || front.routing.version() == 2).await;
+    restore_without_outage(bed, &backup).await;
+}
+
 /// Sends requests and returns how many of them reach an upstream.
 async fn count_served_by(bed: &Bed, upstream: &Upstream, ids: &str) -> usize {
     let before = upstream.arrivals().len();
@@ -226,11 +250,7 @@
 #[actix_rt::test]
 async fn a_removed_upstream_gets_no_requests_after_the_store_lost_its_removal() {
     let bed = Bed::new(PLAIN).await;
-    let front = &bed.front.front;
-    let backup = bed.store.backup();
-    bed.store.remove_upstream("u1");
-    until("u1 is gone", || front.upstreams.get("u1").is_none()).await;
-    restore_without_outage(&bed, &backup).await;
+    restore_removed_entry(&bed).await;
     assert_eq!(count_served_by(&bed, &bed.upstreams[0], "copy").await, 0);
     bed.store.remove_upstream("u1");
     tokio::time::sleep(LISTING).await;
@@ -242,10 +262,7 @@
 async fn an_upstream_that_writes_its_entry_after_the_restore_is_used() {
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
-    let backup = bed.store.backup();
-    bed.store.remove_upstream("u1");
-    until("u1 is gone", || front.upstreams.get("u1").is_none()).await;
-    restore_without_outage(&bed, &backup).await;
+    restore_removed_entry(&bed).await;
     bed.store
         .put_cold(&bed.upstreams[0], Duration::from_millis(1));
     until("u1 is open", || front.scheduler.is_open("u1")).await;
@@ -298,10 +315,7 @@
 async fn an_upstream_still_listed_after_the_restore_grace_is_used() {
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
-    let backup = bed.store.backup();
-    bed.store.remove_upstream("u1");
-    until("u1 is gone", || front.upstreams.get("u1").is_none()).await;
-    restore_without_outage(&bed, &backup).await;
+    restore_removed_entry(&bed).await;
     assert!(front.upstreams.get("u1").is_none());
     until("u1 is used", || front.scheduler.is_open("u1")).await;
     assert!(count_served_by(&bed, &bed.upstreams[0], "listed").await > 0);
@@ -311,16 +325,7 @@
 #[actix_rt::test]
 async fn a_key_removed_by_a_lost_configuration_stays_removed() {
     let bed = Bed::new(PLAIN).await;
-    let front = &bed.front.front;
-    let backup = bed.store.backup();
-    let mut next = config(2);
-    next.organisations
-        .iter_mut()
-        .flatten()
-        .for_each(|o| o.keys.clear());
-    bed.store.put_config(&next);
-    until("version 2 is in force", || front.routing.version() == 2).await;
-    restore_without_outage(&bed, &backup).await;
+    restore_removed_key(&bed).await;
     let late = start_second_vm(&bed).await;
     until("the second VM has version 2", || {
         late.front.routing.version() == 2
@@ -357,16 +362,7 @@
 #[actix_rt::test]
 async fn a_vm_that_starts_after_a_restore_accepts_no_removed_key() {
     let bed = Bed::new(PLAIN).await;
-    let front = &bed.front.front;
-    let backup = bed.store.backup();
-    let mut next = config(2);
-    next.organisations
-        .iter_mut()
-        .flatten()
-        .for_each(|o| o.keys.clear());
-    bed.store.put_config(&next);
-    until("version 2 is in force", || front.routing.version() == 2).await;
-    restore_without_outage(&bed, &backup).await;
+    restore_removed_key(&bed).await;
     let late = start(&settings(&bed.store, "front-2", "")).await;
     let late = late.expect("a front");
     for n in 0.. {
@@ -403,10 +399,7 @@
 async fn a_new_list_does_not_extend_the_restore_grace() {
     let bed = Bed::new(PLAIN).await;
     let front = &bed.front.front;
-    let backup = bed.store.backup();
-    bed.store.remove_upstream("u1");
-    until("u1 is gone", || front.upstreams.get("u1").is_none()).await;
-    restore_without_outage(&bed, &backup).await;
+    restore_removed_entry(&bed).await;
     let (store, other) = (bed.store.clone(), bed.upstreams[1].clone());
     let list_task = actix_rt::spawn(async move {
         for n in 1.. {
@@ -444,3 +437,16 @@
     bed.store.put_upstream(&bed.upstreams[0], true);
     until("u1 is leaving", || is_leaving(&late.front, "u1")).await;
 }
+
+// An evacuation is not seen until a watch that was open during the restore times out.
+#[actix_rt::test]
+async fn an_evacuation_is_seen_though_the_watch_is_silent_through_a_restore() {
+    let bed = Bed::with(PLAIN, "[bounds]\nevacuate = 600s\n").await;
+    let front = &bed.front.front;
+    let backup = bed.store.backup();
+    write_entry(&bed, &bed.upstreams[1], &[front]).await;
+    bed.store.set_fault(StoreFault::DeafWatches);
+    bed.store.restore(&backup);
+    bed.store.evacuate("a");
+    until("a is evacuated", || !front.scheduler.is_open("u1")).await;
+}
