Agree on the interfaces for work under hard load

Cause: placement knows neither objectives nor an upstream's speed, VMs report nothing but their use of upstreams, and nobody measures the pauses of a stream.

Change: a submission carries its service level; a candidate a prediction; VMs report conditions (service rates, unreachable upstreams, waiting demand) after the datagrams of the landed format, which VMs of that version ignore; the end's line names the longest pause. The passes of the scheduler are split into files. Nothing decides by any of it yet.

--- a/trouttrack_core/benches/decision.rs
+++ b/trouttrack_core/benches/decision.rs
@@ -10,7 +10,7 @@
 use trouttrack_core::length::LengthKey;
 use trouttrack_core::membership::UpstreamUse;
 use trouttrack_core::upstream::UpstreamSpec;
-use trouttrack_core::world::{Decision, Submission, World, WorldSettings};
+use trouttrack_core::world::{Decision, ServiceLevel, Submission, World, WorldSettings};
 
 const UPSTREAMS: [usize; 3] = [10, 100, 900];
 const ORGANISATIONS: [usize; 2] = [10, 18_000];
@@ -67,6 +67,7 @@
         priority: (i % 4) as u8,
         prompt_tokens: 400,
         deadline: Duration::MAX / 2,
+        service_level: ServiceLevel::UNBOUNDED,
         max_running: None,
         avoid: Vec::new(),
         guessed_tokens: None,
--- a/trouttrack_core/src/membership/mod.rs
+++ b/trouttrack_core/src/membership/mod.rs
@@ -3,6 +3,7 @@
 //! All state is merged by keeping the newer of two entries, so digests may arrive
 //! in any order and more than once.
 
+mod conditions;
 mod departures;
 mod dissemination;
 mod entries;
@@ -16,6 +17,7 @@
 mod watch;
 mod watcher_election;
 
+pub use conditions::{Conditions, ReportedDemand, ReportedUnreachable};
 pub use departures::{Departures, RESTORE_GRACE};
 pub use dissemination::{
     CONFIRMATION_RETRY_INTERVAL, LIST_RETRY_INTERVAL, MAX_CHANGES_PER_DATAGRAM,
--- a/trouttrack_core/src/routing/mod.rs
+++ b/trouttrack_core/src/routing/mod.rs
@@ -3,9 +3,11 @@
 mod baselines;
 mod explain;
 mod policy;
+mod prediction;
 mod score;
 
 pub use baselines::{LeastOutstanding, RandomChoice, RoundRobin, TwoChoices};
 pub use explain::{CandidateNote, Explanation, ExplanationTable};
 pub use policy::{AnyPolicy, Candidate, Policy, UnknownPolicy};
+pub use prediction::Prediction;
 pub use score::{Scored, Weights};
--- a/trouttrack_core/src/routing/policy.rs
+++ b/trouttrack_core/src/routing/policy.rs
@@ -1,6 +1,7 @@
 //! The trait implemented by routing policies, and selection of a policy by name.
 
 use super::baselines::{LeastOutstanding, RandomChoice, RoundRobin, TwoChoices};
+use super::prediction::Prediction;
 use super::score::{Scored, Weights};
 use crate::upstream::UpstreamKey;
 use rand::Rng;
@@ -29,6 +30,8 @@
     pub backlog: f64,
     /// Remaining warm-up after its start, from 1 (fully cold) to 0 (warm).
     pub cold: f64,
+    /// What the request is predicted to experience there.
+    pub prediction: Prediction,
 }
 
 /// A routing policy.
--- /dev/null
+++ b/trouttrack_core/src/world/conditions.rs
@@ -0,0 +1,30 @@
+//! Conditions that VMs report to each other besides their use of upstreams.
+
+use super::tables::World;
+use crate::Time;
+use crate::membership::Conditions;
+
+impl World {
+    /// Returns what this VM has to report.
+    #[must_use]
+    pub fn conditions(&self, now: Time) -> Conditions {
+        Conditions {
+            rates: self.rates_to_report(now),
+            unreachable: self.unreachable_to_report(now),
+            demand: self.demand_to_report(now),
+        }
+    }
+
+    /// Records what a peer reports. `is_local` tells whether it is in this VM's failure domain.
+    pub fn record_peer_conditions(
+        &mut self,
+        now: Time,
+        peer: &str,
+        is_local: bool,
+        conditions: &Conditions,
+    ) {
+        self.record_peer_rates(now, peer, is_local, &conditions.rates);
+        self.record_peer_unreachable(now, peer, is_local, &conditions.unreachable);
+        self.record_peer_demand(now, peer, &conditions.demand);
+    }
+}
--- a/trouttrack_core/src/world/mod.rs
+++ b/trouttrack_core/src/world/mod.rs
@@ -1,14 +1,20 @@
 //! Scheduling state of one gateway and the passes that run over it on each tick.
 
+mod conditions;
+mod demand;
 mod notices;
 mod peers;
 mod queue;
+mod rates;
+mod reachability;
 mod relocate;
+mod service_level;
 mod systems;
 mod tables;
 
 pub use queue::FairQueue;
 pub use relocate::Target;
+pub use service_level::ServiceLevel;
 pub use tables::{
     Decision, Limits, MOVED_FILL, NotRunReason, PLACED_FILL, Request, RequestKey, Submission,
     World, WorldSettings,
--- /dev/null
+++ b/trouttrack_core/src/world/systems/scan.rs
@@ -0,0 +1,128 @@
+//! Finds the upstreams that a request may be placed on.
+
+use crate::Time;
+use crate::routing::{Candidate, Prediction};
+use crate::upstream::{OwnRun, UpstreamKey};
+use crate::world::tables::{Submission, World};
+use rand::RngExt;
+
+/// Up to this number of upstreams all are scanned; of more, a sample.
+const MAX_FULL_SCAN: usize = 16;
+
+impl World {
+    /// Upstreams that can accept a request now. If there are many, a sample is scanned from
+    /// a random start, this VM's failure domain first.
+    pub(super) fn candidates(
+        &mut self,
+        now: Time,
+        new: OwnRun,
+        skip_avoided: bool,
+    ) -> Vec<Candidate> {
+        let draw: usize = self.rng.random_range(0..usize::MAX);
+        let submission = &self.requests[new.key].submission;
+        let Some(serving) = self.upstreams.serving(&submission.service) else {
+            return Vec::new();
+        };
+        let scan = Scan {
+            world: self,
+            submission,
+            new,
+            now,
+            skip_avoided,
+            reserve: self.required_reserve(submission.priority, new),
+            alternatives: (serving.local as f64 / LOCAL_SCAN.max_fitting as f64).max(1.0),
+        };
+        let (local, remote) = serving.keys.split_at(serving.local);
+        if serving.keys.len() <= MAX_FULL_SCAN {
+            return scan.all(local).chain(scan.all(remote)).collect();
+        }
+        let mut found = scan.sample(local, draw, LOCAL_SCAN);
+        found.extend(scan.sample(remote, draw, REMOTE_SCAN));
+        found
+    }
+}
+
+/// A scan of upstreams for one request.
+struct Scan<'a> {
+    world: &'a World,
+    submission: &'a Submission,
+    new: OwnRun,
+    now: Time,
+    skip_avoided: bool,
+    reserve: f64,
+    alternatives: f64,
+}
+
+/// Limits of a sampled scan.
+#[derive(Clone, Copy)]
+struct ScanLimits {
+    /// Maximum number of upstreams scanned.
+    max_scanned: usize,
+    /// Number of fitting upstreams after which the scan ends.
+    max_fitting: usize,
+}
+
+const LOCAL_SCAN: ScanLimits = ScanLimits {
+    max_scanned: 40,
+    max_fitting: 6,
+};
+const REMOTE_SCAN: ScanLimits = ScanLimits {
+    max_scanned: 16,
+    max_fitting: 3,
+};
+
+impl Scan<'_> {
+    /// The upstream at an index of a list, if it accepts work.
+    fn candidate(&self, keys: &[UpstreamKey], index: usize) -> Option<Candidate> {
+        let key = keys[index];
+        let u = self.world.upstreams.get(key)?;
+        let avoided = self.skip_avoided && self.submission.avoid.contains(&u.spec.id);
+        if avoided || !u.is_available(self.now) || !self.world.admits_one_more(self.now, u) {
+            return None;
+        }
+        let urgent = self.submission.priority == 0;
+        let fill = u.fill_with(Some(self.new));
+        // Urgent requests are small and do not wait for memory: the engine preempts
+        // less urgent ones. An idle engine accepts even a request that is forecast to
+        // exceed its memory.
+        let fits = urgent
+            || fill <= self.world.settings.placed_fill - self.reserve
+            || u.estimated_running() == 0;
+        Some(Candidate {
+            upstream: key,
+            running: u.estimated_running(),
+            max_running: u.spec.max_running,
+            fill,
+            fits,
+            local: u.spec.failure_domain == self.world.settings.failure_domain,
+            alternatives: self.alternatives,
+            backlog: u.prefill_seconds(self.now),
+            cold: u.coldness(self.now),
+            prediction: Prediction::default(),
+        })
+    }
+
+    fn all(&self, keys: &[UpstreamKey]) -> impl Iterator<Item = Candidate> {
+        (0..keys.len()).filter_map(|index| self.candidate(keys, index))
+    }
+
+    /// Scans part of a list, starting at the random position `draw`.
+    fn sample(&self, keys: &[UpstreamKey], draw: usize, scan_limits: ScanLimits) -> Vec<Candidate> {
+        let mut found = Vec::with_capacity(scan_limits.max_fitting);
+        if keys.is_empty() {
+            return found;
+        }
+        for step in 0..keys.len().min(scan_limits.max_scanned) {
+            let i = (draw % keys.len() + step) % keys.len();
+            if let Some(candidate) = self.candidate(keys, i)
+                && candidate.fits
+            {
+                found.push(candidate);
+                if found.len() == scan_limits.max_fitting {
+                    break;
+                }
+            }
+        }
+        found
+    }
+}
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -2,6 +2,7 @@
 
 use super::peers::PeerHeartbeats;
 use super::queue::{FairQueue, QueuePosition};
+use super::service_level::ServiceLevel;
 use crate::length::{LengthKey, LengthTable};
 use crate::membership::{Evacuations, UpstreamUse};
 use crate::routing::{AnyPolicy, ExplanationTable};
@@ -89,6 +90,8 @@
     pub prompt_tokens: u64,
     /// Time by which it must be placed, or else it is refused.
     pub deadline: Time,
+    /// Objectives of its route.
+    pub service_level: ServiceLevel,
     /// Maximum number of concurrently running requests of the organisation, if limited.
     pub max_running: Option<usize>,
     /// Upstreams to use only if no other upstream is available.
--- a/trouttrack_core/tests/core/policies.rs
+++ b/trouttrack_core/tests/core/policies.rs
@@ -4,7 +4,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
-use trouttrack_core::routing::{AnyPolicy, Candidate};
+use trouttrack_core::routing::{AnyPolicy, Candidate, Prediction};
 use trouttrack_core::upstream::UpstreamKey;
 
 const POLICIES: [&str; 5] = [
@@ -27,6 +27,7 @@
         alternatives: 1.0,
         cold: 0.0,
         backlog: 0.0,
+        prediction: Prediction::default(),
     };
     loads.iter().map(candidate).collect()
 }
--- a/trouttrack_core/tests/core/support.rs
+++ b/trouttrack_core/tests/core/support.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 use trouttrack_core::length::LengthKey;
 use trouttrack_core::upstream::{LoadReport, UpstreamSpec};
-use trouttrack_core::world::{Decision, RequestKey, Submission, World, WorldSettings};
+use trouttrack_core::world::{
+    Decision, RequestKey, ServiceLevel, Submission, World, WorldSettings,
+};
 
 pub(crate) const SERVICE: &str = "s";
 
@@ -57,6 +59,7 @@
         priority,
         prompt_tokens: 100,
         deadline: Duration::from_secs(1000),
+        service_level: ServiceLevel::UNBOUNDED,
         max_running: None,
         avoid: Vec::new(),
         guessed_tokens: None,
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -8,7 +8,7 @@
 //! goes out at once to all VMs that select among the same upstreams.
 
 use super::message::{Datagram, Heartbeat, Load};
-use super::post::{post, post_to_all};
+use super::post::post_with;
 use super::roles::watches_store;
 use super::suspects;
 use crate::state::Front;
@@ -85,13 +85,11 @@
         return;
     }
     let mut heartbeat = heartbeat(front);
+    let conditions = front.scheduler.conditions();
     for (name, addr) in receivers {
         heartbeat.echo = front.peers.echo(&name);
-        post(
-            socket,
-            &Datagram::Heartbeat(Box::new(heartbeat.clone())),
-            addr,
-        );
+        let datagram = Datagram::Heartbeat(Box::new(heartbeat.clone()));
+        post_with(socket, &datagram, &conditions, [addr]);
     }
 }
 
@@ -108,7 +106,8 @@
 pub(super) fn greet(front: &Front, socket: &UdpSocket, name: &str, addr: SocketAddr) {
     let mut heartbeat = heartbeat(front);
     heartbeat.echo = front.peers.echo(name);
-    post(socket, &Datagram::Heartbeat(Box::new(heartbeat)), addr);
+    let datagram = Datagram::Heartbeat(Box::new(heartbeat));
+    post_with(socket, &datagram, &front.scheduler.conditions(), [addr]);
 }
 
 /// Sends this VM's use of upstreams to all VMs that select among the same ones: those in
@@ -137,7 +136,12 @@
         uses,
         limits,
     };
-    post_to_all(socket, &Datagram::Load(load), receivers);
+    post_with(
+        socket,
+        &Datagram::Load(load),
+        &front.scheduler.conditions(),
+        receivers,
+    );
 }
 
 /// Failure domains of the upstreams that are in use or whose limits have changed.
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -12,7 +12,7 @@
 use std::io;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
-use trouttrack_core::membership::Revision;
+use trouttrack_core::membership::{Conditions, Revision};
 
 /// Receive buffer size; longer datagrams are truncated.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
@@ -33,11 +33,15 @@
             Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => continue,
             Err(e) => return Err(e),
         };
-        match decode(&buf[..length]) {
-            Some(Datagram::Heartbeat(heartbeat)) => {
+        let Some((datagram, conditions)) = decode(&buf[..length]) else {
+            log::debug!("failed to decode a datagram of {length} bytes from {from}");
+            continue;
+        };
+        match datagram {
+            Datagram::Heartbeat(heartbeat) => {
                 let name = &heartbeat.digest.name;
                 let is_new = !front.peers.has_heard(name);
-                handle_heartbeat(&front, &heartbeat);
+                handle_heartbeat(&front, &heartbeat, &conditions);
                 catch_up.tell(&front, &socket, &heartbeat, from);
                 // Peers of other failure domains send too rarely to stay in the table, so they
                 // would be greeted repeatedly.
@@ -48,26 +52,25 @@
                     configs.ask(&front, &socket, from);
                 }
             }
-            Some(Datagram::Load(load)) => handle_load(&front, &load),
-            Some(Datagram::Suspects(told)) => suspects::hear(&front, &socket, &told, from),
-            Some(Datagram::ConfigWanted) => configs.answer(&front, &socket, from),
-            Some(Datagram::Config(told)) => config::take(&front, &told),
-            Some(Datagram::ConfigReady(version)) => configs.fetch(&front, from, version),
-            Some(Datagram::ConfirmationWanted(echo)) => {
+            Datagram::Load(load) => handle_load(&front, &load, &conditions),
+            Datagram::Suspects(told) => suspects::hear(&front, &socket, &told, from),
+            Datagram::ConfigWanted => configs.answer(&front, &socket, from),
+            Datagram::Config(told) => config::take(&front, &told),
+            Datagram::ConfigReady(version) => configs.fetch(&front, from, version),
+            Datagram::ConfirmationWanted(echo) => {
                 confirm::answer(&front, &socket, from, echo);
             }
-            Some(Datagram::Confirmation(told)) => confirm::take(&front, &told),
-            Some(Datagram::NewsWanted(after)) => retransmit(&front, &socket, from, after),
-            Some(Datagram::NewsForgotten) => front.peers.set_far_behind(true),
-            Some(Datagram::News(news, pass_on)) => {
+            Datagram::Confirmation(told) => confirm::take(&front, &told),
+            Datagram::NewsWanted(after) => retransmit(&front, &socket, from, after),
+            Datagram::NewsForgotten => front.peers.set_far_behind(true),
+            Datagram::News(news, pass_on) => {
                 handle_news(&front, &socket, from, news, &pass_on);
             }
-            None => log::debug!("failed to decode a datagram of {length} bytes from {from}"),
         }
     }
 }
 
-fn handle_heartbeat(front: &Rc<Front>, heartbeat: &Heartbeat) {
+fn handle_heartbeat(front: &Rc<Front>, heartbeat: &Heartbeat, conditions: &Conditions) {
     let digest = &heartbeat.digest;
     let now = front.clock.now();
     if digest.name == front.name || !front.peers.hear(now, heartbeat, &front.failure_domain) {
@@ -88,6 +91,7 @@
     }
     let (name, domain) = (&digest.name, &digest.failure_domain);
     front.scheduler.record_peer_uses(name, domain, &digest.uses);
+    front.record_peer_conditions(name, domain, conditions);
     if *domain != front.failure_domain && !heartbeat.domain_uses.is_empty() {
         front
             .scheduler
@@ -112,11 +116,12 @@
 
 /// Updates a peer's upstream usage. Usage from a peer without a prior heartbeat is ignored,
 /// since its failure domain is unknown, as is usage older than what was last received.
-fn handle_load(front: &Front, load: &Load) {
+fn handle_load(front: &Front, load: &Load, conditions: &Conditions) {
     follow::heard_from_peer(front, &load.name, &load.limits);
     if let Some(domain) = front.peers.hear_load(front.clock.now(), load) {
         front
             .scheduler
             .record_peer_uses(&load.name, &domain, &load.uses);
+        front.record_peer_conditions(&load.name, &domain, conditions);
     }
 }
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -7,13 +7,14 @@
 
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use trouttrack_core::membership::{Digest, Evacuations, Revision, UpstreamUse};
+use trouttrack_core::membership::{Conditions, Digest, Evacuations, Revision, UpstreamUse};
 use trouttrack_core::quarantine::CrashRecord;
 use trouttrack_core::upstream::ReportedLimit;
 use trouttrack_core::{ConfigVersion, UpstreamId};
 use trouttrack_platform::UpstreamEntry;
 
-/// Wire format version. Must change whenever any of the types below changes.
+/// Wire format version. Must change whenever any of the types below changes; what VMs of
+/// earlier versions need not know goes into the [`Conditions`].
 const FORMAT_VERSION: u8 = 6;
 
 /// A message between two VMs.
@@ -211,16 +212,30 @@
 
 /// Encodes a datagram; `None` if encoding fails, which is logged.
 pub(super) fn encode(datagram: &Datagram) -> Option<Vec<u8>> {
-    postcard::to_extend(datagram, vec![FORMAT_VERSION])
+    encode_with(datagram, &Conditions::default())
+}
+
+/// Encodes a datagram, followed by the sender's conditions if it has any to report. VMs of
+/// earlier versions decode the datagram and ignore the bytes after it.
+pub(super) fn encode_with(datagram: &Datagram, conditions: &Conditions) -> Option<Vec<u8>> {
+    let plain = postcard::to_extend(datagram, vec![FORMAT_VERSION]);
+    let bytes = match conditions.is_empty() {
+        true => plain,
+        false => plain.and_then(|bytes| postcard::to_extend(conditions, bytes)),
+    };
+    bytes
         .inspect_err(|e| log::error!("failed to encode datagram: {e}"))
         .ok()
 }
 
-/// Decodes a datagram; `None` if it has another format version or is malformed.
-pub(super) fn decode(bytes: &[u8]) -> Option<Datagram> {
+/// Decodes a datagram and its sender's conditions; `None` if the datagram has another format
+/// version or is malformed. Conditions that are missing or malformed count as empty.
+pub(super) fn decode(bytes: &[u8]) -> Option<(Datagram, Conditions)> {
     let (version, payload) = bytes.split_first()?;
     if *version != FORMAT_VERSION {
         return None;
     }
-    postcard::from_bytes(payload).ok()
+    let (datagram, rest) = postcard::take_from_bytes(payload).ok()?;
+    let conditions = postcard::from_bytes(rest).unwrap_or_default();
+    Some((datagram, conditions))
 }
--- a/trouttrack_front/src/peers/post.rs
+++ b/trouttrack_front/src/peers/post.rs
@@ -1,8 +1,9 @@
 //! Sending datagrams to peers.
 
-use super::message::{Datagram, encode};
+use super::message::{Datagram, encode_with};
 use std::net::SocketAddr;
 use tokio::net::UdpSocket;
+use trouttrack_core::membership::Conditions;
 
 /// Sends a datagram to a peer. A failure to send is treated like a datagram lost in transit.
 pub(super) fn post(socket: &UdpSocket, datagram: &Datagram, to: SocketAddr) {
@@ -15,7 +16,17 @@
     datagram: &Datagram,
     to: impl IntoIterator<Item = SocketAddr>,
 ) {
-    let Some(bytes) = encode(datagram) else {
+    post_with(socket, datagram, &Conditions::default(), to);
+}
+
+/// Sends a datagram and this VM's conditions to several peers.
+pub(super) fn post_with(
+    socket: &UdpSocket,
+    datagram: &Datagram,
+    conditions: &Conditions,
+    to: impl IntoIterator<Item = SocketAddr>,
+) {
+    let Some(bytes) = encode_with(datagram, conditions) else {
         return;
     };
     for addr in to {
--- a/trouttrack_front/src/request/end.rs
+++ b/trouttrack_front/src/request/end.rs
@@ -168,6 +168,8 @@
     pub(crate) first_byte_at: Time,
     /// Number of forwarded stream events; zero for a plain call.
     pub(crate) events: u64,
+    /// Longest pause between two events of a stream.
+    pub(crate) longest_pause: Duration,
 }
 
 /// Logs and counts a forwarded response.
@@ -187,6 +189,7 @@
         status = response.status,
         attempts = response.attempts,
         events = response.events,
+        pause_ms = response.longest_pause.as_millis() as u64,
         objective_ms = admitted.route.objective.as_millis() as u64,
         first_ms = first.as_millis() as u64,
         held_ms = elapsed.as_millis() as u64,
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -258,6 +258,7 @@
             attempts: self.attempts.sent,
             first_byte_at: self.front.clock.now(),
             events: 0,
+            longest_pause: Duration::ZERO,
         };
         record_forwarded(self.front, self.admitted, forwarded);
         Reply::of_upstream(response.head, response.body)
--- a/trouttrack_front/src/request/stream/continuation.rs
+++ b/trouttrack_front/src/request/stream/continuation.rs
@@ -113,6 +113,7 @@
         self.head.get_or_insert_with(|| source.head.clone());
         let sent = self.send(target, &to).await.map_err(as_lost)?;
         self.current = Some(Rc::clone(target));
+        self.pace.change_upstream();
         Ok(Source::new(Rc::clone(target), sent, backup))
     }
 
--- a/trouttrack_front/src/request/stream/finish.rs
+++ b/trouttrack_front/src/request/stream/finish.rs
@@ -78,6 +78,7 @@
             attempts: self.attempts.sent,
             first_byte_at: first,
             events: self.reader.events(),
+            longest_pause: self.pace.longest_pause(),
         };
         record_forwarded(&self.front, &self.admitted, answer);
     }
--- a/trouttrack_front/src/request/stream/mod.rs
+++ b/trouttrack_front/src/request/stream/mod.rs
@@ -13,6 +13,7 @@
 mod continuation;
 mod finish;
 mod output;
+mod pace;
 mod relay;
 mod retry;
 mod run;
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -98,7 +98,11 @@
             return Ok(());
         }
         let events_after = self.reader.events();
-        source.last_event_at = Some(self.front.clock.now());
+        let now = self.front.clock.now();
+        source.last_event_at = Some(now);
+        if let Some(sample) = self.pace.record(now, (events_after - events_before) as u32) {
+            ticket.observe(sample);
+        }
         self.front
             .metrics
             .events
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -2,6 +2,7 @@
 
 use super::finish::{AttemptError, StreamEnd};
 use super::output::Output;
+use super::pace::EventPace;
 use super::relay::RelayEnd;
 use super::source::Source;
 use crate::caller::Admitted;
@@ -47,6 +48,8 @@
     pub(super) head: Option<AnswerHead>,
     /// Time at which the first event was forwarded.
     pub(super) first_event_at: Option<Time>,
+    /// Pauses between the events.
+    pub(super) pace: EventPace,
     /// Whether the body was framed. Without framing, the exit of the upstream cannot be told
     /// from the end of the stream.
     pub(super) framed: bool,
@@ -82,6 +85,7 @@
             may_have_run: false,
             head: None,
             first_event_at: None,
+            pace: EventPace::default(),
             framed: false,
         }
     }
--- a/trouttrack_front/src/request/submission.rs
+++ b/trouttrack_front/src/request/submission.rs
@@ -2,8 +2,9 @@
 
 use crate::caller::Admitted;
 use crate::state::Front;
+use trouttrack_core::fleet::RouteKind;
 use trouttrack_core::length::LengthKey;
-use trouttrack_core::world::Submission;
+use trouttrack_core::world::{ServiceLevel, Submission};
 use trouttrack_core::{ServiceId, UpstreamId};
 
 /// Fraction of the objective that a retry may wait for an upstream, even if the wait limit of
@@ -37,6 +38,7 @@
         deadline: (admitted.received_at + queue_wait)
             .max(retry_deadline)
             .min(admitted.deadline),
+        service_level: service_level(admitted),
         max_running: None,
         avoid: avoid.to_vec(),
         guessed_tokens: head.guessed_tokens,
@@ -44,6 +46,18 @@
     }
 }
 
+fn service_level(admitted: &Admitted) -> ServiceLevel {
+    let longest_pause = match admitted.route.kind {
+        RouteKind::Stream { longest_pause, .. } => longest_pause,
+        RouteKind::Plain { .. } => None,
+    };
+    ServiceLevel {
+        due: admitted.received_at + admitted.route.objective,
+        longest_pause,
+        expires: admitted.deadline,
+    }
+}
+
 /// Maps the rank to a priority class. Class 0 never waits for memory, so long streams are
 /// not admitted to it.
 fn priority_class(admitted: &Admitted) -> u8 {
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc;
 use trouttrack_config::settings::{FrontSettings, ServingSettings};
 use trouttrack_core::fleet::idle_share;
-use trouttrack_core::membership::Evacuations;
+use trouttrack_core::membership::{Conditions, Evacuations};
 use trouttrack_core::world::{MOVED_FILL, PLACED_FILL, WorldSettings};
 use trouttrack_core::{FailureDomain, StoreEpoch, Time};
 use trouttrack_http::Client;
@@ -176,6 +176,12 @@
         self.store_contact.heard_back();
     }
 
+    /// Applies the conditions that a peer of a failure domain reports.
+    pub fn record_peer_conditions(&self, peer: &str, failure_domain: &str, told: &Conditions) {
+        let is_local = failure_domain == self.failure_domain;
+        self.scheduler.record_peer_conditions(peer, is_local, told);
+    }
+
     /// Whether departures of upstreams can no longer be learned from the store: no known VM has
     /// been answered by it recently.
     #[must_use]
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 use trouttrack_core::UpstreamId;
-use trouttrack_core::membership::{Evacuations, MAX_LIMITS_PER_DATAGRAM, UpstreamUse};
+use trouttrack_core::membership::{Conditions, Evacuations, MAX_LIMITS_PER_DATAGRAM, UpstreamUse};
 use trouttrack_core::upstream::{
     Availability, Incarnation, RateLimit, RateShare, ReportedLimit, Upstream, UpstreamNotice,
     UpstreamSpec,
@@ -253,6 +253,19 @@
             .record_peer_uses(now, peer, failure_domain, uses);
     }
 
+    /// Conditions to report to the other VMs.
+    #[must_use]
+    pub fn conditions(&self) -> Conditions {
+        self.world.borrow().conditions(self.clock.now())
+    }
+
+    /// Applies the conditions that a peer reports.
+    pub fn record_peer_conditions(&self, peer: &str, is_local: bool, conditions: &Conditions) {
+        let now = self.clock.now();
+        let mut world = self.world.borrow_mut();
+        world.record_peer_conditions(now, peer, is_local, conditions);
+    }
+
     /// Applies the aggregated use of a failure domain's upstreams by the VMs of that domain.
     pub fn record_domain_uses(&self, failure_domain: &str, uses: &[UpstreamUse]) {
         let now = self.clock.now();
--- a/trouttrack_front/src/state/ticket.rs
+++ b/trouttrack_front/src/state/ticket.rs
@@ -3,6 +3,7 @@
 use super::scheduler::Scheduler;
 use std::cell::Cell;
 use std::rc::Rc;
+use trouttrack_core::upstream::RateSample;
 use trouttrack_core::world::{RequestKey, Target};
 use trouttrack_core::{Time, UpstreamId};
 
@@ -38,6 +39,13 @@
         }
     }
 
+    /// Records what the request shows of its upstream's speed.
+    pub fn observe(&self, sample: RateSample) {
+        let now = self.now();
+        let mut world = self.scheduler.world.borrow_mut();
+        world.observe(now, self.key, sample);
+    }
+
     /// Records a failure that counts against the upstream.
     pub fn fault(&self) {
         self.fault.set(true);
--- a/trouttrack_front/tests/front/rate_limits.rs
+++ b/trouttrack_front/tests/front/rate_limits.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 use trouttrack_core::length::LengthKey;
 use trouttrack_core::upstream::{RateLimit, RateShare, UpstreamSpec};
-use trouttrack_core::world::{Submission, WorldSettings};
+use trouttrack_core::world::{ServiceLevel, Submission, WorldSettings};
 use trouttrack_front::app::{Running, start};
 use trouttrack_front::state::{Clock, Scheduler};
 use trouttrack_platform_standin::{Behaviour, CallerRequest, Store, Upstream};
@@ -282,6 +282,7 @@
         priority: 1,
         prompt_tokens: 0,
         deadline: now + Duration::from_secs(1),
+        service_level: ServiceLevel::UNBOUNDED,
         max_running: None,
         avoid: Vec::new(),
         guessed_tokens: None,
--- a/trouttrack_gateway/src/app/shared.rs
+++ b/trouttrack_gateway/src/app/shared.rs
@@ -17,7 +17,7 @@
 use trouttrack_config::settings::GatewaySettings;
 use trouttrack_core::length::LengthKey;
 use trouttrack_core::membership::{MarkEntry, MarkSource, MarkTable, PeerTable};
-use trouttrack_core::world::{NotRunReason, Submission};
+use trouttrack_core::world::{NotRunReason, ServiceLevel, Submission};
 use trouttrack_rpc::ConfigBundle;
 use trouttrack_telemetry::events;
 use trouttrack_telemetry::trace::Tracing;
@@ -358,6 +358,7 @@
             priority: parts.priority.class(),
             prompt_tokens,
             deadline: arrived + service.queue_deadline,
+            service_level: ServiceLevel::UNBOUNDED,
             max_running: parts.max_running,
             avoid,
             guessed_tokens: None,
--- a/trouttrack_load/src/compare/bench.rs
+++ b/trouttrack_load/src/compare/bench.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use trouttrack_core::length::LengthKey;
 use trouttrack_core::upstream::{LoadReport, UpstreamSpec};
-use trouttrack_core::world::{Decision, RequestKey, Submission, World};
+use trouttrack_core::world::{Decision, RequestKey, ServiceLevel, Submission, World};
 use trouttrack_engine::{Engine, EngineSettings, SequenceKey, StepOutput, Submit};
 
 /// All gateways of the model stand in one failure domain.
@@ -228,6 +228,7 @@
                 priority: self.options.class(s),
                 prompt_tokens: a.prompt_tokens,
                 deadline,
+                service_level: ServiceLevel::UNBOUNDED,
                 max_running: None,
                 avoid,
                 guessed_tokens: None,
--- a/trouttrack_load/src/patterns/fleet.rs
+++ b/trouttrack_load/src/patterns/fleet.rs
@@ -13,7 +13,7 @@
 use trouttrack_core::length::LengthKey;
 use trouttrack_core::membership::{Evacuations, Revision, UpstreamUse};
 use trouttrack_core::upstream::{RateShare, UpstreamSpec};
-use trouttrack_core::world::{Decision, RequestKey, Submission, World};
+use trouttrack_core::world::{Decision, RequestKey, ServiceLevel, Submission, World};
 use trouttrack_engine::{Engine, SequenceKey, StepOutput, Submit};
 
 const SERVICE: &str = "drafts";
@@ -225,6 +225,7 @@
             priority: a.priority,
             prompt_tokens: a.prompt,
             deadline: self.now + a.objective.mul_f64(PATIENCE),
+            service_level: ServiceLevel::UNBOUNDED,
             max_running: None,
             avoid: Vec::new(),
             guessed_tokens: Some(a.output),
--- a/trouttrack_load/src/patterns/shed/play.rs
+++ b/trouttrack_load/src/patterns/shed/play.rs
@@ -15,7 +15,7 @@
 use trouttrack_core::length::LengthKey;
 use trouttrack_core::membership::UpstreamUse;
 use trouttrack_core::upstream::{Incarnation, UpstreamNotice};
-use trouttrack_core::world::{Decision, RequestKey, Submission, World};
+use trouttrack_core::world::{Decision, RequestKey, ServiceLevel, Submission, World};
 
 /// A call's objective there: it waits for a place no longer.
 const OBJECTIVE: Duration = Duration::from_millis(300);
@@ -178,6 +178,7 @@
             priority: 1,
             prompt_tokens: 0,
             deadline: self.now + OBJECTIVE,
+            service_level: ServiceLevel::UNBOUNDED,
             max_running: None,
             avoid: Vec::new(),
             guessed_tokens: None,
