Tell each other of upstreams that refuse connections

Cause: an upstream that is gone looks empty and is chosen first. A refused connection was known to one VM, counted like a time-out, and ended the request after three; a VM that starts knew of none.

Change: a refused connection closes the incarnation for the VMs of the failure domain, for a backoff that doubles with refused trials. It is told at once and in heartbeats, as is the answer that ends it; other failure domains ignore it. Refused connections are no attempts: the search goes on until the placement deadline, over at most 32 upstreams, and ends with the time of the next trial. While the store is silent an engine that nobody has heard of is placed on after the others. Backups and moves pass over upstreams that refuse connections. Events 130 and 131, a gauge.

--- a/trouttrack_core/src/membership/conditions.rs
+++ b/trouttrack_core/src/membership/conditions.rs
@@ -5,6 +5,9 @@
 use crate::upstream::{Incarnation, ReportedRate};
 use serde::{Deserialize, Serialize};
 
+/// How long an observation of reachability is included in load updates, in milliseconds.
+const REACHABILITY_REPEAT_MS: u32 = 100;
+
 /// A VM's observations of upstreams, and the requests that wait there.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Conditions {
@@ -14,6 +17,8 @@
     pub unreachable: Vec<ReportedUnreachable>,
     /// Waiting requests.
     pub demand: Vec<ReportedDemand>,
+    /// Upstreams that refused a connection earlier and have answered a request since.
+    pub reachable: Vec<ReportedReachable>,
 }
 
 impl Conditions {
@@ -27,7 +32,33 @@
     /// ```
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.rates.is_empty() && self.unreachable.is_empty() && self.demand.is_empty()
+        self.rates.is_empty()
+            && self.unreachable.is_empty()
+            && self.demand.is_empty()
+            && self.reachable.is_empty()
+    }
+
+    /// Removes the observations of reachability that earlier load updates have carried.
+    /// Heartbeats report them further.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use trouttrack_core::membership::{Conditions, ReportedUnreachable};
+    /// use trouttrack_core::upstream::Incarnation;
+    /// let refused = |id, age_ms| ReportedUnreachable {
+    ///     upstream: Incarnation::new(id, 7),
+    ///     age_ms,
+    /// };
+    /// let mut conditions = Conditions::default();
+    /// conditions.unreachable = vec![refused("new", 3), refused("old", 900)];
+    /// conditions.retain_new_reachability();
+    /// assert_eq!(conditions.unreachable, [refused("new", 3)]);
+    /// ```
+    pub fn retain_new_reachability(&mut self) {
+        self.unreachable
+            .retain(|r| r.age_ms < REACHABILITY_REPEAT_MS);
+        self.reachable.retain(|r| r.age_ms < REACHABILITY_REPEAT_MS);
     }
 }
 
@@ -40,6 +71,19 @@
     pub age_ms: u32,
 }
 
+/// An upstream that answered a request submitted after its address refused a connection.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportedReachable {
+    /// The upstream.
+    pub upstream: Incarnation,
+    /// Time since the answer, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// Maximum number of [`ReportedUnreachable`] in a datagram, and of [`ReportedReachable`], at
+/// about 25 bytes each.
+pub const MAX_UNREACHABLE_PER_DATAGRAM: usize = 24;
+
 /// Requests of one service and priority class that wait at a VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReportedDemand {
--- a/trouttrack_core/src/membership/mod.rs
+++ b/trouttrack_core/src/membership/mod.rs
@@ -17,7 +17,10 @@
 mod watch;
 mod watcher_election;
 
-pub use conditions::{Conditions, ReportedDemand, ReportedUnreachable};
+pub use conditions::{
+    Conditions, MAX_UNREACHABLE_PER_DATAGRAM, ReportedDemand, ReportedReachable,
+    ReportedUnreachable,
+};
 pub use departures::{Departures, RESTORE_GRACE};
 pub use dissemination::{
     CONFIRMATION_RETRY_INTERVAL, LIST_RETRY_INTERVAL, MAX_CHANGES_PER_DATAGRAM,
--- /dev/null
+++ b/trouttrack_core/src/request/search.rs
@@ -0,0 +1,55 @@
+//! Limits on the search for an upstream that can be connected to.
+
+use crate::Time;
+
+/// Maximum number of refused connections of a request. Each takes a round trip, so even across
+/// failure domains the whole search takes a small part of an objective.
+const MAX_REFUSED: u32 = 32;
+/// Maximum number of connections that failed otherwise, most of them by a time-out. The VM is
+/// then as likely to be cut off, and a caller that is refused soon can try another one.
+const MAX_FAILED: u32 = 3;
+
+/// Connections that a request has tried in vain. Nothing was sent on them, so they are no
+/// attempts; the search goes on while untried upstreams are left.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use trouttrack_core::request::UpstreamSearch;
+/// let mut search = UpstreamSearch::default();
+/// let until = Duration::from_secs(1);
+/// search.record_refused(until);
+/// assert!(search.may_continue(Duration::ZERO, true));
+/// assert!(!search.may_continue(Duration::ZERO, false));
+/// assert!(!search.may_continue(until, true));
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct UpstreamSearch {
+    refused: u32,
+    failed: u32,
+    until: Option<Time>,
+}
+
+impl UpstreamSearch {
+    /// Records a refused connection. The first one sets the end of the search to `until`.
+    pub fn record_refused(&mut self, until: Time) {
+        self.refused += 1;
+        self.until.get_or_insert(until);
+    }
+
+    /// Records a connection that failed otherwise.
+    pub fn record_failed(&mut self) {
+        self.failed += 1;
+    }
+
+    /// Returns whether another upstream may be tried. `has_untried` tells whether one is left.
+    #[must_use]
+    pub fn may_continue(&self, now: Time, has_untried: bool) -> bool {
+        let Some(until) = self.until else {
+            return self.failed < MAX_FAILED;
+        };
+        let in_bounds = self.refused < MAX_REFUSED && self.failed < MAX_FAILED;
+        in_bounds && now < until && has_untried
+    }
+}
--- a/trouttrack_core/src/routing/mod.rs
+++ b/trouttrack_core/src/routing/mod.rs
@@ -10,4 +10,5 @@
 pub use explain::{CandidateNote, Explanation, ExplanationTable};
 pub use policy::{AnyPolicy, Candidate, Policy, UnknownPolicy};
 pub use prediction::Prediction;
+pub(crate) use score::UNCERTAINTY_PENALTY;
 pub use score::{Scored, Weights};
--- a/trouttrack_core/src/routing/score.rs
+++ b/trouttrack_core/src/routing/score.rs
@@ -7,6 +7,9 @@
 /// small sample keeps gateways with the same outdated report from all choosing the same
 /// upstream.
 const SAMPLE_SIZE: usize = 6;
+/// Penalty for an upstream that may be gone, as for half of its memory in use. It is still tried
+/// while the others are full, so an idle upstream is heard of before it is needed.
+pub(crate) const UNCERTAINTY_PENALTY: f64 = 0.5;
 
 /// Weights of the terms of a score.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -88,6 +91,8 @@
         } else {
             w.remote * c.alternatives
         };
-        w.running * running + w.fill * c.fill + remote + w.backlog * c.backlog + w.cold * c.cold
+        let uncertain = UNCERTAINTY_PENALTY * f64::from(c.uncertain);
+        let load = w.running * running + w.fill * c.fill + remote + w.backlog * c.backlog;
+        load + w.cold * c.cold + uncertain
     }
 }
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -6,6 +6,7 @@
 use super::losses::Losses;
 use super::notices::Availability;
 use super::rate_limit::RateLimit;
+use super::reachability::{Reachability, ReachabilityState};
 use super::refusals::Refusals;
 use super::runs::{OwnRun, PeerUse, ReportSource, peak};
 use super::shared_rate::{Allowance, Handovers, RateShare};
@@ -67,6 +68,12 @@
     pub(crate) handovers: Handovers,
     /// Requests that this VM lost with their connection or had refused.
     pub(crate) losses: Losses,
+    /// Whether its address refuses connections.
+    pub(crate) reachability: Reachability,
+    /// When this VM or a peer last received a response from it.
+    pub(crate) heard_at: Option<Time>,
+    /// Latest submission among the requests of this VM that it has responded to.
+    pub(crate) reached_at: Option<Time>,
     own_at_report: usize,
 }
 
@@ -89,6 +96,9 @@
             refusals: Refusals::default(),
             handovers: Handovers::default(),
             losses: Losses::default(),
+            reachability: Reachability::default(),
+            heard_at: None,
+            reached_at: None,
             own_at_report: 0,
         }
     }
@@ -245,10 +255,15 @@
             CircuitState::Open => false,
             CircuitState::HalfOpen => self.own_running == 0,
         };
+        let reachable = match self.reachability.state(now) {
+            ReachabilityState::Open => true,
+            ReachabilityState::Closed => false,
+            ReachabilityState::Trial => self.own_running == 0,
+        };
         let peers = self.peers.iter().filter_map(|p| p.lost_at);
         let suspected = self.losses.suspected(now, peers);
         let wanted = self.accepts_requests(now) && self.refusals.allows(now);
-        wanted && trial && !suspected && self.running_at(now) < self.spec.max_running
+        wanted && trial && reachable && !suspected && self.running_at(now) < self.spec.max_running
     }
 
     /// Returns the requests per second that it accepts from all VMs together, if bounded.
@@ -306,7 +321,22 @@
             .accepts_requests_at(now)
             .filter(|_| self.is_in_service())?;
         let allowed_at = self.refusals.retry_at(now);
-        Some(wanted_at.max(allowed_at).max(self.circuit.reopens_at(now)))
+        let closed_until = self
+            .circuit
+            .reopens_at(now)
+            .max(self.reachability.reopens_at(now));
+        Some(wanted_at.max(allowed_at).max(closed_until))
+    }
+
+    /// Returns whether its address refused the last connection that this VM knows of.
+    #[must_use]
+    pub fn refuses_connections(&self) -> bool {
+        self.reachability.refusal().is_some()
+    }
+
+    /// Returns whether neither this VM nor its peers have heard of it since `since`.
+    pub(crate) fn is_unheard_since(&self, since: Time) -> bool {
+        self.heard_at.is_none_or(|at| at < since)
     }
 
     /// Returns its current incarnation.
--- a/trouttrack_core/src/upstream/table.rs
+++ b/trouttrack_core/src/upstream/table.rs
@@ -67,7 +67,11 @@
         let evacuated = self.evacuations.contains(&spec.failure_domain);
         let key = match self.by_id.get(&spec.id) {
             Some(&key) => {
-                self.rows[key].spec = spec;
+                let row = &mut self.rows[key];
+                if row.spec.born != spec.born {
+                    (row.heard_at, row.reached_at) = (None, None);
+                }
+                row.spec = spec;
                 key
             }
             None => {
--- a/trouttrack_core/src/world/conditions.rs
+++ b/trouttrack_core/src/world/conditions.rs
@@ -12,6 +12,7 @@
             rates: self.rates_to_report(now),
             unreachable: self.unreachable_to_report(now),
             demand: self.demand_to_report(now),
+            reachable: self.reachable_to_report(now),
         }
     }
 
@@ -25,6 +26,7 @@
     ) {
         self.record_peer_rates(now, peer, is_local, &conditions.rates);
         self.record_peer_unreachable(now, peer, is_local, &conditions.unreachable);
+        self.record_peer_reachable(now, peer, is_local, &conditions.reachable);
         self.record_peer_demand(now, peer, &conditions.demand);
     }
 }
--- a/trouttrack_core/src/world/notices.rs
+++ b/trouttrack_core/src/world/notices.rs
@@ -15,7 +15,9 @@
         else {
             return;
         };
-        row.availability = self.notices.availability(&row.incarnation());
+        let incarnation = row.incarnation();
+        row.availability = self.notices.availability(&incarnation);
+        row.reachability = self.reachability.get(&incarnation);
     }
 
     /// Records a status report of an upstream, regardless of the channel it came by.
--- a/trouttrack_core/src/world/peers.rs
+++ b/trouttrack_core/src/world/peers.rs
@@ -137,6 +137,9 @@
             };
             rows.push(key);
             u.handovers.record_peer(now, &source, handover_counts(used));
+            if has_output(used) {
+                u.heard_at = Some(now);
+            }
             u.set_peer_use(peer_use(now, &source, used, is_local));
         }
         let heartbeat = PeerHeartbeat { at: now, rows };
@@ -144,6 +147,11 @@
     }
 }
 
+/// Whether a request has received output: its prompt is loaded. A call has no prompt.
+fn has_output(used: &UpstreamUse) -> bool {
+    used.held_tokens > used.loading_tokens
+}
+
 fn handover_counts(used: &UpstreamUse) -> ReportedHandovers {
     ReportedHandovers {
         total: used.handovers,
--- a/trouttrack_core/src/world/reachability.rs
+++ b/trouttrack_core/src/world/reachability.rs
@@ -1,23 +1,257 @@
 //! Upstreams that refuse connections: observations of this VM, and the reports of peers.
+//!
+//! Only VMs of the same failure domain are believed: a network partition refuses connections as
+//! well, and what cannot be reached from one failure domain may be reachable from another.
 
-use super::tables::World;
-use crate::Time;
-use crate::membership::ReportedUnreachable;
+use super::tables::{RequestKey, World};
+use crate::membership::{MAX_UNREACHABLE_PER_DATAGRAM, ReportedReachable, ReportedUnreachable};
+use crate::upstream::{Incarnation, ReachabilityState, Upstream};
+use crate::{Time, UpstreamId};
+use std::time::Duration;
+
+/// How long the end of a refusal is reported: longer than any backoff that it ends.
+const REACHABLE_REPORT_PERIOD: Duration = Duration::from_secs(5);
+/// Time within which the output of a busy engine reaches this VM or is reported by a peer.
+const UNHEARD_PERIOD: Duration = Duration::from_secs(1);
+/// Maximum number of changes kept until they are taken.
+const MAX_CHANGES: usize = 256;
+
+/// An upstream that became unreachable or reachable to this VM's knowledge.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReachabilityChange {
+    /// The upstream.
+    pub upstream: Incarnation,
+    /// Whether it is reachable from now on.
+    pub reachable: bool,
+    /// The peer that reported it; `None` if this VM observed it.
+    pub peer: Option<String>,
+    /// Age of the observation.
+    pub age: Duration,
+}
 
 impl World {
+    /// Records that an upstream's address refused a connection of this VM.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use trouttrack_core::upstream::{Incarnation, UpstreamSpec};
+    /// use trouttrack_core::world::{World, WorldSettings};
+    /// # let settings = WorldSettings {
+    /// #     failure_domain: "a".into(),
+    /// #     ageing: Duration::from_secs(5),
+    /// #     max_wait: Duration::from_secs(30),
+    /// #     max_queued: 100,
+    /// #     urgent_reserve: 0.1,
+    /// #     growth_quantile: 0.8,
+    /// #     placed_fill: 1.0,
+    /// #     moved_fill: 1.0,
+    /// #     look_ahead: 512,
+    /// #     policy: "trouttrack".parse().unwrap(),
+    /// #     seed: 1,
+    /// # };
+    /// let mut world = World::new(settings);
+    /// world.put_upstream(UpstreamSpec {
+    ///     id: "e1".into(),
+    ///     failure_domain: "a".into(),
+    ///     services: vec!["lookup".into()],
+    ///     capacity_tokens: 1000,
+    ///     max_running: 8,
+    ///     warm_up_ends_at: Duration::ZERO,
+    ///     born: 7,
+    ///     cold_rate: 0.0,
+    /// });
+    /// let now = Duration::from_secs(1);
+    /// world.record_connection_refused(now, &Incarnation::new("e1", 7));
+    /// assert!(!world.upstreams.get_by_id("e1").unwrap().is_available(now));
+    /// ```
+    pub fn record_connection_refused(&mut self, now: Time, upstream: &Incarnation) {
+        if self.reachability.entry(now, upstream).record_refusal(now) {
+            self.reachability_changed(upstream, false, None, Duration::ZERO);
+        }
+    }
+
+    /// Records that the request's upstream has responded. A request submitted before a
+    /// connection was refused does not show that connections are accepted again.
+    pub fn record_response(&mut self, now: Time, key: RequestKey) {
+        let Some(row) = self.requests.get(key) else {
+            return;
+        };
+        let since = row.since;
+        let Some(u) = row.upstream.and_then(|k| self.upstreams.get_mut(k)) else {
+            return;
+        };
+        u.heard_at = Some(now);
+        u.reached_at = u.reached_at.max(Some(since));
+        if u.reachability.refusal().is_none_or(|at| since < at) {
+            return;
+        }
+        let incarnation = u.incarnation();
+        if self
+            .reachability
+            .entry(now, &incarnation)
+            .record_answer(now)
+        {
+            self.reachability_changed(&incarnation, true, None, Duration::ZERO);
+        }
+    }
+
     /// Records the upstreams that a peer could not connect to. `is_local` tells whether it is in
     /// this VM's failure domain.
     pub(super) fn record_peer_unreachable(
         &mut self,
-        _now: Time,
-        _peer: &str,
-        _is_local: bool,
-        _unreachable: &[ReportedUnreachable],
+        now: Time,
+        peer: &str,
+        is_local: bool,
+        unreachable: &[ReportedUnreachable],
+    ) {
+        let counted = unreachable.iter().filter(|_| is_local);
+        for report in counted.take(MAX_UNREACHABLE_PER_DATAGRAM) {
+            let age = Duration::from_millis(u64::from(report.age_ms));
+            let at = now.saturating_sub(age);
+            let has_answered = self.has_answered_since(&report.upstream, at);
+            let row = self.reachability.entry(now, &report.upstream);
+            if !row.record_reported_refusal(at, age) {
+                continue;
+            }
+            if has_answered {
+                // Lets the peer and those that it has told know.
+                row.record_answer(now);
+                self.reachability_changed(&report.upstream, true, None, Duration::ZERO);
+            } else {
+                self.reachability_changed(&report.upstream, false, Some(peer), age);
+            }
+        }
+    }
+
+    /// Whether an upstream has responded to a request of this VM that was submitted after `at`.
+    fn has_answered_since(&self, upstream: &Incarnation, at: Time) -> bool {
+        let row = self.upstreams.get_by_id(&upstream.id);
+        row.is_some_and(|u| u.spec.born == upstream.born && u.reached_at > Some(at))
+    }
+
+    /// Records the upstreams that have answered a peer after a refusal.
+    pub(super) fn record_peer_reachable(
+        &mut self,
+        now: Time,
+        peer: &str,
+        is_local: bool,
+        reachable: &[ReportedReachable],
     ) {
+        let counted = reachable.iter().filter(|_| is_local);
+        for report in counted.take(MAX_UNREACHABLE_PER_DATAGRAM) {
+            let age = Duration::from_millis(u64::from(report.age_ms));
+            let row = self.reachability.entry(now, &report.upstream);
+            if row.record_answer(now.saturating_sub(age)) {
+                self.reachability_changed(&report.upstream, true, Some(peer), age);
+            }
+        }
     }
 
-    /// Returns the upstreams that peers should not try either.
-    pub(super) fn unreachable_to_report(&self, _now: Time) -> Vec<ReportedUnreachable> {
-        Vec::new()
+    /// Returns the upstreams that peers should not try either, the latest first.
+    pub(super) fn unreachable_to_report(&self, now: Time) -> Vec<ReportedUnreachable> {
+        let known = self.reachability.iter();
+        let closed = known.filter(|(_, r)| r.state(now) == ReachabilityState::Closed);
+        let mut reports: Vec<ReportedUnreachable> = closed
+            .filter_map(|(upstream, r)| {
+                Some(ReportedUnreachable {
+                    upstream: upstream.clone(),
+                    age_ms: age_ms(now, r.refusal()?),
+                })
+            })
+            .collect();
+        reports.sort_unstable_by_key(|r| (r.age_ms, r.upstream.id.clone()));
+        reports.truncate(MAX_UNREACHABLE_PER_DATAGRAM);
+        reports
     }
+
+    /// Returns the upstreams whose refusal has ended lately, the latest first.
+    pub(super) fn reachable_to_report(&self, now: Time) -> Vec<ReportedReachable> {
+        let known = self.reachability.iter();
+        let answered = known.filter_map(|(upstream, r)| {
+            let age = now.saturating_sub(r.recovery()?);
+            (age < REACHABLE_REPORT_PERIOD).then(|| ReportedReachable {
+                upstream: upstream.clone(),
+                age_ms: age.as_millis() as u32,
+            })
+        });
+        let mut reports: Vec<ReportedReachable> = answered.collect();
+        reports.sort_unstable_by_key(|r| (r.age_ms, r.upstream.id.clone()));
+        reports.truncate(MAX_UNREACHABLE_PER_DATAGRAM);
+        reports
+    }
+
+    /// Returns the changes since the last call, to be logged and reported to peers.
+    pub fn take_reachability_changes(&mut self) -> Vec<ReachabilityChange> {
+        std::mem::take(&mut self.reachability_changes)
+    }
+
+    /// Number of upstreams whose address refused the last connection.
+    #[must_use]
+    pub fn unreachable(&self) -> usize {
+        let rows = self.upstreams.iter();
+        rows.filter(|(_, u)| u.refuses_connections()).count()
+    }
+
+    /// Whether an upstream of a service that is not in `tried` accepts requests and is not
+    /// known to be unreachable.
+    #[must_use]
+    pub fn has_untried(&self, now: Time, service: &str, tried: &[UpstreamId]) -> bool {
+        let may_try = |u: &Upstream| {
+            let opens_at = u.available_at(now);
+            opens_at.is_some_and(|at| at <= now) && !tried.contains(&u.spec.id)
+        };
+        self.serving_rows(service).any(may_try)
+    }
+
+    /// Earliest time at which an upstream of a service may be given a request again.
+    #[must_use]
+    pub fn available_at(&self, now: Time, service: &str) -> Option<Time> {
+        let opens_at = self.serving_rows(service).map(|u| u.available_at(now));
+        opens_at.flatten().min()
+    }
+
+    /// Sets whether departures of upstreams cannot be learned, because the store is silent. An
+    /// upstream that nobody hears of since then may be gone.
+    pub fn set_store_silent(&mut self, now: Time, silent: bool) {
+        self.store_silent_since = silent.then(|| self.store_silent_since.unwrap_or(now));
+    }
+
+    /// Whether an engine may be gone without this VM knowing it. Peers do not report the answers
+    /// to plain calls, so nothing is concluded from silence about a plain upstream.
+    pub(super) fn is_uncertain(&self, now: Time, u: &Upstream) -> bool {
+        let silent_since = self.store_silent_since;
+        let since = silent_since.filter(|at| now.saturating_sub(*at) >= UNHEARD_PERIOD);
+        let is_engine = u.spec.capacity_tokens > 0;
+        is_engine && since.is_some_and(|since| u.is_unheard_since(since))
+    }
+
+    fn serving_rows(&self, service: &str) -> impl Iterator<Item = &Upstream> {
+        let serving = self.upstreams.serving(service);
+        let keys = serving.map_or(&[][..], |s| &s.keys);
+        keys.iter().filter_map(|k| self.upstreams.get(*k))
+    }
+
+    fn reachability_changed(
+        &mut self,
+        upstream: &Incarnation,
+        reachable: bool,
+        peer: Option<&str>,
+        age: Duration,
+    ) {
+        self.refresh_status(&upstream.id);
+        if self.reachability_changes.len() < MAX_CHANGES {
+            self.reachability_changes.push(ReachabilityChange {
+                upstream: upstream.clone(),
+                reachable,
+                peer: peer.map(str::to_owned),
+                age,
+            });
+        }
+    }
+}
+
+fn age_ms(now: Time, at: Time) -> u32 {
+    now.saturating_sub(at).as_millis() as u32
 }
--- a/trouttrack_core/src/world/relocate.rs
+++ b/trouttrack_core/src/world/relocate.rs
@@ -1,6 +1,7 @@
 //! Choice of the upstream to which a running request is moved.
 
 use super::tables::{RequestKey, World};
+use crate::routing::UNCERTAINTY_PENALTY;
 use crate::upstream::{OwnRun, Upstream, UpstreamKey};
 use crate::{Time, UpstreamId};
 
@@ -44,7 +45,11 @@
             .filter_map(|k| self.upstreams.get(*k))
             .filter(|u| u.is_available(now) && self.admits_one_more(now, u))
             .filter(|u| !avoid.contains(&u.spec.id))
-            .filter_map(|u| score_target(u, run, home, self.settings.moved_fill))
+            .filter_map(|u| {
+                let (score, target) = score_target(u, run, home, self.settings.moved_fill)?;
+                let uncertain = f64::from(self.is_uncertain(now, u));
+                Some((score + uncertain * UNCERTAINTY_PENALTY, target))
+            })
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, target)| target)
     }
--- a/trouttrack_core/src/world/systems/scan.rs
+++ b/trouttrack_core/src/world/systems/scan.rs
@@ -98,6 +98,7 @@
             alternatives: self.alternatives,
             backlog: u.prefill_seconds(self.now),
             cold: u.coldness(self.now),
+            uncertain: self.world.is_uncertain(self.now, u),
             prediction: Prediction::default(),
         })
     }
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -2,12 +2,14 @@
 
 use super::peers::PeerHeartbeats;
 use super::queue::{FairQueue, QueuePosition};
+use super::reachability::ReachabilityChange;
 use super::service_level::ServiceLevel;
 use crate::length::{LengthKey, LengthTable};
 use crate::membership::{Evacuations, UpstreamUse};
 use crate::routing::{AnyPolicy, ExplanationTable};
 use crate::upstream::{
-    LoadReport, RateShare, Upstream, UpstreamKey, UpstreamNotices, UpstreamSpec, UpstreamTable,
+    LoadReport, RateShare, ReachabilityTable, Upstream, UpstreamKey, UpstreamNotices, UpstreamSpec,
+    UpstreamTable,
 };
 use crate::{OrganisationId, RequestId, ServiceId, Time};
 use rand::SeedableRng;
@@ -220,6 +222,12 @@
     pub(crate) peers: PeerHeartbeats,
     /// Status reported by upstreams about themselves; each row holds a copy of its own.
     pub(crate) notices: UpstreamNotices,
+    /// Upstreams that refused connections; each row holds a copy of its own.
+    pub(crate) reachability: ReachabilityTable,
+    /// Changes of the above since they were last taken.
+    pub(crate) reachability_changes: Vec<ReachabilityChange>,
+    /// Since when departures of upstreams cannot be learned, because the store is silent.
+    pub(crate) store_silent_since: Option<Time>,
     /// Share that this VM has of a rate limit common to all VMs; none until it is set.
     pub(crate) rate_share: RateShare,
     pub(crate) rng: SmallRng,
@@ -243,6 +251,9 @@
             limits: Limits::default(),
             peers: PeerHeartbeats::default(),
             notices: UpstreamNotices::default(),
+            reachability: ReachabilityTable::default(),
+            reachability_changes: Vec::new(),
+            store_silent_since: None,
             refused: Vec::new(),
         }
     }
@@ -382,6 +393,9 @@
         fault: bool,
         tokens: Option<u64>,
     ) -> bool {
+        if tokens.is_some() {
+            self.record_response(now, key);
+        }
         let Some(row) = self.requests.remove(key) else {
             return false;
         };
@@ -422,6 +436,7 @@
     /// calls were refused when it counted as a success, and 509 when it did not; the score
     /// rose by 0.08 and 0.05.
     pub fn record_refusal(&mut self, now: Time, key: RequestKey) {
+        self.record_response(now, key);
         let upstream = self.requests.get(key).and_then(|row| row.upstream);
         if let Some(u) = upstream.and_then(|k| self.upstreams.get_mut(k)) {
             u.refusals.record_refusal(now);
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -12,6 +12,7 @@
 mod quarantine;
 mod rate_limited_fleet;
 mod rate_limits;
+mod reachability;
 mod relocate;
 mod retry_rule;
 mod support;
--- a/trouttrack_core/tests/core/policies.rs
+++ b/trouttrack_core/tests/core/policies.rs
@@ -27,6 +27,7 @@
         alternatives: 1.0,
         cold: 0.0,
         backlog: 0.0,
+        uncertain: false,
         prediction: Prediction::default(),
     };
     loads.iter().map(candidate).collect()
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -34,6 +34,8 @@
     pub words: IntCounterVec,
     /// Quarantined requests known to this VM.
     pub held: IntGauge,
+    /// Upstreams whose address refused the last connection known to this VM.
+    pub unreachable: IntGauge,
     /// Calls to the platform's store.
     pub store_calls: IntGauge,
     /// Connections opened to upstreams.
@@ -144,6 +146,11 @@
                 "trouttrack_held_requests",
                 "Requests that are given to no upstream, since upstreams ended under them",
             ),
+            unreachable: gauge(
+                &r,
+                "trouttrack_unreachable_upstreams",
+                "Upstreams whose address refused the last connection",
+            ),
             store_calls: gauge(&r, "trouttrack_store_calls", "Calls to the store so far"),
             connections: gauge(
                 &r,
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -80,6 +80,10 @@
     }
     front.suspects.expire();
     front.metrics.held.set(front.suspects.held() as i64);
+    front
+        .metrics
+        .unreachable
+        .set(front.scheduler.unreachable() as i64);
     let receivers = receivers(front);
     if receivers.is_empty() {
         return;
@@ -136,12 +140,9 @@
         uses,
         limits,
     };
-    post_with(
-        socket,
-        &Datagram::Load(load),
-        &front.scheduler.conditions(),
-        receivers,
-    );
+    let mut conditions = front.scheduler.conditions();
+    conditions.retain_new_reachability();
+    post_with(socket, &Datagram::Load(load), &conditions, receivers);
 }
 
 /// Failure domains of the upstreams that are in use or whose limits have changed.
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -17,6 +17,8 @@
 /// twice. Such a request is lost if the upstream has already dropped the connection.
 /// Upstreams drop idle connections after as little as 300 ms, and a new connection is cheap.
 const MAX_REUSE_IDLE: Duration = Duration::from_millis(150);
+/// Reason of an attempt whose connection was refused.
+const CONNECTION_REFUSED: &str = "nobody listens at the upstream's address";
 /// Reason of an attempt whose connection closed before any response.
 const CLOSED_WITHOUT_RESPONSE: &str = "the connection ended without an answer";
 /// Reason of an attempt whose response was truncated.
@@ -86,6 +88,11 @@
         self.reason == CLOSED_WITHOUT_RESPONSE
     }
 
+    /// Whether the upstream's address refused the connection, as no process listens there.
+    pub(crate) fn connection_refused(&self) -> bool {
+        self.reason == CONNECTION_REFUSED
+    }
+
     /// Whether the attempt was cancelled before it was sent. It then says nothing about the
     /// health of the upstream.
     pub(crate) fn cancelled_before_send(&self) -> bool {
@@ -123,6 +130,7 @@
             held_ms = elapsed.as_millis() as u64,
         );
         let result = match self.failure {
+            Failure::NotConnected if self.connection_refused() => "connection-refused",
             Failure::NotConnected => "not-connected",
             Failure::Refused => "refused",
             Failure::Lost => "lost",
@@ -213,10 +221,9 @@
         SendErrorKind::NotConnected => {
             AttemptFailure::new(Failure::NotConnected, "no connection to the upstream")
         }
-        SendErrorKind::NobodyThere => AttemptFailure::new(
-            Failure::NotConnected,
-            "nobody listens at the upstream's address",
-        ),
+        SendErrorKind::NobodyThere => {
+            AttemptFailure::new(Failure::NotConnected, CONNECTION_REFUSED)
+        }
         SendErrorKind::Withdrawn => {
             AttemptFailure::new(Failure::NotConnected, CANCELLED_BEFORE_SEND)
         }
--- a/trouttrack_front/src/request/end.rs
+++ b/trouttrack_front/src/request/end.rs
@@ -83,6 +83,14 @@
         }
     }
 
+    /// The request has not run; no upstream can be tried for this long.
+    pub(crate) fn not_run_for(reason: &'static str, wait: Duration) -> Self {
+        Self::NotRun {
+            reason,
+            retry_after: wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+        }
+    }
+
     /// Converts an outcome of the retry rule.
     pub(crate) fn from_outcome(outcome: Outcome, reason: &'static str) -> Self {
         match outcome {
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -3,7 +3,7 @@
 use super::attempt::{AttemptFailure, FailedAttempt, handover, send};
 use super::end::{End, ForwardedResponse, record_forwarded};
 use super::quarantine::QuarantineCheck;
-use super::retry::{AttemptCounts, is_attempt};
+use super::retry::{AttemptCounts, end_without_retry, is_attempt};
 use super::submission::build_submission;
 use crate::caller::{Admitted, Reply};
 use crate::state::{Front, Ticket, Upstream};
@@ -109,7 +109,7 @@
             }
             let end = match step {
                 StepResult::Ended(outcome) => End::from_outcome(outcome, failure.reason),
-                StepResult::Try(_) => End::not_run(failure.reason),
+                StepResult::Try(_) => end_without_retry(self.front, &self.service, failure),
             };
             return self.end_without_success(&end);
         }
@@ -129,8 +129,9 @@
         // Another VM may have reported the request while it was queued.
         self.check_quarantine()?;
         let Some(upstream) = self.front.upstreams.get(&placed.upstream) else {
-            self.attempts.connect_failures += 1;
+            self.avoid.push(placed.upstream);
             let failure = AttemptFailure::new(Failure::NotConnected, "the upstream is gone");
+            self.count_attempt(Some(&failure));
             return Err(AttemptError::Failed(failure));
         };
         self.front.metrics.decided(placed.loading, placed.known);
@@ -159,7 +160,7 @@
             failure.report(self.front, self.admitted, &attempt);
         }
         if let Some(ticket) = self.ticket.take() {
-            record_outcome(&outcome, &ticket);
+            record_outcome(&outcome, &upstream, &ticket);
         }
         self.update_quarantine(&upstream, &outcome).await;
         outcome.map_err(AttemptError::Failed)
@@ -237,8 +238,9 @@
 
     /// Counts an attempt, or a connect failure if nothing was sent.
     fn count_attempt(&mut self, failure: Option<&AttemptFailure>) {
-        if failure.is_some_and(|f| f.failure == Failure::NotConnected) {
-            self.attempts.connect_failures += 1;
+        if let Some(failure) = failure.filter(|f| f.failure == Failure::NotConnected) {
+            self.attempts
+                .count_unconnected(self.front, self.admitted, failure);
             return;
         }
         self.attempts.count_sent(self.front, &self.service);
@@ -248,7 +250,7 @@
     fn may_retry(&self, failure: Failure) -> bool {
         let (front, admitted) = (self.front, self.admitted);
         self.attempts
-            .may_retry(front, admitted, &self.service, failure)
+            .may_retry(front, admitted, &self.service, &self.avoid, failure)
     }
 
     fn forward(&mut self, response: BufferedResponse) -> Reply {
@@ -296,12 +298,19 @@
 }
 
 /// Reports the result of an attempt to the scheduler.
-fn record_outcome(outcome: &Result<BufferedResponse, AttemptFailure>, ticket: &Ticket) {
+fn record_outcome(
+    outcome: &Result<BufferedResponse, AttemptFailure>,
+    upstream: &Upstream,
+    ticket: &Ticket,
+) {
     match outcome {
         Ok(response) if response.head.status.is_server_error() => ticket.fault(),
         Ok(_) => ticket.complete(0),
         Err(failure) if failure.closed_without_response() => ticket.lost(),
         Err(failure) if failure.cancelled_before_send() => {}
+        Err(failure) if failure.connection_refused() => {
+            ticket.connection_refused(&upstream.incarnation());
+        }
         Err(failure) => match failure.failure {
             Failure::Refused => ticket.refused(),
             Failure::NotConnected => ticket.unreachable(),
--- a/trouttrack_front/src/request/quarantine.rs
+++ b/trouttrack_front/src/request/quarantine.rs
@@ -63,6 +63,7 @@
         let probed = tokio::time::timeout(PROBE_TIMEOUT, front.http.probe(upstream.addr)).await;
         match probed {
             Ok(Err(e)) if e.kind == SendErrorKind::NobodyThere => {
+                front.scheduler.connection_refused(&upstream.incarnation());
                 front.suspects.ended(request, upstream);
             }
             Ok(Ok(presence)) => {
@@ -100,6 +101,7 @@
         match front.http.probe(upstream.addr).await {
             Ok(next) => presence = next,
             Err(e) if e.kind == SendErrorKind::NobodyThere => {
+                front.scheduler.connection_refused(&upstream.incarnation());
                 front.suspects.ended(request, &upstream);
                 return;
             }
--- a/trouttrack_front/src/request/retry.rs
+++ b/trouttrack_front/src/request/retry.rs
@@ -1,14 +1,14 @@
 //! Limits on the attempts of a request.
 
+use super::attempt::AttemptFailure;
+use super::end::End;
+use super::submission::placement_deadline;
 use crate::caller::Admitted;
 use crate::state::Front;
-use trouttrack_core::request::{Failure, Step, StepResult};
+use trouttrack_core::UpstreamId;
+use trouttrack_core::request::{Failure, Step, StepResult, UpstreamSearch};
 use trouttrack_telemetry::{events, record};
 
-/// Failed connections after which a request ends, since other upstreams are then as likely to
-/// be unreachable.
-const MAX_CONNECT_FAILURES: u32 = 3;
-
 /// Whether the retry rule asks for another attempt.
 pub(super) fn is_attempt(step: StepResult) -> bool {
     matches!(
@@ -22,8 +22,8 @@
 pub(super) struct AttemptCounts {
     /// Attempts that an upstream may have received.
     pub(super) sent: u32,
-    /// Attempts that found no connection to their upstream.
-    pub(super) connect_failures: u32,
+    /// Upstreams that could not be connected to.
+    search: UpstreamSearch,
 }
 
 impl AttemptCounts {
@@ -35,6 +35,21 @@
         self.sent += 1;
     }
 
+    /// Counts an upstream that could not be connected to.
+    pub(super) fn count_unconnected(
+        &mut self,
+        front: &Front,
+        admitted: &Admitted,
+        failure: &AttemptFailure,
+    ) {
+        match failure.connection_refused() {
+            true => self
+                .search
+                .record_refused(placement_deadline(front, admitted)),
+            false => self.search.record_failed(),
+        }
+    }
+
     /// Whether the limit of the route and the shared retry budget allow another attempt after
     /// this failure. Consumes one retry from the budget if so, except after a failed connection.
     pub(super) fn may_retry(
@@ -42,10 +57,12 @@
         front: &Front,
         admitted: &Admitted,
         service: &str,
+        tried: &[UpstreamId],
         failure: Failure,
     ) -> bool {
         if failure == Failure::NotConnected {
-            return self.connect_failures < MAX_CONNECT_FAILURES;
+            let has_untried = front.scheduler.has_untried(service, tried);
+            return self.search.may_continue(front.clock.now(), has_untried);
         }
         if self.sent >= admitted.route.max_attempts {
             return false;
@@ -61,3 +78,13 @@
         within
     }
 }
+
+/// Outcome of a request whose failed attempt is not followed by another one. After a failed
+/// connection the caller may retry when an upstream of the service may be tried again.
+pub(super) fn end_without_retry(front: &Front, service: &str, failure: AttemptFailure) -> End {
+    let available_in = front.scheduler.available_in(service);
+    match available_in.filter(|_| failure.failure == Failure::NotConnected) {
+        Some(wait) => End::not_run_for(failure.reason, wait),
+        None => End::not_run(failure.reason),
+    }
+}
--- a/trouttrack_front/src/request/stream/continuation.rs
+++ b/trouttrack_front/src/request/stream/continuation.rs
@@ -111,7 +111,13 @@
         self.reader.skip_delivered();
         // The caller gets the head of the first upstream.
         self.head.get_or_insert_with(|| source.head.clone());
-        let sent = self.send(target, &to).await.map_err(as_lost)?;
+        let sent = self.send(target, &to).await;
+        if let Err(AttemptError::Failed(failure)) = &sent
+            && failure.connection_refused()
+        {
+            ticket.connection_refused(&target.incarnation());
+        }
+        let sent = sent.map_err(as_lost)?;
         self.current = Some(Rc::clone(target));
         self.pace.change_upstream();
         Ok(Source::new(Rc::clone(target), sent, backup))
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -165,8 +165,11 @@
             return self.resume_moved(source, moved, ticket).await;
         }
         let failure = AttemptFailure::new(Failure::Lost, STREAM_TRUNCATED);
-        let accepts_requests_at = |b: &Rc<Upstream>| self.front.scheduler.accepts_requests(&b.id);
-        match source.backup.take().filter(accepts_requests_at) {
+        let scheduler = &self.front.scheduler;
+        let may_continue_at = |backup: &Rc<Upstream>| {
+            scheduler.accepts_requests(&backup.id) && !scheduler.refuses_connections(&backup.id)
+        };
+        match source.backup.take().filter(may_continue_at) {
             Some(target) => {
                 self.on_failure(&source.upstream, &failure).await;
                 self.check_quarantine()?;
--- a/trouttrack_front/src/request/stream/retry.rs
+++ b/trouttrack_front/src/request/stream/retry.rs
@@ -3,9 +3,8 @@
 use super::run::StreamRun;
 use crate::request::attempt::AttemptFailure;
 use crate::request::end::End;
-use crate::request::retry::is_attempt;
+use crate::request::retry::{end_without_retry, is_attempt};
 use std::time::Duration;
-use trouttrack_core::Outcome;
 use trouttrack_core::fleet::RouteKind;
 use trouttrack_core::request::{Failure, StepResult};
 use trouttrack_telemetry::{events, record};
@@ -37,7 +36,7 @@
         }
         let end = match step {
             StepResult::Ended(outcome) => End::from_outcome(outcome, failure.reason),
-            StepResult::Try(_) => End::from_outcome(Outcome::NotRun, failure.reason),
+            StepResult::Try(_) => end_without_retry(&self.front, &self.service, failure),
         };
         Some(end.uncertain_if_run(self.may_have_run))
     }
@@ -45,7 +44,7 @@
     fn may_retry(&self, failure: Failure) -> bool {
         let (front, admitted) = (&self.front, &self.admitted);
         self.attempts
-            .may_retry(front, admitted, &self.service, failure)
+            .may_retry(front, admitted, &self.service, &self.avoid, failure)
     }
 
     /// Time without data after which another upstream is tried; `None` if the route or the
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -35,7 +35,7 @@
     /// State of the retry rule.
     pub(super) machine: Machine,
     /// Upstreams that were already tried.
-    avoid: Vec<UpstreamId>,
+    pub(super) avoid: Vec<UpstreamId>,
     /// Upstream of the latest attempt.
     pub(super) current: Option<Rc<Upstream>>,
     /// Start of the latest attempt.
@@ -134,8 +134,10 @@
         // Another VM may have reported the request while it was queued.
         self.check_quarantine()?;
         let Some(upstream) = self.front.upstreams.get(&placed.upstream) else {
-            self.attempts.connect_failures += 1;
-            return Err(AttemptFailure::new(Failure::NotConnected, "the upstream is gone").into());
+            self.avoid.push(placed.upstream);
+            let failure = AttemptFailure::new(Failure::NotConnected, "the upstream is gone");
+            self.count_unconnected(&failure);
+            return Err(failure.into());
         };
         self.front.metrics.decided(placed.loading, placed.known);
         record!(
@@ -213,6 +215,9 @@
                 failure.report(&self.front, &self.admitted, &attempt);
                 match failure.failure {
                     _ if failure.cancelled_before_send() => {}
+                    Failure::NotConnected if failure.connection_refused() => {
+                        self.report_refused_connection(ticket);
+                    }
                     Failure::Refused => ticket.refused(),
                     Failure::NotConnected => ticket.unreachable(),
                     Failure::Lost if failure.closed_without_response() => ticket.lost(),
@@ -231,6 +236,12 @@
         }
     }
 
+    fn report_refused_connection(&self, ticket: &Ticket) {
+        if let Some(current) = &self.current {
+            ticket.connection_refused(&current.incarnation());
+        }
+    }
+
     /// Sends the request to an upstream and forwards its stream, following it to other
     /// upstreams if the generation is moved.
     async fn run_at(
--- a/trouttrack_front/src/request/stream/send.rs
+++ b/trouttrack_front/src/request/stream/send.rs
@@ -48,12 +48,11 @@
     /// Counts an attempt, or a connect failure if nothing was sent. Continuations of a running
     /// generation are not counted.
     fn count_attempt(&mut self, to: &Handover, failure: Option<&AttemptFailure>) {
-        let kind = failure.map(|f| f.failure);
         if to.continue_from.is_some() {
             return;
         }
-        if kind == Some(Failure::NotConnected) {
-            self.attempts.connect_failures += 1;
+        if let Some(failure) = failure.filter(|f| f.failure == Failure::NotConnected) {
+            self.count_unconnected(failure);
         } else {
             self.attempts.count_sent(&self.front, &self.service);
             self.machine.handed_over();
@@ -62,4 +61,10 @@
             }
         }
     }
+
+    /// Counts an upstream that could not be connected to.
+    pub(super) fn count_unconnected(&mut self, failure: &AttemptFailure) {
+        let (front, admitted) = (&self.front, &self.admitted);
+        self.attempts.count_unconnected(front, admitted, failure);
+    }
 }
--- a/trouttrack_front/src/request/submission.rs
+++ b/trouttrack_front/src/request/submission.rs
@@ -5,7 +5,7 @@
 use trouttrack_core::fleet::RouteKind;
 use trouttrack_core::length::LengthKey;
 use trouttrack_core::world::{ServiceLevel, Submission};
-use trouttrack_core::{ServiceId, UpstreamId};
+use trouttrack_core::{ServiceId, Time, UpstreamId};
 
 /// Fraction of the objective that a retry may wait for an upstream, even if the wait limit of
 /// the first attempt has expired: a late response is still useful.
@@ -22,11 +22,6 @@
 ) -> Submission {
     let head = &admitted.head;
     let organisation = admitted.organisation.clone().unwrap_or_default();
-    let queue_wait = admitted
-        .route
-        .objective
-        .mul_f64(front.serving.wait_for_place);
-    let retry_deadline = front.clock.now() + admitted.route.objective.mul_f64(RETRY_WAIT_FRACTION);
     Submission {
         id: head.id.clone(),
         weight: 1.0,
@@ -35,9 +30,7 @@
         organisation,
         priority: priority_class(admitted),
         prompt_tokens: head.prompt_tokens,
-        deadline: (admitted.received_at + queue_wait)
-            .max(retry_deadline)
-            .min(admitted.deadline),
+        deadline: placement_deadline(front, admitted),
         service_level: service_level(admitted),
         max_running: None,
         avoid: avoid.to_vec(),
@@ -46,6 +39,16 @@
     }
 }
 
+/// Time until which a request that is submitted now may wait for an upstream.
+pub(super) fn placement_deadline(front: &Front, admitted: &Admitted) -> Time {
+    let objective = admitted.route.objective;
+    let queue_wait = objective.mul_f64(front.serving.wait_for_place);
+    let retry_wait = objective.mul_f64(RETRY_WAIT_FRACTION);
+    (admitted.received_at + queue_wait)
+        .max(front.clock.now() + retry_wait)
+        .min(admitted.deadline)
+}
+
 fn service_level(admitted: &Admitted) -> ServiceLevel {
     let longest_pause = match admitted.route.kind {
         RouteKind::Stream { longest_pause, .. } => longest_pause,
--- a/trouttrack_front/src/rescue/poll.rs
+++ b/trouttrack_front/src/rescue/poll.rs
@@ -20,7 +20,9 @@
 pub(crate) async fn ask_engines(front: Rc<Front>) {
     loop {
         tokio::time::sleep(REPORT_INTERVAL).await;
-        if !front.serving.ask_engines || !front.store_is_silent() {
+        let silent = front.store_is_silent();
+        front.scheduler.set_store_silent(silent);
+        if !front.serving.ask_engines || !silent {
             continue;
         }
         for id in front.scheduler.used() {
--- a/trouttrack_front/src/state/mod.rs
+++ b/trouttrack_front/src/state/mod.rs
@@ -5,6 +5,7 @@
 mod deferred;
 mod front;
 mod lifecycle;
+mod reachability;
 mod routing;
 mod scheduler;
 mod store_contact;
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -264,6 +264,8 @@
         let now = self.clock.now();
         let mut world = self.world.borrow_mut();
         world.record_peer_conditions(now, peer, is_local, conditions);
+        drop(world);
+        self.report_reachability();
     }
 
     /// Applies the aggregated use of a failure domain's upstreams by the VMs of that domain.
--- a/trouttrack_front/src/state/ticket.rs
+++ b/trouttrack_front/src/state/ticket.rs
@@ -3,7 +3,7 @@
 use super::scheduler::Scheduler;
 use std::cell::Cell;
 use std::rc::Rc;
-use trouttrack_core::upstream::RateSample;
+use trouttrack_core::upstream::{Incarnation, RateSample};
 use trouttrack_core::world::{RequestKey, Target};
 use trouttrack_core::{Time, UpstreamId};
 
@@ -32,7 +32,12 @@
 
     /// Records the number of tokens generated so far.
     pub fn progress(&self, tokens: u64) {
-        let is_first_token = self.scheduler.world.borrow_mut().progress(self.key, tokens);
+        let now = self.now();
+        let mut world = self.scheduler.world.borrow_mut();
+        world.record_response(now, self.key);
+        let is_first_token = world.progress(self.key, tokens);
+        drop(world);
+        self.scheduler.report_reachability();
         if is_first_token {
             // The other VMs count the prompt as loading until they are notified.
             self.scheduler.tell_soon();
@@ -59,6 +64,12 @@
         world.record_unreachable(now, self.key);
     }
 
+    /// Records that the upstream's address refused the connection, and notifies the other VMs.
+    /// Connections that time out are no such evidence: a network partition causes them too.
+    pub fn connection_refused(&self, upstream: &Incarnation) {
+        self.scheduler.connection_refused(upstream);
+    }
+
     /// Records that the upstream rejected the request, and notifies the other VMs.
     pub fn refused(&self) {
         let now = self.now();
@@ -119,6 +130,7 @@
         let releases_memory = world.record_end(now, self.key, self.fault.get(), self.tokens.get());
         let has_queued = world.queued() > 0;
         drop(world);
+        self.scheduler.report_reachability();
         if releases_memory {
             // The other VMs count its memory, and its prompt if it has not started.
             self.scheduler.tell_soon();
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -13,6 +13,7 @@
 mod peers;
 mod plain;
 mod rate_limits;
+mod reachability;
 mod repeats;
 mod soak;
 mod stop;
--- a/trouttrack_telemetry/src/events/catalogue.rs
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -97,4 +97,6 @@
     UPSTREAMS_LISTED = 116, Info, "upstreams-listed", "All upstreams' entries up to a revision are known. Names their number and whether the store or a peer, by its address, gave them; those of a first list have no line of their own.";
     STORE_RESTORED = 117, Warn, "store-restored", "The platform's service was restored from a backup and has lost its latest writes; revision numbers are reused. Names the epoch and the previous one.";
     REMOVAL_UNDONE = 118, Info, "removal-undone", "An upstream's entry is listed again only because a restore of the platform's service has undone its removal. The upstream gets no work until it writes its entry again, or until the time for repeating lost writes has passed with the entry still listed.";
+    CONNECTION_REFUSED = 130, Warn, "connection-refused", "An upstream's address refused a connection: no process listens there. It gets no new work from this VM until a backoff is over, then a single trial request. Names the incarnation, the peer of the same failure domain that reported it, if any, and the age of the observation.";
+    REACHABLE_AGAIN = 131, Info, "reachable-again", "An upstream whose address had refused a connection has answered a request since; it gets work again. Names the incarnation, the peer that reported it, if any, and the age of the observation.";
 }
