Avoid a failure domain after a connect time-out to it

Cause: a VM that is cut off tried three upstreams of other failure domains one after the other, each for the time-out of 100 ms, and refused the request, though its own failure domain was in reach.

Change: after a connection to another failure domain that nobody replied to, the request avoids that failure domain's upstreams. Three such failures end it, as before.

--- a/trouttrack_core/src/request/search.rs
+++ b/trouttrack_core/src/request/search.rs
@@ -1,6 +1,6 @@
 //! Limits on the search for an upstream that can be connected to.
 
-use crate::Time;
+use crate::{FailureDomain, Time};
 
 /// Maximum number of refused connections of a request. Each takes a round trip, so even across
 /// failure domains the whole search takes a small part of an objective.
@@ -24,11 +24,13 @@
 /// assert!(!search.may_continue(Duration::ZERO, false));
 /// assert!(!search.may_continue(until, true));
 /// ```
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct UpstreamSearch {
     refused: u32,
     failed: u32,
     until: Option<Time>,
+    /// Other failure domains with an upstream to which no connection came up.
+    silent_domains: Vec<FailureDomain>,
 }
 
 impl UpstreamSearch {
@@ -38,9 +40,24 @@
         self.until.get_or_insert(until);
     }
 
-    /// Records a connection that failed otherwise.
-    pub fn record_failed(&mut self) {
+    /// Records a connection that failed otherwise. `remote` is the upstream's failure domain if
+    /// it is another one than this VM's and did not answer in time.
+    pub fn record_failed(&mut self, remote: Option<&str>) {
         self.failed += 1;
+        self.silent_domains.extend(remote.map(str::to_owned));
+    }
+
+    /// Returns whether a failure domain is to be avoided.
+    #[must_use]
+    pub fn avoids_any(&self) -> bool {
+        !self.silent_domains.is_empty()
+    }
+
+    /// Returns whether upstreams of a failure domain are to be avoided, because the network is
+    /// likely to be partitioned between it and this VM.
+    #[must_use]
+    pub fn avoids(&self, failure_domain: &str) -> bool {
+        self.silent_domains.iter().any(|d| d == failure_domain)
     }
 
     /// Returns whether another upstream may be tried. `has_untried` tells whether one is left.
--- a/trouttrack_core/tests/core/reachability.rs
+++ b/trouttrack_core/tests/core/reachability.rs
@@ -243,12 +243,46 @@
     assert_eq!(tries, Some(32));
     let mut timed_out = UpstreamSearch::default();
     let tries = (1..).find(|_| {
-        timed_out.record_failed();
+        timed_out.record_failed(None);
         !timed_out.may_continue(MS, true)
     });
     assert_eq!(tries, Some(3));
 }
 
+/// A domain is cut off. Its engines have requests, and those of the others look empty: after one
+/// time-out to each other domain the request is placed at home.
+#[test]
+fn a_cut_off_vm_tries_each_other_failure_domain_once() {
+    let domains = ["a", "b", "c"];
+    let engine = |n: usize| spec(&format!("e{n:02}"), domains[n % 3], 20_000, 24);
+    let specs: Vec<UpstreamSpec> = (0..15).map(engine).collect();
+    let mut world = world("trouttrack", specs.clone());
+    let busy = specs.iter().filter(|s| s.failure_domain == "a");
+    let uses: Vec<UpstreamUse> = busy.map(|s| peer_use(&s.id, 19_000, 9_000)).collect();
+    world.record_peer_uses(MS, "vm1", "a", &uses);
+    let mut search = UpstreamSearch::default();
+    let mut tried = Vec::new();
+    loop {
+        let mut req = submission("r1", "o", 0);
+        let avoided = specs.iter().filter(|s| search.avoids(&s.failure_domain));
+        req.avoid = avoided.map(|s| s.id.clone()).collect();
+        let key = world.submit(MS, req);
+        let (_, upstream) = placed(&world.tick(MS)).pop().unwrap();
+        let row = world.upstreams.get_by_id(&upstream).unwrap();
+        let domain = row.spec.failure_domain.clone();
+        tried.push(domain.clone());
+        if domain == "a" {
+            break;
+        }
+        search.record_failed(Some(&domain));
+        assert!(search.may_continue(MS, true));
+        world.record_unreachable(MS, key);
+        world.record_end(MS, key, true, None);
+    }
+    tried.sort();
+    assert_eq!(tried, domains);
+}
+
 fn peer_use(upstream: &str, held_tokens: u64, loading_tokens: u64) -> UpstreamUse {
     UpstreamUse {
         upstream: upstream.into(),
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -17,6 +17,8 @@
 /// twice. Such a request is lost if the upstream has already dropped the connection.
 /// Upstreams drop idle connections after as little as 300 ms, and a new connection is cheap.
 const MAX_REUSE_IDLE: Duration = Duration::from_millis(150);
+/// Reason of an attempt to whose connection nobody replied.
+const NO_CONNECTION: &str = "no connection to the upstream";
 /// Reason of an attempt whose connection was refused.
 const CONNECTION_REFUSED: &str = "nobody listens at the upstream's address";
 /// Reason of an attempt whose connection closed before any response.
@@ -93,6 +95,11 @@
         self.reason == CONNECTION_REFUSED
     }
 
+    /// Whether no connection came up in time, as happens when the network is partitioned.
+    pub(crate) fn connection_timed_out(&self) -> bool {
+        self.reason == NO_CONNECTION
+    }
+
     /// Whether the attempt was cancelled before it was sent. It then says nothing about the
     /// health of the upstream.
     pub(crate) fn cancelled_before_send(&self) -> bool {
@@ -218,9 +225,7 @@
 fn send_failure(e: &SendError) -> AttemptFailure {
     log::debug!("{e}");
     match e.kind {
-        SendErrorKind::NotConnected => {
-            AttemptFailure::new(Failure::NotConnected, "no connection to the upstream")
-        }
+        SendErrorKind::NotConnected => AttemptFailure::new(Failure::NotConnected, NO_CONNECTION),
         SendErrorKind::NobodyThere => {
             AttemptFailure::new(Failure::NotConnected, CONNECTION_REFUSED)
         }
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -118,7 +118,8 @@
     /// Makes one attempt: placement, exchange and accounting.
     async fn attempt(&mut self) -> Result<BufferedResponse, AttemptError> {
         self.check_quarantine()?;
-        let submission = build_submission(self.front, self.admitted, &self.service, &self.avoid);
+        let avoid = self.attempts.avoided(self.front, &self.avoid);
+        let submission = build_submission(self.front, self.admitted, &self.service, &avoid);
         let placed = self.front.scheduler.place(submission).await;
         let placed = placed.map_err(|refusal| AttemptError::Ended(End::refused(&refusal)))?;
         if !self.admitted.still_admitted(self.front) {
@@ -131,7 +132,7 @@
         let Some(upstream) = self.front.upstreams.get(&placed.upstream) else {
             self.avoid.push(placed.upstream);
             let failure = AttemptFailure::new(Failure::NotConnected, "the upstream is gone");
-            self.count_attempt(Some(&failure));
+            self.attempts.count_missing();
             return Err(AttemptError::Failed(failure));
         };
         self.front.metrics.decided(placed.loading, placed.known);
@@ -206,7 +207,7 @@
             }
             None => sending.await,
         };
-        self.count_attempt(sent.as_ref().err());
+        self.count_attempt(upstream, sent.as_ref().err());
         let mut sent = sent?;
         let body = sent.read_body(MAX_BODY_BYTES).await?;
         let response = BufferedResponse {
@@ -237,10 +238,10 @@
     }
 
     /// Counts an attempt, or a connect failure if nothing was sent.
-    fn count_attempt(&mut self, failure: Option<&AttemptFailure>) {
+    fn count_attempt(&mut self, upstream: &Upstream, failure: Option<&AttemptFailure>) {
         if let Some(failure) = failure.filter(|f| f.failure == Failure::NotConnected) {
             self.attempts
-                .count_unconnected(self.front, self.admitted, failure);
+                .count_unconnected(self.front, self.admitted, upstream, failure);
             return;
         }
         self.attempts.count_sent(self.front, &self.service);
--- a/trouttrack_front/src/request/retry.rs
+++ b/trouttrack_front/src/request/retry.rs
@@ -4,7 +4,7 @@
 use super::end::End;
 use super::submission::placement_deadline;
 use crate::caller::Admitted;
-use crate::state::Front;
+use crate::state::{Front, Upstream};
 use trouttrack_core::UpstreamId;
 use trouttrack_core::request::{Failure, Step, StepResult, UpstreamSearch};
 use trouttrack_telemetry::{events, record};
@@ -18,7 +18,7 @@
 }
 
 /// Attempts made for a request so far.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct AttemptCounts {
     /// Attempts that an upstream may have received.
     pub(super) sent: u32,
@@ -40,14 +40,33 @@
         &mut self,
         front: &Front,
         admitted: &Admitted,
+        upstream: &Upstream,
         failure: &AttemptFailure,
     ) {
-        match failure.connection_refused() {
-            true => self
-                .search
-                .record_refused(placement_deadline(front, admitted)),
-            false => self.search.record_failed(),
+        if failure.connection_refused() {
+            let until = placement_deadline(front, admitted);
+            self.search.record_refused(until);
+            return;
         }
+        let domain = upstream.failure_domain.as_str();
+        let is_silent = failure.connection_timed_out() && domain != front.failure_domain;
+        self.search.record_failed(is_silent.then_some(domain));
+    }
+
+    /// Counts an upstream that was removed after the request had been placed on it.
+    pub(super) fn count_missing(&mut self) {
+        self.search.record_failed(None);
+    }
+
+    /// Upstreams that the next attempt is to avoid: those tried, and those of failure domains
+    /// that are likely to be cut off.
+    pub(super) fn avoided(&self, front: &Front, tried: &[UpstreamId]) -> Vec<UpstreamId> {
+        if !self.search.avoids_any() {
+            return tried.to_vec();
+        }
+        let avoids = |u: &Upstream| self.search.avoids(&u.failure_domain);
+        let cut_off = front.upstreams.ids_where(avoids);
+        tried.iter().cloned().chain(cut_off).collect()
     }
 
     /// Whether the limit of the route and the shared retry budget allow another attempt after
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -121,7 +121,8 @@
     /// Makes one attempt: placement, forwarding of the stream and accounting.
     async fn attempt(&mut self) -> Result<(), AttemptError> {
         self.check_quarantine()?;
-        let submission = build_submission(&self.front, &self.admitted, &self.service, &self.avoid);
+        let avoid = self.attempts.avoided(&self.front, &self.avoid);
+        let submission = build_submission(&self.front, &self.admitted, &self.service, &avoid);
         let placed = self.front.scheduler.place(submission).await;
         let placed = placed.map_err(|refusal| {
             let end = End::refused(&refusal).uncertain_if_run(self.may_have_run);
@@ -136,7 +137,7 @@
         let Some(upstream) = self.front.upstreams.get(&placed.upstream) else {
             self.avoid.push(placed.upstream);
             let failure = AttemptFailure::new(Failure::NotConnected, "the upstream is gone");
-            self.count_unconnected(&failure);
+            self.attempts.count_missing();
             return Err(failure.into());
         };
         self.front.metrics.decided(placed.loading, placed.known);
--- a/trouttrack_front/src/request/stream/send.rs
+++ b/trouttrack_front/src/request/stream/send.rs
@@ -21,7 +21,7 @@
     ) -> Result<UpstreamResponse, AttemptError> {
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
         let sent = send(&self.front, &self.admitted, upstream, to, self.body.clone()).await;
-        self.count_attempt(to, sent.as_ref().err());
+        self.count_attempt(upstream, to, sent.as_ref().err());
         let kind = sent.as_ref().err().map(|f| f.failure);
         if matches!(kind, Some(Failure::NotConnected | Failure::Refused)) {
             // This attempt did not run the request; an earlier one may have.
@@ -47,12 +47,19 @@
 
     /// Counts an attempt, or a connect failure if nothing was sent. Continuations of a running
     /// generation are not counted.
-    fn count_attempt(&mut self, to: &Handover, failure: Option<&AttemptFailure>) {
+    fn count_attempt(
+        &mut self,
+        upstream: &Upstream,
+        to: &Handover,
+        failure: Option<&AttemptFailure>,
+    ) {
         if to.continue_from.is_some() {
             return;
         }
         if let Some(failure) = failure.filter(|f| f.failure == Failure::NotConnected) {
-            self.count_unconnected(failure);
+            let (front, admitted) = (&self.front, &self.admitted);
+            self.attempts
+                .count_unconnected(front, admitted, upstream, failure);
         } else {
             self.attempts.count_sent(&self.front, &self.service);
             self.machine.handed_over();
@@ -61,10 +68,4 @@
             }
         }
     }
-
-    /// Counts an upstream that could not be connected to.
-    pub(super) fn count_unconnected(&mut self, failure: &AttemptFailure) {
-        let (front, admitted) = (&self.front, &self.admitted);
-        self.attempts.count_unconnected(front, admitted, failure);
-    }
 }
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -401,12 +401,18 @@
         by_id.get(id).map(|u| spec(u, table))
     }
 
+    /// Ids of the upstreams that meet a condition.
+    #[must_use]
+    pub(crate) fn ids_where(&self, condition: impl Fn(&Upstream) -> bool) -> Vec<UpstreamId> {
+        let by_id = self.by_id.borrow();
+        let met = by_id.values().filter(|u| condition(u));
+        met.map(|u| u.id.clone()).collect()
+    }
+
     /// Ids of the upstreams that are leaving.
     #[must_use]
     pub fn leaving(&self) -> Vec<UpstreamId> {
-        let by_id = self.by_id.borrow();
-        let leaving = by_id.values().filter(|u| u.is_leaving());
-        leaving.map(|u| u.id.clone()).collect()
+        self.ids_where(Upstream::is_leaving)
     }
 }
 
