--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -17,6 +17,10 @@
 /// twice. Such a request is lost if the upstream has already dropped the connection.
 /// Upstreams drop idle connections after as little as 300 ms, and a new connection is cheap.
 const MAX_REUSE_IDLE: Duration = Duration::from_millis(150);
+/// Reason of an attempt to whose connection nobody replied.
+const NO_CONNECTION: &str = "no connection to the upstream";
+/// Reason of an attempt whose connection was refused.
+const CONNECTION_REFUSED: &str = "nobody listens at the upstream's address";
 /// Reason of an attempt whose connection closed before any response.
 const CLOSED_WITHOUT_RESPONSE: &str = "the connection ended without an answer";
 /// Reason of an attempt whose response was truncated.
@@ -86,6 +90,16 @@
         self.reason == CLOSED_WITHOUT_RESPONSE
     }
 
+    /// Whether the upstream's address refused the connection, as no process listens there.
+    pub(crate) fn connection_refused(&self) -> bool {
+        self.reason == CONNECTION_REFUSED
+    }
+
+    /// Whether no connection came up in time, as happens when the network is partitioned.
+    pub(crate) fn connection_timed_out(&self) -> bool {
+        self.reason == NO_CONNECTION
+    }
+
     /// Whether the attempt was cancelled before it was sent. It then says nothing about the
     /// health of the upstream.
     pub(crate) fn cancelled_before_send(&self) -> bool {
@@ -123,6 +137,7 @@
             held_ms = elapsed.as_millis() as u64,
         );
         let result = match self.failure {
+            Failure::NotConnected if self.connection_refused() => "connection-refused",
             Failure::NotConnected => "not-connected",
             Failure::Refused => "refused",
             Failure::Lost => "lost",
@@ -210,13 +225,10 @@
 fn send_failure(e: &SendError) -> AttemptFailure {
     log::debug!("{e}");
     match e.kind {
-        SendErrorKind::NotConnected => {
-            AttemptFailure::new(Failure::NotConnected, "no connection to the upstream")
+        SendErrorKind::NotConnected => AttemptFailure::new(Failure::NotConnected, NO_CONNECTION),
+        SendErrorKind::NobodyThere => {
+            AttemptFailure::new(Failure::NotConnected, CONNECTION_REFUSED)
         }
-        SendErrorKind::NobodyThere => AttemptFailure::new(
-            Failure::NotConnected,
-            "nobody listens at the upstream's address",
-        ),
         SendErrorKind::Withdrawn => {
             AttemptFailure::new(Failure::NotConnected, CANCELLED_BEFORE_SEND)
         }
--- a/trouttrack_front/src/request/retry.rs
+++ b/trouttrack_front/src/request/retry.rs
@@ -1,14 +1,14 @@
 //! Limits on the attempts of a request.
 
+use super::attempt::AttemptFailure;
+use super::end::End;
+use super::submission::placement_deadline;
 use crate::caller::Admitted;
-use crate::state::Front;
-use trouttrack_core::request::{Failure, Step, StepResult};
+use crate::state::{Front, Upstream};
+use trouttrack_core::UpstreamId;
+use trouttrack_core::request::{Failure, Step, StepResult, UpstreamSearch};
 use trouttrack_telemetry::{events, record};
 
-/// Failed connections after which a request ends, since other upstreams are then as likely to
-/// be unreachable.
-const MAX_CONNECT_FAILURES: u32 = 3;
-
 /// Whether the retry rule asks for another attempt.
 pub(super) fn is_attempt(step: StepResult) -> bool {
     matches!(
@@ -18,12 +18,12 @@
 }
 
 /// Attempts made for a request so far.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct AttemptCounts {
     /// Attempts that an upstream may have received.
     pub(super) sent: u32,
-    /// Attempts that found no connection to their upstream.
-    pub(super) connect_failures: u32,
+    /// Upstreams that could not be connected to.
+    search: UpstreamSearch,
 }
 
 impl AttemptCounts {
@@ -35,6 +35,40 @@
         self.sent += 1;
     }
 
+    /// Counts an upstream that could not be connected to.
+    pub(super) fn count_unconnected(
+        &mut self,
+        front: &Front,
+        admitted: &Admitted,
+        upstream: &Upstream,
+        failure: &AttemptFailure,
+    ) {
+        if failure.connection_refused() {
+            let until = placement_deadline(front, admitted);
+            self.search.record_refused(until);
+            return;
+        }
+        let domain = upstream.failure_domain.as_str();
+        let is_silent = failure.connection_timed_out() && domain != front.failure_domain;
+        self.search.record_failed(is_silent.then_some(domain));
+    }
+
+    /// Counts an upstream that was removed after the request had been placed on it.
+    pub(super) fn count_missing(&mut self) {
+        self.search.record_failed(None);
+    }
+
+    /// Upstreams that the next attempt is to avoid: those tried, and those of failure domains
+    /// that are likely to be cut off.
+    pub(super) fn avoided(&self, front: &Front, tried: &[UpstreamId]) -> Vec<UpstreamId> {
+        if !self.search.avoids_any() {
+            return tried.to_vec();
+        }
+        let avoids = |u: &Upstream| self.search.avoids(&u.failure_domain);
+        let cut_off = front.upstreams.ids_where(avoids);
+        tried.iter().cloned().chain(cut_off).collect()
+    }
+
     /// Whether the limit of the route and the shared retry budget allow another attempt after
     /// this failure. Consumes one retry from the budget if so, except after a failed connection.
     pub(super) fn may_retry(
@@ -42,10 +76,12 @@
         front: &Front,
         admitted: &Admitted,
         service: &str,
+        tried: &[UpstreamId],
         failure: Failure,
     ) -> bool {
         if failure == Failure::NotConnected {
-            return self.connect_failures < MAX_CONNECT_FAILURES;
+            let has_untried = front.scheduler.has_untried(service, tried);
+            return self.search.may_continue(front.clock.now(), has_untried);
         }
         if self.sent >= admitted.route.max_attempts {
             return false;
@@ -61,3 +97,13 @@
         within
     }
 }
+
+/// Outcome of a request whose failed attempt is not followed by another one. After a failed
+/// connection the caller may retry when an upstream of the service may be tried again.
+pub(super) fn end_without_retry(front: &Front, service: &str, failure: AttemptFailure) -> End {
+    let available_in = front.scheduler.available_in(service);
+    match available_in.filter(|_| failure.failure == Failure::NotConnected) {
+        Some(wait) => End::not_run_for(failure.reason, wait),
+        None => End::not_run(failure.reason),
+    }
+}
