Count a stream as late by a pause between its events

Cause: a stream whose first event is in time and a later one is not was counted as earned by the ledger, and no metric showed it. A wait for a slow caller looked like a pause of the upstream, and a retry at another upstream put the pause between the two into the second one's samples.

Change: `answered` names the route's longest pause and the wait for the caller; the ledger has a cause of its own for a stream that is late by a pause; trouttrack_late_streams_total and trouttrack_longest_pause_ratio. EventPace keeps waits for the caller apart, and starts a new series of samples after one and after each change of upstream.

Of the new tests, two of the ledger fail on the code before; those of EventPace need the new method.

--- a/trouttrack_core/src/fleet/types.rs
+++ b/trouttrack_core/src/fleet/types.rs
@@ -31,6 +31,15 @@
         }
     }
 
+    /// Returns the service level objective for the gap between two events of a stream.
+    #[must_use]
+    pub fn longest_pause(self) -> Option<Duration> {
+        match self {
+            Self::Plain { .. } => None,
+            Self::Stream { longest_pause, .. } => longest_pause,
+        }
+    }
+
     /// Returns whether the response is a stream of events.
     #[must_use]
     pub fn is_stream(self) -> bool {
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -12,6 +12,22 @@
     30.0,
 ];
 
+/// Buckets of a duration as a multiple of its limit.
+const LIMIT_RATIO_BUCKETS: &[f64] = &[0.1, 0.2, 0.3, 0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0, 4.0, 8.0];
+
+/// Times of an answered stream, with the limits of its route.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamTiming {
+    /// From arrival to the first event.
+    pub first_event: Duration,
+    /// The limit of `first_event`.
+    pub objective: Duration,
+    /// The longest pause between two events.
+    pub longest_pause: Duration,
+    /// The limit of `longest_pause`.
+    pub pause_limit: Option<Duration>,
+}
+
 /// Metrics of a front.
 #[derive(Debug)]
 pub struct Metrics {
@@ -48,6 +64,10 @@
     pub known_age: Histogram,
     /// Pause of a caller's stream while its generation was moved.
     pub move_pause: Histogram,
+    /// Longest pause of each answered stream, as a multiple of its route's limit.
+    pub longest_pause: Histogram,
+    /// Answered streams that were late, by the limit that they exceeded.
+    pub late_streams: IntCounterVec,
     /// Stream events forwarded to callers.
     pub events: IntCounter,
     /// Scheduler rows rebuilt in full rebuilds of the tables.
@@ -79,7 +99,11 @@
 }
 
 fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
-    let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_SECONDS.to_vec());
+    histogram_of(registry, name, help, LATENCY_BUCKETS_SECONDS)
+}
+
+fn histogram_of(registry: &Registry, name: &str, help: &str, buckets: &[f64]) -> Histogram {
+    let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
     let metric = Histogram::with_opts(opts).expect("a valid name");
     register(registry, metric.clone());
     metric
@@ -175,6 +199,18 @@
                 "trouttrack_move_pause_seconds",
                 "Pause of a stream while its generation was moved",
             ),
+            longest_pause: histogram_of(
+                &r,
+                "trouttrack_longest_pause_ratio",
+                "Longest pause between two events of a stream, over its route's limit",
+                LIMIT_RATIO_BUCKETS,
+            ),
+            late_streams: counter_vec(
+                &r,
+                "trouttrack_late_streams_total",
+                "Answered streams that were late, by their first event or by a pause",
+                &["by"],
+            ),
             events: counter(&r, "trouttrack_events_total", "Events of streams forwarded"),
             rows_made: counter(
                 &r,
@@ -190,6 +226,24 @@
         self.first_byte.observe(time.as_secs_f64());
     }
 
+    /// Records the times of an answered stream. One that exceeds both limits is late by its
+    /// first event.
+    pub fn stream_answered(&self, timing: &StreamTiming) {
+        let limit = timing.pause_limit.filter(|limit| !limit.is_zero());
+        if let Some(limit) = limit {
+            let ratio = timing.longest_pause.div_duration_f64(limit);
+            self.longest_pause.observe(ratio);
+        }
+        let by = if timing.first_event > timing.objective {
+            "first-event"
+        } else if limit.is_some_and(|limit| timing.longest_pause > limit) {
+            "pause"
+        } else {
+            return;
+        };
+        self.late_streams.with_label_values(&[by]).inc();
+    }
+
     /// Records the estimates that a placement was based on.
     pub fn decided(&self, loading: Duration, known: Option<Duration>) {
         self.loading.observe(loading.as_secs_f64());
--- a/trouttrack_front/src/request/end.rs
+++ b/trouttrack_front/src/request/end.rs
@@ -1,6 +1,7 @@
 //! Final outcomes of a request, with their logs, metrics and responses.
 
 use crate::caller::{Admitted, Reply};
+use crate::metrics::StreamTiming;
 use crate::state::{Front, Refusal};
 use std::time::Duration;
 use trouttrack_core::quarantine::Hold;
@@ -18,6 +19,9 @@
 /// VM.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// The lowest HTTP status of a failed response.
+const SERVER_ERROR: u16 = 500;
+
 /// Outcome of a request that received no complete response from an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum End {
@@ -170,6 +174,8 @@
     pub(crate) events: u64,
     /// Longest pause between two events of a stream.
     pub(crate) longest_pause: Duration,
+    /// Time for which the caller of a stream was waited for.
+    pub(crate) caller_wait: Duration,
 }
 
 /// Logs and counts a forwarded response.
@@ -181,6 +187,7 @@
     let received = admitted.received_at;
     let first = response.first_byte_at.saturating_sub(received);
     let elapsed = front.clock.now().saturating_sub(received);
+    let pause_limit = admitted.route.kind.longest_pause();
     record!(
         events::ANSWERED,
         request = admitted.head.id.as_str(),
@@ -190,12 +197,23 @@
         attempts = response.attempts,
         events = response.events,
         pause_ms = response.longest_pause.as_millis() as u64,
+        max_pause_ms = pause_limit.map(|limit| limit.as_millis() as u64),
+        caller_wait_ms = response.caller_wait.as_millis() as u64,
         objective_ms = admitted.route.objective.as_millis() as u64,
         first_ms = first.as_millis() as u64,
         held_ms = elapsed.as_millis() as u64,
     );
     count_end(front, kind_name(admitted), "answered");
     front.metrics.first_byte_after(first);
+    if admitted.route.kind.is_stream() && response.status < SERVER_ERROR {
+        let timing = StreamTiming {
+            first_event: first,
+            objective: admitted.route.objective,
+            longest_pause: response.longest_pause,
+            pause_limit,
+        };
+        front.metrics.stream_answered(&timing);
+    }
 }
 
 fn count_end(front: &Front, kind: &str, end: &str) {
--- a/trouttrack_front/src/request/mod.rs
+++ b/trouttrack_front/src/request/mod.rs
@@ -11,5 +11,6 @@
 mod submission;
 
 pub use events::EventReader;
+pub use stream::EventPace;
 
 pub(crate) use end::End;
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -259,6 +259,7 @@
             first_byte_at: self.front.clock.now(),
             events: 0,
             longest_pause: Duration::ZERO,
+            caller_wait: Duration::ZERO,
         };
         record_forwarded(self.front, self.admitted, forwarded);
         Reply::of_upstream(response.head, response.body)
--- a/trouttrack_front/src/request/stream/finish.rs
+++ b/trouttrack_front/src/request/stream/finish.rs
@@ -79,6 +79,7 @@
             first_byte_at: first,
             events: self.reader.events(),
             longest_pause: self.pace.longest_pause(),
+            caller_wait: self.pace.caller_wait(),
         };
         record_forwarded(&self.front, &self.admitted, answer);
     }
--- a/trouttrack_front/src/request/stream/mod.rs
+++ b/trouttrack_front/src/request/stream/mod.rs
@@ -9,6 +9,7 @@
 //! - [`relay`] forwards it.
 //! - [`continuation`] resumes it at another upstream, from a copy of the generation.
 //! - [`output`] writes it to the caller.
+//! - [`pace`] measures the pauses between its events.
 
 mod continuation;
 mod finish;
@@ -21,4 +22,5 @@
 mod serve;
 mod source;
 
+pub use pace::EventPace;
 pub(crate) use serve::serve;
--- a/trouttrack_front/src/request/stream/pace.rs
+++ b/trouttrack_front/src/request/stream/pace.rs
@@ -6,24 +6,48 @@
 
 /// Events after which their rate is sampled.
 const EVENTS_PER_SAMPLE: u32 = 8;
+/// Shortest wait for the caller that counts as a pause caused by it.
+const MIN_CALLER_WAIT: Duration = Duration::from_millis(1);
 
 /// Measures the pauses between the events that arrive for a caller, and takes rate samples of
 /// the upstream that sends them.
+///
+/// A pause that the caller meets includes the change to another upstream. Time during which
+/// nothing was read because the caller does not read is counted apart.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use trouttrack_front::request::EventPace;
+/// let ms = Duration::from_millis;
+/// let mut pace = EventPace::default();
+/// pace.record(ms(100), 1);
+/// pace.caller_waited(ms(100), ms(400));
+/// pace.record(ms(450), 1);
+/// assert_eq!((pace.longest_pause(), pace.caller_wait()), (ms(50), ms(300)));
+/// ```
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct EventPace {
+pub struct EventPace {
     last_event_at: Option<Time>,
     longest_pause: Duration,
     sampled_at: Option<Time>,
     /// Events since the last sample.
     unsampled: u32,
+    /// Total time for which the caller was waited for.
+    caller_wait: Duration,
+    /// The part of it since the last event.
+    caller_wait_in_pause: Duration,
 }
 
 impl EventPace {
     /// Records that `events` events have arrived together. Returns a sample if enough have
     /// arrived since the previous one.
-    pub(super) fn record(&mut self, now: Time, events: u32) -> Option<RateSample> {
+    pub fn record(&mut self, now: Time, events: u32) -> Option<RateSample> {
+        let caller_wait = std::mem::take(&mut self.caller_wait_in_pause);
         if let Some(last) = self.last_event_at.replace(now) {
-            self.longest_pause = self.longest_pause.max(now.saturating_sub(last));
+            let pause = now.saturating_sub(last).saturating_sub(caller_wait);
+            self.longest_pause = self.longest_pause.max(pause);
         }
         let Some(sampled_at) = self.sampled_at else {
             self.sampled_at = Some(now);
@@ -40,15 +64,39 @@
         })
     }
 
+    /// Records that the caller did not accept bytes from `since` to `now`, and that nothing was
+    /// read from the upstream meanwhile. Starts a new series of samples, because the events
+    /// that arrive next were produced earlier.
+    pub fn caller_waited(&mut self, since: Time, now: Time) {
+        let waited = now.saturating_sub(since);
+        if waited < MIN_CALLER_WAIT {
+            return;
+        }
+        self.caller_wait += waited;
+        self.caller_wait_in_pause += waited;
+        self.restart_samples();
+    }
+
     /// Starts a new series of samples at another upstream. The pause until its first event
     /// counts for the caller but not for the upstream.
-    pub(super) fn change_upstream(&mut self) {
+    pub fn change_upstream(&mut self) {
+        self.restart_samples();
+    }
+
+    fn restart_samples(&mut self) {
         self.sampled_at = None;
         self.unsampled = 0;
     }
 
-    /// Returns the longest pause so far between two events.
-    pub(super) fn longest_pause(&self) -> Duration {
+    /// Returns the longest pause so far between two events, without waits for the caller.
+    #[must_use]
+    pub fn longest_pause(&self) -> Duration {
         self.longest_pause
     }
+
+    /// Returns the total time for which the caller was waited for.
+    #[must_use]
+    pub fn caller_wait(&self) -> Duration {
+        self.caller_wait
+    }
 }
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -121,7 +121,9 @@
         self.output
             .send_head(self.head.as_ref().unwrap_or(&source.head));
         self.mark_first_event();
+        let sent_at = self.front.clock.now();
         let sent = self.output.send_chunk(bytes).await;
+        self.pace.caller_waited(sent_at, self.front.clock.now());
         sent.map_err(|_| AttemptError::Finished(StreamEnd::CallerDisconnected))
     }
 
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -245,6 +245,7 @@
         let select_backup = self.select_backup(&upstream, ticket);
         to.backup_at = select_backup.as_ref().map(|b| b.addr);
         let sent = self.send(&upstream, &to).await?;
+        self.pace.change_upstream();
         let mut source = Source::new(upstream, sent, select_backup);
         self.reader.skip_delivered();
         loop {
--- a/trouttrack_front/src/request/submission.rs
+++ b/trouttrack_front/src/request/submission.rs
@@ -2,7 +2,6 @@
 
 use crate::caller::Admitted;
 use crate::state::Front;
-use trouttrack_core::fleet::RouteKind;
 use trouttrack_core::length::LengthKey;
 use trouttrack_core::world::{ServiceLevel, Submission};
 use trouttrack_core::{ServiceId, UpstreamId};
@@ -47,13 +46,9 @@
 }
 
 fn service_level(admitted: &Admitted) -> ServiceLevel {
-    let longest_pause = match admitted.route.kind {
-        RouteKind::Stream { longest_pause, .. } => longest_pause,
-        RouteKind::Plain { .. } => None,
-    };
     ServiceLevel {
         due: admitted.received_at + admitted.route.objective,
-        longest_pause,
+        longest_pause: admitted.route.kind.longest_pause(),
         expires: admitted.deadline,
     }
 }
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -10,6 +10,7 @@
 mod leaving;
 mod moves;
 mod own_words;
+mod pace;
 mod peers;
 mod plain;
 mod rate_limits;
--- a/trouttrack_ledger/src/ledger/entry.rs
+++ b/trouttrack_ledger/src/ledger/entry.rs
@@ -7,15 +7,17 @@
 /// Stands for the cause of a request that was sent to an upstream and of which no
 /// log says an end: its VM ended, or the line was left out.
 pub(crate) const NO_END: &str = "no end in the logs";
+/// The cause of a stream whose first event was in time, and a later one was not.
+pub(super) const LATE_BY_PAUSE: &str = "a pause between events exceeded the route's limit";
 /// Stands for the route where no line names it.
 pub(super) const NO_ROUTE: &str = "-";
 
 /// What a request ended as.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Outcome {
-    /// It was answered within its objective.
+    /// It was answered within its objective, and without too long a pause.
     InTime,
-    /// It was answered later.
+    /// It was answered later, or with a longer pause than its route allows.
     Late,
     /// It has no whole, good answer and may have run.
     Lost,
--- a/trouttrack_ledger/src/ledger/mod.rs
+++ b/trouttrack_ledger/src/ledger/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::bound::{Bound, Ended, Sheet};
 use crate::line::{Event, Said};
-use entry::NO_ROUTE;
+use entry::{LATE_BY_PAUSE, NO_ROUTE};
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, SystemTime};
 use trouttrack_core::{RequestId, UpstreamId};
@@ -153,11 +153,22 @@
             (Outcome::Lost, format!("the upstream answered {status}"))
         }
         Event::Answered {
-            first, objective, ..
-        } => match objective.is_some_and(|objective| *first > objective) {
-            true => (Outcome::Late, "answered after its objective".to_owned()),
-            false => (Outcome::InTime, String::new()),
-        },
+            first,
+            objective,
+            longest_pause,
+            max_pause,
+            ..
+        } => {
+            let exceeds =
+                |time: &Duration, limit: &Option<Duration>| limit.is_some_and(|l| *time > l);
+            if exceeds(first, objective) {
+                (Outcome::Late, "answered after its objective".to_owned())
+            } else if exceeds(longest_pause, max_pause) {
+                (Outcome::Late, LATE_BY_PAUSE.to_owned())
+            } else {
+                (Outcome::InTime, String::new())
+            }
+        }
         Event::NotRun => (Outcome::Refused, reason),
         Event::Uncertain => (Outcome::Lost, reason),
         Event::Rejected => (Outcome::Rejected, reason),
--- a/trouttrack_ledger/src/line/mod.rs
+++ b/trouttrack_ledger/src/line/mod.rs
@@ -17,6 +17,10 @@
         first: Duration,
         /// The time within which the route's requests are to be answered.
         objective: Option<Duration>,
+        /// The longest pause between two events of a stream.
+        longest_pause: Duration,
+        /// The longest pause that the route allows.
+        max_pause: Option<Duration>,
     },
     /// It was refused and has not run.
     NotRun,
@@ -62,6 +66,8 @@
     status: Option<u16>,
     first_ms: Option<u64>,
     objective_ms: Option<u64>,
+    pause_ms: Option<u64>,
+    max_pause_ms: Option<u64>,
 }
 
 /// Decodes a line, which may have something before its JSON. `None` if it says
@@ -104,6 +110,8 @@
             status: fields.status?,
             first: Duration::from_millis(fields.first_ms?),
             objective: fields.objective_ms.map(Duration::from_millis),
+            longest_pause: Duration::from_millis(fields.pause_ms.unwrap_or_default()),
+            max_pause: fields.max_pause_ms.map(Duration::from_millis),
         }),
         "not-run" => Some(Event::NotRun),
         "uncertain" => Some(Event::Uncertain),
--- a/trouttrack_ledger/tests/ledger/main.rs
+++ b/trouttrack_ledger/tests/ledger/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the ledger.
 
 mod bound;
+mod pauses;
 mod shares;
