Bound the bytes that are buffered for peers that read slowly

Cause: a stream's channel held 64 chunks of any size, the HTTP server copied whole bodies into its write buffer, an event without an end grew without limit, and nobody counted request bodies. On a VM of 88 MB, a few hundred callers that do not read could exhaust its memory.

Change: every byte of a request body, of a plain response and of a stream's unread part is counted by request, organisation and VM, with bounds in [buffers]. At a stream's bound nothing more is read from the upstream. At an organisation's or the VM's bound, callers that have accepted no bytes for the longest time, at least a second, are disconnected: those of the organisation, or of the one that holds the most. The caller's connection reports what it has written, so the server's write buffer counts too; whole bodies pass through it in pieces of 16 KiB. Connections to upstreams read at most 16 KiB ahead.

Result: ten tests of the decision without network, three with sockets (12 callers that do not read; another organisation's slow reader; a reader that resumes), two of the settings.

--- a/trouttrack_config/src/settings/front.rs
+++ b/trouttrack_config/src/settings/front.rs
@@ -3,12 +3,18 @@
 use super::common::{LogSettings, VmSettings};
 use super::keys::Program;
 use super::load::{Sections, Settings};
+use crate::finding::FindingKind;
 use crate::ini::SectionReader;
+use bytesize::ByteSize;
 use std::net::SocketAddr;
 use std::time::Duration;
+use trouttrack_core::buffers::BufferLimits;
 use trouttrack_core::quarantine::QuarantineSettings;
 use trouttrack_core::routing::{AnyPolicy, Weights};
 
+/// The least bound of a stream's unread bytes: a few events.
+const MIN_REQUEST_BUFFER: usize = 16 << 10;
+
 /// Everything that `trouttrack_front` reads.
 #[derive(Clone, Debug)]
 pub struct FrontSettings {
@@ -30,6 +36,8 @@
     pub serving: ServingSettings,
     /// `[placement]`
     pub placement: Weights,
+    /// `[buffers]`
+    pub buffers: BufferLimits,
 }
 
 /// `[platform]`
@@ -188,6 +196,28 @@
     }
 }
 
+/// `[buffers]`: bytes kept for peers that read slowly. An organisation's bound holds at least
+/// one stream, and the VM's bound at least one organisation.
+fn buffers(r: &mut SectionReader<'_>) -> BufferLimits {
+    let default = BufferLimits::default();
+    let mut size = |key, default: usize, least: usize| {
+        let bytes = r.size(key, default.max(least));
+        if bytes < least {
+            let line = r.line(key);
+            let message = format!("must be at least {}", ByteSize(least as u64));
+            r.report(FindingKind::BadValue, key, line, message);
+        }
+        bytes
+    };
+    let request = size("request", default.request, MIN_REQUEST_BUFFER);
+    let organisation = size("organisation", default.organisation, request);
+    BufferLimits {
+        request,
+        organisation,
+        vm: size("vm", default.vm, organisation),
+    }
+}
+
 /// The platform writes nothing where its bounds do not say; then the key that was
 /// removed counts for more than the request.
 fn strictness(value: &str) -> Result<bool, String> {
@@ -220,6 +250,7 @@
             quarantine: s.section("quarantine", quarantine),
             serving: s.section("serving", ServingSettings::read),
             placement: s.section("placement", weights),
+            buffers: s.section("buffers", buffers),
         }
     }
 }
--- a/trouttrack_config/tests/config/front.rs
+++ b/trouttrack_config/tests/config/front.rs
@@ -1,7 +1,7 @@
 //! The front's settings.
 
 use std::time::Duration;
-use trouttrack_config::settings::{FrontSettings, load_text};
+use trouttrack_config::settings::{FrontSettings, Program, keys_of, load_text};
 
 const LEAST: &str = "[vm]\nname = a\nfailure_domain = z\n[platform]\nurl = http://10.0.0.7:8742\n";
 
@@ -46,3 +46,33 @@
         );
     }
 }
+
+#[test]
+fn bounds_of_buffers_hold_one_another() {
+    let settings = load("[buffers]\nrequest = 64KiB\norganisation = 1MiB\nvm = 4MiB\n");
+    let buffers = settings.expect("settings").buffers;
+    let bounds = [buffers.request, buffers.organisation, buffers.vm];
+    assert_eq!(bounds, [64 << 10, 1 << 20, 4 << 20]);
+    for (more, finding) in [
+        ("[buffers]\nrequest = 1KiB\n", "f.ini:7: [buffers] request"),
+        (
+            "[buffers]\norganisation = 64KiB\n",
+            "f.ini:7: [buffers] organisation",
+        ),
+        ("[buffers]\nvm = 1MiB\n", "f.ini:7: [buffers] vm"),
+        ("[buffers]\nvm = much\n", "f.ini:7: [buffers] vm"),
+    ] {
+        let findings = load(more).expect_err(more);
+        assert!(findings.contains(finding), "{more}: {findings}");
+    }
+}
+
+#[test]
+fn documented_bounds_of_buffers_are_the_defaults() {
+    let documented: String = keys_of(Program::Front)
+        .filter(|k| k.section == "buffers")
+        .map(|k| format!("{} = {}\n", k.key, k.default))
+        .collect();
+    let settings = load(&format!("[buffers]\n{documented}")).expect("settings");
+    assert_eq!(settings.buffers, load("").expect("settings").buffers);
+}
--- a/trouttrack_core/src/lib.rs
+++ b/trouttrack_core/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`fleet`] looks up a request's route and organisation.
 //! - [`freshness`] tracks whether a configuration is known to be current.
 //! - [`rescue`] schedules the migration of generations off a departing engine.
+//! - [`buffers`] bounds the bytes that are buffered for slow readers.
 //! - [`claims`] ensures that requests with the same idempotency key run at most
 //!   once across VMs.
 //! - [`lease`] determines when a lease holder may act.
@@ -18,6 +19,7 @@
 //! - [`quarantine`] tracks requests that were running when upstreams failed.
 //! - [`membership`] merges the state that peers exchange.
 
+pub mod buffers;
 pub mod claims;
 pub mod fleet;
 pub mod freshness;
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision logic, which does no I/O.
 
+mod buffers;
 mod claims;
 mod cold;
 mod entries;
--- a/trouttrack_front/src/caller/body.rs
+++ b/trouttrack_front/src/caller/body.rs
@@ -1,15 +1,20 @@
 //! Response bodies for callers.
 
+use crate::state::HeldBytes;
 use actix_http::body::{BodySize, MessageBody};
 use bytes::Bytes;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use thiserror::Error;
 use tokio::sync::mpsc;
 
 /// Number of stream chunks buffered for a slow caller.
 const STREAM_BUFFER_CHUNKS: usize = 64;
 
+/// Bytes of a complete body that the connection takes at once.
+const MAX_PIECE_BYTES: usize = 16 << 10;
+
 /// A stream ended before it was complete. The connection is closed, so that the caller can tell
 /// that data is missing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -21,8 +26,15 @@
 
 /// A response body.
 #[derive(Debug)]
-pub(crate) enum CallerBody {
-    /// A complete body.
+pub(crate) struct CallerBody {
+    content: Content,
+    /// Counts the bytes; `None` for the short responses of this VM.
+    held: Option<Rc<HeldBytes>>,
+}
+
+#[derive(Debug)]
+enum Content {
+    /// The rest of a complete body.
     Whole(Bytes),
     /// Chunks that are forwarded as they arrive.
     Stream(mpsc::Receiver<Result<Bytes, Broken>>),
@@ -31,9 +43,32 @@
 impl CallerBody {
     /// Creates a stream body and its sender.
     #[must_use]
-    pub(crate) fn stream() -> (EventSender, Self) {
+    pub(crate) fn stream(held: Rc<HeldBytes>) -> (EventSender, Self) {
         let (tx, rx) = mpsc::channel(STREAM_BUFFER_CHUNKS);
-        (tx, Self::Stream(rx))
+        let content = Content::Stream(rx);
+        let held = Some(held);
+        (tx, Self { content, held })
+    }
+
+    /// Creates a complete body.
+    #[must_use]
+    pub(crate) fn whole(bytes: Bytes, held: Option<Rc<HeldBytes>>) -> Self {
+        let content = Content::Whole(bytes);
+        Self { content, held }
+    }
+
+    /// Returns the counter of the bytes.
+    #[must_use]
+    pub(crate) fn held(&self) -> Option<Rc<HeldBytes>> {
+        self.held.clone()
+    }
+}
+
+impl Drop for CallerBody {
+    fn drop(&mut self) {
+        if let Some(held) = &self.held {
+            held.abandon();
+        }
     }
 }
 
@@ -41,9 +76,9 @@
     type Error = Broken;
 
     fn size(&self) -> BodySize {
-        match self {
-            Self::Whole(bytes) => BodySize::Sized(bytes.len() as u64),
-            Self::Stream(_) => BodySize::Stream,
+        match &self.content {
+            Content::Whole(bytes) => BodySize::Sized(bytes.len() as u64),
+            Content::Stream(_) => BodySize::Stream,
         }
     }
 
@@ -51,10 +86,17 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Broken>>> {
-        match &mut *self {
-            Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Self::Whole(bytes) => Poll::Ready(Some(Ok(std::mem::take(bytes)))),
-            Self::Stream(rx) => rx.poll_recv(cx),
+        let next = match &mut self.content {
+            Content::Whole(bytes) if bytes.is_empty() => None,
+            Content::Whole(bytes) => {
+                let length = bytes.len().min(MAX_PIECE_BYTES);
+                Some(Ok(bytes.split_to(length)))
+            }
+            Content::Stream(rx) => ready!(rx.poll_recv(cx)),
+        };
+        if let (Some(Ok(bytes)), Some(held)) = (&next, &self.held) {
+            held.taken(bytes.len());
         }
+        Poll::Ready(next)
     }
 }
--- a/trouttrack_front/src/caller/handler.rs
+++ b/trouttrack_front/src/caller/handler.rs
@@ -2,24 +2,40 @@
 
 use super::admit::{Admitted, admit};
 use super::body::CallerBody;
+use super::connection::CurrentResponse;
 use super::reply::Reply;
 use crate::request::{End, plain, stream};
-use crate::state::Front;
+use crate::state::{Front, HeldBytes};
 use actix_http::{HttpMessage, Payload, Request, Response};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use http::StatusCode;
 use std::rc::Rc;
+use std::time::Duration;
 use trouttrack_core::fleet::CallerLimits;
 use trouttrack_platform::CallerHead;
 use trouttrack_telemetry::{events, record};
 
+/// How long the body of a request waits for room in the buffers. Ended readers free theirs
+/// within a few milliseconds.
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(60);
+
 /// Serves a request.
 pub(super) async fn handle(front: Rc<Front>, mut req: Request) -> Response<CallerBody> {
+    let current = req.conn_data::<CurrentResponse>().cloned();
+    let payload = req.take_payload();
+    let res = respond(front, &req, payload).await;
+    if let Some(current) = current {
+        current.set(res.body().held());
+    }
+    res
+}
+
+async fn respond(front: Rc<Front>, req: &Request, payload: Payload) -> Response<CallerBody> {
     let in_flight = front.lifecycle.enter();
     let close = front.lifecycle.is_stopping();
     let limits = limits(&front);
-    let head = match decode(&req, &limits) {
+    let head = match decode(req, &limits) {
         Ok(head) => head,
         Err(reply) => return reply.into_response(None, true),
     };
@@ -32,15 +48,19 @@
         return reply.into_response(None, true);
     }
     let mut disconnect_guard = DisconnectGuard::new(&admitted);
-    let body = match read_body(req.take_payload(), limits.body_bytes).await {
+    let id = admitted.head.id.as_str();
+    let organisation = admitted.organisation.as_deref().unwrap_or_default();
+    let held = front.buffers.open(id, organisation, limits.body_bytes);
+    let body = match read_body(payload, limits.body_bytes, &held).await {
         Ok(body) => body,
         Err(error) => {
             disconnect_guard.disarm();
-            return error.reply(&admitted.head.id).into_response(None, true);
+            let reply = error.reply(&front, &admitted);
+            return reply.into_response(None, true);
         }
     };
     let (reply, stream) = match admitted.route.kind.is_stream() {
-        true => stream::serve(&front, admitted, body, in_flight).await,
+        true => stream::serve(&front, admitted, body, (in_flight, held)).await,
         false => (plain::serve(&front, admitted, body).await, None),
     };
     disconnect_guard.disarm();
@@ -79,11 +99,17 @@
 enum BodyError {
     TooLarge,
     Truncated,
+    /// The organisation or the VM has too many bytes buffered.
+    NoRoom,
 }
 
 impl BodyError {
-    fn reply(&self, id: &str) -> Reply {
+    fn reply(&self, front: &Front, admitted: &Admitted) -> Reply {
+        let id = admitted.head.id.as_str();
         let (status, reason) = match self {
+            Self::NoRoom => {
+                return End::not_run("the buffers for requests are full").reply(front, admitted, 0);
+            }
             Self::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
             Self::Truncated => (StatusCode::BAD_REQUEST, "the body broke off"),
         };
@@ -97,7 +123,11 @@
     }
 }
 
-async fn read_body(mut payload: Payload, max_bytes: usize) -> Result<Bytes, BodyError> {
+async fn read_body(
+    mut payload: Payload,
+    max_bytes: usize,
+    held: &HeldBytes,
+) -> Result<Bytes, BodyError> {
     let mut first: Option<Bytes> = None;
     let mut all = BytesMut::new();
     while let Some(chunk) = payload.next().await {
@@ -105,6 +135,10 @@
         if all.len() + first.as_ref().map_or(0, Bytes::len) + chunk.len() > max_bytes {
             return Err(BodyError::TooLarge);
         }
+        let reserved = tokio::time::timeout(MAX_ROOM_WAIT, held.reserve(chunk.len()));
+        if !matches!(reserved.await, Ok(Ok(()))) {
+            return Err(BodyError::NoRoom);
+        }
         match (first.take(), all.is_empty()) {
             (None, true) => first = Some(chunk),
             (Some(before), _) => {
--- a/trouttrack_front/src/caller/mod.rs
+++ b/trouttrack_front/src/caller/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod body;
+mod connection;
 mod handler;
 mod reply;
 mod server;
--- a/trouttrack_front/src/caller/reply.rs
+++ b/trouttrack_front/src/caller/reply.rs
@@ -1,9 +1,11 @@
 //! Responses that the VM generates, and upstream responses that it forwards.
 
 use super::body::CallerBody;
+use crate::state::HeldBytes;
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{ConnectionType, Response, StatusCode};
 use bytes::Bytes;
+use std::rc::Rc;
 use std::time::Duration;
 use trouttrack_platform::{AnswerHead, CallerAnswer};
 
@@ -14,6 +16,8 @@
     pub head: CallerAnswer,
     /// The body; `None` if it is a stream.
     pub body: Option<Bytes>,
+    /// Counts the bytes of the body.
+    pub held: Option<Rc<HeldBytes>>,
 }
 
 impl Reply {
@@ -23,15 +27,24 @@
         Self {
             head: CallerAnswer::of_upstream(head),
             body: Some(body),
+            held: None,
         }
     }
 
+    /// The same reply, with the counter of its bytes.
+    #[must_use]
+    pub(crate) fn counted_in(mut self, held: Rc<HeldBytes>) -> Self {
+        self.held = Some(held);
+        self
+    }
+
     /// The head of an upstream's streamed response.
     #[must_use]
     pub(crate) fn stream(head: AnswerHead) -> Self {
         Self {
             head: CallerAnswer::of_upstream(head),
             body: None,
+            held: None,
         }
     }
 
@@ -40,6 +53,7 @@
         Self {
             head,
             body: Some(body),
+            held: None,
         }
     }
 
@@ -75,9 +89,9 @@
         close: bool,
     ) -> Response<CallerBody> {
         let body = match (self.body, stream) {
-            (Some(bytes), _) => CallerBody::Whole(bytes),
+            (Some(bytes), _) => CallerBody::whole(bytes, self.held),
             (None, Some(stream)) => stream,
-            (None, None) => CallerBody::Whole(Bytes::new()),
+            (None, None) => CallerBody::whole(Bytes::new(), None),
         };
         let status = StatusCode::from_u16(self.head.status.as_u16());
         let mut res = Response::with_body(status.unwrap_or(StatusCode::BAD_GATEWAY), body);
--- a/trouttrack_front/src/caller/server.rs
+++ b/trouttrack_front/src/caller/server.rs
@@ -1,5 +1,6 @@
 //! The HTTP server for callers, and the VM's readiness and metrics endpoints.
 
+use super::connection::CallerStream;
 use super::handler::handle;
 use crate::page::{ACCEPT_PAUSE, listen, serve_page};
 use crate::state::Front;
@@ -63,8 +64,10 @@
                 .client_disconnect_timeout(DISCONNECT_TIMEOUT)
                 // A caller cancels its request by closing the connection.
                 .h1_allow_half_closed(false)
+                .on_connect_ext(|io: &CallerStream, ext| {
+                    ext.insert(io.response());
+                })
                 .h1(fn_service(handler))
-                .tcp()
                 .new_service(())
                 .await;
             let Ok(service) = service else {
@@ -78,7 +81,7 @@
     /// Accepts connections until the limits change.
     async fn accept<S>(&self, service: &S, limits: CallerLimits)
     where
-        S: Service<tokio::net::TcpStream>,
+        S: Service<(CallerStream, Option<SocketAddr>)>,
         S::Future: 'static,
     {
         while self.limits() == limits {
@@ -89,7 +92,7 @@
                     }
                     // Connection errors are ignored, because the handlers record the outcome
                     // of each request.
-                    let connection = service.call(stream);
+                    let connection = service.call((CallerStream::new(stream), Some(peer)));
                     actix_rt::spawn(async move { drop(connection.await) });
                 }
                 Err(e) => {
@@ -126,6 +129,7 @@
     });
     let metrics = serve_page(listen(metrics)?, move |_| {
         let m = &front.metrics;
+        m.buffered.set(front.buffers.total() as i64);
         m.in_flight.set(front.lifecycle.in_flight() as i64);
         m.store_calls.set(front.store.calls() as i64);
         m.connections.set(front.http.opened() as i64);
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -1,5 +1,9 @@
 //! Prometheus metrics in the text exposition format.
 
+mod streams;
+
+pub(crate) use streams::StreamTiming;
+
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -15,19 +19,6 @@
 /// Buckets of a duration as a multiple of its limit.
 const LIMIT_RATIO_BUCKETS: &[f64] = &[0.1, 0.2, 0.3, 0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0, 4.0, 8.0];
 
-/// Times of an answered stream, with the limits of its route.
-#[derive(Clone, Copy, Debug)]
-pub struct StreamTiming {
-    /// From arrival to the first event.
-    pub first_event: Duration,
-    /// The limit of `first_event`.
-    pub objective: Duration,
-    /// The longest pause between two events.
-    pub longest_pause: Duration,
-    /// The limit of `longest_pause`.
-    pub pause_limit: Option<Duration>,
-}
-
 /// Metrics of a front.
 #[derive(Debug)]
 pub struct Metrics {
@@ -68,6 +59,11 @@
     pub longest_pause: Histogram,
     /// Answered streams that were late, by the limit that they exceeded.
     pub late_streams: IntCounterVec,
+    /// Bytes buffered for peers that read slowly.
+    pub buffered: IntGauge,
+    /// Callers whose connection was closed because they read too slowly, by the bound that was
+    /// reached.
+    pub slow_readers: IntCounterVec,
     /// Stream events forwarded to callers.
     pub events: IntCounter,
     /// Scheduler rows rebuilt in full rebuilds of the tables.
@@ -211,6 +207,17 @@
                 "Answered streams that were late, by their first event or by a pause",
                 &["by"],
             ),
+            buffered: gauge(
+                &r,
+                "trouttrack_buffered_bytes",
+                "Bytes buffered for callers and upstreams that read slowly",
+            ),
+            slow_readers: counter_vec(
+                &r,
+                "trouttrack_slow_readers_ended_total",
+                "Callers that read too slowly and were ended, by the bound that was reached",
+                &["bound"],
+            ),
             events: counter(&r, "trouttrack_events_total", "Events of streams forwarded"),
             rows_made: counter(
                 &r,
@@ -226,24 +233,6 @@
         self.first_byte.observe(time.as_secs_f64());
     }
 
-    /// Records the times of an answered stream. One that exceeds both limits is late by its
-    /// first event.
-    pub fn stream_answered(&self, timing: &StreamTiming) {
-        let limit = timing.pause_limit.filter(|limit| !limit.is_zero());
-        if let Some(limit) = limit {
-            let ratio = timing.longest_pause.div_duration_f64(limit);
-            self.longest_pause.observe(ratio);
-        }
-        let by = if timing.first_event > timing.objective {
-            "first-event"
-        } else if limit.is_some_and(|limit| timing.longest_pause > limit) {
-            "pause"
-        } else {
-            return;
-        };
-        self.late_streams.with_label_values(&[by]).inc();
-    }
-
     /// Records the estimates that a placement was based on.
     pub fn decided(&self, loading: Duration, known: Option<Duration>) {
         self.loading.observe(loading.as_secs_f64());
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -3,8 +3,8 @@
 use super::quarantine::QuarantineCheck;
 use crate::caller::Admitted;
 use crate::follow::heard_in_answer;
-use crate::state::{Front, Upstream, fingerprint_text};
-use bytes::Bytes;
+use crate::state::{Front, HeldBytes, Upstream, fingerprint_text};
+use bytes::{Bytes, BytesMut};
 use std::rc::Rc;
 use std::time::Duration;
 use trouttrack_core::Time;
@@ -50,6 +50,32 @@
         body.map_err(|_| lost(RESPONSE_TRUNCATED))?
             .ok_or(lost("the answer is too large"))
     }
+
+    /// Reads the whole body, of at most `max_bytes` bytes, as far as `held` has room for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Failure::Lost`] if the body is truncated or larger than `max_bytes`.
+    pub(crate) async fn read_counted_body(
+        &mut self,
+        max_bytes: usize,
+        held: &HeldBytes,
+    ) -> Result<Bytes, AttemptFailure> {
+        let lost = |reason| AttemptFailure::new(Failure::Lost, reason);
+        let mut all = BytesMut::new();
+        loop {
+            let chunk = self.body.next().await;
+            let Some(chunk) = chunk.map_err(|_| lost(RESPONSE_TRUNCATED))? else {
+                return Ok(all.freeze());
+            };
+            if all.len() + chunk.len() > max_bytes {
+                return Err(lost("the answer is too large"));
+            }
+            let reserved = held.reserve(chunk.len()).await;
+            reserved.map_err(|_| lost("the answer was discarded"))?;
+            all.extend_from_slice(&chunk);
+        }
+    }
 }
 
 /// Context of a failed attempt, for logs and metrics.
--- a/trouttrack_front/src/request/events.rs
+++ b/trouttrack_front/src/request/events.rs
@@ -76,6 +76,12 @@
         self.partial.split().freeze()
     }
 
+    /// Number of bytes of the incomplete event.
+    #[must_use]
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Id of the last forwarded event.
     #[must_use]
     pub fn last_id(&self) -> Option<&str> {
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -6,7 +6,7 @@
 use super::retry::{AttemptCounts, is_attempt};
 use super::submission::build_submission;
 use crate::caller::{Admitted, Reply};
-use crate::state::{Front, Ticket, Upstream};
+use crate::state::{Front, HeldBytes, Ticket, Upstream};
 use bytes::Bytes;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,6 +44,8 @@
     upstream: UpstreamId,
     head: AnswerHead,
     body: Bytes,
+    /// Counts the bytes of the body.
+    held: Rc<HeldBytes>,
     /// Whether the body was framed. Without framing, the exit of the upstream cannot be told
     /// from the end of the body.
     framed: bool,
@@ -207,11 +209,15 @@
         };
         self.count_attempt(sent.as_ref().err());
         let mut sent = sent?;
-        let body = sent.read_body(MAX_BODY_BYTES).await?;
+        let organisation = self.admitted.organisation.as_deref().unwrap_or_default();
+        let id = self.admitted.head.id.as_str();
+        let held = self.front.buffers.open(id, organisation, MAX_BODY_BYTES);
+        let body = sent.read_counted_body(MAX_BODY_BYTES, &held).await?;
         let response = BufferedResponse {
             upstream: upstream.id.clone(),
             head: sent.head,
             body,
+            held,
             framed: sent.framed,
         };
         if response.head.status.is_server_error() && self.machine.traits().repeatable {
@@ -262,7 +268,7 @@
             caller_wait: Duration::ZERO,
         };
         record_forwarded(self.front, self.admitted, forwarded);
-        Reply::of_upstream(response.head, response.body)
+        Reply::of_upstream(response.head, response.body).counted_in(response.held)
     }
 
     /// Forwards the server error of an upstream if there is one, since it tells the caller more
--- a/trouttrack_front/src/request/stream/output.rs
+++ b/trouttrack_front/src/request/stream/output.rs
@@ -1,7 +1,9 @@
 //! Output of a stream to its caller.
 
 use crate::caller::{Broken, EventSender, Reply};
+use crate::state::HeldBytes;
 use bytes::Bytes;
+use std::rc::Rc;
 use tokio::sync::oneshot;
 use trouttrack_platform::AnswerHead;
 
@@ -14,13 +16,20 @@
 pub(super) struct Output {
     head: Option<oneshot::Sender<Reply>>,
     chunks: EventSender,
+    /// Counts the unread bytes.
+    held: Rc<HeldBytes>,
 }
 
 impl Output {
-    pub(super) fn new(head: oneshot::Sender<Reply>, chunks: EventSender) -> Self {
+    pub(super) fn new(
+        head: oneshot::Sender<Reply>,
+        chunks: EventSender,
+        held: Rc<HeldBytes>,
+    ) -> Self {
         Self {
             head: Some(head),
             chunks,
+            held,
         }
     }
 
@@ -43,11 +52,19 @@
         }
     }
 
+    /// Sends bytes once the caller has read enough of the earlier ones.
     pub(super) async fn send_chunk(&self, bytes: Bytes) -> Result<(), CallerDisconnected> {
+        let reserved = self.held.reserve(bytes.len()).await;
+        reserved.map_err(|_| CallerDisconnected)?;
         let sent = self.chunks.send(Ok(bytes)).await;
         sent.map_err(|_| CallerDisconnected)
     }
 
+    /// Whether the caller was disconnected because it read too slowly.
+    pub(super) fn reader_ended(&self) -> bool {
+        self.held.is_ended()
+    }
+
     /// Sends a reply that is not a stream. Returns `false` if the head was already sent or the
     /// caller has disconnected.
     pub(super) fn send_reply(&mut self, reply: Reply) -> bool {
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -1,7 +1,7 @@
 //! Forwards the stream of an upstream until it ends or the generation continues at another
 //! upstream.
 
-use super::finish::{AttemptError, StreamEnd};
+use super::finish::AttemptError;
 use super::run::StreamRun;
 use super::source::{Source, SourceEvent};
 use crate::request::attempt::{AttemptFailure, STREAM_TRUNCATED};
@@ -94,6 +94,10 @@
     ) -> Result<(), AttemptError> {
         let events_before = self.reader.events();
         let whole = self.reader.push(bytes);
+        if self.reader.partial_len() > self.front.buffers.limits().request {
+            let reason = "an event of the stream is too large";
+            return Err(AttemptFailure::new(Failure::Lost, reason).into());
+        }
         if whole.is_empty() {
             return Ok(());
         }
@@ -124,7 +128,7 @@
         let sent_at = self.front.clock.now();
         let sent = self.output.send_chunk(bytes).await;
         self.pace.caller_waited(sent_at, self.front.clock.now());
-        sent.map_err(|_| AttemptError::Finished(StreamEnd::CallerDisconnected))
+        sent.map_err(|_| AttemptError::Finished(self.disconnected()))
     }
 
     /// Determines whether the end of a body is the end of the stream. A framed body is complete;
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -12,7 +12,7 @@
 use crate::request::quarantine::QuarantineCheck;
 use crate::request::retry::AttemptCounts;
 use crate::request::submission::{build_submission, is_short};
-use crate::state::{Front, InFlight, Ticket, Upstream};
+use crate::state::{Front, HeldBytes, InFlight, Ticket, Upstream};
 use bytes::Bytes;
 use std::rc::Rc;
 use trouttrack_core::fleet::EngineSpec;
@@ -91,17 +91,28 @@
     }
 
     /// Runs the stream until it ends, its caller disconnects or its deadline expires.
-    pub(super) async fn run(mut self, in_flight: InFlight) {
+    pub(super) async fn run(mut self, guards: (InFlight, Rc<HeldBytes>)) {
         let caller = self.output.disconnect_watcher();
         let deadline = self.front.clock.instant(self.admitted.deadline);
         let finish = tokio::select! {
             biased;
-            () = caller.closed() => StreamEnd::CallerDisconnected,
+            () = caller.closed() => self.disconnected(),
             finish = self.run_attempts() => finish,
             () = tokio::time::sleep_until(deadline) => StreamEnd::Ended(self.timed_out()),
         };
         self.finish(finish).await;
-        drop(in_flight);
+        drop(guards);
+    }
+
+    /// Outcome when the caller's connection is closed, by the caller or by this VM.
+    pub(super) fn disconnected(&self) -> StreamEnd {
+        match self.output.reader_ended() {
+            true => StreamEnd::Ended(End::Uncertain {
+                reason: "the caller read too slowly",
+                timed_out: false,
+            }),
+            false => StreamEnd::CallerDisconnected,
+        }
     }
 
     /// Makes attempts until the request ends.
--- a/trouttrack_front/src/request/stream/serve.rs
+++ b/trouttrack_front/src/request/stream/serve.rs
@@ -5,7 +5,7 @@
 use crate::caller::{Admitted, CallerBody, Reply};
 use crate::request::end::End;
 use crate::request::submission::is_short;
-use crate::state::{Front, InFlight};
+use crate::state::{Front, HeldBytes, InFlight};
 use bytes::Bytes;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,12 +16,13 @@
 const ASSUMED_TIME_PER_TOKEN: Duration = Duration::from_millis(10);
 
 /// Serves a request. Returns the head of the response, and its body if it is a stream. A
-/// separate task forwards the stream.
+/// separate task forwards the stream and keeps `guards` until it ends: they count the request
+/// and its body.
 pub(crate) async fn serve(
     front: &Rc<Front>,
     admitted: Admitted,
     body: Bytes,
-    in_flight: InFlight,
+    guards: (InFlight, Rc<HeldBytes>),
 ) -> (Reply, Option<CallerBody>) {
     if !accepts(front, &admitted) {
         return (End::stopping().reply(front, &admitted, 0), None);
@@ -31,11 +32,14 @@
         return (end.reply(front, &admitted, 0), None);
     };
     let id = admitted.head.id.clone();
-    let (chunks, stream) = CallerBody::stream();
+    let organisation = admitted.organisation.as_deref().unwrap_or_default();
+    let max_bytes = front.buffers.limits().request;
+    let held = front.buffers.open(&id, organisation, max_bytes);
+    let (chunks, stream) = CallerBody::stream(Rc::clone(&held));
     let (head_tx, head) = oneshot::channel();
-    let output = Output::new(head_tx, chunks);
+    let output = Output::new(head_tx, chunks, held);
     let run = StreamRun::new(Rc::clone(front), admitted, service, body, output);
-    actix_rt::spawn(run.run(in_flight));
+    actix_rt::spawn(run.run(guards));
     match head.await {
         Ok(reply) if reply.body.is_none() => (reply, Some(stream)),
         Ok(reply) => (reply, None),
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -1,6 +1,7 @@
 //! Shared state of a front.
 
 use super::budgets::Budgets;
+use super::buffers::Buffers;
 use super::clock::Clock;
 use super::lifecycle::Lifecycle;
 use super::routing::Routing;
@@ -28,6 +29,9 @@
 const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Idle connections kept per upstream; fewer if many VMs share an upstream's connection limit.
 const MAX_IDLE_PER_UPSTREAM: usize = 4;
+/// Bytes of a response that a connection to an upstream reads ahead. They are not counted in
+/// [`Buffers`], so there are few.
+const UPSTREAM_READ_BUFFER: usize = 16 << 10;
 const STORE_CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Shorter than for the store because another peer is asked as well.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -75,6 +79,8 @@
     pub history: RefCell<NewsHistory>,
     /// Retry budgets.
     pub budgets: Budgets,
+    /// Bytes buffered for peers that read slowly.
+    pub buffers: Buffers,
     /// Requests during which upstreams crashed.
     pub suspects: Suspects,
     /// Client for requests to upstreams.
@@ -107,9 +113,12 @@
     #[must_use]
     pub fn new(settings: &FrontSettings, news: mpsc::Sender<News>) -> Rc<Self> {
         let clock = Clock::start();
+        let metrics = Metrics::new();
+        let slow_readers = metrics.slow_readers.clone();
         let http = Client::builder()
             .connect_timeout(UPSTREAM_CONNECT_TIMEOUT)
             .idle_per_peer(MAX_IDLE_PER_UPSTREAM)
+            .read_buffer(UPSTREAM_READ_BUFFER)
             .build();
         let to_store = Client::builder()
             .connect_timeout(STORE_CONNECT_TIMEOUT)
@@ -126,6 +135,7 @@
             peers: PeerTable::new(&settings.vm.name),
             history: RefCell::default(),
             budgets: Budgets::new(settings.retry),
+            buffers: Buffers::new(clock.clone(), settings.buffers, slow_readers),
             suspects: Suspects::new(clock, settings.quarantine),
             to_peers: Client::builder()
                 .connect_timeout(PEER_CONNECT_TIMEOUT)
@@ -140,7 +150,7 @@
             lost_evacuations: RefCell::default(),
             evacuation_watch: settings.bounds.evacuate.mul_f64(EVACUATION_WATCH_RATIO),
             serving: settings.serving.clone(),
-            metrics: Metrics::new(),
+            metrics,
         })
     }
 }
--- a/trouttrack_front/src/state/mod.rs
+++ b/trouttrack_front/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! State that the request path bases its decisions on, one type per concern.
 
 mod budgets;
+mod buffers;
 mod clock;
 mod deferred;
 mod front;
@@ -13,6 +14,7 @@
 mod upstreams;
 
 pub use budgets::Budgets;
+pub use buffers::{Buffers, HeldBytes, ReaderEnded};
 pub use clock::Clock;
 pub use front::Front;
 pub use lifecycle::{InFlight, Lifecycle};
--- /dev/null
+++ b/trouttrack_front/tests/front/buffers.rs
@@ -0,0 +1,142 @@
+//! Bytes that are kept for callers that do not read, counted against the bounds.
+
+use crate::support::{Bed, ENGINES, HOST, KEY, config, until};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+use trouttrack_core::fleet::Organisation;
+use trouttrack_platform_standin::{Behaviour, Upstream};
+
+const KIB: usize = 1 << 10;
+const VM: usize = 512 * KIB;
+const SETTINGS: &str = "[buffers]\nrequest = 64KiB\norganisation = 256KiB\nvm = 512KiB\n";
+/// More than the system's socket buffers hold.
+const EVENTS: u64 = 800;
+const EVENT_PADDING: usize = 8 * KIB;
+const OTHER_KEY: &str = "key-of-beta";
+/// The end of a complete chunked body.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+async fn bed() -> Bed {
+    let bed = Bed::with(ENGINES, SETTINGS).await;
+    let mut config = config(2);
+    for route in &mut config.routes {
+        route.timeout = Duration::from_secs(60);
+    }
+    config
+        .organisations
+        .get_or_insert_default()
+        .push(Organisation {
+            name: "beta".to_owned(),
+            keys: vec![OTHER_KEY.to_owned()],
+            priority: None,
+        });
+    bed.store.put_config(&config);
+    until("the second organisation is known", || {
+        bed.front.front.routing.version() == 2
+    })
+    .await;
+    for upstream in &bed.upstreams {
+        upstream.pace(Duration::ZERO);
+        upstream.pad_events(EVENT_PADDING);
+        upstream.always(Behaviour::Stream(EVENTS));
+    }
+    bed
+}
+
+/// Sends the request of a stream and reads nothing.
+async fn silent_caller(bed: &Bed, id: &str, key: &str) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket
+        .set_recv_buffer_size(4 << 10)
+        .expect("a small buffer");
+    let mut stream = socket.connect(bed.addr()).await.expect("a connection");
+    let head = format!(
+        "POST /draft/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 60000\r\n\
+         Authorization: Bearer {key}\r\nX-Model: m\r\nX-Token-Counts: 100,400\r\n\
+         Content-Length: 1\r\n\r\nx"
+    );
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    stream
+}
+
+/// Reads the rest of a response. Returns whether it is complete.
+async fn is_complete(mut stream: TcpStream) -> bool {
+    let mut buf = Vec::new();
+    let mut tail = Vec::new();
+    loop {
+        buf.clear();
+        match stream.read_buf(&mut buf).await {
+            Ok(0) | Err(_) => return false,
+            Ok(_) => tail.extend_from_slice(&buf),
+        }
+        if tail.ends_with(LAST_CHUNK) {
+            return true;
+        }
+        tail.drain(..tail.len().saturating_sub(LAST_CHUNK.len()));
+    }
+}
+
+fn ended(bed: &Bed, bound: &str) -> u64 {
+    let ended = &bed.front.front.metrics.slow_readers;
+    ended.with_label_values(&[bound]).get()
+}
+
+fn total(bed: &Bed) -> usize {
+    let total = bed.front.front.buffers.total();
+    assert!(total <= VM, "{total} bytes are buffered");
+    total
+}
+
+fn working_on(bed: &Bed) -> usize {
+    bed.upstreams.iter().map(Upstream::working_on).sum()
+}
+
+#[actix_rt::test]
+async fn callers_that_do_not_read_are_ended_at_the_bound_of_their_organisation() {
+    let bed = bed().await;
+    let mut callers = Vec::new();
+    for n in 0..12 {
+        callers.push(silent_caller(&bed, &format!("r{n}"), KEY).await);
+    }
+    // 256 KiB hold four streams of 64 KiB.
+    until("all but a few are ended", || {
+        total(&bed) <= VM / 2 && ended(&bed, "organisation") >= 6
+    })
+    .await;
+    let mut incomplete = 0;
+    for caller in callers {
+        incomplete += u64::from(!is_complete(caller).await);
+    }
+    assert!(incomplete >= ended(&bed, "organisation"));
+    until("nothing is kept", || total(&bed) == 0).await;
+}
+
+#[actix_rt::test]
+async fn slow_readers_of_one_organisation_do_not_end_those_of_another() {
+    let bed = bed().await;
+    let other = silent_caller(&bed, "other", OTHER_KEY).await;
+    until("it is served", || total(&bed) > 0).await;
+    let mut callers = Vec::new();
+    for n in 0..8 {
+        callers.push(silent_caller(&bed, &format!("r{n}"), KEY).await);
+    }
+    until("callers are ended", || {
+        total(&bed) <= VM && ended(&bed, "organisation") >= 2
+    })
+    .await;
+    assert!(is_complete(other).await);
+    drop(callers);
+    assert_eq!(ended(&bed, "vm"), 0);
+}
+
+#[actix_rt::test]
+async fn the_upstream_waits_for_a_caller_that_resumes() {
+    let bed = bed().await;
+    let caller = silent_caller(&bed, "r1", KEY).await;
+    until("its buffer is full", || total(&bed) > 48 * KIB).await;
+    assert_eq!(working_on(&bed), 1);
+    assert!(is_complete(caller).await);
+    assert_eq!((ended(&bed, "organisation"), ended(&bed, "vm")), (0, 0));
+    until("nothing is kept", || total(&bed) == 0).await;
+}
--- a/trouttrack_http/src/client.rs
+++ b/trouttrack_http/src/client.rs
@@ -24,6 +24,9 @@
 /// Idle connections kept to one peer, unless the builder is told.
 const IDLE_PER_PEER: usize = 8;
 
+/// The smallest read buffer that `hyper` accepts.
+const MIN_READ_BUFFER: usize = 8 << 10;
+
 /// How long a connection that only asked whether the peer is there is kept: its peer has
 /// said nothing of that.
 const PROBED_FOR: Duration = Duration::from_secs(1);
@@ -57,6 +60,7 @@
 pub struct ClientBuilder {
     connect_timeout: Duration,
     idle_per_peer: usize,
+    read_buffer: Option<usize>,
 }
 
 impl ClientBuilder {
@@ -74,6 +78,14 @@
         self
     }
 
+    /// The most bytes that a connection reads ahead of what is taken from a body, at least
+    /// 8 KiB.
+    #[must_use]
+    pub fn read_buffer(mut self, bytes: usize) -> Self {
+        self.read_buffer = Some(bytes.max(MIN_READ_BUFFER));
+        self
+    }
+
     /// The client.
     #[must_use]
     pub fn build(self) -> Client {
@@ -81,6 +93,7 @@
             shared: Rc::new(Shared {
                 pool: RefCell::new(Pool::new(self.idle_per_peer)),
                 connect_timeout: self.connect_timeout,
+                read_buffer: self.read_buffer,
                 opened: Cell::new(0),
             }),
         }
@@ -91,6 +104,7 @@
 struct Shared {
     pool: RefCell<Pool>,
     connect_timeout: Duration,
+    read_buffer: Option<usize>,
     opened: Cell<u64>,
 }
 
@@ -117,6 +131,7 @@
         ClientBuilder {
             connect_timeout: CONNECT_TIMEOUT,
             idle_per_peer: IDLE_PER_PEER,
+            read_buffer: None,
         }
     }
 
@@ -187,7 +202,12 @@
                 _ => not(&e),
             })?;
         socket::set_options(&stream).map_err(|e| not(&e))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let mut builder = http1::Builder::new();
+        if let Some(bytes) = self.shared.read_buffer {
+            builder.max_buf_size(bytes);
+        }
+        let (sender, connection) = builder
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| not(&e))?;
         self.shared.opened.set(self.shared.opened.get() + 1);
