--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -1,5 +1,9 @@
 //! Prometheus metrics in the text exposition format.
 
+mod streams;
+
+pub(crate) use streams::StreamTiming;
+
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -12,6 +16,9 @@
     30.0,
 ];
 
+/// Buckets of a duration as a multiple of its limit.
+const LIMIT_RATIO_BUCKETS: &[f64] = &[0.1, 0.2, 0.3, 0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0, 4.0, 8.0];
+
 /// Metrics of a front.
 #[derive(Debug)]
 pub struct Metrics {
@@ -50,6 +57,15 @@
     pub known_age: Histogram,
     /// Pause of a caller's stream while its generation was moved.
     pub move_pause: Histogram,
+    /// Longest pause of each answered stream, as a multiple of its route's limit.
+    pub longest_pause: Histogram,
+    /// Answered streams that were late, by the limit that they exceeded.
+    pub late_streams: IntCounterVec,
+    /// Bytes buffered for peers that read slowly.
+    pub buffered: IntGauge,
+    /// Callers whose connection was closed because they read too slowly, by the bound that was
+    /// reached.
+    pub slow_readers: IntCounterVec,
     /// Stream events forwarded to callers.
     pub events: IntCounter,
     /// Scheduler rows rebuilt in full rebuilds of the tables.
@@ -81,7 +97,11 @@
 }
 
 fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
-    let opts = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_SECONDS.to_vec());
+    histogram_of(registry, name, help, LATENCY_BUCKETS_SECONDS)
+}
+
+fn histogram_of(registry: &Registry, name: &str, help: &str, buckets: &[f64]) -> Histogram {
+    let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
     let metric = Histogram::with_opts(opts).expect("a valid name");
     register(registry, metric.clone());
     metric
@@ -182,6 +202,29 @@
                 "trouttrack_move_pause_seconds",
                 "Pause of a stream while its generation was moved",
             ),
+            longest_pause: histogram_of(
+                &r,
+                "trouttrack_longest_pause_ratio",
+                "Longest pause between two events of a stream, over its route's limit",
+                LIMIT_RATIO_BUCKETS,
+            ),
+            late_streams: counter_vec(
+                &r,
+                "trouttrack_late_streams_total",
+                "Answered streams that were late, by their first event or by a pause",
+                &["by"],
+            ),
+            buffered: gauge(
+                &r,
+                "trouttrack_buffered_bytes",
+                "Bytes buffered for callers and upstreams that read slowly",
+            ),
+            slow_readers: counter_vec(
+                &r,
+                "trouttrack_slow_readers_ended_total",
+                "Callers that read too slowly and were ended, by the bound that was reached",
+                &["bound"],
+            ),
             events: counter(&r, "trouttrack_events_total", "Events of streams forwarded"),
             rows_made: counter(
                 &r,
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the front against a simulated platform.
 
 mod bad_input;
+mod buffers;
 mod config;
 mod entries;
 mod evacuation;
@@ -10,6 +11,7 @@
 mod leaving;
 mod moves;
 mod own_words;
+mod pace;
 mod peers;
 mod plain;
 mod rate_limits;
