--- a/trouttrack_core/src/routing/score.rs
+++ b/trouttrack_core/src/routing/score.rs
@@ -20,9 +20,7 @@
     pub fill: f64,
     /// Penalty for an upstream in another failure domain, multiplied by the alternatives in
     /// the caller's. The more alternatives there are, the likelier one is equally good, while
-    /// requests in another failure domain are lost or delayed when it is partitioned. With 19
-    /// engines per failure domain, on ten days with a partition, 1,394 of 14,297 long
-    /// generations were lost and 494 late, instead of 1,442 and 605.
+    /// requests in another failure domain are lost or delayed when it is partitioned.
     pub remote: f64,
     /// Penalty per second of pending prefill.
     pub backlog: f64,
--- a/trouttrack_core/src/world/reachability.rs
+++ b/trouttrack_core/src/world/reachability.rs
@@ -157,7 +157,7 @@
             .filter_map(|(upstream, r)| {
                 Some(ReportedUnreachable {
                     upstream: upstream.clone(),
-                    age_ms: age_ms(now, r.refusal()?),
+                    age_ms: age_ms(now, r.refusal().filter(has_age)?),
                 })
             })
             .collect();
@@ -170,7 +170,7 @@
     pub(super) fn reachable_to_report(&self, now: Time) -> Vec<ReportedReachable> {
         let known = self.reachability.iter();
         let answered = known.filter_map(|(upstream, r)| {
-            let age = now.saturating_sub(r.recovery()?);
+            let age = now.saturating_sub(r.recovery().filter(has_age)?);
             (age < REACHABLE_REPORT_PERIOD).then(|| ReportedReachable {
                 upstream: upstream.clone(),
                 age_ms: age.as_millis() as u32,
@@ -252,6 +252,12 @@
     }
 }
 
+/// Whether the age of an observation is known: one from before this VM's start counts as made
+/// then, and would seem younger to peers with each VM that passes it on.
+fn has_age(at: &Time) -> bool {
+    !at.is_zero()
+}
+
 fn age_ms(now: Time, at: Time) -> u32 {
     now.saturating_sub(at).as_millis() as u32
 }
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -28,14 +28,7 @@
 ///
 /// It is above 1.0 because forecasts are often too high, and because a request that does
 /// not fit yet starts as soon as another one ends on that engine, which is sooner than it
-/// would be placed from the queue of a full fleet.
-///
-/// In 20 simulated days of 64 VMs and 72 engines with nearly full memory, this value and
-/// [`MOVED_FILL`] gave 1,917 late and 3,435 lost of 26,490 long generations, and 2,803 late
-/// short ones. With 1.0 for both there were 2,095 late and 3,579 lost of 26,419, and 2,490
-/// late short ones. In the decision benchmark (load 0.9, five seeds) long requests start
-/// after a median of 3.9 s without any preemption; with 1.0 they take 18.7 s, and with 1.3
-/// a tenth of them is preempted.
+/// would be placed from the queue of a full fleet. Much above this value requests are preempted.
 pub const PLACED_FILL: f64 = 1.15;
 /// Default limit of the same ratio for moving a running request. It is higher than
 /// [`PLACED_FILL`] because a generation without a target is lost, whereas a target without
@@ -431,10 +424,7 @@
     }
 
     /// Records that the request's upstream refused it. A refusal does not count as a
-    /// success: the upstream gets no work for a moment. In 40 simulated days of load
-    /// shedding by 4 plain upstreams (6 and 7 VMs), 4,940 of 49,651 non-repeatable plain
-    /// calls were refused when it counted as a success, and 509 when it did not; the score
-    /// rose by 0.08 and 0.05.
+    /// success: an upstream that sheds load gets no work for a moment.
     pub fn record_refusal(&mut self, now: Time, key: RequestKey) {
         self.record_response(now, key);
         let upstream = self.requests.get(key).and_then(|row| row.upstream);
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -117,11 +117,8 @@
 /// Sends this VM's use of upstreams to all VMs that select among the same ones: those in
 /// its own failure domain, and those in the failure domains of the upstreams in use.
 ///
-/// Without the latter, a VM learned of requests from other failure domains by heartbeats,
-/// after two seconds on average, and more of the prompt tokens ahead of a request
-/// were unknown than known (1,280 of 2,765 on average were from other failure domains).
-/// Over 20 days of a fleet of 64 VMs and 72 engines, 3,549 of 50,772 short requests were
-/// late with it and 4,627 of 50,883 without.
+/// The latter would otherwise learn of requests from this one by heartbeats, two seconds later,
+/// and know less than half of the prompt tokens ahead of a request.
 fn send_load(front: &Front, socket: &UdpSocket) {
     let to_all = !is_large(front);
     let uses = front.scheduler.local_uses();
--- a/trouttrack_front/src/rescue/poll.rs
+++ b/trouttrack_front/src/rescue/poll.rs
@@ -3,9 +3,6 @@
 //! The store announces a leaving engine within milliseconds. During an outage of the store
 //! there is no announcement, and the generations are lost with the engine. The engine's own
 //! report shows the departure half a second late, which leaves about a second to move them.
-//!
-//! On 36 days with outages of the store, 2,464 of 14,071 long generations were lost with
-//! polling and 2,644 without. Polling costs 0.0015 of the worth, mostly for unused copies.
 
 use crate::follow;
 use crate::state::{Front, Upstream};
