--- a/trouttrack_core/src/rescue/mod.rs
+++ b/trouttrack_core/src/rescue/mod.rs
@@ -9,11 +9,7 @@
 //! completes immediately.
 //!
 //! To keep the stop-and-copy phases from waiting behind other pre-copies, each
-//! pre-copy starts when the ones before it in the schedule are done. Without this
-//! schedule all pre-copies queue at once, the stop-and-copy phases queue behind all of
-//! them, and generations that are not migrated when the engine ends are lost: over 40
-//! days 2,674 of 15,745 long generations were lost without the schedule and 2,601 with
-//! it, and 79 fewer started or continued late.
+//! pre-copy starts when the ones before it in the schedule are done.
 //!
 //! Copies that the link cannot complete in the time left must not be requested,
 //! because they would delay the stop-and-copy phases of all others until the engine
@@ -25,19 +21,15 @@
 use crate::{RequestId, Time};
 use std::time::Duration;
 
-/// Assumed time from an engine's notice to its end if it reports none. Reclaimed engines
-/// give hardly more.
+/// Assumed time from an engine's notice to its end if it reports none.
 const MIN_NOTICE: Duration = Duration::from_millis(1500);
-/// Maximum age of a report when it is received. Engines have reported their departure up
-/// to half a second after it began.
+/// Maximum age of a report when it is received.
 pub const MAX_REPORT_AGE: Duration = Duration::from_millis(560);
 /// Link time reserved after each pre-copy for the stop-and-copy phase of the generation,
 /// so that its caller does not also wait for the next pre-copy.
 const STOP_AND_COPY_TIME: Duration = Duration::from_millis(40);
 /// Time reserved for stop-and-copy phases before the engine's end. Sufficient for two of
-/// them, because copies run one at a time and the reported end is off by about ten
-/// milliseconds. A reserve of 350 ms left less time for pre-copies: over 40 days 2,601 of
-/// 15,745 long generations were lost, compared with 2,536 at 80 ms.
+/// them, because copies run one at a time; a longer reserve leaves less time for pre-copies.
 const STOP_AND_COPY_RESERVE: Duration = Duration::from_millis(80);
 /// Ratio of the duration of a copy to the transfer time of its bytes. Accounts for set-up
 /// and for tokens generated during the copy.
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -231,8 +231,7 @@
                 }
             }
             // A failing engine responds at once, so it has nothing running and would look like
-            // the best candidate. With a healthy engine beside it, 24 of 40 streams failed
-            // without this fault report, and 6 of 40 with it.
+            // the best candidate.
             Err(AttemptError::Finished(StreamEnd::Response(head, _)))
                 if head.status.is_server_error() =>
             {
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -40,8 +40,7 @@
 /// heartbeats distribute it.
 const STORE_SILENT_RATIO: f64 = 0.9;
 /// Time-out of a watch for evacuations, as a fraction of the bound within which they must be
-/// in force, so that a watch that stops reporting is replaced before the bound expires. With
-/// a bound of five seconds, 0.4 costs 80 more calls a day in a fleet of four failure domains.
+/// in force, so that a watch that stops reporting is replaced before the bound expires.
 const EVACUATION_WATCH_RATIO: f64 = 0.8;
 /// Additional waiting time of each priority compared with the next higher one.
 const AGEING: Duration = Duration::from_secs(2);
