Place by predicted latency

Cause: candidates are compared by load alone. An urgent request goes to an engine whose memory is held, and an upstream's speed counts for nothing.

Change: a Prediction for each candidate, pure: first token (wait for memory, prompts ahead, its own), event gap, and their excess over a typical upstream of the same load with free memory. Weights slowdown, late, pause, hold and speed in [placement]; samples count uneven or late candidates for less, so that they contain good ones. The placed line, why and two histograms show predictions.

Not measured yet.

--- a/trouttrack_config/src/settings/front.rs
+++ b/trouttrack_config/src/settings/front.rs
@@ -185,6 +185,11 @@
         remote: weight("remote", default.remote),
         backlog: weight("backlog", default.backlog),
         cold: weight("cold", default.cold),
+        slowdown: weight("slowdown", default.slowdown),
+        late: weight("late", default.late),
+        pause: weight("pause", default.pause),
+        hold: weight("hold", default.hold),
+        speed: weight("speed", default.speed),
     }
 }
 
--- a/trouttrack_config/src/settings/keys.rs
+++ b/trouttrack_config/src/settings/keys.rs
@@ -140,6 +140,11 @@
     key("placement", "remote", "0 to 100", "0.4", FRONT, "What another failure domain counts."),
     key("placement", "backlog", "0 to 100", "3", FRONT, "What a second of prompts that are still to be loaded counts."),
     key("placement", "cold", "0 to 100", "0.5", FRONT, "What an upstream counts that has just started; less as it warms up."),
+    key("placement", "slowdown", "0 to 100", "1", FRONT, "How far running requests and prompts count by the time that a slow or fast upstream takes for them; 1 counts them in proportion."),
+    key("placement", "late", "0 to 100", "4", FRONT, "What the risk of a late first token, or of an end after the caller gives up, counts beyond that at a typical upstream."),
+    key("placement", "pause", "0 to 100", "4", FRONT, "What the risk of a pause above the route's longest counts beyond that at a typical upstream."),
+    key("placement", "hold", "0 to 100", "0.3", FRONT, "What an engine's whole memory held for a second counts beyond that at a typical upstream."),
+    key("placement", "speed", "0 to 100", "1", FRONT, "What a fast engine counts for a short request, so that long ones find it free."),
 ];
 
 /// The keys that a program reads, in the order of the reference page.
--- a/trouttrack_core/src/routing/explain.rs
+++ b/trouttrack_core/src/routing/explain.rs
@@ -17,6 +17,12 @@
     pub fill: f64,
     /// Whether the request fits.
     pub fits: bool,
+    /// Predicted time until the first token, in milliseconds.
+    #[serde(default)]
+    pub first_token_ms: u64,
+    /// Predicted mean time between two events, in milliseconds, if known.
+    #[serde(default)]
+    pub event_gap_ms: Option<u64>,
 }
 
 /// A routing decision for a request.
--- a/trouttrack_core/src/routing/mod.rs
+++ b/trouttrack_core/src/routing/mod.rs
@@ -9,5 +9,5 @@
 pub use baselines::{LeastOutstanding, RandomChoice, RoundRobin, TwoChoices};
 pub use explain::{CandidateNote, Explanation, ExplanationTable};
 pub use policy::{AnyPolicy, Candidate, Policy, UnknownPolicy};
-pub use prediction::Prediction;
+pub use prediction::{Excess, PredictedLoad, PredictedRequest, Prediction};
 pub use score::{Scored, Weights};
--- a/trouttrack_core/src/routing/prediction.rs
+++ b/trouttrack_core/src/routing/prediction.rs
@@ -1,12 +1,226 @@
 //! Predicted latency of a request at a candidate.
 
+use crate::upstream::ServiceRate;
 use std::time::Duration;
 
+/// Longest pause of a long generation divided by the mean time between its events: prompts
+/// that load beside it lengthen the engine's steps.
+const PEAK_GAP_RATIO: f64 = 3.0;
+/// Output length, in tokens, of which a request counts half as a long generation.
+const LONG_OUTPUT_TOKENS: f64 = 64.0;
+/// Time that a typical engine takes for a token of a generation, in seconds.
+const TOKEN_SECONDS: f64 = 0.01;
+/// Steepness of [`risk`] for an upstream whose rate is known exactly.
+const RISK_EXPONENT: f64 = 4.0;
+/// Upper bound of a predicted time, in seconds; no request waits that long.
+const MAX_SECONDS: f64 = 3600.0;
+
 /// What a request is predicted to experience at an upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Prediction {
-    /// Time until its first token: the prefill of the prompts ahead of it and of its own.
+    /// Time until its first token: the wait for memory, then the prefill of the prompts ahead
+    /// of it and of its own.
     pub first_token: Duration,
+    /// Part of `first_token` in which it waits for running requests to free memory.
+    pub memory_wait: Duration,
     /// Mean time between two of its events; `None` if the upstream's rate is unknown.
     pub event_gap: Option<Duration>,
+    /// As [`ServiceRate::slowdown`].
+    pub slowdown: f64,
+    /// Comparison with a typical upstream.
+    pub excess: Excess,
+}
+
+/// A prediction less that for a typical upstream with the same load and enough free memory.
+/// All values are zero for such an upstream, and negative for a better one.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Excess {
+    /// Risk that the first token comes after its objective, plus the risk that the caller
+    /// gives up before the end.
+    pub late: f64,
+    /// Risk of a pause above the route's longest.
+    pub pause: f64,
+    /// Memory held, as a fraction of capacity, multiplied by seconds.
+    pub hold: f64,
+    /// Speed that a short request does not need: that of the upstream divided by that of a
+    /// typical one, less 1, weighted by how short and how little at risk the request is.
+    pub speed: f64,
+}
+
+/// A request, as far as predictions depend on it.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use trouttrack_core::routing::{PredictedLoad, PredictedRequest};
+/// use trouttrack_core::upstream::ServiceRate;
+/// let request = PredictedRequest {
+///     prompt_tokens: 2_000.0,
+///     output_tokens: 8.0,
+///     time_left: Duration::from_millis(1500),
+///     longest_pause: None,
+///     time_to_expiry: Duration::from_secs(6),
+/// };
+/// let load = PredictedLoad {
+///     prompts_ahead: 3_000.0,
+///     ..PredictedLoad::default()
+/// };
+/// let rate = ServiceRate {
+///     prefill_per_second: 5_000.0,
+///     event_gap: None,
+///     slowdown: 1.0,
+///     uncertainty: 0.0,
+/// };
+/// let prediction = request.predict(&load, &rate);
+/// assert_eq!(prediction.first_token, Duration::from_secs(1));
+/// assert_eq!(prediction.excess.late, 0.0);
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PredictedRequest {
+    /// Prompt tokens.
+    pub prompt_tokens: f64,
+    /// Forecast output tokens.
+    pub output_tokens: f64,
+    /// Time until its first token is due.
+    pub time_left: Duration,
+    /// Longest pause between two events that meets the objective.
+    pub longest_pause: Option<Duration>,
+    /// Time until the caller gives up.
+    pub time_to_expiry: Duration,
+}
+
+/// The load of an upstream, as far as predictions depend on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PredictedLoad {
+    /// Prompt tokens that await prefill.
+    pub prompts_ahead: f64,
+    /// Tokens of memory held now.
+    pub held: f64,
+    /// Tokens of memory that running requests free for each token that a generation advances.
+    pub freed_per_token: f64,
+    /// Token memory; 0 for a plain service.
+    pub capacity: f64,
+}
+
+impl Prediction {
+    /// Prediction for an upstream of which nothing is known.
+    pub const UNKNOWN: Self = Self {
+        first_token: Duration::ZERO,
+        memory_wait: Duration::ZERO,
+        event_gap: None,
+        slowdown: 1.0,
+        excess: Excess {
+            late: 0.0,
+            pause: 0.0,
+            hold: 0.0,
+            speed: 0.0,
+        },
+    };
+
+    /// Returns how much the candidate counts towards the size of a sample: 1 for a typical
+    /// upstream. The more rates differ, and the more candidates make the request late, the
+    /// larger the sample must be to contain a good one.
+    #[must_use]
+    pub fn sample_share(&self) -> f64 {
+        let unevenness = self.slowdown.max(1.0 / self.slowdown) - 1.0;
+        (1.0 - self.excess.late).clamp(0.0, 1.0) / (1.0 + 2.0 * unevenness)
+    }
+}
+
+impl Default for Prediction {
+    fn default() -> Self {
+        Self::UNKNOWN
+    }
+}
+
+impl PredictedRequest {
+    /// Predicts what the request will experience at an upstream.
+    #[must_use]
+    pub fn predict(&self, load: &PredictedLoad, rate: &ServiceRate) -> Prediction {
+        let slowdown = rate.slowdown;
+        let token = TOKEN_SECONDS * slowdown;
+        let memory_wait = self.memory_wait(load, token);
+        let typical_prefill =
+            (load.prompts_ahead + self.prompt_tokens) / (rate.prefill_per_second * slowdown);
+        let prefill = typical_prefill * slowdown;
+        let first_token = memory_wait + prefill;
+        let (here, typical) = (
+            first_token + self.output_tokens * token,
+            typical_prefill + self.output_tokens * TOKEN_SECONDS,
+        );
+        let exponent = RISK_EXPONENT / (1.0 + 2.0 * rate.uncertainty);
+        let late = |first: f64, end: f64| {
+            risk(first, self.time_left, exponent) + risk(end, self.time_to_expiry, exponent)
+        };
+        let first_is_late = risk(first_token, self.time_left, exponent);
+        let is_plain = load.capacity <= 0.0;
+        Prediction {
+            first_token: seconds(first_token),
+            memory_wait: seconds(memory_wait),
+            event_gap: rate.event_gap,
+            slowdown,
+            excess: Excess {
+                late: late(first_token, here) - late(typical_prefill, typical),
+                pause: self.pause_excess(rate, exponent),
+                hold: match is_plain {
+                    true => 0.0,
+                    false => self.mean_tokens() / load.capacity * (here - typical),
+                },
+                speed: match is_plain {
+                    true => 0.0,
+                    false => {
+                        (1.0 - self.long_share()) * (1.0 - first_is_late) * (1.0 / slowdown - 1.0)
+                    }
+                },
+            },
+        }
+    }
+
+    /// Seconds until running requests have freed enough memory for the prompt.
+    fn memory_wait(&self, load: &PredictedLoad, token_seconds: f64) -> f64 {
+        let missing = load.held + self.prompt_tokens - load.capacity;
+        if load.capacity <= 0.0 || missing <= 0.0 {
+            return 0.0;
+        }
+        (missing / load.freed_per_token.max(f64::MIN_POSITIVE) * token_seconds).min(MAX_SECONDS)
+    }
+
+    /// Risk of a pause above the longest, less that at a typical upstream of the same load.
+    fn pause_excess(&self, rate: &ServiceRate, exponent: f64) -> f64 {
+        let (Some(gap), Some(longest)) = (rate.event_gap, self.longest_pause) else {
+            return 0.0;
+        };
+        let peak = gap.as_secs_f64() * PEAK_GAP_RATIO;
+        let typical = peak / rate.slowdown;
+        let excess = risk(peak, longest, exponent) - risk(typical, longest, exponent);
+        self.long_share() * excess
+    }
+
+    /// Tokens that it holds in the mean over its run.
+    fn mean_tokens(&self) -> f64 {
+        self.prompt_tokens + self.output_tokens / 2.0
+    }
+
+    /// How much it counts as a long generation, from 0 to 1.
+    fn long_share(&self) -> f64 {
+        self.output_tokens / (self.output_tokens + LONG_OUTPUT_TOKENS)
+    }
+}
+
+/// Risk that a time predicted to be `seconds` exceeds `limit`: one half at the limit, and
+/// steeper with a larger exponent.
+fn risk(seconds: f64, limit: Duration, exponent: f64) -> f64 {
+    if limit.is_zero() {
+        return 1.0;
+    }
+    let ratio = (seconds / limit.as_secs_f64()).powf(exponent);
+    match ratio.is_finite() {
+        true => ratio / (1.0 + ratio),
+        false => 1.0,
+    }
+}
+
+fn seconds(value: f64) -> Duration {
+    Duration::from_secs_f64(value.clamp(0.0, MAX_SECONDS))
 }
--- a/trouttrack_core/src/routing/score.rs
+++ b/trouttrack_core/src/routing/score.rs
@@ -1,12 +1,13 @@
 //! The default policy: scores a few sampled candidates.
 
 use super::policy::{Candidate, Policy};
+use super::prediction::Excess;
 use rand::{Rng, RngExt};
 
-/// Number of fitting candidates that are scored for each choice, starting at a random index. A
-/// small sample keeps gateways with the same outdated report from all choosing the same
-/// upstream.
-const SAMPLE_SIZE: usize = 6;
+/// Number of typical fitting candidates that are scored for each choice, starting at a random
+/// index; others count by their share. A small sample keeps gateways with the same outdated
+/// report from all choosing the same upstream.
+const SAMPLE_SIZE: f64 = 6.0;
 
 /// Weights of the terms of a score.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -16,25 +17,59 @@
     /// Weight of forecast peak memory use as a fraction of capacity.
     pub fill: f64,
     /// Penalty for an upstream in another failure domain, multiplied by the alternatives in
-    /// the caller's. The more alternatives there are, the likelier one is equally good, while
-    /// requests in another failure domain are lost or delayed when it is partitioned. With 19
-    /// engines per failure domain, on ten days with a partition, 1,394 of 14,297 long
-    /// generations were lost and 494 late, instead of 1,442 and 605.
+    /// the caller's: the more there are, the likelier one is equally good, while requests in
+    /// another failure domain are lost or delayed when it is partitioned.
     pub remote: f64,
     /// Penalty per second of pending prefill.
     pub backlog: f64,
     /// Penalty for an upstream that has just started; decreases as it warms up.
     pub cold: f64,
+    /// How much running requests and pending prefill count by the time that the upstream takes
+    /// for them: 0 as at a typical upstream, 1 in proportion to its slowdown.
+    pub slowdown: f64,
+    /// Penalty per unit of [`Excess::late`](super::Excess::late).
+    pub late: f64,
+    /// Penalty per unit of [`Excess::pause`](super::Excess::pause).
+    pub pause: f64,
+    /// Penalty per unit of [`Excess::hold`](super::Excess::hold).
+    pub hold: f64,
+    /// Penalty per unit of [`Excess::speed`](super::Excess::speed).
+    pub speed: f64,
+}
+
+impl Weights {
+    /// The default weights without the terms that depend on predictions.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use trouttrack_core::routing::Weights;
+    /// assert_eq!(Weights::WITHOUT_PREDICTIONS.late, 0.0);
+    /// assert_eq!(Weights::WITHOUT_PREDICTIONS.fill, Weights::default().fill);
+    /// ```
+    pub const WITHOUT_PREDICTIONS: Self = Self {
+        running: 1.0,
+        fill: 1.0,
+        remote: 0.4,
+        backlog: 3.0,
+        cold: 0.5,
+        slowdown: 0.0,
+        late: 0.0,
+        pause: 0.0,
+        hold: 0.0,
+        speed: 0.0,
+    };
 }
 
 impl Default for Weights {
     fn default() -> Self {
         Self {
-            running: 1.0,
-            fill: 1.0,
-            remote: 0.4,
-            backlog: 3.0,
-            cold: 0.5,
+            slowdown: 1.0,
+            late: 4.0,
+            pause: 4.0,
+            hold: 0.3,
+            speed: 1.0,
+            ..Self::WITHOUT_PREDICTIONS
         }
     }
 }
@@ -59,7 +94,7 @@
 
     fn choose<R: Rng>(&mut self, candidates: &[Candidate], rng: &mut R) -> Option<usize> {
         let mut best: Option<usize> = None;
-        let mut seen = 0;
+        let mut seen = 0.0;
         let start = match candidates.len() {
             0 => return None,
             n => rng.random_range(0..n),
@@ -69,11 +104,11 @@
             if !candidates[i].fits {
                 continue;
             }
-            seen += 1;
+            seen += candidates[i].prediction.sample_share();
             if best.is_none_or(|b| self.score(&candidates[i]) < self.score(&candidates[b])) {
                 best = Some(i);
             }
-            if seen == SAMPLE_SIZE {
+            if seen >= SAMPLE_SIZE {
                 break;
             }
         }
@@ -88,6 +123,23 @@
         } else {
             w.remote * c.alternatives
         };
-        w.running * running + w.fill * c.fill + remote + w.backlog * c.backlog + w.cold * c.cold
+        let time = 1.0 + w.slowdown * (c.prediction.slowdown - 1.0);
+        let load = w.running * running * time
+            + w.fill * c.fill
+            + remote
+            + w.backlog * c.backlog * time
+            + w.cold * c.cold;
+        load + self.excess(&c.prediction.excess)
+    }
+}
+
+impl Scored {
+    /// Penalty for what a request is predicted to experience beyond a typical upstream.
+    fn excess(&self, excess: &Excess) -> f64 {
+        let w = &self.weights;
+        w.late * excess.late
+            + w.pause * excess.pause
+            + w.hold * excess.hold
+            + w.speed * excess.speed
     }
 }
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -13,6 +13,7 @@
 use crate::Time;
 use crate::debug_asserts::assert_positive;
 use crate::membership::UpstreamUse;
+use crate::routing::PredictedLoad;
 use crate::world::RequestKey;
 use slotmap::new_key_type;
 
@@ -172,8 +173,28 @@
     /// peers have handed over are prefilled.
     #[must_use]
     pub fn prefill_seconds(&self, now: Time) -> f64 {
+        prefill_seconds(self.pending_prompt_tokens(now))
+    }
+
+    /// Returns the prompt tokens that this process and its peers have handed over and that
+    /// await prefill.
+    fn pending_prompt_tokens(&self, now: Time) -> f64 {
         let peers: f64 = self.peers.iter().map(|p| p.backlog.tokens(now)).sum();
-        prefill_seconds(self.own_loading() + peers)
+        self.own_loading() + peers
+    }
+
+    /// Returns the load that the latency of a new request is predicted from.
+    #[must_use]
+    pub fn predicted_load(&self, now: Time) -> PredictedLoad {
+        let peers_held: f64 = self.peers.iter().map(|p| p.held_tokens).sum();
+        let own_freed: f64 = self.own.iter().map(OwnRun::freed_per_token).sum();
+        let peers_freed: f64 = self.peers.iter().map(PeerUse::freed_per_token).sum();
+        PredictedLoad {
+            prompts_ahead: self.pending_prompt_tokens(now),
+            held: self.own_held() + peers_held,
+            freed_per_token: own_freed + peers_freed,
+            capacity: self.spec.capacity_tokens as f64,
+        }
     }
 
     /// Returns the prompt tokens of this process's requests without a first token. This is
--- a/trouttrack_core/src/world/systems/place.rs
+++ b/trouttrack_core/src/world/systems/place.rs
@@ -1,7 +1,7 @@
 //! Places waiting requests on upstreams.
 
 use crate::Time;
-use crate::routing::{Candidate, CandidateNote, Explanation};
+use crate::routing::{Candidate, CandidateNote, Explanation, Prediction};
 use crate::upstream::{OwnRun, UpstreamKey};
 use crate::world::tables::{Decision, RequestKey, Submission, World};
 
@@ -47,9 +47,17 @@
         }
         let chosen = self.settings.policy.choose(&candidates, &mut self.rng)?;
         self.record_explanation(now, key, &candidates, chosen);
+        self.requests[key].prediction = candidates[chosen].prediction;
         Some(self.hand_over(now, candidates[chosen].upstream, new))
     }
 
+    /// Returns what a request was predicted to experience at the upstream that it was placed on.
+    #[must_use]
+    pub fn prediction(&self, key: RequestKey) -> Prediction {
+        let row = self.requests.get(key);
+        row.map_or(Prediction::UNKNOWN, |row| row.prediction)
+    }
+
     /// Memory use of a request after `so_far` output tokens, with its forecast remaining
     /// length.
     pub(crate) fn forecast(&self, key: RequestKey, s: &Submission, so_far: u64) -> OwnRun {
@@ -104,6 +112,8 @@
                 running: c.running,
                 fill: c.fill,
                 fits: c.fits,
+                first_token_ms: c.prediction.first_token.as_millis() as u64,
+                event_gap_ms: c.prediction.event_gap.map(|gap| gap.as_millis() as u64),
             })
             .collect();
         notes.sort_by(|a, b| a.score.total_cmp(&b.score));
--- a/trouttrack_core/src/world/systems/scan.rs
+++ b/trouttrack_core/src/world/systems/scan.rs
@@ -1,7 +1,7 @@
 //! Finds the upstreams that a request may be placed on.
 
 use crate::Time;
-use crate::routing::{Candidate, Prediction};
+use crate::routing::{Candidate, PredictedRequest};
 use crate::upstream::{OwnRun, UpstreamKey};
 use crate::world::tables::{Submission, World};
 use rand::RngExt;
@@ -30,7 +30,8 @@
             now,
             skip_avoided,
             reserve: self.required_reserve(submission.priority, new),
-            alternatives: (serving.local as f64 / LOCAL_SCAN.max_fitting as f64).max(1.0),
+            request: self.predicted_request(now, submission, new),
+            alternatives: (serving.local as f64 / LOCAL_SCAN.max_fitting).max(1.0),
         };
         let (local, remote) = serving.keys.split_at(serving.local);
         if serving.keys.len() <= MAX_FULL_SCAN {
@@ -40,6 +41,17 @@
         found.extend(scan.sample(remote, draw, REMOTE_SCAN));
         found
     }
+
+    /// A request as its latency is predicted.
+    fn predicted_request(&self, now: Time, s: &Submission, new: OwnRun) -> PredictedRequest {
+        PredictedRequest {
+            prompt_tokens: s.prompt_tokens as f64,
+            output_tokens: new.remaining,
+            time_left: s.service_level.time_left(now),
+            longest_pause: s.service_level.longest_pause,
+            time_to_expiry: s.service_level.expires.saturating_sub(now),
+        }
+    }
 }
 
 /// A scan of upstreams for one request.
@@ -50,6 +62,7 @@
     now: Time,
     skip_avoided: bool,
     reserve: f64,
+    request: PredictedRequest,
     alternatives: f64,
 }
 
@@ -58,17 +71,18 @@
 struct ScanLimits {
     /// Maximum number of upstreams scanned.
     max_scanned: usize,
-    /// Number of fitting upstreams after which the scan ends.
-    max_fitting: usize,
+    /// Number of typical fitting upstreams after which the scan ends; others count by their
+    /// share.
+    max_fitting: f64,
 }
 
 const LOCAL_SCAN: ScanLimits = ScanLimits {
     max_scanned: 40,
-    max_fitting: 6,
+    max_fitting: 6.0,
 };
 const REMOTE_SCAN: ScanLimits = ScanLimits {
     max_scanned: 16,
-    max_fitting: 3,
+    max_fitting: 3.0,
 };
 
 impl Scan<'_> {
@@ -98,7 +112,9 @@
             alternatives: self.alternatives,
             backlog: u.prefill_seconds(self.now),
             cold: u.coldness(self.now),
-            prediction: Prediction::default(),
+            prediction: self
+                .request
+                .predict(&u.predicted_load(self.now), &service_rate(u, self.now)),
         })
     }
 
@@ -108,7 +124,8 @@
 
     /// Scans part of a list, starting at the random position `draw`.
     fn sample(&self, keys: &[UpstreamKey], draw: usize, scan_limits: ScanLimits) -> Vec<Candidate> {
-        let mut found = Vec::with_capacity(scan_limits.max_fitting);
+        let mut found = Vec::with_capacity(scan_limits.max_fitting as usize);
+        let mut seen = 0.0;
         if keys.is_empty() {
             return found;
         }
@@ -117,8 +134,9 @@
             if let Some(candidate) = self.candidate(keys, i)
                 && candidate.fits
             {
+                seen += candidate.prediction.sample_share();
                 found.push(candidate);
-                if found.len() == scan_limits.max_fitting {
+                if seen >= scan_limits.max_fitting {
                     break;
                 }
             }
@@ -126,3 +144,12 @@
         found
     }
 }
+
+fn service_rate(_u: &crate::upstream::Upstream, _now: Time) -> crate::upstream::ServiceRate {
+    crate::upstream::ServiceRate {
+        prefill_per_second: 5_000.0,
+        event_gap: None,
+        slowdown: 1.0,
+        uncertainty: 0.0,
+    }
+}
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -5,7 +5,7 @@
 use super::service_level::ServiceLevel;
 use crate::length::{LengthKey, LengthTable};
 use crate::membership::{Evacuations, UpstreamUse};
-use crate::routing::{AnyPolicy, ExplanationTable};
+use crate::routing::{AnyPolicy, ExplanationTable, Prediction};
 use crate::upstream::{
     LoadReport, RateShare, Upstream, UpstreamKey, UpstreamNotices, UpstreamSpec, UpstreamTable,
 };
@@ -111,6 +111,8 @@
     pub since: Time,
     /// Upstream on which the request runs, once placed.
     pub upstream: Option<UpstreamKey>,
+    /// What it was predicted to experience there, once placed.
+    pub prediction: Prediction,
     pub(crate) queue_position: Option<QueuePosition>,
 }
 
@@ -343,6 +345,7 @@
             submission,
             since: now,
             upstream: None,
+            prediction: Prediction::UNKNOWN,
             queue_position: None,
         });
         if !has_upstream {
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -1,5 +1,9 @@
 //! Prometheus metrics in the text exposition format.
 
+mod prediction;
+
+pub(crate) use prediction::PredictionError;
+
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -44,6 +48,10 @@
     pub first_byte: Histogram,
     /// Estimated time to load the prompts ahead of a request on the chosen upstream.
     pub loading: Histogram,
+    /// Errors of the predicted first tokens.
+    pub first_token_error: PredictionError,
+    /// Errors of the predicted mean times between two events.
+    pub event_gap_error: PredictionError,
     /// Age of the oldest peer report that a placement was based on.
     pub known_age: Histogram,
     /// Pause of a caller's stream while its generation was moved.
@@ -165,6 +173,16 @@
                 "trouttrack_decision_loading_seconds",
                 "Time to load the prompts before a request, as decided by",
             ),
+            first_token_error: PredictionError::new(
+                &r,
+                "trouttrack_prediction_first_token_error_seconds",
+                "Difference between the predicted first token and what came",
+            ),
+            event_gap_error: PredictionError::new(
+                &r,
+                "trouttrack_prediction_event_gap_error_seconds",
+                "Difference between the predicted mean time between two events and what came",
+            ),
             known_age: histogram(
                 &r,
                 "trouttrack_decision_known_age_seconds",
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -142,6 +142,7 @@
             running = placed.running,
             loading_ms = placed.loading.as_millis() as u64,
             known_ms = placed.known.map(|age| age.as_millis() as u64),
+            slowdown_percent = (placed.prediction.slowdown * 100.0) as u64,
             attempt = self.attempts.sent + 1,
         );
         self.avoid.push(upstream.id.clone());
--- a/trouttrack_front/src/request/stream/finish.rs
+++ b/trouttrack_front/src/request/stream/finish.rs
@@ -81,5 +81,6 @@
             longest_pause: self.pace.longest_pause(),
         };
         record_forwarded(&self.front, &self.admitted, answer);
+        self.record_gap_error();
     }
 }
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -17,6 +17,7 @@
 use std::rc::Rc;
 use trouttrack_core::fleet::EngineSpec;
 use trouttrack_core::request::{Delivery, Failure, Machine, Traits};
+use trouttrack_core::routing::Prediction;
 use trouttrack_core::{ServiceId, Time, UpstreamId};
 use trouttrack_platform::AnswerHead;
 use trouttrack_telemetry::{events, record};
@@ -40,6 +41,8 @@
     pub(super) current: Option<Rc<Upstream>>,
     /// Start of the latest attempt.
     attempt_started_at: Time,
+    /// What the latest attempt was predicted to experience.
+    predicted: Prediction,
     pub(super) quarantine: QuarantineCheck,
     pub(super) attempts: AttemptCounts,
     /// Whether an upstream may have begun to run the request.
@@ -80,6 +83,7 @@
             avoid: Vec::new(),
             current: None,
             attempt_started_at: Time::ZERO,
+            predicted: Prediction::UNKNOWN,
             quarantine: QuarantineCheck::default(),
             attempts: AttemptCounts::default(),
             may_have_run: false,
@@ -146,6 +150,12 @@
             running = placed.running,
             loading_ms = placed.loading.as_millis() as u64,
             known_ms = placed.known.map(|age| age.as_millis() as u64),
+            predicted_first_ms = placed.prediction.first_token.as_millis() as u64,
+            predicted_gap_ms = placed
+                .prediction
+                .event_gap
+                .map(|gap| gap.as_millis() as u64),
+            slowdown_percent = (placed.prediction.slowdown * 100.0) as u64,
             fill_percent = (placed.fill * 100.0) as u64,
             prompt_tokens = self.admitted.head.prompt_tokens,
             guessed_tokens = self.admitted.head.guessed_tokens,
@@ -153,6 +163,7 @@
         );
         self.current = Some(Rc::clone(&upstream));
         self.attempt_started_at = self.front.clock.now();
+        self.predicted = placed.prediction;
         self.avoid.push(upstream.id.clone());
         let ticket = Rc::new(placed.ticket);
         let outcome = self.run_at(upstream, &ticket).await;
@@ -258,11 +269,28 @@
     /// Records that events were forwarded.
     pub(super) fn mark_first_event(&mut self) {
         if self.first_event_at.is_none() {
-            self.first_event_at = Some(self.front.clock.now());
+            let now = self.front.clock.now();
+            let waited = now.saturating_sub(self.attempt_started_at);
+            self.front
+                .metrics
+                .first_token_error
+                .observe(self.predicted.first_token, waited);
+            self.first_event_at = Some(now);
             self.machine.token();
         }
     }
 
+    /// Compares the predicted time between two events with what came.
+    pub(super) fn record_gap_error(&self) {
+        let gaps = self.reader.events().saturating_sub(1) as u32;
+        if let (Some(predicted), Some(first)) = (self.predicted.event_gap, self.first_event_at)
+            && gaps > 0
+        {
+            let mean = self.front.clock.now().saturating_sub(first) / gaps;
+            self.front.metrics.event_gap_error.observe(predicted, mean);
+        }
+    }
+
     /// Number of tokens forwarded so far, estimated from the events.
     pub(super) fn tokens(&self) -> u64 {
         let per_event = self.engine_spec().map_or(1, |e| e.tokens_per_event);
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{Notify, oneshot};
 use trouttrack_core::UpstreamId;
 use trouttrack_core::membership::{Conditions, Evacuations, MAX_LIMITS_PER_DATAGRAM, UpstreamUse};
+use trouttrack_core::routing::Prediction;
 use trouttrack_core::upstream::{
     Availability, Incarnation, RateLimit, RateShare, ReportedLimit, Upstream, UpstreamNotice,
     UpstreamSpec,
@@ -41,6 +42,8 @@
     pub running: usize,
     /// Estimated time to load the prompts placed on it earlier.
     pub loading: Duration,
+    /// What the request is predicted to experience there.
+    pub prediction: Prediction,
     /// Age of the oldest peer report included in these estimates; `None` if no peer is known to
     /// use the upstream.
     pub known: Option<Duration>,
@@ -101,7 +104,7 @@
         if own_prompt > 0 || self.is_rate_bounded(&upstream) {
             self.tell_soon();
         }
-        Ok(self.placed(upstream, ticket, own_prompt))
+        Ok(self.placed(key, upstream, ticket, own_prompt))
     }
 
     /// Whether an upstream has a rate limit that is shared by all VMs.
@@ -113,7 +116,13 @@
 
     /// Collects the estimates behind a decision. The upstream's row already includes the request
     /// and its prompt.
-    fn placed(&self, upstream: UpstreamId, ticket: Ticket, own_prompt: u64) -> Placed {
+    fn placed(
+        &self,
+        key: RequestKey,
+        upstream: UpstreamId,
+        ticket: Ticket,
+        own_prompt: u64,
+    ) -> Placed {
         let now = self.clock.now();
         let world = self.world.borrow();
         let row = world.upstreams.get_by_id(&upstream);
@@ -122,6 +131,7 @@
             running: row.map_or(0, Upstream::estimated_running),
             loading: row.map_or(Duration::ZERO, |u| u.prefill_wait(now, own_prompt)),
             known: row.and_then(|u| u.oldest_report_age(now)),
+            prediction: world.prediction(key),
             upstream,
             ticket,
         }
--- a/trouttrack_rpc/tests/rpc/main.rs
+++ b/trouttrack_rpc/tests/rpc/main.rs
@@ -84,6 +84,8 @@
             running: 1,
             fill: 0.2,
             fits: true,
+            first_token_ms: 640,
+            event_gap_ms: Some(40),
         }],
     }
 }
