Predict the wait for memory from the ends of running requests; tests under load

Cause: a rate of freed memory is too optimistic: memory is freed as whole requests end. Tests of placement under load were missing.

Change: the wait is the time until enough running requests have ended. A sample counts a candidate that makes the request late for little, so that it goes on to one with room. Tests in placement_under_load.

--- a/trouttrack_core/src/routing/prediction.rs
+++ b/trouttrack_core/src/routing/prediction.rs
@@ -12,6 +12,11 @@
 const TOKEN_SECONDS: f64 = 0.01;
 /// Steepness of [`risk`] for an upstream whose rate is known exactly.
 const RISK_EXPONENT: f64 = 4.0;
+/// Growth of a sample with the relative difference of its upstreams' speed.
+const UNEVEN_SAMPLE_GROWTH: f64 = 2.0;
+/// Growth of a sample with [`Excess::late`]: while the memory of most upstreams is held, nearly
+/// all are compared.
+const LATE_SAMPLE_GROWTH: f64 = 20.0;
 /// Upper bound of a predicted time, in seconds; no request waits that long.
 const MAX_SECONDS: f64 = 3600.0;
 
@@ -95,10 +100,9 @@
 pub struct PredictedLoad {
     /// Prompt tokens that await prefill.
     pub prompts_ahead: f64,
-    /// Tokens of memory held now.
-    pub held: f64,
-    /// Tokens of memory that running requests free for each token that a generation advances.
-    pub freed_per_token: f64,
+    /// Number of tokens that each generation advances until memory for the request's prompt is
+    /// free; 0 if it is free now.
+    pub tokens_until_memory: f64,
     /// Token memory; 0 for a plain service.
     pub capacity: f64,
 }
@@ -124,7 +128,8 @@
     #[must_use]
     pub fn sample_share(&self) -> f64 {
         let unevenness = self.slowdown.max(1.0 / self.slowdown) - 1.0;
-        (1.0 - self.excess.late).clamp(0.0, 1.0) / (1.0 + 2.0 * unevenness)
+        let late = self.excess.late.max(0.0);
+        1.0 / (1.0 + UNEVEN_SAMPLE_GROWTH * unevenness + LATE_SAMPLE_GROWTH * late)
     }
 }
 
@@ -140,7 +145,7 @@
     pub fn predict(&self, load: &PredictedLoad, rate: &ServiceRate) -> Prediction {
         let slowdown = rate.slowdown;
         let token = TOKEN_SECONDS * slowdown;
-        let memory_wait = self.memory_wait(load, token);
+        let memory_wait = (load.tokens_until_memory * token).min(MAX_SECONDS);
         let typical_prefill =
             (load.prompts_ahead + self.prompt_tokens) / (rate.prefill_per_second * slowdown);
         let prefill = typical_prefill * slowdown;
@@ -177,15 +182,6 @@
         }
     }
 
-    /// Seconds until running requests have freed enough memory for the prompt.
-    fn memory_wait(&self, load: &PredictedLoad, token_seconds: f64) -> f64 {
-        let missing = load.held + self.prompt_tokens - load.capacity;
-        if load.capacity <= 0.0 || missing <= 0.0 {
-            return 0.0;
-        }
-        (missing / load.freed_per_token.max(f64::MIN_POSITIVE) * token_seconds).min(MAX_SECONDS)
-    }
-
     /// Risk of a pause above the longest, less that at a typical upstream of the same load.
     fn pause_excess(&self, rate: &ServiceRate, exponent: f64) -> f64 {
         let (Some(gap), Some(longest)) = (rate.event_gap, self.longest_pause) else {
--- a/trouttrack_core/src/upstream/mod.rs
+++ b/trouttrack_core/src/upstream/mod.rs
@@ -7,6 +7,7 @@
 mod notices;
 mod rate_limit;
 mod refusals;
+mod room;
 mod row;
 mod runs;
 mod service_rate;
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -7,6 +7,7 @@
 use super::notices::Availability;
 use super::rate_limit::RateLimit;
 use super::refusals::Refusals;
+use super::room::{Runs, tokens_until_freed};
 use super::runs::{OwnRun, PeerUse, ReportSource, peak};
 use super::shared_rate::{Allowance, Handovers, RateShare};
 use super::spec::{LoadReport, UpstreamSpec};
@@ -185,18 +186,25 @@
 
     /// Returns the load that the latency of a new request is predicted from.
     #[must_use]
-    pub fn predicted_load(&self, now: Time) -> PredictedLoad {
+    pub fn predicted_load(&self, now: Time, prompt_tokens: u64) -> PredictedLoad {
+        let capacity = self.spec.capacity_tokens as f64;
         let peers_held: f64 = self.peers.iter().map(|p| p.held_tokens).sum();
-        let own_freed: f64 = self.own.iter().map(OwnRun::freed_per_token).sum();
-        let peers_freed: f64 = self.peers.iter().map(PeerUse::freed_per_token).sum();
+        let missing = self.own_held() + peers_held + prompt_tokens as f64 - capacity;
         PredictedLoad {
             prompts_ahead: self.pending_prompt_tokens(now),
-            held: self.own_held() + peers_held,
-            freed_per_token: own_freed + peers_freed,
-            capacity: self.spec.capacity_tokens as f64,
+            tokens_until_memory: match capacity > 0.0 && missing > 0.0 {
+                true => self.tokens_until_freed(missing),
+                false => 0.0,
+            },
+            capacity,
         }
     }
 
+    fn tokens_until_freed(&self, missing: f64) -> f64 {
+        let own = self.own.iter().map(Runs::from);
+        tokens_until_freed(own.chain(self.peers.iter().map(Runs::from)), missing)
+    }
+
     /// Returns the prompt tokens of this process's requests without a first token. This is
     /// observed rather than estimated, as a slow, cold or busy engine takes longer.
     pub(crate) fn own_loading(&self) -> f64 {
--- a/trouttrack_core/src/upstream/runs.rs
+++ b/trouttrack_core/src/upstream/runs.rs
@@ -18,17 +18,6 @@
     pub loaded: bool,
 }
 
-/// Least remaining length that is assumed of a running request, in tokens. Forecasts of the
-/// last tokens are often too low.
-const MIN_REMAINING_TOKENS: f64 = 16.0;
-
-impl OwnRun {
-    /// Returns its memory, spread over the tokens that it has yet to generate.
-    pub(super) fn freed_per_token(&self) -> f64 {
-        self.tokens / self.remaining.max(MIN_REMAINING_TOKENS)
-    }
-}
-
 /// Source of a usage report.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum ReportSource {
@@ -75,14 +64,6 @@
         }
     }
 
-    /// Returns the memory of its requests, spread over the tokens that each is forecast to
-    /// generate.
-    pub(super) fn freed_per_token(&self) -> f64 {
-        let growth = (self.peak_tokens - self.held_tokens).max(0.0);
-        let remaining = growth / self.running.max(1) as f64;
-        self.held_tokens / remaining.max(MIN_REMAINING_TOKENS)
-    }
-
     /// Returns the expected token use: all held tokens plus a fraction of the growth up to
     /// the peak. With long prompts nearly all of the peak is already held; applying the
     /// fraction to the whole peak rated engines 85% full that held more than their memory.
--- a/trouttrack_core/src/world/systems/scan.rs
+++ b/trouttrack_core/src/world/systems/scan.rs
@@ -112,9 +112,10 @@
             alternatives: self.alternatives,
             backlog: u.prefill_seconds(self.now),
             cold: u.coldness(self.now),
-            prediction: self
-                .request
-                .predict(&u.predicted_load(self.now), &service_rate(u, self.now)),
+            prediction: self.request.predict(
+                &u.predicted_load(self.now, self.submission.prompt_tokens),
+                &service_rate(u, self.now),
+            ),
         })
     }
 
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -8,6 +8,7 @@
 mod known_load;
 mod length;
 mod membership;
+mod placement_under_load;
 mod policies;
 mod quarantine;
 mod rate_limited_fleet;
--- a/trouttrack_front/src/request/stream/continuation.rs
+++ b/trouttrack_front/src/request/stream/continuation.rs
@@ -9,6 +9,7 @@
 use crate::state::{Ticket, Upstream};
 use std::rc::Rc;
 use trouttrack_core::request::Failure;
+use trouttrack_core::routing::Prediction;
 use trouttrack_platform::Continuation;
 use trouttrack_telemetry::{events, record};
 
@@ -114,6 +115,7 @@
         let sent = self.send(target, &to).await.map_err(as_lost)?;
         self.current = Some(Rc::clone(target));
         self.pace.change_upstream();
+        self.predicted = Prediction::UNKNOWN;
         Ok(Source::new(Rc::clone(target), sent, backup))
     }
 
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -41,8 +41,9 @@
     pub(super) current: Option<Rc<Upstream>>,
     /// Start of the latest attempt.
     attempt_started_at: Time,
-    /// What the latest attempt was predicted to experience.
-    predicted: Prediction,
+    /// What the latest attempt was predicted to experience; unknown once it continued at
+    /// another upstream.
+    pub(super) predicted: Prediction,
     pub(super) quarantine: QuarantineCheck,
     pub(super) attempts: AttemptCounts,
     /// Whether an upstream may have begun to run the request.
@@ -271,10 +272,11 @@
         if self.first_event_at.is_none() {
             let now = self.front.clock.now();
             let waited = now.saturating_sub(self.attempt_started_at);
+            let predicted = self.predicted.first_token;
             self.front
                 .metrics
                 .first_token_error
-                .observe(self.predicted.first_token, waited);
+                .observe(predicted, waited);
             self.first_event_at = Some(now);
             self.machine.token();
         }
