Estimate the service rates of upstreams

Cause: engines of one service differ in speed by a factor of 2.7, and no VM knows it: one VM sees one long generation at an engine in a quarter of a minute.

Change: each VM samples the time between events (corrected for the generations beside, without those during which a prompt is known to load), the prefill time of prompts that load alone, and the duration of plain calls. VMs of a failure domain report their own samples to each other in heartbeats; other domains hear the domain's samples together. A report replaces the former one of the same source. The slowdown of an upstream is relative to the median of its service, reduced to exactly 1.0 within two standard errors, and follows the service's spread if its upstreams are uneven. Nothing decides by it yet.

Result: tests/core/service_rates.rs.

--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -8,6 +8,7 @@
 use super::rate_limit::RateLimit;
 use super::refusals::Refusals;
 use super::runs::{OwnRun, PeerUse, ReportSource, peak};
+use super::service_rate::{ObservedRates, RateSample, ServiceRate};
 use super::shared_rate::{Allowance, Handovers, RateShare};
 use super::spec::{LoadReport, UpstreamSpec};
 use crate::Time;
@@ -67,6 +68,8 @@
     pub(crate) handovers: Handovers,
     /// Requests that this VM lost with their connection or had refused.
     pub(crate) losses: Losses,
+    /// Samples of its speed.
+    pub(crate) rates: ObservedRates,
     own_at_report: usize,
 }
 
@@ -89,6 +92,7 @@
             refusals: Refusals::default(),
             handovers: Handovers::default(),
             losses: Losses::default(),
+            rates: ObservedRates::default(),
             own_at_report: 0,
         }
     }
@@ -191,6 +195,59 @@
         Time::from_secs_f64((self.prefill_seconds(now) - newest).max(0.0))
     }
 
+    /// Returns the rates at which it serves beside the requests that are running there.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use trouttrack_core::upstream::{UpstreamSpec, UpstreamTable};
+    /// let mut table = UpstreamTable::default();
+    /// let spec = UpstreamSpec {
+    ///     id: "e1".into(),
+    ///     failure_domain: "a".into(),
+    ///     services: vec!["lookup".into()],
+    ///     capacity_tokens: 1000,
+    ///     max_running: 8,
+    ///     warm_up_ends_at: Duration::ZERO,
+    ///     born: 0,
+    ///     cold_rate: 0.0,
+    /// };
+    /// table.configure(vec![spec], "a");
+    /// let rate = table.get_by_id("e1").unwrap().service_rate(Duration::ZERO);
+    /// assert_eq!((rate.slowdown, rate.event_gap), (1.0, None));
+    /// ```
+    #[must_use]
+    pub fn service_rate(&self, now: Time) -> ServiceRate {
+        self.rates.estimate().at_load(self.running_at(now))
+    }
+
+    /// Records what one of this VM's running requests shows of its speed.
+    pub(crate) fn observe(&mut self, now: Time, prompt_tokens: u64, sample: RateSample) {
+        self.note_loading(now);
+        if self.coldness(now) > 0.0 {
+            return;
+        }
+        let others = self.estimated_running().saturating_sub(1);
+        match sample {
+            RateSample::Events { events, elapsed } => {
+                self.rates.record_events(now, events, elapsed, others);
+            }
+            RateSample::FirstToken(elapsed) => {
+                self.rates.record_first_token(now, elapsed, prompt_tokens);
+            }
+            RateSample::Call(elapsed) => self.rates.record_call(now, elapsed),
+        }
+    }
+
+    /// Records how many prompts are known to be loading now. Called before and after a change.
+    pub(crate) fn note_loading(&mut self, now: Time) {
+        let own = self.own.iter().filter(|r| !r.loaded).count();
+        let loads = |p: &&PeerUse| p.backlog.tokens(now) > 0.0;
+        let peers = self.peers.iter().filter(loads).count();
+        self.rates.note_loading(now, own + peers);
+    }
+
     /// Returns the age of the oldest usage report among the peers that use it.
     #[must_use]
     pub fn oldest_report_age(&self, now: Time) -> Option<Time> {
@@ -292,6 +349,7 @@
     /// Records that a request is handed over.
     pub(crate) fn record_handover(&mut self, now: Time) {
         self.refusals.record_sent();
+        self.note_loading(now);
         if self.bounded_rate(now).is_some() {
             self.handovers.record_own(now);
         }
@@ -325,6 +383,11 @@
         self.peers.push(new);
     }
 
+    /// Forgets the samples of an earlier incarnation.
+    pub(super) fn reset_rates(&mut self) {
+        self.rates = ObservedRates::default();
+    }
+
     /// Removes the reported use of a peer.
     pub(crate) fn remove_peer_use(&mut self, source: &ReportSource) {
         self.peers.retain(|p| p.source != *source);
--- a/trouttrack_core/src/upstream/service_rate/mod.rs
+++ b/trouttrack_core/src/upstream/service_rate/mod.rs
@@ -1,7 +1,22 @@
 //! Service rates of upstreams, estimated from the requests that VMs observe there.
+//!
+//! - [`sample`] is what one request shows, and what VMs report to each other.
+//! - [`observed`] keeps the samples of one incarnation.
+//! - [`typical`] is the middle and spread of the upstreams of a service.
+//! - [`estimate`] compares one incarnation with them.
+//!
+//! All means are of logarithms, so that an upstream's speed is a ratio to the typical one.
 
 mod estimate;
+mod log_mean;
+mod observed;
+mod quantity;
 mod sample;
+mod typical;
 
 pub use estimate::ServiceRate;
-pub use sample::{RateSample, ReportedRate};
+pub(crate) use log_mean::LogMean;
+pub(crate) use observed::ObservedRates;
+pub(crate) use quantity::PerQuantity;
+pub use sample::{RateSample, ReportedMean, ReportedRate, incarnation_hash};
+pub(crate) use typical::Typical;
--- /dev/null
+++ b/trouttrack_core/src/upstream/service_rate/observed.rs
@@ -0,0 +1,165 @@
+//! Samples of one incarnation of an upstream, by who has taken them.
+
+use super::estimate::{Estimate, load_factor};
+use super::log_mean::{INDEPENDENCE_TIME, LogMean};
+use super::quantity::{PerQuantity, Quantity};
+use super::sample::ReportedRate;
+use super::typical::Typical;
+use crate::Time;
+use crate::upstream::ReportSource;
+use std::time::Duration;
+
+/// Age of its last report after which a peer's samples are dropped.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(20);
+/// Age of the last sample up to which this VM's samples are reported.
+const REPORT_PERIOD: Duration = Duration::from_secs(3);
+/// Shortest prompt whose first token shows the prefill rate.
+const MIN_PREFILL_TOKENS: u64 = 200;
+
+/// Samples of one incarnation, and the estimate made from them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ObservedRates {
+    own: PerQuantity<LogMean>,
+    peers: Vec<PeerRates>,
+    /// Time of the first sample or report.
+    first_at: Option<Time>,
+    /// Last time at which a prompt was known to be loading.
+    loading_at: Option<Time>,
+    /// Last time at which several prompts were known to be loading.
+    several_loading_at: Option<Time>,
+    estimate: Estimate,
+}
+
+/// The samples of one peer or failure domain.
+#[derive(Clone, Debug)]
+struct PeerRates {
+    source: ReportSource,
+    is_local: bool,
+    means: PerQuantity<LogMean>,
+    at: Time,
+}
+
+impl ObservedRates {
+    /// Returns the current estimate.
+    pub(crate) fn estimate(&self) -> &Estimate {
+        &self.estimate
+    }
+
+    /// Whether there are no samples.
+    pub(crate) fn is_unknown(&self) -> bool {
+        self.first_at.is_none()
+    }
+
+    /// Records that this number of prompts is known to be loading now.
+    pub(crate) fn note_loading(&mut self, now: Time, prompts: usize) {
+        if prompts >= 1 {
+            self.loading_at = Some(now);
+        }
+        if prompts >= 2 {
+            self.several_loading_at = Some(now);
+        }
+    }
+
+    /// Records events of a stream beside `others` generations, unless a prompt was loading
+    /// meanwhile.
+    pub(crate) fn record_events(
+        &mut self,
+        now: Time,
+        events: u32,
+        elapsed: Duration,
+        others: usize,
+    ) {
+        let start = now.saturating_sub(elapsed);
+        if self.loading_at.is_some_and(|at| at >= start) || events == 0 {
+            return;
+        }
+        let gap = elapsed.as_secs_f64() / f64::from(events) / load_factor(others);
+        self.record(now, Quantity::EventGap, gap);
+    }
+
+    /// Records a first token, unless other prompts were loading before it.
+    pub(crate) fn record_first_token(&mut self, now: Time, elapsed: Duration, prompt_tokens: u64) {
+        let start = now.saturating_sub(elapsed);
+        let shared = self.several_loading_at.is_some_and(|at| at >= start);
+        if shared || prompt_tokens < MIN_PREFILL_TOKENS {
+            return;
+        }
+        let thousands = prompt_tokens as f64 / 1000.0;
+        self.record(now, Quantity::Prefill, elapsed.as_secs_f64() / thousands);
+    }
+
+    /// Records the duration of a plain call.
+    pub(crate) fn record_call(&mut self, now: Time, elapsed: Duration) {
+        self.record(now, Quantity::Call, elapsed.as_secs_f64());
+    }
+
+    fn record(&mut self, now: Time, quantity: Quantity, seconds: f64) {
+        let microseconds = (seconds * 1e6).max(1.0);
+        self.own[quantity].sample(now, microseconds.ln());
+        self.first_at.get_or_insert(now);
+    }
+
+    /// Replaces the samples of a peer or failure domain.
+    pub(crate) fn set_peer(
+        &mut self,
+        now: Time,
+        source: ReportSource,
+        is_local: bool,
+        reported: &ReportedRate,
+    ) {
+        self.peers.retain(|p| p.source != source);
+        self.peers.push(PeerRates {
+            source,
+            is_local,
+            means: reported.means(now),
+            at: now,
+        });
+        self.first_at.get_or_insert(now);
+    }
+
+    /// Returns the samples of this VM and of the peers that `counts` selects. The weight of
+    /// samples that several VMs took at the same time is limited to the time that they cover.
+    fn merged(&self, now: Time, counts: impl Fn(&PeerRates) -> bool) -> PerQuantity<LogMean> {
+        let observed = now.saturating_sub(self.first_at.unwrap_or(now));
+        let covered = 1.0 + observed.as_secs_f64() / INDEPENDENCE_TIME.as_secs_f64();
+        let mut merged = self.own;
+        for quantity in Quantity::ALL {
+            let mut most = covered.max(self.own[quantity].weight(now));
+            for peer in self.peers.iter().filter(|p| counts(p)) {
+                most = most.max(peer.means[quantity].weight(now));
+                merged[quantity].merge(now, peer.means[quantity]);
+            }
+            merged[quantity].limit_weight(now, most);
+        }
+        merged
+    }
+
+    /// Returns all samples, without those of peers that are silent.
+    pub(crate) fn all(&mut self, now: Time) -> PerQuantity<LogMean> {
+        self.peers
+            .retain(|p| now.saturating_sub(p.at) < MAX_REPORT_AGE);
+        self.merged(now, |_| true)
+    }
+
+    /// Updates the estimate.
+    pub(crate) fn update(&mut self, now: Time, means: &PerQuantity<LogMean>, typical: &Typical) {
+        self.estimate = Estimate::of(now, means, typical);
+    }
+
+    /// Returns this VM's samples if they are recent.
+    pub(crate) fn to_report(&self, now: Time, upstream: u32) -> Option<ReportedRate> {
+        let is_recent = |quantity| {
+            let mean: &LogMean = &self.own[quantity];
+            mean.weight(now) > 0.0 && now.saturating_sub(mean.updated_at()) < REPORT_PERIOD
+        };
+        let recent = Quantity::ALL.into_iter().any(is_recent);
+        let report = recent.then(|| ReportedRate::of(upstream, &self.own, now));
+        report.filter(|r| !r.is_empty())
+    }
+
+    /// Returns the samples of all VMs of this failure domain.
+    pub(crate) fn domain_report(&self, now: Time, upstream: u32) -> Option<ReportedRate> {
+        let merged = self.merged(now, |p| p.is_local);
+        Some(ReportedRate::of(upstream, &merged, now)).filter(|r| !r.is_empty())
+    }
+}
--- /dev/null
+++ b/trouttrack_core/src/upstream/service_rate/quantity.rs
@@ -0,0 +1,45 @@
+//! The measured quantities.
+
+use std::ops::{Index, IndexMut};
+
+/// A time that an upstream takes for a unit of work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Quantity {
+    /// Time between two events of a stream, corrected for load.
+    EventGap,
+    /// Prefill time of a thousand prompt tokens.
+    Prefill,
+    /// Duration of a plain call.
+    Call,
+}
+
+impl Quantity {
+    pub(crate) const ALL: [Self; 3] = [Self::EventGap, Self::Prefill, Self::Call];
+
+    /// Standard deviation of the logarithm of one independent sample. It includes slow phases
+    /// of an upstream, and for prefill and calls the work that was ahead but unknown.
+    pub(super) fn deviation(self) -> f64 {
+        match self {
+            Self::EventGap => 0.3,
+            Self::Prefill | Self::Call => 0.5,
+        }
+    }
+}
+
+/// A value for each [`Quantity`].
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct PerQuantity<T>([T; 3]);
+
+impl<T> Index<Quantity> for PerQuantity<T> {
+    type Output = T;
+
+    fn index(&self, quantity: Quantity) -> &T {
+        &self.0[quantity as usize]
+    }
+}
+
+impl<T> IndexMut<Quantity> for PerQuantity<T> {
+    fn index_mut(&mut self, quantity: Quantity) -> &mut T {
+        &mut self.0[quantity as usize]
+    }
+}
--- a/trouttrack_core/src/upstream/table.rs
+++ b/trouttrack_core/src/upstream/table.rs
@@ -1,9 +1,10 @@
 //! The table of upstreams, with an index by service.
 
 use super::row::{Upstream, UpstreamKey};
+use super::service_rate::{LogMean, PerQuantity, Typical, incarnation_hash};
 use super::spec::UpstreamSpec;
-use crate::UpstreamId;
 use crate::membership::Evacuations;
+use crate::{Time, UpstreamId};
 use slotmap::SlotMap;
 use std::collections::{HashMap, HashSet};
 use std::mem;
@@ -13,11 +14,15 @@
 pub struct UpstreamTable {
     rows: SlotMap<UpstreamKey, Upstream>,
     by_id: HashMap<UpstreamId, UpstreamKey>,
+    /// By the hash of the incarnation. An entry may be outdated.
+    by_hash: HashMap<u32, UpstreamKey>,
     by_service: HashMap<String, ServiceUpstreams>,
     /// Whether peers report their use of upstreams.
     peers_report_use: bool,
     /// Failure domains whose upstreams get no new requests.
     evacuations: Evacuations,
+    /// What is typical of the upstreams of each service.
+    typical: HashMap<String, Typical>,
 }
 
 /// The upstreams of a service, those of this VM's failure domain first.
@@ -57,6 +62,7 @@
             .retain(|_, row| wanted.contains(row.spec.id.as_str()));
         drop(wanted);
         self.by_id.retain(|_, key| self.rows.contains_key(*key));
+        self.by_hash.retain(|_, key| self.rows.contains_key(*key));
         for spec in specs {
             self.put(spec);
         }
@@ -67,7 +73,12 @@
         let evacuated = self.evacuations.contains(&spec.failure_domain);
         let key = match self.by_id.get(&spec.id) {
             Some(&key) => {
-                self.rows[key].spec = spec;
+                let row = &mut self.rows[key];
+                let restarted = row.spec.born != spec.born && row.spec.born != 0;
+                row.spec = spec;
+                if restarted {
+                    row.reset_rates();
+                }
                 key
             }
             None => {
@@ -77,7 +88,43 @@
                 key
             }
         };
-        self.rows[key].evacuated = evacuated;
+        let row = &mut self.rows[key];
+        row.evacuated = evacuated;
+        self.by_hash
+            .insert(incarnation_hash(&row.incarnation()), key);
+        self.estimate_unknown(key);
+    }
+
+    /// Gives a row without samples the rates of an unknown upstream of its service.
+    fn estimate_unknown(&mut self, key: UpstreamKey) {
+        let row = &mut self.rows[key];
+        let typical = row.spec.services.first().and_then(|s| self.typical.get(s));
+        if let Some(typical) = typical
+            && row.rates.is_unknown()
+        {
+            row.rates
+                .update(Time::ZERO, &PerQuantity::default(), typical);
+        }
+    }
+
+    /// Estimates the rates of all upstreams. An upstream is compared with those of the first of
+    /// its services.
+    pub(crate) fn estimate_rates(&mut self, now: Time) {
+        for (service, serving) in &self.by_service {
+            let mut rows = Vec::with_capacity(serving.keys.len());
+            for key in &serving.keys {
+                let row = &mut self.rows[*key];
+                if row.spec.services.first() == Some(service) {
+                    rows.push((*key, row.rates.all(now)));
+                }
+            }
+            let means: Vec<PerQuantity<LogMean>> = rows.iter().map(|(_, means)| *means).collect();
+            let typical = Typical::of(now, &means);
+            for (key, means) in rows {
+                self.rows[key].rates.update(now, &means, &typical);
+            }
+            self.typical.insert(service.clone(), typical);
+        }
     }
 
     /// Sets the failure domains whose upstreams get no new requests, including upstreams
@@ -166,7 +213,9 @@
             return;
         };
         self.unindex(key);
-        self.rows.remove(key);
+        if let Some(row) = self.rows.remove(key) {
+            self.by_hash.remove(&incarnation_hash(&row.incarnation()));
+        }
     }
 
     /// Records that peers report their use of upstreams, so that an upstream without reports is
@@ -215,6 +264,12 @@
         self.rows.get_mut(key)
     }
 
+    /// Returns the upstream whose incarnation has this hash, mutably.
+    pub(crate) fn by_hash_mut(&mut self, hash: u32) -> Option<&mut Upstream> {
+        let row = self.rows.get_mut(*self.by_hash.get(&hash)?)?;
+        (incarnation_hash(&row.incarnation()) == hash).then_some(row)
+    }
+
     /// Iterates over all upstreams.
     pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
         self.rows.iter()
--- a/trouttrack_core/src/world/conditions.rs
+++ b/trouttrack_core/src/world/conditions.rs
@@ -5,11 +5,11 @@
 use crate::membership::Conditions;
 
 impl World {
-    /// Returns what this VM has to report.
+    /// Returns what this VM has to report besides service rates.
     #[must_use]
     pub fn conditions(&self, now: Time) -> Conditions {
         Conditions {
-            rates: self.rates_to_report(now),
+            rates: Vec::new(),
             unreachable: self.unreachable_to_report(now),
             demand: self.demand_to_report(now),
         }
--- a/trouttrack_core/src/world/peers.rs
+++ b/trouttrack_core/src/world/peers.rs
@@ -48,7 +48,7 @@
         self.by_source.retain(|source, heartbeat| {
             let silent = now.saturating_sub(heartbeat.at) > PEER_TIMEOUT;
             if silent {
-                remove_uses(upstreams, &heartbeat.rows, source);
+                remove_uses(now, upstreams, &heartbeat.rows, source);
             }
             !silent
         });
@@ -62,9 +62,15 @@
 }
 
 /// Removes a peer's use from the given rows.
-fn remove_uses(upstreams: &mut UpstreamTable, rows: &[UpstreamKey], source: &ReportSource) {
+fn remove_uses(
+    now: Time,
+    upstreams: &mut UpstreamTable,
+    rows: &[UpstreamKey],
+    source: &ReportSource,
+) {
     for key in rows {
         if let Some(u) = upstreams.get_mut(*key) {
+            u.note_loading(now);
             u.remove_peer_use(source);
         }
     }
@@ -125,7 +131,7 @@
         self.upstreams.enable_peer_reports();
         self.peers.expire_silent_peers(now, &mut self.upstreams);
         if let Some(before) = self.peers.by_source.get(&source) {
-            remove_uses(&mut self.upstreams, &before.rows, &source);
+            remove_uses(now, &mut self.upstreams, &before.rows, &source);
         }
         let mut rows = Vec::with_capacity(uses.len());
         for used in uses {
@@ -138,6 +144,7 @@
             rows.push(key);
             u.handovers.record_peer(now, &source, handover_counts(used));
             u.set_peer_use(peer_use(now, &source, used, is_local));
+            u.note_loading(now);
         }
         let heartbeat = PeerHeartbeat { at: now, rows };
         self.peers.by_source.insert(source, heartbeat);
--- a/trouttrack_core/src/world/systems/mod.rs
+++ b/trouttrack_core/src/world/systems/mod.rs
@@ -10,6 +10,7 @@
 impl World {
     /// Runs every pass once and returns their decisions.
     pub fn tick(&mut self, now: Time) -> Vec<Decision> {
+        self.estimate_rates(now);
         self.expire(now);
         let mut decisions = std::mem::take(&mut self.refused);
         self.place(now, &mut decisions);
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -2,6 +2,7 @@
 
 use super::peers::PeerHeartbeats;
 use super::queue::{FairQueue, QueuePosition};
+use super::rates::RateEstimates;
 use super::service_level::ServiceLevel;
 use crate::length::{LengthKey, LengthTable};
 use crate::membership::{Evacuations, UpstreamUse};
@@ -218,6 +219,7 @@
     pub(crate) deadlines: BTreeSet<(Time, RequestKey)>,
     pub(crate) limits: Limits,
     pub(crate) peers: PeerHeartbeats,
+    pub(crate) rate_estimates: RateEstimates,
     /// Status reported by upstreams about themselves; each row holds a copy of its own.
     pub(crate) notices: UpstreamNotices,
     /// Share that this VM has of a rate limit common to all VMs; none until it is set.
@@ -242,6 +244,7 @@
             deadlines: BTreeSet::new(),
             limits: Limits::default(),
             peers: PeerHeartbeats::default(),
+            rate_estimates: RateEstimates::default(),
             notices: UpstreamNotices::default(),
             refused: Vec::new(),
         }
@@ -394,6 +397,7 @@
             self.lengths.record(row.submission.length_key, tokens);
         }
         if let Some(u) = self.upstreams.get_mut(upstream) {
+            u.note_loading(now);
             u.remove(key);
             // If neither is known, as when the caller disconnects, earlier failures still count.
             if fault {
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -14,6 +14,7 @@
 mod rate_limits;
 mod relocate;
 mod retry_rule;
+mod service_rates;
 mod support;
 mod upstream_notices;
 mod upstream_table;
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -20,7 +20,8 @@
 use tokio::time::Instant;
 use trouttrack_core::FailureDomain;
 use trouttrack_core::membership::{
-    CHANGED_LIMIT_REPEAT_PERIOD, Digest, LOCAL_FANOUT, REMOTE_FANOUT, UpstreamUse, sends_aggregates,
+    CHANGED_LIMIT_REPEAT_PERIOD, Conditions, Digest, LOCAL_FANOUT, REMOTE_FANOUT, UpstreamUse,
+    sends_aggregates,
 };
 use trouttrack_core::upstream::{RateShare, ReportedLimit};
 
@@ -85,11 +86,31 @@
         return;
     }
     let mut heartbeat = heartbeat(front);
-    let conditions = front.scheduler.conditions();
+    let (local, remote) = (local_conditions(front), remote_conditions(front));
     for (name, addr) in receivers {
         heartbeat.echo = front.peers.echo(&name);
         let datagram = Datagram::Heartbeat(Box::new(heartbeat.clone()));
-        post_with(socket, &datagram, &conditions, [addr]);
+        let conditions = match front.peers.is_in(&name, &front.failure_domain) {
+            true => &local,
+            false => &remote,
+        };
+        post_with(socket, &datagram, conditions, [addr]);
+    }
+}
+
+/// Conditions to report in this VM's failure domain.
+fn local_conditions(front: &Front) -> Conditions {
+    Conditions {
+        rates: front.scheduler.local_rates(),
+        ..front.scheduler.conditions()
+    }
+}
+
+/// Conditions to report in other failure domains.
+fn remote_conditions(front: &Front) -> Conditions {
+    Conditions {
+        rates: front.scheduler.domain_rates(),
+        ..front.scheduler.conditions()
     }
 }
 
@@ -107,7 +128,7 @@
     let mut heartbeat = heartbeat(front);
     heartbeat.echo = front.peers.echo(name);
     let datagram = Datagram::Heartbeat(Box::new(heartbeat));
-    post_with(socket, &datagram, &front.scheduler.conditions(), [addr]);
+    post_with(socket, &datagram, &local_conditions(front), [addr]);
 }
 
 /// Sends this VM's use of upstreams to all VMs that select among the same ones: those in
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use trouttrack_core::fleet::RouteKind;
 use trouttrack_core::request::{Delivery, Failure, Machine, StepResult, Traits};
+use trouttrack_core::upstream::RateSample;
 use trouttrack_core::{ServiceId, Time, UpstreamId};
 use trouttrack_platform::AnswerHead;
 use trouttrack_telemetry::{events, record};
@@ -159,6 +160,10 @@
             failure.report(self.front, self.admitted, &attempt);
         }
         if let Some(ticket) = self.ticket.take() {
+            if outcome.as_ref().is_ok_and(|r| r.head.status.is_success()) {
+                let elapsed = self.front.clock.now().saturating_sub(self.placed_at);
+                ticket.observe(RateSample::Call(elapsed));
+            }
             record_outcome(&outcome, &ticket);
         }
         self.update_quarantine(&upstream, &outcome).await;
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use trouttrack_core::request::Failure;
+use trouttrack_core::upstream::RateSample;
 
 /// Time limit for the last events of a stopped generation. Its stream is closed before the
 /// copy command is answered, so they are already on their way.
@@ -100,6 +101,11 @@
         let events_after = self.reader.events();
         let now = self.front.clock.now();
         source.last_event_at = Some(now);
+        let is_first = events_before == 0;
+        if is_first && self.head.is_none() {
+            // Before the prompt counts as loaded.
+            ticket.observe(RateSample::FirstToken(self.attempt_age(now)));
+        }
         if let Some(sample) = self.pace.record(now, (events_after - events_before) as u32) {
             ticket.observe(sample);
         }
@@ -107,7 +113,6 @@
             .metrics
             .events
             .inc_by(events_after - events_before);
-        let is_first = events_before == 0;
         if is_first
             || events_before / PROGRESS_INTERVAL_EVENTS != events_after / PROGRESS_INTERVAL_EVENTS
         {
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -15,6 +15,7 @@
 use crate::state::{Front, InFlight, Ticket, Upstream};
 use bytes::Bytes;
 use std::rc::Rc;
+use std::time::Duration;
 use trouttrack_core::fleet::EngineSpec;
 use trouttrack_core::request::{Delivery, Failure, Machine, Traits};
 use trouttrack_core::{ServiceId, Time, UpstreamId};
@@ -255,6 +256,11 @@
         }
     }
 
+    /// Time since the start of the latest attempt.
+    pub(super) fn attempt_age(&self, now: Time) -> Duration {
+        now.saturating_sub(self.attempt_started_at)
+    }
+
     /// Records that events were forwarded.
     pub(super) fn mark_first_event(&mut self) {
         if self.first_event_at.is_none() {
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -11,8 +11,8 @@
 use trouttrack_core::UpstreamId;
 use trouttrack_core::membership::{Conditions, Evacuations, MAX_LIMITS_PER_DATAGRAM, UpstreamUse};
 use trouttrack_core::upstream::{
-    Availability, Incarnation, RateLimit, RateShare, ReportedLimit, Upstream, UpstreamNotice,
-    UpstreamSpec,
+    Availability, Incarnation, RateLimit, RateShare, ReportedLimit, ReportedRate, Upstream,
+    UpstreamNotice, UpstreamSpec,
 };
 use trouttrack_core::world::{
     Decision, NotRunReason, RequestKey, Submission, World, WorldSettings,
@@ -253,7 +253,19 @@
             .record_peer_uses(now, peer, failure_domain, uses);
     }
 
-    /// Conditions to report to the other VMs.
+    /// Service rates to report to the VMs of this failure domain.
+    #[must_use]
+    pub fn local_rates(&self) -> Vec<ReportedRate> {
+        self.world.borrow().local_rates(self.clock.now())
+    }
+
+    /// Service rates to report to the VMs of other failure domains.
+    #[must_use]
+    pub fn domain_rates(&self) -> Vec<ReportedRate> {
+        self.world.borrow().domain_rates(self.clock.now())
+    }
+
+    /// Conditions to report to the other VMs besides service rates.
     #[must_use]
     pub fn conditions(&self) -> Conditions {
         self.world.borrow().conditions(self.clock.now())
