Predict by the service rates of upstreams

Cause: predictions took neutral rates.

Result: all tests of core pass; engines_of_three_speeds and a_failure_domain_of_slow_engines failed before, and fail with WITHOUT_PREDICTIONS (short requests 47, 52, 21 on fast, typical, slow; 83 long generations stay in the slow domain).

--- a/trouttrack_core/src/world/systems/scan.rs
+++ b/trouttrack_core/src/world/systems/scan.rs
@@ -114,7 +114,7 @@
             cold: u.coldness(self.now),
             prediction: self.request.predict(
                 &u.predicted_load(self.now, self.submission.prompt_tokens),
-                &service_rate(u, self.now),
+                &u.service_rate(self.now),
             ),
         })
     }
@@ -145,12 +145,3 @@
         found
     }
 }
-
-fn service_rate(_u: &crate::upstream::Upstream, _now: Time) -> crate::upstream::ServiceRate {
-    crate::upstream::ServiceRate {
-        prefill_per_second: 5_000.0,
-        event_gap: None,
-        slowdown: 1.0,
-        uncertainty: 0.0,
-    }
-}
