Report service rates at intervals, and tell operators which upstreams are slow

Cause: rates in each heartbeat would take 3.4 kB/s a VM at 79 VMs, as much again between failure domains; calls of plain services have different work (1 ms and 50 ms on the same upstreams), so that single calls made an upstream look ten times as fast; nobody sees what is known.

Change: reports each 0.4 s in the failure domain and each 2 s to others, with a bounded number of rates. Calls are compared with the mean of their route. Event 125 (upstream-speed) as a slowdown changes by half, two gauges.

--- a/trouttrack_core/src/length/mod.rs
+++ b/trouttrack_core/src/length/mod.rs
@@ -47,6 +47,11 @@
             model,
         }
     }
+
+    /// Returns the hash of the service alone.
+    pub(crate) fn service(&self) -> u64 {
+        self.service
+    }
 }
 
 #[derive(Clone, Debug)]
--- a/trouttrack_core/src/upstream/mod.rs
+++ b/trouttrack_core/src/upstream/mod.rs
@@ -22,6 +22,7 @@
 pub use row::{Upstream, UpstreamKey};
 pub use runs::OwnRun;
 pub(crate) use runs::{PeerUse, ReportSource};
+pub(crate) use service_rate::CallKinds;
 pub use service_rate::{RateSample, ReportedMean, ReportedRate, ServiceRate, incarnation_hash};
 pub use shared_rate::RateShare;
 pub(crate) use shared_rate::ReportedHandovers;
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -222,7 +222,8 @@
         self.rates.estimate().at_load(self.running_at(now))
     }
 
-    /// Records what one of this VM's running requests shows of its speed.
+    /// Records what one of this VM's running requests shows of its speed, unless it is slow
+    /// because it has just started.
     pub(crate) fn observe(&mut self, now: Time, prompt_tokens: u64, sample: RateSample) {
         self.note_loading(now);
         if self.coldness(now) > 0.0 {
@@ -236,7 +237,14 @@
             RateSample::FirstToken(elapsed) => {
                 self.rates.record_first_token(now, elapsed, prompt_tokens);
             }
-            RateSample::Call(elapsed) => self.rates.record_call(now, elapsed),
+            RateSample::Call(_) => {}
+        }
+    }
+
+    /// Records the duration of a plain call as a multiple of the mean of its kind.
+    pub(crate) fn observe_call(&mut self, now: Time, ratio: f64) {
+        if self.coldness(now) == 0.0 {
+            self.rates.record_call(now, ratio);
         }
     }
 
--- a/trouttrack_core/src/upstream/service_rate/estimate.rs
+++ b/trouttrack_core/src/upstream/service_rate/estimate.rs
@@ -63,9 +63,9 @@
         }
     }
 
-    /// Whether the upstream or its service is known to differ from the typical.
-    pub(crate) fn differs(&self) -> bool {
-        self.slowdown != 1.0
+    /// Returns the time for a unit of work, divided by the typical one.
+    pub(crate) fn slowdown(&self) -> f64 {
+        self.slowdown
     }
 
     /// Returns the rates beside `running` generations.
--- a/trouttrack_core/src/upstream/service_rate/log_mean.rs
+++ b/trouttrack_core/src/upstream/service_rate/log_mean.rs
@@ -27,6 +27,9 @@
 
     /// Returns the weight left at `now`, in independent samples.
     pub(super) fn weight(&self, now: Time) -> f64 {
+        if self.weight == 0.0 {
+            return 0.0;
+        }
         let age = now.saturating_sub(self.at);
         self.weight * (-age.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp()
     }
--- a/trouttrack_core/src/upstream/service_rate/mod.rs
+++ b/trouttrack_core/src/upstream/service_rate/mod.rs
@@ -1,12 +1,14 @@
 //! Service rates of upstreams, estimated from the requests that VMs observe there.
 //!
 //! - [`sample`] is what one request shows, and what VMs report to each other.
+//! - [`call_kinds`] makes calls with different work comparable.
 //! - [`observed`] keeps the samples of one incarnation.
 //! - [`typical`] is the middle and spread of the upstreams of a service.
 //! - [`estimate`] compares one incarnation with them.
 //!
 //! All means are of logarithms, so that an upstream's speed is a ratio to the typical one.
 
+mod call_kinds;
 mod estimate;
 mod log_mean;
 mod observed;
@@ -14,6 +16,7 @@
 mod sample;
 mod typical;
 
+pub(crate) use call_kinds::CallKinds;
 pub use estimate::ServiceRate;
 pub(crate) use log_mean::LogMean;
 pub(crate) use observed::ObservedRates;
--- a/trouttrack_core/src/upstream/service_rate/observed.rs
+++ b/trouttrack_core/src/upstream/service_rate/observed.rs
@@ -13,11 +13,16 @@
 const MAX_REPORT_AGE: Duration = Duration::from_secs(20);
 /// Age of the last sample up to which this VM's samples are reported.
 const REPORT_PERIOD: Duration = Duration::from_secs(3);
+/// Ratio by which a slowdown has to change to be announced to operators again.
+const ANNOUNCED_RATIO: f64 = 1.5;
+/// Tolerance when a loading prompt is compared with the start of a sample, which begins as the
+/// prompt of its own request is loaded.
+const START_TOLERANCE: Duration = Duration::from_millis(2);
 /// Shortest prompt whose first token shows the prefill rate.
 const MIN_PREFILL_TOKENS: u64 = 200;
 
 /// Samples of one incarnation, and the estimate made from them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct ObservedRates {
     own: PerQuantity<LogMean>,
     peers: Vec<PeerRates>,
@@ -28,6 +33,8 @@
     /// Last time at which several prompts were known to be loading.
     several_loading_at: Option<Time>,
     estimate: Estimate,
+    /// Slowdown that was last given to operators.
+    announced: f64,
 }
 
 /// The samples of one peer or failure domain.
@@ -39,6 +46,20 @@
     at: Time,
 }
 
+impl Default for ObservedRates {
+    fn default() -> Self {
+        Self {
+            own: PerQuantity::default(),
+            peers: Vec::new(),
+            first_at: None,
+            loading_at: None,
+            several_loading_at: None,
+            estimate: Estimate::default(),
+            announced: 1.0,
+        }
+    }
+}
+
 impl ObservedRates {
     /// Returns the current estimate.
     pub(crate) fn estimate(&self) -> &Estimate {
@@ -69,8 +90,8 @@
         elapsed: Duration,
         others: usize,
     ) {
-        let start = now.saturating_sub(elapsed);
-        if self.loading_at.is_some_and(|at| at >= start) || events == 0 {
+        let start = now.saturating_sub(elapsed) + START_TOLERANCE;
+        if self.loading_at.is_some_and(|at| at > start) || events == 0 {
             return;
         }
         let gap = elapsed.as_secs_f64() / f64::from(events) / load_factor(others);
@@ -88,9 +109,9 @@
         self.record(now, Quantity::Prefill, elapsed.as_secs_f64() / thousands);
     }
 
-    /// Records the duration of a plain call.
-    pub(crate) fn record_call(&mut self, now: Time, elapsed: Duration) {
-        self.record(now, Quantity::Call, elapsed.as_secs_f64());
+    /// Records the duration of a plain call as a multiple of the mean of its kind.
+    pub(crate) fn record_call(&mut self, now: Time, ratio: f64) {
+        self.record(now, Quantity::Call, ratio);
     }
 
     fn record(&mut self, now: Time, quantity: Quantity, seconds: f64) {
@@ -146,6 +167,15 @@
         self.estimate = Estimate::of(now, means, typical);
     }
 
+    /// Returns the previous slowdown if the current one differs from it by a lot, and remembers
+    /// the current one.
+    pub(crate) fn announce(&mut self) -> Option<f64> {
+        let slowdown = self.estimate.slowdown();
+        let ratio = slowdown / self.announced;
+        let changed = !(ANNOUNCED_RATIO.recip()..=ANNOUNCED_RATIO).contains(&ratio);
+        changed.then(|| std::mem::replace(&mut self.announced, slowdown))
+    }
+
     /// Returns this VM's samples if they are recent.
     pub(crate) fn to_report(&self, now: Time, upstream: u32) -> Option<ReportedRate> {
         let is_recent = |quantity| {
--- a/trouttrack_core/src/upstream/service_rate/quantity.rs
+++ b/trouttrack_core/src/upstream/service_rate/quantity.rs
@@ -9,7 +9,7 @@
     EventGap,
     /// Prefill time of a thousand prompt tokens.
     Prefill,
-    /// Duration of a plain call.
+    /// Duration of a plain call, divided by the mean of its kind; in seconds, 1 is the mean.
     Call,
 }
 
@@ -21,7 +21,8 @@
     pub(super) fn deviation(self) -> f64 {
         match self {
             Self::EventGap => 0.3,
-            Self::Prefill | Self::Call => 0.5,
+            Self::Prefill => 0.5,
+            Self::Call => 0.8,
         }
     }
 }
--- a/trouttrack_core/src/upstream/service_rate/sample.rs
+++ b/trouttrack_core/src/upstream/service_rate/sample.rs
@@ -35,7 +35,7 @@
     pub event_gap: ReportedMean,
     /// Prefill time of a thousand prompt tokens.
     pub prefill: ReportedMean,
-    /// Duration of a plain call.
+    /// Duration of a plain call, divided by the mean of its kind, in seconds.
     pub call: ReportedMean,
 }
 
--- a/trouttrack_core/src/upstream/table.rs
+++ b/trouttrack_core/src/upstream/table.rs
@@ -270,6 +270,11 @@
         (incarnation_hash(&row.incarnation()) == hash).then_some(row)
     }
 
+    /// Iterates over all upstreams, mutably.
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Upstream> {
+        self.rows.values_mut()
+    }
+
     /// Iterates over all upstreams.
     pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
         self.rows.iter()
--- a/trouttrack_core/src/world/mod.rs
+++ b/trouttrack_core/src/world/mod.rs
@@ -13,6 +13,7 @@
 mod tables;
 
 pub use queue::FairQueue;
+pub use rates::{KnownRates, SlowdownChange};
 pub use relocate::Target;
 pub use service_level::ServiceLevel;
 pub use tables::{
--- a/trouttrack_core/src/world/rates.rs
+++ b/trouttrack_core/src/world/rates.rs
@@ -5,14 +5,48 @@
 //! from whichever VM they hear. No sample is in two reports that the same VM counts.
 
 use super::tables::{RequestKey, World};
-use crate::Time;
-use crate::upstream::{RateSample, ReportSource, ReportedRate, Upstream, incarnation_hash};
+use crate::upstream::{
+    CallKinds, RateSample, ReportSource, ReportedRate, ServiceRate, Upstream, incarnation_hash,
+};
+use crate::{Time, UpstreamId};
 use std::time::Duration;
 
 /// Interval at which estimates are updated.
 const ESTIMATE_INTERVAL: Duration = Duration::from_millis(250);
-/// Maximum number of service rates in a datagram, at about 13 bytes each.
-const MAX_RATES_PER_DATAGRAM: usize = 16;
+/// Maximum number of service rates in a report to this VM's failure domain, at about 13 bytes
+/// each.
+const MAX_LOCAL_RATES: usize = 16;
+/// Minimum interval of reports to this VM's failure domain.
+const LOCAL_REPORT_INTERVAL: Duration = Duration::from_millis(400);
+/// As [`MAX_LOCAL_RATES`] in a report to other failure domains, which hear of a domain from any
+/// of its VMs.
+const MAX_DOMAIN_RATES: usize = 48;
+/// Minimum interval of reports to other failure domains, traffic to which is billed.
+const DOMAIN_REPORT_INTERVAL: Duration = Duration::from_secs(2);
+/// Maximum number of changed slowdowns that are announced to operators at once.
+const MAX_ANNOUNCED: usize = 4;
+/// Slowdown from which an upstream counts as slow in summaries.
+const SLOW: f64 = 1.25;
+
+/// An upstream whose slowdown has changed by a lot.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SlowdownChange {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Slowdown when it was last announced.
+    pub previous: f64,
+    /// Its rates now.
+    pub rate: ServiceRate,
+}
+
+/// Number of upstreams by what is known of their speed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KnownRates {
+    /// Upstreams with samples.
+    pub known: usize,
+    /// Upstreams that take at least a quarter longer than the typical one of their service.
+    pub slow: usize,
+}
 
 /// When the estimates of service rates were last updated.
 #[derive(Debug, Default)]
@@ -20,6 +54,10 @@
     updated_at: Time,
     /// Whether there are any samples.
     has_samples: bool,
+    /// When rates were last reported in this VM's failure domain, and to others.
+    reported_at: Time,
+    domain_reported_at: Time,
+    call_kinds: CallKinds,
 }
 
 impl World {
@@ -29,10 +67,19 @@
             return;
         };
         let prompt_tokens = row.submission.prompt_tokens;
-        let upstream = row.upstream.and_then(|u| self.upstreams.get_mut(u));
-        if let Some(u) = upstream {
-            u.observe(now, prompt_tokens, sample);
-            self.rate_estimates.has_samples = true;
+        let kind = row.submission.length_key.service();
+        let Some(u) = row.upstream.and_then(|u| self.upstreams.get_mut(u)) else {
+            return;
+        };
+        let estimates = &mut self.rate_estimates;
+        estimates.has_samples = true;
+        match sample {
+            RateSample::Call(elapsed) => {
+                if let Some(ratio) = estimates.call_kinds.ratio(now, kind, elapsed) {
+                    u.observe_call(now, ratio);
+                }
+            }
+            sample => u.observe(now, prompt_tokens, sample),
         }
     }
 
@@ -64,7 +111,31 @@
     pub fn local_rates(&self, now: Time) -> Vec<ReportedRate> {
         let rows = self.upstreams.iter().map(|(_, u)| u);
         let rates = rows.filter_map(|u| u.rates.to_report(now, hash_of(u)));
-        limited(now, rates.collect())
+        limited(now, rates.collect(), MAX_LOCAL_RATES)
+    }
+
+    /// As [`Self::local_rates`] if a report is due, otherwise none.
+    pub fn due_local_rates(&mut self, now: Time) -> Vec<ReportedRate> {
+        match is_due(
+            now,
+            &mut self.rate_estimates.reported_at,
+            LOCAL_REPORT_INTERVAL,
+        ) {
+            true => self.local_rates(now),
+            false => Vec::new(),
+        }
+    }
+
+    /// As [`Self::domain_rates`] if a report is due, otherwise none.
+    pub fn due_domain_rates(&mut self, now: Time) -> Vec<ReportedRate> {
+        match is_due(
+            now,
+            &mut self.rate_estimates.domain_reported_at,
+            DOMAIN_REPORT_INTERVAL,
+        ) {
+            true => self.domain_rates(now),
+            false => Vec::new(),
+        }
     }
 
     /// Returns the samples of all VMs of this failure domain, for peers in other ones. Upstreams
@@ -74,9 +145,33 @@
         let home = &self.settings.failure_domain;
         let rows = self.upstreams.iter().map(|(_, u)| u);
         let rates = rows
-            .filter(|u| u.spec.failure_domain == *home && u.rates.estimate().differs())
+            .filter(|u| u.spec.failure_domain == *home && u.rates.estimate().slowdown() != 1.0)
             .filter_map(|u| u.rates.domain_report(now, hash_of(u)));
-        limited(now, rates.collect())
+        limited(now, rates.collect(), MAX_DOMAIN_RATES)
+    }
+
+    /// Returns the upstreams whose slowdown has changed by a lot since it was last returned, or
+    /// is known for the first time; a few at most.
+    pub fn take_slowdown_changes(&mut self, now: Time) -> Vec<SlowdownChange> {
+        let changed = self.upstreams.iter_mut().filter_map(|u| {
+            Some(SlowdownChange {
+                previous: u.rates.announce()?,
+                upstream: u.spec.id.clone(),
+                rate: u.service_rate(now),
+            })
+        });
+        changed.take(MAX_ANNOUNCED).collect()
+    }
+
+    /// Counts the upstreams whose speed is known.
+    #[must_use]
+    pub fn known_rates(&self) -> KnownRates {
+        let rows = self.upstreams.iter().map(|(_, u)| &u.rates);
+        let known = rows.filter(|rates| !rates.is_unknown());
+        known.fold(KnownRates::default(), |sum, rates| KnownRates {
+            known: sum.known + 1,
+            slow: sum.slow + usize::from(rates.estimate().slowdown() >= SLOW),
+        })
     }
 
     /// Updates the estimates if they are due.
@@ -95,12 +190,21 @@
     incarnation_hash(&u.incarnation())
 }
 
+/// Whether `interval` has passed since `last`, which is then set to `now`.
+fn is_due(now: Time, last: &mut Time, interval: Duration) -> bool {
+    let due = now.saturating_sub(*last) >= interval;
+    if due {
+        *last = now;
+    }
+    due
+}
+
 /// Limits the number of rates. Others are reported the next time.
-fn limited(now: Time, mut rates: Vec<ReportedRate>) -> Vec<ReportedRate> {
-    if rates.len() > MAX_RATES_PER_DATAGRAM {
+fn limited(now: Time, mut rates: Vec<ReportedRate>, most: usize) -> Vec<ReportedRate> {
+    if rates.len() > most {
         let start = now.as_millis() as usize % rates.len();
         rates.rotate_left(start);
-        rates.truncate(MAX_RATES_PER_DATAGRAM);
+        rates.truncate(most);
     }
     rates
 }
--- a/trouttrack_core/tests/core/service_rates.rs
+++ b/trouttrack_core/tests/core/service_rates.rs
@@ -4,7 +4,9 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
-use trouttrack_core::membership::{Conditions, UpstreamUse};
+use trouttrack_core::membership::{
+    Conditions, LOCAL_FANOUT, REMOTE_FANOUT, UpstreamUse, heartbeat_interval,
+};
 use trouttrack_core::upstream::{RateSample, ReportedRate, ServiceRate, UpstreamSpec};
 use trouttrack_core::world::{RequestKey, World};
 
@@ -400,3 +402,48 @@
     uneven.slowdown(0, 0);
     assert_eq!(uneven.vms[0].domain_rates(uneven.now).len(), 12);
 }
+
+/// Bytes that service rates add to a datagram.
+fn encoded_bytes(rates: Vec<ReportedRate>) -> usize {
+    let conditions = Conditions {
+        rates,
+        ..Conditions::default()
+    };
+    postcard::to_stdvec(&conditions).expect("it encodes").len()
+}
+
+#[test]
+fn reports_of_79_vms_take_little_of_the_budget_for_control() {
+    // 79 VMs in three failure domains before 45 upstreams of three speeds; a VM uses three.
+    let (vms, upstreams) = (26, 15);
+    let gaps = [0.024, 0.040, 0.065].repeat(upstreams / 3);
+    let mut fleet = Fleet::new(vms, gaps, 3);
+    fleet.run(seconds(6.0));
+    fleet.slowdown(0, 0);
+    let now = fleet.now;
+    let local = encoded_bytes(fleet.vms[0].local_rates(now));
+    let domain = encoded_bytes(fleet.vms[0].domain_rates(now));
+    assert!((30..=60).contains(&local), "{local} bytes");
+    assert!(domain <= 15 * 14 + 3, "{domain} bytes");
+    let heartbeat = heartbeat_interval(79).as_secs_f64();
+    let (mut local_sent, mut domain_sent) = (0, 0);
+    for beat in 0..100 {
+        let at = now + seconds(heartbeat * f64::from(beat));
+        for (vm, _, key) in fleet.streams.iter().filter(|(vm, ..)| *vm == 0) {
+            fleet.vms[*vm].observe(at, *key, events(0.040));
+        }
+        local_sent += encoded_bytes(fleet.vms[0].due_local_rates(at)) * LOCAL_FANOUT;
+        domain_sent += encoded_bytes(fleet.vms[0].due_domain_rates(at)) * REMOTE_FANOUT;
+    }
+    let per_second = |bytes: usize| bytes as f64 / (100.0 * heartbeat);
+    assert!(
+        per_second(local_sent) < 2_000.0,
+        "{}",
+        per_second(local_sent)
+    );
+    assert!(
+        per_second(domain_sent) < 500.0,
+        "{}",
+        per_second(domain_sent)
+    );
+}
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -50,6 +50,10 @@
     pub move_pause: Histogram,
     /// Stream events forwarded to callers.
     pub events: IntCounter,
+    /// Upstreams whose speed is known.
+    pub upstreams_with_rate: IntGauge,
+    /// Upstreams that take at least a quarter longer than the typical one of their service.
+    pub slow_upstreams: IntGauge,
     /// Scheduler rows rebuilt in full rebuilds of the tables.
     pub rows_made: IntCounter,
 }
@@ -176,6 +180,16 @@
                 "Pause of a stream while its generation was moved",
             ),
             events: counter(&r, "trouttrack_events_total", "Events of streams forwarded"),
+            upstreams_with_rate: gauge(
+                &r,
+                "trouttrack_upstreams_with_rate",
+                "Upstreams whose speed is known",
+            ),
+            slow_upstreams: gauge(
+                &r,
+                "trouttrack_slow_upstreams",
+                "Upstreams that take at least a quarter longer than the typical one of their service",
+            ),
             rows_made: counter(
                 &r,
                 "trouttrack_upstream_rows_made_total",
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -23,7 +23,8 @@
     CHANGED_LIMIT_REPEAT_PERIOD, Conditions, Digest, LOCAL_FANOUT, REMOTE_FANOUT, UpstreamUse,
     sends_aggregates,
 };
-use trouttrack_core::upstream::{RateShare, ReportedLimit};
+use trouttrack_core::upstream::{RateShare, ReportedLimit, ReportedRate};
+use trouttrack_telemetry::{events, record};
 
 /// Delay between a placement or a loss and its load update, so that several share one
 /// datagram. Kept short because other VMs may select the same upstream until they hear of it.
@@ -81,12 +82,14 @@
     }
     front.suspects.expire();
     front.metrics.held.set(front.suspects.held() as i64);
+    log_speeds(front);
     let receivers = receivers(front);
     if receivers.is_empty() {
         return;
     }
     let mut heartbeat = heartbeat(front);
-    let (local, remote) = (local_conditions(front), remote_conditions(front));
+    let local = conditions(front, front.scheduler.due_local_rates());
+    let remote = conditions(front, front.scheduler.due_domain_rates());
     for (name, addr) in receivers {
         heartbeat.echo = front.peers.echo(&name);
         let datagram = Datagram::Heartbeat(Box::new(heartbeat.clone()));
@@ -98,18 +101,27 @@
     }
 }
 
-/// Conditions to report in this VM's failure domain.
-fn local_conditions(front: &Front) -> Conditions {
-    Conditions {
-        rates: front.scheduler.local_rates(),
-        ..front.scheduler.conditions()
+/// Tells operators which upstreams are slow.
+fn log_speeds(front: &Front) {
+    let known = front.scheduler.known_rates();
+    front.metrics.upstreams_with_rate.set(known.known as i64);
+    front.metrics.slow_upstreams.set(known.slow as i64);
+    for change in front.scheduler.take_slowdown_changes() {
+        record!(
+            events::UPSTREAM_SPEED,
+            upstream = change.upstream.as_str(),
+            slowdown = format!("{:.2}", change.rate.slowdown),
+            previous = format!("{:.2}", change.previous),
+            error_percent = (change.rate.uncertainty * 100.0) as u64,
+            gap_us = change.rate.event_gap.map(|gap| gap.as_micros() as u64),
+        );
     }
 }
 
-/// Conditions to report in other failure domains.
-fn remote_conditions(front: &Front) -> Conditions {
+/// Conditions to report, with these service rates.
+fn conditions(front: &Front, rates: Vec<ReportedRate>) -> Conditions {
     Conditions {
-        rates: front.scheduler.domain_rates(),
+        rates,
         ..front.scheduler.conditions()
     }
 }
@@ -128,7 +140,8 @@
     let mut heartbeat = heartbeat(front);
     heartbeat.echo = front.peers.echo(name);
     let datagram = Datagram::Heartbeat(Box::new(heartbeat));
-    post_with(socket, &datagram, &local_conditions(front), [addr]);
+    let conditions = conditions(front, front.scheduler.local_rates());
+    post_with(socket, &datagram, &conditions, [addr]);
 }
 
 /// Sends this VM's use of upstreams to all VMs that select among the same ones: those in
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -15,7 +15,8 @@
     UpstreamNotice, UpstreamSpec,
 };
 use trouttrack_core::world::{
-    Decision, NotRunReason, RequestKey, Submission, World, WorldSettings,
+    Decision, KnownRates, NotRunReason, RequestKey, SlowdownChange, Submission, World,
+    WorldSettings,
 };
 
 /// Pause between two scheduling rounds while requests are queued.
@@ -259,10 +260,30 @@
         self.world.borrow().local_rates(self.clock.now())
     }
 
-    /// Service rates to report to the VMs of other failure domains.
+    /// As [`Self::local_rates`] if a report is due.
     #[must_use]
-    pub fn domain_rates(&self) -> Vec<ReportedRate> {
-        self.world.borrow().domain_rates(self.clock.now())
+    pub fn due_local_rates(&self) -> Vec<ReportedRate> {
+        let now = self.clock.now();
+        self.world.borrow_mut().due_local_rates(now)
+    }
+
+    /// Service rates to report to the VMs of other failure domains, if a report is due.
+    #[must_use]
+    pub fn due_domain_rates(&self) -> Vec<ReportedRate> {
+        let now = self.clock.now();
+        self.world.borrow_mut().due_domain_rates(now)
+    }
+
+    /// Upstreams whose slowdown has changed by a lot.
+    pub(crate) fn take_slowdown_changes(&self) -> Vec<SlowdownChange> {
+        let now = self.clock.now();
+        self.world.borrow_mut().take_slowdown_changes(now)
+    }
+
+    /// Number of upstreams whose speed is known.
+    #[must_use]
+    pub fn known_rates(&self) -> KnownRates {
+        self.world.borrow().known_rates()
     }
 
     /// Conditions to report to the other VMs besides service rates.
--- a/trouttrack_telemetry/src/events/catalogue.rs
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -97,4 +97,5 @@
     UPSTREAMS_LISTED = 116, Info, "upstreams-listed", "All upstreams' entries up to a revision are known. Names their number and whether the store or a peer, by its address, gave them; those of a first list have no line of their own.";
     STORE_RESTORED = 117, Warn, "store-restored", "The platform's service was restored from a backup and has lost its latest writes; revision numbers are reused. Names the epoch and the previous one.";
     REMOVAL_UNDONE = 118, Info, "removal-undone", "An upstream's entry is listed again only because a restore of the platform's service has undone its removal. The upstream gets no work until it writes its entry again, or until the time for repeating lost writes has passed with the entry still listed.";
+    UPSTREAM_SPEED = 125, Info, "upstream-speed", "An upstream's slowdown is known for the first time or has changed by a quarter: the time that it takes for a unit of work, divided by that of the typical upstream of its service. Names the previous value, the standard error in percent and the time between two events at its current load.";
 }
