--- a/trouttrack_core/src/routing/mod.rs
+++ b/trouttrack_core/src/routing/mod.rs
@@ -9,6 +9,6 @@
 pub use baselines::{LeastOutstanding, RandomChoice, RoundRobin, TwoChoices};
 pub use explain::{CandidateNote, Explanation, ExplanationTable};
 pub use policy::{AnyPolicy, Candidate, Policy, UnknownPolicy};
-pub use prediction::Prediction;
+pub use prediction::{Excess, PredictedLoad, PredictedRequest, Prediction};
 pub(crate) use score::UNCERTAINTY_PENALTY;
 pub use score::{Scored, Weights};
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -8,12 +8,15 @@
 use super::rate_limit::RateLimit;
 use super::reachability::{Reachability, ReachabilityState};
 use super::refusals::Refusals;
+use super::room::{Runs, tokens_until_freed};
 use super::runs::{OwnRun, PeerUse, ReportSource, peak};
+use super::service_rate::{ObservedRates, RateSample, ServiceRate};
 use super::shared_rate::{Allowance, Handovers, RateShare};
 use super::spec::{LoadReport, UpstreamSpec};
 use crate::Time;
 use crate::debug_asserts::assert_positive;
 use crate::membership::UpstreamUse;
+use crate::routing::PredictedLoad;
 use crate::world::RequestKey;
 use slotmap::new_key_type;
 
@@ -74,6 +77,8 @@
     pub(crate) heard_at: Option<Time>,
     /// Latest submission among the requests of this VM that it has responded to.
     pub(crate) reached_at: Option<Time>,
+    /// Samples of its speed.
+    pub(crate) rates: ObservedRates,
     own_at_report: usize,
 }
 
@@ -99,6 +104,7 @@
             reachability: Reachability::default(),
             heard_at: None,
             reached_at: None,
+            rates: ObservedRates::default(),
             own_at_report: 0,
         }
     }
@@ -186,6 +192,35 @@
         prefill_seconds(self.own_loading() + peers)
     }
 
+    /// Returns the load that the latency of a new request is predicted from.
+    #[must_use]
+    pub fn predicted_load(&self, now: Time, prompt_tokens: u64) -> PredictedLoad {
+        let capacity = self.spec.capacity_tokens as f64;
+        let (mut held, mut prompts_ahead) = (0.0, 0.0);
+        for run in &self.own {
+            held += run.tokens;
+            prompts_ahead += if run.loaded { 0.0 } else { run.tokens };
+        }
+        for peer in &self.peers {
+            held += peer.held_tokens;
+            prompts_ahead += peer.backlog.tokens(now);
+        }
+        let missing = held + prompt_tokens as f64 - capacity;
+        PredictedLoad {
+            prompts_ahead,
+            tokens_until_memory: match capacity > 0.0 && missing > 0.0 {
+                true => self.tokens_until_freed(missing),
+                false => 0.0,
+            },
+            capacity,
+        }
+    }
+
+    fn tokens_until_freed(&self, missing: f64) -> f64 {
+        let own = self.own.iter().map(Runs::from);
+        tokens_until_freed(own.chain(self.peers.iter().map(Runs::from)), missing)
+    }
+
     /// Returns the prompt tokens of this process's requests without a first token. This is
     /// observed rather than estimated, as a slow, cold or busy engine takes longer.
     pub(crate) fn own_loading(&self) -> f64 {
@@ -201,6 +236,67 @@
         Time::from_secs_f64((self.prefill_seconds(now) - newest).max(0.0))
     }
 
+    /// Returns the rates at which it serves beside the requests that are running there.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use trouttrack_core::upstream::{UpstreamSpec, UpstreamTable};
+    /// let mut table = UpstreamTable::default();
+    /// let spec = UpstreamSpec {
+    ///     id: "e1".into(),
+    ///     failure_domain: "a".into(),
+    ///     services: vec!["lookup".into()],
+    ///     capacity_tokens: 1000,
+    ///     max_running: 8,
+    ///     warm_up_ends_at: Duration::ZERO,
+    ///     born: 0,
+    ///     cold_rate: 0.0,
+    /// };
+    /// table.configure(vec![spec], "a");
+    /// let rate = table.get_by_id("e1").unwrap().service_rate(Duration::ZERO);
+    /// assert_eq!((rate.slowdown, rate.event_gap), (1.0, None));
+    /// ```
+    #[must_use]
+    pub fn service_rate(&self, now: Time) -> ServiceRate {
+        self.rates.estimate().at_load(self.running_at(now))
+    }
+
+    /// Records what one of this VM's running requests shows of its speed, unless it is slow
+    /// because it has just started.
+    pub(crate) fn observe(&mut self, now: Time, prompt_tokens: u64, sample: RateSample) {
+        self.note_loading(now);
+        if self.coldness(now) > 0.0 {
+            return;
+        }
+        let others = self.estimated_running().saturating_sub(1);
+        match sample {
+            RateSample::Events { events, elapsed } => {
+                self.rates.record_events(now, events, elapsed, others);
+            }
+            RateSample::FirstToken(elapsed) => {
+                self.rates.record_first_token(now, elapsed, prompt_tokens);
+            }
+            RateSample::Call(_) => {}
+        }
+    }
+
+    /// Records the duration of a plain call as a multiple of the mean of its kind.
+    pub(crate) fn observe_call(&mut self, now: Time, ratio: f64) {
+        if self.coldness(now) == 0.0 {
+            self.rates.record_call(now, ratio);
+        }
+    }
+
+    /// Records how many prompts are known to be loading now. Called before and after a change.
+    pub(crate) fn note_loading(&mut self, now: Time) {
+        let own = self.own.iter().filter(|r| !r.loaded).count();
+        let loads = |p: &&PeerUse| p.backlog.tokens(now) > 0.0;
+        let peers = self.peers.iter().filter(loads).count();
+        self.rates.note_loading(now, own + peers);
+    }
+
     /// Returns the age of the oldest usage report among the peers that use it.
     #[must_use]
     pub fn oldest_report_age(&self, now: Time) -> Option<Time> {
@@ -307,6 +403,7 @@
     /// Records that a request is handed over.
     pub(crate) fn record_handover(&mut self, now: Time) {
         self.refusals.record_sent();
+        self.note_loading(now);
         if self.bounded_rate(now).is_some() {
             self.handovers.record_own(now);
         }
@@ -355,6 +452,11 @@
         self.peers.push(new);
     }
 
+    /// Forgets the samples of an earlier incarnation.
+    pub(super) fn reset_rates(&mut self) {
+        self.rates = ObservedRates::default();
+    }
+
     /// Removes the reported use of a peer.
     pub(crate) fn remove_peer_use(&mut self, source: &ReportSource) {
         self.peers.retain(|p| p.source != *source);
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -2,11 +2,12 @@
 
 use super::peers::PeerHeartbeats;
 use super::queue::{FairQueue, QueuePosition};
+use super::rates::RateEstimates;
 use super::reachability::ReachabilityChange;
 use super::service_level::ServiceLevel;
 use crate::length::{LengthKey, LengthTable};
 use crate::membership::{Evacuations, UpstreamUse};
-use crate::routing::{AnyPolicy, ExplanationTable};
+use crate::routing::{AnyPolicy, ExplanationTable, Prediction};
 use crate::upstream::{
     LoadReport, RateShare, ReachabilityTable, Upstream, UpstreamKey, UpstreamNotices, UpstreamSpec,
     UpstreamTable,
@@ -106,6 +107,8 @@
     pub since: Time,
     /// Upstream on which the request runs, once placed.
     pub upstream: Option<UpstreamKey>,
+    /// What it was predicted to experience there, once placed.
+    pub prediction: Prediction,
     pub(crate) queue_position: Option<QueuePosition>,
 }
 
@@ -213,6 +216,7 @@
     pub(crate) deadlines: BTreeSet<(Time, RequestKey)>,
     pub(crate) limits: Limits,
     pub(crate) peers: PeerHeartbeats,
+    pub(crate) rate_estimates: RateEstimates,
     /// Status reported by upstreams about themselves; each row holds a copy of its own.
     pub(crate) notices: UpstreamNotices,
     /// Upstreams that refused connections; each row holds a copy of its own.
@@ -243,6 +247,7 @@
             deadlines: BTreeSet::new(),
             limits: Limits::default(),
             peers: PeerHeartbeats::default(),
+            rate_estimates: RateEstimates::default(),
             notices: UpstreamNotices::default(),
             reachability: ReachabilityTable::default(),
             reachability_changes: Vec::new(),
@@ -347,6 +352,7 @@
             submission,
             since: now,
             upstream: None,
+            prediction: Prediction::UNKNOWN,
             queue_position: None,
         });
         if !has_upstream {
@@ -401,6 +407,7 @@
             self.lengths.record(row.submission.length_key, tokens);
         }
         if let Some(u) = self.upstreams.get_mut(upstream) {
+            u.note_loading(now);
             u.remove(key);
             // If neither is known, as when the caller disconnects, earlier failures still count.
             if fault {
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -1,7 +1,9 @@
 //! Prometheus metrics in the text exposition format.
 
+mod prediction;
 mod streams;
 
+pub(crate) use prediction::PredictionError;
 pub(crate) use streams::StreamTiming;
 
 use prometheus::{
@@ -53,6 +55,10 @@
     pub first_byte: Histogram,
     /// Estimated time to load the prompts ahead of a request on the chosen upstream.
     pub loading: Histogram,
+    /// Errors of the predicted first tokens.
+    pub first_token_error: PredictionError,
+    /// Errors of the predicted mean times between two events.
+    pub event_gap_error: PredictionError,
     /// Age of the oldest peer report that a placement was based on.
     pub known_age: Histogram,
     /// Pause of a caller's stream while its generation was moved.
@@ -68,6 +74,10 @@
     pub slow_readers: IntCounterVec,
     /// Stream events forwarded to callers.
     pub events: IntCounter,
+    /// Upstreams whose speed is known.
+    pub upstreams_with_rate: IntGauge,
+    /// Upstreams that take at least a quarter longer than the typical one of their service.
+    pub slow_upstreams: IntGauge,
     /// Scheduler rows rebuilt in full rebuilds of the tables.
     pub rows_made: IntCounter,
 }
@@ -192,6 +202,16 @@
                 "trouttrack_decision_loading_seconds",
                 "Time to load the prompts before a request, as decided by",
             ),
+            first_token_error: PredictionError::new(
+                &r,
+                "trouttrack_prediction_first_token_error_seconds",
+                "Difference between the predicted first token and what came",
+            ),
+            event_gap_error: PredictionError::new(
+                &r,
+                "trouttrack_prediction_event_gap_error_seconds",
+                "Difference between the predicted mean time between two events and what came",
+            ),
             known_age: histogram(
                 &r,
                 "trouttrack_decision_known_age_seconds",
@@ -226,6 +246,16 @@
                 &["bound"],
             ),
             events: counter(&r, "trouttrack_events_total", "Events of streams forwarded"),
+            upstreams_with_rate: gauge(
+                &r,
+                "trouttrack_upstreams_with_rate",
+                "Upstreams whose speed is known",
+            ),
+            slow_upstreams: gauge(
+                &r,
+                "trouttrack_slow_upstreams",
+                "Upstreams that take at least a quarter longer than the typical one of their service",
+            ),
             rows_made: counter(
                 &r,
                 "trouttrack_upstream_rows_made_total",
--- a/trouttrack_front/src/request/stream/finish.rs
+++ b/trouttrack_front/src/request/stream/finish.rs
@@ -82,5 +82,6 @@
             caller_wait: self.pace.caller_wait(),
         };
         record_forwarded(&self.front, &self.admitted, answer);
+        self.record_gap_error();
     }
 }
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -10,12 +10,14 @@
 use tokio::sync::{Notify, oneshot};
 use trouttrack_core::UpstreamId;
 use trouttrack_core::membership::{Conditions, Evacuations, MAX_LIMITS_PER_DATAGRAM, UpstreamUse};
+use trouttrack_core::routing::Prediction;
 use trouttrack_core::upstream::{
-    Availability, Incarnation, RateLimit, RateShare, ReportedLimit, Upstream, UpstreamNotice,
-    UpstreamSpec,
+    Availability, Incarnation, RateLimit, RateShare, ReportedLimit, ReportedRate, Upstream,
+    UpstreamNotice, UpstreamSpec,
 };
 use trouttrack_core::world::{
-    Decision, NotRunReason, RequestKey, Submission, World, WorldSettings,
+    Decision, KnownRates, NotRunReason, RequestKey, SlowdownChange, Submission, World,
+    WorldSettings,
 };
 
 /// Pause between two scheduling rounds while requests are queued.
@@ -41,6 +43,8 @@
     pub running: usize,
     /// Estimated time to load the prompts placed on it earlier.
     pub loading: Duration,
+    /// What the request is predicted to experience there.
+    pub prediction: Prediction,
     /// Age of the oldest peer report included in these estimates; `None` if no peer is known to
     /// use the upstream.
     pub known: Option<Duration>,
@@ -101,7 +105,7 @@
         if own_prompt > 0 || self.is_rate_bounded(&upstream) {
             self.tell_soon();
         }
-        Ok(self.placed(upstream, ticket, own_prompt))
+        Ok(self.placed(key, upstream, ticket, own_prompt))
     }
 
     /// Whether an upstream has a rate limit that is shared by all VMs.
@@ -113,7 +117,13 @@
 
     /// Collects the estimates behind a decision. The upstream's row already includes the request
     /// and its prompt.
-    fn placed(&self, upstream: UpstreamId, ticket: Ticket, own_prompt: u64) -> Placed {
+    fn placed(
+        &self,
+        key: RequestKey,
+        upstream: UpstreamId,
+        ticket: Ticket,
+        own_prompt: u64,
+    ) -> Placed {
         let now = self.clock.now();
         let world = self.world.borrow();
         let row = world.upstreams.get_by_id(&upstream);
@@ -122,6 +132,7 @@
             running: row.map_or(0, Upstream::estimated_running),
             loading: row.map_or(Duration::ZERO, |u| u.prefill_wait(now, own_prompt)),
             known: row.and_then(|u| u.oldest_report_age(now)),
+            prediction: world.prediction(key),
             upstream,
             ticket,
         }
@@ -253,7 +264,39 @@
             .record_peer_uses(now, peer, failure_domain, uses);
     }
 
-    /// Conditions to report to the other VMs.
+    /// Service rates to report to the VMs of this failure domain.
+    #[must_use]
+    pub fn local_rates(&self) -> Vec<ReportedRate> {
+        self.world.borrow().local_rates(self.clock.now())
+    }
+
+    /// As [`Self::local_rates`] if a report is due.
+    #[must_use]
+    pub fn due_local_rates(&self) -> Vec<ReportedRate> {
+        let now = self.clock.now();
+        self.world.borrow_mut().due_local_rates(now)
+    }
+
+    /// Service rates to report to the VMs of other failure domains, if a report is due.
+    #[must_use]
+    pub fn due_domain_rates(&self) -> Vec<ReportedRate> {
+        let now = self.clock.now();
+        self.world.borrow_mut().due_domain_rates(now)
+    }
+
+    /// Upstreams whose slowdown has changed by a lot.
+    pub(crate) fn take_slowdown_changes(&self) -> Vec<SlowdownChange> {
+        let now = self.clock.now();
+        self.world.borrow_mut().take_slowdown_changes(now)
+    }
+
+    /// Number of upstreams whose speed is known.
+    #[must_use]
+    pub fn known_rates(&self) -> KnownRates {
+        self.world.borrow().known_rates()
+    }
+
+    /// Conditions to report to the other VMs besides service rates.
     #[must_use]
     pub fn conditions(&self) -> Conditions {
         self.world.borrow().conditions(self.clock.now())
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod buffers;
+mod compatibility;
 mod config;
 mod entries;
 mod evacuation;
