Test that a disconnected slow reader's stream is reported as uncertain

Cause: the test of slow readers did not look at how their streams end. Change: it waits for as many uncertain ends as readers were ended.

--- a/trouttrack_front/tests/front/buffers.rs
+++ b/trouttrack_front/tests/front/buffers.rs
@@ -109,6 +109,14 @@
         incomplete += u64::from(!is_complete(caller).await);
     }
     assert!(incomplete >= ended(&bed, "organisation"));
+    let uncertain = || {
+        let ends = &bed.front.front.metrics.ended;
+        ends.with_label_values(&["stream", "uncertain"]).get()
+    };
+    until("they are reported as uncertain", || {
+        uncertain() >= ended(&bed, "organisation")
+    })
+    .await;
     until("nothing is kept", || total(&bed) == 0).await;
 }
 
