Take the noise of rate samples from how VMs differ

Change: the noise is the median over the upstreams of how the means of VMs differ; a separate term stands for one disturbed sample among those known. The part of the estimate of rows and tables is in modules of its own.

Result: new_upstream_of_an_uneven_service_is_known_within_two_seconds and first_sample_in_a_slow_phase_does_not_make_a_new_upstream_slow; benchmark rates/estimate.

--- a/trouttrack_core/benches/decision.rs
+++ b/trouttrack_core/benches/decision.rs
@@ -6,10 +6,13 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use std::hint::black_box;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 use trouttrack_core::length::LengthKey;
-use trouttrack_core::membership::UpstreamUse;
-use trouttrack_core::upstream::UpstreamSpec;
+use trouttrack_core::membership::{Conditions, UpstreamUse};
+use trouttrack_core::upstream::{
+    Incarnation, ReportedMean, ReportedRate, UpstreamSpec, incarnation_hash,
+};
 use trouttrack_core::world::{Decision, ServiceLevel, Submission, World, WorldSettings};
 
 const UPSTREAMS: [usize; 3] = [10, 100, 900];
@@ -18,6 +21,11 @@
 const RUNNING_PER_UPSTREAM: usize = 12;
 /// Maximum number of upstreams listed in a heartbeat.
 const UPSTREAMS_PER_HEARTBEAT: usize = 30;
+/// Decisions between two reports of service rates, with this number of upstreams each.
+const DECISIONS_PER_REPORT: usize = 100;
+const RATES_PER_REPORT: usize = 16;
+/// Number of peers that report the rate of an upstream.
+const PEERS_PER_UPSTREAM: usize = 10;
 /// Number of peers, whose heartbeats arrive in turn.
 const PEERS: usize = 340;
 
@@ -77,6 +85,10 @@
 
 fn decide(world: &mut World, i: usize, organisations: usize) {
     let now = Duration::from_millis(i as u64);
+    if i.is_multiple_of(DECISIONS_PER_REPORT) {
+        let first = i / DECISIONS_PER_REPORT * RATES_PER_REPORT;
+        hear_rates(world, now, "vm-1", first..first + RATES_PER_REPORT);
+    }
     world.submit(now, submission(i, organisations));
     for d in world.tick(now) {
         if let Decision::Place { request, .. } = black_box(d) {
@@ -85,6 +97,46 @@
     }
 }
 
+/// Applies a peer's report of the service rates of some upstreams.
+fn hear_rates(world: &mut World, now: Duration, peer: &str, upstreams: Range<usize>) {
+    let conditions = Conditions {
+        rates: upstreams.map(rate).collect(),
+        ..Conditions::default()
+    };
+    world.record_peer_conditions(now, peer, true, &conditions);
+}
+
+fn rate(i: usize) -> ReportedRate {
+    let id = format!("e{}", i % UPSTREAMS[2]);
+    let mean = |log_us| ReportedMean { weight: 24, log_us };
+    ReportedRate {
+        upstream: incarnation_hash(&Incarnation::new(&id, 0)),
+        event_gap: mean(10_000 + (i % 7 * 100) as u16),
+        prefill: mean(12_000 + (i % 5 * 100) as u16),
+        call: ReportedMean::default(),
+    }
+}
+
+/// Benchmarks the estimates of all service rates, which are updated a few times a second.
+fn rates(c: &mut Criterion) {
+    let mut group = c.benchmark_group("rates");
+    for upstreams in UPSTREAMS {
+        let mut world = world(upstreams, 10);
+        let mut now = Duration::from_secs(1);
+        for peer in 0..PEERS_PER_UPSTREAM {
+            hear_rates(&mut world, now, &format!("vm-{peer}"), 0..upstreams);
+        }
+        group.bench_function(BenchmarkId::new("estimate", upstreams), |b| {
+            b.iter(|| {
+                // As short as keeps the reports valid.
+                now += Duration::from_nanos(1);
+                world.update_rates(now);
+            });
+        });
+    }
+    group.finish();
+}
+
 fn decisions(c: &mut Criterion) {
     let mut group = c.benchmark_group("decision");
     for upstreams in UPSTREAMS {
@@ -171,5 +223,5 @@
     }
 }
 
-criterion_group!(benches, decisions, membership);
+criterion_group!(benches, decisions, membership, rates);
 criterion_main!(benches);
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -8,7 +8,7 @@
 use super::rate_limit::RateLimit;
 use super::refusals::Refusals;
 use super::runs::{OwnRun, PeerUse, ReportSource, peak};
-use super::service_rate::{ObservedRates, RateSample, ServiceRate};
+use super::service_rate::ObservedRates;
 use super::shared_rate::{Allowance, Handovers, RateShare};
 use super::spec::{LoadReport, UpstreamSpec};
 use crate::Time;
@@ -124,7 +124,7 @@
     }
 
     /// As `estimated_running`, without calls of peers that should have ended by `now`.
-    fn running_at(&self, now: Time) -> usize {
+    pub(super) fn running_at(&self, now: Time) -> usize {
         let is_plain = self.spec.capacity_tokens == 0;
         if !self.peers_report_use || !is_plain {
             return self.estimated_running();
@@ -195,67 +195,6 @@
         Time::from_secs_f64((self.prefill_seconds(now) - newest).max(0.0))
     }
 
-    /// Returns the rates at which it serves beside the requests that are running there.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use trouttrack_core::upstream::{UpstreamSpec, UpstreamTable};
-    /// let mut table = UpstreamTable::default();
-    /// let spec = UpstreamSpec {
-    ///     id: "e1".into(),
-    ///     failure_domain: "a".into(),
-    ///     services: vec!["lookup".into()],
-    ///     capacity_tokens: 1000,
-    ///     max_running: 8,
-    ///     warm_up_ends_at: Duration::ZERO,
-    ///     born: 0,
-    ///     cold_rate: 0.0,
-    /// };
-    /// table.configure(vec![spec], "a");
-    /// let rate = table.get_by_id("e1").unwrap().service_rate(Duration::ZERO);
-    /// assert_eq!((rate.slowdown, rate.event_gap), (1.0, None));
-    /// ```
-    #[must_use]
-    pub fn service_rate(&self, now: Time) -> ServiceRate {
-        self.rates.estimate().at_load(self.running_at(now))
-    }
-
-    /// Records what one of this VM's running requests shows of its speed, unless it is slow
-    /// because it has just started.
-    pub(crate) fn observe(&mut self, now: Time, prompt_tokens: u64, sample: RateSample) {
-        self.note_loading(now);
-        if self.coldness(now) > 0.0 {
-            return;
-        }
-        let others = self.estimated_running().saturating_sub(1);
-        match sample {
-            RateSample::Events { events, elapsed } => {
-                self.rates.record_events(now, events, elapsed, others);
-            }
-            RateSample::FirstToken(elapsed) => {
-                self.rates.record_first_token(now, elapsed, prompt_tokens);
-            }
-            RateSample::Call(_) => {}
-        }
-    }
-
-    /// Records the duration of a plain call as a multiple of the mean of its kind.
-    pub(crate) fn observe_call(&mut self, now: Time, ratio: f64) {
-        if self.coldness(now) == 0.0 {
-            self.rates.record_call(now, ratio);
-        }
-    }
-
-    /// Records how many prompts are known to be loading now. Called before and after a change.
-    pub(crate) fn note_loading(&mut self, now: Time) {
-        let own = self.own.iter().filter(|r| !r.loaded).count();
-        let loads = |p: &&PeerUse| p.backlog.tokens(now) > 0.0;
-        let peers = self.peers.iter().filter(loads).count();
-        self.rates.note_loading(now, own + peers);
-    }
-
     /// Returns the age of the oldest usage report among the peers that use it.
     #[must_use]
     pub fn oldest_report_age(&self, now: Time) -> Option<Time> {
@@ -391,11 +330,6 @@
         self.peers.push(new);
     }
 
-    /// Forgets the samples of an earlier incarnation.
-    pub(super) fn reset_rates(&mut self) {
-        self.rates = ObservedRates::default();
-    }
-
     /// Removes the reported use of a peer.
     pub(crate) fn remove_peer_use(&mut self, source: &ReportSource) {
         self.peers.retain(|p| p.source != *source);
--- a/trouttrack_core/src/upstream/service_rate/estimate.rs
+++ b/trouttrack_core/src/upstream/service_rate/estimate.rs
@@ -85,9 +85,11 @@
     1.0 + GAP_GROWTH_PER_GENERATION * others as f64
 }
 
-/// Standard error of the mean logarithm of `weight` independent samples.
-pub(super) fn standard_error(quantity: Quantity, weight: f64) -> f64 {
-    (quantity.deviation().powi(2) / weight + MIN_STANDARD_ERROR.powi(2)).sqrt()
+/// Standard error of the mean logarithm of `weight` independent samples with this noise, one of
+/// which may be disturbed.
+pub(super) fn standard_error(quantity: Quantity, weight: f64, noise: f64) -> f64 {
+    let disturbed = quantity.disturbance() / weight;
+    (noise.powi(2) / weight + disturbed.powi(2) + MIN_STANDARD_ERROR.powi(2)).sqrt()
 }
 
 /// Reduces a value by its error: to zero up to [`SIGNIFICANT_ERRORS`], continuously, and by
--- a/trouttrack_core/src/upstream/service_rate/mod.rs
+++ b/trouttrack_core/src/upstream/service_rate/mod.rs
@@ -14,12 +14,12 @@
 mod observed;
 mod quantity;
 mod sample;
+mod table;
 mod typical;
+mod upstream;
 
 pub(crate) use call_kinds::CallKinds;
 pub use estimate::ServiceRate;
-pub(crate) use log_mean::LogMean;
 pub(crate) use observed::ObservedRates;
-pub(crate) use quantity::PerQuantity;
 pub use sample::{RateSample, ReportedMean, ReportedRate, incarnation_hash};
 pub(crate) use typical::Typical;
--- a/trouttrack_core/src/upstream/service_rate/observed.rs
+++ b/trouttrack_core/src/upstream/service_rate/observed.rs
@@ -13,6 +13,8 @@
 const MAX_REPORT_AGE: Duration = Duration::from_secs(20);
 /// Age of the last sample up to which this VM's samples are reported.
 const REPORT_PERIOD: Duration = Duration::from_secs(3);
+/// Weight from which the mean of a VM is compared with those of others.
+const MIN_COMPARED_WEIGHT: f64 = 0.3;
 /// Ratio by which a slowdown has to change to be announced to operators again.
 const ANNOUNCED_RATIO: f64 = 1.5;
 /// Tolerance when a loading prompt is compared with the start of a sample, which begins as the
@@ -37,6 +39,14 @@
     announced: f64,
 }
 
+/// Means of all samples of one upstream, and the variance of an independent sample where it is
+/// known.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RowSamples {
+    pub(super) means: PerQuantity<LogMean>,
+    pub(super) variance: PerQuantity<Option<f64>>,
+}
+
 /// The samples of one peer or failure domain.
 #[derive(Clone, Debug)]
 struct PeerRates {
@@ -156,15 +166,35 @@
     }
 
     /// Returns all samples, without those of peers that are silent.
-    pub(crate) fn all(&mut self, now: Time) -> PerQuantity<LogMean> {
+    pub(crate) fn all(&mut self, now: Time) -> RowSamples {
         self.peers
             .retain(|p| now.saturating_sub(p.at) < MAX_REPORT_AGE);
-        self.merged(now, |_| true)
+        let means = self.merged(now, |_| true);
+        let mut variance = PerQuantity::default();
+        for quantity in Quantity::ALL {
+            variance[quantity] = self.variance(now, quantity, means[quantity].mean());
+        }
+        RowSamples { means, variance }
+    }
+
+    /// Variance of an independent sample, from how the means of several VMs differ.
+    fn variance(&self, now: Time, quantity: Quantity, mean: f64) -> Option<f64> {
+        let peers = self.peers.iter().map(|p| &p.means[quantity]);
+        let sources = peers.chain([&self.own[quantity]]);
+        let (mut sum, mut count) = (0.0, 0_u32);
+        for source in sources {
+            let weight = source.weight(now);
+            if weight >= MIN_COMPARED_WEIGHT {
+                sum += weight * (source.mean() - mean).powi(2);
+                count += 1;
+            }
+        }
+        (count > 1).then(|| sum / f64::from(count - 1))
     }
 
     /// Updates the estimate.
-    pub(crate) fn update(&mut self, now: Time, means: &PerQuantity<LogMean>, typical: &Typical) {
-        self.estimate = Estimate::of(now, means, typical);
+    pub(crate) fn update(&mut self, now: Time, samples: &RowSamples, typical: &Typical) {
+        self.estimate = Estimate::of(now, &samples.means, typical);
     }
 
     /// Returns the previous slowdown if the current one differs from it by a lot, and remembers
--- a/trouttrack_core/src/upstream/service_rate/quantity.rs
+++ b/trouttrack_core/src/upstream/service_rate/quantity.rs
@@ -16,15 +16,24 @@
 impl Quantity {
     pub(crate) const ALL: [Self; 3] = [Self::EventGap, Self::Prefill, Self::Call];
 
-    /// Standard deviation of the logarithm of one independent sample. It includes slow phases
-    /// of an upstream, and for prefill and calls the work that was ahead but unknown.
-    pub(super) fn deviation(self) -> f64 {
+    /// Assumed standard deviation of the logarithm of one independent sample, until it is known
+    /// from how VMs differ.
+    pub(super) fn assumed_noise(self) -> f64 {
         match self {
             Self::EventGap => 0.3,
             Self::Prefill => 0.5,
             Self::Call => 0.8,
         }
     }
+
+    /// Logarithm by which one sample may be off: taken in a slow phase of the upstream, or for
+    /// prefill and calls behind unknown work.
+    pub(super) fn disturbance(self) -> f64 {
+        match self {
+            Self::EventGap => 0.5,
+            Self::Prefill | Self::Call => 0.8,
+        }
+    }
 }
 
 /// A value for each [`Quantity`].
--- a/trouttrack_core/src/upstream/service_rate/typical.rs
+++ b/trouttrack_core/src/upstream/service_rate/typical.rs
@@ -2,11 +2,18 @@
 
 use super::estimate::{firm_threshold, standard_error};
 use super::log_mean::LogMean;
+use super::observed::RowSamples;
 use super::quantity::{PerQuantity, Quantity};
 use crate::Time;
 
 /// Ratio of the standard error of a median to that of a mean.
 const MEDIAN_ERROR_RATIO: f64 = 1.25;
+/// Median of a variance estimated from two values, divided by its mean.
+const MEDIAN_OF_VARIANCE: f64 = 0.45;
+/// Number of upstreams as which the assumed noise counts beside the measured one.
+const ASSUMED_COUNT: f64 = 1.0;
+/// Lower bound of the noise.
+const MIN_NOISE: f64 = 0.05;
 /// Distance between the first and the last fifth of a normal distribution, in standard deviations.
 const FIFTHS_DISTANCE: f64 = 1.68;
 
@@ -15,6 +22,8 @@
 pub(crate) struct Typical {
     /// Median of the mean logarithms; `None` if no upstream is known.
     pub(super) middle: PerQuantity<Option<Middle>>,
+    /// Standard deviation of the logarithm of an independent sample.
+    noise: PerQuantity<f64>,
     /// Standard deviation of the logarithms of the upstreams' slowdowns; 0 if their differences
     /// are within their errors.
     pub(super) spread: f64,
@@ -28,11 +37,12 @@
 }
 
 impl Typical {
-    /// Computes what is typical of upstreams with these means.
-    pub(crate) fn of(now: Time, upstreams: &[PerQuantity<LogMean>]) -> Self {
+    /// Computes what is typical of upstreams with these samples.
+    pub(crate) fn of(now: Time, upstreams: &[RowSamples]) -> Self {
         let mut typical = Self::default();
         for quantity in Quantity::ALL {
-            typical.middle[quantity] = middle(now, quantity, upstreams);
+            typical.noise[quantity] = noise(quantity, upstreams);
+            typical.middle[quantity] = typical.median(now, quantity, upstreams);
         }
         typical.spread = spread(now, &typical, upstreams);
         typical
@@ -44,7 +54,7 @@
         for quantity in Quantity::ALL {
             let weight = means[quantity].weight(now);
             if let Some(middle) = self.middle[quantity].filter(|_| weight > 0.0) {
-                let own = standard_error(quantity, weight);
+                let own = standard_error(quantity, weight, self.noise[quantity]);
                 let variance = own.powi(2) + middle.standard_error.powi(2);
                 sum += (means[quantity].mean() - middle.log) / variance;
                 precision += 1.0 / variance;
@@ -52,26 +62,42 @@
         }
         (precision > 0.0).then(|| (sum / precision, precision.recip().sqrt()))
     }
+
+    fn median(&self, now: Time, quantity: Quantity, upstreams: &[RowSamples]) -> Option<Middle> {
+        let (mut known, mut variances) = (Vec::with_capacity(upstreams.len()), 0.0);
+        for mean in upstreams.iter().map(|samples| samples.means[quantity]) {
+            let weight = mean.weight(now);
+            if weight > 0.0 {
+                // An upstream with a single sample counts half as much as one with many.
+                known.push((mean.mean(), weight / (weight + 1.0)));
+                variances += standard_error(quantity, weight, self.noise[quantity]).powi(2);
+            }
+        }
+        let mean_error = variances.sqrt() / known.len() as f64;
+        Some(Middle {
+            log: weighted_median(&mut known)?,
+            standard_error: MEDIAN_ERROR_RATIO * mean_error,
+        })
+    }
 }
 
-fn middle(now: Time, quantity: Quantity, upstreams: &[PerQuantity<LogMean>]) -> Option<Middle> {
-    // An upstream with a single sample counts half as much as one with many.
-    let weighted = |means: &PerQuantity<LogMean>| {
-        let weight = means[quantity].weight(now);
-        (weight > 0.0).then(|| (means[quantity].mean(), weight / (weight + 1.0)))
-    };
-    let mut known: Vec<(f64, f64)> = upstreams.iter().filter_map(weighted).collect();
-    let log = weighted_median(&mut known)?;
-    let variances = upstreams
+/// Standard deviation of an independent sample: the median over the upstreams, so that those in
+/// a slow phase do not count.
+fn noise(quantity: Quantity, upstreams: &[RowSamples]) -> f64 {
+    let mut known: Vec<f64> = upstreams
         .iter()
-        .map(|means| means[quantity].weight(now))
-        .filter(|weight| *weight > 0.0)
-        .map(|weight| standard_error(quantity, weight).powi(2));
-    let mean_error = variances.sum::<f64>().sqrt() / known.len() as f64;
-    Some(Middle {
-        log,
-        standard_error: MEDIAN_ERROR_RATIO * mean_error,
-    })
+        .filter_map(|samples| samples.variance[quantity])
+        .collect();
+    let assumed = quantity.assumed_noise().powi(2);
+    if known.is_empty() {
+        return assumed.sqrt();
+    }
+    let middle = known.len() / 2;
+    let (_, median, _) = known.select_nth_unstable_by(middle, f64::total_cmp);
+    let measured = *median / MEDIAN_OF_VARIANCE;
+    let count = known.len() as f64;
+    let variance = (ASSUMED_COUNT * assumed + count * measured) / (ASSUMED_COUNT + count);
+    variance.sqrt().max(MIN_NOISE)
 }
 
 /// Median of values with weights; the mean of both middle ones if they share it equally.
@@ -93,9 +119,9 @@
 }
 
 /// Robust standard deviation of the slowdowns' logarithms that are beyond their errors.
-fn spread(now: Time, typical: &Typical, upstreams: &[PerQuantity<LogMean>]) -> f64 {
-    let significant = |means| {
-        let (log, error) = typical.deviation(now, means)?;
+fn spread(now: Time, typical: &Typical, upstreams: &[RowSamples]) -> f64 {
+    let significant = |samples: &RowSamples| {
+        let (log, error) = typical.deviation(now, &samples.means)?;
         Some(firm_threshold(log, error))
     };
     let mut logs: Vec<f64> = upstreams.iter().filter_map(significant).collect();
--- a/trouttrack_core/src/upstream/table.rs
+++ b/trouttrack_core/src/upstream/table.rs
@@ -1,10 +1,10 @@
 //! The table of upstreams, with an index by service.
 
 use super::row::{Upstream, UpstreamKey};
-use super::service_rate::{LogMean, PerQuantity, Typical, incarnation_hash};
+use super::service_rate::{Typical, incarnation_hash};
 use super::spec::UpstreamSpec;
+use crate::UpstreamId;
 use crate::membership::Evacuations;
-use crate::{Time, UpstreamId};
 use slotmap::SlotMap;
 use std::collections::{HashMap, HashSet};
 use std::mem;
@@ -12,17 +12,17 @@
 /// All configured upstreams.
 #[derive(Debug, Default)]
 pub struct UpstreamTable {
-    rows: SlotMap<UpstreamKey, Upstream>,
+    pub(super) rows: SlotMap<UpstreamKey, Upstream>,
     by_id: HashMap<UpstreamId, UpstreamKey>,
     /// By the hash of the incarnation. An entry may be outdated.
     by_hash: HashMap<u32, UpstreamKey>,
-    by_service: HashMap<String, ServiceUpstreams>,
+    pub(super) by_service: HashMap<String, ServiceUpstreams>,
     /// Whether peers report their use of upstreams.
     peers_report_use: bool,
     /// Failure domains whose upstreams get no new requests.
     evacuations: Evacuations,
     /// What is typical of the upstreams of each service.
-    typical: HashMap<String, Typical>,
+    pub(super) typical: HashMap<String, Typical>,
 }
 
 /// The upstreams of a service, those of this VM's failure domain first.
@@ -95,38 +95,6 @@
         self.estimate_unknown(key);
     }
 
-    /// Gives a row without samples the rates of an unknown upstream of its service.
-    fn estimate_unknown(&mut self, key: UpstreamKey) {
-        let row = &mut self.rows[key];
-        let typical = row.spec.services.first().and_then(|s| self.typical.get(s));
-        if let Some(typical) = typical
-            && row.rates.is_unknown()
-        {
-            row.rates
-                .update(Time::ZERO, &PerQuantity::default(), typical);
-        }
-    }
-
-    /// Estimates the rates of all upstreams. An upstream is compared with those of the first of
-    /// its services.
-    pub(crate) fn estimate_rates(&mut self, now: Time) {
-        for (service, serving) in &self.by_service {
-            let mut rows = Vec::with_capacity(serving.keys.len());
-            for key in &serving.keys {
-                let row = &mut self.rows[*key];
-                if row.spec.services.first() == Some(service) {
-                    rows.push((*key, row.rates.all(now)));
-                }
-            }
-            let means: Vec<PerQuantity<LogMean>> = rows.iter().map(|(_, means)| *means).collect();
-            let typical = Typical::of(now, &means);
-            for (key, means) in rows {
-                self.rows[key].rates.update(now, &means, &typical);
-            }
-            self.typical.insert(service.clone(), typical);
-        }
-    }
-
     /// Sets the failure domains whose upstreams get no new requests, including upstreams
     /// that are added later.
     pub(crate) fn set_evacuations(&mut self, evacuations: Evacuations) {
--- a/trouttrack_core/src/world/rates.rs
+++ b/trouttrack_core/src/world/rates.rs
@@ -176,12 +176,17 @@
 
     /// Updates the estimates if they are due.
     pub(super) fn estimate_rates(&mut self, now: Time) {
-        let estimates = &mut self.rate_estimates;
+        let estimates = &self.rate_estimates;
         let age = now.saturating_sub(estimates.updated_at);
         if !estimates.has_samples || age < ESTIMATE_INTERVAL {
             return;
         }
-        estimates.updated_at = now;
+        self.update_rates(now);
+    }
+
+    /// Updates the estimates of all upstreams.
+    pub fn update_rates(&mut self, now: Time) {
+        self.rate_estimates.updated_at = now;
         self.upstreams.estimate_rates(now);
     }
 }
--- a/trouttrack_core/tests/core/service_rates.rs
+++ b/trouttrack_core/tests/core/service_rates.rs
@@ -225,6 +225,48 @@
     assert!(unknown.uncertainty > 0.2, "{unknown:?}");
 }
 
+#[test]
+fn first_sample_in_a_slow_phase_does_not_make_a_new_upstream_slow() {
+    let mut fleet = Fleet::new(12, vec![0.040; 13], 1);
+    fleet.run(seconds(6.0));
+    let now = fleet.now;
+    let key = generation(&mut fleet.vms[0], now, "e12");
+    fleet.vms[0].observe(now + seconds(0.8), key, events(0.100));
+    assert_eq!(slowdown(&mut fleet.vms[0], now + seconds(1.0), "e12"), 1.0);
+}
+
+#[test]
+fn new_upstream_of_an_uneven_service_is_known_within_two_seconds() {
+    // The last upstream is new: its generations begin later.
+    let gaps = [0.024, 0.040, 0.065].repeat(4);
+    let mut fleet = Fleet::new(12, [gaps, vec![0.065]].concat(), 1);
+    fleet.run(seconds(6.0));
+    for vm in 0..3 {
+        let key = generation(&mut fleet.vms[vm], fleet.now, "e12");
+        fleet.streams.push((vm, 12, key));
+    }
+    fleet.run(seconds(2.0));
+    let found = fleet.slowdown(9, 12);
+    assert!((found / 1.62 - 1.0).abs() < 0.2, "{found}");
+}
+
+#[test]
+fn slow_upstreams_are_known_in_other_failure_domains() {
+    let mut fleet = Fleet::new(12, [0.024, 0.040, 0.065].repeat(4), 2);
+    fleet.run(seconds(6.0));
+    fleet.slowdown(0, 0);
+    let report = fleet.vms[0].domain_rates(fleet.now);
+    let mut far = specs(12);
+    far.iter_mut().for_each(|s| s.failure_domain = FAR.into());
+    let mut world = world(POLICY, far);
+    hear(&mut world, fleet.now, "p", false, report);
+    for upstream in 0..12 {
+        let expected = [0.6, 1.0, 1.62][upstream % 3];
+        let found = slowdown(&mut world, fleet.now + seconds(0.5), &id(upstream));
+        assert!((found / expected - 1.0).abs() < 0.2, "{upstream}: {found}");
+    }
+}
+
 #[test]
 fn samples_while_prompts_load_beside_are_left_out() {
     let mut world = world(POLICY, specs(2));
