--- a/trouttrack_core/src/world/rates.rs
+++ b/trouttrack_core/src/world/rates.rs
@@ -11,8 +11,8 @@
 use crate::{Time, UpstreamId};
 use std::time::Duration;
 
-/// Interval at which estimates are updated.
-const ESTIMATE_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which estimates are updated: that of reports.
+const ESTIMATE_INTERVAL: Duration = Duration::from_millis(400);
 /// Maximum number of service rates in a report to this VM's failure domain, at about 13 bytes
 /// each.
 const MAX_LOCAL_RATES: usize = 16;
@@ -176,12 +176,17 @@
 
     /// Updates the estimates if they are due.
     pub(super) fn estimate_rates(&mut self, now: Time) {
-        let estimates = &mut self.rate_estimates;
+        let estimates = &self.rate_estimates;
         let age = now.saturating_sub(estimates.updated_at);
         if !estimates.has_samples || age < ESTIMATE_INTERVAL {
             return;
         }
-        estimates.updated_at = now;
+        self.update_rates(now);
+    }
+
+    /// Updates the estimates of all upstreams.
+    pub fn update_rates(&mut self, now: Time) {
+        self.rate_estimates.updated_at = now;
         self.upstreams.estimate_rates(now);
     }
 }
