Keep rate samples of an upstream until others replace them

Cause: the weight of samples fell to 1/e in 6 s.

Change: samples lose weight by age only slowly (60 s), and a mean holds 8 independent samples at most, so that new ones replace old ones within seconds.

--- a/trouttrack_core/src/upstream/service_rate/log_mean.rs
+++ b/trouttrack_core/src/upstream/service_rate/log_mean.rs
@@ -3,9 +3,12 @@
 use crate::Time;
 use std::time::Duration;
 
-/// Time in which a sample's weight falls to 1/e. Long compared to a slow phase of an upstream,
-/// short compared to the seconds within which an upstream that stays slow must be known.
-const DECAY_TIME: Duration = Duration::from_secs(6);
+/// Time in which a sample's weight falls to 1/e while no others replace it. An upstream that is
+/// avoided because it is slow gives few samples, and does not become faster thereby.
+const DECAY_TIME: Duration = Duration::from_secs(60);
+/// Maximum weight of a mean, in independent samples, so that new samples replace old ones within
+/// seconds. Much more than a slow phase of an upstream gives.
+const MAX_WEIGHT: f64 = 8.0;
 /// Time after which a sample counts as independent of the previous one. Shorter disturbances
 /// affect all samples taken meanwhile.
 pub(super) const INDEPENDENCE_TIME: Duration = Duration::from_millis(600);
@@ -51,6 +54,7 @@
             true => (since / INDEPENDENCE_TIME.as_secs_f64()).min(1.0),
             false => 1.0,
         };
+        self.limit_weight(now, MAX_WEIGHT - weight);
         self.merge(now, Self::of(now, log, weight));
     }
 
