Leave room for urgent requests where patient ones can wait

Cause: a patient request was placed at once up to 1.15 of an engine's memory, so urgent ones stood behind it in full engines, where no VM can reorder them.

Change: world/admission measures arrivals by class over four seconds and how long each class holds memory. A request whose objective is longer than a more urgent class's leaves that class's share of every engine free; the share shrinks to nothing with its slack. It waits in the front until its slack is used up. Of an organisation's requests the one due first takes its turn. A large request that has waited half its time gets the emptiest engine. What cannot be placed at the rate at which memory is freed is refused at once, with a spread Retry-After. VMs report their arrivals (ReportedDemand); reports expire after two seconds. Settings in [admission].

--- a/trouttrack_config/src/settings/front.rs
+++ b/trouttrack_config/src/settings/front.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use trouttrack_core::quarantine::QuarantineSettings;
 use trouttrack_core::routing::{AnyPolicy, Weights};
+use trouttrack_core::world::AdmissionSettings;
 
 /// Everything that `trouttrack_front` reads.
 #[derive(Clone, Debug)]
@@ -30,6 +31,8 @@
     pub serving: ServingSettings,
     /// `[placement]`
     pub placement: Weights,
+    /// `[admission]`
+    pub admission: AdmissionSettings,
 }
 
 /// `[platform]`
@@ -188,6 +191,16 @@
     }
 }
 
+/// `[admission]`: how requests wait while upstreams are full.
+fn admission(r: &mut SectionReader<'_>) -> AdmissionSettings {
+    AdmissionSettings {
+        keep_room: r.parse_with("keep_room", true, on_off),
+        order_by_due: r.parse_with("order_by_due", true, on_off),
+        claim_for_large: r.parse_with("claim_for_large", true, on_off),
+        refuse_hopeless: r.parse_with("refuse_hopeless", true, on_off),
+    }
+}
+
 /// The platform writes nothing where its bounds do not say; then the key that was
 /// removed counts for more than the request.
 fn strictness(value: &str) -> Result<bool, String> {
@@ -220,6 +233,7 @@
             quarantine: s.section("quarantine", quarantine),
             serving: s.section("serving", ServingSettings::read),
             placement: s.section("placement", weights),
+            admission: s.section("admission", admission),
         }
     }
 }
--- a/trouttrack_core/benches/decision.rs
+++ b/trouttrack_core/benches/decision.rs
@@ -10,7 +10,9 @@
 use trouttrack_core::length::LengthKey;
 use trouttrack_core::membership::UpstreamUse;
 use trouttrack_core::upstream::UpstreamSpec;
-use trouttrack_core::world::{Decision, ServiceLevel, Submission, World, WorldSettings};
+use trouttrack_core::world::{
+    AdmissionSettings, Decision, ServiceLevel, Submission, World, WorldSettings,
+};
 
 const UPSTREAMS: [usize; 3] = [10, 100, 900];
 const ORGANISATIONS: [usize; 2] = [10, 18_000];
@@ -33,6 +35,7 @@
         moved_fill: 1.0,
         look_ahead: 512,
         policy: "trouttrack".parse().expect("the policy is known"),
+        admission: AdmissionSettings::default(),
         seed: 1,
     });
     world.configure((0..upstreams).map(spec).collect());
--- a/trouttrack_core/src/membership/conditions.rs
+++ b/trouttrack_core/src/membership/conditions.rs
@@ -5,14 +5,14 @@
 use crate::upstream::{Incarnation, ReportedRate};
 use serde::{Deserialize, Serialize};
 
-/// A VM's observations of upstreams, and the requests that wait there.
+/// A VM's observations of upstreams, and the demand there.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Conditions {
     /// Observed service rates.
     pub rates: Vec<ReportedRate>,
     /// Upstreams that refused a connection.
     pub unreachable: Vec<ReportedUnreachable>,
-    /// Waiting requests.
+    /// Demand for services.
     pub demand: Vec<ReportedDemand>,
 }
 
@@ -40,17 +40,17 @@
     pub age_ms: u32,
 }
 
-/// Requests of one service and priority class that wait at a VM.
+/// Requests of one service and priority class that arrived at a VM in the last four seconds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReportedDemand {
     /// The service.
     pub service: ServiceId,
     /// Priority class; 0 is the most urgent.
     pub class: u8,
-    /// Number of waiting requests.
+    /// Number of requests.
     pub requests: u16,
-    /// Memory that they need at the start, in tokens.
+    /// Memory that they are expected to need, in tokens.
     pub tokens: u32,
-    /// Time until the first of them has to be placed to meet its objective, in milliseconds.
+    /// Mean time from their arrival until their first token is due, in milliseconds.
     pub slack_ms: u32,
 }
--- a/trouttrack_core/src/upstream/backlog.rs
+++ b/trouttrack_core/src/upstream/backlog.rs
@@ -17,7 +17,7 @@
 const REPORT_EXPIRY: Time = Time::from_secs(2);
 
 /// Estimated prefill time for `tokens` prompt tokens, in seconds.
-pub(super) fn prefill_seconds(tokens: f64) -> f64 {
+pub(crate) fn prefill_seconds(tokens: f64) -> f64 {
     tokens / PREFILL_TOKENS_PER_SECOND
 }
 
--- a/trouttrack_core/src/upstream/mod.rs
+++ b/trouttrack_core/src/upstream/mod.rs
@@ -14,7 +14,7 @@
 mod spec;
 mod table;
 
-pub(crate) use backlog::Backlog;
+pub(crate) use backlog::{Backlog, prefill_seconds};
 pub use circuit::{Circuit, CircuitState};
 pub use incarnation::Incarnation;
 pub use notices::{Availability, MAX_PAUSE, UpstreamNotice, UpstreamNotices};
--- a/trouttrack_core/src/world/demand.rs
+++ b/trouttrack_core/src/world/demand.rs
@@ -1,21 +1,99 @@
-//! Requests that wait at other VMs.
+//! Demand for services: what arrives and ends at this VM, and what peers report of theirs.
 
-use super::tables::World;
-use crate::Time;
+use super::admission::Arrived;
+use super::tables::{Request, RequestKey, Submission, World};
 use crate::membership::ReportedDemand;
+use crate::{ServiceId, Time};
+use std::collections::HashMap;
+use std::time::Duration;
 
 impl World {
-    /// Records the requests that wait at a peer; replaces what it reported before.
-    pub(super) fn record_peer_demand(
-        &mut self,
-        _now: Time,
-        _peer: &str,
-        _demand: &[ReportedDemand],
-    ) {
-    }
-
-    /// Returns the requests that wait at this VM, by service and priority class.
-    pub(super) fn demand_to_report(&self, _now: Time) -> Vec<ReportedDemand> {
-        Vec::new()
+    /// Records the demand of a peer; replaces what it reported before.
+    pub(super) fn record_peer_demand(&mut self, now: Time, peer: &str, demand: &[ReportedDemand]) {
+        self.admission.expire(now);
+        let mut by_service: HashMap<&ServiceId, Vec<Arrived>> = HashMap::new();
+        for row in demand {
+            let classes = by_service.entry(&row.service).or_default();
+            classes.push(Arrived {
+                class: row.class,
+                requests: u32::from(row.requests),
+                tokens: f64::from(row.tokens),
+                objective: Duration::from_millis(u64::from(row.slack_ms)),
+            });
+        }
+        // A peer without demand counts, too: it lowers the mean.
+        self.admission.record_peer_heard(now, peer);
+        for (service, by_class) in by_service {
+            let service = self.admission.service_mut(service);
+            service.record_peer(now, peer, by_class);
+        }
+    }
+
+    /// Returns the demand at this VM, by service and priority class.
+    pub(super) fn demand_to_report(&self, now: Time) -> Vec<ReportedDemand> {
+        let mut demand = Vec::new();
+        for (service, rows) in self.admission.services() {
+            demand.extend(rows.arrivals(now).map(|arrived| ReportedDemand {
+                service: service.clone(),
+                class: arrived.class,
+                requests: arrived.requests.min(u32::from(u16::MAX)) as u16,
+                tokens: arrived.tokens as u32,
+                slack_ms: u32::try_from(arrived.objective.as_millis()).unwrap_or(u32::MAX),
+            }));
+        }
+        demand.sort_by(|a, b| (&a.service, a.class).cmp(&(&b.service, b.class)));
+        demand
+    }
+
+    /// Sets the number of VMs in the fleet, including this one.
+    pub fn set_fleet_size(&mut self, vms: usize) {
+        self.admission.set_vms(vms);
+    }
+
+    /// Number of times that a waiting request left room to more urgent ones; counted once in
+    /// each scheduling round.
+    #[must_use]
+    pub fn held_back(&self) -> u64 {
+        self.admission.held_back()
+    }
+
+    /// Tokens that a request is expected to hold at its end.
+    pub(super) fn expected_tokens(&self, s: &Submission) -> f64 {
+        let output = self.lengths.estimate_remaining(s.length_key, 0, 0.5);
+        s.prompt_tokens as f64 + output
+    }
+
+    pub(super) fn record_arrival(&mut self, now: Time, s: &Submission, need: f64) {
+        if s.prompt_tokens == 0 || s.service_level.due == Time::MAX {
+            return;
+        }
+        let objective = s.service_level.time_left(now);
+        let service = self.admission.service_mut(&s.service);
+        service.record_arrival(now, s.priority, objective, need);
+    }
+
+    /// Records the memory that a placed request frees; `tokens` is the output length of a
+    /// complete answer.
+    pub(super) fn record_freed(&mut self, now: Time, row: &Request, tokens: Option<u64>) {
+        let s = &row.submission;
+        let (Some(placed_at), Some(output)) = (row.placed_at, tokens) else {
+            return;
+        };
+        if s.prompt_tokens == 0 || s.service_level.due == Time::MAX {
+            return;
+        }
+        let held = now.saturating_sub(placed_at);
+        let service = self.admission.service_mut(&s.service);
+        service.record_end(now, s.priority, held, (s.prompt_tokens + output) as f64);
+    }
+
+    /// Notes that no upstream has room for a request beside what it leaves to more urgent ones;
+    /// it is not tried again in this round.
+    pub(super) fn note_held_back(&mut self, now: Time, key: RequestKey) {
+        let row = &self.requests[key];
+        if self.kept_room(now, row.since, &row.submission).fraction > 0.0 {
+            self.held_back.insert(key);
+            self.admission.record_held_back();
+        }
     }
 }
--- a/trouttrack_core/src/world/mod.rs
+++ b/trouttrack_core/src/world/mod.rs
@@ -1,5 +1,6 @@
 //! Scheduling state of one gateway and the passes that run over it on each tick.
 
+mod admission;
 mod conditions;
 mod demand;
 mod notices;
@@ -12,6 +13,7 @@
 mod systems;
 mod tables;
 
+pub use admission::{AdmissionSettings, patience};
 pub use queue::FairQueue;
 pub use relocate::Target;
 pub use service_level::ServiceLevel;
--- a/trouttrack_core/src/world/queue.rs
+++ b/trouttrack_core/src/world/queue.rs
@@ -9,15 +9,36 @@
 /// Fixed-point scale of virtual finish tags, which are compared as integers.
 const TAG_SCALE: f64 = 1024.0;
 
-/// Keys under which a waiting request is indexed in the queue.
+/// Position of a waiting request in the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct QueuePosition {
     class: u8,
-    tag: u64,
-    queued_at: Time,
     key: RequestKey,
 }
 
+/// A waiting request as it arrives.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Arrival<'a> {
+    pub(crate) class: u8,
+    pub(crate) organisation: &'a str,
+    pub(crate) cost_per_weight: f64,
+    /// Order among the requests of an organisation and class.
+    pub(crate) due: Time,
+    pub(crate) queued_at: Time,
+}
+
+/// Index entries of a waiting request.
+#[derive(Clone, Debug)]
+struct Entry {
+    organisation: OrganisationId,
+    due: Time,
+    queued_at: Time,
+    /// Finish tag at arrival; orders requests that are due at the same time.
+    rank: u64,
+    /// Finish tag of the organisation's turn that the request holds.
+    tag: u64,
+}
+
 /// Sort key of a class: overdue classes first, then by due time.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ServiceOrder {
@@ -30,6 +51,9 @@
 struct Class {
     by_tag: BTreeSet<(u64, RequestKey)>,
     by_age: BTreeSet<(Time, RequestKey)>,
+    /// Each organisation's requests, the earliest due first.
+    by_due: HashMap<OrganisationId, BTreeSet<(Time, u64, RequestKey)>>,
+    entries: HashMap<RequestKey, Entry>,
     /// Largest finish tag dequeued so far.
     virtual_time: u64,
 }
@@ -39,8 +63,8 @@
 /// Requests that have waited for `max_wait` are served before all others, oldest
 /// first. This bounds every wait even if the most urgent class alone exceeds the
 /// capacity. Otherwise the class whose oldest request has the smallest
-/// `queued_at + class × ageing` is served first, and within a class the request
-/// with the smallest finish tag.
+/// `queued_at + class × ageing` is served first, and within a class the organisation with the
+/// smallest finish tag. Of an organisation's requests the one that is due first takes its turn.
 ///
 /// # Examples
 ///
@@ -85,29 +109,28 @@
         self.len == 0
     }
 
-    pub(crate) fn push(
-        &mut self,
-        key: RequestKey,
-        class: u8,
-        organisation: &str,
-        cost_per_weight: f64,
-        queued_at: Time,
-    ) -> QueuePosition {
-        let entry = self.classes.entry(class).or_default();
+    pub(crate) fn push(&mut self, key: RequestKey, new: Arrival<'_>) -> QueuePosition {
+        let class = self.classes.entry(new.class).or_default();
         let last = self
             .last_tag
-            .entry((class, organisation.to_owned()))
+            .entry((new.class, new.organisation.to_owned()))
             .or_insert(0);
-        let start = entry.virtual_time.max(*last);
-        let tag = start + (cost_per_weight * TAG_SCALE).max(1.0) as u64;
+        let start = class.virtual_time.max(*last);
+        let tag = start + (new.cost_per_weight * TAG_SCALE).max(1.0) as u64;
         *last = tag;
-        entry.by_tag.insert((tag, key));
-        entry.by_age.insert((queued_at, key));
+        class.insert(
+            key,
+            Entry {
+                organisation: new.organisation.to_owned(),
+                due: new.due,
+                queued_at: new.queued_at,
+                rank: tag,
+                tag,
+            },
+        );
         self.len += 1;
         QueuePosition {
-            class,
-            tag,
-            queued_at,
+            class: new.class,
             key,
         }
     }
@@ -116,8 +139,7 @@
         let Some(class) = self.classes.get_mut(&position.class) else {
             return;
         };
-        if class.by_tag.remove(&(position.tag, position.key)) {
-            class.by_age.remove(&(position.queued_at, position.key));
+        if class.remove(position.key).is_some() {
             self.len -= 1;
         }
         if self.len == 0 {
@@ -126,10 +148,12 @@
         }
     }
 
-    /// Removes a request that has been placed and advances the virtual time of its class.
+    /// Removes a request that has been placed and advances the virtual time of its class. It
+    /// takes the first turn of its organisation, and leaves its own to the request that held
+    /// that turn.
     pub(crate) fn dequeue(&mut self, position: QueuePosition) {
         if let Some(class) = self.classes.get_mut(&position.class) {
-            class.virtual_time = class.virtual_time.max(position.tag);
+            class.take_first_turn(position.key);
         }
         self.remove(position);
     }
@@ -157,8 +181,15 @@
         order.into_iter().map(|entry| entry.class).collect()
     }
 
-    /// Up to `limit` requests of a class in service order: overdue ones, then by finish tag.
-    pub(crate) fn heads(&self, class: u8, now: Time, limit: usize) -> Vec<RequestKey> {
+    /// Up to `limit` requests of a class that satisfy `wanted` in service order: overdue ones,
+    /// then by the turns of their organisations.
+    pub(crate) fn heads(
+        &self,
+        class: u8,
+        now: Time,
+        limit: usize,
+        wanted: impl Fn(RequestKey) -> bool,
+    ) -> Vec<RequestKey> {
         let Some(class) = self.classes.get(&class) else {
             return Vec::new();
         };
@@ -166,8 +197,9 @@
             .by_age
             .iter()
             .take_while(|(queued_at, _)| now.saturating_sub(*queued_at) >= self.max_wait)
-            .map(|&(_, key)| key);
-        let fair = class.by_tag.iter().map(|&(_, key)| key);
+            .map(|&(_, key)| key)
+            .filter(|key| wanted(*key));
+        let fair = class.turns().filter(|key| wanted(*key));
         let mut heads: Vec<RequestKey> = Vec::with_capacity(limit);
         for key in overdue.take(limit).chain(fair.take(limit)) {
             if !heads.contains(&key) {
@@ -178,3 +210,62 @@
         heads
     }
 }
+
+impl Class {
+    fn insert(&mut self, key: RequestKey, entry: Entry) {
+        self.by_tag.insert((entry.tag, key));
+        self.by_age.insert((entry.queued_at, key));
+        let of_organisation = self.by_due.entry(entry.organisation.clone()).or_default();
+        of_organisation.insert((entry.due, entry.rank, key));
+        self.entries.insert(key, entry);
+    }
+
+    fn remove(&mut self, key: RequestKey) -> Option<Entry> {
+        let entry = self.entries.remove(&key)?;
+        self.by_tag.remove(&(entry.tag, key));
+        self.by_age.remove(&(entry.queued_at, key));
+        if let Some(of_organisation) = self.by_due.get_mut(&entry.organisation) {
+            of_organisation.remove(&(entry.due, entry.rank, key));
+            if of_organisation.is_empty() {
+                self.by_due.remove(&entry.organisation);
+            }
+        }
+        Some(entry)
+    }
+
+    /// Requests in the order of their organisations' turns.
+    fn turns(&self) -> impl Iterator<Item = RequestKey> {
+        let mut taken: HashMap<&str, usize> = HashMap::new();
+        self.by_tag.iter().filter_map(move |(_, key)| {
+            let organisation = self.entries.get(key)?.organisation.as_str();
+            let turn = taken.entry(organisation).or_insert(0);
+            let (_, _, key) = self.by_due.get(organisation)?.iter().nth(*turn)?;
+            *turn += 1;
+            Some(*key)
+        })
+    }
+
+    /// Exchanges the turn of a request with the first turn of its organisation.
+    fn take_first_turn(&mut self, key: RequestKey) {
+        let Some(entry) = self.entries.get(&key) else {
+            return;
+        };
+        let organisation = self.by_due.get(&entry.organisation);
+        let keys = organisation.into_iter().flatten().map(|(_, _, key)| *key);
+        let first = keys.min_by_key(|key| self.entries[key].tag).unwrap_or(key);
+        let (own_tag, first_tag) = (entry.tag, self.entries[&first].tag);
+        self.set_tag(key, first_tag);
+        if first != key {
+            self.set_tag(first, own_tag);
+        }
+        self.virtual_time = self.virtual_time.max(first_tag);
+    }
+
+    fn set_tag(&mut self, key: RequestKey, tag: u64) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            self.by_tag.remove(&(entry.tag, key));
+            entry.tag = tag;
+            self.by_tag.insert((tag, key));
+        }
+    }
+}
--- a/trouttrack_core/src/world/systems/mod.rs
+++ b/trouttrack_core/src/world/systems/mod.rs
@@ -15,6 +15,7 @@
         self.place(now, &mut decisions);
         self.refuse_unreachable(now);
         self.refuse_rate_limited(now);
+        self.refuse_hopeless(now);
         decisions.append(&mut self.refused);
         decisions
     }
--- a/trouttrack_core/src/world/systems/place.rs
+++ b/trouttrack_core/src/world/systems/place.rs
@@ -14,6 +14,8 @@
 impl World {
     /// Places waiting requests in the queue's service order until no head fits.
     pub(super) fn place(&mut self, now: Time, decisions: &mut Vec<Decision>) {
+        self.held_back.clear();
+        self.claims.clear();
         loop {
             let placed = self
                 .queue
@@ -28,7 +30,9 @@
     }
 
     fn place_one(&mut self, now: Time, class: u8) -> Option<Decision> {
-        let heads = self.queue.heads(class, now, HEADS_PER_CLASS);
+        let held_back = &self.held_back;
+        let tried = |key: RequestKey| !held_back.contains(&key);
+        let heads = self.queue.heads(class, now, HEADS_PER_CLASS, tried);
         heads.into_iter().find_map(|key| self.try_place(now, key))
     }
 
@@ -45,7 +49,11 @@
             // An upstream to avoid is still better than none.
             candidates = self.candidates(now, new, false);
         }
-        let chosen = self.settings.policy.choose(&candidates, &mut self.rng)?;
+        let Some(chosen) = self.settings.policy.choose(&candidates, &mut self.rng) else {
+            self.note_held_back(now, key);
+            self.claim_upstream(now, key);
+            return None;
+        };
         self.record_explanation(now, key, &candidates, chosen);
         Some(self.hand_over(now, candidates[chosen].upstream, new))
     }
@@ -76,7 +84,7 @@
 
     /// Share of an engine's memory that a request must leave free. It grows with the
     /// forecast remaining length up to the whole reserve, and is 0 for urgent requests.
-    pub(super) fn required_reserve(&self, priority: u8, new: OwnRun) -> f64 {
+    pub(crate) fn required_reserve(&self, priority: u8, new: OwnRun) -> f64 {
         let growth = new.remaining / self.settings.look_ahead.max(1) as f64;
         match priority {
             0 => 0.0,
@@ -123,6 +131,7 @@
         let key = new.key;
         let row = &mut self.requests[key];
         row.upstream = Some(upstream);
+        row.placed_at = Some(now);
         let position = row.queue_position.take();
         let deadline = row.submission.deadline;
         let organisation = row.submission.organisation.clone();
--- a/trouttrack_core/src/world/systems/refuse.rs
+++ b/trouttrack_core/src/world/systems/refuse.rs
@@ -126,7 +126,12 @@
         self.refuse_for(key, reason, self.retry_after());
     }
 
-    fn refuse_for(&mut self, key: RequestKey, reason: NotRunReason, retry_after: Duration) {
+    pub(crate) fn refuse_for(
+        &mut self,
+        key: RequestKey,
+        reason: NotRunReason,
+        retry_after: Duration,
+    ) {
         let row = &mut self.requests[key];
         let position = row.queue_position.take();
         let deadline = row.submission.deadline;
--- a/trouttrack_core/src/world/systems/scan.rs
+++ b/trouttrack_core/src/world/systems/scan.rs
@@ -19,7 +19,8 @@
         skip_avoided: bool,
     ) -> Vec<Candidate> {
         let draw: usize = self.rng.random_range(0..usize::MAX);
-        let submission = &self.requests[new.key].submission;
+        let row = &self.requests[new.key];
+        let submission = &row.submission;
         let Some(serving) = self.upstreams.serving(&submission.service) else {
             return Vec::new();
         };
@@ -29,7 +30,8 @@
             new,
             now,
             skip_avoided,
-            reserve: self.required_reserve(submission.priority, new),
+            reserve: self.required_reserve(submission.priority, new)
+                + self.kept_room(now, row.since, submission).fraction,
             alternatives: (serving.local as f64 / LOCAL_SCAN.max_fitting as f64).max(1.0),
         };
         let (local, remote) = serving.keys.split_at(serving.local);
@@ -49,6 +51,7 @@
     new: OwnRun,
     now: Time,
     skip_avoided: bool,
+    /// Share of the memory that stays free for growth and for more urgent requests.
     reserve: f64,
     alternatives: f64,
 }
@@ -85,9 +88,11 @@
         // Urgent requests are small and do not wait for memory: the engine preempts
         // less urgent ones. An idle engine accepts even a request that is forecast to
         // exceed its memory.
+        let claimed = (self.world.claims).excludes(key, self.submission.priority, self.new.key);
         let fits = urgent
-            || fill <= self.world.settings.placed_fill - self.reserve
-            || u.estimated_running() == 0;
+            || !claimed
+                && (fill <= self.world.settings.placed_fill - self.reserve
+                    || u.estimated_running() == 0);
         Some(Candidate {
             upstream: key,
             running: u.estimated_running(),
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -1,7 +1,8 @@
 //! Scheduling state: requests, upstreams, learned lengths, explanations.
 
+use super::admission::{Admission, AdmissionSettings, Claims};
 use super::peers::PeerHeartbeats;
-use super::queue::{FairQueue, QueuePosition};
+use super::queue::{Arrival, FairQueue, QueuePosition};
 use super::service_level::ServiceLevel;
 use crate::length::{LengthKey, LengthTable};
 use crate::membership::{Evacuations, UpstreamUse};
@@ -13,7 +14,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slotmap::{SlotMap, new_key_type};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 new_key_type! {
@@ -26,14 +27,7 @@
 ///
 /// It is above 1.0 because forecasts are often too high, and because a request that does
 /// not fit yet starts as soon as another one ends on that engine, which is sooner than it
-/// would be placed from the queue of a full fleet.
-///
-/// In 20 simulated days of 64 VMs and 72 engines with nearly full memory, this value and
-/// [`MOVED_FILL`] gave 1,917 late and 3,435 lost of 26,490 long generations, and 2,803 late
-/// short ones. With 1.0 for both there were 2,095 late and 3,579 lost of 26,419, and 2,490
-/// late short ones. In the decision benchmark (load 0.9, five seeds) long requests start
-/// after a median of 3.9 s without any preemption; with 1.0 they take 18.7 s, and with 1.3
-/// a tenth of them is preempted.
+/// would be placed from the queue of a full fleet (docs/design/shifted.md).
 pub const PLACED_FILL: f64 = 1.15;
 /// Default limit of the same ratio for moving a running request. It is higher than
 /// [`PLACED_FILL`] because a generation without a target is lost, whereas a target without
@@ -67,6 +61,8 @@
     pub look_ahead: u64,
     /// Routing policy.
     pub policy: AnyPolicy,
+    /// Admission under contention.
+    pub admission: AdmissionSettings,
     /// Seed of the random generator that samples candidates.
     pub seed: u64,
 }
@@ -109,6 +105,8 @@
     pub submission: Submission,
     /// Time of submission.
     pub since: Time,
+    /// Time at which it was placed.
+    pub(crate) placed_at: Option<Time>,
     /// Upstream on which the request runs, once placed.
     pub upstream: Option<UpstreamKey>,
     pub(crate) queue_position: Option<QueuePosition>,
@@ -131,6 +129,8 @@
     UpstreamPaused,
     /// At the rate limits of all upstreams the request could not be sent before its deadline.
     RateLimited,
+    /// Its turn would come after its deadline at the rate at which upstreams free memory.
+    Overloaded,
     /// A retry was needed and the service's retry budget is exhausted.
     RetryBudget,
 }
@@ -187,7 +187,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use trouttrack_core::world::{World, WorldSettings};
+/// use trouttrack_core::world::{AdmissionSettings, World, WorldSettings};
 /// let settings = WorldSettings {
 ///     failure_domain: "a".into(),
 ///     ageing: Duration::from_secs(5),
@@ -199,6 +199,7 @@
 ///     moved_fill: 1.0,
 ///     look_ahead: 512,
 ///     policy: "trouttrack".parse().unwrap(),
+///     admission: AdmissionSettings::default(),
 ///     seed: 1,
 /// };
 /// let mut world = World::new(settings);
@@ -217,6 +218,10 @@
     pub(crate) queue: FairQueue,
     pub(crate) deadlines: BTreeSet<(Time, RequestKey)>,
     pub(crate) limits: Limits,
+    pub(crate) admission: Admission,
+    pub(crate) claims: Claims,
+    /// Waiting requests that left room to more urgent ones in this round.
+    pub(crate) held_back: HashSet<RequestKey>,
     pub(crate) peers: PeerHeartbeats,
     /// Status reported by upstreams about themselves; each row holds a copy of its own.
     pub(crate) notices: UpstreamNotices,
@@ -241,6 +246,9 @@
             requests: SlotMap::with_key(),
             deadlines: BTreeSet::new(),
             limits: Limits::default(),
+            admission: Admission::default(),
+            claims: Claims::default(),
+            held_back: HashSet::new(),
             peers: PeerHeartbeats::default(),
             notices: UpstreamNotices::default(),
             refused: Vec::new(),
@@ -331,17 +339,22 @@
     }
 
     /// Adds a request to the queue; the next tick decides on it.
-    pub fn submit(&mut self, now: Time, submission: Submission) -> RequestKey {
-        let expected = self
-            .lengths
-            .estimate_remaining(submission.length_key, 0, 0.5);
-        let cost = (submission.prompt_tokens as f64 + expected) / submission.weight.max(1e-3);
+    pub fn submit(&mut self, now: Time, mut submission: Submission) -> RequestKey {
+        let need = self.expected_tokens(&submission);
+        let cost = need / submission.weight.max(1e-3);
+        self.record_arrival(now, &submission, need);
+        submission.deadline = self.wait_until(now, &submission);
+        let due = match self.settings.admission.order_by_due {
+            true => submission.service_level.due,
+            false => Time::MAX,
+        };
         let (class, deadline) = (submission.priority, submission.deadline);
         let organisation = submission.organisation.clone();
         let has_upstream = self.upstreams.serving(&submission.service).is_some();
         let key = self.requests.insert(Request {
             submission,
             since: now,
+            placed_at: None,
             upstream: None,
             queue_position: None,
         });
@@ -350,7 +363,14 @@
         } else if self.queue.len() >= self.settings.max_queued {
             self.refuse(key, NotRunReason::QueueFull);
         } else {
-            let position = self.queue.push(key, class, &organisation, cost, now);
+            let arrival = Arrival {
+                class,
+                organisation: &organisation,
+                cost_per_weight: cost,
+                due,
+                queued_at: now,
+            };
+            let position = self.queue.push(key, arrival);
             self.requests[key].queue_position = Some(position);
             self.deadlines.insert((deadline, key));
         }
@@ -390,6 +410,7 @@
             return false;
         };
         self.limits.remove(&row.submission.organisation);
+        self.record_freed(now, &row, tokens);
         if let Some(tokens) = tokens {
             self.lengths.record(row.submission.length_key, tokens);
         }
@@ -417,10 +438,7 @@
     }
 
     /// Records that the request's upstream refused it. A refusal does not count as a
-    /// success: the upstream gets no work for a moment. In 40 simulated days of load
-    /// shedding by 4 plain upstreams (6 and 7 VMs), 4,940 of 49,651 non-repeatable plain
-    /// calls were refused when it counted as a success, and 509 when it did not; the score
-    /// rose by 0.08 and 0.05.
+    /// success: the upstream gets no work for a moment, or else it would look idle.
     pub fn record_refusal(&mut self, now: Time, key: RequestKey) {
         let upstream = self.requests.get(key).and_then(|row| row.upstream);
         if let Some(u) = upstream.and_then(|k| self.upstreams.get_mut(k)) {
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision logic, which does no I/O.
 
+mod admission;
 mod claims;
 mod cold;
 mod entries;
--- a/trouttrack_core/tests/core/support.rs
+++ b/trouttrack_core/tests/core/support.rs
@@ -4,7 +4,7 @@
 use trouttrack_core::length::LengthKey;
 use trouttrack_core::upstream::{LoadReport, UpstreamSpec};
 use trouttrack_core::world::{
-    Decision, RequestKey, ServiceLevel, Submission, World, WorldSettings,
+    AdmissionSettings, Decision, RequestKey, ServiceLevel, Submission, World, WorldSettings,
 };
 
 pub(crate) const SERVICE: &str = "s";
@@ -21,6 +21,7 @@
         moved_fill: 1.0,
         look_ahead: 512,
         policy: policy.parse().unwrap(),
+        admission: AdmissionSettings::default(),
         seed: 7,
     }
 }
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -34,6 +34,10 @@
     pub words: IntCounterVec,
     /// Quarantined requests known to this VM.
     pub held: IntGauge,
+    /// Requests that wait for an upstream.
+    pub waiting: IntGauge,
+    /// Rounds in which a waiting request left room to more urgent ones.
+    pub held_back: IntGauge,
     /// Calls to the platform's store.
     pub store_calls: IntGauge,
     /// Connections opened to upstreams.
@@ -144,6 +148,16 @@
                 "trouttrack_held_requests",
                 "Requests that are given to no upstream, since upstreams ended under them",
             ),
+            waiting: gauge(
+                &r,
+                "trouttrack_waiting_requests",
+                "Requests that wait for an upstream",
+            ),
+            held_back: gauge(
+                &r,
+                "trouttrack_held_back_rounds",
+                "Rounds so far in which a waiting request left memory to more urgent ones",
+            ),
             store_calls: gauge(&r, "trouttrack_store_calls", "Calls to the store so far"),
             connections: gauge(
                 &r,
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -77,9 +77,15 @@
         .forget_silent(front.clock.now(), &front.failure_domain);
     if front.peers.listed() > 0 {
         front.scheduler.set_rate_share(rate_share(front));
+        front.scheduler.set_fleet_size(front.peers.listed());
     }
     front.suspects.expire();
     front.metrics.held.set(front.suspects.held() as i64);
+    front.metrics.waiting.set(front.scheduler.queued() as i64);
+    front
+        .metrics
+        .held_back
+        .set(front.scheduler.held_back() as i64);
     let receivers = receivers(front);
     if receivers.is_empty() {
         return;
--- a/trouttrack_front/src/request/end.rs
+++ b/trouttrack_front/src/request/end.rs
@@ -14,6 +14,8 @@
 /// Longest retry delay given to a refused caller. Overload passes quickly, and callers wait
 /// for at most a third of their time limit.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest retry delay given while upstreams are known to be full for longer.
+const MAX_OVERLOADED_RETRY_AFTER: Duration = Duration::from_secs(5);
 /// Retry delay given by a stopping VM. It is short because a new connection reaches another
 /// VM.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
@@ -45,12 +47,14 @@
             NotRunReason::Unreachable => "no upstream can be reached in time",
             NotRunReason::RetryBudget => "the retry budget is used up",
             NotRunReason::RateLimited => "every upstream takes few requests a second",
+            NotRunReason::Overloaded => "upstreams free room too slowly",
             NotRunReason::UpstreamPaused => "every upstream has asked for a pause",
             _ => "refused",
         };
         // The end of a pause is known, and a caller that retries sooner is refused again.
         let max_retry_after = match refusal.reason {
             NotRunReason::UpstreamPaused => MAX_PAUSE,
+            NotRunReason::Overloaded => MAX_OVERLOADED_RETRY_AFTER,
             _ => MAX_RETRY_AFTER,
         };
         Self::NotRun {
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -227,6 +227,7 @@
         moved_fill: MOVED_FILL,
         look_ahead: LOOK_AHEAD_TOKENS,
         policy: settings.serving.policy.clone().weighted(settings.placement),
+        admission: settings.admission,
         seed: rand::random(),
     }
 }
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -239,6 +239,23 @@
         self.world.borrow_mut().set_rate_share(share);
     }
 
+    /// Sets the number of VMs in the fleet, including this one.
+    pub fn set_fleet_size(&self, vms: usize) {
+        self.world.borrow_mut().set_fleet_size(vms);
+    }
+
+    /// Number of waiting requests.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.world.borrow().queued()
+    }
+
+    /// Number of rounds in which a waiting request left room to more urgent ones.
+    #[must_use]
+    pub fn held_back(&self) -> u64 {
+        self.world.borrow().held_back()
+    }
+
     /// Sets the evacuated failure domains and runs a scheduling round.
     pub fn set_evacuations(&self, evacuations: Evacuations) {
         self.world.borrow_mut().set_evacuations(evacuations);
--- a/trouttrack_front/tests/front/rate_limits.rs
+++ b/trouttrack_front/tests/front/rate_limits.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 use trouttrack_core::length::LengthKey;
 use trouttrack_core::upstream::{RateLimit, RateShare, UpstreamSpec};
-use trouttrack_core::world::{ServiceLevel, Submission, WorldSettings};
+use trouttrack_core::world::{AdmissionSettings, ServiceLevel, Submission, WorldSettings};
 use trouttrack_front::app::{Running, start};
 use trouttrack_front::state::{Clock, Scheduler};
 use trouttrack_platform_standin::{Behaviour, CallerRequest, Store, Upstream};
@@ -267,6 +267,7 @@
         moved_fill: 1.0,
         look_ahead: 512,
         policy: "trouttrack".parse().expect("a policy"),
+        admission: AdmissionSettings::default(),
         seed: 1,
     }
 }
--- a/trouttrack_gateway/src/app/start.rs
+++ b/trouttrack_gateway/src/app/start.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 use trouttrack_config::settings::GatewaySettings;
-use trouttrack_core::world::{MOVED_FILL, PLACED_FILL, WorldSettings};
+use trouttrack_core::world::{AdmissionSettings, MOVED_FILL, PLACED_FILL, WorldSettings};
 use trouttrack_state::{ConfigStore, ObjectClient};
 use trouttrack_telemetry::events;
 use trouttrack_telemetry::program::told_to_stop;
@@ -71,6 +71,7 @@
         moved_fill: MOVED_FILL,
         look_ahead: a.look_ahead,
         policy: a.policy.clone(),
+        admission: AdmissionSettings::OFF,
         seed: rand::random(),
     }
 }
--- a/trouttrack_load/src/compare/options.rs
+++ b/trouttrack_load/src/compare/options.rs
@@ -2,7 +2,7 @@
 
 use super::workload::ServiceMix;
 use std::time::Duration;
-use trouttrack_core::world::{MOVED_FILL, PLACED_FILL, WorldSettings};
+use trouttrack_core::world::{AdmissionSettings, MOVED_FILL, PLACED_FILL, WorldSettings};
 use trouttrack_engine::EngineSettings;
 
 /// What stays the same between the policies of a comparison.
@@ -51,6 +51,7 @@
                 moved_fill: MOVED_FILL,
                 look_ahead: 512,
                 policy: "trouttrack".parse().expect("the policy is known"),
+                admission: AdmissionSettings::default(),
                 seed: 1,
             },
         }
--- a/trouttrack_load/src/patterns/settings.rs
+++ b/trouttrack_load/src/patterns/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 use trouttrack_core::routing::AnyPolicy;
-use trouttrack_core::world::{MOVED_FILL, PLACED_FILL, WorldSettings};
+use trouttrack_core::world::{AdmissionSettings, MOVED_FILL, PLACED_FILL, WorldSettings};
 
 /// Those of one VM of a play with this seed.
 pub(super) fn world_settings(failure_domain: String, vm: usize, seed: u64) -> WorldSettings {
@@ -17,6 +17,7 @@
         moved_fill: MOVED_FILL,
         look_ahead: 512,
         policy: AnyPolicy::default(),
+        admission: AdmissionSettings::default(),
         seed: seed.wrapping_mul(1_000).wrapping_add(vm as u64),
     }
 }
