Try waiting patient requests again after random pauses

Change: a request that left room is tried again after a random pause of at most 0.4 s, less as its patience shrinks. Result: the test of 30 VMs and one new upstream, which all 30 filled in one round, now sees at most 10 in any round and all within half a second.

--- a/trouttrack_core/src/world/admission/room.rs
+++ b/trouttrack_core/src/world/admission/room.rs
@@ -42,7 +42,7 @@
     /// Fraction of an upstream's memory that stays free.
     pub(crate) fraction: f64,
     /// How much of the room for urgent requests it leaves, from 0 to 1.
-    patience: f64,
+    pub(crate) patience: f64,
     /// Time until the request has to be placed.
     slack: Duration,
 }
--- a/trouttrack_core/src/world/demand.rs
+++ b/trouttrack_core/src/world/demand.rs
@@ -4,9 +4,14 @@
 use super::tables::{Request, RequestKey, Submission, World};
 use crate::membership::ReportedDemand;
 use crate::{ServiceId, Time};
+use rand::RngExt;
 use std::collections::HashMap;
 use std::time::Duration;
 
+/// Longest pause before a fully patient request is tried again. Peers hear of a placement
+/// sooner than that.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(400);
+
 impl World {
     /// Records the demand of a peer; replaces what it reported before.
     pub(super) fn record_peer_demand(&mut self, now: Time, peer: &str, demand: &[ReportedDemand]) {
@@ -97,13 +102,17 @@
     }
 
     /// Notes that no upstream has room for a request beside what it leaves to more urgent ones;
-    /// it is not tried again in this round.
+    /// it is tried again after a random pause.
     pub(super) fn note_held_back(&mut self, now: Time, key: RequestKey) {
         let row = &self.requests[key];
-        if self.kept_room(now, row.since, &row.submission).fraction > 0.0 {
+        let room = self.kept_room(now, row.since, &row.submission);
+        if room.fraction > 0.0 {
+            let pause = MAX_RETRY_PAUSE.mul_f64(room.patience * self.rng.random_range(0.0..1.0));
             self.held_back.insert(key);
             self.admission.record_held_back();
-            self.requests[key].left_room = true;
+            let row = &mut self.requests[key];
+            row.left_room = true;
+            row.not_before = now + pause;
         }
     }
 }
--- a/trouttrack_core/src/world/systems/place.rs
+++ b/trouttrack_core/src/world/systems/place.rs
@@ -31,7 +31,8 @@
 
     fn place_one(&mut self, now: Time, class: u8) -> Option<Decision> {
         let held_back = &self.held_back;
-        let tried = |key: RequestKey| !held_back.contains(&key);
+        let requests = &self.requests;
+        let tried = |key| !held_back.contains(&key) && requests[key].not_before <= now;
         let heads = self.queue.heads(class, now, HEADS_PER_CLASS, tried);
         heads.into_iter().find_map(|key| self.try_place(now, key))
     }
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -110,6 +110,9 @@
     /// Upstream on which the request runs, once placed.
     pub upstream: Option<UpstreamKey>,
     pub(crate) queue_position: Option<QueuePosition>,
+    /// Time before which it is not tried again, so that the VMs do not fill the same upstream
+    /// at once.
+    pub(crate) not_before: Time,
     /// Whether it waited to leave room to more urgent requests.
     pub(crate) left_room: bool,
 }
@@ -361,6 +364,7 @@
             placed_at: None,
             upstream: None,
             queue_position: None,
+            not_before: Time::ZERO,
             left_room: false,
         });
         if !has_upstream {
--- a/trouttrack_core/tests/core/admission.rs
+++ b/trouttrack_core/tests/core/admission.rs
@@ -430,6 +430,53 @@
     assert_eq!(burst(&mut bound, now, 200), burst(&mut unbound, now, 200));
 }
 
+#[test]
+fn waiting_requests_of_many_vms_do_not_fill_a_new_upstream_at_once() {
+    let mut worlds: Vec<World> = (0..30).map(waiting_world).collect();
+    let opened_at = Duration::from_secs(2);
+    let mut placed_at = Vec::new();
+    for tick in 0..25 {
+        let now = opened_at + tick * TICK;
+        let count = |world: &mut World| placed(&world.tick(now)).len();
+        placed_at.push(worlds.iter_mut().map(count).sum::<usize>());
+        if tick == 0 {
+            for world in &mut worlds {
+                world.put_upstream(spec("new", "a", CAPACITY, 64));
+            }
+        }
+    }
+    assert_eq!(
+        placed_at.iter().sum::<usize>(),
+        30,
+        "all within half a second"
+    );
+    assert!(placed_at.iter().all(|n| *n <= 10), "{placed_at:?}");
+}
+
+/// A VM on which one patient request waits for room.
+fn waiting_world(seed: u64) -> World {
+    let mut world = World::new(WorldSettings {
+        placed_fill: 1.15,
+        admission: AdmissionSettings::default(),
+        seed,
+        ..settings("trouttrack")
+    });
+    world.configure(engines(1));
+    let now = ms(1_500);
+    world.record_peer_conditions(now, "vm2", true, &urgent_demand());
+    let running = burst(&mut world, now, 100);
+    let waiting: Vec<_> = world
+        .requests()
+        .filter(|(_, row)| row.upstream.is_none())
+        .map(|(key, _)| key)
+        .collect();
+    assert!(running > 0 && waiting.len() > 1);
+    for key in &waiting[1..] {
+        world.record_end(now, *key, false, None);
+    }
+    world
+}
+
 fn urgent_demand() -> Conditions {
     Conditions {
         demand: vec![ReportedDemand {
