--- a/trouttrack_config/src/settings/front.rs
+++ b/trouttrack_config/src/settings/front.rs
@@ -11,6 +11,7 @@
 use trouttrack_core::buffers::BufferLimits;
 use trouttrack_core::quarantine::QuarantineSettings;
 use trouttrack_core::routing::{AnyPolicy, Weights};
+use trouttrack_core::world::AdmissionSettings;
 
 /// The least bound of a stream's unread bytes: a few events.
 const MIN_REQUEST_BUFFER: usize = 16 << 10;
@@ -38,6 +39,8 @@
     pub placement: Weights,
     /// `[buffers]`
     pub buffers: BufferLimits,
+    /// `[admission]`
+    pub admission: AdmissionSettings,
 }
 
 /// `[platform]`
@@ -223,6 +226,16 @@
     }
 }
 
+/// `[admission]`: how requests wait while upstreams are full.
+fn admission(r: &mut SectionReader<'_>) -> AdmissionSettings {
+    AdmissionSettings {
+        keep_room: r.parse_with("keep_room", false, on_off),
+        order_by_due: r.parse_with("order_by_due", false, on_off),
+        claim_for_large: r.parse_with("claim_for_large", false, on_off),
+        refuse_hopeless: r.parse_with("refuse_hopeless", false, on_off),
+    }
+}
+
 /// The platform writes nothing where its bounds do not say; then the key that was
 /// removed counts for more than the request.
 fn strictness(value: &str) -> Result<bool, String> {
@@ -256,6 +269,7 @@
             serving: s.section("serving", ServingSettings::read),
             placement: s.section("placement", weights),
             buffers: s.section("buffers", buffers),
+            admission: s.section("admission", admission),
         }
     }
 }
--- a/trouttrack_core/benches/decision.rs
+++ b/trouttrack_core/benches/decision.rs
@@ -13,7 +13,9 @@
 use trouttrack_core::upstream::{
     Incarnation, ReportedMean, ReportedRate, UpstreamSpec, incarnation_hash,
 };
-use trouttrack_core::world::{Decision, ServiceLevel, Submission, World, WorldSettings};
+use trouttrack_core::world::{
+    AdmissionSettings, Decision, ServiceLevel, Submission, World, WorldSettings,
+};
 
 const UPSTREAMS: [usize; 3] = [10, 100, 900];
 const ORGANISATIONS: [usize; 2] = [10, 18_000];
@@ -41,6 +43,7 @@
         moved_fill: 1.0,
         look_ahead: 512,
         policy: "trouttrack".parse().expect("the policy is known"),
+        admission: AdmissionSettings::default(),
         seed: 1,
     });
     world.configure((0..upstreams).map(spec).collect());
--- a/trouttrack_core/src/world/reachability.rs
+++ b/trouttrack_core/src/world/reachability.rs
@@ -49,6 +49,7 @@
     /// #     moved_fill: 1.0,
     /// #     look_ahead: 512,
     /// #     policy: "trouttrack".parse().unwrap(),
+    /// #     admission: trouttrack_core::world::AdmissionSettings::OFF,
     /// #     seed: 1,
     /// # };
     /// let mut world = World::new(settings);
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -1,7 +1,8 @@
 //! Scheduling state: requests, upstreams, learned lengths, explanations.
 
+use super::admission::{Admission, AdmissionSettings, Claims};
 use super::peers::PeerHeartbeats;
-use super::queue::{FairQueue, QueuePosition};
+use super::queue::{Arrival, FairQueue, QueuePosition};
 use super::rates::RateEstimates;
 use super::reachability::ReachabilityChange;
 use super::service_level::ServiceLevel;
@@ -16,7 +17,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slotmap::{SlotMap, new_key_type};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 new_key_type! {
@@ -63,6 +64,8 @@
     pub look_ahead: u64,
     /// Routing policy.
     pub policy: AnyPolicy,
+    /// Admission under contention.
+    pub admission: AdmissionSettings,
     /// Seed of the random generator that samples candidates.
     pub seed: u64,
 }
@@ -105,11 +108,18 @@
     pub submission: Submission,
     /// Time of submission.
     pub since: Time,
+    /// Time at which it was placed.
+    pub(crate) placed_at: Option<Time>,
     /// Upstream on which the request runs, once placed.
     pub upstream: Option<UpstreamKey>,
     /// What it was predicted to experience there, once placed.
     pub prediction: Prediction,
     pub(crate) queue_position: Option<QueuePosition>,
+    /// Time before which it is not tried again, so that the VMs do not fill the same upstream
+    /// at once.
+    pub(crate) not_before: Time,
+    /// Whether it waited to leave room to more urgent requests.
+    pub(crate) left_room: bool,
 }
 
 /// Why a request is not run.
@@ -129,6 +139,8 @@
     UpstreamPaused,
     /// At the rate limits of all upstreams the request could not be sent before its deadline.
     RateLimited,
+    /// Its turn would come after its deadline at the rate at which upstreams free memory.
+    Overloaded,
     /// A retry was needed and the service's retry budget is exhausted.
     RetryBudget,
 }
@@ -185,7 +197,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use trouttrack_core::world::{World, WorldSettings};
+/// use trouttrack_core::world::{AdmissionSettings, World, WorldSettings};
 /// let settings = WorldSettings {
 ///     failure_domain: "a".into(),
 ///     ageing: Duration::from_secs(5),
@@ -197,6 +209,7 @@
 ///     moved_fill: 1.0,
 ///     look_ahead: 512,
 ///     policy: "trouttrack".parse().unwrap(),
+///     admission: AdmissionSettings::default(),
 ///     seed: 1,
 /// };
 /// let mut world = World::new(settings);
@@ -215,6 +228,10 @@
     pub(crate) queue: FairQueue,
     pub(crate) deadlines: BTreeSet<(Time, RequestKey)>,
     pub(crate) limits: Limits,
+    pub(crate) admission: Admission,
+    pub(crate) claims: Claims,
+    /// Waiting requests that left room to more urgent ones in this round.
+    pub(crate) held_back: HashSet<RequestKey>,
     pub(crate) peers: PeerHeartbeats,
     pub(crate) rate_estimates: RateEstimates,
     /// Status reported by upstreams about themselves; each row holds a copy of its own.
@@ -246,6 +263,9 @@
             requests: SlotMap::with_key(),
             deadlines: BTreeSet::new(),
             limits: Limits::default(),
+            admission: Admission::default(),
+            claims: Claims::default(),
+            held_back: HashSet::new(),
             peers: PeerHeartbeats::default(),
             rate_estimates: RateEstimates::default(),
             notices: UpstreamNotices::default(),
@@ -258,6 +278,7 @@
 
     /// Replaces the upstreams by those of a new configuration.
     pub fn configure(&mut self, specs: Vec<UpstreamSpec>) {
+        self.admission.forget_supplies();
         self.upstreams
             .configure(specs, &self.settings.failure_domain);
         self.refresh_all_statuses();
@@ -331,6 +352,7 @@
 
     /// Sets the failure domains under evacuation; their upstreams get no new work.
     pub fn set_evacuations(&mut self, evacuations: Evacuations) {
+        self.admission.forget_supplies();
         self.upstreams.set_evacuations(evacuations);
     }
 
@@ -340,27 +362,41 @@
     }
 
     /// Adds a request to the queue; the next tick decides on it.
-    pub fn submit(&mut self, now: Time, submission: Submission) -> RequestKey {
-        let expected = self
-            .lengths
-            .estimate_remaining(submission.length_key, 0, 0.5);
-        let cost = (submission.prompt_tokens as f64 + expected) / submission.weight.max(1e-3);
+    pub fn submit(&mut self, now: Time, mut submission: Submission) -> RequestKey {
+        let need = self.expected_tokens(&submission);
+        let cost = need / submission.weight.max(1e-3);
+        self.record_arrival(now, &submission, need);
+        submission.deadline = self.wait_until(now, &submission);
+        let due = match self.settings.admission.order_by_due {
+            true => submission.service_level.due,
+            false => Time::MAX,
+        };
         let (class, deadline) = (submission.priority, submission.deadline);
         let organisation = submission.organisation.clone();
         let has_upstream = self.upstreams.serving(&submission.service).is_some();
         let key = self.requests.insert(Request {
             submission,
             since: now,
+            placed_at: None,
             upstream: None,
             prediction: Prediction::UNKNOWN,
             queue_position: None,
+            not_before: Time::ZERO,
+            left_room: false,
         });
         if !has_upstream {
             self.refuse(key, NotRunReason::NoUpstream);
         } else if self.queue.len() >= self.settings.max_queued {
             self.refuse(key, NotRunReason::QueueFull);
         } else {
-            let position = self.queue.push(key, class, &organisation, cost, now);
+            let arrival = Arrival {
+                class,
+                organisation: &organisation,
+                cost_per_weight: cost,
+                due,
+                queued_at: now,
+            };
+            let position = self.queue.push(key, arrival);
             self.requests[key].queue_position = Some(position);
             self.deadlines.insert((deadline, key));
         }
@@ -403,6 +439,7 @@
             return false;
         };
         self.limits.remove(&row.submission.organisation);
+        self.record_freed(now, &row, tokens);
         if let Some(tokens) = tokens {
             self.lengths.record(row.submission.length_key, tokens);
         }
@@ -431,7 +468,7 @@
     }
 
     /// Records that the request's upstream refused it. A refusal does not count as a
-    /// success: an upstream that sheds load gets no work for a moment.
+    /// success: the upstream gets no work for a moment, or else it would look idle.
     pub fn record_refusal(&mut self, now: Time, key: RequestKey) {
         self.record_response(now, key);
         let upstream = self.requests.get(key).and_then(|row| row.upstream);
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision logic, which does no I/O.
 
+mod admission;
 mod buffers;
 mod claims;
 mod cold;
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -45,6 +45,10 @@
     pub held: IntGauge,
     /// Upstreams whose address refused the last connection known to this VM.
     pub unreachable: IntGauge,
+    /// Requests that wait for an upstream.
+    pub waiting: IntGauge,
+    /// Rounds in which a waiting request left room to more urgent ones.
+    pub held_back: IntGauge,
     /// Calls to the platform's store.
     pub store_calls: IntGauge,
     /// Connections opened to upstreams.
@@ -181,6 +185,16 @@
                 "trouttrack_unreachable_upstreams",
                 "Upstreams whose address refused the last connection",
             ),
+            waiting: gauge(
+                &r,
+                "trouttrack_waiting_requests",
+                "Requests that wait for an upstream",
+            ),
+            held_back: gauge(
+                &r,
+                "trouttrack_held_back_rounds",
+                "Rounds so far in which a waiting request left memory to more urgent ones",
+            ),
             store_calls: gauge(&r, "trouttrack_store_calls", "Calls to the store so far"),
             connections: gauge(
                 &r,
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -48,6 +48,10 @@
     /// Age of the oldest peer report included in these estimates; `None` if no peer is known to
     /// use the upstream.
     pub known: Option<Duration>,
+    /// Time that the request waited for the upstream.
+    pub waited: Duration,
+    /// Whether it waited to leave room to more urgent requests.
+    pub left_room: bool,
     /// Reservation on the upstream, released on drop.
     pub ticket: Ticket,
 }
@@ -127,12 +131,15 @@
         let now = self.clock.now();
         let world = self.world.borrow();
         let row = world.upstreams.get_by_id(&upstream);
+        let (waited, left_room) = world.wait_of(key).unwrap_or_default();
         Placed {
             fill: row.map_or(0.0, |u| u.fill_with(None)),
             running: row.map_or(0, Upstream::estimated_running),
             loading: row.map_or(Duration::ZERO, |u| u.prefill_wait(now, own_prompt)),
             known: row.and_then(|u| u.oldest_report_age(now)),
             prediction: world.prediction(key),
+            waited,
+            left_room,
             upstream,
             ticket,
         }
@@ -250,6 +257,23 @@
         self.world.borrow_mut().set_rate_share(share);
     }
 
+    /// Sets the number of VMs in the fleet, including this one.
+    pub fn set_fleet_size(&self, vms: usize) {
+        self.world.borrow_mut().set_fleet_size(vms);
+    }
+
+    /// Number of waiting requests.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.world.borrow().queued()
+    }
+
+    /// Number of rounds in which a waiting request left room to more urgent ones.
+    #[must_use]
+    pub fn held_back(&self) -> u64 {
+        self.world.borrow().held_back()
+    }
+
     /// Sets the evacuated failure domains and runs a scheduling round.
     pub fn set_evacuations(&self, evacuations: Evacuations) {
         self.world.borrow_mut().set_evacuations(evacuations);
