--- a/trouttrack_core/src/membership/conditions.rs
+++ b/trouttrack_core/src/membership/conditions.rs
@@ -8,14 +8,14 @@
 /// How long an observation of reachability is included in load updates, in milliseconds.
 const REACHABILITY_REPEAT_MS: u32 = 100;
 
-/// A VM's observations of upstreams, and the requests that wait there.
+/// A VM's observations of upstreams, and the demand there.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Conditions {
     /// Observed service rates.
     pub rates: Vec<ReportedRate>,
     /// Upstreams that refused a connection.
     pub unreachable: Vec<ReportedUnreachable>,
-    /// Waiting requests.
+    /// Demand for services.
     pub demand: Vec<ReportedDemand>,
     /// Upstreams that refused a connection earlier and have answered a request since.
     pub reachable: Vec<ReportedReachable>,
@@ -84,17 +84,17 @@
 /// about 25 bytes each.
 pub const MAX_UNREACHABLE_PER_DATAGRAM: usize = 24;
 
-/// Requests of one service and priority class that wait at a VM.
+/// Requests of one service and priority class that arrived at a VM in the last four seconds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReportedDemand {
     /// The service.
     pub service: ServiceId,
     /// Priority class; 0 is the most urgent.
     pub class: u8,
-    /// Number of waiting requests.
+    /// Number of requests.
     pub requests: u16,
-    /// Memory that they need at the start, in tokens.
+    /// Memory that they are expected to need, in tokens.
     pub tokens: u32,
-    /// Time until the first of them has to be placed to meet its objective, in milliseconds.
-    pub slack_ms: u32,
+    /// Mean time from their arrival until their first token is due, in milliseconds.
+    pub objective_ms: u32,
 }
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -165,6 +165,8 @@
             route = self.admitted.route.name.as_str(),
             running = placed.running,
             loading_ms = placed.loading.as_millis() as u64,
+            waited_ms = placed.waited.as_millis() as u64,
+            left_room = placed.left_room,
             known_ms = placed.known.map(|age| age.as_millis() as u64),
             predicted_first_ms = placed.prediction.first_token.as_millis() as u64,
             predicted_gap_ms = placed
