--- a/trouttrack_core/src/request/search.rs
+++ b/trouttrack_core/src/request/search.rs
@@ -9,8 +9,8 @@
 /// then as likely to be cut off, and a caller that is refused soon can try another one.
 const MAX_FAILED: u32 = 3;
 
-/// Connections that a request has tried in vain. Nothing was sent on them, so they are no
-/// attempts; the search goes on while untried upstreams are left.
+/// Failed connections of a request. Nothing was sent on them, so they do not count as attempts,
+/// and the search continues while there are upstreams without one.
 ///
 /// # Examples
 ///
--- a/trouttrack_core/src/world/mod.rs
+++ b/trouttrack_core/src/world/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod conditions;
 mod demand;
+mod limits;
 mod notices;
 mod peers;
 mod queue;
@@ -14,12 +15,13 @@
 mod tables;
 
 pub use admission::{AdmissionSettings, patience};
+pub use limits::Limits;
 pub use queue::FairQueue;
 pub use rates::{KnownRates, SlowdownChange};
 pub use reachability::ReachabilityChange;
 pub use relocate::Target;
 pub use service_level::ServiceLevel;
 pub use tables::{
-    Decision, Limits, MOVED_FILL, NotRunReason, PLACED_FILL, Request, RequestKey, Submission,
-    World, WorldSettings,
+    Decision, MOVED_FILL, NotRunReason, PLACED_FILL, Request, RequestKey, Submission, World,
+    WorldSettings,
 };
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -1,6 +1,7 @@
 //! Scheduling state: requests, upstreams, learned lengths, explanations.
 
 use super::admission::{Admission, AdmissionSettings, Claims};
+use super::limits::Limits;
 use super::peers::PeerHeartbeats;
 use super::queue::{Arrival, FairQueue, QueuePosition};
 use super::rates::RateEstimates;
@@ -17,7 +18,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slotmap::{SlotMap, new_key_type};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashSet};
 use std::time::Duration;
 
 new_key_type! {
@@ -166,31 +167,6 @@
     },
 }
 
-/// Number of running requests per organisation.
-#[derive(Debug, Default)]
-pub struct Limits {
-    running: HashMap<OrganisationId, usize>,
-}
-
-impl Limits {
-    pub(crate) fn running(&self, organisation: &str) -> usize {
-        self.running.get(organisation).copied().unwrap_or(0)
-    }
-
-    pub(crate) fn add(&mut self, organisation: &str) {
-        *self.running.entry(organisation.to_owned()).or_default() += 1;
-    }
-
-    pub(crate) fn remove(&mut self, organisation: &str) {
-        if let Some(n) = self.running.get_mut(organisation) {
-            *n = n.saturating_sub(1);
-            if *n == 0 {
-                self.running.remove(organisation);
-            }
-        }
-    }
-}
-
 /// Scheduling state of one gateway.
 ///
 /// # Examples
--- a/trouttrack_front/tests/front/buffers.rs
+++ b/trouttrack_front/tests/front/buffers.rs
@@ -5,7 +5,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use trouttrack_core::fleet::Organisation;
-use trouttrack_platform_standin::{Behaviour, Upstream};
+use trouttrack_platform_standin::{Behaviour, CallerRequest, Upstream};
 
 const KIB: usize = 1 << 10;
 const VM: usize = 512 * KIB;
@@ -51,12 +51,12 @@
         .set_recv_buffer_size(4 << 10)
         .expect("a small buffer");
     let mut stream = socket.connect(bed.addr()).await.expect("a connection");
-    let head = format!(
-        "POST /draft/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 60000\r\n\
-         Authorization: Bearer {key}\r\nX-Model: m\r\nX-Token-Counts: 100,400\r\n\
-         Content-Length: 1\r\n\r\nx"
-    );
-    stream.write_all(head.as_bytes()).await.expect("sent");
+    let req = CallerRequest::get(id, HOST, "/draft/x")
+        .post("x")
+        .key(key)
+        .tokens(100, 400)
+        .patience(Duration::from_secs(60));
+    stream.write_all(&req.to_bytes()).await.expect("sent");
     stream
 }
 
