A stand-in's port stays reserved after its upstream has ended

Tests of one binary run in one process, and an ended upstream's port was free: another test's listener could take it and answer for it. Ruled out: a connection accepted before the end, as the listener closes before the next poll.

The test's upstreams live as long as its fleet. Its checks are as they were.

--- a/trouttrack_front/tests/front/reachability.rs
+++ b/trouttrack_front/tests/front/reachability.rs
@@ -9,11 +9,12 @@
 
 /// A fleet whose upstreams but `u1` and `u2` are gone, with entries that the store still lists.
 async fn bed_with_gone_upstreams(service: &str) -> Bed {
-    let bed = Bed::new(service).await;
+    let mut bed = Bed::new(service).await;
     for n in 0..GONE {
         let gone = Upstream::start(&format!("gone{n}"), service, "a").await;
         bed.store.put_upstream(&gone, false);
         gone.kill();
+        bed.upstreams.push(gone);
     }
     let front = &bed.front.front;
     until("all upstreams are listed", || {
