Core: comments on conditions, rates and admission in the field's terms

Several comments told how a value was found, said 'heard' for received reports, or left the unit of a constant open. State the reason and the unit instead; Admission.heard is reported_at. No behaviour changes.

--- a/trouttrack_core/src/membership/conditions.rs
+++ b/trouttrack_core/src/membership/conditions.rs
@@ -1,5 +1,5 @@
-//! What VMs tell each other about upstreams and waiting requests besides their use of
-//! upstreams.
+//! Observations that VMs exchange besides their use of upstreams: service rates, reachability,
+//! and demand for services.
 
 use crate::ServiceId;
 use crate::upstream::{Incarnation, ReportedRate};
@@ -8,7 +8,7 @@
 /// How long an observation of reachability is included in load updates, in milliseconds.
 const REACHABILITY_REPEAT_MS: u32 = 100;
 
-/// A VM's observations of upstreams, and the demand there.
+/// A VM's observations of upstreams, and the demand that arrives at it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Conditions {
     /// Observed service rates.
@@ -17,7 +17,7 @@
     pub unreachable: Vec<ReportedUnreachable>,
     /// Demand for services.
     pub demand: Vec<ReportedDemand>,
-    /// Upstreams that refused a connection earlier and have answered a request since.
+    /// Upstreams that have answered a request after refusing a connection.
     pub reachable: Vec<ReportedReachable>,
 }
 
@@ -39,7 +39,7 @@
     }
 
     /// Removes the observations of reachability that earlier load updates have carried.
-    /// Heartbeats report them further.
+    /// Heartbeats continue to carry them.
     ///
     /// # Examples
     ///
@@ -80,8 +80,8 @@
     pub age_ms: u32,
 }
 
-/// Maximum number of [`ReportedUnreachable`] in a datagram, and of [`ReportedReachable`], at
-/// about 25 bytes each.
+/// Maximum number of [`ReportedUnreachable`] in a datagram, and also of [`ReportedReachable`].
+/// Each takes about 25 bytes.
 pub const MAX_UNREACHABLE_PER_DATAGRAM: usize = 24;
 
 /// Requests of one service and priority class that arrived at a VM in the last four seconds.
--- a/trouttrack_core/src/upstream/losses.rs
+++ b/trouttrack_core/src/upstream/losses.rs
@@ -5,14 +5,8 @@
 //! before the upstream is back. VMs therefore report to each other when a connection ended
 //! before any response, and an upstream that two VMs report is suspected.
 //!
-//! The same applies to refused requests: with 295 VMs and 196 upstreams, each VM sends an
-//! upstream one request every two seconds, too few to learn from its own refusals. In a model
-//! of such a service, 19,734 of 157,447 calls are refused if each VM uses only its own
-//! observations, and 5,631 if two VMs of a failure domain suffice (with 64 VMs: 2,111 and 878
-//! of 33,716).
-//!
-//! With 66 VMs and 61 upstreams, one of which restarts on some of ten days, 676 of 49,304
-//! non-idempotent plain calls were lost with this detection and 944 without it.
+//! The same applies to refused requests: a VM that sends an upstream a request every few seconds
+//! learns too late from its own refusals.
 
 use crate::Time;
 use std::time::Duration;
--- a/trouttrack_core/src/upstream/service_rate/estimate.rs
+++ b/trouttrack_core/src/upstream/service_rate/estimate.rs
@@ -6,13 +6,14 @@
 use crate::Time;
 use std::time::Duration;
 
-/// Prefill throughput of an engine, while it also runs generations, that is assumed until it
-/// is measured.
+/// Assumed prefill throughput, in prompt tokens per second, of engines without samples. It is
+/// that of an engine which also runs generations.
 const DEFAULT_PREFILL_PER_SECOND: f64 = 5_000.0;
 /// Increase of the time between two events for each other generation, as a fraction of that
 /// of a single one. A batch reads the weights once, so that a further generation costs little.
 const GAP_GROWTH_PER_GENERATION: f64 = 0.02;
-/// Standard error that remains however many samples there are, from what is not corrected for.
+/// Lower bound of the standard error of a mean logarithm, for systematic errors that further
+/// samples do not reduce.
 const MIN_STANDARD_ERROR: f64 = 0.05;
 /// Number of standard errors within which a difference does not count.
 const SIGNIFICANT_ERRORS: f64 = 2.0;
@@ -92,8 +93,8 @@
     (noise.powi(2) / weight + disturbed.powi(2) + MIN_STANDARD_ERROR.powi(2)).sqrt()
 }
 
-/// Reduces a value by its error: to zero up to [`SIGNIFICANT_ERRORS`], continuously, and by
-/// little far beyond.
+/// Firm thresholding: returns 0 for values within [`SIGNIFICANT_ERRORS`] errors. Beyond them the
+/// reduction decreases continuously, so that values far larger than their error stay unchanged.
 pub(super) fn firm_threshold(log: f64, error: f64) -> f64 {
     let ratio = SIGNIFICANT_ERRORS * error / log.abs().max(f64::MIN_POSITIVE);
     log * (1.0 - ratio * ratio).max(0.0)
--- a/trouttrack_core/src/upstream/service_rate/log_mean.rs
+++ b/trouttrack_core/src/upstream/service_rate/log_mean.rs
@@ -3,11 +3,11 @@
 use crate::Time;
 use std::time::Duration;
 
-/// Time in which a sample's weight falls to 1/e while no others replace it. An upstream that is
-/// avoided because it is slow gives few samples, and does not become faster thereby.
+/// Time in which a sample's weight falls to 1/e while no others replace it. Long, because an
+/// upstream that is avoided for being slow yields few samples and must not seem faster thereby.
 const DECAY_TIME: Duration = Duration::from_secs(60);
 /// Maximum weight of a mean, in independent samples, so that new samples replace old ones within
-/// seconds. Much more than a slow phase of an upstream gives.
+/// seconds. A slow phase of an upstream yields far fewer.
 const MAX_WEIGHT: f64 = 8.0;
 /// Time after which a sample counts as independent of the previous one. Shorter disturbances
 /// affect all samples taken meanwhile.
--- a/trouttrack_core/src/upstream/service_rate/observed.rs
+++ b/trouttrack_core/src/upstream/service_rate/observed.rs
@@ -9,7 +9,7 @@
 use crate::upstream::ReportSource;
 use std::time::Duration;
 
-/// Age of its last report after which a peer's samples are dropped.
+/// Age of a peer's last report at which its samples are dropped.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(20);
 /// Age of the last sample up to which this VM's samples are reported.
 const REPORT_PERIOD: Duration = Duration::from_secs(3);
@@ -17,8 +17,8 @@
 const MIN_COMPARED_WEIGHT: f64 = 0.3;
 /// Ratio by which a slowdown has to change to be announced to operators again.
 const ANNOUNCED_RATIO: f64 = 1.5;
-/// Tolerance when a loading prompt is compared with the start of a sample, which begins as the
-/// prompt of its own request is loaded.
+/// Tolerance for a prompt that finishes loading as a sample starts: the first sample of a stream
+/// starts when its own prompt has been loaded.
 const START_TOLERANCE: Duration = Duration::from_millis(2);
 /// Shortest prompt whose first token shows the prefill rate.
 const MIN_PREFILL_TOKENS: u64 = 200;
@@ -35,7 +35,7 @@
     /// Last time at which several prompts were known to be loading.
     several_loading_at: Option<Time>,
     estimate: Estimate,
-    /// Slowdown that was last given to operators.
+    /// Slowdown that was last announced to operators.
     announced: f64,
 }
 
@@ -165,7 +165,7 @@
         merged
     }
 
-    /// Returns all samples, without those of peers that are silent.
+    /// Returns all samples. Drops those of peers that have not reported for [`MAX_REPORT_AGE`].
     pub(crate) fn all(&mut self, now: Time) -> RowSamples {
         self.peers
             .retain(|p| now.saturating_sub(p.at) < MAX_REPORT_AGE);
@@ -202,8 +202,8 @@
         self.estimate = Estimate::of(now, &samples.means, typical);
     }
 
-    /// Returns the previous slowdown if the current one differs from it by a lot, and remembers
-    /// the current one.
+    /// Returns the slowdown announced before if the current one differs from it by more than
+    /// [`ANNOUNCED_RATIO`], and marks the current one as announced.
     pub(crate) fn announce(&mut self) -> Option<f64> {
         let slowdown = self.estimate.slowdown();
         let ratio = slowdown / self.announced;
--- a/trouttrack_core/src/upstream/service_rate/quantity.rs
+++ b/trouttrack_core/src/upstream/service_rate/quantity.rs
@@ -9,15 +9,15 @@
     EventGap,
     /// Prefill time of a thousand prompt tokens.
     Prefill,
-    /// Duration of a plain call, divided by the mean of its kind; in seconds, 1 is the mean.
+    /// Duration of a plain call as a multiple of the mean of its kind, recorded as if in seconds.
     Call,
 }
 
 impl Quantity {
     pub(crate) const ALL: [Self; 3] = [Self::EventGap, Self::Prefill, Self::Call];
 
-    /// Assumed standard deviation of the logarithm of one independent sample, until it is known
-    /// from how VMs differ.
+    /// Assumed standard deviation of the logarithm of one independent sample, until it can be
+    /// estimated from the differences between VMs.
     pub(super) fn assumed_noise(self) -> f64 {
         match self {
             Self::EventGap => 0.3,
@@ -26,8 +26,8 @@
         }
     }
 
-    /// Logarithm by which one sample may be off: taken in a slow phase of the upstream, or for
-    /// prefill and calls behind unknown work.
+    /// Error of the logarithm of a disturbed sample: one from a slow phase of the upstream, or,
+    /// for prefill and calls, one that was delayed by work of other VMs.
     pub(super) fn disturbance(self) -> f64 {
         match self {
             Self::EventGap => 0.5,
--- a/trouttrack_core/src/upstream/service_rate/sample.rs
+++ b/trouttrack_core/src/upstream/service_rate/sample.rs
@@ -35,7 +35,7 @@
     pub event_gap: ReportedMean,
     /// Prefill time of a thousand prompt tokens.
     pub prefill: ReportedMean,
-    /// Duration of a plain call, divided by the mean of its kind, in seconds.
+    /// Duration of a plain call as a multiple of the mean of its kind, as if in seconds.
     pub call: ReportedMean,
 }
 
@@ -48,9 +48,9 @@
     pub log_us: u16,
 }
 
-/// Weight of one independent sample in a report.
+/// Reported weight of one independent sample.
 const WEIGHT_UNITS: f64 = 8.0;
-/// Units of a logarithm in a report.
+/// Reported units per unit of a natural logarithm.
 const LOG_UNITS: f64 = 1000.0;
 
 impl ReportedMean {
--- a/trouttrack_core/src/upstream/service_rate/upstream.rs
+++ b/trouttrack_core/src/upstream/service_rate/upstream.rs
@@ -34,8 +34,8 @@
         self.rates.estimate().at_load(self.running_at(now))
     }
 
-    /// Records what one of this VM's running requests shows of its speed, unless it is slow
-    /// because it has just started.
+    /// Records a sample of one of this VM's running requests. Samples during the upstream's
+    /// warm-up do not count.
     pub(crate) fn observe(&mut self, now: Time, prompt_tokens: u64, sample: RateSample) {
         self.note_loading(now);
         if self.coldness(now) > 0.0 {
@@ -60,7 +60,8 @@
         }
     }
 
-    /// Records how many prompts are known to be loading now. Called before and after a change.
+    /// Records how many prompts are known to be loading now. Called before and after each change
+    /// of their number.
     pub(crate) fn note_loading(&mut self, now: Time) {
         let own = self.own.iter().filter(|r| !r.loaded).count();
         let loads = |p: &&PeerUse| p.backlog.tokens(now) > 0.0;
--- a/trouttrack_core/src/world/admission/claims.rs
+++ b/trouttrack_core/src/world/admission/claims.rs
@@ -1,4 +1,4 @@
-//! Upstreams that are left to a large request which smaller ones would pass over.
+//! Claims: upstreams reserved for a large request that smaller ones would keep overtaking.
 
 use crate::Time;
 use crate::upstream::UpstreamKey;
@@ -33,8 +33,9 @@
 }
 
 impl World {
-    /// Leaves the emptiest upstream to a request that did not fit and has used up half of the
-    /// time for which it may wait. What ends there then makes room for it.
+    /// Claims the emptiest upstream for a request that did not fit and has used up
+    /// [`CLAIM_AFTER`] of the time for which it may wait. Memory that becomes free there is then
+    /// left to it.
     pub(crate) fn claim_upstream(&mut self, now: Time, key: RequestKey) {
         let row = &self.requests[key];
         let s = &row.submission;
--- a/trouttrack_core/src/world/admission/demand.rs
+++ b/trouttrack_core/src/world/admission/demand.rs
@@ -1,4 +1,4 @@
-//! Arrivals of a service's requests by priority class, and the memory that they free.
+//! Demand for a service: arrivals by priority class, and memory freed by requests that end.
 
 use super::room::Supply;
 use super::window::{Total, WINDOW, Window};
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-/// Age after which a peer's report no longer counts: a few heartbeats.
+/// Age after which a peer's report no longer counts, a few heartbeat intervals.
 pub(super) const REPORT_EXPIRY: Duration = Duration::from_secs(2);
 /// Weight of the newest observation in a mean.
 const NEWEST: f64 = 0.2;
@@ -77,7 +77,7 @@
         row.hold = mean(row.hold, held.as_secs_f64());
     }
 
-    /// Memory freed in the last seconds.
+    /// Memory freed in the window.
     pub(super) fn freed(&self, now: Time) -> Total {
         self.freed.total(now)
     }
@@ -97,7 +97,7 @@
             .retain(|_, peer| now.saturating_sub(peer.at) <= REPORT_EXPIRY);
     }
 
-    /// What has arrived at this VM in the window, by class.
+    /// Arrivals at this VM in the window, by class.
     pub(crate) fn arrivals(&self, now: Time) -> impl Iterator<Item = Arrived> {
         self.classes.iter().filter_map(move |(&class, row)| {
             let total = row.arrivals.total(now);
@@ -134,7 +134,7 @@
                 tokens: per_second * hold.unwrap_or(objective),
             }
         };
-        let some = |(_, (tokens, _)): &(u8, (f64, f64))| *tokens > 0.0;
-        by_class.into_iter().filter(some).map(need).collect()
+        let has_tokens = |(_, (tokens, _)): &(u8, (f64, f64))| *tokens > 0.0;
+        by_class.into_iter().filter(has_tokens).map(need).collect()
     }
 }
--- a/trouttrack_core/src/world/admission/mod.rs
+++ b/trouttrack_core/src/world/admission/mod.rs
@@ -31,8 +31,8 @@
     pub keep_room: bool,
     /// Whether requests of an organisation and class are ordered by their objectives.
     pub order_by_due: bool,
-    /// Whether a large request that has waited for half of its time gets the next room of an
-    /// upstream before smaller ones.
+    /// Whether a large request that has waited for half of the time until its deadline claims
+    /// an upstream, so that smaller ones do not take the room that becomes free there.
     pub claim_for_large: bool,
     /// Whether requests that cannot be placed in time are refused on arrival.
     pub refuse_hopeless: bool,
@@ -47,7 +47,7 @@
         refuse_hopeless: false,
     };
 
-    /// Whether the demand for services has to be known.
+    /// Whether the demand for services is recorded.
     pub(crate) fn needs_demand(self) -> bool {
         self.keep_room || self.refuse_hopeless
     }
@@ -64,12 +64,12 @@
     }
 }
 
-/// What the admission has measured.
+/// Demand for services, as far as the admission knows it.
 #[derive(Debug)]
 pub(crate) struct Admission {
     services: HashMap<ServiceId, ServiceDemand>,
     /// When each peer last reported.
-    heard: HashMap<String, Time>,
+    reported_at: HashMap<String, Time>,
     /// Number of VMs in the fleet, including this one.
     vms: usize,
     /// Number of placements that were delayed to keep room.
@@ -80,7 +80,7 @@
     fn default() -> Self {
         Self {
             services: HashMap::new(),
-            heard: HashMap::new(),
+            reported_at: HashMap::new(),
             vms: 1,
             held_back: 0,
         }
@@ -114,7 +114,7 @@
         self.vms.max(reporting) as f64 / reporting as f64
     }
 
-    /// Drops the sums over upstreams, after a change that they would show too late.
+    /// Drops the cached sums over upstreams, after a change of the upstreams.
     pub(crate) fn forget_supplies(&mut self) {
         for service in self.services.values_mut() {
             service.supply.take();
@@ -129,11 +129,12 @@
         self.held_back
     }
 
-    pub(crate) fn record_peer_heard(&mut self, now: Time, peer: &str) {
-        match self.heard.get_mut(peer) {
+    /// Records that a peer has reported, and drops the demand that it reported before.
+    pub(crate) fn record_peer_report(&mut self, now: Time, peer: &str) {
+        match self.reported_at.get_mut(peer) {
             Some(at) => *at = now,
             None => {
-                self.heard.insert(peer.to_owned(), now);
+                self.reported_at.insert(peer.to_owned(), now);
             }
         }
         for service in self.services.values_mut() {
@@ -144,13 +145,14 @@
     /// Number of VMs whose demand is known, including this one.
     pub(crate) fn reporting(&self, now: Time) -> usize {
         let fresh = |at: &&Time| now.saturating_sub(**at) <= demand::REPORT_EXPIRY;
-        1 + self.heard.values().filter(fresh).count()
+        1 + self.reported_at.values().filter(fresh).count()
     }
 
     /// Drops the reports of silent peers.
     pub(crate) fn expire(&mut self, now: Time) {
         let expiry = demand::REPORT_EXPIRY;
-        self.heard.retain(|_, at| now.saturating_sub(*at) <= expiry);
+        self.reported_at
+            .retain(|_, at| now.saturating_sub(*at) <= expiry);
         for service in self.services.values_mut() {
             service.expire(now);
         }
--- a/trouttrack_core/src/world/admission/room.rs
+++ b/trouttrack_core/src/world/admission/room.rs
@@ -9,12 +9,12 @@
 /// Largest fraction of an upstream's memory that is kept free.
 const MAX_ROOM: f64 = 0.5;
 
-/// Largest fraction of an objective that prompts ahead take off the slack. Beyond it every
-/// upstream has a queue, which more requests would only lengthen.
+/// Largest reduction of a request's slack by prompts ahead, as a fraction of its objective.
+/// Beyond it every upstream has a queue, which placing the request early would only lengthen.
 const MAX_PROMPTS_AHEAD: f64 = 0.25;
 
-/// Interval at which the memory of a service's upstreams is summed up, which would cost too
-/// much for each request.
+/// Interval at which the memory of a service's upstreams is summed up. Doing so for each request
+/// would cost too much.
 const SUPPLY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Memory of a service's upstreams.
@@ -41,7 +41,7 @@
 pub(crate) struct KeptRoom {
     /// Fraction of an upstream's memory that stays free.
     pub(crate) fraction: f64,
-    /// How much of the room for urgent requests it leaves, from 0 to 1.
+    /// Fraction of the room for urgent requests that it leaves, from 0 to 1.
     pub(crate) patience: f64,
     /// Time until the request has to be placed.
     slack: Duration,
@@ -109,8 +109,8 @@
     }
 }
 
-/// Time until a request has to be placed: what is left of its objective, less the prompts ahead
-/// and its own.
+/// Time until a request has to be placed: the remainder of its objective, less the prefill times
+/// of the prompts ahead and of its own.
 fn slack(left: Duration, objective: Duration, prompt_tokens: u64, supply: Supply) -> Duration {
     let own = Duration::from_secs_f64(prefill_seconds(prompt_tokens as f64));
     let ahead = Duration::from_secs_f64(supply.backlog.unwrap_or(0.0).max(0.0));
--- a/trouttrack_core/src/world/admission/window.rs
+++ b/trouttrack_core/src/world/admission/window.rs
@@ -3,11 +3,13 @@
 use crate::Time;
 use std::time::Duration;
 
+/// Number of buckets.
 const BUCKETS: usize = 8;
+/// Time that a bucket covers.
 const BUCKET: Duration = Duration::from_millis(500);
 
 /// Length of the window. Bursts last for seconds, and a request holds memory for about as long.
-pub(super) const WINDOW: Duration = Duration::from_secs(4);
+pub(super) const WINDOW: Duration = BUCKET.saturating_mul(BUCKETS as u32);
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
--- a/trouttrack_core/src/world/conditions.rs
+++ b/trouttrack_core/src/world/conditions.rs
@@ -1,11 +1,12 @@
-//! Conditions that VMs report to each other besides their use of upstreams.
+//! Conditions that VMs report to each other; see [`Conditions`].
 
 use super::tables::World;
 use crate::Time;
 use crate::membership::Conditions;
 
 impl World {
-    /// Returns what this VM has to report besides service rates.
+    /// Returns the conditions to report, without service rates, which have intervals of their
+    /// own.
     #[must_use]
     pub fn conditions(&self, now: Time) -> Conditions {
         Conditions {
@@ -16,7 +17,7 @@
         }
     }
 
-    /// Records what a peer reports. `is_local` tells whether it is in this VM's failure domain.
+    /// Records the conditions that a peer reports. `is_local` tells whether it is in this VM's failure domain.
     pub fn record_peer_conditions(
         &mut self,
         now: Time,
--- a/trouttrack_core/src/world/demand.rs
+++ b/trouttrack_core/src/world/demand.rs
@@ -8,8 +8,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Longest pause before a fully patient request is tried again. Peers hear of a placement
-/// sooner than that.
+/// Longest pause before a fully patient request is tried again. Reports of placements reach the
+/// peers in less time.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(400);
 
 impl World {
@@ -29,8 +29,8 @@
                 objective: Duration::from_millis(u64::from(row.objective_ms)),
             });
         }
-        // A peer without demand counts, too: it lowers the mean.
-        self.admission.record_peer_heard(now, peer);
+        // A report without demand lowers the mean, so it is recorded as well.
+        self.admission.record_peer_report(now, peer);
         for (service, by_class) in by_service {
             let service = self.admission.service_mut(service);
             service.record_peer(now, peer, by_class);
@@ -110,8 +110,8 @@
         service.record_end(now, s.priority, held, (s.prompt_tokens + output) as f64);
     }
 
-    /// Notes that no upstream has room for a request beside what it leaves to more urgent ones;
-    /// it is tried again after a random pause.
+    /// Postpones a request for which no upstream has room beyond what it leaves to more urgent
+    /// ones. It is tried again after a random pause.
     pub(super) fn note_held_back(&mut self, now: Time, key: RequestKey) {
         let row = &self.requests[key];
         let room = self.kept_room(now, row.since, &row.submission);
--- a/trouttrack_core/src/world/rates.rs
+++ b/trouttrack_core/src/world/rates.rs
@@ -1,8 +1,8 @@
 //! Observed service rates: samples of this VM's requests, and the reports of peers.
 //!
-//! The VMs of a failure domain report their own samples to each other. Other failure domains
-//! receive the samples of all of them together, of the upstreams in the sender's failure domain,
-//! from whichever VM they hear. No sample is in two reports that the same VM counts.
+//! The VMs of a failure domain report their own samples to each other. To other failure domains
+//! each of them reports the merged samples of the whole domain, for the domain's own upstreams.
+//! A newer report of a domain replaces the previous one, so that no sample counts twice.
 
 use super::tables::{RequestKey, World};
 use crate::upstream::{
@@ -11,24 +11,23 @@
 use crate::{Time, UpstreamId};
 use std::time::Duration;
 
-/// Interval at which estimates are updated: that of reports.
+/// Interval at which estimates are updated; equal to [`LOCAL_REPORT_INTERVAL`].
 const ESTIMATE_INTERVAL: Duration = Duration::from_millis(400);
 /// Maximum number of service rates in a report to this VM's failure domain, at about 13 bytes
 /// each.
 const MAX_LOCAL_RATES: usize = 16;
 /// Minimum interval of reports to this VM's failure domain.
 const LOCAL_REPORT_INTERVAL: Duration = Duration::from_millis(400);
-/// As [`MAX_LOCAL_RATES`] in a report to other failure domains, which hear of a domain from any
-/// of its VMs.
+/// As [`MAX_LOCAL_RATES`] for reports to other failure domains. Each covers the whole domain.
 const MAX_DOMAIN_RATES: usize = 48;
 /// Minimum interval of reports to other failure domains, traffic to which is billed.
 const DOMAIN_REPORT_INTERVAL: Duration = Duration::from_secs(2);
-/// Maximum number of changed slowdowns that are announced to operators at once.
+/// Maximum number of slowdown changes that are announced to operators at once.
 const MAX_ANNOUNCED: usize = 4;
 /// Slowdown from which an upstream counts as slow in summaries.
 const SLOW: f64 = 1.25;
 
-/// An upstream whose slowdown has changed by a lot.
+/// A slowdown that differs significantly from the one announced before.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SlowdownChange {
     /// The upstream.
@@ -61,7 +60,7 @@
 }
 
 impl World {
-    /// Records what a running request shows of its upstream's speed.
+    /// Records a sample of the speed of a running request's upstream.
     pub fn observe(&mut self, now: Time, key: RequestKey, sample: RateSample) {
         let Some(row) = self.requests.get(key) else {
             return;
@@ -150,8 +149,8 @@
         limited(now, rates.collect(), MAX_DOMAIN_RATES)
     }
 
-    /// Returns the upstreams whose slowdown has changed by a lot since it was last returned, or
-    /// is known for the first time; a few at most.
+    /// Returns the upstreams whose slowdown differs significantly from the one announced before,
+    /// a few at most, and marks these as announced.
     pub fn take_slowdown_changes(&mut self, now: Time) -> Vec<SlowdownChange> {
         let changed = self.upstreams.iter_mut().filter_map(|u| {
             Some(SlowdownChange {
@@ -204,7 +203,7 @@
     due
 }
 
-/// Limits the number of rates. Others are reported the next time.
+/// Limits the number of rates to `most`. Which ones are left out rotates with time.
 fn limited(now: Time, mut rates: Vec<ReportedRate>, most: usize) -> Vec<ReportedRate> {
     if rates.len() > most {
         let start = now.as_millis() as usize % rates.len();
--- a/trouttrack_core/src/world/service_level.rs
+++ b/trouttrack_core/src/world/service_level.rs
@@ -3,7 +3,7 @@
 use crate::Time;
 use std::time::Duration;
 
-/// What a request's route promises its callers.
+/// Objectives of a request, from its route and from its caller's time-out.
 ///
 /// # Examples
 ///
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -113,7 +113,7 @@
     pub(crate) placed_at: Option<Time>,
     /// Upstream on which the request runs, once placed.
     pub upstream: Option<UpstreamKey>,
-    /// What it was predicted to experience there, once placed.
+    /// Predicted first token and event gap there, once placed.
     pub prediction: Prediction,
     pub(crate) queue_position: Option<QueuePosition>,
     /// Time before which it is not tried again, so that the VMs do not fill the same upstream
@@ -214,7 +214,7 @@
     pub(crate) notices: UpstreamNotices,
     /// Upstreams that refused connections; each row holds a copy of its own.
     pub(crate) reachability: ReachabilityTable,
-    /// Changes of the above since they were last taken.
+    /// Changes of `reachability` that have not been returned to the caller yet.
     pub(crate) reachability_changes: Vec<ReachabilityChange>,
     /// Since when departures of upstreams cannot be learned, because the store is silent.
     pub(crate) store_silent_since: Option<Time>,
@@ -307,8 +307,8 @@
         }
     }
 
-    /// Sets this VM's share of common rate limits, which follows from the number of VMs that
-    /// are heard.
+    /// Sets this VM's share of common rate limits, which follows from the number of VMs whose
+    /// heartbeats it receives.
     pub fn set_rate_share(&mut self, share: RateShare) {
         self.rate_share = share;
     }
