Core: one order of expected turns for both refusals

Refusals by rate limits and by freed memory each sorted the waiting requests by the same key. Both call sort_by_turn now; the order is unchanged.

--- a/trouttrack_core/src/world/admission/outlook.rs
+++ b/trouttrack_core/src/world/admission/outlook.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Number of ends in the window from which their rate is relied on.
+/// Number of requests that have to end in the window before the rate of freed memory counts.
 const MIN_ENDS: u32 = 8;
 /// Requests are refused if their turn comes later than this multiple of their wait, because the
 /// rate varies.
@@ -19,8 +19,8 @@
 
 impl World {
     /// Refuses waiting requests whose turn comes after their deadline, while no upstream has
-    /// room for them. The retry delay is the time until the queue is served, spread over as
-    /// long again so that callers do not return together.
+    /// room for them. The retry delay is one to two times the time until the queue is served,
+    /// at random, so that callers do not return together.
     pub(crate) fn refuse_hopeless(&mut self, now: Time) {
         if !self.settings.admission.refuse_hopeless || self.queue.is_empty() {
             return;
@@ -53,16 +53,15 @@
         hopeless
     }
 
+    /// Returns those of a service's waiting requests whose turn comes after their deadline, each
+    /// with the delay until its turn.
     fn past_turn(
         &self,
         now: Time,
         mut keys: Vec<RequestKey>,
         freed: Total,
     ) -> Vec<(RequestKey, Duration)> {
-        keys.sort_by_key(|key| {
-            let row = &self.requests[*key];
-            (row.submission.priority, row.since)
-        });
+        self.sort_by_turn(&mut keys);
         let mut ahead = 0.0;
         let mut late = Vec::new();
         for key in keys {
--- a/trouttrack_core/src/world/systems/refuse.rs
+++ b/trouttrack_core/src/world/systems/refuse.rs
@@ -12,9 +12,8 @@
 
 impl World {
     /// Refuses requests for which no upstream will accept work before their deadline,
-    /// without waiting for the deadline. With an objective of 150 ms the caller gets the
-    /// refusal 90 ms sooner, together with the time at which the first upstream is tried
-    /// again.
+    /// without waiting for the deadline. The retry delay ends when the first upstream accepts
+    /// work again.
     pub(super) fn refuse_unreachable(&mut self, now: Time) {
         let mut openings: HashMap<&str, Option<Opening>> = HashMap::new();
         let mut unreachable = Vec::new();
@@ -69,10 +68,7 @@
         mut keys: Vec<RequestKey>,
         rate: f64,
     ) -> Vec<(RequestKey, Duration)> {
-        keys.sort_by_key(|key| {
-            let request = &self.requests[*key];
-            (request.submission.priority, request.since)
-        });
+        self.sort_by_turn(&mut keys);
         let mut late_requests = Vec::new();
         // The first request may be sent at any time.
         let mut ahead = 0;
@@ -87,6 +83,14 @@
         late_requests
     }
 
+    /// Sorts waiting requests by the order in which their turns are expected.
+    pub(crate) fn sort_by_turn(&self, keys: &mut [RequestKey]) {
+        keys.sort_by_key(|key| {
+            let row = &self.requests[*key];
+            (row.submission.priority, row.since)
+        });
+    }
+
     /// Total requests per second that a service's upstreams accept from the VMs that share
     /// their rate limits with this one. `None` if an upstream has no limit, or if the total is
     /// not known.
