Core: split the tables, the queue and the buffers by concern

The classes of the queue and the choice of readers to end move out of queue.rs and buffers/table.rs.

--- a/trouttrack_core/src/buffers/mod.rs
+++ b/trouttrack_core/src/buffers/mod.rs
@@ -7,6 +7,7 @@
 //! because of another organisation's readers. While no reader has been stalled for
 //! [`MIN_STALL`], the buffer that wants to grow waits.
 
+mod evict;
 mod table;
 
 pub use table::Buffers;
