Front: 'live' and 'receive' instead of 'heard'

PeerTable said heard for three things: a peer that is live, its last state, and the receipt of a message. It holds the live peers with their PeerState now; handlers of messages are receive_*.

--- a/trouttrack_front/src/follow/bootstrap.rs
+++ b/trouttrack_front/src/follow/bootstrap.rs
@@ -32,7 +32,7 @@
         {
             return true;
         }
-        if front.peers.heard_near(&front.failure_domain) == 0 {
+        if front.peers.live_in_domain(&front.failure_domain) == 0 {
             // There is no peer to fetch the list from.
             return false;
         }
--- a/trouttrack_front/src/follow/holds.rs
+++ b/trouttrack_front/src/follow/holds.rs
@@ -44,7 +44,7 @@
 
 /// Whether this VM is one of those that write the request's hold.
 fn is_writer(front: &Front, request: Fingerprint) -> bool {
-    let vms = front.peers.names_heard().into_iter();
+    let vms = front.peers.live_names().into_iter();
     let vms = vms.chain([front.name.clone()]);
     let first = record_holders(request, vms, String::as_str);
     first
--- a/trouttrack_front/src/follow/mod.rs
+++ b/trouttrack_front/src/follow/mod.rs
@@ -22,7 +22,7 @@
 
 pub(crate) use config::take_revision as take_config;
 pub(crate) use evacuations::{Told, take_evacuations};
-pub(crate) use self_reports::{heard_from_peer, heard_in_answer, heard_in_report};
+pub(crate) use self_reports::{receive_answer, receive_limits, receive_report};
 pub(crate) use upstreams::{Taken, take_news};
 
 use crate::state::Front;
--- a/trouttrack_front/src/follow/self_reports.rs
+++ b/trouttrack_front/src/follow/self_reports.rs
@@ -35,7 +35,7 @@
 
 /// Handles the head of an answer to a request that was sent at `asked_at` or later, whether or
 /// not the answer is usable for the caller.
-pub(crate) fn heard_in_answer(
+pub(crate) fn receive_answer(
     front: &Rc<Front>,
     upstream: &Rc<Upstream>,
     request: &str,
@@ -62,7 +62,7 @@
 
 /// Handles a report that was requested at `asked_at`. A report of another incarnation is
 /// ignored.
-pub(crate) fn heard_in_report(
+pub(crate) fn receive_report(
     front: &Rc<Front>,
     upstream: &Rc<Upstream>,
     asked_at: Time,
@@ -89,7 +89,7 @@
 }
 
 /// Handles limits that upstreams stated or ended, as passed on by a peer.
-pub(crate) fn heard_from_peer(front: &Front, peer: &str, limits: &[ReportedLimit]) {
+pub(crate) fn receive_limits(front: &Front, peer: &str, limits: &[ReportedLimit]) {
     let now = front.clock.now();
     for limit in limits {
         let statement = limit.statement(now);
@@ -128,10 +128,10 @@
         return;
     }
     let life = upstream.incarnation();
-    let hear = |notice| front.scheduler.receive_notice(&life, notice);
+    let receive = |notice| front.scheduler.receive_notice(&life, notice);
     let limit_changed = received.word.rate_limit.is_some_and(|limit| {
         let now = front.clock.now();
-        hear(UpstreamNotice::RateLimit(RateStatement::new(
+        receive(UpstreamNotice::RateLimit(RateStatement::new(
             limit,
             received.asked_at,
             now,
@@ -140,8 +140,8 @@
     let rests = received
         .word
         .pause
-        .is_some_and(|pause| hear(UpstreamNotice::Pause(pause)));
-    let leaving = received.word.leaving && hear(UpstreamNotice::Leaving);
+        .is_some_and(|pause| receive(UpstreamNotice::Pause(pause)));
+    let leaving = received.word.leaving && receive(UpstreamNotice::Leaving);
     if rests || leaving || limit_changed {
         record(front, &life, received);
     }
--- a/trouttrack_front/src/peers/confirm.rs
+++ b/trouttrack_front/src/peers/confirm.rs
@@ -10,7 +10,7 @@
 use super::message::{Confirmation, Datagram, Echo, Heartbeat};
 use super::post::post;
 use super::roles::watches_store;
-use super::table::Heard;
+use super::table::PeerState;
 use crate::state::Front;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -70,8 +70,8 @@
 /// failure domain.
 fn random_confirmer(front: &Front) -> Option<SocketAddr> {
     let own = front.routing.version();
-    let has_same = |h: &Heard| h.config_version == own;
-    let is_far = |h: &Heard| h.failure_domain != front.failure_domain;
+    let has_same = |h: &PeerState| h.config_version == own;
+    let is_far = |h: &PeerState| h.failure_domain != front.failure_domain;
     front.peers.draw(has_same, is_far)
 }
 
@@ -95,7 +95,7 @@
 }
 
 /// Applies the confirmation that a heartbeat carries.
-pub(super) fn hear(front: &Front, heartbeat: &Heartbeat) {
+pub(super) fn receive_heartbeat(front: &Front, heartbeat: &Heartbeat) {
     if let (Some(age_ms), Some(echo)) = (heartbeat.confirmed_ms, heartbeat.echo) {
         let age = Duration::from_millis(age_ms);
         confirmed(front, heartbeat.digest.config_version, echo, age);
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -27,7 +27,7 @@
 use trouttrack_telemetry::{events, record};
 
 /// Delay between a placement or a loss and its load update, so that several share one
-/// datagram. Kept short because other VMs may select the same upstream until they hear of it.
+/// datagram. Kept short because other VMs may select the same upstream until they receive it.
 const LOAD_UPDATE_DELAY: Duration = Duration::from_millis(3);
 
 /// Period after start during which a VM sends heartbeats to its whole failure domain. With
@@ -136,12 +136,12 @@
     }
 }
 
-/// This VM's share of a rate limit, from the number of VMs that it currently hears.
+/// This VM's share of a rate limit, from the number of VMs that are currently live.
 fn rate_share(front: &Front) -> RateShare {
     let home = &front.failure_domain;
     let own = 1;
-    let heard = front.peers.heard_near(home) + own;
-    RateShare::of(heard, front.peers.listed_in(home), front.peers.listed())
+    let live = front.peers.live_in_domain(home) + own;
+    RateShare::of(live, front.peers.listed_in(home), front.peers.listed())
 }
 
 /// Sends a heartbeat to a newly discovered VM, which would otherwise wait until it is
@@ -167,7 +167,7 @@
     let selects_same_upstreams = |domain: &str| {
         to_all || domain == front.failure_domain || domains.iter().any(|d| d == domain)
     };
-    let receivers = front.peers.heard_in(selects_same_upstreams);
+    let receivers = front.peers.live_addrs(selects_same_upstreams);
     if receivers.is_empty() {
         return;
     }
@@ -201,8 +201,8 @@
     let (near, far): (Vec<_>, Vec<_>) = others
         .into_iter()
         .partition(|(name, _)| front.peers.is_in(name, own_domain));
-    // Every peer that defers to this VM must hear that it watches the store, and every peer
-    // that ranks after it must hear that it has started.
+    // Every peer that defers to this VM must learn that it watches the store, and every peer
+    // that ranks after it must learn that it has started.
     let starting = front.clock.now() < STARTUP_BROADCAST;
     let near_count = if starting || watches_store(front) {
         near.len()
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -5,7 +5,7 @@
 use super::heartbeat::greet;
 use super::message::{Datagram, Heartbeat, Load, decode};
 use super::news::{handle_news, retransmit};
-use super::roles::hear_claim;
+use super::roles::receive_announcement;
 use super::suspects::{self, CatchUp};
 use crate::follow::{self, Told};
 use crate::state::Front;
@@ -40,7 +40,7 @@
         match datagram {
             Datagram::Heartbeat(heartbeat) => {
                 let name = &heartbeat.digest.name;
-                let is_new = !front.peers.has_heard(name);
+                let is_new = !front.peers.is_live(name);
                 handle_heartbeat(&front, &heartbeat, &conditions);
                 catch_up.tell(&front, &socket, &heartbeat, from);
                 // Peers of other failure domains send too rarely to stay in the table, so they
@@ -53,7 +53,7 @@
                 }
             }
             Datagram::Load(load) => handle_load(&front, &load, &conditions),
-            Datagram::Suspects(told) => suspects::hear(&front, &socket, &told, from),
+            Datagram::Suspects(told) => suspects::receive(&front, &socket, &told, from),
             Datagram::ConfigWanted => configs.answer(&front, &socket, from),
             Datagram::Config(told) => config::take(&front, &told),
             Datagram::ConfigReady(version) => configs.fetch(&front, from, version),
@@ -73,7 +73,11 @@
 fn handle_heartbeat(front: &Rc<Front>, heartbeat: &Heartbeat, conditions: &Conditions) {
     let digest = &heartbeat.digest;
     let now = front.clock.now();
-    if digest.name == front.name || !front.peers.hear(now, heartbeat, &front.failure_domain) {
+    if digest.name == front.name
+        || !front
+            .peers
+            .receive_heartbeat(now, heartbeat, &front.failure_domain)
+    {
         return;
     }
     match digest.rpc_addr.parse() {
@@ -101,11 +105,11 @@
     if heartbeat.upstreams_revision > Revision::default() {
         front.note_store_epoch(heartbeat.upstreams_revision.epoch);
     }
-    confirm::hear(front, heartbeat);
-    follow::heard_from_peer(front, name, &heartbeat.limits);
+    confirm::receive_heartbeat(front, heartbeat);
+    follow::receive_limits(front, name, &heartbeat.limits);
     follow::take_evacuations(front, &heartbeat.evacuations, Told::ByPeer(name));
     if heartbeat.watches {
-        hear_claim(front, &digest.name);
+        receive_announcement(front, &digest.name);
     }
     let newer_config = digest.config_version > front.routing.version();
     let newer_upstreams = heartbeat.upstreams_revision > front.upstreams.revision();
@@ -117,8 +121,8 @@
 /// Updates a peer's upstream usage. Usage from a peer without a prior heartbeat is ignored,
 /// since its failure domain is unknown, as is usage older than what was last received.
 fn handle_load(front: &Front, load: &Load, conditions: &Conditions) {
-    follow::heard_from_peer(front, &load.name, &load.limits);
-    if let Some(domain) = front.peers.hear_load(front.clock.now(), load) {
+    follow::receive_limits(front, &load.name, &load.limits);
+    if let Some(domain) = front.peers.receive_load(front.clock.now(), load) {
         front
             .scheduler
             .record_peer_uses(&load.name, &domain, &load.uses);
--- a/trouttrack_front/src/peers/mod.rs
+++ b/trouttrack_front/src/peers/mod.rs
@@ -41,6 +41,6 @@
 pub use message::{EntryChange, EntryState, News};
 pub(crate) use news::tell;
 pub use roles::watches_store;
-pub use table::{Heard, PeerTable};
+pub use table::{PeerState, PeerTable};
 pub use transfer::{Snapshot, Told as ToldUpstream};
 pub(crate) use transfer::{fetch_upstreams, serve};
--- a/trouttrack_front/src/peers/roles.rs
+++ b/trouttrack_front/src/peers/roles.rs
@@ -1,6 +1,6 @@
 //! Decides which VMs watch the store.
 
-use super::table::Heard;
+use super::table::PeerState;
 use crate::state::Front;
 use std::time::Duration;
 use trouttrack_core::Time;
@@ -9,7 +9,7 @@
 /// Maximum time since the store's last answer for a VM to count as in contact with it.
 /// Somewhat longer than the store takes to answer a watch without changes.
 const CONTACT_TIMEOUT: Duration = Duration::from_millis(6500);
-/// Time that a VM and its peers take to hear each other once it has the list of peers. A
+/// Time that a VM and its peers take to exchange heartbeats once it has the list of peers. A
 /// VM that has just started knows no peers and would consider itself the only one.
 const PEER_DISCOVERY: Duration = Duration::from_millis(700);
 /// Maximum time after start to wait for the list of peers.
@@ -34,8 +34,8 @@
     }
     let own = own_precedence(front);
     let ranks_before =
-        |name: &str, peer: &Heard| may_watch(front, peer) && precedence(name, peer) > own;
-    let before = front.peers.count_heard(ranks_before);
+        |name: &str, peer: &PeerState| may_watch(front, peer) && precedence(name, peer) > own;
+    let before = front.peers.count_live(ranks_before);
     let pause = front.peers.watcher_heartbeat_interval();
     front
         .peers
@@ -49,15 +49,15 @@
 }
 
 /// Records a peer's claim to watch the store. This VM defers to it if the peer ranks first.
-pub(super) fn hear_claim(front: &Front, name: &str) {
+pub(super) fn receive_announcement(front: &Front, name: &str) {
     if front.peers.is_in(name, &front.failure_domain) {
         front.peers.set_watcher(name);
     }
     let ranks_first =
-        |peer: &Heard| may_watch(front, peer) && precedence(name, peer) > own_precedence(front);
+        |peer: &PeerState| may_watch(front, peer) && precedence(name, peer) > own_precedence(front);
     if front
         .peers
-        .heard(name)
+        .state_of(name)
         .is_some_and(|peer| ranks_first(&peer))
     {
         let now = front.clock.now();
@@ -72,11 +72,11 @@
     Precedence::new(&front.name, StoreReachability::of(age, CONTACT_TIMEOUT))
 }
 
-fn precedence(name: &str, peer: &Heard) -> Precedence {
+fn precedence(name: &str, peer: &PeerState) -> Precedence {
     Precedence::new(name, StoreReachability::of(peer.store_age, CONTACT_TIMEOUT))
 }
 
 /// Whether a peer is in this VM's failure domain and is not draining.
-fn may_watch(front: &Front, peer: &Heard) -> bool {
+fn may_watch(front: &Front, peer: &PeerState) -> bool {
     peer.failure_domain == front.failure_domain && !peer.draining
 }
--- a/trouttrack_front/src/peers/suspects.rs
+++ b/trouttrack_front/src/peers/suspects.rs
@@ -41,7 +41,7 @@
 }
 
 /// Merges what a peer sent, and replies with the entries of which this VM knows more.
-pub(super) fn hear(front: &Front, socket: &UdpSocket, told: &[CrashRecord], peer: SocketAddr) {
+pub(super) fn receive(front: &Front, socket: &UdpSocket, told: &[CrashRecord], peer: SocketAddr) {
     let better = front.suspects.merge_records(told, &peer.to_string());
     if !better.is_empty() {
         post(socket, &Datagram::Suspects(better), peer);
--- a/trouttrack_front/src/peers/table.rs
+++ b/trouttrack_front/src/peers/table.rs
@@ -26,7 +26,7 @@
 
 /// The last state received from a peer.
 #[derive(Clone, Debug)]
-pub struct Heard {
+pub struct PeerState {
     /// When the last message was received.
     pub at: Time,
     /// The peer's failure domain.
@@ -53,7 +53,8 @@
     sequence: Cell<u64>,
     sent: RefCell<SentTimes>,
     listed: RefCell<HashMap<String, Listed>>,
-    heard: RefCell<HashMap<String, Heard>>,
+    /// The live peers.
+    live: RefCell<HashMap<String, PeerState>>,
     /// The peer in the local failure domain that most recently announced that it watches
     /// the store.
     watcher: RefCell<Option<String>>,
@@ -88,7 +89,7 @@
             sequence: Cell::new(0),
             sent: RefCell::default(),
             listed: RefCell::default(),
-            heard: RefCell::default(),
+            live: RefCell::default(),
             watcher: RefCell::default(),
             listed_at: Cell::new(None),
             far_behind: Cell::new(false),
@@ -153,8 +154,8 @@
 
     /// The number of live peers in a failure domain.
     #[must_use]
-    pub fn heard_near(&self, failure_domain: &str) -> usize {
-        self.count_heard(|_, h| h.failure_domain == failure_domain)
+    pub fn live_in_domain(&self, failure_domain: &str) -> usize {
+        self.count_live(|_, h| h.failure_domain == failure_domain)
     }
 
     /// The heartbeat interval of a VM.
@@ -187,8 +188,8 @@
     }
 
     /// The last state received from a peer, if it is live.
-    pub(super) fn heard(&self, name: &str) -> Option<Heard> {
-        self.heard.borrow().get(name).cloned()
+    pub(super) fn state_of(&self, name: &str) -> Option<PeerState> {
+        self.live.borrow().get(name).cloned()
     }
 
     /// Updates whether this VM watches the store and returns the closure's result.
@@ -222,71 +223,72 @@
 
     /// The names of all live peers.
     #[must_use]
-    pub fn names_heard(&self) -> Vec<String> {
-        self.heard.borrow().keys().cloned().collect()
+    pub fn live_names(&self) -> Vec<String> {
+        self.live.borrow().keys().cloned().collect()
     }
 
     /// Whether a peer is live.
     #[must_use]
-    pub fn has_heard(&self, name: &str) -> bool {
-        self.heard.borrow().contains_key(name)
+    pub fn is_live(&self, name: &str) -> bool {
+        self.live.borrow().contains_key(name)
     }
 
     /// The addresses of the live peers in the failure domains that match `f`.
     #[must_use]
-    pub fn heard_in(&self, f: impl Fn(&str) -> bool) -> Vec<SocketAddr> {
-        let (heard, listed) = (self.heard.borrow(), self.listed.borrow());
-        let found = heard.iter().filter(|(_, h)| f(&h.failure_domain));
+    pub fn live_addrs(&self, f: impl Fn(&str) -> bool) -> Vec<SocketAddr> {
+        let (live, listed) = (self.live.borrow(), self.listed.borrow());
+        let found = live.iter().filter(|(_, h)| f(&h.failure_domain));
         found
             .filter_map(|(name, _)| listed.get(name).map(|l| l.addr))
             .collect()
     }
 
-    /// Whether any peer heard from within `RECENT_MESSAGE_WINDOW` accepts requests, that is,
+    /// Whether any peer whose last message is within `RECENT_MESSAGE_WINDOW` accepts requests, that is,
     /// is not draining.
     #[must_use]
     pub fn any_serves(&self, now: Time) -> bool {
-        let serves = |h: &Heard| !h.draining && now.saturating_sub(h.at) < RECENT_MESSAGE_WINDOW;
-        self.heard.borrow().values().any(serves)
+        let serves =
+            |h: &PeerState| !h.draining && now.saturating_sub(h.at) < RECENT_MESSAGE_WINDOW;
+        self.live.borrow().values().any(serves)
     }
 
     /// Whether the store has answered any peer within `longest`, according to the last
     /// messages received.
     #[must_use]
     pub fn any_in_contact(&self, now: Time, longest: Duration) -> bool {
-        let answered = |h: &Heard| {
+        let answered = |h: &PeerState| {
             let age = h.store_age.map(|age| age + now.saturating_sub(h.at));
             age.is_some_and(|age| age < longest)
         };
-        self.heard.borrow().values().any(answered)
+        self.live.borrow().values().any(answered)
     }
 
     /// Whether the store has answered any peer in the failure domain `home` within
     /// `longest`, according to the last messages received.
     #[must_use]
     pub fn any_near_in_contact(&self, home: &str, now: Time, longest: Duration) -> bool {
-        let answered = |_: &str, h: &Heard| {
+        let answered = |_: &str, h: &PeerState| {
             let age = h.store_age.map(|age| age + now.saturating_sub(h.at));
             h.failure_domain == home && age.is_some_and(|age| age < longest)
         };
-        self.count_heard(answered) > 0
+        self.count_live(answered) > 0
     }
 
     /// The number of peers that match `f`.
-    pub(super) fn count_heard(&self, f: impl Fn(&str, &Heard) -> bool) -> usize {
-        let heard = self.heard.borrow();
-        heard.iter().filter(|(name, h)| f(name, h)).count()
+    pub(super) fn count_live(&self, f: impl Fn(&str, &PeerState) -> bool) -> usize {
+        let live = self.live.borrow();
+        live.iter().filter(|(name, h)| f(name, h)).count()
     }
 
     /// Picks a random peer whose last known state matches `holds`, choosing among the
     /// `preferred` ones if there are any.
     pub(crate) fn draw(
         &self,
-        holds: impl Fn(&Heard) -> bool,
-        preferred: impl Fn(&Heard) -> bool,
+        holds: impl Fn(&PeerState) -> bool,
+        preferred: impl Fn(&PeerState) -> bool,
     ) -> Option<SocketAddr> {
-        let (heard, listed) = (self.heard.borrow(), self.listed.borrow());
-        let found = heard.iter().filter(|(_, h)| holds(h));
+        let (live, listed) = (self.live.borrow(), self.listed.borrow());
+        let found = live.iter().filter(|(_, h)| holds(h));
         let found = found.filter_map(|(name, h)| Some((h, listed.get(name)?.addr)));
         let (first, others): (Vec<_>, Vec<_>) = found.partition(|(h, _)| preferred(h));
         let rng = &mut rand::rng();
@@ -308,23 +310,22 @@
     /// Picks a random peer that has upstream entries newer than `known`, preferring the
     /// failure domain `home`.
     pub(crate) fn draw_ahead(&self, home: &str, known: Revision) -> Option<SocketAddr> {
-        let knows_more = |h: &Heard| h.upstreams_revision > known;
+        let knows_more = |h: &PeerState| h.upstreams_revision > known;
         self.draw(knows_more, |h| h.failure_domain == home)
     }
 
     /// The newest configuration version in force on any peer; 0 if there is none.
     #[must_use]
     pub fn newest_config(&self) -> ConfigVersion {
-        let heard = self.heard.borrow();
-        heard.values().map(|h| h.config_version).max().unwrap_or(0)
+        let live = self.live.borrow();
+        live.values().map(|h| h.config_version).max().unwrap_or(0)
     }
 
     /// The newest store revision up to which any peer has the upstream entries.
     #[must_use]
     pub fn newest_upstreams(&self) -> Revision {
-        let heard = self.heard.borrow();
-        heard
-            .values()
+        let live = self.live.borrow();
+        live.values()
             .map(|h| h.upstreams_revision)
             .max()
             .unwrap_or_default()
@@ -343,7 +344,7 @@
 
     /// Incarnation and sequence number of the last message received from a peer.
     pub(super) fn echo(&self, name: &str) -> Option<Echo> {
-        self.heard.borrow().get(name).map(|h| h.last)
+        self.live.borrow().get(name).map(|h| h.last)
     }
 
     /// Lower bound on the local time of an event that was `age` old when its reporter had
@@ -372,10 +373,10 @@
     /// sender: datagrams may be reordered, and a restarted sender has a new incarnation
     /// and restarts its sequence. The first heartbeat from a peer in the local failure
     /// domain, `home`, is recorded as an event.
-    pub(super) fn hear(&self, now: Time, heartbeat: &Heartbeat, home: &str) -> bool {
+    pub(super) fn receive_heartbeat(&self, now: Time, heartbeat: &Heartbeat, home: &str) -> bool {
         let digest = &heartbeat.digest;
-        let mut heard = self.heard.borrow_mut();
-        match heard.get(&digest.name) {
+        let mut live = self.live.borrow_mut();
+        match live.get(&digest.name) {
             Some(known) => {
                 let same_incarnation = known.last.incarnation == digest.incarnation;
                 if same_incarnation && known.last.sequence >= digest.sequence {
@@ -389,7 +390,7 @@
             ),
             None => {}
         }
-        let last = Heard {
+        let last = PeerState {
             at: now,
             failure_domain: digest.failure_domain.clone(),
             draining: digest.draining,
@@ -401,15 +402,15 @@
                 sequence: digest.sequence,
             },
         };
-        heard.insert(digest.name.clone(), last);
+        live.insert(digest.name.clone(), last);
         true
     }
 
     /// Processes a load update from a peer. Returns the peer's failure domain if the peer
     /// is known and has sent nothing newer.
-    pub(super) fn hear_load(&self, now: Time, load: &Load) -> Option<FailureDomain> {
-        let mut heard = self.heard.borrow_mut();
-        let known = heard.get_mut(&load.name)?;
+    pub(super) fn receive_load(&self, now: Time, load: &Load) -> Option<FailureDomain> {
+        let mut live = self.live.borrow_mut();
+        let known = live.get_mut(&load.name)?;
         let same_incarnation = known.last.incarnation == load.number.incarnation;
         if !same_incarnation || known.last.sequence >= load.number.sequence {
             return None;
@@ -426,10 +427,10 @@
     /// `home`, is then reported as lost. A heartbeat from another domain arrives only when
     /// its sender picks this VM at random, so its absence does not indicate a failure.
     pub fn forget_silent(&self, now: Time, home: &str) {
-        let near = self.heard_near(home);
+        let near = self.live_in_domain(home);
         let domain_timeout = peer_timeout(self.listed(), near);
-        let mut heard = self.heard.borrow_mut();
-        heard.retain(|name, last| {
+        let mut live = self.live.borrow_mut();
+        live.retain(|name, last| {
             let age = now.saturating_sub(last.at);
             let near = last.failure_domain == home;
             let timeout = if near {
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::quarantine::QuarantineCheck;
 use crate::caller::Admitted;
-use crate::follow::heard_in_answer;
+use crate::follow::receive_answer;
 use crate::state::{Front, HeldBytes, Upstream, fingerprint_text};
 use bytes::{Bytes, BytesMut};
 use std::rc::Rc;
@@ -214,7 +214,7 @@
         .await;
     let raw = response.map_err(|e| send_failure(&e))?;
     let head = AnswerHead::decode(&raw.head);
-    heard_in_answer(front, upstream, &admitted.head.id, sent_at, &head);
+    receive_answer(front, upstream, &admitted.head.id, sent_at, &head);
     let mut response = UpstreamResponse {
         head,
         body: raw.body,
--- a/trouttrack_front/src/rescue/poll.rs
+++ b/trouttrack_front/src/rescue/poll.rs
@@ -45,7 +45,7 @@
 async fn poll(front: Rc<Front>, upstream: Rc<Upstream>) {
     let asked_at = front.clock.now();
     match front.engines.report(upstream.addr, REPORT_INTERVAL).await {
-        Ok(report) => follow::heard_in_report(&front, &upstream, asked_at, &report),
+        Ok(report) => follow::receive_report(&front, &upstream, asked_at, &report),
         Err(e) => log::debug!("{e}"),
     }
 }
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -182,7 +182,7 @@
     /// Records that the store answers peers again, so that its state arrives through them.
     pub fn store_is_back_for_peers(&self) {
         self.upstreams.store_recovered();
-        self.store_contact.heard_back();
+        self.store_contact.record_peer_contact();
     }
 
     /// Applies the conditions that a peer of a failure domain reports.
--- a/trouttrack_front/src/state/store_contact.rs
+++ b/trouttrack_front/src/state/store_contact.rs
@@ -65,7 +65,7 @@
     }
 
     /// Records that the store answers peers again, although it has answered no call of this VM.
-    pub fn heard_back(&self) {
+    pub fn record_peer_contact(&self) {
         if self.is_unreachable.replace(false) {
             record!(events::PLATFORM_BACK, watches = "reported by peers");
             self.returned.notify_waiters();
--- a/trouttrack_front/src/state/suspects.rs
+++ b/trouttrack_front/src/state/suspects.rs
@@ -172,11 +172,11 @@
     /// to the peer. All VMs are notified if the merge combines crashes that were known
     /// separately into a hold.
     pub fn merge_records(&self, told: &[CrashRecord], peer: &str) -> Vec<CrashRecord> {
-        let heard = self
+        let merged = self
             .table
             .borrow_mut()
             .merge_records(self.clock.now(), told);
-        for &request in &heard.held {
+        for &request in &merged.held {
             self.log_hold(request, peer);
             self.hold_changed(request);
             let is_same_request = |s: &&CrashRecord| s.fingerprint == request;
@@ -191,7 +191,7 @@
                 self.notify_peers(request);
             }
         }
-        self.records_of(&heard.newer_runs)
+        self.records_of(&merged.newer_runs)
     }
 
     /// Checksum of the quarantine; VMs with equal checksums hold the same requests.
--- a/trouttrack_front/tests/front/compatibility.rs
+++ b/trouttrack_front/tests/front/compatibility.rs
@@ -184,7 +184,7 @@
     let mut previous = PreviousVm::start(&bed).await;
     previous.send_heartbeat(Vec::new()).await;
     until("the previous version is heard", || {
-        bed.front.front.peers.has_heard(OWN_NAME)
+        bed.front.front.peers.is_live(OWN_NAME)
     })
     .await;
     let (req, addr) = (long("r1", "draft"), bed.addr());
--- a/trouttrack_front/tests/front/evacuation.rs
+++ b/trouttrack_front/tests/front/evacuation.rs
@@ -185,10 +185,7 @@
     let (peers, own) = (&late.front.peers, &bed.front.front);
     let addr = *own.peer_addr.get().expect("an address");
     peers.insert(&own.name, addr, &own.failure_domain);
-    until("the second VM hears the first", || {
-        peers.has_heard(&own.name)
-    })
-    .await;
+    until("the second VM hears the first", || peers.is_live(&own.name)).await;
     // Raises the revision above those of the other store.
     bed.store.put_config(&config(7));
     bed.store.evacuate("a");
--- a/trouttrack_front/tests/front/reachability.rs
+++ b/trouttrack_front/tests/front/reachability.rs
@@ -56,7 +56,7 @@
     assert_eq!(last.ran().len(), 4);
 }
 
-/// One VM is refused; the other one hears of it, though the first has nothing running.
+/// One VM is refused; the other one is informed, though the first has nothing running.
 #[actix_rt::test]
 async fn a_refused_connection_is_reported_to_the_other_vm() {
     let bed = Bed::new(PLAIN).await;
@@ -69,7 +69,7 @@
         let reply = bed.send(&plain(&format!("r{n}"), "many")).await;
         assert_eq!(reply.status, 200);
     }
-    until("the other VM has heard of it", || {
+    until("the other VM is informed", || {
         other.front.scheduler.refuses_connections("u1")
     })
     .await;
--- a/trouttrack_front/tests/front/store_restored.rs
+++ b/trouttrack_front/tests/front/store_restored.rs
@@ -432,7 +432,7 @@
     let (peers, first) = (&late.front.peers, &bed.front.front);
     let addr = *first.peer_addr.get().expect("an address");
     peers.insert(&first.name, addr, &first.failure_domain);
-    until("it hears the first VM", || peers.has_heard(&first.name)).await;
+    until("it hears the first VM", || peers.is_live(&first.name)).await;
     bed.store.restore(&bed.store.backup());
     bed.store.put_upstream(&bed.upstreams[0], true);
     until("u1 is leaving", || is_leaving(&late.front, "u1")).await;
