--- a/trouttrack_front/src/app/start.rs
+++ b/trouttrack_front/src/app/start.rs
@@ -101,7 +101,11 @@
     });
     actix_rt::spawn(peers::send(Rc::clone(front), Rc::clone(&socket)));
     actix_rt::spawn(peers::keep_confirmed(Rc::clone(front), Rc::clone(&socket)));
-    actix_rt::spawn(peers::tell(Rc::clone(front), Rc::clone(&socket), news));
+    actix_rt::spawn(peers::send_updates(
+        Rc::clone(front),
+        Rc::clone(&socket),
+        news,
+    ));
     let listening = peers::listen(Rc::clone(front), socket);
     actix_rt::spawn(async move {
         if let Err(e) = listening.await {
--- a/trouttrack_front/src/follow/config.rs
+++ b/trouttrack_front/src/follow/config.rs
@@ -41,11 +41,11 @@
     if object.name != CONFIG_OBJECT_NAME {
         return false;
     }
-    take_revision(front, object.revision, object.spec.get())
+    apply_revision(front, object.revision, object.spec.get())
 }
 
 /// Applies a configuration if it is not yet in force. Returns whether it is in force.
-pub(crate) fn take_revision(front: &Front, revision: Revision, spec: &str) -> bool {
+pub(crate) fn apply_revision(front: &Front, revision: Revision, spec: &str) -> bool {
     if front.routing.has_revision(revision) {
         return true;
     }
--- a/trouttrack_front/src/follow/evacuations.rs
+++ b/trouttrack_front/src/follow/evacuations.rs
@@ -15,18 +15,18 @@
 
 /// The source of an update to the evacuated failure domains.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum Told<'a> {
+pub(crate) enum UpdateSource<'a> {
     /// The store.
-    ByStore,
+    Store,
     /// Another VM.
-    ByPeer(&'a str),
+    Peer(&'a str),
 }
 
-impl Told<'_> {
+impl UpdateSource<'_> {
     fn name(&self) -> &str {
         match self {
-            Self::ByStore => "store",
-            Self::ByPeer(name) => name,
+            Self::Store => "store",
+            Self::Peer(name) => name,
         }
     }
 }
@@ -68,10 +68,10 @@
 
     fn apply_list(&self, objects: &[Object], revision: Revision) {
         let domains = objects.iter().map(|o| o.name.clone());
-        take_evacuations(
+        apply_evacuations(
             &self.front,
             &Evacuations::as_of(revision, domains),
-            Told::ByStore,
+            UpdateSource::Store,
         );
         self.needs_list.set(false);
     }
@@ -82,7 +82,7 @@
             next.change(&change.object.name, !change.deleted);
         }
         next.advance(revision);
-        take_evacuations(&self.front, &next, Told::ByStore);
+        apply_evacuations(&self.front, &next, UpdateSource::Store);
     }
 
     fn handle_history_gone(&self) {
@@ -92,19 +92,21 @@
 
 /// Merges the evacuated failure domains if they are newer than what is known. Changes take effect
 /// immediately and are announced to the other VMs at once.
-pub(crate) fn take_evacuations(front: &Front, told: &Evacuations, by: Told<'_>) {
+pub(crate) fn apply_evacuations(front: &Front, received: &Evacuations, source: UpdateSource<'_>) {
     let known = front.evacuations.borrow().clone();
     let before = in_force(front);
-    if !front.evacuations.borrow_mut().merge(told) {
+    if !front.evacuations.borrow_mut().merge(received) {
         return;
     }
     let until = front.clock.now() + RESTORE_GRACE;
-    let newly_lost = known.lost_in(told).map(|domain| (domain.clone(), until));
+    let newly_lost = known
+        .lost_in(received)
+        .map(|domain| (domain.clone(), until));
     let mut lost_evacuations = front.lost_evacuations.borrow_mut();
-    lost_evacuations.retain(|(domain, _)| !told.contains(domain));
+    lost_evacuations.retain(|(domain, _)| !received.contains(domain));
     lost_evacuations.extend(newly_lost);
     drop(lost_evacuations);
-    put_in_force(front, &before, by);
+    put_in_force(front, &before, source);
     front.peers.announce();
 }
 
@@ -122,7 +124,7 @@
     let any_expired = lost_evacuations.len() < before_expiry;
     drop(lost_evacuations);
     if any_expired {
-        put_in_force(front, &before, Told::ByStore);
+        put_in_force(front, &before, UpdateSource::Store);
     }
 }
 
@@ -137,9 +139,9 @@
 }
 
 /// Applies the evacuations in force, and logs what differs from `before`.
-fn put_in_force(front: &Front, before: &Evacuations, by: Told<'_>) {
+fn put_in_force(front: &Front, before: &Evacuations, source: UpdateSource<'_>) {
     let evacuated = in_force(front);
-    log_changes(before, &evacuated, by);
+    log_changes(before, &evacuated, source);
     front
         .metrics
         .evacuated
@@ -147,14 +149,14 @@
     front.scheduler.set_evacuations(evacuated);
 }
 
-fn log_changes(before: &Evacuations, now: &Evacuations, by: Told<'_>) {
+fn log_changes(before: &Evacuations, now: &Evacuations, source: UpdateSource<'_>) {
     for domain in now.domains().filter(|d| !before.contains(d)) {
         record!(
             events::EVACUATED,
             failure_domain = domain.as_str(),
             epoch = now.revision().epoch,
             revision = now.revision().number,
-            told_by = by.name(),
+            told_by = source.name(),
         );
     }
     for domain in before.domains().filter(|d| !now.contains(d)) {
@@ -163,7 +165,7 @@
             failure_domain = domain.as_str(),
             epoch = now.revision().epoch,
             revision = now.revision().number,
-            told_by = by.name(),
+            told_by = source.name(),
         );
     }
 }
--- a/trouttrack_front/src/follow/mod.rs
+++ b/trouttrack_front/src/follow/mod.rs
@@ -20,10 +20,10 @@
 mod upstreams;
 mod vms;
 
-pub(crate) use config::take_revision as take_config;
-pub(crate) use evacuations::{Told, take_evacuations};
+pub(crate) use config::apply_revision as apply_config;
+pub(crate) use evacuations::{UpdateSource, apply_evacuations};
 pub(crate) use self_reports::{receive_answer, receive_limits, receive_report};
-pub(crate) use upstreams::{Taken, take_news};
+pub(crate) use upstreams::{UpdateResult, apply_updates};
 
 use crate::state::Front;
 use std::net::SocketAddr;
--- a/trouttrack_front/src/follow/self_reports.rs
+++ b/trouttrack_front/src/follow/self_reports.rs
@@ -146,7 +146,7 @@
         record(front, &life, received);
     }
     if limit_changed {
-        front.scheduler.tell_soon();
+        front.scheduler.schedule_load_update();
     }
     // The entry may have been removed and written again while the request was in progress.
     let listed = front.upstreams.get(&upstream.id);
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -3,7 +3,7 @@
 use super::bootstrap::{fetch_from_peers, try_fetch_from_peers};
 use super::evacuations::expire_lost_evacuations;
 use super::follower::Follower;
-use crate::peers::{EntryChange, EntryState, News, Snapshot, ToldUpstream, ask_for_news};
+use crate::peers::{EntryChange, EntryState, News, Snapshot, SnapshotEntry, ask_for_news};
 use crate::rescue;
 use crate::state::{Front, Upstream};
 use std::cell::Cell;
@@ -135,14 +135,14 @@
     if snapshot.say_births() {
         front.upstreams.set_say_births();
     }
-    let told: Vec<ToldUpstream> = snapshot.entries().collect();
-    for one in &told {
-        apply_entry(front, &one.id, snapshot.revision(), one.entry.clone());
-        if one.lapsed {
-            front.upstreams.lapsed(&one.id);
+    let entries: Vec<SnapshotEntry> = snapshot.entries().collect();
+    for listed in &entries {
+        apply_entry(front, &listed.id, snapshot.revision(), listed.entry.clone());
+        if listed.lapsed {
+            front.upstreams.lapsed(&listed.id);
         }
     }
-    let ids = told.iter().map(|one| one.id.as_str()).collect();
+    let ids = entries.iter().map(|listed| listed.id.as_str()).collect();
     complete_list(front, &ids, snapshot.revision(), &peer.to_string());
 }
 
@@ -223,9 +223,9 @@
     counted.with_label_values(&[e.kind.as_str()]).inc();
 }
 
-/// The result of [`take_news`].
+/// The result of [`apply_updates`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Taken {
+pub(crate) enum UpdateResult {
     /// The changes were already known.
     Known,
     /// The changes were applied.
@@ -236,14 +236,14 @@
 
 /// Applies changes that another VM read from the store, unless earlier changes are missing
 /// here.
-pub(crate) fn take_news(front: &Rc<Front>, news: &News) -> Taken {
+pub(crate) fn apply_updates(front: &Rc<Front>, news: &News) -> UpdateResult {
     let known = front.upstreams.revision();
     if !front.upstreams.is_listed() || news.to <= known {
-        return Taken::Known;
+        return UpdateResult::Known;
     }
     if news.from > known {
         front.peers.set_behind();
-        return Taken::Missing;
+        return UpdateResult::Missing;
     }
     let new: Vec<EntryChange> = news
         .changes
@@ -258,7 +258,7 @@
         to: news.to,
         changes: new,
     });
-    Taken::New
+    UpdateResult::New
 }
 
 /// Applies changes in order, then lets the scheduler place waiting requests.
--- a/trouttrack_front/src/peers/config.rs
+++ b/trouttrack_front/src/peers/config.rs
@@ -5,7 +5,7 @@
 //! VM: at 66 VMs and some dozen changes a day that was a third of all calls, and raised
 //! their cost by 0.0037 of the worth.
 
-use super::message::{Datagram, ToldConfig};
+use super::message::{Datagram, StoredConfig};
 use super::post::post;
 use super::transfer::fetch_config;
 use crate::follow;
@@ -52,7 +52,7 @@
         };
         let fits = spec.len() <= MAX_DATAGRAM_CONFIG_BYTES;
         let answer = match fits && interval_elapsed(front, &self.replied_at, REPLY_INTERVAL) {
-            true => Datagram::Config(ToldConfig {
+            true => Datagram::Config(StoredConfig {
                 revision: front.routing.revision(),
                 spec: spec.as_ref().into(),
             }),
@@ -69,10 +69,10 @@
         let (front, fetching) = (Rc::clone(front), Rc::clone(&self.fetching));
         actix_rt::spawn(async move {
             let known = front.routing.version();
-            let told = fetch_config(&front, peer, known).await;
+            let received = fetch_config(&front, peer, known).await;
             fetching.set(false);
-            if let Some(told) = told {
-                take(&front, &told);
+            if let Some(received) = received {
+                apply(&front, &received);
             }
         });
     }
@@ -92,8 +92,8 @@
 }
 
 /// Applies a configuration received from a peer.
-pub(super) fn take(front: &Rc<Front>, told: &ToldConfig) {
-    follow::take_config(front, told.revision, &told.spec);
+pub(super) fn apply(front: &Rc<Front>, received: &StoredConfig) {
+    follow::apply_config(front, received.revision, &received.spec);
 }
 
 /// Returns whether `interval` has passed since `last`, and if so sets `last` to now.
--- a/trouttrack_front/src/peers/confirm.rs
+++ b/trouttrack_front/src/peers/confirm.rs
@@ -80,18 +80,18 @@
     let Some(age_ms) = front.routing.age_ms() else {
         return;
     };
-    let told = Confirmation {
+    let reply = Confirmation {
         echo,
         config_version: front.routing.version(),
         age_ms,
     };
-    post(socket, &Datagram::Confirmation(told), peer);
+    post(socket, &Datagram::Confirmation(reply), peer);
 }
 
 /// Applies a confirmation received in reply to a request.
-pub(super) fn take(front: &Front, told: &Confirmation) {
-    let age = Duration::from_millis(told.age_ms);
-    confirmed(front, told.config_version, told.echo, age);
+pub(super) fn apply(front: &Front, received: &Confirmation) {
+    let age = Duration::from_millis(received.age_ms);
+    confirmed(front, received.config_version, received.echo, age);
 }
 
 /// Applies the confirmation that a heartbeat carries.
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -7,7 +7,7 @@
 use super::news::{handle_news, retransmit};
 use super::roles::receive_announcement;
 use super::suspects::{self, CatchUp};
-use crate::follow::{self, Told};
+use crate::follow::{self, UpdateSource};
 use crate::state::Front;
 use std::io;
 use std::rc::Rc;
@@ -42,7 +42,7 @@
                 let name = &heartbeat.digest.name;
                 let is_new = !front.peers.is_live(name);
                 handle_heartbeat(&front, &heartbeat, &conditions);
-                catch_up.tell(&front, &socket, &heartbeat, from);
+                catch_up.send_if_different(&front, &socket, &heartbeat, from);
                 // Peers of other failure domains send too rarely to stay in the table, so they
                 // would be greeted repeatedly.
                 if is_new && front.peers.is_in(name, &front.failure_domain) {
@@ -53,14 +53,14 @@
                 }
             }
             Datagram::Load(load) => handle_load(&front, &load, &conditions),
-            Datagram::Suspects(told) => suspects::receive(&front, &socket, &told, from),
+            Datagram::Suspects(received) => suspects::receive(&front, &socket, &received, from),
             Datagram::ConfigWanted => configs.answer(&front, &socket, from),
-            Datagram::Config(told) => config::take(&front, &told),
+            Datagram::Config(received) => config::apply(&front, &received),
             Datagram::ConfigReady(version) => configs.fetch(&front, from, version),
             Datagram::ConfirmationWanted(echo) => {
                 confirm::answer(&front, &socket, from, echo);
             }
-            Datagram::Confirmation(told) => confirm::take(&front, &told),
+            Datagram::Confirmation(received) => confirm::apply(&front, &received),
             Datagram::NewsWanted(after) => retransmit(&front, &socket, from, after),
             Datagram::NewsForgotten => front.peers.set_far_behind(true),
             Datagram::News(news, pass_on) => {
@@ -107,7 +107,7 @@
     }
     confirm::receive_heartbeat(front, heartbeat);
     follow::receive_limits(front, name, &heartbeat.limits);
-    follow::take_evacuations(front, &heartbeat.evacuations, Told::ByPeer(name));
+    follow::apply_evacuations(front, &heartbeat.evacuations, UpdateSource::Peer(name));
     if heartbeat.watches {
         receive_announcement(front, &digest.name);
     }
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -34,7 +34,7 @@
     /// Requests the receiver's configuration, which is newer than the sender's.
     ConfigWanted,
     /// The sender's active configuration.
-    Config(ToldConfig),
+    Config(StoredConfig),
     /// The sender's active configuration has this version and is too large for a
     /// datagram; the receiver may fetch it.
     ConfigReady(ConfigVersion),
@@ -203,7 +203,7 @@
 
 /// A configuration as stored.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(super) struct ToldConfig {
+pub(super) struct StoredConfig {
     /// Store revision of the configuration.
     pub(super) revision: Revision,
     /// The configuration text.
--- a/trouttrack_front/src/peers/news.rs
+++ b/trouttrack_front/src/peers/news.rs
@@ -9,7 +9,7 @@
 
 use super::message::{Datagram, News, encode};
 use super::post::{post, post_to_all};
-use crate::follow::{self, Taken};
+use crate::follow::{self, UpdateResult};
 use crate::state::Front;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,7 +23,11 @@
 ///
 /// Sending waits for space in the socket buffer: a lost update costs its receiver a
 /// retransmission request, and a generation may then run out of time to be moved.
-pub(crate) async fn tell(front: Rc<Front>, socket: Rc<UdpSocket>, mut news: mpsc::Receiver<News>) {
+pub(crate) async fn send_updates(
+    front: Rc<Front>,
+    socket: Rc<UdpSocket>,
+    mut news: mpsc::Receiver<News>,
+) {
     while let Some(news) = news.recv().await {
         for part in news.in_parts(MAX_CHANGES_PER_DATAGRAM) {
             send_part(&front, &socket, part).await;
@@ -54,12 +58,12 @@
     news: News,
     pass_on: &[SocketAddr],
 ) {
-    let taken = follow::take_news(front, &news);
+    let taken = follow::apply_updates(front, &news);
     if !pass_on.is_empty() {
         let relayed = Datagram::News(news, Vec::new());
         post_to_all(socket, &relayed, pass_on.iter().copied());
     }
-    if taken == Taken::Missing {
+    if taken == UpdateResult::Missing {
         let known = front.upstreams.revision();
         post(socket, &Datagram::NewsWanted(known), from);
     }
--- a/trouttrack_front/src/peers/suspects.rs
+++ b/trouttrack_front/src/peers/suspects.rs
@@ -22,7 +22,7 @@
 
 /// Sends pending changes to the VMs that need them.
 pub(super) fn send_changes(front: &Front, socket: &UdpSocket) {
-    for request in front.suspects.take_news() {
+    for request in front.suspects.take_pending() {
         let news = Datagram::Suspects(front.suspects.records_of(&[request]));
         post_to_all(socket, &news, receivers(front, request));
     }
@@ -41,8 +41,13 @@
 }
 
 /// Merges what a peer sent, and replies with the entries of which this VM knows more.
-pub(super) fn receive(front: &Front, socket: &UdpSocket, told: &[CrashRecord], peer: SocketAddr) {
-    let better = front.suspects.merge_records(told, &peer.to_string());
+pub(super) fn receive(
+    front: &Front,
+    socket: &UdpSocket,
+    received: &[CrashRecord],
+    peer: SocketAddr,
+) {
+    let better = front.suspects.merge_records(received, &peer.to_string());
     if !better.is_empty() {
         post(socket, &Datagram::Suspects(better), peer);
     }
@@ -57,7 +62,7 @@
 impl CatchUp {
     /// Sends all held requests to a peer if the checksum in its heartbeat differs, at most once
     /// per interval.
-    pub(super) fn tell(
+    pub(super) fn send_if_different(
         &self,
         front: &Front,
         socket: &UdpSocket,
@@ -73,10 +78,10 @@
         if recently || same || front.suspects.is_empty() {
             return;
         }
-        let told = front.suspects.held_records();
-        if !told.is_empty() {
+        let records = front.suspects.held_records();
+        if !records.is_empty() {
             self.sent_at.set(Some(now));
-            post(socket, &Datagram::Suspects(told), peer);
+            post(socket, &Datagram::Suspects(records), peer);
         }
     }
 }
--- a/trouttrack_front/src/peers/transfer/fetch.rs
+++ b/trouttrack_front/src/peers/transfer/fetch.rs
@@ -1,7 +1,7 @@
 //! Client that fetches the upstreams or the configuration from another VM.
 
 use super::snapshot::Snapshot;
-use crate::peers::message::ToldConfig;
+use crate::peers::message::StoredConfig;
 use crate::state::Front;
 use bytes::Bytes;
 use http::{Request, StatusCode, header};
@@ -33,7 +33,7 @@
     front: &Front,
     peer: SocketAddr,
     known: ConfigVersion,
-) -> Option<ToldConfig> {
+) -> Option<StoredConfig> {
     fetch(front, peer, &format!("/config/{known}")).await
 }
 
--- a/trouttrack_front/src/peers/transfer/mod.rs
+++ b/trouttrack_front/src/peers/transfer/mod.rs
@@ -11,4 +11,4 @@
 
 pub(crate) use fetch::{fetch_config, fetch_upstreams};
 pub(crate) use serve::serve;
-pub use snapshot::{Snapshot, Told};
+pub use snapshot::{Snapshot, SnapshotEntry};
--- a/trouttrack_front/src/peers/transfer/serve.rs
+++ b/trouttrack_front/src/peers/transfer/serve.rs
@@ -2,7 +2,7 @@
 
 use super::snapshot::Snapshot;
 use crate::page::serve_page;
-use crate::peers::message::ToldConfig;
+use crate::peers::message::StoredConfig;
 use crate::state::Front;
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::{Request, Response, StatusCode};
@@ -98,7 +98,7 @@
         let spec = routing.spec().filter(|_| routing.version() > known)?;
         let revision = routing.revision();
         let spec = spec.as_ref().into();
-        encode(&ToldConfig { revision, spec })
+        encode(&StoredConfig { revision, spec })
     }
 }
 
--- a/trouttrack_front/src/peers/transfer/snapshot.rs
+++ b/trouttrack_front/src/peers/transfer/snapshot.rs
@@ -49,7 +49,7 @@
 
 /// One upstream of a [`Snapshot`].
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Told {
+pub struct SnapshotEntry {
     /// The upstream's id.
     pub id: UpstreamId,
     /// The decoded store entry.
@@ -95,14 +95,14 @@
 
     /// Iterates over the upstreams, skipping rows with an out-of-range service or failure
     /// domain index.
-    pub fn entries(&self) -> impl Iterator<Item = Told> {
+    pub fn entries(&self) -> impl Iterator<Item = SnapshotEntry> {
         self.rows.iter().filter_map(|row| self.resolve(row))
     }
 
-    fn resolve(&self, row: &Row) -> Option<Told> {
+    fn resolve(&self, row: &Row) -> Option<SnapshotEntry> {
         let service = self.services.get(row.service as usize)?;
         let failure_domain = self.failure_domains.get(row.failure_domain as usize)?;
-        Some(Told {
+        Some(SnapshotEntry {
             id: row.id.clone(),
             entry: UpstreamEntry {
                 service: service.clone(),
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -186,9 +186,9 @@
     }
 
     /// Applies the conditions that a peer of a failure domain reports.
-    pub fn record_peer_conditions(&self, peer: &str, failure_domain: &str, told: &Conditions) {
+    pub fn record_peer_conditions(&self, peer: &str, failure_domain: &str, conditions: &Conditions) {
         let is_local = failure_domain == self.failure_domain;
-        self.scheduler.record_peer_conditions(peer, is_local, told);
+        self.scheduler.record_peer_conditions(peer, is_local, conditions);
     }
 
     /// Whether departures of upstreams can no longer be learned from the store: no known VM has
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -107,7 +107,7 @@
         }));
         let upstream = decided?;
         if own_prompt > 0 || self.is_rate_bounded(&upstream) {
-            self.tell_soon();
+            self.schedule_load_update();
         }
         Ok(self.placed(key, upstream, ticket, own_prompt))
     }
@@ -170,7 +170,7 @@
     }
 
     /// Requests that changes be sent to the other VMs soon.
-    pub(crate) fn tell_soon(&self) {
+    pub(crate) fn schedule_load_update(&self) {
         self.news.notify_one();
     }
 
--- a/trouttrack_front/src/state/suspects.rs
+++ b/trouttrack_front/src/state/suspects.rs
@@ -147,7 +147,7 @@
 
     /// Removes and returns the requests whose state must be sent to peers immediately.
     #[must_use]
-    pub fn take_news(&self) -> Vec<Fingerprint> {
+    pub fn take_pending(&self) -> Vec<Fingerprint> {
         let mut requests = std::mem::take(&mut *self.pending_for_peers.borrow_mut());
         requests.sort_unstable();
         requests.dedup();
@@ -171,16 +171,16 @@
     /// Merges the records of a peer. Returns those of which this VM knows more, to be sent back
     /// to the peer. All VMs are notified if the merge combines crashes that were known
     /// separately into a hold.
-    pub fn merge_records(&self, told: &[CrashRecord], peer: &str) -> Vec<CrashRecord> {
+    pub fn merge_records(&self, received: &[CrashRecord], peer: &str) -> Vec<CrashRecord> {
         let merged = self
             .table
             .borrow_mut()
-            .merge_records(self.clock.now(), told);
+            .merge_records(self.clock.now(), received);
         for &request in &merged.held {
             self.log_hold(request, peer);
             self.hold_changed(request);
             let is_same_request = |s: &&CrashRecord| s.fingerprint == request;
-            let ends_known_to_peer = told
+            let ends_known_to_peer = received
                 .iter()
                 .find(is_same_request)
                 .map_or(0, |s| s.ends.len());
--- a/trouttrack_front/src/state/ticket.rs
+++ b/trouttrack_front/src/state/ticket.rs
@@ -40,7 +40,7 @@
         self.scheduler.report_reachability();
         if is_first_token {
             // The other VMs count the prompt as loading until they are notified.
-            self.scheduler.tell_soon();
+            self.scheduler.schedule_load_update();
         }
     }
 
@@ -77,7 +77,7 @@
             .world
             .borrow_mut()
             .record_refusal(now, self.key);
-        self.scheduler.tell_soon();
+        self.scheduler.schedule_load_update();
     }
 
     /// Records that the connection closed before any answer, and notifies the other VMs.
@@ -85,7 +85,7 @@
         self.fault.set(true);
         let now = self.now();
         self.scheduler.world.borrow_mut().record_loss(now, self.key);
-        self.scheduler.tell_soon();
+        self.scheduler.schedule_load_update();
     }
 
     /// Records that the answer completed after `tokens`.
@@ -114,7 +114,7 @@
         let mut world = self.scheduler.world.borrow_mut();
         world.relocate(now, self.key, to);
         drop(world);
-        self.scheduler.tell_soon();
+        self.scheduler.schedule_load_update();
     }
 
     fn now(&self) -> Time {
@@ -133,7 +133,7 @@
         self.scheduler.report_reachability();
         if releases_memory {
             // The other VMs count its memory, and its prompt if it has not started.
-            self.scheduler.tell_soon();
+            self.scheduler.schedule_load_update();
         }
         if has_queued {
             self.scheduler.tick();
