Front: EntryUpdate and UpdateHistory instead of News

News was a change of entries, a channel, and two kinds of signal. The type is EntryUpdate as the field says update; the signals are named after what they ask for. The datagram's variants and the wire format stay.

--- a/trouttrack_front/src/app/start.rs
+++ b/trouttrack_front/src/app/start.rs
@@ -5,7 +5,7 @@
 use crate::caller::{Server, serve_readiness_and_metrics};
 use crate::follow;
 use crate::page::listen;
-use crate::peers::{self, News};
+use crate::peers::{self, EntryUpdate};
 use crate::rescue;
 use crate::state::Front;
 use std::io;
@@ -24,7 +24,7 @@
 const DROPPED_LINES_INTERVAL: Duration = Duration::from_secs(1);
 /// Capacity of the queue of updates for peers. Updates that do not fit are dropped, and the
 /// other VMs read them from the store.
-const NEWS_CAPACITY: usize = 64;
+const UPDATE_CAPACITY: usize = 64;
 
 /// Limit on bind attempts with ports chosen by the system.
 const MAX_BIND_ATTEMPTS: usize = 16;
@@ -44,8 +44,8 @@
 ///
 /// A listening socket cannot be opened.
 pub async fn start(settings: &FrontSettings) -> Result<Running, AppError> {
-    let (news_tx, news) = mpsc::channel(NEWS_CAPACITY);
-    let front = Front::new(settings, news_tx);
+    let (updates_tx, updates) = mpsc::channel(UPDATE_CAPACITY);
+    let front = Front::new(settings, updates_tx);
     let ports = settings.front.clone();
     let bound = bind_peers(ports.peers).await;
     let (socket, listener) = bound.map_err(|e| AppError::Listen(ports.peers, e))?;
@@ -58,7 +58,7 @@
     let scheduler = Rc::clone(&front.scheduler);
     actix_rt::spawn(async move { scheduler.run().await });
     actix_rt::spawn(rescue::ask_engines(Rc::clone(&front)));
-    start_peers(&front, socket, listener, news);
+    start_peers(&front, socket, listener, updates);
     let server = Server::bind(Rc::clone(&front), ports.listen);
     let server = server.map_err(|e| AppError::Listen(ports.listen, e))?;
     let callers = server.local_addr()?;
@@ -91,7 +91,7 @@
     front: &Rc<Front>,
     socket: Rc<UdpSocket>,
     listener: TcpListener,
-    news: mpsc::Receiver<News>,
+    updates: mpsc::Receiver<EntryUpdate>,
 ) {
     let serving = peers::serve(Rc::clone(front), listener);
     actix_rt::spawn(async move {
@@ -104,7 +104,7 @@
     actix_rt::spawn(peers::send_updates(
         Rc::clone(front),
         Rc::clone(&socket),
-        news,
+        updates,
     ));
     let listening = peers::listen(Rc::clone(front), socket);
     actix_rt::spawn(async move {
--- a/trouttrack_front/src/follow/config.rs
+++ b/trouttrack_front/src/follow/config.rs
@@ -2,7 +2,7 @@
 
 use super::follower::Follower;
 use super::upstreams::config_changed;
-use crate::peers::ask_for_config;
+use crate::peers::request_config;
 use crate::state::Front;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -91,7 +91,7 @@
     }
 
     fn ask_peers(&self) {
-        ask_for_config(&self.front);
+        request_config(&self.front);
     }
 
     fn apply_list(&self, objects: &[Object], revision: Revision) {
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -3,7 +3,9 @@
 use super::bootstrap::{fetch_from_peers, try_fetch_from_peers};
 use super::evacuations::expire_lost_evacuations;
 use super::follower::Follower;
-use crate::peers::{EntryChange, EntryState, News, Snapshot, SnapshotEntry, ask_for_news};
+use crate::peers::{
+    EntryChange, EntryState, EntryUpdate, Snapshot, SnapshotEntry, request_updates,
+};
 use crate::rescue;
 use crate::state::{Front, Upstream};
 use std::cell::Cell;
@@ -38,10 +40,10 @@
 
     /// Queues changes read from the store for the other VMs and adds them to the history.
     fn publish(&self, from: Revision, to: Revision, changes: Vec<EntryChange>) {
-        let news = News { from, to, changes };
-        self.front.history.borrow_mut().learned(news.clone());
+        let update = EntryUpdate { from, to, changes };
+        self.front.history.borrow_mut().learned(update.clone());
         // If the queue is full, peers notice the gap and read from the store.
-        if let Err(e) = self.front.news.try_send(news) {
+        if let Err(e) = self.front.updates.try_send(update) {
             log::debug!("cannot queue upstream changes for peers: {e}");
         }
     }
@@ -61,7 +63,7 @@
     }
 
     fn ask_peers(&self) {
-        ask_for_news(&self.front);
+        request_updates(&self.front);
     }
 
     fn is_far_behind(&self) -> bool {
@@ -223,7 +225,7 @@
     counted.with_label_values(&[e.kind.as_str()]).inc();
 }
 
-/// The result of [`apply_updates`].
+/// The result of [`apply_update`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UpdateResult {
     /// The changes were already known.
@@ -236,26 +238,26 @@
 
 /// Applies changes that another VM read from the store, unless earlier changes are missing
 /// here.
-pub(crate) fn apply_updates(front: &Rc<Front>, news: &News) -> UpdateResult {
+pub(crate) fn apply_update(front: &Rc<Front>, update: &EntryUpdate) -> UpdateResult {
     let known = front.upstreams.revision();
-    if !front.upstreams.is_listed() || news.to <= known {
+    if !front.upstreams.is_listed() || update.to <= known {
         return UpdateResult::Known;
     }
-    if news.from > known {
+    if update.from > known {
         front.peers.set_behind();
         return UpdateResult::Missing;
     }
-    let new: Vec<EntryChange> = news
+    let new: Vec<EntryChange> = update
         .changes
         .iter()
         .filter(|c| c.revision > known)
         .cloned()
         .collect();
     apply_all(front, &new);
-    front.upstreams.advance(news.to);
-    front.history.borrow_mut().learned(News {
+    front.upstreams.advance(update.to);
+    front.history.borrow_mut().learned(EntryUpdate {
         from: known,
-        to: news.to,
+        to: update.to,
         changes: new,
     });
     UpdateResult::New
--- a/trouttrack_front/src/peers/catch_up.rs
+++ b/trouttrack_front/src/peers/catch_up.rs
@@ -6,7 +6,7 @@
 
 /// Asks a peer for the changes since this VM's revision, preferring a peer of the same
 /// failure domain.
-pub(crate) fn ask_for_news(front: &Front) {
+pub(crate) fn request_updates(front: &Front) {
     let Some(socket) = front.peers.socket() else {
         return;
     };
--- a/trouttrack_front/src/peers/config.rs
+++ b/trouttrack_front/src/peers/config.rs
@@ -80,7 +80,7 @@
 
 /// Repeats the request for the configuration to a random peer that has a newer one, without
 /// regard to the minimum interval.
-pub(crate) fn ask_for_config(front: &Front) {
+pub(crate) fn request_config(front: &Front) {
     let Some(socket) = front.peers.socket() else {
         return;
     };
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -50,8 +50,8 @@
                 send_heartbeats(&front, &socket);
                 heartbeat_at = Instant::now() + heartbeat_interval(&front);
             }
-            () = front.suspects.news() => suspects::send_changes(&front, &socket),
-            () = front.scheduler.news(), if update_at.is_none() => {
+            () = front.suspects.changes_pending() => suspects::send_changes(&front, &socket),
+            () = front.scheduler.load_update_requested(), if update_at.is_none() => {
                 update_at = Some(Instant::now() + LOAD_UPDATE_DELAY);
             }
             () = tokio::time::sleep_until(wake_at), if update_at.is_some() => {
--- a/trouttrack_front/src/peers/history.rs
+++ b/trouttrack_front/src/peers/history.rs
@@ -6,7 +6,7 @@
 //! this history, at 295 VMs with a seventh of their engines replaced every 3.3 s, a fifth
 //! of all store calls fetched changes that a peer already had.
 
-use super::message::{EntryChange, News};
+use super::message::{EntryChange, EntryUpdate};
 use std::collections::VecDeque;
 use trouttrack_core::membership::Revision;
 
@@ -21,35 +21,38 @@
 ///
 /// ```
 /// use trouttrack_core::membership::Revision;
-/// use trouttrack_front::peers::{News, NewsHistory};
+/// use trouttrack_front::peers::{EntryUpdate, UpdateHistory};
 /// let at = |number| Revision::new(1, number);
-/// let news = |from, to| News { from: at(from), to: at(to), changes: Vec::new() };
-/// let mut history = NewsHistory::default();
-/// history.learned(news(10, 12));
-/// history.learned(news(12, 15));
+/// let update = |from, to| EntryUpdate { from: at(from), to: at(to), changes: Vec::new() };
+/// let mut history = UpdateHistory::default();
+/// history.learned(update(10, 12));
+/// history.learned(update(12, 15));
 /// assert_eq!(history.after(at(11)).map(|n| (n.from, n.to)), Some((at(11), at(15))));
 /// assert!(history.after(at(9)).is_none());
 /// assert!(history.after(at(15)).is_none());
 /// ```
 #[derive(Debug, Default)]
-pub struct NewsHistory {
-    news: VecDeque<News>,
+pub struct UpdateHistory {
+    updates: VecDeque<EntryUpdate>,
     changes: usize,
 }
 
-impl NewsHistory {
+impl UpdateHistory {
     /// Appends an update. If there is a gap between it and the previous update, all earlier
     /// updates are discarded, since the history must be contiguous.
-    pub fn learned(&mut self, news: News) {
-        let is_contiguous = self.news.back().is_none_or(|last| last.to >= news.from);
+    pub fn learned(&mut self, update: EntryUpdate) {
+        let is_contiguous = self
+            .updates
+            .back()
+            .is_none_or(|last| last.to >= update.from);
         if !is_contiguous {
-            self.news.clear();
+            self.updates.clear();
             self.changes = 0;
         }
-        self.changes += news.changes.len();
-        self.news.push_back(news);
+        self.changes += update.changes.len();
+        self.updates.push_back(update);
         while self.changes > MAX_CHANGES {
-            let Some(oldest) = self.news.pop_front() else {
+            let Some(oldest) = self.updates.pop_front() else {
                 return;
             };
             self.changes -= oldest.changes.len();
@@ -59,14 +62,14 @@
     /// Returns all changes after `revision`, or `None` if the history does not cover it or
     /// has nothing newer.
     #[must_use]
-    pub fn after(&self, revision: Revision) -> Option<News> {
-        let (first, last) = (self.news.front()?, self.news.back()?);
+    pub fn after(&self, revision: Revision) -> Option<EntryUpdate> {
+        let (first, last) = (self.updates.front()?, self.updates.back()?);
         if revision < first.from || revision >= last.to {
             return None;
         }
         let newer = |c: &&EntryChange| c.revision > revision;
-        let changes = self.news.iter().flat_map(|n| &n.changes).filter(newer);
-        Some(News {
+        let changes = self.updates.iter().flat_map(|n| &n.changes).filter(newer);
+        Some(EntryUpdate {
             from: revision,
             to: last.to,
             changes: changes.cloned().collect(),
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -25,7 +25,7 @@
     /// The sender's use of upstreams, sent after a change.
     Load(Load),
     /// Changes in the store, and the addresses to which the receiver must forward them.
-    News(News, Vec<SocketAddr>),
+    News(EntryUpdate, Vec<SocketAddr>),
     /// Requests the changes after this revision from the receiver.
     NewsWanted(Revision),
     /// The sender has a later revision than the receiver but no longer keeps the changes
@@ -108,7 +108,7 @@
 
 /// Changes of upstreams' entries between two revisions of the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct News {
+pub struct EntryUpdate {
     /// Revision that the receiver must already have reached.
     pub from: Revision,
     /// Revision that the receiver reaches by applying the changes.
@@ -117,7 +117,7 @@
     pub changes: Vec<EntryChange>,
 }
 
-impl News {
+impl EntryUpdate {
     /// Splits the changes into parts of at most `most` changes that can each be applied
     /// independently. A part is larger if its changes are not in revision order.
     ///
@@ -125,11 +125,11 @@
     ///
     /// ```
     /// use trouttrack_core::membership::Revision;
-    /// use trouttrack_front::peers::{EntryChange, EntryState, News};
+    /// use trouttrack_front::peers::{EntryChange, EntryState, EntryUpdate};
     /// let at = |number| Revision::new(0, number);
     /// let gone = |n| EntryChange { id: "e1".into(), revision: at(n), entry: EntryState::Gone };
     /// let changes = vec![gone(11), gone(12), gone(14)];
-    /// let parts = News { from: at(10), to: at(20), changes }.in_parts(2);
+    /// let parts = EntryUpdate { from: at(10), to: at(20), changes }.in_parts(2);
     /// let ends = parts.iter().map(|n| (n.from.number, n.to.number, n.changes.len()));
     /// let ends: Vec<_> = ends.collect();
     /// assert_eq!(ends, [(10, 12, 2), (12, 20, 1)]);
--- a/trouttrack_front/src/peers/mod.rs
+++ b/trouttrack_front/src/peers/mod.rs
@@ -8,7 +8,7 @@
 //!   lost datagram only makes the receiver's view older.
 //! - Changes in upstream usage are also sent as they occur to all VMs of the failure domain;
 //!   other failure domains receive the sum over the domain ([`heartbeat`]).
-//! - [`News`] carries upstream entry changes as they happen, from the few VMs that watch the
+//! - [`EntryUpdate`] carries upstream entry changes as they happen, from the few VMs that watch the
 //!   store to all others. A VM that misses an update detects this from the revision in the
 //!   next heartbeat and asks a VM that has it, or the store as a last resort.
 //! - A configuration is requested from a VM that has it ([`config`]), as is a confirmation
@@ -32,13 +32,13 @@
 mod table;
 mod transfer;
 
-pub(crate) use catch_up::ask_for_news;
-pub(crate) use config::ask_for_config;
+pub(crate) use catch_up::request_updates;
+pub(crate) use config::request_config;
 pub(crate) use confirm::keep_confirmed;
 pub(crate) use heartbeat::send;
-pub use history::NewsHistory;
+pub use history::UpdateHistory;
 pub(crate) use listen::listen;
-pub use message::{EntryChange, EntryState, News};
+pub use message::{EntryChange, EntryState, EntryUpdate};
 pub(crate) use news::send_updates;
 pub use roles::watches_store;
 pub use table::{PeerState, PeerTable};
--- a/trouttrack_front/src/peers/news.rs
+++ b/trouttrack_front/src/peers/news.rs
@@ -7,7 +7,7 @@
 //! misses an update detects it from the next heartbeat of its watcher and requests
 //! retransmission.
 
-use super::message::{Datagram, News, encode};
+use super::message::{Datagram, EntryUpdate, encode};
 use super::post::{post, post_to_all};
 use crate::follow::{self, UpdateResult};
 use crate::state::Front;
@@ -26,7 +26,7 @@
 pub(crate) async fn send_updates(
     front: Rc<Front>,
     socket: Rc<UdpSocket>,
-    mut news: mpsc::Receiver<News>,
+    mut news: mpsc::Receiver<EntryUpdate>,
 ) {
     while let Some(news) = news.recv().await {
         for part in news.in_parts(MAX_CHANGES_PER_DATAGRAM) {
@@ -35,7 +35,7 @@
     }
 }
 
-async fn send_part(front: &Front, socket: &UdpSocket, news: News) {
+async fn send_part(front: &Front, socket: &UdpSocket, news: EntryUpdate) {
     let in_domain = |(name, _): &(String, _)| front.peers.is_in(name, &front.failure_domain);
     let receivers = update_receivers(front.peers.others(), in_domain, &mut rand::rng());
     let receivers = receivers.into_iter().map(|(_, addr)| addr).collect();
@@ -55,10 +55,10 @@
     front: &Rc<Front>,
     socket: &UdpSocket,
     from: SocketAddr,
-    news: News,
+    news: EntryUpdate,
     pass_on: &[SocketAddr],
 ) {
-    let taken = follow::apply_updates(front, &news);
+    let taken = follow::apply_update(front, &news);
     if !pass_on.is_empty() {
         let relayed = Datagram::News(news, Vec::new());
         post_to_all(socket, &relayed, pass_on.iter().copied());
--- a/trouttrack_front/src/peers/suspects.rs
+++ b/trouttrack_front/src/peers/suspects.rs
@@ -23,8 +23,8 @@
 /// Sends pending changes to the VMs that need them.
 pub(super) fn send_changes(front: &Front, socket: &UdpSocket) {
     for request in front.suspects.take_pending() {
-        let news = Datagram::Suspects(front.suspects.records_of(&[request]));
-        post_to_all(socket, &news, receivers(front, request));
+        let records = Datagram::Suspects(front.suspects.records_of(&[request]));
+        post_to_all(socket, &records, receivers(front, request));
     }
 }
 
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -10,7 +10,7 @@
 use super::suspects::Suspects;
 use super::upstreams::Upstreams;
 use crate::metrics::Metrics;
-use crate::peers::{News, NewsHistory, PeerTable};
+use crate::peers::{EntryUpdate, PeerTable, UpdateHistory};
 use std::cell::{OnceCell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -75,7 +75,7 @@
     /// The other VMs.
     pub peers: PeerTable,
     /// Recent changes of upstream entries, for VMs that missed some.
-    pub history: RefCell<NewsHistory>,
+    pub history: RefCell<UpdateHistory>,
     /// Retry budgets.
     pub budgets: Budgets,
     /// Bytes buffered for peers that read slowly.
@@ -93,7 +93,7 @@
     /// Whether the store is reachable.
     pub store_contact: StoreContact,
     /// Updates to be sent to the other VMs.
-    pub news: mpsc::Sender<News>,
+    pub updates: mpsc::Sender<EntryUpdate>,
     /// Failure domains evacuated by operators.
     pub evacuations: RefCell<Evacuations>,
     /// Evacuations that a restore of the store has lost, and the time until which each stays in
@@ -110,7 +110,7 @@
 impl Front {
     /// Creates a front with empty state.
     #[must_use]
-    pub fn new(settings: &FrontSettings, news: mpsc::Sender<News>) -> Rc<Self> {
+    pub fn new(settings: &FrontSettings, updates: mpsc::Sender<EntryUpdate>) -> Rc<Self> {
         let clock = Clock::start();
         let metrics = Metrics::new();
         let slow_readers = metrics.slow_readers.clone();
@@ -144,7 +144,7 @@
             http,
             store: StoreClient::new(to_store, settings.store.addr),
             store_contact: StoreContact::default(),
-            news,
+            updates,
             evacuations: RefCell::default(),
             lost_evacuations: RefCell::default(),
             evacuation_watch: settings.bounds.evacuate.mul_f64(EVACUATION_WATCH_RATIO),
@@ -186,9 +186,15 @@
     }
 
     /// Applies the conditions that a peer of a failure domain reports.
-    pub fn record_peer_conditions(&self, peer: &str, failure_domain: &str, conditions: &Conditions) {
+    pub fn record_peer_conditions(
+        &self,
+        peer: &str,
+        failure_domain: &str,
+        conditions: &Conditions,
+    ) {
         let is_local = failure_domain == self.failure_domain;
-        self.scheduler.record_peer_conditions(peer, is_local, conditions);
+        self.scheduler
+            .record_peer_conditions(peer, is_local, conditions);
     }
 
     /// Whether departures of upstreams can no longer be learned from the store: no known VM has
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -69,7 +69,7 @@
     /// Signalled when a request is queued.
     queued: Notify,
     /// Signalled when a change should be sent to the other VMs soon.
-    news: Notify,
+    load_update: Notify,
 }
 
 impl Scheduler {
@@ -81,7 +81,7 @@
             world: RefCell::new(World::new(settings)),
             waiting: RefCell::default(),
             queued: Notify::new(),
-            news: Notify::new(),
+            load_update: Notify::new(),
         }
     }
 
@@ -171,13 +171,13 @@
 
     /// Requests that changes be sent to the other VMs soon.
     pub(crate) fn schedule_load_update(&self) {
-        self.news.notify_one();
+        self.load_update.notify_one();
     }
 
     /// Waits until a change should be sent to the other VMs soon: a generation was placed on an
     /// engine, a shared rate limit was used, or a connection was lost.
-    pub async fn news(&self) {
-        self.news.notified().await;
+    pub async fn load_update_requested(&self) {
+        self.load_update.notified().await;
     }
 
     /// Replaces the set of upstreams that requests may be sent to.
--- a/trouttrack_front/src/state/suspects.rs
+++ b/trouttrack_front/src/state/suspects.rs
@@ -20,7 +20,7 @@
     table: RefCell<Quarantine>,
     /// Requests whose state must be sent to peers immediately.
     pending_for_peers: RefCell<Vec<Fingerprint>>,
-    news: Notify,
+    pending_changed: Notify,
     /// Requests whose hold has begun or ended and must be updated in the store.
     changed_holds: RefCell<Vec<Fingerprint>>,
     holds_changed: Notify,
@@ -34,7 +34,7 @@
             clock,
             table: RefCell::new(Quarantine::new(settings)),
             pending_for_peers: RefCell::default(),
-            news: Notify::new(),
+            pending_changed: Notify::new(),
             changed_holds: RefCell::default(),
             holds_changed: Notify::new(),
         }
@@ -137,12 +137,12 @@
 
     fn notify_peers(&self, request: Fingerprint) {
         self.pending_for_peers.borrow_mut().push(request);
-        self.news.notify_one();
+        self.pending_changed.notify_one();
     }
 
     /// Waits until there are changes to send to peers immediately.
-    pub async fn news(&self) {
-        self.news.notified().await;
+    pub async fn changes_pending(&self) {
+        self.pending_changed.notified().await;
     }
 
     /// Removes and returns the requests whose state must be sent to peers immediately.
--- a/trouttrack_front/tests/front/large_fleet.rs
+++ b/trouttrack_front/tests/front/large_fleet.rs
@@ -9,7 +9,7 @@
 use trouttrack_core::fleet::{FleetConfig, RouteKind};
 use trouttrack_core::membership::Revision;
 use trouttrack_front::app::{Running, start};
-use trouttrack_front::peers::{EntryChange, EntryState, News, Snapshot, watches_store};
+use trouttrack_front::peers::{EntryChange, EntryState, EntryUpdate, Snapshot, watches_store};
 use trouttrack_front::state::{Budgets, Clock, Upstreams};
 use trouttrack_platform::UpstreamEntry;
 use trouttrack_platform_standin::{Store, Upstream};
@@ -300,12 +300,12 @@
         })
         .collect();
     for max_changes in 1..=revisions.len() {
-        let news = News {
+        let update = EntryUpdate {
             from: revision(10),
             to: revision(40),
             changes: changes.clone(),
         };
-        let parts = news.in_parts(max_changes);
+        let parts = update.in_parts(max_changes);
         let reported = parts.iter().flat_map(|part| &part.changes);
         assert!(reported.map(|c| c.revision).eq(revisions));
         assert_eq!(
--- a/trouttrack_front/tests/front/rate_limits.rs
+++ b/trouttrack_front/tests/front/rate_limits.rs
@@ -250,8 +250,9 @@
     for (service, told) in [(WARM, false), (COLD, true)] {
         let placed = scheduler.place(call(service, clock.now())).await;
         assert_eq!(placed.expect("the call is placed").upstream, service);
-        let news = tokio::time::timeout(Duration::ZERO, scheduler.news()).await;
-        assert_eq!(news.is_ok(), told, "{service}");
+        let requested =
+            tokio::time::timeout(Duration::ZERO, scheduler.load_update_requested()).await;
+        assert_eq!(requested.is_ok(), told, "{service}");
     }
 }
 
