--- a/trouttrack_front/src/follow/bootstrap.rs
+++ b/trouttrack_front/src/follow/bootstrap.rs
@@ -25,7 +25,7 @@
 pub(super) async fn fetch_from_peers(front: &Rc<Front>, known: Revision) -> bool {
     wait_for_vm_list(front).await;
     // A watcher does not wait, because the other VMs depend on its list.
-    while !watches_store(front) && !is_drawn_to_call_store(front) {
+    while !watches_store(front) && !is_selected_to_call_store(front) {
         if tokio::time::timeout(LIST_RETRY_INTERVAL, fetch_from_any_peer(front, known))
             .await
             .is_ok()
@@ -56,7 +56,7 @@
 }
 
 /// Decides at random whether this VM makes a store call whose result other VMs need as well.
-pub(super) fn is_drawn_to_call_store(front: &Front) -> bool {
+pub(super) fn is_selected_to_call_store(front: &Front) -> bool {
     let near = front.peers.listed_in(&front.failure_domain).max(1);
     rand::rng().random_range(0.0..near as f64) < MEAN_STORE_CALLERS
 }
@@ -66,7 +66,7 @@
     let mut backoff = Backoff::new();
     loop {
         backoff.pause_for_peers().await;
-        let Some(peer) = front.peers.draw_ahead(&front.failure_domain, known) else {
+        let Some(peer) = front.peers.random_peer_ahead(&front.failure_domain, known) else {
             backoff.reset();
             continue;
         };
--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -1,7 +1,7 @@
 //! Periodically confirms that the configuration is current.
 
 use super::backoff::Backoff;
-use super::bootstrap::{is_drawn_to_call_store, wait_for_vm_list};
+use super::bootstrap::{is_selected_to_call_store, wait_for_vm_list};
 use super::config;
 use crate::peers::watches_store;
 use crate::state::Front;
@@ -17,8 +17,8 @@
 /// Number of VMs that may all call the store at the same time. Sending 256 configurations of
 /// about 90 kB takes the store's link a fifth of a second.
 const MAX_CONCURRENT_CALLS: usize = 256;
-/// Interval at which VMs draw whether to make their first call.
-const FIRST_CALL_DRAW_INTERVAL: Duration = Duration::from_millis(700);
+/// Interval at which VMs decide at random whether to make their first call.
+const FIRST_CALL_SELECTION_INTERVAL: Duration = Duration::from_millis(700);
 /// Interval at which a VM without a configuration checks for one.
 const CONFIG_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause between calls while the store's configuration cannot be put in force.
@@ -50,7 +50,7 @@
     }
 }
 
-/// Waits for a first confirmation from a peer, unless this VM is drawn to call the store. When
+/// Waits for a first confirmation from a peer, unless this VM is selected to call the store. When
 /// all VMs of a large fleet start, their calls alone, of about 90 kB each, fill the store's link
 /// for a second, after which every call is retried. The store of 985 VMs took 15 s to recover
 /// from that.
@@ -59,8 +59,11 @@
     if front.peers.listed() <= MAX_CONCURRENT_CALLS {
         return;
     }
-    while !is_drawn_to_call_store(front) && front.routing.age().is_none() && !watches_store(front) {
-        tokio::time::sleep(FIRST_CALL_DRAW_INTERVAL).await;
+    while !is_selected_to_call_store(front)
+        && front.routing.age().is_none()
+        && !watches_store(front)
+    {
+        tokio::time::sleep(FIRST_CALL_SELECTION_INTERVAL).await;
     }
 }
 
@@ -70,7 +73,7 @@
         return;
     }
     wait_for_config(front).await;
-    let renewal_age = RenewalAge::draw();
+    let renewal_age = RenewalAge::random();
     while let Some(left) = time_left(front, &renewal_age) {
         tokio::time::sleep(left.clamp(MIN_AGE_CHECK_INTERVAL, MAX_AGE_CHECK_INTERVAL)).await;
     }
@@ -106,7 +109,7 @@
 }
 
 impl RenewalAge {
-    fn draw() -> Self {
+    fn random() -> Self {
         Self {
             watcher: rand::rng().random_range(WATCHER_RENEWAL_AGE),
             other: rand::rng().random_range(STORE_REQUEST_AGE),
--- a/trouttrack_front/src/peers/catch_up.rs
+++ b/trouttrack_front/src/peers/catch_up.rs
@@ -11,7 +11,7 @@
         return;
     };
     let known = front.upstreams.revision();
-    if let Some(addr) = front.peers.draw_ahead(&front.failure_domain, known) {
+    if let Some(addr) = front.peers.random_peer_ahead(&front.failure_domain, known) {
         post(&socket, &Datagram::NewsWanted(known), addr);
     }
 }
--- a/trouttrack_front/src/peers/config.rs
+++ b/trouttrack_front/src/peers/config.rs
@@ -85,7 +85,9 @@
         return;
     };
     let known = front.routing.version();
-    let newer = front.peers.draw(|h| h.config_version > known, |_| true);
+    let newer = front
+        .peers
+        .random_peer(|h| h.config_version > known, |_| true);
     if let Some(addr) = newer {
         post(&socket, &Datagram::ConfigWanted, addr);
     }
--- a/trouttrack_front/src/peers/confirm.rs
+++ b/trouttrack_front/src/peers/confirm.rs
@@ -72,7 +72,7 @@
     let own = front.routing.version();
     let has_same = |h: &PeerState| h.config_version == own;
     let is_far = |h: &PeerState| h.failure_domain != front.failure_domain;
-    front.peers.draw(has_same, is_far)
+    front.peers.random_peer(has_same, is_far)
 }
 
 /// Replies to a request for a confirmation.
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -145,8 +145,13 @@
 }
 
 /// Sends a heartbeat to a newly discovered VM, which would otherwise wait until it is
-/// drawn as a receiver.
-pub(super) fn greet(front: &Front, socket: &UdpSocket, name: &str, addr: SocketAddr) {
+/// selected as a receiver.
+pub(super) fn send_first_heartbeat(
+    front: &Front,
+    socket: &UdpSocket,
+    name: &str,
+    addr: SocketAddr,
+) {
     let mut heartbeat = heartbeat(front);
     heartbeat.echo = front.peers.echo(name);
     let datagram = Datagram::Heartbeat(Box::new(heartbeat));
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -2,7 +2,7 @@
 
 use super::config::{self, ConfigExchange};
 use super::confirm;
-use super::heartbeat::greet;
+use super::heartbeat::send_first_heartbeat;
 use super::message::{Datagram, Heartbeat, Load, decode};
 use super::news::{handle_news, retransmit};
 use super::roles::receive_announcement;
@@ -44,9 +44,9 @@
                 handle_heartbeat(&front, &heartbeat, &conditions);
                 catch_up.send_if_different(&front, &socket, &heartbeat, from);
                 // Peers of other failure domains send too rarely to stay in the table, so they
-                // would be greeted repeatedly.
+                // would get a first heartbeat repeatedly.
                 if is_new && front.peers.is_in(name, &front.failure_domain) {
-                    greet(&front, &socket, name, from);
+                    send_first_heartbeat(&front, &socket, name, from);
                 }
                 if heartbeat.digest.config_version > front.routing.version() {
                     configs.ask(&front, &socket, from);
--- a/trouttrack_front/src/peers/table.rs
+++ b/trouttrack_front/src/peers/table.rs
@@ -282,7 +282,7 @@
 
     /// Picks a random peer whose last known state matches `holds`, choosing among the
     /// `preferred` ones if there are any.
-    pub(crate) fn draw(
+    pub(crate) fn random_peer(
         &self,
         holds: impl Fn(&PeerState) -> bool,
         preferred: impl Fn(&PeerState) -> bool,
@@ -292,8 +292,8 @@
         let found = found.filter_map(|(name, h)| Some((h, listed.get(name)?.addr)));
         let (first, others): (Vec<_>, Vec<_>) = found.partition(|(h, _)| preferred(h));
         let rng = &mut rand::rng();
-        let drawn = first.choose(rng).or_else(|| others.choose(rng));
-        drawn.map(|(_, addr)| *addr)
+        let selected = first.choose(rng).or_else(|| others.choose(rng));
+        selected.map(|(_, addr)| *addr)
     }
 
     /// Whether peers no longer retain the updates that this VM has missed.
@@ -309,9 +309,9 @@
 
     /// Picks a random peer that has upstream entries newer than `known`, preferring the
     /// failure domain `home`.
-    pub(crate) fn draw_ahead(&self, home: &str, known: Revision) -> Option<SocketAddr> {
+    pub(crate) fn random_peer_ahead(&self, home: &str, known: Revision) -> Option<SocketAddr> {
         let knows_more = |h: &PeerState| h.upstreams_revision > known;
-        self.draw(knows_more, |h| h.failure_domain == home)
+        self.random_peer(knows_more, |h| h.failure_domain == home)
     }
 
     /// The newest configuration version in force on any peer; 0 if there is none.
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -28,7 +28,7 @@
 pub(super) struct StreamRun {
     pub(super) front: Rc<Front>,
     pub(super) admitted: Rc<Admitted>,
-    /// Service drawn from the route.
+    /// Service selected from the route.
     pub(super) service: ServiceId,
     /// Request body.
     pub(super) body: Bytes,
