Front: publishes_start_times, removed_as_unreadable, poll_engines

say_births, disowned and ask_engines needed their comments to be understood; asked_at is the time of a request. Names only, settings keep theirs.

--- a/trouttrack_front/src/app/start.rs
+++ b/trouttrack_front/src/app/start.rs
@@ -57,7 +57,7 @@
     follow::start(&front, own);
     let scheduler = Rc::clone(&front.scheduler);
     actix_rt::spawn(async move { scheduler.run().await });
-    actix_rt::spawn(rescue::ask_engines(Rc::clone(&front)));
+    actix_rt::spawn(rescue::poll_engines(Rc::clone(&front)));
     start_peers(&front, socket, listener, updates);
     let server = Server::bind(Rc::clone(&front), ports.listen);
     let server = server.map_err(|e| AppError::Listen(ports.listen, e))?;
--- a/trouttrack_front/src/follow/self_reports.rs
+++ b/trouttrack_front/src/follow/self_reports.rs
@@ -30,16 +30,16 @@
     /// The answer's status.
     status: Option<u16>,
     /// When the request was sent.
-    asked_at: Time,
+    requested_at: Time,
 }
 
-/// Handles the head of an answer to a request that was sent at `asked_at` or later, whether or
+/// Handles the head of an answer to a request that was sent at `requested_at` or later, whether or
 /// not the answer is usable for the caller.
 pub(crate) fn receive_answer(
     front: &Rc<Front>,
     upstream: &Rc<Upstream>,
     request: &str,
-    asked_at: Time,
+    requested_at: Time,
     head: &AnswerHead,
 ) {
     let mut word = head.word;
@@ -54,18 +54,18 @@
         peer: None,
         request: Some(request),
         status: Some(head.status.as_u16()),
-        asked_at,
+        requested_at,
     };
     let departure = Departure::from_notice(front.clock.now());
     apply_statement(front, upstream, &received, departure);
 }
 
-/// Handles a report that was requested at `asked_at`. A report of another incarnation is
+/// Handles a report that was requested at `requested_at`. A report of another incarnation is
 /// ignored.
 pub(crate) fn receive_report(
     front: &Rc<Front>,
     upstream: &Rc<Upstream>,
-    asked_at: Time,
+    requested_at: Time,
     report: &EngineReport,
 ) {
     if report.born != 0 && upstream.born != 0 && report.born != upstream.born {
@@ -83,9 +83,14 @@
         peer: None,
         request: None,
         status: None,
-        asked_at,
+        requested_at,
     };
-    apply_statement(front, upstream, &received, Departure::from_report(asked_at));
+    apply_statement(
+        front,
+        upstream,
+        &received,
+        Departure::from_report(requested_at),
+    );
 }
 
 /// Handles limits that upstreams stated or ended, as passed on by a peer.
@@ -108,7 +113,7 @@
             peer: Some(peer),
             request: None,
             status: None,
-            asked_at: now,
+            requested_at: now,
         };
         record(front, &limit.life, &received);
     }
@@ -133,7 +138,7 @@
         let now = front.clock.now();
         receive(UpstreamNotice::RateLimit(RateStatement::new(
             limit,
-            received.asked_at,
+            received.requested_at,
             now,
         )))
     });
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -134,8 +134,8 @@
     if upstreams.is_listed() && snapshot.revision() <= upstreams.revision() {
         return;
     }
-    if snapshot.say_births() {
-        front.upstreams.set_say_births();
+    if snapshot.publishes_start_times() {
+        front.upstreams.set_publishes_start_times();
     }
     let entries: Vec<SnapshotEntry> = snapshot.entries().collect();
     for listed in &entries {
@@ -192,14 +192,14 @@
 /// Records that this deployment's upstreams publish their start times.
 fn record_start_time(front: &Front, read: &DecodedEntry) {
     if read.as_ref().is_ok_and(|entry| entry.born > 0) {
-        front.upstreams.set_say_births();
+        front.upstreams.set_publishes_start_times();
     }
 }
 
 /// Validates an existing entry. Where upstreams publish their start times, an entry without one
 /// is unreadable.
 fn validate(front: &Front, object: &Object, read: DecodedEntry) -> EntryState {
-    let entry = read.and_then(|entry| match front.upstreams.say_births() {
+    let entry = read.and_then(|entry| match front.upstreams.publishes_start_times() {
         true => entry.with_birth(),
         false => Ok(entry),
     });
@@ -284,7 +284,7 @@
             None
         }
         EntryState::Gone => front.upstreams.removed(&change.id),
-        EntryState::Unreadable => front.upstreams.disowned(&change.id),
+        EntryState::Unreadable => front.upstreams.removed_as_unreadable(&change.id),
     };
     if let Some(gone) = gone {
         remove(front, &gone);
--- a/trouttrack_front/src/peers/transfer/snapshot.rs
+++ b/trouttrack_front/src/peers/transfer/snapshot.rs
@@ -28,7 +28,7 @@
 pub struct Snapshot {
     revision: Revision,
     /// Whether upstreams report their start time.
-    say_births: bool,
+    publishes_start_times: bool,
     services: Vec<ServiceId>,
     failure_domains: Vec<FailureDomain>,
     rows: Vec<Row>,
@@ -64,7 +64,7 @@
     pub fn of(known: &Upstreams) -> Self {
         let mut snapshot = Self {
             revision: known.revision(),
-            say_births: known.say_births(),
+            publishes_start_times: known.publishes_start_times(),
             ..Self::default()
         };
         let (mut services, mut failure_domains) =
@@ -89,8 +89,8 @@
 
     /// Whether upstreams report their start time.
     #[must_use]
-    pub fn say_births(&self) -> bool {
-        self.say_births
+    pub fn publishes_start_times(&self) -> bool {
+        self.publishes_start_times
     }
 
     /// Iterates over the upstreams, skipping rows with an out-of-range service or failure
--- a/trouttrack_front/src/rescue/mod.rs
+++ b/trouttrack_front/src/rescue/mod.rs
@@ -7,5 +7,5 @@
 
 pub(crate) use generation_move::GenerationMove;
 pub(crate) use observe::observe;
-pub(crate) use poll::ask_engines;
+pub(crate) use poll::poll_engines;
 pub(crate) use task::{MoveEnd, MoveTask, Moved};
--- a/trouttrack_front/src/rescue/observe.rs
+++ b/trouttrack_front/src/rescue/observe.rs
@@ -26,9 +26,9 @@
     };
     for delay in REPORT_DELAYS {
         tokio::time::sleep(delay).await;
-        let asked_at = front.clock.now();
+        let requested_at = front.clock.now();
         match front.engines.report(upstream.addr, REPORT_TIMEOUT).await {
-            Ok(report) => apply_report(&front, &upstream, asked_at, &report, &engine),
+            Ok(report) => apply_report(&front, &upstream, requested_at, &report, &engine),
             Err(e) => log::debug!("{e}"),
         }
     }
@@ -37,7 +37,7 @@
 fn apply_report(
     front: &Front,
     upstream: &Upstream,
-    asked_at: Time,
+    requested_at: Time,
     report: &EngineReport,
     engine: &EngineSpec,
 ) {
@@ -49,7 +49,7 @@
     let now = front.clock.now();
     upstream.update_departure(|departure| {
         if let Some(left) = report.leaves_in {
-            departure.set_remaining(asked_at, left);
+            departure.set_remaining(requested_at, left);
         }
         departure.set_generations(now, report.generations.clone(), engine, near_room);
     });
--- a/trouttrack_front/src/rescue/poll.rs
+++ b/trouttrack_front/src/rescue/poll.rs
@@ -14,7 +14,7 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Polls the engines in use, for the lifetime of the process, while the store is silent.
-pub(crate) async fn ask_engines(front: Rc<Front>) {
+pub(crate) async fn poll_engines(front: Rc<Front>) {
     loop {
         tokio::time::sleep(REPORT_INTERVAL).await;
         let silent = front.store_is_silent();
@@ -43,9 +43,9 @@
 }
 
 async fn poll(front: Rc<Front>, upstream: Rc<Upstream>) {
-    let asked_at = front.clock.now();
+    let requested_at = front.clock.now();
     match front.engines.report(upstream.addr, REPORT_INTERVAL).await {
-        Ok(report) => follow::receive_report(&front, &upstream, asked_at, &report),
+        Ok(report) => follow::receive_report(&front, &upstream, requested_at, &report),
         Err(e) => log::debug!("{e}"),
     }
 }
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -121,7 +121,7 @@
     store_at: Cell<Revision>,
     /// Whether upstreams of this fleet write their start time. If so, an entry without one
     /// was written by something else.
-    say_births: Cell<bool>,
+    publishes_start_times: Cell<bool>,
     /// The services used when all rows were last rebuilt.
     rows_made_for: RefCell<Option<Vec<ServiceSpec>>>,
 }
@@ -138,7 +138,7 @@
             listed: Cell::new(false),
             revision: Cell::default(),
             store_at: Cell::default(),
-            say_births: Cell::new(false),
+            publishes_start_times: Cell::new(false),
             rows_made_for: RefCell::default(),
         }
     }
@@ -181,14 +181,14 @@
     }
 
     /// Records that upstreams of this fleet write their start time.
-    pub fn set_say_births(&self) {
-        self.say_births.set(true);
+    pub fn set_publishes_start_times(&self) {
+        self.publishes_start_times.set(true);
     }
 
     /// Whether upstreams of this fleet write their start time.
     #[must_use]
-    pub fn say_births(&self) -> bool {
-        self.say_births.get()
+    pub fn publishes_start_times(&self) -> bool {
+        self.publishes_start_times.get()
     }
 
     /// Whether the store has changed since the entries were last read. The change may
@@ -320,7 +320,7 @@
     /// Removes an upstream whose entry cannot be parsed. An invalid entry does not confirm that
     /// the upstream is alive, so it is removed at once, even during an outage of the store.
     /// Returns it if it was known.
-    pub fn disowned(&self, id: &str) -> Option<Rc<Upstream>> {
+    pub fn removed_as_unreadable(&self, id: &str) -> Option<Rc<Upstream>> {
         self.deferred.borrow_mut().remove(id);
         self.entries.borrow_mut().forget(id);
         self.remove_known(id)
--- a/trouttrack_front/tests/front/large_fleet.rs
+++ b/trouttrack_front/tests/front/large_fleet.rs
@@ -268,7 +268,7 @@
 #[test]
 fn snapshot_contains_known_and_lapsed_upstreams() {
     let upstreams = Upstreams::new(Clock::start());
-    upstreams.set_say_births();
+    upstreams.set_publishes_start_times();
     upstreams.seen("stays", revision(3), entry(false, 100));
     upstreams.seen("leaves", revision(4), entry(true, 200));
     upstreams.seen("lapsed", revision(5), entry(false, 300));
@@ -278,7 +278,7 @@
 
     let snapshot = Snapshot::of(&upstreams);
     assert_eq!(snapshot.revision(), revision(6));
-    assert!(snapshot.say_births());
+    assert!(snapshot.publishes_start_times());
     let mut reported: Vec<_> = snapshot.entries().collect();
     reported.sort_by(|a, b| a.id.cmp(&b.id));
     let ids: Vec<(&str, bool)> = reported.iter().map(|t| (t.id.as_str(), t.lapsed)).collect();
