Front: QuarantineState instead of Suspects

The core calls the same thing Quarantine; the front's table and its exchange between VMs are named after it. Names only; the datagram keeps its format.

--- a/trouttrack_front/src/follow/holds.rs
+++ b/trouttrack_front/src/follow/holds.rs
@@ -30,9 +30,9 @@
             restored_epoch = front.store_contact.restored_after(epoch) => {
                 epoch = restored_epoch;
                 pause_after_restore(&front).await;
-                front.suspects.held_or_released()
+                front.quarantine.held_or_released()
             }
-            changed = front.suspects.changed() => changed,
+            changed = front.quarantine.changed() => changed,
         };
         for request in requests {
             if is_writer(&front, request) {
@@ -64,10 +64,10 @@
 
 async fn write_once(front: &Front, request: Fingerprint) -> Result<(), StoreError> {
     let name = HoldEntry::name(request);
-    if front.suspects.hold(request).is_none() {
+    if front.quarantine.hold(request).is_none() {
         return front.store.remove(Kind::Vms, &name, CALL_TIMEOUT).await;
     }
-    let ended = front.suspects.counted_crashes(request);
+    let ended = front.quarantine.counted_crashes(request);
     let entry = HoldEntry { ended };
     front
         .store
@@ -82,7 +82,7 @@
         return false;
     };
     match HoldEntry::decode(object.spec.get()) {
-        Ok(entry) => front.suspects.restore(request, &entry.ended),
+        Ok(entry) => front.quarantine.restore(request, &entry.ended),
         Err(e) => log::warn!("hold {}: entry cannot be read: {e}", object.name),
     }
     true
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -9,8 +9,8 @@
 
 use super::message::{Datagram, Heartbeat, Load};
 use super::post::post_with;
+use super::quarantine;
 use super::roles::watches_store;
-use super::suspects;
 use crate::state::Front;
 use rand::seq::SliceRandom;
 use std::net::SocketAddr;
@@ -50,7 +50,7 @@
                 send_heartbeats(&front, &socket);
                 heartbeat_at = Instant::now() + heartbeat_interval(&front);
             }
-            () = front.suspects.changes_pending() => suspects::send_changes(&front, &socket),
+            () = front.quarantine.changes_pending() => quarantine::send_changes(&front, &socket),
             () = front.scheduler.load_update_requested(), if update_at.is_none() => {
                 update_at = Some(Instant::now() + LOAD_UPDATE_DELAY);
             }
@@ -81,8 +81,8 @@
         front.scheduler.set_rate_share(rate_share(front));
         front.scheduler.set_fleet_size(front.peers.listed());
     }
-    front.suspects.expire();
-    front.metrics.held.set(front.suspects.held() as i64);
+    front.quarantine.expire();
+    front.metrics.held.set(front.quarantine.held() as i64);
     front
         .metrics
         .unreachable
@@ -240,7 +240,7 @@
         upstreams_revision: front.upstreams.revision(),
         evacuations: front.evacuations.borrow().clone(),
         store_ms: front.store_contact.age_ms(front.clock.now()),
-        suspects: front.suspects.checksum(),
+        quarantine_checksum: front.quarantine.checksum(),
         limits: front.scheduler.limits(None),
         domain_uses: match is_large(front) {
             true => front.scheduler.domain_uses(),
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -5,8 +5,8 @@
 use super::heartbeat::send_first_heartbeat;
 use super::message::{Datagram, Heartbeat, Load, decode};
 use super::news::{handle_news, retransmit};
+use super::quarantine::{self, CatchUp};
 use super::roles::receive_announcement;
-use super::suspects::{self, CatchUp};
 use crate::follow::{self, UpdateSource};
 use crate::state::Front;
 use std::io;
@@ -53,7 +53,7 @@
                 }
             }
             Datagram::Load(load) => handle_load(&front, &load, &conditions),
-            Datagram::Suspects(received) => suspects::receive(&front, &socket, &received, from),
+            Datagram::Suspects(received) => quarantine::receive(&front, &socket, &received, from),
             Datagram::ConfigWanted => configs.answer(&front, &socket, from),
             Datagram::Config(received) => config::apply(&front, &received),
             Datagram::ConfigReady(version) => configs.fetch(&front, from, version),
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -68,7 +68,7 @@
     /// domain. Sent in large fleets for the benefit of other failure domains.
     pub(super) domain_uses: Vec<UpstreamUse>,
     /// Checksum of the requests that the sender holds in quarantine.
-    pub(super) suspects: u64,
+    pub(super) quarantine_checksum: u64,
     /// Limits announced by upstreams that are known to the sender.
     pub(super) limits: Vec<ReportedLimit>,
 }
--- a/trouttrack_front/src/peers/mod.rs
+++ b/trouttrack_front/src/peers/mod.rs
@@ -27,8 +27,8 @@
 mod message;
 mod news;
 mod post;
+mod quarantine;
 mod roles;
-mod suspects;
 mod table;
 mod transfer;
 
--- a/trouttrack_front/src/peers/suspects.rs
+++ b/trouttrack_front/src/peers/quarantine.rs
@@ -22,8 +22,8 @@
 
 /// Sends pending changes to the VMs that need them.
 pub(super) fn send_changes(front: &Front, socket: &UdpSocket) {
-    for request in front.suspects.take_pending() {
-        let records = Datagram::Suspects(front.suspects.records_of(&[request]));
+    for request in front.quarantine.take_pending() {
+        let records = Datagram::Suspects(front.quarantine.records_of(&[request]));
         post_to_all(socket, &records, receivers(front, request));
     }
 }
@@ -33,7 +33,7 @@
 /// heartbeats.
 fn receivers(front: &Front, request: Fingerprint) -> Vec<SocketAddr> {
     let others = front.peers.others().into_iter();
-    let all = match front.suspects.hold(request) {
+    let all = match front.quarantine.hold(request) {
         Some(_) => others.collect(),
         None => record_holders(request, others, |(name, _)| name.as_str()),
     };
@@ -47,7 +47,7 @@
     received: &[CrashRecord],
     peer: SocketAddr,
 ) {
-    let better = front.suspects.merge_records(received, &peer.to_string());
+    let better = front.quarantine.merge_records(received, &peer.to_string());
     if !better.is_empty() {
         post(socket, &Datagram::Suspects(better), peer);
     }
@@ -74,11 +74,11 @@
             .sent_at
             .get()
             .is_some_and(|at| now.saturating_sub(at) < FULL_SYNC_INTERVAL);
-        let same = heartbeat.suspects == front.suspects.checksum();
-        if recently || same || front.suspects.is_empty() {
+        let same = heartbeat.quarantine_checksum == front.quarantine.checksum();
+        if recently || same || front.quarantine.is_empty() {
             return;
         }
-        let records = front.suspects.held_records();
+        let records = front.quarantine.held_records();
         if !records.is_empty() {
             self.sent_at.set(Some(now));
             post(socket, &Datagram::Suspects(records), peer);
--- a/trouttrack_front/src/request/quarantine.rs
+++ b/trouttrack_front/src/request/quarantine.rs
@@ -39,10 +39,10 @@
 
     /// Returns the outcome of the request if it is quarantined. Earlier attempts may have run.
     pub(super) fn check(&self, front: &Front, admitted: &Admitted, body: &Bytes) -> Option<End> {
-        if front.suspects.is_empty() {
+        if front.quarantine.is_empty() {
             return None;
         }
-        let hold = front.suspects.hold(self.fingerprint(admitted, body))?;
+        let hold = front.quarantine.hold(self.fingerprint(admitted, body))?;
         Some(End::quarantined(hold))
     }
 
@@ -64,7 +64,7 @@
         match probed {
             Ok(Err(e)) if e.kind == SendErrorKind::NobodyThere => {
                 front.scheduler.connection_refused(&upstream.incarnation());
-                front.suspects.ended(request, upstream);
+                front.quarantine.ended(request, upstream);
             }
             Ok(Ok(presence)) => {
                 let (front, upstream) = (Rc::clone(front), Rc::clone(upstream));
@@ -76,9 +76,9 @@
 
     /// Records a run that completed.
     pub(super) fn record_run(&self, front: &Front, admitted: &Admitted, body: &Bytes) {
-        if !front.suspects.is_empty() {
+        if !front.quarantine.is_empty() {
             front
-                .suspects
+                .quarantine
                 .record_completed_run(self.fingerprint(admitted, body));
         }
     }
@@ -102,7 +102,7 @@
             Ok(next) => presence = next,
             Err(e) if e.kind == SendErrorKind::NobodyThere => {
                 front.scheduler.connection_refused(&upstream.incarnation());
-                front.suspects.ended(request, &upstream);
+                front.quarantine.ended(request, &upstream);
                 return;
             }
             Err(_) => return,
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -4,10 +4,10 @@
 use super::buffers::Buffers;
 use super::clock::Clock;
 use super::lifecycle::Lifecycle;
+use super::quarantine::QuarantineState;
 use super::routing::Routing;
 use super::scheduler::Scheduler;
 use super::store_contact::StoreContact;
-use super::suspects::Suspects;
 use super::upstreams::Upstreams;
 use crate::metrics::Metrics;
 use crate::peers::{EntryUpdate, PeerTable, UpdateHistory};
@@ -81,7 +81,7 @@
     /// Bytes buffered for peers that read slowly.
     pub buffers: Buffers,
     /// Requests during which upstreams crashed.
-    pub suspects: Suspects,
+    pub quarantine: QuarantineState,
     /// Client for requests to upstreams.
     pub http: Client,
     /// Client for transfers between VMs that are too large for a datagram.
@@ -135,7 +135,7 @@
             history: RefCell::default(),
             budgets: Budgets::new(settings.retry),
             buffers: Buffers::new(clock.clone(), settings.buffers, slow_readers),
-            suspects: Suspects::new(clock, settings.quarantine),
+            quarantine: QuarantineState::new(clock, settings.quarantine),
             to_peers: Client::builder()
                 .connect_timeout(PEER_CONNECT_TIMEOUT)
                 .idle_per_peer(0)
--- a/trouttrack_front/src/state/suspects.rs
+++ b/trouttrack_front/src/state/quarantine.rs
@@ -11,11 +11,11 @@
 
 /// Limit on the requests sent to a peer whose quarantine differs; with two crashes recorded
 /// for each, a message has about 4 kB.
-const MAX_SUSPECTS_PER_MESSAGE: usize = 48;
+const MAX_RECORDS_PER_MESSAGE: usize = 48;
 
 /// The quarantine table, and the changes still to be sent to peers and to the store.
 #[derive(Debug)]
-pub struct Suspects {
+pub struct QuarantineState {
     clock: Clock,
     table: RefCell<Quarantine>,
     /// Requests whose state must be sent to peers immediately.
@@ -26,7 +26,7 @@
     holds_changed: Notify,
 }
 
-impl Suspects {
+impl QuarantineState {
     /// Creates an empty quarantine.
     #[must_use]
     pub fn new(clock: Clock, settings: QuarantineSettings) -> Self {
@@ -165,7 +165,7 @@
     pub fn held_records(&self) -> Vec<CrashRecord> {
         self.table
             .borrow()
-            .held_records(self.clock.now(), MAX_SUSPECTS_PER_MESSAGE)
+            .held_records(self.clock.now(), MAX_RECORDS_PER_MESSAGE)
     }
 
     /// Merges the records of a peer. Returns those of which this VM knows more, to be sent back
--- a/trouttrack_front/tests/front/repeats.rs
+++ b/trouttrack_front/tests/front/repeats.rs
@@ -170,7 +170,7 @@
     until("the VM is ready", || restarted.front.lifecycle.is_ready()).await;
     until("keys are confirmed", || restarted.front.routing.is_fresh()).await;
     until("the quarantine entry is read", || {
-        restarted.front.suspects.held() > 0
+        restarted.front.quarantine.held() > 0
     })
     .await;
     let reply = fatal_request("alone", "resume")
@@ -193,7 +193,7 @@
     let replies = fleet.send_to_each_vm("resume", "first").await;
     assert!(replies.iter().all(|reply| reply.status == 502));
     until("both VMs quarantine the request", || {
-        let held = |f: &&Running| f.front.suspects.held() > 0;
+        let held = |f: &&Running| f.front.quarantine.held() > 0;
         fleet.fronts().iter().all(held)
     })
     .await;
--- a/trouttrack_front/tests/front/store_restored.rs
+++ b/trouttrack_front/tests/front/store_restored.rs
@@ -289,7 +289,7 @@
     let backup = bed.store.backup();
     for id in ["u1", "u2"] {
         let upstream = front.upstreams.get(id).expect("a known upstream");
-        front.suspects.ended(REQUEST, &upstream);
+        front.quarantine.ended(REQUEST, &upstream);
     }
     until("a hold is stored", || bed.store.holds().len() == 1).await;
     bed.store.restore(&backup);
@@ -346,11 +346,11 @@
     let front = &bed.front.front;
     for id in ["u1", "u2"] {
         let upstream = front.upstreams.get(id).expect("a known upstream");
-        front.suspects.ended(REQUEST, &upstream);
+        front.quarantine.ended(REQUEST, &upstream);
     }
     until("the hold is stored", || bed.store.holds().len() == 1).await;
     let backup = bed.store.backup();
-    front.suspects.record_completed_run(REQUEST);
+    front.quarantine.record_completed_run(REQUEST);
     until("the hold is removed", || bed.store.holds().is_empty()).await;
     bed.store.restore(&backup);
     assert_eq!(bed.store.holds().len(), 1);
