Front: comments on paces, connections and metrics; fell_behind

State what each value measures instead of paraphrasing it, and name the signal of missing updates after its meaning. poll_write returns its result unchanged instead of taking it apart.

--- a/trouttrack_front/src/caller/connection.rs
+++ b/trouttrack_front/src/caller/connection.rs
@@ -1,20 +1,20 @@
-//! A caller's connection, which reports how far its responses are written.
+//! A caller's connection, which reports the progress of writing to the response's buffer.
 
 use crate::state::HeldBytes;
 use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// The buffer of the response that a connection writes. Clones share it.
+/// The buffer of the response that is being written to a connection. Clones share it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CurrentResponse(Rc<RefCell<Option<Rc<HeldBytes>>>>);
 
 impl CurrentResponse {
-    /// Reports the progress of the connection to this buffer from now on.
+    /// Sets the buffer to which the connection reports its progress.
     pub(crate) fn set(&self, held: Option<Rc<HeldBytes>>) {
         *self.0.borrow_mut() = held;
     }
@@ -24,7 +24,7 @@
     }
 }
 
-/// A caller's connection. Writing fails once the reader of its response was ended.
+/// A caller's connection. Writes fail once the reader of its response has been ended.
 #[derive(Debug)]
 pub(crate) struct CallerStream<T = TcpStream> {
     io: T,
@@ -73,7 +73,7 @@
                 Poll::Pending => held.stalled(cx.waker()),
             }
         }
-        Poll::Ready(ready!(written))
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -149,7 +149,7 @@
     }
     front.upstreams.store_is_at(page.revision);
     if front.upstreams.may_have_missed() {
-        front.peers.set_behind();
+        front.peers.signal_behind();
     }
     Ok(())
 }
--- a/trouttrack_front/src/follow/kind.rs
+++ b/trouttrack_front/src/follow/kind.rs
@@ -155,7 +155,7 @@
 /// Waits until changes were missed that peers do not deliver.
 async fn wait_until_missed<F: Follower>(front: &Front, follower: &F) {
     loop {
-        front.peers.behind().await;
+        front.peers.fell_behind().await;
         if still_missed(follower).await {
             return;
         }
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -244,7 +244,7 @@
         return UpdateResult::Known;
     }
     if update.from > known {
-        front.peers.set_behind();
+        front.peers.signal_behind();
         return UpdateResult::Missing;
     }
     let new: Vec<EntryChange> = update
--- a/trouttrack_front/src/metrics/prediction.rs
+++ b/trouttrack_front/src/metrics/prediction.rs
@@ -3,12 +3,14 @@
 use prometheus::{Histogram, HistogramOpts, HistogramVec, Registry};
 use std::time::Duration;
 
-/// From a fraction of the time between two events to the wait for a full engine.
+/// Upper bounds of the buckets in seconds, from a fraction of an event gap to the wait for a full
+/// engine.
 const ERROR_BUCKETS_SECONDS: &[f64] = &[
     0.002, 0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.3, 0.6, 1.2, 2.5, 5.0,
 ];
 
-/// Absolute errors of a prediction, apart for what came later and what came earlier.
+/// Absolute errors of a prediction, with separate histograms for times later and earlier than
+/// predicted.
 #[derive(Debug)]
 pub struct PredictionError {
     late: Histogram,
@@ -26,7 +28,7 @@
         }
     }
 
-    /// Records a prediction and what came.
+    /// Records the error of a prediction.
     pub fn observe(&self, predicted: Duration, actual: Duration) {
         let error = predicted.abs_diff(actual).as_secs_f64();
         match actual > predicted {
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -87,7 +87,7 @@
         .metrics
         .unreachable
         .set(front.scheduler.unreachable() as i64);
-    log_speeds(front);
+    report_speeds(front);
     front.metrics.waiting.set(front.scheduler.queued() as i64);
     front
         .metrics
@@ -111,8 +111,8 @@
     }
 }
 
-/// Tells operators which upstreams are slow.
-fn log_speeds(front: &Front) {
+/// Updates the metrics of upstream speeds, and logs slowdowns that changed.
+fn report_speeds(front: &Front) {
     let known = front.scheduler.known_rates();
     front.metrics.upstreams_with_rate.set(known.known as i64);
     front.metrics.slow_upstreams.set(known.slow as i64);
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -114,7 +114,7 @@
     let newer_config = digest.config_version > front.routing.version();
     let newer_upstreams = heartbeat.upstreams_revision > front.upstreams.revision();
     if newer_config || newer_upstreams {
-        front.peers.set_behind();
+        front.peers.signal_behind();
     }
 }
 
--- a/trouttrack_front/src/peers/table.rs
+++ b/trouttrack_front/src/peers/table.rs
@@ -451,12 +451,12 @@
     }
 
     /// Signals that this VM is missing updates from the store.
-    pub fn set_behind(&self) {
+    pub fn signal_behind(&self) {
         self.behind.notify_waiters();
     }
 
     /// Waits until this VM learns that it is missing updates from the store.
-    pub async fn behind(&self) {
+    pub async fn fell_behind(&self) {
         self.behind.notified().await;
     }
 }
--- a/trouttrack_front/src/request/stream/pace.rs
+++ b/trouttrack_front/src/request/stream/pace.rs
@@ -6,14 +6,14 @@
 
 /// Events after which their rate is sampled.
 const EVENTS_PER_SAMPLE: u32 = 8;
-/// Shortest wait for the caller that counts as a pause caused by it.
+/// Shortest wait for the caller that is subtracted from a pause.
 const MIN_CALLER_WAIT: Duration = Duration::from_millis(1);
 
 /// Measures the pauses between the events that arrive for a caller, and takes rate samples of
 /// the upstream that sends them.
 ///
-/// A pause that the caller meets includes the change to another upstream. Time during which
-/// nothing was read because the caller does not read is counted apart.
+/// The pauses include a change to another upstream. Time during which nothing was read from the
+/// upstream because the caller accepted no bytes is measured separately.
 ///
 /// # Examples
 ///
@@ -34,9 +34,9 @@
     sampled_at: Option<Time>,
     /// Events since the last sample.
     unsampled: u32,
-    /// Total time for which the caller was waited for.
+    /// Total time during which the caller accepted no bytes.
     caller_wait: Duration,
-    /// The part of it since the last event.
+    /// The part of `caller_wait` since the last event.
     caller_wait_in_pause: Duration,
 }
 
@@ -77,8 +77,8 @@
         self.restart_samples();
     }
 
-    /// Starts a new series of samples at another upstream. The pause until its first event
-    /// counts for the caller but not for the upstream.
+    /// Starts a new series of samples at another upstream. The pause until its first event is a
+    /// pause of the stream, but not part of a sample of either upstream.
     pub fn change_upstream(&mut self) {
         self.restart_samples();
     }
@@ -88,13 +88,13 @@
         self.unsampled = 0;
     }
 
-    /// Returns the longest pause so far between two events, without waits for the caller.
+    /// Returns the longest pause so far between two events, without `caller_wait`.
     #[must_use]
     pub fn longest_pause(&self) -> Duration {
         self.longest_pause
     }
 
-    /// Returns the total time for which the caller was waited for.
+    /// Returns the total time during which the caller accepted no bytes.
     #[must_use]
     pub fn caller_wait(&self) -> Duration {
         self.caller_wait
--- a/trouttrack_front/src/rescue/poll.rs
+++ b/trouttrack_front/src/rescue/poll.rs
@@ -1,8 +1,8 @@
 //! Polls engines for their departure while the store is silent.
 //!
 //! The store announces a leaving engine within milliseconds. During an outage of the store
-//! there is no announcement, and the generations are lost with the engine. The engine's own
-//! report shows the departure half a second late, which leaves about a second to move them.
+//! there is no announcement, and the generations would be lost with the engine. The engine's own
+//! report shows the departure later than the store, but before the engine leaves.
 
 use crate::follow;
 use crate::state::{Front, Upstream};
