Front: split metrics and the copy command into modules

Registration, the recording of times, and the copy command are modules of their own. Code moves only.

--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -1,22 +1,14 @@
 //! Prometheus metrics in the text exposition format.
 
 mod prediction;
-mod streams;
+mod register;
+mod timing;
 
 pub(crate) use prediction::PredictionError;
-pub(crate) use streams::StreamTiming;
+pub(crate) use timing::StreamTiming;
 
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
-use std::time::Duration;
-
-/// From a few milliseconds for a lookup to half a minute for a long generation.
-const LATENCY_BUCKETS_SECONDS: &[f64] = &[
-    0.005, 0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 1.8, 3.0, 6.0, 12.0,
-    30.0,
-];
+use prometheus::{Encoder, Histogram, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder};
+use register::{counter, counter_vec, gauge, histogram, histogram_of};
 
 /// Buckets of a duration as a multiple of its limit.
 const LIMIT_RATIO_BUCKETS: &[f64] = &[0.1, 0.2, 0.3, 0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0, 4.0, 8.0];
@@ -92,41 +84,6 @@
     }
 }
 
-fn counter_vec(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-    let metric = IntCounterVec::new(Opts::new(name, help), labels).expect("a valid name");
-    register(registry, metric.clone());
-    metric
-}
-
-fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
-    let metric = IntCounter::new(name, help).expect("a valid name");
-    register(registry, metric.clone());
-    metric
-}
-
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    let metric = IntGauge::new(name, help).expect("a valid name");
-    register(registry, metric.clone());
-    metric
-}
-
-fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
-    histogram_of(registry, name, help, LATENCY_BUCKETS_SECONDS)
-}
-
-fn histogram_of(registry: &Registry, name: &str, help: &str, buckets: &[f64]) -> Histogram {
-    let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
-    let metric = Histogram::with_opts(opts).expect("a valid name");
-    register(registry, metric.clone());
-    metric
-}
-
-fn register(registry: &Registry, metric: impl prometheus::core::Collector + 'static) {
-    registry
-        .register(Box::new(metric))
-        .expect("each name is registered once");
-}
-
 impl Metrics {
     /// Creates and registers all metrics.
     #[must_use]
@@ -279,19 +236,6 @@
         }
     }
 
-    /// Records the time to the first byte.
-    pub fn first_byte_after(&self, time: Duration) {
-        self.first_byte.observe(time.as_secs_f64());
-    }
-
-    /// Records the estimates that a placement was based on.
-    pub fn decided(&self, loading: Duration, known: Option<Duration>) {
-        self.loading.observe(loading.as_secs_f64());
-        if let Some(age) = known {
-            self.known_age.observe(age.as_secs_f64());
-        }
-    }
-
     /// Encodes all metrics as text.
     #[must_use]
     pub fn text(&self) -> Vec<u8> {
--- a/trouttrack_front/src/metrics/prediction.rs
+++ b/trouttrack_front/src/metrics/prediction.rs
@@ -21,7 +21,7 @@
     pub(super) fn new(registry: &Registry, name: &str, help: &str) -> Self {
         let opts = HistogramOpts::new(name, help).buckets(ERROR_BUCKETS_SECONDS.to_vec());
         let errors = HistogramVec::new(opts, &["came"]).expect("a valid name");
-        super::register(registry, errors.clone());
+        super::register::register(registry, errors.clone());
         Self {
             late: errors.with_label_values(&["later"]),
             early: errors.with_label_values(&["earlier"]),
--- a/trouttrack_front/src/metrics/streams.rs
+++ b/trouttrack_front/src/metrics/timing.rs
@@ -1,4 +1,4 @@
-//! Metrics of answered streams: pauses, and streams that missed an objective.
+//! Records the times of requests: first bytes, placements, and pauses of streams.
 
 use super::Metrics;
 use std::time::Duration;
@@ -17,6 +17,19 @@
 }
 
 impl Metrics {
+    /// Records the time to the first byte.
+    pub fn first_byte_after(&self, time: Duration) {
+        self.first_byte.observe(time.as_secs_f64());
+    }
+
+    /// Records the estimates that a placement was based on.
+    pub fn decided(&self, loading: Duration, known: Option<Duration>) {
+        self.loading.observe(loading.as_secs_f64());
+        if let Some(age) = known {
+            self.known_age.observe(age.as_secs_f64());
+        }
+    }
+
     /// Records the times of an answered stream. One that exceeds both limits counts as late by its
     /// first event only.
     pub(crate) fn stream_answered(&self, timing: &StreamTiming) {
--- a/trouttrack_front/src/rescue/generation_move.rs
+++ b/trouttrack_front/src/rescue/generation_move.rs
@@ -1,6 +1,7 @@
 //! Live migration of a generation: copies its KV cache while it runs, then stops it and
 //! copies the remainder.
 
+use super::copy_command::CopyResult;
 use super::task::{MoveEnd, MoveTask, Moved, UnusedCopy};
 use crate::state::{Front, Ticket, Upstream};
 use std::rc::Rc;
@@ -26,16 +27,6 @@
 /// Reason for a generation whose engine refuses connections.
 const ENGINE_EXITED: &str = "the source engine has exited";
 
-/// Result of a copy command.
-#[derive(Debug)]
-enum CopyResult {
-    Answered(MoveAnswer),
-    /// No usable response; the command may have been carried out.
-    NoAnswer,
-    /// The engine has exited; retries are useless.
-    EngineExited,
-}
-
 /// Move of one generation.
 #[derive(Debug)]
 pub(crate) struct GenerationMove {
@@ -245,43 +236,6 @@
         MoveEnd::Stopped
     }
 
-    async fn send_copy_command(
-        &self,
-        target: &Upstream,
-        stop: bool,
-        timeout: Duration,
-    ) -> CopyResult {
-        let started_at = self.front.clock.now();
-        let answer = self
-            .front
-            .engines
-            .copy(self.source.addr, &self.id, target.addr, stop, timeout)
-            .await;
-        let elapsed = self.front.clock.now().saturating_sub(started_at);
-        let answer_name = match &answer {
-            Ok(MoveAnswer::Copied { .. }) => "copied",
-            Ok(MoveAnswer::NotFound) => "not found",
-            Ok(MoveAnswer::Busy) => "busy",
-            Ok(MoveAnswer::NoRoom { .. }) => "no room",
-            Err(e) if e.has_ended() => "ended",
-            Err(_) => "no answer",
-        };
-        record!(
-            events::COPIED,
-            request = self.id.as_str(),
-            from = self.source.id.as_str(),
-            to = target.id.as_str(),
-            stop = stop,
-            answer = answer_name,
-            took_ms = elapsed.as_millis() as u64,
-        );
-        match answer {
-            Ok(answer) => CopyResult::Answered(answer),
-            Err(e) if e.has_ended() => CopyResult::EngineExited,
-            Err(_) => CopyResult::NoAnswer,
-        }
-    }
-
     fn log_failure(&self, reason: &'static str) {
         record!(
             events::NOT_MOVED,
--- a/trouttrack_front/src/rescue/mod.rs
+++ b/trouttrack_front/src/rescue/mod.rs
@@ -1,5 +1,6 @@
 //! Moves running generations away from an engine that leaves.
 
+mod copy_command;
 mod generation_move;
 mod observe;
 mod poll;
