--- a/trouttrack_config/src/settings/front.rs
+++ b/trouttrack_config/src/settings/front.rs
@@ -13,7 +13,7 @@
 use trouttrack_core::routing::{AnyPolicy, Weights};
 use trouttrack_core::world::AdmissionSettings;
 
-/// The least bound of a stream's unread bytes: a few events.
+/// Lower limit of `[buffers] request` in bytes, a few events.
 const MIN_REQUEST_BUFFER: usize = 16 << 10;
 
 /// Everything that `trouttrack_front` reads.
--- a/trouttrack_core/src/membership/dissemination.rs
+++ b/trouttrack_core/src/membership/dissemination.rs
@@ -22,8 +22,7 @@
 /// Mean number of VMs per failure domain that call the store in each round of random
 /// selection, for data that all VMs need. More than one is needed because a selected VM may be
 /// slow or fail; with three, no VM is selected in one round in twenty. A larger number would
-/// slow down the store for VMs that already call it and so lead to further rounds: in the
-/// simulation all of 2,000 VMs eventually listed the entries themselves.
+/// slow down the store for VMs that already call it and so lead to further rounds.
 pub const MEAN_STORE_CALLERS: f64 = 3.0;
 /// Time that a VM that was not selected to list the entries waits for peers before the next
 /// round of selection.
--- a/trouttrack_core/src/membership/receivers.rs
+++ b/trouttrack_core/src/membership/receivers.rs
@@ -6,10 +6,8 @@
 /// Maximum number of peers for which updates go directly to all of them, so that
 /// updates from the watchers of several failure domains compensate for lost datagrams.
 /// Ten changed entries take about 3 kB; sent to 24 peers they occupy the slowest links
-/// (10 Mbit/s) for 60 ms. Sent to 65 peers they saturated a watcher's link and the last
-/// datagrams were dropped: one VM in twelve learned 0.3 s late of the departure of an
-/// engine with 1.7 s of service left. Of 14,297 long generations at 66 VMs, 1,435 were
-/// lost and 378 late, compared with 1,382 and 273 with fewer direct receivers.
+/// (10 Mbit/s) for 60 ms. Many more receivers would saturate the link, and the last
+/// ones would learn of departures too late to move generations.
 const MAX_DIRECT_RECEIVERS: usize = 24;
 /// Number of receivers in other failure domains in a larger fleet. Those failure domains
 /// have their own watchers; if one fails, its VMs detect from the heartbeats of these
--- a/trouttrack_core/src/routing/policy.rs
+++ b/trouttrack_core/src/routing/policy.rs
@@ -30,7 +30,8 @@
     pub backlog: f64,
     /// Remaining warm-up after its start, from 1 (fully cold) to 0 (warm).
     pub cold: f64,
-    /// Whether it may be gone: nobody has heard of it since the store fell silent.
+    /// Whether its departure may be unknown: it has answered neither this VM nor its peers since
+    /// the store became unavailable.
     pub uncertain: bool,
     /// What the request is predicted to experience there.
     pub prediction: Prediction,
--- a/trouttrack_core/src/upstream/backlog.rs
+++ b/trouttrack_core/src/upstream/backlog.rs
@@ -12,8 +12,8 @@
 ///
 /// Peers report immediately when a prompt is loaded or its request ends, and the backlog
 /// counts in full until then. An engine loads the prompts of several peers one after the
-/// other, so letting all backlogs shrink at once at the prefill rate underestimates the
-/// total by a factor of four (mean 649 tokens estimated, 2,765 in the logs).
+/// other, so letting all backlogs shrink at once at the prefill rate would
+/// underestimate the total.
 const REPORT_EXPIRY: Time = Time::from_secs(2);
 
 /// Estimated prefill time for `tokens` prompt tokens, in seconds.
--- a/trouttrack_core/src/upstream/service_rate/mod.rs
+++ b/trouttrack_core/src/upstream/service_rate/mod.rs
@@ -1,8 +1,8 @@
 //! Service rates of upstreams, estimated from the requests that VMs observe there.
 //!
-//! - [`sample`] is what one request shows, and what VMs report to each other.
+//! - [`sample`] holds samples of requests, and the reports of their means to other VMs.
 //! - [`call_kinds`] makes calls with different work comparable.
-//! - [`observed`] keeps the samples of one incarnation.
+//! - [`observed`] holds the samples of one incarnation.
 //! - [`typical`] is the middle and spread of the upstreams of a service.
 //! - [`estimate`] compares one incarnation with them.
 //!
--- a/trouttrack_core/src/upstream/service_rate/quantity.rs
+++ b/trouttrack_core/src/upstream/service_rate/quantity.rs
@@ -1,4 +1,4 @@
-//! The measured quantities.
+//! The quantities that describe an upstream's speed.
 
 use std::ops::{Index, IndexMut};
 
--- a/trouttrack_core/src/upstream/service_rate/sample.rs
+++ b/trouttrack_core/src/upstream/service_rate/sample.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// What one request of this VM shows of its upstream's speed.
+/// A sample of an upstream's speed, from one request of this VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RateSample {
     /// The first token arrived this long after the request was sent.
--- a/trouttrack_core/src/upstream/service_rate/typical.rs
+++ b/trouttrack_core/src/upstream/service_rate/typical.rs
@@ -10,7 +10,7 @@
 const MEDIAN_ERROR_RATIO: f64 = 1.25;
 /// Median of a variance estimated from two values, divided by its mean.
 const MEDIAN_OF_VARIANCE: f64 = 0.45;
-/// Number of upstreams as which the assumed noise counts beside the measured one.
+/// Weight of the assumed noise, in upstreams, when it is averaged with the observed noise.
 const ASSUMED_COUNT: f64 = 1.0;
 /// Lower bound of the noise.
 const MIN_NOISE: f64 = 0.05;
--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -52,8 +52,7 @@
 
 /// Waits for a first confirmation from a peer, unless this VM is selected to call the store. When
 /// all VMs of a large fleet start, their calls alone, of about 90 kB each, fill the store's link
-/// for a second, after which every call is retried. The store of 985 VMs took 15 s to recover
-/// from that.
+/// for a second, after which every call is retried.
 async fn wait_for_first_confirmation(front: &Front) {
     wait_for_vm_list(front).await;
     if front.peers.listed() <= MAX_CONCURRENT_CALLS {
@@ -79,9 +78,8 @@
     }
 }
 
-/// Waits until a watching VM has reached the store again, instead of calling it. With 295 VMs
-/// that each retry after up to 1.6 s, an outage of nine seconds would cost an estimated 2,000
-/// calls.
+/// Waits until a watching VM has reached the store again, instead of calling it. Retries of
+/// all VMs would be billed throughout the outage.
 async fn wait_for_return(front: &Front) {
     let failed_at = front.clock.now();
     while !watches_store(front) {
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -360,8 +360,7 @@
 
 /// Applies a changed configuration. Rows are rebuilt only if the services changed: rebuilding
 /// 10,000 rows takes a fifth of a second on a VM with an eighth of a core, and no stream event
-/// is forwarded during that time. Rebuilding on every change delayed 448 of 1,419 long
-/// generations on 985 VMs.
+/// is forwarded during that time.
 pub(super) fn config_changed(front: &Front) {
     let Some(table) = front.routing.table() else {
         return;
--- a/trouttrack_front/src/metrics/register.rs
+++ b/trouttrack_front/src/metrics/register.rs
@@ -2,7 +2,8 @@
 
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
-/// Upper bounds of the buckets in seconds, from a few milliseconds for a lookup to half a minute for a long generation.
+/// Upper bounds of the buckets in seconds, from a few milliseconds for a lookup to half a minute
+/// for a long generation.
 const LATENCY_BUCKETS_SECONDS: &[f64] = &[
     0.005, 0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 1.8, 3.0, 6.0, 12.0,
     30.0,
--- a/trouttrack_front/src/peers/config.rs
+++ b/trouttrack_front/src/peers/config.rs
@@ -1,9 +1,8 @@
 //! Exchange of configurations between VMs.
 //!
 //! A VM that learns of a newer configuration requests it from the peer that has it, and
-//! from the store only if no reply arrives. Otherwise each change costs one store call per
-//! VM: at 66 VMs and some dozen changes a day that was a third of all calls, and raised
-//! their cost by 0.0037 of the worth.
+//! from the store only if no reply arrives. Otherwise each change would cost one store call
+//! per VM.
 
 use super::message::{Datagram, StoredConfig};
 use super::post::post;
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -162,8 +162,8 @@
 /// Sends this VM's use of upstreams to all VMs that select among the same ones: those in
 /// its own failure domain, and those in the failure domains of the upstreams in use.
 ///
-/// The latter would otherwise learn of requests from this one by heartbeats, two seconds later,
-/// and know less than half of the prompt tokens ahead of a request.
+/// The latter would otherwise learn of requests from this VM only by heartbeats, after their
+/// prompts have been loaded.
 fn send_load(front: &Front, socket: &UdpSocket) {
     let to_all = !is_large(front);
     let uses = front.scheduler.local_uses();
--- a/trouttrack_front/src/peers/history.rs
+++ b/trouttrack_front/src/peers/history.rs
@@ -2,17 +2,15 @@
 //! missed updates.
 //!
 //! Updates are sent once over UDP and may be lost. A VM that finds itself behind requests
-//! the missing changes from a peer, and queries the store only if no peer answers. Without
-//! this history, at 295 VMs with a seventh of their engines replaced every 3.3 s, a fifth
-//! of all store calls fetched changes that a peer already had.
+//! the missing changes from a peer, and queries the store only if no peer answers. Calls
+//! to the store are billed, so it is not asked for changes that a peer has.
 
 use super::message::{EntryChange, EntryUpdate};
 use std::collections::VecDeque;
 use trouttrack_core::membership::Revision;
 
 /// Maximum number of retained changes, about 0.2 kB each. Covers 20 s at 200 changes per
-/// second, the rate of a release to half a fleet of 20,000 upstreams. With a limit of 100,
-/// one second at that rate made every VM query the store.
+/// second, the rate of a release to half a fleet of 20,000 upstreams.
 const MAX_CHANGES: usize = 4096;
 
 /// Contiguous updates in the order in which they were received.
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -17,7 +17,7 @@
 /// twice. Such a request is lost if the upstream has already dropped the connection.
 /// Upstreams drop idle connections after as little as 300 ms, and a new connection is cheap.
 const MAX_REUSE_IDLE: Duration = Duration::from_millis(150);
-/// Reason of an attempt to whose connection nobody replied.
+/// Reason of an attempt whose connection request got no reply.
 const NO_CONNECTION: &str = "no connection to the upstream";
 /// Reason of an attempt whose connection was refused.
 const CONNECTION_REFUSED: &str = "nobody listens at the upstream's address";
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -313,7 +313,7 @@
         }
     }
 
-    /// Compares the predicted time between two events with what came.
+    /// Records the error of the predicted mean time between two events.
     pub(super) fn record_gap_error(&self) {
         let gaps = self.reader.events().saturating_sub(1) as u32;
         if let (Some(predicted), Some(first)) = (self.predicted.event_gap, self.first_event_at)
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -30,7 +30,7 @@
 /// Idle connections kept per upstream; fewer if many VMs share an upstream's connection limit.
 const MAX_IDLE_PER_UPSTREAM: usize = 4;
 /// Bytes of a response that a connection to an upstream reads ahead. They are not counted in
-/// [`Buffers`], so there are few.
+/// [`Buffers`], so the size is small.
 const UPSTREAM_READ_BUFFER: usize = 16 << 10;
 const STORE_CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Shorter than for the store because another peer is asked as well.
--- a/trouttrack_front/src/state/routing.rs
+++ b/trouttrack_front/src/state/routing.rs
@@ -160,8 +160,7 @@
     /// If the revocation bound is strict, they are served only while the configuration is
     /// fresh: accepting one revoked key is worse than refusing all requests during an outage.
     /// Otherwise one confirmation since the process started is enough, and callers are served
-    /// throughout outages of the store: of 67,822 requests on twenty days with outages and
-    /// other faults, 2,343 were refused with the bound and 82 without.
+    /// throughout outages of the store.
     #[must_use]
     pub fn admits_keys(&self) -> bool {
         match self.strict.get() {
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -308,7 +308,8 @@
         self.world.borrow_mut().due_domain_rates(now)
     }
 
-    /// Upstreams whose slowdown has changed by a lot.
+    /// Upstreams whose slowdown differs significantly from the one announced before, a few at
+    /// most; marks these as announced.
     pub(crate) fn take_slowdown_changes(&self) -> Vec<SlowdownChange> {
         let now = self.clock.now();
         self.world.borrow_mut().take_slowdown_changes(now)
--- a/trouttrack_front/src/state/ticket.rs
+++ b/trouttrack_front/src/state/ticket.rs
@@ -44,7 +44,7 @@
         }
     }
 
-    /// Records what the request shows of its upstream's speed.
+    /// Records a sample of the upstream's speed.
     pub fn observe(&self, sample: RateSample) {
         let now = self.now();
         let mut world = self.scheduler.world.borrow_mut();
