--- a/trouttrack_core/src/routing/policy.rs
+++ b/trouttrack_core/src/routing/policy.rs
@@ -33,7 +33,7 @@
     /// Whether its departure may be unknown: it has answered neither this VM nor its peers since
     /// the store became unavailable.
     pub uncertain: bool,
-    /// What the request is predicted to experience there.
+    /// Predicted latency of the request there.
     pub prediction: Prediction,
 }
 
--- a/trouttrack_core/src/upstream/service_rate/typical.rs
+++ b/trouttrack_core/src/upstream/service_rate/typical.rs
@@ -1,4 +1,4 @@
-//! What is typical of the upstreams of a service.
+//! Typical rates of the upstreams of a service.
 
 use super::estimate::{firm_threshold, standard_error};
 use super::log_mean::LogMean;
@@ -37,7 +37,7 @@
 }
 
 impl Typical {
-    /// Computes what is typical of upstreams with these samples.
+    /// Computes the typical rates of upstreams with these samples.
     pub(crate) fn of(now: Time, upstreams: &[RowSamples]) -> Self {
         let mut typical = Self::default();
         for quantity in Quantity::ALL {
--- a/trouttrack_core/src/upstream/table.rs
+++ b/trouttrack_core/src/upstream/table.rs
@@ -21,7 +21,7 @@
     peers_report_use: bool,
     /// Failure domains whose upstreams get no new requests.
     evacuations: Evacuations,
-    /// What is typical of the upstreams of each service.
+    /// Typical rates of the upstreams of each service.
     pub(super) typical: HashMap<String, Typical>,
 }
 
--- a/trouttrack_core/src/world/systems/place.rs
+++ b/trouttrack_core/src/world/systems/place.rs
@@ -60,7 +60,7 @@
         Some(self.hand_over(now, candidates[chosen].upstream, new))
     }
 
-    /// Returns what a request was predicted to experience at the upstream that it was placed on.
+    /// Returns the prediction for a placed request at its upstream.
     #[must_use]
     pub fn prediction(&self, key: RequestKey) -> Prediction {
         let row = self.requests.get(key);
--- a/trouttrack_front/src/request/end.rs
+++ b/trouttrack_front/src/request/end.rs
@@ -186,7 +186,7 @@
     pub(crate) events: u64,
     /// Longest pause between two events of a stream.
     pub(crate) longest_pause: Duration,
-    /// Time for which the caller of a stream was waited for.
+    /// Total time during which the caller of a stream accepted no bytes.
     pub(crate) caller_wait: Duration,
 }
 
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -42,7 +42,7 @@
     pub(super) current: Option<Rc<Upstream>>,
     /// Start of the latest attempt.
     attempt_started_at: Time,
-    /// What the latest attempt was predicted to experience; unknown once it continued at
+    /// Prediction for the latest attempt; unknown once it continued at
     /// another upstream.
     pub(super) predicted: Prediction,
     pub(super) quarantine: QuarantineCheck,
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -43,7 +43,7 @@
     pub running: usize,
     /// Estimated time to load the prompts placed on it earlier.
     pub loading: Duration,
-    /// What the request is predicted to experience there.
+    /// Predicted latency of the request there.
     pub prediction: Prediction,
     /// Age of the oldest peer report included in these estimates; `None` if no peer is known to
     /// use the upstream.
