--- a/trouttrack_core/src/world/notices.rs
+++ b/trouttrack_core/src/world/notices.rs
@@ -34,7 +34,7 @@
     }
 
     /// Rate limits reported by upstreams, to be passed on to other VMs; see
-    /// [`UpstreamNotices::limits`].
+    /// [`UpstreamNotices::limits`](crate::upstream::UpstreamNotices::limits).
     #[must_use]
     pub fn limits(&self, now: Time, changed_after: Time) -> Vec<ReportedLimit> {
         self.notices.limits(now, changed_after)
--- a/trouttrack_front/src/peers/mod.rs
+++ b/trouttrack_front/src/peers/mod.rs
@@ -7,13 +7,13 @@
 //!   the time since that version was confirmed. Every heartbeat holds the full state, so a
 //!   lost datagram only makes the receiver's view older.
 //! - Changes in upstream usage are also sent as they occur to all VMs of the failure domain;
-//!   other failure domains receive the sum over the domain ([`heartbeat`]).
+//!   other failure domains receive the sum over the domain (`heartbeat`).
 //! - [`EntryUpdate`] carries upstream entry changes as they happen, from the few VMs that watch the
 //!   store to all others. A VM that misses an update detects this from the revision in the
 //!   next heartbeat and asks a VM that has it, or the store as a last resort.
-//! - A configuration is requested from a VM that has it ([`config`]), as is a confirmation
-//!   that it is current ([`confirm`]).
-//! - A starting VM fetches all upstreams from a peer that has them ([`transfer`]).
+//! - A configuration is requested from a VM that has it (`config`), as is a confirmation
+//!   that it is current (`confirm`).
+//! - A starting VM fetches all upstreams from a peer that has them (`transfer`).
 //!
 //! `tarpc` is not used: it would keep a connection for each pair of VMs and wait for
 //! responses that are not needed.
