--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -3,7 +3,9 @@
 use super::bootstrap::{fetch_from_peers, try_fetch_from_peers};
 use super::evacuations::expire_lost_evacuations;
 use super::follower::Follower;
-use crate::peers::{EntryChange, EntryState, News, Snapshot, ToldUpstream, ask_for_news};
+use crate::peers::{
+    EntryChange, EntryState, EntryUpdate, Snapshot, SnapshotEntry, request_updates,
+};
 use crate::rescue;
 use crate::state::{Front, Upstream};
 use std::cell::Cell;
@@ -38,10 +40,10 @@
 
     /// Queues changes read from the store for the other VMs and adds them to the history.
     fn publish(&self, from: Revision, to: Revision, changes: Vec<EntryChange>) {
-        let news = News { from, to, changes };
-        self.front.history.borrow_mut().learned(news.clone());
+        let update = EntryUpdate { from, to, changes };
+        self.front.history.borrow_mut().learned(update.clone());
         // If the queue is full, peers notice the gap and read from the store.
-        if let Err(e) = self.front.news.try_send(news) {
+        if let Err(e) = self.front.updates.try_send(update) {
             log::debug!("cannot queue upstream changes for peers: {e}");
         }
     }
@@ -61,7 +63,7 @@
     }
 
     fn ask_peers(&self) {
-        ask_for_news(&self.front);
+        request_updates(&self.front);
     }
 
     fn is_far_behind(&self) -> bool {
@@ -132,17 +134,17 @@
     if upstreams.is_listed() && snapshot.revision() <= upstreams.revision() {
         return;
     }
-    if snapshot.say_births() {
-        front.upstreams.set_say_births();
+    if snapshot.publishes_start_times() {
+        front.upstreams.set_publishes_start_times();
     }
-    let told: Vec<ToldUpstream> = snapshot.entries().collect();
-    for one in &told {
-        apply_entry(front, &one.id, snapshot.revision(), one.entry.clone());
-        if one.lapsed {
-            front.upstreams.lapsed(&one.id);
+    let entries: Vec<SnapshotEntry> = snapshot.entries().collect();
+    for listed in &entries {
+        apply_entry(front, &listed.id, snapshot.revision(), listed.entry.clone());
+        if listed.lapsed {
+            front.upstreams.lapsed(&listed.id);
         }
     }
-    let ids = told.iter().map(|one| one.id.as_str()).collect();
+    let ids = entries.iter().map(|listed| listed.id.as_str()).collect();
     complete_list(front, &ids, snapshot.revision(), &peer.to_string());
 }
 
@@ -190,14 +192,14 @@
 /// Records that this deployment's upstreams publish their start times.
 fn record_start_time(front: &Front, read: &DecodedEntry) {
     if read.as_ref().is_ok_and(|entry| entry.born > 0) {
-        front.upstreams.set_say_births();
+        front.upstreams.set_publishes_start_times();
     }
 }
 
 /// Validates an existing entry. Where upstreams publish their start times, an entry without one
 /// is unreadable.
 fn validate(front: &Front, object: &Object, read: DecodedEntry) -> EntryState {
-    let entry = read.and_then(|entry| match front.upstreams.say_births() {
+    let entry = read.and_then(|entry| match front.upstreams.publishes_start_times() {
         true => entry.with_birth(),
         false => Ok(entry),
     });
@@ -223,9 +225,9 @@
     counted.with_label_values(&[e.kind.as_str()]).inc();
 }
 
-/// The result of [`take_news`].
+/// The result of [`apply_update`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Taken {
+pub(crate) enum UpdateResult {
     /// The changes were already known.
     Known,
     /// The changes were applied.
@@ -236,29 +238,29 @@
 
 /// Applies changes that another VM read from the store, unless earlier changes are missing
 /// here.
-pub(crate) fn take_news(front: &Rc<Front>, news: &News) -> Taken {
+pub(crate) fn apply_update(front: &Rc<Front>, update: &EntryUpdate) -> UpdateResult {
     let known = front.upstreams.revision();
-    if !front.upstreams.is_listed() || news.to <= known {
-        return Taken::Known;
+    if !front.upstreams.is_listed() || update.to <= known {
+        return UpdateResult::Known;
     }
-    if news.from > known {
-        front.peers.set_behind();
-        return Taken::Missing;
+    if update.from > known {
+        front.peers.signal_behind();
+        return UpdateResult::Missing;
     }
-    let new: Vec<EntryChange> = news
+    let new: Vec<EntryChange> = update
         .changes
         .iter()
         .filter(|c| c.revision > known)
         .cloned()
         .collect();
     apply_all(front, &new);
-    front.upstreams.advance(news.to);
-    front.history.borrow_mut().learned(News {
+    front.upstreams.advance(update.to);
+    front.history.borrow_mut().learned(EntryUpdate {
         from: known,
-        to: news.to,
+        to: update.to,
         changes: new,
     });
-    Taken::New
+    UpdateResult::New
 }
 
 /// Applies changes in order, then lets the scheduler place waiting requests.
@@ -282,7 +284,7 @@
             None
         }
         EntryState::Gone => front.upstreams.removed(&change.id),
-        EntryState::Unreadable => front.upstreams.disowned(&change.id),
+        EntryState::Unreadable => front.upstreams.removed_as_unreadable(&change.id),
     };
     if let Some(gone) = gone {
         remove(front, &gone);
@@ -358,8 +360,7 @@
 
 /// Applies a changed configuration. Rows are rebuilt only if the services changed: rebuilding
 /// 10,000 rows takes a fifth of a second on a VM with an eighth of a core, and no stream event
-/// is forwarded during that time. Rebuilding on every change delayed 448 of 1,419 long
-/// generations on 985 VMs.
+/// is forwarded during that time.
 pub(super) fn config_changed(front: &Front) {
     let Some(table) = front.routing.table() else {
         return;
--- a/trouttrack_front/src/peers/catch_up.rs
+++ b/trouttrack_front/src/peers/catch_up.rs
@@ -6,12 +6,12 @@
 
 /// Asks a peer for the changes since this VM's revision, preferring a peer of the same
 /// failure domain.
-pub(crate) fn ask_for_news(front: &Front) {
+pub(crate) fn request_updates(front: &Front) {
     let Some(socket) = front.peers.socket() else {
         return;
     };
     let known = front.upstreams.revision();
-    if let Some(addr) = front.peers.draw_ahead(&front.failure_domain, known) {
+    if let Some(addr) = front.peers.random_peer_ahead(&front.failure_domain, known) {
         post(&socket, &Datagram::NewsWanted(known), addr);
     }
 }
--- a/trouttrack_front/src/peers/config.rs
+++ b/trouttrack_front/src/peers/config.rs
@@ -1,11 +1,10 @@
 //! Exchange of configurations between VMs.
 //!
 //! A VM that learns of a newer configuration requests it from the peer that has it, and
-//! from the store only if no reply arrives. Otherwise each change costs one store call per
-//! VM: at 66 VMs and some dozen changes a day that was a third of all calls, and raised
-//! their cost by 0.0037 of the worth.
+//! from the store only if no reply arrives. Otherwise each change would cost one store call
+//! per VM.
 
-use super::message::{Datagram, ToldConfig};
+use super::message::{Datagram, StoredConfig};
 use super::post::post;
 use super::transfer::fetch_config;
 use crate::follow;
@@ -52,7 +51,7 @@
         };
         let fits = spec.len() <= MAX_DATAGRAM_CONFIG_BYTES;
         let answer = match fits && interval_elapsed(front, &self.replied_at, REPLY_INTERVAL) {
-            true => Datagram::Config(ToldConfig {
+            true => Datagram::Config(StoredConfig {
                 revision: front.routing.revision(),
                 spec: spec.as_ref().into(),
             }),
@@ -69,10 +68,10 @@
         let (front, fetching) = (Rc::clone(front), Rc::clone(&self.fetching));
         actix_rt::spawn(async move {
             let known = front.routing.version();
-            let told = fetch_config(&front, peer, known).await;
+            let received = fetch_config(&front, peer, known).await;
             fetching.set(false);
-            if let Some(told) = told {
-                take(&front, &told);
+            if let Some(received) = received {
+                apply(&front, &received);
             }
         });
     }
@@ -80,20 +79,22 @@
 
 /// Repeats the request for the configuration to a random peer that has a newer one, without
 /// regard to the minimum interval.
-pub(crate) fn ask_for_config(front: &Front) {
+pub(crate) fn request_config(front: &Front) {
     let Some(socket) = front.peers.socket() else {
         return;
     };
     let known = front.routing.version();
-    let newer = front.peers.draw(|h| h.config_version > known, |_| true);
+    let newer = front
+        .peers
+        .random_peer(|h| h.config_version > known, |_| true);
     if let Some(addr) = newer {
         post(&socket, &Datagram::ConfigWanted, addr);
     }
 }
 
 /// Applies a configuration received from a peer.
-pub(super) fn take(front: &Rc<Front>, told: &ToldConfig) {
-    follow::take_config(front, told.revision, &told.spec);
+pub(super) fn apply(front: &Rc<Front>, received: &StoredConfig) {
+    follow::apply_config(front, received.revision, &received.spec);
 }
 
 /// Returns whether `interval` has passed since `last`, and if so sets `last` to now.
--- a/trouttrack_front/src/peers/confirm.rs
+++ b/trouttrack_front/src/peers/confirm.rs
@@ -10,7 +10,7 @@
 use super::message::{Confirmation, Datagram, Echo, Heartbeat};
 use super::post::post;
 use super::roles::watches_store;
-use super::table::Heard;
+use super::table::PeerState;
 use crate::state::Front;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -70,9 +70,9 @@
 /// failure domain.
 fn random_confirmer(front: &Front) -> Option<SocketAddr> {
     let own = front.routing.version();
-    let has_same = |h: &Heard| h.config_version == own;
-    let is_far = |h: &Heard| h.failure_domain != front.failure_domain;
-    front.peers.draw(has_same, is_far)
+    let has_same = |h: &PeerState| h.config_version == own;
+    let is_far = |h: &PeerState| h.failure_domain != front.failure_domain;
+    front.peers.random_peer(has_same, is_far)
 }
 
 /// Replies to a request for a confirmation.
@@ -80,22 +80,22 @@
     let Some(age_ms) = front.routing.age_ms() else {
         return;
     };
-    let told = Confirmation {
+    let reply = Confirmation {
         echo,
         config_version: front.routing.version(),
         age_ms,
     };
-    post(socket, &Datagram::Confirmation(told), peer);
+    post(socket, &Datagram::Confirmation(reply), peer);
 }
 
 /// Applies a confirmation received in reply to a request.
-pub(super) fn take(front: &Front, told: &Confirmation) {
-    let age = Duration::from_millis(told.age_ms);
-    confirmed(front, told.config_version, told.echo, age);
+pub(super) fn apply(front: &Front, received: &Confirmation) {
+    let age = Duration::from_millis(received.age_ms);
+    confirmed(front, received.config_version, received.echo, age);
 }
 
 /// Applies the confirmation that a heartbeat carries.
-pub(super) fn hear(front: &Front, heartbeat: &Heartbeat) {
+pub(super) fn receive_heartbeat(front: &Front, heartbeat: &Heartbeat) {
     if let (Some(age_ms), Some(echo)) = (heartbeat.confirmed_ms, heartbeat.echo) {
         let age = Duration::from_millis(age_ms);
         confirmed(front, heartbeat.digest.config_version, echo, age);
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -9,8 +9,8 @@
 
 use super::message::{Datagram, Heartbeat, Load};
 use super::post::post_with;
+use super::quarantine;
 use super::roles::watches_store;
-use super::suspects;
 use crate::state::Front;
 use rand::seq::SliceRandom;
 use std::net::SocketAddr;
@@ -27,7 +27,7 @@
 use trouttrack_telemetry::{events, record};
 
 /// Delay between a placement or a loss and its load update, so that several share one
-/// datagram. Kept short because other VMs may select the same upstream until they hear of it.
+/// datagram. Kept short because other VMs may select the same upstream until they receive it.
 const LOAD_UPDATE_DELAY: Duration = Duration::from_millis(3);
 
 /// Period after start during which a VM sends heartbeats to its whole failure domain. With
@@ -50,8 +50,8 @@
                 send_heartbeats(&front, &socket);
                 heartbeat_at = Instant::now() + heartbeat_interval(&front);
             }
-            () = front.suspects.news() => suspects::send_changes(&front, &socket),
-            () = front.scheduler.news(), if update_at.is_none() => {
+            () = front.quarantine.changes_pending() => quarantine::send_changes(&front, &socket),
+            () = front.scheduler.load_update_requested(), if update_at.is_none() => {
                 update_at = Some(Instant::now() + LOAD_UPDATE_DELAY);
             }
             () = tokio::time::sleep_until(wake_at), if update_at.is_some() => {
@@ -81,13 +81,13 @@
         front.scheduler.set_rate_share(rate_share(front));
         front.scheduler.set_fleet_size(front.peers.listed());
     }
-    front.suspects.expire();
-    front.metrics.held.set(front.suspects.held() as i64);
+    front.quarantine.expire();
+    front.metrics.held.set(front.quarantine.held() as i64);
     front
         .metrics
         .unreachable
         .set(front.scheduler.unreachable() as i64);
-    log_speeds(front);
+    report_speeds(front);
     front.metrics.waiting.set(front.scheduler.queued() as i64);
     front
         .metrics
@@ -111,8 +111,8 @@
     }
 }
 
-/// Tells operators which upstreams are slow.
-fn log_speeds(front: &Front) {
+/// Updates the metrics of upstream speeds, and logs slowdowns that changed.
+fn report_speeds(front: &Front) {
     let known = front.scheduler.known_rates();
     front.metrics.upstreams_with_rate.set(known.known as i64);
     front.metrics.slow_upstreams.set(known.slow as i64);
@@ -136,17 +136,22 @@
     }
 }
 
-/// This VM's share of a rate limit, from the number of VMs that it currently hears.
+/// This VM's share of a rate limit, from the number of VMs that are currently live.
 fn rate_share(front: &Front) -> RateShare {
     let home = &front.failure_domain;
     let own = 1;
-    let heard = front.peers.heard_near(home) + own;
-    RateShare::of(heard, front.peers.listed_in(home), front.peers.listed())
+    let live = front.peers.live_in_domain(home) + own;
+    RateShare::of(live, front.peers.listed_in(home), front.peers.listed())
 }
 
 /// Sends a heartbeat to a newly discovered VM, which would otherwise wait until it is
-/// drawn as a receiver.
-pub(super) fn greet(front: &Front, socket: &UdpSocket, name: &str, addr: SocketAddr) {
+/// selected as a receiver.
+pub(super) fn send_first_heartbeat(
+    front: &Front,
+    socket: &UdpSocket,
+    name: &str,
+    addr: SocketAddr,
+) {
     let mut heartbeat = heartbeat(front);
     heartbeat.echo = front.peers.echo(name);
     let datagram = Datagram::Heartbeat(Box::new(heartbeat));
@@ -157,8 +162,8 @@
 /// Sends this VM's use of upstreams to all VMs that select among the same ones: those in
 /// its own failure domain, and those in the failure domains of the upstreams in use.
 ///
-/// The latter would otherwise learn of requests from this one by heartbeats, two seconds later,
-/// and know less than half of the prompt tokens ahead of a request.
+/// The latter would otherwise learn of requests from this VM only by heartbeats, after their
+/// prompts have been loaded.
 fn send_load(front: &Front, socket: &UdpSocket) {
     let to_all = !is_large(front);
     let uses = front.scheduler.local_uses();
@@ -167,7 +172,7 @@
     let selects_same_upstreams = |domain: &str| {
         to_all || domain == front.failure_domain || domains.iter().any(|d| d == domain)
     };
-    let receivers = front.peers.heard_in(selects_same_upstreams);
+    let receivers = front.peers.live_addrs(selects_same_upstreams);
     if receivers.is_empty() {
         return;
     }
@@ -201,8 +206,8 @@
     let (near, far): (Vec<_>, Vec<_>) = others
         .into_iter()
         .partition(|(name, _)| front.peers.is_in(name, own_domain));
-    // Every peer that defers to this VM must hear that it watches the store, and every peer
-    // that ranks after it must hear that it has started.
+    // Every peer that defers to this VM must learn that it watches the store, and every peer
+    // that ranks after it must learn that it has started.
     let starting = front.clock.now() < STARTUP_BROADCAST;
     let near_count = if starting || watches_store(front) {
         near.len()
@@ -235,7 +240,7 @@
         upstreams_revision: front.upstreams.revision(),
         evacuations: front.evacuations.borrow().clone(),
         store_ms: front.store_contact.age_ms(front.clock.now()),
-        suspects: front.suspects.checksum(),
+        quarantine_checksum: front.quarantine.checksum(),
         limits: front.scheduler.limits(None),
         domain_uses: match is_large(front) {
             true => front.scheduler.domain_uses(),
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -2,12 +2,12 @@
 
 use super::config::{self, ConfigExchange};
 use super::confirm;
-use super::heartbeat::greet;
+use super::heartbeat::send_first_heartbeat;
 use super::message::{Datagram, Heartbeat, Load, decode};
 use super::news::{handle_news, retransmit};
-use super::roles::hear_claim;
-use super::suspects::{self, CatchUp};
-use crate::follow::{self, Told};
+use super::quarantine::{self, CatchUp};
+use super::roles::receive_announcement;
+use crate::follow::{self, UpdateSource};
 use crate::state::Front;
 use std::io;
 use std::rc::Rc;
@@ -40,27 +40,27 @@
         match datagram {
             Datagram::Heartbeat(heartbeat) => {
                 let name = &heartbeat.digest.name;
-                let is_new = !front.peers.has_heard(name);
+                let is_new = !front.peers.is_live(name);
                 handle_heartbeat(&front, &heartbeat, &conditions);
-                catch_up.tell(&front, &socket, &heartbeat, from);
+                catch_up.send_if_different(&front, &socket, &heartbeat, from);
                 // Peers of other failure domains send too rarely to stay in the table, so they
-                // would be greeted repeatedly.
+                // would get a first heartbeat repeatedly.
                 if is_new && front.peers.is_in(name, &front.failure_domain) {
-                    greet(&front, &socket, name, from);
+                    send_first_heartbeat(&front, &socket, name, from);
                 }
                 if heartbeat.digest.config_version > front.routing.version() {
                     configs.ask(&front, &socket, from);
                 }
             }
             Datagram::Load(load) => handle_load(&front, &load, &conditions),
-            Datagram::Suspects(told) => suspects::hear(&front, &socket, &told, from),
+            Datagram::Suspects(received) => quarantine::receive(&front, &socket, &received, from),
             Datagram::ConfigWanted => configs.answer(&front, &socket, from),
-            Datagram::Config(told) => config::take(&front, &told),
+            Datagram::Config(received) => config::apply(&front, &received),
             Datagram::ConfigReady(version) => configs.fetch(&front, from, version),
             Datagram::ConfirmationWanted(echo) => {
                 confirm::answer(&front, &socket, from, echo);
             }
-            Datagram::Confirmation(told) => confirm::take(&front, &told),
+            Datagram::Confirmation(received) => confirm::apply(&front, &received),
             Datagram::NewsWanted(after) => retransmit(&front, &socket, from, after),
             Datagram::NewsForgotten => front.peers.set_far_behind(true),
             Datagram::News(news, pass_on) => {
@@ -73,7 +73,11 @@
 fn handle_heartbeat(front: &Rc<Front>, heartbeat: &Heartbeat, conditions: &Conditions) {
     let digest = &heartbeat.digest;
     let now = front.clock.now();
-    if digest.name == front.name || !front.peers.hear(now, heartbeat, &front.failure_domain) {
+    if digest.name == front.name
+        || !front
+            .peers
+            .receive_heartbeat(now, heartbeat, &front.failure_domain)
+    {
         return;
     }
     match digest.rpc_addr.parse() {
@@ -101,24 +105,24 @@
     if heartbeat.upstreams_revision > Revision::default() {
         front.note_store_epoch(heartbeat.upstreams_revision.epoch);
     }
-    confirm::hear(front, heartbeat);
-    follow::heard_from_peer(front, name, &heartbeat.limits);
-    follow::take_evacuations(front, &heartbeat.evacuations, Told::ByPeer(name));
+    confirm::receive_heartbeat(front, heartbeat);
+    follow::receive_limits(front, name, &heartbeat.limits);
+    follow::apply_evacuations(front, &heartbeat.evacuations, UpdateSource::Peer(name));
     if heartbeat.watches {
-        hear_claim(front, &digest.name);
+        receive_announcement(front, &digest.name);
     }
     let newer_config = digest.config_version > front.routing.version();
     let newer_upstreams = heartbeat.upstreams_revision > front.upstreams.revision();
     if newer_config || newer_upstreams {
-        front.peers.set_behind();
+        front.peers.signal_behind();
     }
 }
 
 /// Updates a peer's upstream usage. Usage from a peer without a prior heartbeat is ignored,
 /// since its failure domain is unknown, as is usage older than what was last received.
 fn handle_load(front: &Front, load: &Load, conditions: &Conditions) {
-    follow::heard_from_peer(front, &load.name, &load.limits);
-    if let Some(domain) = front.peers.hear_load(front.clock.now(), load) {
+    follow::receive_limits(front, &load.name, &load.limits);
+    if let Some(domain) = front.peers.receive_load(front.clock.now(), load) {
         front
             .scheduler
             .record_peer_uses(&load.name, &domain, &load.uses);
--- a/trouttrack_front/src/peers/mod.rs
+++ b/trouttrack_front/src/peers/mod.rs
@@ -7,13 +7,13 @@
 //!   the time since that version was confirmed. Every heartbeat holds the full state, so a
 //!   lost datagram only makes the receiver's view older.
 //! - Changes in upstream usage are also sent as they occur to all VMs of the failure domain;
-//!   other failure domains receive the sum over the domain ([`heartbeat`]).
-//! - [`News`] carries upstream entry changes as they happen, from the few VMs that watch the
+//!   other failure domains receive the sum over the domain (`heartbeat`).
+//! - [`EntryUpdate`] carries upstream entry changes as they happen, from the few VMs that watch the
 //!   store to all others. A VM that misses an update detects this from the revision in the
 //!   next heartbeat and asks a VM that has it, or the store as a last resort.
-//! - A configuration is requested from a VM that has it ([`config`]), as is a confirmation
-//!   that it is current ([`confirm`]).
-//! - A starting VM fetches all upstreams from a peer that has them ([`transfer`]).
+//! - A configuration is requested from a VM that has it (`config`), as is a confirmation
+//!   that it is current (`confirm`).
+//! - A starting VM fetches all upstreams from a peer that has them (`transfer`).
 //!
 //! `tarpc` is not used: it would keep a connection for each pair of VMs and wait for
 //! responses that are not needed.
@@ -27,20 +27,20 @@
 mod message;
 mod news;
 mod post;
+mod quarantine;
 mod roles;
-mod suspects;
 mod table;
 mod transfer;
 
-pub(crate) use catch_up::ask_for_news;
-pub(crate) use config::ask_for_config;
+pub(crate) use catch_up::request_updates;
+pub(crate) use config::request_config;
 pub(crate) use confirm::keep_confirmed;
 pub(crate) use heartbeat::send;
-pub use history::NewsHistory;
+pub use history::UpdateHistory;
 pub(crate) use listen::listen;
-pub use message::{EntryChange, EntryState, News};
-pub(crate) use news::tell;
+pub use message::{EntryChange, EntryState, EntryUpdate};
+pub(crate) use news::send_updates;
 pub use roles::watches_store;
-pub use table::{Heard, PeerTable};
-pub use transfer::{Snapshot, Told as ToldUpstream};
+pub use table::{PeerState, PeerTable};
+pub use transfer::{Snapshot, SnapshotEntry};
 pub(crate) use transfer::{fetch_upstreams, serve};
--- a/trouttrack_front/src/peers/news.rs
+++ b/trouttrack_front/src/peers/news.rs
@@ -7,9 +7,9 @@
 //! misses an update detects it from the next heartbeat of its watcher and requests
 //! retransmission.
 
-use super::message::{Datagram, News, encode};
+use super::message::{Datagram, EntryUpdate, encode};
 use super::post::{post, post_to_all};
-use crate::follow::{self, Taken};
+use crate::follow::{self, UpdateResult};
 use crate::state::Front;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,7 +23,11 @@
 ///
 /// Sending waits for space in the socket buffer: a lost update costs its receiver a
 /// retransmission request, and a generation may then run out of time to be moved.
-pub(crate) async fn tell(front: Rc<Front>, socket: Rc<UdpSocket>, mut news: mpsc::Receiver<News>) {
+pub(crate) async fn send_updates(
+    front: Rc<Front>,
+    socket: Rc<UdpSocket>,
+    mut news: mpsc::Receiver<EntryUpdate>,
+) {
     while let Some(news) = news.recv().await {
         for part in news.in_parts(MAX_CHANGES_PER_DATAGRAM) {
             send_part(&front, &socket, part).await;
@@ -31,7 +35,7 @@
     }
 }
 
-async fn send_part(front: &Front, socket: &UdpSocket, news: News) {
+async fn send_part(front: &Front, socket: &UdpSocket, news: EntryUpdate) {
     let in_domain = |(name, _): &(String, _)| front.peers.is_in(name, &front.failure_domain);
     let receivers = update_receivers(front.peers.others(), in_domain, &mut rand::rng());
     let receivers = receivers.into_iter().map(|(_, addr)| addr).collect();
@@ -51,15 +55,15 @@
     front: &Rc<Front>,
     socket: &UdpSocket,
     from: SocketAddr,
-    news: News,
+    news: EntryUpdate,
     pass_on: &[SocketAddr],
 ) {
-    let taken = follow::take_news(front, &news);
+    let taken = follow::apply_update(front, &news);
     if !pass_on.is_empty() {
         let relayed = Datagram::News(news, Vec::new());
         post_to_all(socket, &relayed, pass_on.iter().copied());
     }
-    if taken == Taken::Missing {
+    if taken == UpdateResult::Missing {
         let known = front.upstreams.revision();
         post(socket, &Datagram::NewsWanted(known), from);
     }
--- a/trouttrack_front/src/peers/transfer/snapshot.rs
+++ b/trouttrack_front/src/peers/transfer/snapshot.rs
@@ -28,7 +28,7 @@
 pub struct Snapshot {
     revision: Revision,
     /// Whether upstreams report their start time.
-    say_births: bool,
+    publishes_start_times: bool,
     services: Vec<ServiceId>,
     failure_domains: Vec<FailureDomain>,
     rows: Vec<Row>,
@@ -49,7 +49,7 @@
 
 /// One upstream of a [`Snapshot`].
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Told {
+pub struct SnapshotEntry {
     /// The upstream's id.
     pub id: UpstreamId,
     /// The decoded store entry.
@@ -64,7 +64,7 @@
     pub fn of(known: &Upstreams) -> Self {
         let mut snapshot = Self {
             revision: known.revision(),
-            say_births: known.say_births(),
+            publishes_start_times: known.publishes_start_times(),
             ..Self::default()
         };
         let (mut services, mut failure_domains) =
@@ -89,20 +89,20 @@
 
     /// Whether upstreams report their start time.
     #[must_use]
-    pub fn say_births(&self) -> bool {
-        self.say_births
+    pub fn publishes_start_times(&self) -> bool {
+        self.publishes_start_times
     }
 
     /// Iterates over the upstreams, skipping rows with an out-of-range service or failure
     /// domain index.
-    pub fn entries(&self) -> impl Iterator<Item = Told> {
+    pub fn entries(&self) -> impl Iterator<Item = SnapshotEntry> {
         self.rows.iter().filter_map(|row| self.resolve(row))
     }
 
-    fn resolve(&self, row: &Row) -> Option<Told> {
+    fn resolve(&self, row: &Row) -> Option<SnapshotEntry> {
         let service = self.services.get(row.service as usize)?;
         let failure_domain = self.failure_domains.get(row.failure_domain as usize)?;
-        Some(Told {
+        Some(SnapshotEntry {
             id: row.id.clone(),
             entry: UpstreamEntry {
                 service: service.clone(),
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::quarantine::QuarantineCheck;
 use crate::caller::Admitted;
-use crate::follow::heard_in_answer;
+use crate::follow::receive_answer;
 use crate::state::{Front, HeldBytes, Upstream, fingerprint_text};
 use bytes::{Bytes, BytesMut};
 use std::rc::Rc;
@@ -17,7 +17,7 @@
 /// twice. Such a request is lost if the upstream has already dropped the connection.
 /// Upstreams drop idle connections after as little as 300 ms, and a new connection is cheap.
 const MAX_REUSE_IDLE: Duration = Duration::from_millis(150);
-/// Reason of an attempt to whose connection nobody replied.
+/// Reason of an attempt whose connection request got no reply.
 const NO_CONNECTION: &str = "no connection to the upstream";
 /// Reason of an attempt whose connection was refused.
 const CONNECTION_REFUSED: &str = "nobody listens at the upstream's address";
@@ -214,7 +214,7 @@
         .await;
     let raw = response.map_err(|e| send_failure(&e))?;
     let head = AnswerHead::decode(&raw.head);
-    heard_in_answer(front, upstream, &admitted.head.id, sent_at, &head);
+    receive_answer(front, upstream, &admitted.head.id, sent_at, &head);
     let mut response = UpstreamResponse {
         head,
         body: raw.body,
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -28,7 +28,7 @@
 pub(super) struct StreamRun {
     pub(super) front: Rc<Front>,
     pub(super) admitted: Rc<Admitted>,
-    /// Service drawn from the route.
+    /// Service selected from the route.
     pub(super) service: ServiceId,
     /// Request body.
     pub(super) body: Bytes,
@@ -42,7 +42,7 @@
     pub(super) current: Option<Rc<Upstream>>,
     /// Start of the latest attempt.
     attempt_started_at: Time,
-    /// What the latest attempt was predicted to experience; unknown once it continued at
+    /// Prediction for the latest attempt; unknown once it continued at
     /// another upstream.
     pub(super) predicted: Prediction,
     pub(super) quarantine: QuarantineCheck,
@@ -313,7 +313,7 @@
         }
     }
 
-    /// Compares the predicted time between two events with what came.
+    /// Records the error of the predicted mean time between two events.
     pub(super) fn record_gap_error(&self) {
         let gaps = self.reader.events().saturating_sub(1) as u32;
         if let (Some(predicted), Some(first)) = (self.predicted.event_gap, self.first_event_at)
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -4,13 +4,13 @@
 use super::buffers::Buffers;
 use super::clock::Clock;
 use super::lifecycle::Lifecycle;
+use super::quarantine::QuarantineState;
 use super::routing::Routing;
 use super::scheduler::Scheduler;
 use super::store_contact::StoreContact;
-use super::suspects::Suspects;
 use super::upstreams::Upstreams;
 use crate::metrics::Metrics;
-use crate::peers::{News, NewsHistory, PeerTable};
+use crate::peers::{EntryUpdate, PeerTable, UpdateHistory};
 use std::cell::{OnceCell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,7 +30,7 @@
 /// Idle connections kept per upstream; fewer if many VMs share an upstream's connection limit.
 const MAX_IDLE_PER_UPSTREAM: usize = 4;
 /// Bytes of a response that a connection to an upstream reads ahead. They are not counted in
-/// [`Buffers`], so there are few.
+/// [`Buffers`], so the size is small.
 const UPSTREAM_READ_BUFFER: usize = 16 << 10;
 const STORE_CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Shorter than for the store because another peer is asked as well.
@@ -75,13 +75,13 @@
     /// The other VMs.
     pub peers: PeerTable,
     /// Recent changes of upstream entries, for VMs that missed some.
-    pub history: RefCell<NewsHistory>,
+    pub history: RefCell<UpdateHistory>,
     /// Retry budgets.
     pub budgets: Budgets,
     /// Bytes buffered for peers that read slowly.
     pub buffers: Buffers,
     /// Requests during which upstreams crashed.
-    pub suspects: Suspects,
+    pub quarantine: QuarantineState,
     /// Client for requests to upstreams.
     pub http: Client,
     /// Client for transfers between VMs that are too large for a datagram.
@@ -93,7 +93,7 @@
     /// Whether the store is reachable.
     pub store_contact: StoreContact,
     /// Updates to be sent to the other VMs.
-    pub news: mpsc::Sender<News>,
+    pub updates: mpsc::Sender<EntryUpdate>,
     /// Failure domains evacuated by operators.
     pub evacuations: RefCell<Evacuations>,
     /// Evacuations that a restore of the store has lost, and the time until which each stays in
@@ -110,7 +110,7 @@
 impl Front {
     /// Creates a front with empty state.
     #[must_use]
-    pub fn new(settings: &FrontSettings, news: mpsc::Sender<News>) -> Rc<Self> {
+    pub fn new(settings: &FrontSettings, updates: mpsc::Sender<EntryUpdate>) -> Rc<Self> {
         let clock = Clock::start();
         let metrics = Metrics::new();
         let slow_readers = metrics.slow_readers.clone();
@@ -135,7 +135,7 @@
             history: RefCell::default(),
             budgets: Budgets::new(settings.retry),
             buffers: Buffers::new(clock.clone(), settings.buffers, slow_readers),
-            suspects: Suspects::new(clock, settings.quarantine),
+            quarantine: QuarantineState::new(clock, settings.quarantine),
             to_peers: Client::builder()
                 .connect_timeout(PEER_CONNECT_TIMEOUT)
                 .idle_per_peer(0)
@@ -144,7 +144,7 @@
             http,
             store: StoreClient::new(to_store, settings.store.addr),
             store_contact: StoreContact::default(),
-            news,
+            updates,
             evacuations: RefCell::default(),
             lost_evacuations: RefCell::default(),
             evacuation_watch: settings.bounds.evacuate.mul_f64(EVACUATION_WATCH_RATIO),
@@ -182,13 +182,19 @@
     /// Records that the store answers peers again, so that its state arrives through them.
     pub fn store_is_back_for_peers(&self) {
         self.upstreams.store_recovered();
-        self.store_contact.heard_back();
+        self.store_contact.record_peer_contact();
     }
 
     /// Applies the conditions that a peer of a failure domain reports.
-    pub fn record_peer_conditions(&self, peer: &str, failure_domain: &str, told: &Conditions) {
+    pub fn record_peer_conditions(
+        &self,
+        peer: &str,
+        failure_domain: &str,
+        conditions: &Conditions,
+    ) {
         let is_local = failure_domain == self.failure_domain;
-        self.scheduler.record_peer_conditions(peer, is_local, told);
+        self.scheduler
+            .record_peer_conditions(peer, is_local, conditions);
     }
 
     /// Whether departures of upstreams can no longer be learned from the store: no known VM has
--- a/trouttrack_front/src/state/suspects.rs
+++ b/trouttrack_front/src/state/quarantine.rs
@@ -11,22 +11,22 @@
 
 /// Limit on the requests sent to a peer whose quarantine differs; with two crashes recorded
 /// for each, a message has about 4 kB.
-const MAX_SUSPECTS_PER_MESSAGE: usize = 48;
+const MAX_RECORDS_PER_MESSAGE: usize = 48;
 
 /// The quarantine table, and the changes still to be sent to peers and to the store.
 #[derive(Debug)]
-pub struct Suspects {
+pub struct QuarantineState {
     clock: Clock,
     table: RefCell<Quarantine>,
     /// Requests whose state must be sent to peers immediately.
     pending_for_peers: RefCell<Vec<Fingerprint>>,
-    news: Notify,
+    pending_changed: Notify,
     /// Requests whose hold has begun or ended and must be updated in the store.
     changed_holds: RefCell<Vec<Fingerprint>>,
     holds_changed: Notify,
 }
 
-impl Suspects {
+impl QuarantineState {
     /// Creates an empty quarantine.
     #[must_use]
     pub fn new(clock: Clock, settings: QuarantineSettings) -> Self {
@@ -34,7 +34,7 @@
             clock,
             table: RefCell::new(Quarantine::new(settings)),
             pending_for_peers: RefCell::default(),
-            news: Notify::new(),
+            pending_changed: Notify::new(),
             changed_holds: RefCell::default(),
             holds_changed: Notify::new(),
         }
@@ -137,17 +137,17 @@
 
     fn notify_peers(&self, request: Fingerprint) {
         self.pending_for_peers.borrow_mut().push(request);
-        self.news.notify_one();
+        self.pending_changed.notify_one();
     }
 
     /// Waits until there are changes to send to peers immediately.
-    pub async fn news(&self) {
-        self.news.notified().await;
+    pub async fn changes_pending(&self) {
+        self.pending_changed.notified().await;
     }
 
     /// Removes and returns the requests whose state must be sent to peers immediately.
     #[must_use]
-    pub fn take_news(&self) -> Vec<Fingerprint> {
+    pub fn take_pending(&self) -> Vec<Fingerprint> {
         let mut requests = std::mem::take(&mut *self.pending_for_peers.borrow_mut());
         requests.sort_unstable();
         requests.dedup();
@@ -165,22 +165,22 @@
     pub fn held_records(&self) -> Vec<CrashRecord> {
         self.table
             .borrow()
-            .held_records(self.clock.now(), MAX_SUSPECTS_PER_MESSAGE)
+            .held_records(self.clock.now(), MAX_RECORDS_PER_MESSAGE)
     }
 
     /// Merges the records of a peer. Returns those of which this VM knows more, to be sent back
     /// to the peer. All VMs are notified if the merge combines crashes that were known
     /// separately into a hold.
-    pub fn merge_records(&self, told: &[CrashRecord], peer: &str) -> Vec<CrashRecord> {
-        let heard = self
+    pub fn merge_records(&self, received: &[CrashRecord], peer: &str) -> Vec<CrashRecord> {
+        let merged = self
             .table
             .borrow_mut()
-            .merge_records(self.clock.now(), told);
-        for &request in &heard.held {
+            .merge_records(self.clock.now(), received);
+        for &request in &merged.held {
             self.log_hold(request, peer);
             self.hold_changed(request);
             let is_same_request = |s: &&CrashRecord| s.fingerprint == request;
-            let ends_known_to_peer = told
+            let ends_known_to_peer = received
                 .iter()
                 .find(is_same_request)
                 .map_or(0, |s| s.ends.len());
@@ -191,7 +191,7 @@
                 self.notify_peers(request);
             }
         }
-        self.records_of(&heard.newer_runs)
+        self.records_of(&merged.newer_runs)
     }
 
     /// Checksum of the quarantine; VMs with equal checksums hold the same requests.
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -43,7 +43,7 @@
     pub running: usize,
     /// Estimated time to load the prompts placed on it earlier.
     pub loading: Duration,
-    /// What the request is predicted to experience there.
+    /// Predicted latency of the request there.
     pub prediction: Prediction,
     /// Age of the oldest peer report included in these estimates; `None` if no peer is known to
     /// use the upstream.
@@ -69,7 +69,7 @@
     /// Signalled when a request is queued.
     queued: Notify,
     /// Signalled when a change should be sent to the other VMs soon.
-    news: Notify,
+    load_update: Notify,
 }
 
 impl Scheduler {
@@ -81,7 +81,7 @@
             world: RefCell::new(World::new(settings)),
             waiting: RefCell::default(),
             queued: Notify::new(),
-            news: Notify::new(),
+            load_update: Notify::new(),
         }
     }
 
@@ -107,7 +107,7 @@
         }));
         let upstream = decided?;
         if own_prompt > 0 || self.is_rate_bounded(&upstream) {
-            self.tell_soon();
+            self.schedule_load_update();
         }
         Ok(self.placed(key, upstream, ticket, own_prompt))
     }
@@ -170,14 +170,14 @@
     }
 
     /// Requests that changes be sent to the other VMs soon.
-    pub(crate) fn tell_soon(&self) {
-        self.news.notify_one();
+    pub(crate) fn schedule_load_update(&self) {
+        self.load_update.notify_one();
     }
 
     /// Waits until a change should be sent to the other VMs soon: a generation was placed on an
     /// engine, a shared rate limit was used, or a connection was lost.
-    pub async fn news(&self) {
-        self.news.notified().await;
+    pub async fn load_update_requested(&self) {
+        self.load_update.notified().await;
     }
 
     /// Replaces the set of upstreams that requests may be sent to.
@@ -308,7 +308,8 @@
         self.world.borrow_mut().due_domain_rates(now)
     }
 
-    /// Upstreams whose slowdown has changed by a lot.
+    /// Upstreams whose slowdown differs significantly from the one announced before, a few at
+    /// most; marks these as announced.
     pub(crate) fn take_slowdown_changes(&self) -> Vec<SlowdownChange> {
         let now = self.clock.now();
         self.world.borrow_mut().take_slowdown_changes(now)
--- a/trouttrack_front/tests/front/large_fleet.rs
+++ b/trouttrack_front/tests/front/large_fleet.rs
@@ -9,7 +9,7 @@
 use trouttrack_core::fleet::{FleetConfig, RouteKind};
 use trouttrack_core::membership::Revision;
 use trouttrack_front::app::{Running, start};
-use trouttrack_front::peers::{EntryChange, EntryState, News, Snapshot, watches_store};
+use trouttrack_front::peers::{EntryChange, EntryState, EntryUpdate, Snapshot, watches_store};
 use trouttrack_front::state::{Budgets, Clock, Upstreams};
 use trouttrack_platform::UpstreamEntry;
 use trouttrack_platform_standin::{Store, Upstream};
@@ -268,7 +268,7 @@
 #[test]
 fn snapshot_contains_known_and_lapsed_upstreams() {
     let upstreams = Upstreams::new(Clock::start());
-    upstreams.set_say_births();
+    upstreams.set_publishes_start_times();
     upstreams.seen("stays", revision(3), entry(false, 100));
     upstreams.seen("leaves", revision(4), entry(true, 200));
     upstreams.seen("lapsed", revision(5), entry(false, 300));
@@ -278,7 +278,7 @@
 
     let snapshot = Snapshot::of(&upstreams);
     assert_eq!(snapshot.revision(), revision(6));
-    assert!(snapshot.say_births());
+    assert!(snapshot.publishes_start_times());
     let mut reported: Vec<_> = snapshot.entries().collect();
     reported.sort_by(|a, b| a.id.cmp(&b.id));
     let ids: Vec<(&str, bool)> = reported.iter().map(|t| (t.id.as_str(), t.lapsed)).collect();
@@ -300,12 +300,12 @@
         })
         .collect();
     for max_changes in 1..=revisions.len() {
-        let news = News {
+        let update = EntryUpdate {
             from: revision(10),
             to: revision(40),
             changes: changes.clone(),
         };
-        let parts = news.in_parts(max_changes);
+        let parts = update.in_parts(max_changes);
         let reported = parts.iter().flat_map(|part| &part.changes);
         assert!(reported.map(|c| c.revision).eq(revisions));
         assert_eq!(
