Keep refusals that peers refute to the VM that was refused

A VM whose own path to upstreams is broken, but not its path to its peers, closed them for its whole failure domain. Its trials came before those of the others and extended the backoff each time.

A refusal is no longer reported while a peer has been answered after it and this VM has not, and no refusal is while there are two such upstreams. A trial that is refused to the VM that reported the refusal before extends no backoff of others while it hears peers. Refusals heard from peers are passed on as before, and nothing changes in the datagram.

--- a/trouttrack_core/src/upstream/mod.rs
+++ b/trouttrack_core/src/upstream/mod.rs
@@ -21,7 +21,7 @@
 pub use incarnation::Incarnation;
 pub use notices::{Availability, MAX_PAUSE, UpstreamNotice, UpstreamNotices};
 pub use rate_limit::{RateLimit, RateStatement, ReportedLimit};
-pub(crate) use reachability::{ReachabilityState, ReachabilityTable};
+pub(crate) use reachability::{Reachability, ReachabilityState, ReachabilityTable};
 pub use row::{Upstream, UpstreamKey};
 pub use runs::OwnRun;
 pub(crate) use runs::{PeerUse, ReportSource};
--- a/trouttrack_core/src/upstream/reachability.rs
+++ b/trouttrack_core/src/upstream/reachability.rs
@@ -17,6 +17,8 @@
 const MAX_DOUBLINGS: u32 = 3;
 /// Time after which a refused connection is forgotten.
 const RETENTION: Duration = Duration::from_secs(60);
+/// Time after an answer during which peers may still pass on the refusal that it has ended.
+const PASSED_ON_PERIOD: Duration = Duration::from_millis(500);
 
 /// Whether an upstream may be connected to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,12 +40,57 @@
     answered_at: Option<Time>,
     /// Number of consecutive backoffs.
     backoffs: u32,
+    /// Who was refused.
+    refused: Refused,
+    /// Whether a peer was answered after this VM was refused, and this VM was not since.
+    refuted: bool,
+}
+
+/// Who was refused the connection that began a backoff.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Refused {
+    /// A peer.
+    #[default]
+    Peer,
+    /// This VM.
+    Own,
+    /// This VM, whose refusal had begun the backoff before as well.
+    OwnTrial,
 }
 
 impl Reachability {
-    /// Records a connection refused at `at`. Returns whether that closes the upstream: refusals
-    /// that are older than the last answer, or within the current backoff, change nothing.
+    /// Records that a connection of this VM was refused at `at`. Returns whether that closes the
+    /// upstream.
     pub(crate) fn record_refusal(&mut self, at: Time) -> bool {
+        let is_repeated = self.refusal().is_some() && self.refused != Refused::Peer;
+        let closes = self.begin_backoff(at);
+        if closes {
+            self.refused = match is_repeated {
+                true => Refused::OwnTrial,
+                false => Refused::Own,
+            };
+        }
+        closes
+    }
+
+    /// Records a refusal at `at` that a peer reports as still in force, so that its backoff is
+    /// at least `age` long. Returns whether that closes the upstream.
+    pub(crate) fn record_reported_refusal(&mut self, at: Time, age: Duration) -> bool {
+        let passed_on_until = self.answered_at.map(|at| at + PASSED_ON_PERIOD);
+        self.refuted &= passed_on_until > Some(at);
+        let closes = self.begin_backoff(at);
+        if closes {
+            self.refused = Refused::Peer;
+        }
+        while closes && self.backoff() <= age && self.backoffs <= MAX_DOUBLINGS {
+            self.backoffs += 1;
+        }
+        closes
+    }
+
+    /// Begins a backoff unless the refusal is older than the last answer, or within the current
+    /// backoff.
+    fn begin_backoff(&mut self, at: Time) -> bool {
         let outdated = self.answered_at.is_some_and(|answered| at <= answered);
         let known = self.refusal().is_some_and(|_| at < self.closed_until());
         if outdated || known {
@@ -57,18 +104,20 @@
         true
     }
 
-    /// Records a refusal at `at` that a peer reports as still in force, so that its backoff is
-    /// at least `age` long.
-    pub(crate) fn record_reported_refusal(&mut self, at: Time, age: Duration) -> bool {
-        let closes = self.record_refusal(at);
-        while closes && self.backoff() <= age && self.backoffs <= MAX_DOUBLINGS {
-            self.backoffs += 1;
-        }
-        closes
+    /// Records that this VM was answered at `at`. Returns whether that ends a refusal.
+    pub(crate) fn record_answer(&mut self, at: Time) -> bool {
+        self.refuted = false;
+        self.end_refusal(at)
     }
 
-    /// Records an answer received at `at`. Returns whether that ends a refusal.
-    pub(crate) fn record_answer(&mut self, at: Time) -> bool {
+    /// Records that a peer was answered at `at`. Returns whether that ends a refusal.
+    pub(crate) fn record_reported_answer(&mut self, at: Time) -> bool {
+        let ends = self.end_refusal(at);
+        self.refuted |= ends && self.refused != Refused::Peer;
+        ends
+    }
+
+    fn end_refusal(&mut self, at: Time) -> bool {
         let ends = self.refusal().is_some_and(|refused| at > refused);
         if ends {
             self.answered_at = Some(at);
@@ -77,6 +126,28 @@
         ends
     }
 
+    /// Returns whether an answer to a request submitted at `submitted` shows that this VM may
+    /// connect where it was refused before.
+    pub(crate) fn is_disproved_by(&self, submitted: Time) -> bool {
+        let is_later = self.refused_at.is_some_and(|at| submitted >= at);
+        is_later && (self.refuted || self.refusal().is_some())
+    }
+
+    /// Returns whether a peer was answered after this VM was refused, and this VM was not since.
+    pub(crate) fn is_refuted(&self) -> bool {
+        self.refuted
+    }
+
+    /// Returns whether it was this VM that was refused.
+    pub(crate) fn is_own(&self) -> bool {
+        self.refused != Refused::Peer
+    }
+
+    /// Returns whether only this VM was refused, more than once in a row.
+    pub(crate) fn is_unconfirmed(&self) -> bool {
+        self.refused == Refused::OwnTrial
+    }
+
     /// Returns the time of the last refusal if nothing was answered since.
     pub(crate) fn refusal(&self) -> Option<Time> {
         let answered = self.answered_at;
--- a/trouttrack_core/src/world/conditions.rs
+++ b/trouttrack_core/src/world/conditions.rs
@@ -24,6 +24,9 @@
         is_local: bool,
         conditions: &Conditions,
     ) {
+        if is_local {
+            self.local_peer_heard_at = Some(now);
+        }
         self.record_peer_rates(now, peer, is_local, &conditions.rates);
         self.record_peer_unreachable(now, peer, is_local, &conditions.unreachable);
         self.record_peer_reachable(now, peer, is_local, &conditions.reachable);
--- a/trouttrack_core/src/world/reachability.rs
+++ b/trouttrack_core/src/world/reachability/mod.rs
@@ -3,14 +3,13 @@
 //! Only VMs of the same failure domain are believed: a network partition refuses connections as
 //! well, and what cannot be reached from one failure domain may be reachable from another.
 
+mod reports;
+
 use super::tables::{RequestKey, World};
-use crate::membership::{MAX_UNREACHABLE_PER_DATAGRAM, ReportedReachable, ReportedUnreachable};
-use crate::upstream::{Incarnation, ReachabilityState, Upstream};
+use crate::upstream::{Incarnation, Upstream};
 use crate::{Time, UpstreamId};
 use std::time::Duration;
 
-/// How long the end of a refusal is reported: longer than any backoff that it ends.
-const REACHABLE_REPORT_PERIOD: Duration = Duration::from_secs(5);
 /// Time within which the output of a busy engine reaches this VM or is reported by a peer.
 const UNHEARD_PERIOD: Duration = Duration::from_secs(1);
 /// Maximum number of changes kept until they are taken.
@@ -85,104 +84,17 @@
         };
         u.heard_at = Some(now);
         u.reached_at = u.reached_at.max(Some(since));
-        if u.reachability.refusal().is_none_or(|at| since < at) {
+        if !u.reachability.is_disproved_by(since) {
             return;
         }
         let incarnation = u.incarnation();
-        if self
-            .reachability
-            .entry(now, &incarnation)
-            .record_answer(now)
-        {
-            self.reachability_changed(&incarnation, true, None, Duration::ZERO);
-        }
-    }
-
-    /// Records the upstreams that a peer could not connect to. `is_local` tells whether it is in
-    /// this VM's failure domain.
-    pub(super) fn record_peer_unreachable(
-        &mut self,
-        now: Time,
-        peer: &str,
-        is_local: bool,
-        unreachable: &[ReportedUnreachable],
-    ) {
-        let counted = unreachable.iter().filter(|_| is_local);
-        for report in counted.take(MAX_UNREACHABLE_PER_DATAGRAM) {
-            let age = Duration::from_millis(u64::from(report.age_ms));
-            let at = now.saturating_sub(age);
-            let has_answered = self.has_answered_since(&report.upstream, at);
-            let row = self.reachability.entry(now, &report.upstream);
-            if !row.record_reported_refusal(at, age) {
-                continue;
-            }
-            if has_answered {
-                // Lets the peer and those that it has told know.
-                row.record_answer(now);
-                self.reachability_changed(&report.upstream, true, None, Duration::ZERO);
-            } else {
-                self.reachability_changed(&report.upstream, false, Some(peer), age);
-            }
-        }
-    }
-
-    /// Whether an upstream has responded to a request of this VM that was submitted after `at`.
-    fn has_answered_since(&self, upstream: &Incarnation, at: Time) -> bool {
-        let row = self.upstreams.get_by_id(&upstream.id);
-        row.is_some_and(|u| u.spec.born == upstream.born && u.reached_at > Some(at))
-    }
-
-    /// Records the upstreams that have answered a peer after a refusal.
-    pub(super) fn record_peer_reachable(
-        &mut self,
-        now: Time,
-        peer: &str,
-        is_local: bool,
-        reachable: &[ReportedReachable],
-    ) {
-        let counted = reachable.iter().filter(|_| is_local);
-        for report in counted.take(MAX_UNREACHABLE_PER_DATAGRAM) {
-            let age = Duration::from_millis(u64::from(report.age_ms));
-            let row = self.reachability.entry(now, &report.upstream);
-            if row.record_answer(now.saturating_sub(age)) {
-                self.reachability_changed(&report.upstream, true, Some(peer), age);
-            }
+        let row = self.reachability.entry(now, &incarnation);
+        match row.record_answer(now) {
+            true => self.reachability_changed(&incarnation, true, None, Duration::ZERO),
+            false => self.refresh_status(&incarnation.id),
         }
     }
 
-    /// Returns the upstreams that peers should not try either, the latest first.
-    pub(super) fn unreachable_to_report(&self, now: Time) -> Vec<ReportedUnreachable> {
-        let known = self.reachability.iter();
-        let closed = known.filter(|(_, r)| r.state(now) == ReachabilityState::Closed);
-        let mut reports: Vec<ReportedUnreachable> = closed
-            .filter_map(|(upstream, r)| {
-                Some(ReportedUnreachable {
-                    upstream: upstream.clone(),
-                    age_ms: age_ms(now, r.refusal().filter(has_age)?),
-                })
-            })
-            .collect();
-        reports.sort_unstable_by_key(|r| (r.age_ms, r.upstream.id.clone()));
-        reports.truncate(MAX_UNREACHABLE_PER_DATAGRAM);
-        reports
-    }
-
-    /// Returns the upstreams whose refusal has ended lately, the latest first.
-    pub(super) fn reachable_to_report(&self, now: Time) -> Vec<ReportedReachable> {
-        let known = self.reachability.iter();
-        let answered = known.filter_map(|(upstream, r)| {
-            let age = now.saturating_sub(r.recovery().filter(has_age)?);
-            (age < REACHABLE_REPORT_PERIOD).then(|| ReportedReachable {
-                upstream: upstream.clone(),
-                age_ms: age.as_millis() as u32,
-            })
-        });
-        let mut reports: Vec<ReportedReachable> = answered.collect();
-        reports.sort_unstable_by_key(|r| (r.age_ms, r.upstream.id.clone()));
-        reports.truncate(MAX_UNREACHABLE_PER_DATAGRAM);
-        reports
-    }
-
     /// Returns the changes since the last call, to be logged and reported to peers.
     pub fn take_reachability_changes(&mut self) -> Vec<ReachabilityChange> {
         std::mem::take(&mut self.reachability_changes)
@@ -252,13 +164,3 @@
         }
     }
 }
-
-/// Whether the age of an observation is known: one from before this VM's start counts as made
-/// then, and would seem younger to peers with each VM that passes it on.
-fn has_age(at: &Time) -> bool {
-    !at.is_zero()
-}
-
-fn age_ms(now: Time, at: Time) -> u32 {
-    now.saturating_sub(at).as_millis() as u32
-}
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -216,6 +216,8 @@
     pub(crate) reachability: ReachabilityTable,
     /// Changes of the above since they were last taken.
     pub(crate) reachability_changes: Vec<ReachabilityChange>,
+    /// When this VM last heard of a peer of its failure domain.
+    pub(crate) local_peer_heard_at: Option<Time>,
     /// Since when departures of upstreams cannot be learned, because the store is silent.
     pub(crate) store_silent_since: Option<Time>,
     /// Share that this VM has of a rate limit common to all VMs; none until it is set.
@@ -247,6 +249,7 @@
             notices: UpstreamNotices::default(),
             reachability: ReachabilityTable::default(),
             reachability_changes: Vec::new(),
+            local_peer_heard_at: None,
             store_silent_since: None,
             refused: Vec::new(),
         }
--- /dev/null
+++ b/trouttrack_core/tests/core/broken_path.rs
@@ -0,0 +1,205 @@
+//! VMs whose own path to upstreams is broken, while their path to their peers is not: what their
+//! reports do to the others.
+
+use crate::reachability::{INITIAL_BACKOFF, MS, ids, incarnation, place, send, tell, vm};
+use crate::support::{placed, submission};
+use std::collections::HashMap;
+use trouttrack_core::Time;
+use trouttrack_core::world::World;
+
+/// Interval of the exchange of reports in these tests.
+const STEP: Time = Time::from_millis(10);
+
+/// VMs of one failure domain.
+fn vms(count: u64, upstreams: usize) -> Vec<World> {
+    (0..count).map(|seed| vm("a", seed, upstreams)).collect()
+}
+
+/// Passes the reports of each VM on to all others.
+fn exchange(vms: &mut [World], now: Time) {
+    let reports: Vec<_> = vms.iter().map(|vm| vm.conditions(now)).collect();
+    for (to, vm) in vms.iter_mut().enumerate() {
+        for (from, told) in reports.iter().enumerate().filter(|(from, _)| *from != to) {
+            vm.record_peer_conditions(now, &format!("vm{from}"), true, told);
+        }
+    }
+}
+
+fn is_closed(vm: &World, now: Time, id: &str) -> bool {
+    !vm.upstreams.get_by_id(id).unwrap().is_available(now)
+}
+
+/// Submits a request, and has the upstreams answer all requests that are placed.
+fn serve(vm: &mut World, now: Time, id: &str) {
+    vm.submit(now, submission(id, "o", 0));
+    for (key, _) in placed(&vm.tick(now)) {
+        vm.record_response(now, key);
+        vm.record_end(now, key, false, Some(1));
+    }
+}
+
+/// Has the upstream answer a request of this VM.
+fn answer(vm: &mut World, now: Time, id: &str) {
+    let mut req = submission(&format!("{id}-{now:?}"), "o", 0);
+    req.avoid = ids(vm.upstreams.iter().count());
+    req.avoid.retain(|other| other != id);
+    let key = vm.submit(now, req);
+    assert_eq!(placed(&vm.tick(now)).pop().unwrap().1, id);
+    vm.record_response(now, key);
+    vm.record_end(now, key, false, Some(1));
+}
+
+/// The first VM is refused by these upstreams, and the others are answered when they try again.
+/// Returns the time after that.
+fn refute(vms: &mut [World], upstreams: &[&str]) -> Time {
+    for id in upstreams {
+        vms[0].record_connection_refused(MS, &incarnation(id));
+    }
+    exchange(vms, MS);
+    let now = MS + INITIAL_BACKOFF;
+    for id in upstreams {
+        answer(&mut vms[1], now, id);
+    }
+    exchange(vms, now);
+    now + MS
+}
+
+/// One of six VMs is refused by all upstreams for ten seconds, and tries in vain each 50 ms. It
+/// tries each upstream again as soon as it may, before the others do.
+#[test]
+fn a_vm_whose_own_path_is_broken_closes_each_upstream_for_one_backoff_and_once() {
+    let mut vms = vms(6, 30);
+    let mut closed: HashMap<(usize, String), Time> = HashMap::new();
+    let mut closed_late = 0;
+    for step in 1..1000 {
+        let now = STEP * step;
+        if step % 5 == 0 {
+            send(&mut vms[0], now, &format!("r{step}"), &ids(30));
+            for (n, vm) in vms.iter_mut().enumerate().skip(1) {
+                serve(vm, now, &format!("r{n}-{step}"));
+            }
+        }
+        exchange(&mut vms, now);
+        for (n, vm) in vms.iter().enumerate().skip(1) {
+            for id in ids(30).into_iter().filter(|id| is_closed(vm, now, id)) {
+                *closed.entry((n, id)).or_default() += STEP;
+                closed_late += u32::from(now > 2 * INITIAL_BACKOFF);
+            }
+        }
+    }
+    let longest = closed.values().max().copied().unwrap_or_default();
+    assert!(longest <= INITIAL_BACKOFF + STEP, "closed for {longest:?}");
+    assert_eq!(closed_late, 0, "closed again");
+}
+
+/// Its trials are refused as well, and come before those of the others.
+#[test]
+fn a_refused_trial_of_the_vm_that_reported_the_refusal_extends_nothing() {
+    let mut vms = vms(3, 1);
+    vms[0].record_connection_refused(MS, &incarnation("e00"));
+    exchange(&mut vms, MS);
+    let now = MS + INITIAL_BACKOFF;
+    vms[0].record_connection_refused(now, &incarnation("e00"));
+    exchange(&mut vms, now);
+    assert!(is_closed(&vms[0], now, "e00"));
+    assert!(!is_closed(&vms[1], now, "e00"));
+    // The upstream is gone indeed: the trial of another VM extends the backoff for all.
+    vms[1].record_connection_refused(now, &incarnation("e00"));
+    exchange(&mut vms, now + MS);
+    let still_closed = now + INITIAL_BACKOFF;
+    assert!(vms.iter().all(|vm| is_closed(vm, still_closed, "e00")));
+}
+
+/// What was refuted twice is the fault of the VM, not of the upstreams.
+#[test]
+fn a_vm_that_was_refuted_twice_closes_no_other_upstream() {
+    let mut vms = vms(3, 5);
+    let now = refute(&mut vms, &["e00", "e01"]);
+    for id in ids(5) {
+        vms[0].record_connection_refused(now, &incarnation(&id));
+    }
+    exchange(&mut vms, now);
+    for id in ids(5) {
+        assert!(is_closed(&vms[0], now, &id));
+        assert!(!is_closed(&vms[1], now, &id) && !is_closed(&vms[2], now, &id));
+    }
+}
+
+/// An upstream that refuses now and then silences nobody.
+#[test]
+fn a_vm_that_was_refuted_once_is_heard_about_other_upstreams() {
+    let mut vms = vms(3, 5);
+    let now = refute(&mut vms, &["e00"]);
+    for id in ["e00", "e01"] {
+        vms[0].record_connection_refused(now, &incarnation(id));
+    }
+    exchange(&mut vms, now);
+    assert!(!is_closed(&vms[1], now, "e00"));
+    assert!(is_closed(&vms[1], now, "e01"));
+}
+
+/// Its path heals, and the upstreams answer it again.
+#[test]
+fn a_vm_whose_path_heals_is_heard_again() {
+    let mut vms = vms(3, 5);
+    let now = refute(&mut vms, &["e00", "e01"]);
+    for id in ["e00", "e01"] {
+        answer(&mut vms[0], now, id);
+    }
+    for id in ["e00", "e02"] {
+        vms[0].record_connection_refused(now + MS, &incarnation(id));
+    }
+    exchange(&mut vms, now + MS);
+    for id in ["e00", "e02"] {
+        assert!(vms.iter().all(|vm| is_closed(vm, now + MS, id)));
+    }
+}
+
+/// An upstream that such a VM is refused by is gone indeed. Another VM finds it, and all hear
+/// of it, also the one with the broken path.
+#[test]
+fn a_real_loss_found_by_a_vm_with_a_broken_path_is_found_by_others() {
+    let gone = ["e04".to_owned()];
+    let mut vms = vms(3, 5);
+    let now = refute(&mut vms, &["e00", "e01"]);
+    vms[0].record_connection_refused(now, &incarnation("e04"));
+    exchange(&mut vms, now);
+    let mut refused = 0;
+    for n in 0..20 {
+        refused += send(&mut vms[1], now, &format!("r{n}"), &gone).expect("served");
+    }
+    assert_eq!(refused, 1);
+    exchange(&mut vms, now);
+    assert!(vms.iter().all(|vm| is_closed(vm, now, "e04")));
+    for n in 0..20 {
+        let refused = send(&mut vms[2], now, &format!("s{n}"), &gone);
+        assert_eq!(refused, Some(0));
+    }
+}
+
+/// A VM was refuted about upstreams that are gone since. Once a peer is refused by them as well,
+/// the VM is heard again.
+#[test]
+fn a_vm_whose_refuted_refusals_are_confirmed_later_is_heard_again() {
+    let mut vms = vms(3, 5);
+    let now = refute(&mut vms, &["e00", "e01"]) + 2 * INITIAL_BACKOFF;
+    for id in ["e00", "e01"] {
+        vms[2].record_connection_refused(now, &incarnation(id));
+    }
+    exchange(&mut vms, now);
+    vms[0].record_connection_refused(now + MS, &incarnation("e02"));
+    exchange(&mut vms, now + MS);
+    assert!(is_closed(&vms[1], now + MS, "e02"));
+}
+
+/// All upstreams of a domain are gone at once, and nobody is answered: one VM's word is enough.
+#[test]
+fn everything_gone_at_once_is_known_with_one_heartbeat() {
+    let mut vms = vms(2, 20);
+    exchange(&mut vms, MS);
+    assert_eq!(send(&mut vms[0], MS, "r1", &ids(20)), None);
+    let (first, others) = vms.split_at_mut(1);
+    tell(&first[0], "vm0", &mut others[0], MS * 2, true);
+    assert_eq!(others[0].unreachable(), 20);
+    assert_eq!(place(&mut others[0], MS * 2, "r2"), None);
+}
--- a/trouttrack_core/tests/core/reachability.rs
+++ b/trouttrack_core/tests/core/reachability.rs
@@ -9,22 +9,22 @@
 use trouttrack_core::world::{Decision, NotRunReason, RequestKey, World, WorldSettings};
 
 /// Backoff after a first refusal.
-const INITIAL_BACKOFF: Time = Time::from_millis(500);
+pub(crate) const INITIAL_BACKOFF: Time = Time::from_millis(500);
 /// Silence of the store after which an engine that nobody has heard of is uncertain.
 const UNHEARD_PERIOD: Time = Time::from_secs(1);
-const MS: Time = Time::from_millis(1);
+pub(crate) const MS: Time = Time::from_millis(1);
 
-fn ids(count: usize) -> Vec<String> {
+pub(crate) fn ids(count: usize) -> Vec<String> {
     (0..count).map(|n| format!("e{n:02}")).collect()
 }
 
-fn specs(count: usize) -> Vec<UpstreamSpec> {
+pub(crate) fn specs(count: usize) -> Vec<UpstreamSpec> {
     let ids = ids(count);
     ids.iter().map(|id| spec(id, "a", 20_000, 24)).collect()
 }
 
 /// A VM of a failure domain that differs from others by its seed.
-fn vm(failure_domain: &str, seed: u64, upstreams: usize) -> World {
+pub(crate) fn vm(failure_domain: &str, seed: u64, upstreams: usize) -> World {
     let mut world = World::new(WorldSettings {
         failure_domain: failure_domain.into(),
         seed,
@@ -34,24 +34,24 @@
     world
 }
 
-fn incarnation(id: &str) -> Incarnation {
+pub(crate) fn incarnation(id: &str) -> Incarnation {
     Incarnation::new(id, 0)
 }
 
 /// Places a request and returns the upstream, if any.
-fn place(world: &mut World, now: Time, id: &str) -> Option<(RequestKey, String)> {
+pub(crate) fn place(world: &mut World, now: Time, id: &str) -> Option<(RequestKey, String)> {
     world.submit(now, submission(id, "o", 0));
     placed(&world.tick(now)).pop()
 }
 
 /// Passes on what a VM reports to a peer.
-fn tell(from: &World, name: &str, to: &mut World, now: Time, is_local: bool) {
+pub(crate) fn tell(from: &World, name: &str, to: &mut World, now: Time, is_local: bool) {
     to.record_peer_conditions(now, name, is_local, &from.conditions(now));
 }
 
 /// Sends one request through a VM: tries upstreams until one is not among `gone`. Returns the
 /// number of refused connections, or `None` if the request was refused.
-fn send(world: &mut World, now: Time, id: &str, gone: &[String]) -> Option<u32> {
+pub(crate) fn send(world: &mut World, now: Time, id: &str, gone: &[String]) -> Option<u32> {
     let mut search = UpstreamSearch::default();
     let mut req = submission(id, "o", 0);
     for refused in 0.. {
