Test the bytes kept for upstreams that do not read requests

The body of a request is counted for its organisation and the VM from its arrival to the end of the request, which covers an upstream that accepts the connection and reads nothing. No test showed it.

--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -18,6 +18,7 @@
 mod rate_limits;
 mod reachability;
 mod repeats;
+mod slow_upstreams;
 mod soak;
 mod stop;
 mod store;
