Show who holds buffered bytes, and the bounds in force

The metrics had only the total of the VM, and a disconnection's line named the bytes of its request and of the VM. An operator could not see which organisation is near its bound, nor the bound.

/metrics names the five organisations with the most bytes and the three bounds; slow-reader-ended names the organisation's bytes and the bound that was reached. The page's text moves to metrics/page.rs, so that tests read what an operator reads.

--- a/trouttrack_core/src/buffers/table.rs
+++ b/trouttrack_core/src/buffers/table.rs
@@ -172,6 +172,16 @@
             .unwrap_or_default()
     }
 
+    /// Returns the `count` organisations that hold the most bytes, the largest first.
+    #[must_use]
+    pub fn largest(&self, count: usize) -> Vec<(OrganisationId, usize)> {
+        let held = self.by_organisation.iter();
+        let mut largest: Vec<_> = held.map(|(o, bytes)| (o.clone(), *bytes)).collect();
+        largest.sort_unstable_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(&b.0)));
+        largest.truncate(count);
+        largest
+    }
+
     fn add(&mut self, key: BufferKey, bytes: usize) {
         let Some(buffer) = self.by_key.get_mut(&key) else {
             return;
--- a/trouttrack_core/tests/core/buffers.rs
+++ b/trouttrack_core/tests/core/buffers.rs
@@ -180,3 +180,17 @@
     assert!(!reservation.granted && reservation.ended.is_empty());
     assert!(b.iter().all(|key| !buffers.is_ended(*key)));
 }
+
+#[test]
+fn the_organisations_with_the_most_bytes_are_named_first_and_their_number_is_bounded() {
+    let mut buffers = Buffers::new(LIMITS);
+    for (organisation, kib) in [("a", 2), ("b", 8), ("c", 4), ("d", 4), ("b", 1)] {
+        let key = buffers.open(organisation, LIMITS.request);
+        assert!(buffers.reserve(s(1), key, kib * KIB).granted);
+    }
+    let held = |organisation: &str, kib| (organisation.to_owned(), kib * KIB);
+    assert_eq!(
+        buffers.largest(3),
+        [held("b", 9), held("c", 4), held("d", 4)]
+    );
+}
--- a/trouttrack_front/src/caller/server.rs
+++ b/trouttrack_front/src/caller/server.rs
@@ -128,12 +128,7 @@
         }
     });
     let metrics = serve_page(listen(metrics)?, move |_| {
-        let m = &front.metrics;
-        m.buffered.set(front.buffers.total() as i64);
-        m.in_flight.set(front.lifecycle.in_flight() as i64);
-        m.store_calls.set(front.store.calls() as i64);
-        m.connections.set(front.http.opened() as i64);
-        Response::ok().set_body(m.text())
+        Response::ok().set_body(front.metrics_text())
     });
     tokio::try_join!(readiness, metrics).map(|_| ())
 }
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -1,14 +1,17 @@
 //! Prometheus metrics in the text exposition format.
 
+mod buffers;
+mod page;
 mod prediction;
 mod streams;
 
 pub(crate) use prediction::PredictionError;
 pub(crate) use streams::StreamTiming;
 
+use buffers::BufferGauges;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use std::time::Duration;
 
@@ -73,6 +76,7 @@
     pub late_streams: IntCounterVec,
     /// Bytes buffered for peers that read slowly.
     pub buffered: IntGauge,
+    buffers: BufferGauges,
     /// Callers whose connection was closed because they read too slowly, by the bound that was
     /// reached.
     pub slow_readers: IntCounterVec,
@@ -110,6 +114,12 @@
     metric
 }
 
+fn gauge_vec(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    let metric = IntGaugeVec::new(Opts::new(name, help), labels).expect("a valid name");
+    register(registry, metric.clone());
+    metric
+}
+
 fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
     histogram_of(registry, name, help, LATENCY_BUCKETS_SECONDS)
 }
@@ -253,6 +263,7 @@
                 "trouttrack_buffered_bytes",
                 "Bytes buffered for callers and upstreams that read slowly",
             ),
+            buffers: BufferGauges::new(&r),
             slow_readers: counter_vec(
                 &r,
                 "trouttrack_slow_readers_ended_total",
--- a/trouttrack_front/src/state/buffers.rs
+++ b/trouttrack_front/src/state/buffers.rs
@@ -8,8 +8,8 @@
 use std::task::Waker;
 use std::time::Duration;
 use tokio::sync::Notify;
-use trouttrack_core::RequestId;
-use trouttrack_core::buffers::{self, BufferKey, BufferLimits, EndedReader, Reservation};
+use trouttrack_core::buffers::{self, Bound, BufferKey, BufferLimits, EndedReader, Reservation};
+use trouttrack_core::{OrganisationId, RequestId};
 use trouttrack_telemetry::{events, record};
 
 /// Pause between two attempts to add bytes while the organisation or the VM is at its bound.
@@ -72,6 +72,12 @@
     pub fn total(&self) -> usize {
         self.0.table.borrow().total()
     }
+
+    /// The `count` organisations that hold the most bytes, the largest first.
+    #[must_use]
+    pub fn largest(&self, count: usize) -> Vec<(OrganisationId, usize)> {
+        self.0.table.borrow().largest(count)
+    }
 }
 
 impl Shared {
@@ -81,6 +87,12 @@
         let Some(held) = held else {
             return;
         };
+        let table = self.table.borrow();
+        let limits = table.limits();
+        let limit = match reader.bound {
+            Bound::Organisation => limits.organisation,
+            Bound::Vm => limits.vm,
+        };
         record!(
             events::SLOW_READER_ENDED,
             request = held.request.as_str(),
@@ -88,8 +100,11 @@
             bound = reader.bound.as_str(),
             bytes = reader.bytes,
             stalled_ms = reader.stalled_for.as_millis() as u64,
-            buffered_bytes = self.table.borrow().total(),
+            organisation_bytes = table.held_by(&reader.organisation),
+            buffered_bytes = table.total(),
+            limit_bytes = limit,
         );
+        drop(table);
         self.ended.with_label_values(&[reader.bound.as_str()]).inc();
         held.released.notify_one();
         if let Some(waker) = held.connection.take() {
--- a/trouttrack_front/tests/front/buffers.rs
+++ b/trouttrack_front/tests/front/buffers.rs
@@ -148,3 +148,38 @@
     assert_eq!((ended(&bed, "organisation"), ended(&bed, "vm")), (0, 0));
     until("nothing is kept", || total(&bed) == 0).await;
 }
+
+/// What an operator reads at `/metrics`.
+#[actix_rt::test]
+async fn metrics_name_the_organisations_whose_callers_do_not_read() {
+    let bed = bed().await;
+    let callers = [
+        silent_caller(&bed, "r1", KEY).await,
+        silent_caller(&bed, "r2", OTHER_KEY).await,
+        silent_caller(&bed, "r3", OTHER_KEY).await,
+    ];
+    until("all buffers are full", || total(&bed) > 150 * KIB).await;
+    let held = |organisation: &str| {
+        let name =
+            format!("trouttrack_organisation_buffered_bytes{{organisation=\"{organisation}\"}}");
+        metric(&bed, &name)
+    };
+    let (alpha, beta) = (held("alpha"), held("beta"));
+    assert_eq!(alpha + beta, metric(&bed, "trouttrack_buffered_bytes"));
+    assert!(alpha > 0 && beta > alpha);
+    for (bound, bytes) in [("request", 64 * KIB), ("organisation", VM / 2), ("vm", VM)] {
+        let name = format!("trouttrack_buffered_bytes_limit{{bound=\"{bound}\"}}");
+        assert_eq!(metric(&bed, &name), bytes);
+    }
+    drop(callers);
+    until("nothing is kept", || total(&bed) == 0).await;
+    let text = String::from_utf8(bed.front.front.metrics_text()).expect("text");
+    assert!(!text.contains("trouttrack_organisation_buffered_bytes{"));
+}
+
+fn metric(bed: &Bed, name: &str) -> usize {
+    let text = String::from_utf8(bed.front.front.metrics_text()).expect("text");
+    let line = text.lines().find_map(|line| line.strip_prefix(name));
+    let value = line.unwrap_or_else(|| panic!("{name} is missing"));
+    value.trim().parse().expect("a number")
+}
--- a/trouttrack_telemetry/src/events/catalogue.rs
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -68,7 +68,7 @@
     UNCERTAIN = 84, Warn, "uncertain", "A request that may have run ended without a whole answer: the caller got 502 or 504, or its stream was broken off.";
     REJECTED = 85, Info, "rejected", "A request was answered 4xx: no route, no valid key, or not a proper request. Names the version of the configuration that said so.";
     LEFT_BY_CALLER = 86, Info, "left-by-caller", "A caller closed its connection; the upstream's work for it was cancelled.";
-    SLOW_READER_ENDED = 87, Warn, "slow-reader-ended", "A caller that did not read was disconnected, because its organisation or the VM had reached the bound of buffered bytes. Names the bound, the bytes and how long the caller had accepted none.";
+    SLOW_READER_ENDED = 87, Warn, "slow-reader-ended", "A caller that did not read was disconnected, because its organisation or the VM had reached the bound of buffered bytes. Names the bound and its limit, the bytes of the request, of its organisation and of the VM, and how long the caller had accepted none.";
     DEPARTURE = 90, Info, "departure", "An upstream announced that it leaves, its entry disappeared, or it said so itself when it was asked; its streams are moved.";
     COPIED = 91, Info, "copied", "The memory of a running generation was copied to another upstream while it went on.";
     MOVED = 92, Info, "moved", "A generation goes on at another upstream as the same answer.";
