Do not count upstreams that leave before a request is sent as silent

An upstream that announces its end, or whose entry is removed, between the placement of a request and its sending was counted as a connection to which nobody replied. The third one ended the request as not run, also while other upstreams accepted it.

It counts with the refused connections now, of which a request may have 32, and sets no end to the search. The test is a pure one of the search; that the front records such upstreams this way is by reading.

--- a/trouttrack_core/src/request/search.rs
+++ b/trouttrack_core/src/request/search.rs
@@ -2,8 +2,9 @@
 
 use crate::{FailureDomain, Time};
 
-/// Maximum number of refused connections of a request. Each takes a round trip, so even across
-/// failure domains the whole search takes a small part of an objective.
+/// Maximum number of refused connections of a request, and of upstreams that left before it was
+/// sent. Each takes a round trip at most, so even across failure domains the whole search takes a
+/// small part of an objective.
 const MAX_REFUSED: u32 = 32;
 /// Maximum number of connections that failed otherwise, most of them by a time-out. The VM is
 /// then as likely to be cut off, and a caller that is refused soon can try another one.
@@ -26,6 +27,7 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamSearch {
+    /// Refused connections, and upstreams that left before the request was sent.
     refused: u32,
     failed: u32,
     until: Option<Time>,
@@ -40,6 +42,11 @@
         self.until.get_or_insert(until);
     }
 
+    /// Records an upstream that left between the placement of the request and its sending.
+    pub fn record_left(&mut self) {
+        self.refused += 1;
+    }
+
     /// Records a connection that failed otherwise. `remote` is the upstream's failure domain if
     /// it is another one than this VM's and did not answer in time.
     pub fn record_failed(&mut self, remote: Option<&str>) {
@@ -63,10 +70,8 @@
     /// Returns whether another upstream may be tried. `has_untried` tells whether one is left.
     #[must_use]
     pub fn may_continue(&self, now: Time, has_untried: bool) -> bool {
-        let Some(until) = self.until else {
-            return self.failed < MAX_FAILED;
-        };
         let in_bounds = self.refused < MAX_REFUSED && self.failed < MAX_FAILED;
-        in_bounds && now < until && has_untried
+        let may_search = self.until.is_none_or(|until| now < until && has_untried);
+        in_bounds && may_search
     }
 }
--- a/trouttrack_core/tests/core/reachability.rs
+++ b/trouttrack_core/tests/core/reachability.rs
@@ -262,6 +262,25 @@
     assert_eq!(tries, Some(3));
 }
 
+/// Upstreams leave one after the other, each after a request was placed there and before it was
+/// sent. Nothing was tried, so the request is not refused for it as for silent upstreams.
+#[test]
+fn upstreams_that_leave_before_the_request_is_sent_are_no_failed_connections() {
+    let mut search = UpstreamSearch::default();
+    let tries = (1..).find(|_| {
+        search.record_left();
+        !search.may_continue(MS, true)
+    });
+    assert_eq!(tries, Some(32));
+    let mut mixed = UpstreamSearch::default();
+    mixed.record_failed(None);
+    mixed.record_failed(None);
+    mixed.record_left();
+    assert!(mixed.may_continue(MS, false), "it waits for another one");
+    mixed.record_failed(None);
+    assert!(!mixed.may_continue(MS, true));
+}
+
 /// A domain is cut off. Its engines have requests, and those of the others look empty: after one
 /// time-out to each other domain the request is placed at home.
 #[test]
--- a/trouttrack_front/src/request/retry.rs
+++ b/trouttrack_front/src/request/retry.rs
@@ -48,6 +48,10 @@
             self.search.record_refused(until);
             return;
         }
+        if failure.cancelled_before_send() {
+            self.search.record_left();
+            return;
+        }
         let domain = upstream.failure_domain.as_str();
         let is_silent = failure.connection_timed_out() && domain != front.failure_domain;
         self.search.record_failed(is_silent.then_some(domain));
@@ -55,7 +59,7 @@
 
     /// Counts an upstream that was removed after the request had been placed on it.
     pub(super) fn count_missing(&mut self) {
-        self.search.record_failed(None);
+        self.search.record_left();
     }
 
     /// Upstreams that the next attempt is to avoid: those tried, and those of failure domains
