--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -1,5 +1,7 @@
 //! Prometheus metrics in the text exposition format.
 
+mod buffers;
+mod page;
 mod prediction;
 mod register;
 mod timing;
@@ -7,6 +9,7 @@
 pub(crate) use prediction::PredictionError;
 pub(crate) use timing::StreamTiming;
 
+use buffers::BufferGauges;
 use prometheus::{Encoder, Histogram, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder};
 use register::{counter, counter_vec, gauge, histogram, histogram_of};
 
@@ -65,6 +68,7 @@
     pub late_streams: IntCounterVec,
     /// Bytes buffered for peers that read slowly.
     pub buffered: IntGauge,
+    buffers: BufferGauges,
     /// Callers whose connection was closed because they read too slowly, by the bound that was
     /// reached.
     pub slow_readers: IntCounterVec,
@@ -210,6 +214,7 @@
                 "trouttrack_buffered_bytes",
                 "Bytes buffered for callers and upstreams that read slowly",
             ),
+            buffers: BufferGauges::new(&r),
             slow_readers: counter_vec(
                 &r,
                 "trouttrack_slow_readers_ended_total",
--- a/trouttrack_front/src/metrics/register.rs
+++ b/trouttrack_front/src/metrics/register.rs
@@ -1,6 +1,8 @@
 //! Creates metrics and registers them.
 
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+};
 
 /// Upper bounds of the buckets in seconds, from a few milliseconds for a lookup to half a minute
 /// for a long generation.
@@ -32,6 +34,17 @@
     metric
 }
 
+pub(super) fn gauge_vec(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> IntGaugeVec {
+    let metric = IntGaugeVec::new(Opts::new(name, help), labels).expect("a valid name");
+    register(registry, metric.clone());
+    metric
+}
+
 pub(super) fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
     histogram_of(registry, name, help, LATENCY_BUCKETS_SECONDS)
 }
