Count memory that engines hold for no running request

An engine holds copies of generations that moved elsewhere and pinned prompts. No VM's requests account for it, so such an engine looked empty and was preferred.

What is used beyond both the listed requests and those that the VMs know of now counts in the forecast fill and in the predicted wait for memory. It ends one second after the report was asked for and with the incarnation, and is not passed on to other VMs. An engine that retains memory is not idle, so it does not get a request that is forecast to exceed its memory.

Engines that accept work are asked for reports only while the store is silent, so it counts only then. A report that does not list all running requests is ignored.

--- a/trouttrack_core/src/upstream/room.rs
+++ b/trouttrack_core/src/upstream/room.rs
@@ -34,6 +34,15 @@
 }
 
 impl Runs {
+    /// One source of memory that is freed at once.
+    pub(super) fn one(held: f64, remaining: f64) -> Self {
+        Self {
+            count: 1,
+            held,
+            remaining,
+        }
+    }
+
     /// Remaining tokens and held memory of each run, with the ends spread evenly around their
     /// mean.
     fn ends(self) -> impl Iterator<Item = (f64, f64)> {
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -8,6 +8,7 @@
 use super::rate_limit::RateLimit;
 use super::reachability::{Reachability, ReachabilityState};
 use super::refusals::Refusals;
+use super::retained::Retained;
 use super::room::{Runs, tokens_until_freed};
 use super::runs::{OwnRun, PeerUse, ReportSource, peak};
 use super::service_rate::ObservedRates;
@@ -79,6 +80,8 @@
     pub(crate) reached_at: Option<Time>,
     /// Samples of its speed.
     pub(crate) rates: ObservedRates,
+    /// Memory that it holds for no running request.
+    pub(super) retained: Retained,
     own_at_report: usize,
 }
 
@@ -105,6 +108,7 @@
             heard_at: None,
             reached_at: None,
             rates: ObservedRates::default(),
+            retained: Retained::default(),
             own_at_report: 0,
         }
     }
@@ -154,7 +158,8 @@
         used * others as f64 / self.report.running.max(1) as f64
     }
 
-    /// Forecasts the peak memory use, in tokens, of its running requests and of `new` if given.
+    /// Forecasts the peak memory use, in tokens, of its running requests and of `new` if given,
+    /// and of what it holds for no running request.
     ///
     /// This process's requests are modelled one by one: each holds the tokens generated so far
     /// and frees them all when it ends. Peers report their own peaks; without peers, the use
@@ -162,7 +167,7 @@
     #[must_use]
     pub fn peak_tokens(&self, new: Option<OwnRun>) -> f64 {
         let now = self.own_held();
-        let peak = peak(&self.own, new);
+        let peak = peak(&self.own, new) + self.retained.tokens;
         if self.peers_report_use {
             let peers: f64 = self.peers.iter().map(PeerUse::expected_tokens).sum();
             return peak + peers;
@@ -196,7 +201,7 @@
     #[must_use]
     pub fn predicted_load(&self, now: Time, prompt_tokens: u64) -> PredictedLoad {
         let capacity = self.spec.capacity_tokens as f64;
-        let (mut held, mut prompts_ahead) = (0.0, 0.0);
+        let (mut held, mut prompts_ahead) = (self.retained.tokens, 0.0);
         for run in &self.own {
             held += run.tokens;
             prompts_ahead += if run.loaded { 0.0 } else { run.tokens };
@@ -218,7 +223,8 @@
 
     fn tokens_until_freed(&self, missing: f64) -> f64 {
         let own = self.own.iter().map(Runs::from);
-        tokens_until_freed(own.chain(self.peers.iter().map(Runs::from)), missing)
+        let runs = own.chain(self.peers.iter().map(Runs::from));
+        tokens_until_freed(runs.chain(self.retained.runs()), missing)
     }
 
     /// Returns the prompt tokens of this process's requests without a first token. This is
--- a/trouttrack_core/src/upstream/table.rs
+++ b/trouttrack_core/src/upstream/table.rs
@@ -1,5 +1,6 @@
 //! The table of upstreams, with an index by service.
 
+use super::retained::Retained;
 use super::row::{Upstream, UpstreamKey};
 use super::service_rate::{Typical, incarnation_hash};
 use super::spec::UpstreamSpec;
@@ -76,6 +77,7 @@
                 let row = &mut self.rows[key];
                 let restarted = row.spec.born != spec.born;
                 if restarted {
+                    row.retained = Retained::default();
                     (row.heard_at, row.reached_at) = (None, None);
                 }
                 if restarted && row.spec.born != 0 {
--- a/trouttrack_core/src/world/admission/outlook.rs
+++ b/trouttrack_core/src/world/admission/outlook.rs
@@ -89,6 +89,6 @@
         };
         let rows = serving.keys.iter().filter_map(|k| self.upstreams.get(*k));
         let mut available = rows.filter(|u| u.is_available(now));
-        available.any(|u| u.estimated_running() == 0 || u.fill_with(Some(new)) <= limit)
+        available.any(|u| u.is_idle() || u.fill_with(Some(new)) <= limit)
     }
 }
--- a/trouttrack_core/src/world/mod.rs
+++ b/trouttrack_core/src/world/mod.rs
@@ -4,6 +4,7 @@
 mod conditions;
 mod demand;
 mod limits;
+mod memory;
 mod notices;
 mod peers;
 mod queue;
--- a/trouttrack_core/src/world/systems/mod.rs
+++ b/trouttrack_core/src/world/systems/mod.rs
@@ -12,6 +12,7 @@
     pub fn tick(&mut self, now: Time) -> Vec<Decision> {
         self.estimate_rates(now);
         self.expire(now);
+        self.expire_memory_reports(now);
         let mut decisions = std::mem::take(&mut self.refused);
         self.place(now, &mut decisions);
         self.refuse_unreachable(now);
--- a/trouttrack_core/src/world/systems/scan.rs
+++ b/trouttrack_core/src/world/systems/scan.rs
@@ -106,7 +106,7 @@
         // exceed its memory.
         let claimed = (self.world.claims).excludes(key, self.submission.priority, self.new.key);
         let fits = urgent
-            || !claimed && (fill <= self.world.settings.placed_fill - self.reserve || running == 0);
+            || !claimed && (fill <= self.world.settings.placed_fill - self.reserve || u.is_idle());
         Some(Candidate {
             upstream: key,
             running,
--- a/trouttrack_core/src/world/tables.rs
+++ b/trouttrack_core/src/world/tables.rs
@@ -220,6 +220,8 @@
     pub(crate) store_silent_since: Option<Time>,
     /// Share that this VM has of a rate limit common to all VMs; none until it is set.
     pub(crate) rate_share: RateShare,
+    /// Upstreams that hold memory for no running request.
+    pub(crate) retaining: HashSet<UpstreamKey>,
     pub(crate) rng: SmallRng,
     pub(crate) refused: Vec<Decision>,
 }
@@ -248,6 +250,7 @@
             reachability: ReachabilityTable::default(),
             reachability_changes: Vec::new(),
             store_silent_since: None,
+            retaining: HashSet::new(),
             refused: Vec::new(),
         }
     }
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -17,6 +17,7 @@
 mod rate_limits;
 mod reachability;
 mod relocate;
+mod retained_memory;
 mod retry_rule;
 mod service_rates;
 mod support;
--- a/trouttrack_front/src/follow/self_reports.rs
+++ b/trouttrack_front/src/follow/self_reports.rs
@@ -12,7 +12,7 @@
 use trouttrack_core::Time;
 use trouttrack_core::rescue::Departure;
 use trouttrack_core::upstream::{
-    Incarnation, RateLimit, RateStatement, ReportedLimit, UpstreamNotice,
+    Incarnation, MemoryReport, RateLimit, RateStatement, ReportedLimit, UpstreamNotice,
 };
 use trouttrack_platform::{AnswerHead, EngineReport, OwnWord};
 use trouttrack_telemetry::{events, record};
@@ -71,6 +71,10 @@
     if report.born != 0 && upstream.born != 0 && report.born != upstream.born {
         return;
     }
+    if let Some(memory) = memory_report(report) {
+        let life = upstream.incarnation();
+        front.scheduler.record_memory(asked_at, &life, memory);
+    }
     let received = ReceivedStatement {
         word: OwnWord {
             leaving: report.leaving || report.word.leaving,
@@ -88,6 +92,16 @@
     apply_statement(front, upstream, &received, Departure::from_report(asked_at));
 }
 
+/// The memory that a report tells of; `None` if it does not list what every running request
+/// holds.
+fn memory_report(report: &EngineReport) -> Option<MemoryReport> {
+    let listed = report.generations.iter().map(|(_, tokens)| tokens);
+    (report.generations.len() >= report.running).then(|| MemoryReport {
+        used_tokens: report.used_tokens,
+        listed_tokens: listed.sum(),
+    })
+}
+
 /// Handles limits that upstreams stated or ended, as passed on by a peer.
 pub(crate) fn heard_from_peer(front: &Front, peer: &str, limits: &[ReportedLimit]) {
     let now = front.clock.now();
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -8,17 +8,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
-use trouttrack_core::UpstreamId;
 use trouttrack_core::membership::{Conditions, Evacuations, MAX_LIMITS_PER_DATAGRAM, UpstreamUse};
 use trouttrack_core::routing::Prediction;
 use trouttrack_core::upstream::{
-    Availability, Incarnation, RateLimit, RateShare, ReportedLimit, ReportedRate, Upstream,
-    UpstreamNotice, UpstreamSpec,
+    Availability, Incarnation, MemoryReport, RateLimit, RateShare, ReportedLimit, ReportedRate,
+    Upstream, UpstreamNotice, UpstreamSpec,
 };
 use trouttrack_core::world::{
     Decision, KnownRates, NotRunReason, RequestKey, SlowdownChange, Submission, World,
     WorldSettings,
 };
+use trouttrack_core::{Time, UpstreamId};
 
 /// Pause between two scheduling rounds while requests are queued.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -213,6 +213,12 @@
         self.world.borrow_mut().receive_notice(now, life, notice)
     }
 
+    /// Applies an engine's report of its memory that was requested at `asked_at`.
+    pub(crate) fn record_memory(&self, asked_at: Time, life: &Incarnation, report: MemoryReport) {
+        let mut world = self.world.borrow_mut();
+        world.record_memory(asked_at, life, report);
+    }
+
     /// The rate limit that an upstream has set for all VMs together.
     #[must_use]
     pub fn rate_limit(&self, upstream: &str) -> RateLimit {
