Test admission of 66 VMs with outdated reports

Admission was tested with one VM and invented reports. The new test runs 66 VMs before engines that get 15 % more patient work than they can hold. Urgent work arrives at a third of the VMs, demand is known by reports that are 0.5 s old, three VMs are cut off, one pauses and one starts; at last all VMs with urgent work fall silent.

It asserts that no urgent request waits in a VM and 95 in 100 get their first token in time, that patient work progresses on every VM, that no room stays unused for longer than the 2 s for which reports are valid, and that a VM that is cut off leaves room to its own urgent requests only, 2 s later.

--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -25,5 +25,6 @@
 mod uneven_domains;
 mod upstream_notices;
 mod upstream_table;
+mod urgent_on_some_vms;
 mod watcher_election;
 mod world;
