--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -18,6 +18,7 @@
 mod rate_limits;
 mod reachability;
 mod relocate;
+mod report_sizes;
 mod retained_memory;
 mod retry_rule;
 mod service_rates;
