Pause between load updates in fleets of more than 100 VMs

At 340 VMs and 1,000 generations a second load updates would take 31 kB/s a VM by calculation, and control has 13 kB/s. A pause now follows each update, as long as its bytes, over all receivers, take at 4 kB/s. It is zero up to 100 VMs, grows evenly to full length at 200, and does not depend on how many updates are due. What changes meanwhile is in the next update. Lost and refused connections, refusals and limits do not wait.

How placement fares with reports that are one to three seconds older at 340 VMs was not measured, and the sending loop has no test of its own.

--- a/trouttrack_front/src/follow/self_reports.rs
+++ b/trouttrack_front/src/follow/self_reports.rs
@@ -160,7 +160,7 @@
         record(front, &life, received);
     }
     if limit_changed {
-        front.scheduler.tell_soon();
+        front.scheduler.tell_urgently();
     }
     // The entry may have been removed and written again while the request was in progress.
     let listed = front.upstreams.get(&upstream.id);
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -5,7 +5,8 @@
 //! fleet's budget. The VM's use of upstreams changes with each generation that it
 //! dispatches, and with each request to an upstream whose rate limit the VMs share. Other
 //! VMs need such a change within the 200 ms that loading a prompt takes, so a load update
-//! goes out at once to all VMs that select among the same upstreams.
+//! goes out at once to all VMs that select among the same upstreams. In large fleets a pause
+//! follows, which only losses, refusals and limits do not wait for.
 
 use super::message::{Datagram, Heartbeat, Load};
 use super::post::post_with;
@@ -21,7 +22,7 @@
 use trouttrack_core::FailureDomain;
 use trouttrack_core::membership::{
     CHANGED_LIMIT_REPEAT_PERIOD, Conditions, Digest, LOCAL_FANOUT, REMOTE_FANOUT, UpstreamUse,
-    sends_aggregates,
+    load_update_pause, sends_aggregates,
 };
 use trouttrack_core::upstream::{RateShare, ReportedLimit, ReportedRate};
 use trouttrack_telemetry::{events, record};
@@ -39,6 +40,7 @@
 pub(crate) async fn send(front: Rc<Front>, socket: Rc<UdpSocket>) {
     let mut heartbeat_at = Instant::now();
     let mut update_at: Option<Instant> = None;
+    let mut pause_ends_at = Instant::now();
     loop {
         let wake_at = update_at.unwrap_or(heartbeat_at);
         tokio::select! {
@@ -51,19 +53,29 @@
                 heartbeat_at = Instant::now() + heartbeat_interval(&front);
             }
             () = front.suspects.news() => suspects::send_changes(&front, &socket),
-            () = front.scheduler.news(), if update_at.is_none() => {
+            () = front.scheduler.urgent_news(), if !is_soon(update_at) => {
                 update_at = Some(Instant::now() + LOAD_UPDATE_DELAY);
             }
+            () = front.scheduler.news(), if update_at.is_none() => {
+                update_at = Some(pause_ends_at.max(Instant::now() + LOAD_UPDATE_DELAY));
+            }
             () = tokio::time::sleep_until(wake_at), if update_at.is_some() => {
                 update_at = None;
                 if front.serving.tell_changes {
-                    send_load(&front, &socket);
+                    let sent = send_load(&front, &socket);
+                    let pause = load_update_pause(front.peers.listed(), sent);
+                    pause_ends_at = Instant::now() + pause;
                 }
             }
         }
     }
 }
 
+/// Whether a load update is due that does not wait for a pause to end.
+fn is_soon(update_at: Option<Instant>) -> bool {
+    update_at.is_some_and(|at| at <= Instant::now() + LOAD_UPDATE_DELAY)
+}
+
 /// Interval until the next heartbeats. Peers rely on those of a VM that watches the store,
 /// so it has an interval of its own.
 fn heartbeat_interval(front: &Front) -> Duration {
@@ -159,7 +171,9 @@
 ///
 /// The latter would otherwise learn of requests from this one by heartbeats, two seconds later,
 /// and know less than half of the prompt tokens ahead of a request.
-fn send_load(front: &Front, socket: &UdpSocket) {
+///
+/// Returns the number of bytes sent.
+fn send_load(front: &Front, socket: &UdpSocket) -> usize {
     let to_all = !is_large(front);
     let uses = front.scheduler.local_uses();
     let limits = front.scheduler.limits(Some(CHANGED_LIMIT_REPEAT_PERIOD));
@@ -169,7 +183,7 @@
     };
     let receivers = front.peers.heard_in(selects_same_upstreams);
     if receivers.is_empty() {
-        return;
+        return 0;
     }
     let load = Load {
         name: front.name.clone(),
@@ -179,7 +193,7 @@
     };
     let mut conditions = front.scheduler.conditions();
     conditions.retain_new_reachability();
-    post_with(socket, &Datagram::Load(load), &conditions, receivers);
+    post_with(socket, &Datagram::Load(load), &conditions, receivers)
 }
 
 /// Failure domains of the upstreams that are in use or whose limits have changed.
--- a/trouttrack_front/src/state/reachability.rs
+++ b/trouttrack_front/src/state/reachability.rs
@@ -22,7 +22,7 @@
     pub(super) fn report_reachability(&self) {
         let changes = self.world.borrow_mut().take_reachability_changes();
         if changes.iter().any(|change| change.peer.is_none()) {
-            self.tell_soon();
+            self.tell_urgently();
         }
         changes.iter().for_each(log_change);
     }
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -70,6 +70,8 @@
     queued: Notify,
     /// Signalled when a change should be sent to the other VMs soon.
     news: Notify,
+    /// As `news`, for changes that do not wait for the pause between load updates.
+    urgent_news: Notify,
 }
 
 impl Scheduler {
@@ -82,6 +84,7 @@
             waiting: RefCell::default(),
             queued: Notify::new(),
             news: Notify::new(),
+            urgent_news: Notify::new(),
         }
     }
 
@@ -174,8 +177,19 @@
         self.news.notify_one();
     }
 
+    /// Requests that a change be sent to the other VMs soon, even shortly after another one.
+    pub(crate) fn tell_urgently(&self) {
+        self.urgent_news.notify_one();
+    }
+
+    /// Waits until a change should be sent soon even shortly after another one: a connection was
+    /// lost or refused, or an upstream refused a request or stated a limit.
+    pub(crate) async fn urgent_news(&self) {
+        self.urgent_news.notified().await;
+    }
+
     /// Waits until a change should be sent to the other VMs soon: a generation was placed on an
-    /// engine, a shared rate limit was used, or a connection was lost.
+    /// engine, has its first token or has ended, or a shared rate limit was used.
     pub async fn news(&self) {
         self.news.notified().await;
     }
