Benchmark decisions among upstreams of three speeds

The decision benchmark knew only rates that differ by little. The group decision_three_speeds places requests at 10, 100 and 900 upstreams of three speeds whose rates ten peers have reported, and asserts that more than a quarter of them count as slow.

--- a/trouttrack_core/benches/decision.rs
+++ b/trouttrack_core/benches/decision.rs
@@ -28,6 +28,9 @@
 const RATES_PER_REPORT: usize = 16;
 /// Number of peers that report the rate of an upstream.
 const PEERS_PER_UPSTREAM: usize = 10;
+/// Time between two events at engines of three speeds, as [`ReportedMean::log_us`]: 24, 40 and
+/// 65 ms.
+const THREE_SPEEDS: [u16; 3] = [10_086, 10_597, 11_082];
 /// Number of peers, whose heartbeats arrive in turn.
 const PEERS: usize = 340;
 
@@ -86,11 +89,23 @@
     }
 }
 
-fn decide(world: &mut World, i: usize, organisations: usize) {
+/// Number of the first decision of which the tail is printed.
+const TAIL_START: usize = 10_000_000;
+
+/// How the rates of upstreams differ.
+#[derive(Clone, Copy, Debug)]
+enum Speeds {
+    /// By little, as those of equal upstreams do.
+    Equal,
+    Three,
+}
+
+fn decide(world: &mut World, i: usize, organisations: usize, speeds: Speeds) {
     let now = Duration::from_millis(i as u64);
     if i.is_multiple_of(DECISIONS_PER_REPORT) {
         let first = i / DECISIONS_PER_REPORT * RATES_PER_REPORT;
-        hear_rates(world, now, "vm-1", first..first + RATES_PER_REPORT);
+        let upstreams = first..first + RATES_PER_REPORT;
+        hear_rates(world, now, "vm-1", upstreams, speeds);
     }
     world.submit(now, submission(i, organisations));
     for d in world.tick(now) {
@@ -101,21 +116,34 @@
 }
 
 /// Applies a peer's report of the service rates of some upstreams.
-fn hear_rates(world: &mut World, now: Duration, peer: &str, upstreams: Range<usize>) {
+fn hear_rates(
+    world: &mut World,
+    now: Duration,
+    peer: &str,
+    upstreams: Range<usize>,
+    speeds: Speeds,
+) {
     let conditions = Conditions {
-        rates: upstreams.map(rate).collect(),
+        rates: upstreams.map(|i| rate(i, speeds)).collect(),
         ..Conditions::default()
     };
     world.record_peer_conditions(now, peer, true, &conditions);
 }
 
-fn rate(i: usize) -> ReportedRate {
-    let id = format!("e{}", i % UPSTREAMS[2]);
+fn rate(i: usize, speeds: Speeds) -> ReportedRate {
+    let n = i % UPSTREAMS[2];
     let mean = |log_us| ReportedMean { weight: 24, log_us };
+    let (event_gap, prefill) = match speeds {
+        Speeds::Equal => (10_000 + i % 7 * 100, 12_000 + i % 5 * 100),
+        Speeds::Three => {
+            let gap = usize::from(THREE_SPEEDS[n % 3]);
+            (gap, gap + 1_600)
+        }
+    };
     ReportedRate {
-        upstream: incarnation_hash(&Incarnation::new(&id, 0)),
-        event_gap: mean(10_000 + (i % 7 * 100) as u16),
-        prefill: mean(12_000 + (i % 5 * 100) as u16),
+        upstream: incarnation_hash(&Incarnation::new(&format!("e{n}"), 0)),
+        event_gap: mean(event_gap as u16),
+        prefill: mean(prefill as u16),
         call: ReportedMean::default(),
     }
 }
@@ -127,7 +155,8 @@
         let mut world = world(upstreams, 10);
         let mut now = Duration::from_secs(1);
         for peer in 0..PEERS_PER_UPSTREAM {
-            hear_rates(&mut world, now, &format!("vm-{peer}"), 0..upstreams);
+            let peer = format!("vm-{peer}");
+            hear_rates(&mut world, now, &peer, 0..upstreams, Speeds::Equal);
         }
         group.bench_function(BenchmarkId::new("estimate", upstreams), |b| {
             b.iter(|| {
@@ -150,28 +179,60 @@
             group.bench_function(id, |b| {
                 b.iter(|| {
                     i += 1;
-                    decide(&mut world, i, organisations);
+                    decide(&mut world, i, organisations, Speeds::Equal);
                 });
             });
-            print_tail(&mut world, upstreams, organisations);
+            print_tail(&mut world, upstreams, organisations, Speeds::Equal);
         }
     }
     group.finish();
 }
 
+/// Benchmarks decisions among upstreams of three speeds, whose samples and predictions are larger.
+fn uneven_decisions(c: &mut Criterion) {
+    let mut group = c.benchmark_group("decision_three_speeds");
+    let organisations = ORGANISATIONS[0];
+    for upstreams in UPSTREAMS {
+        let mut world = world(upstreams, organisations);
+        let mut i = 1_000_000;
+        hear_all_rates(&mut world, i, upstreams);
+        let slow = world.known_rates().slow;
+        assert!(slow * 4 > upstreams, "{slow} of {upstreams} are slow");
+        group.bench_function(BenchmarkId::from_parameter(upstreams), |b| {
+            b.iter(|| {
+                i += 1;
+                decide(&mut world, i, organisations, Speeds::Three);
+            });
+        });
+        hear_all_rates(&mut world, TAIL_START, upstreams);
+        print_tail(&mut world, upstreams, organisations, Speeds::Three);
+    }
+    group.finish();
+}
+
+/// Applies reports of all upstreams, of three speeds, at the time of decision `i`.
+fn hear_all_rates(world: &mut World, i: usize, upstreams: usize) {
+    let now = Duration::from_millis(i as u64);
+    for peer in 0..PEERS_PER_UPSTREAM {
+        let peer = format!("vm-{peer}");
+        hear_rates(world, now, &peer, 0..upstreams, Speeds::Three);
+    }
+    world.update_rates(now);
+}
+
 /// Prints the tail latency of single decisions, which the mean hides.
-fn print_tail(world: &mut World, upstreams: usize, organisations: usize) {
+fn print_tail(world: &mut World, upstreams: usize, organisations: usize, speeds: Speeds) {
     const DECISIONS: usize = 20_000;
     let mut times: Vec<Duration> = (0..DECISIONS)
         .map(|i| {
             let start = Instant::now();
-            decide(world, 10_000_000 + i, organisations);
+            decide(world, TAIL_START + i, organisations, speeds);
             start.elapsed()
         })
         .collect();
     times.sort_unstable();
     println!(
-        "upstreams={upstreams} organisations={organisations} p50_us={:.1} p99_us={:.1}",
+        "upstreams={upstreams} organisations={organisations} speeds={speeds:?} p50_us={:.1} p99_us={:.1}",
         times[DECISIONS / 2].as_secs_f64() * 1e6,
         times[DECISIONS * 99 / 100].as_secs_f64() * 1e6
     );
@@ -226,5 +287,5 @@
     }
 }
 
-criterion_group!(benches, decisions, membership, rates);
+criterion_group!(benches, decisions, uneven_decisions, membership, rates);
 criterion_main!(benches);
