--- a/trouttrack_core/src/world/tables/mod.rs
+++ b/trouttrack_core/src/world/tables/mod.rs
@@ -17,7 +17,7 @@
 use crate::Time;
 use crate::length::LengthTable;
 use crate::routing::ExplanationTable;
-use crate::upstream::{RateShare, ReachabilityTable, UpstreamNotices, UpstreamTable};
+use crate::upstream::{RateShare, ReachabilityTable, UpstreamKey, UpstreamNotices, UpstreamTable};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
@@ -81,6 +81,8 @@
     pub(crate) store_silent_since: Option<Time>,
     /// Share that this VM has of a rate limit common to all VMs; none until it is set.
     pub(crate) rate_share: RateShare,
+    /// Upstreams that hold memory for no running request.
+    pub(crate) retaining: HashSet<UpstreamKey>,
     pub(crate) rng: SmallRng,
     pub(crate) refused: Vec<Decision>,
 }
@@ -110,6 +112,7 @@
             reachability_changes: Vec::new(),
             local_peer_heard_at: None,
             store_silent_since: None,
+            retaining: HashSet::new(),
             refused: Vec::new(),
         }
     }
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -8,17 +8,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
-use trouttrack_core::UpstreamId;
 use trouttrack_core::membership::{Conditions, Evacuations, MAX_LIMITS_PER_DATAGRAM, UpstreamUse};
 use trouttrack_core::routing::Prediction;
 use trouttrack_core::upstream::{
-    Availability, Incarnation, RateLimit, RateShare, ReportedLimit, ReportedRate, Upstream,
-    UpstreamNotice, UpstreamSpec,
+    Availability, Incarnation, MemoryReport, RateLimit, RateShare, ReportedLimit, ReportedRate,
+    Upstream, UpstreamNotice, UpstreamSpec,
 };
 use trouttrack_core::world::{
     Decision, KnownRates, NotRunReason, RequestKey, SlowdownChange, Submission, World,
     WorldSettings,
 };
+use trouttrack_core::{Time, UpstreamId};
 
 /// Pause between two scheduling rounds while requests are queued.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -70,6 +70,8 @@
     queued: Notify,
     /// Signalled when a change should be sent to the other VMs soon.
     load_update: Notify,
+    /// As `load_update`, for changes that do not wait for the pause between load updates.
+    urgent_load_update: Notify,
 }
 
 impl Scheduler {
@@ -82,6 +84,7 @@
             waiting: RefCell::default(),
             queued: Notify::new(),
             load_update: Notify::new(),
+            urgent_load_update: Notify::new(),
         }
     }
 
@@ -174,8 +177,19 @@
         self.load_update.notify_one();
     }
 
+    /// Requests that a change be sent to the other VMs soon, even shortly after another one.
+    pub(crate) fn schedule_urgent_load_update(&self) {
+        self.urgent_load_update.notify_one();
+    }
+
+    /// Waits until a change should be sent soon even shortly after another one: a connection was
+    /// lost or refused, or an upstream refused a request or stated a limit.
+    pub(crate) async fn urgent_load_update_requested(&self) {
+        self.urgent_load_update.notified().await;
+    }
+
     /// Waits until a change should be sent to the other VMs soon: a generation was placed on an
-    /// engine, a shared rate limit was used, or a connection was lost.
+    /// engine, has its first token or has ended, or a shared rate limit was used.
     pub async fn load_update_requested(&self) {
         self.load_update.notified().await;
     }
@@ -213,6 +227,17 @@
         self.world.borrow_mut().receive_notice(now, life, notice)
     }
 
+    /// Applies an engine's report of its memory that was requested at `requested_at`.
+    pub(crate) fn record_memory(
+        &self,
+        requested_at: Time,
+        life: &Incarnation,
+        report: MemoryReport,
+    ) {
+        let mut world = self.world.borrow_mut();
+        world.record_memory(requested_at, life, report);
+    }
+
     /// The rate limit that an upstream has set for all VMs together.
     #[must_use]
     pub fn rate_limit(&self, upstream: &str) -> RateLimit {
