Soak: slow and vanished upstreams, bursts and slow readers

The soak disturbed no upstream's speed, ended upstreams one by one with the store at hand, and all callers read at once.

New promises: what a VM keeps stays under its bound, a caller that reads is not disconnected for another's stall, and upstreams that are gone make nothing fail that others could serve. A caller that reads slowly may be cut off, as its stream cannot end in its time; its answer must be a beginning of its one stream. The tests break each.

--- a/trouttrack_soak/src/bed/balance.rs
+++ b/trouttrack_soak/src/bed/balance.rs
@@ -13,7 +13,7 @@
 /// How often readiness is asked for, as by the platform's balancer.
 const ASK_READY: Duration = Duration::from_secs(1);
 /// How long an answer about readiness may take.
-const READY_TIMEOUT: Duration = Duration::from_millis(500);
+pub(super) const READY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Misses in a row after which a VM gets no new callers.
 pub(super) const MISSES: u32 = 2;
 
--- a/trouttrack_soak/src/bed/config.rs
+++ b/trouttrack_soak/src/bed/config.rs
@@ -86,7 +86,8 @@
 
     fn refresh(&mut self) {
         let marker = RouteName::Marker(self.newest.version);
-        let names = RouteName::LASTING.into_iter().chain([marker]);
+        let names = RouteName::LASTING.into_iter().chain(RouteName::HARD_LOAD);
+        let names = names.chain([marker]);
         self.newest.routes = names.map(RouteName::route).collect();
         let passing = self.passing_keys.last().map(|k| k.text.clone());
         let keys = [LASTING_KEY.to_owned()].into_iter().chain(passing);
--- a/trouttrack_soak/src/bed/fleet.rs
+++ b/trouttrack_soak/src/bed/fleet.rs
@@ -56,6 +56,8 @@
     pub(crate) cold: RefCell<Vec<TurnedCold>>,
     /// The configurations so far.
     pub(crate) configs: RefCell<Configs>,
+    /// The most bytes that each VM said it kept; `None` before it has said any.
+    pub(crate) most_kept: Vec<Cell<Option<usize>>>,
     /// Questions about readiness that each VM has missed in a row.
     pub(super) misses: Vec<Cell<u32>>,
 }
@@ -81,6 +83,7 @@
             evacuations: RefCell::default(),
             cold: RefCell::default(),
             configs: RefCell::new(configs),
+            most_kept: vec![Cell::new(None); size.vms],
             misses: Vec::new(),
         };
         for number in 1..=size.vms {
--- a/trouttrack_soak/src/bed/mod.rs
+++ b/trouttrack_soak/src/bed/mod.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod config;
 mod fleet;
+mod kept;
 mod routes;
 mod upstreams;
 
@@ -12,5 +13,5 @@
 pub use fleet::{Evacuated, TurnedCold};
 pub use routes::RouteName;
 pub(crate) use routes::{ENGINES, HOST};
-pub use upstreams::{DOMAINS, EVENTS, FATAL};
-pub(crate) use upstreams::{Member, Upstreams};
+pub use upstreams::{DOMAINS, EVENTS, FATAL, LONG_BY};
+pub(crate) use upstreams::{LONG, Member, PACE, Upstreams};
--- a/trouttrack_soak/src/bed/routes.rs
+++ b/trouttrack_soak/src/bed/routes.rs
@@ -24,14 +24,29 @@
     Resume,
     /// Streams that may not.
     Draft,
+    /// Streams with long prompts and time to spare.
+    Patient,
+    /// Streams whose first token is due soon.
+    Urgent,
+    /// Streams of long events, whose callers read slowly or not at all.
+    Long,
     /// Plain calls on the route that only one version of the configuration has.
     Marker(ConfigVersion),
 }
 
 impl RouteName {
-    /// Those that every configuration has.
+    /// Those that callers ask all the time; every configuration has them.
     pub const LASTING: [Self; 4] = [Self::Many, Self::Once, Self::Resume, Self::Draft];
 
+    /// Those of hard load, which every configuration has as well.
+    pub(super) const HARD_LOAD: [Self; 3] = [Self::Patient, Self::Urgent, Self::Long];
+
+    /// Whether every configuration has it.
+    #[must_use]
+    pub fn is_lasting(self) -> bool {
+        !matches!(self, Self::Marker(_))
+    }
+
     /// What its paths begin with.
     #[must_use]
     pub fn prefix(self) -> String {
@@ -40,6 +55,9 @@
             Self::Once => "/once/".to_owned(),
             Self::Resume => "/resume/".to_owned(),
             Self::Draft => "/draft/".to_owned(),
+            Self::Patient => "/patient/".to_owned(),
+            Self::Urgent => "/urgent/".to_owned(),
+            Self::Long => "/long/".to_owned(),
             Self::Marker(version) => format!("/v{version}/"),
         }
     }
@@ -55,7 +73,7 @@
                 resumable: true,
                 longest_pause,
             },
-            Self::Draft => RouteKind::Stream {
+            Self::Draft | Self::Patient | Self::Urgent | Self::Long => RouteKind::Stream {
                 resumable: false,
                 longest_pause,
             },
@@ -68,6 +86,22 @@
         format!("{}x", self.prefix())
     }
 
+    fn objective(self) -> Duration {
+        Duration::from_millis(match self {
+            Self::Patient => 4000,
+            Self::Urgent => 500,
+            _ => 1000,
+        })
+    }
+
+    fn priority(self) -> u8 {
+        match self {
+            Self::Patient => 3,
+            Self::Urgent => 0,
+            other => u8::from(other.kind().is_stream()),
+        }
+    }
+
     /// The route as it stands in configurations.
     pub(super) fn route(self) -> Route {
         let kind = self.kind();
@@ -78,8 +112,8 @@
             path_prefix: self.prefix(),
             kind,
             timeout: TIMEOUT,
-            objective: Duration::from_secs(1),
-            priority: u8::from(kind.is_stream()),
+            objective: self.objective(),
+            priority: self.priority(),
             shares: vec![Share {
                 service: service.to_owned(),
                 weight: 1.0,
--- a/trouttrack_soak/src/bed/upstreams.rs
+++ b/trouttrack_soak/src/bed/upstreams.rs
@@ -14,8 +14,12 @@
 pub const EVENTS: u64 = 60;
 /// The body of a request that ends each engine that begins to run it.
 pub const FATAL: &str = "what ends an engine";
+/// The body of a request for long events.
+pub(crate) const LONG: &str = "long events";
+/// Bytes that are added to a long event: a stream holds more than the system's socket buffers.
+pub const LONG_BY: usize = 120 << 10;
 /// Between two events: a stream takes about a second.
-const PACE: Duration = Duration::from_millis(15);
+pub(crate) const PACE: Duration = Duration::from_millis(15);
 
 /// An upstream and the link before it.
 #[derive(Clone, Debug)]
@@ -41,6 +45,8 @@
     all: RefCell<Vec<Upstream>>,
     /// Who was said to leave, and when the store took that.
     left: RefCell<Vec<(String, Instant)>>,
+    /// Those that have gone, and that only the act by which they went replaces.
+    gone: RefCell<Vec<String>>,
     started: Cell<usize>,
 }
 
@@ -51,6 +57,7 @@
             now: RefCell::default(),
             all: RefCell::default(),
             left: RefCell::default(),
+            gone: RefCell::default(),
             started: Cell::new(0),
         };
         for service in [PLAIN, ENGINES] {
@@ -72,6 +79,7 @@
             upstream.pace(PACE);
             upstream.always(Behaviour::Stream(EVENTS));
             upstream.ends_under(FATAL);
+            upstream.pads_under(LONG, LONG_BY);
         }
         let link = Link::before(upstream.addr).await?;
         self.all.borrow_mut().push(upstream.clone());
@@ -81,11 +89,32 @@
         Ok(member)
     }
 
+    /// A quarter of the service of the upstream at a place: that one and those that follow it.
+    #[must_use]
+    pub(crate) fn quarter(&self, place: usize) -> Vec<Member> {
+        let service = self.at(place).upstream.service;
+        let mut all = self.now();
+        let first = place % all.len();
+        all.rotate_left(first);
+        all.retain(|m| m.upstream.service == service);
+        all.truncate(all.len().div_ceil(4));
+        all
+    }
+
+    /// Ends a member without a word; nobody listens at its link any more.
+    pub(crate) fn vanish(&self, member: &Member) {
+        self.gone.borrow_mut().push(member.upstream.id.clone());
+        member.upstream.kill();
+    }
+
     /// Those of now that have ended.
     #[must_use]
     pub(crate) fn ended(&self) -> Vec<Member> {
         let now = self.now.borrow();
-        let ended = now.iter().filter(|m| m.upstream.has_ended());
+        let ended = now.iter().filter(|m| {
+            let id = &m.upstream.id;
+            m.upstream.has_ended() && !self.gone.borrow().contains(id)
+        });
         ended.cloned().collect()
     }
 
--- a/trouttrack_soak/src/callers/ask.rs
+++ b/trouttrack_soak/src/callers/ask.rs
@@ -1,24 +1,26 @@
 //! Callers that ask until they are to end.
 
 use super::call::{Call, Told};
-use crate::bed::{Bed, FATAL, HOST, LASTING_KEY, RouteName};
+use crate::bed::{Bed, FATAL, HOST, LASTING_KEY, LONG, RouteName};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::cell::{Cell, RefCell};
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::task::JoinHandle;
 use trouttrack_http::{Answer, Client, Reuse, SendError};
 use trouttrack_platform_standin::{CallerRequest, Reply};
 
 /// Pause of a caller between two requests, in milliseconds.
 const PAUSE_MS: Range<u64> = 2..60;
 /// How long callers wait: longer than a stream takes.
-const PATIENCE: Duration = Duration::from_secs(4);
+pub(super) const PATIENCE: Duration = Duration::from_secs(4);
 /// How much longer than that an answer is waited for before it is missed.
-const HUNG_AFTER: Duration = Duration::from_millis(2500);
+pub(super) const HUNG_AFTER: Duration = Duration::from_millis(2500);
 /// Tokens of a prompt.
 const PROMPT_TOKENS: u64 = 100;
+const LONG_PROMPT_TOKENS: u64 = 2000;
 /// What callers say will be generated: four tokens in each of a stream's events.
 const GUESSED_TOKENS: u64 = 240;
 /// Begins the ids of requests that end engines.
@@ -31,10 +33,14 @@
 /// Everything that callers asked.
 #[derive(Debug)]
 pub(crate) struct Callers {
-    bed: Rc<Bed>,
-    calls: RefCell<Vec<Call>>,
+    pub(super) bed: Rc<Bed>,
+    pub(super) calls: RefCell<Vec<Call>>,
+    /// Those who ask once.
+    pub(super) passing: RefCell<Vec<JoinHandle<()>>>,
+    /// Numbers the requests of those who ask once.
+    pub(super) asked: Cell<u64>,
     /// No more requests are made.
-    ending: Cell<bool>,
+    pub(super) ending: Cell<bool>,
 }
 
 impl Callers {
@@ -44,6 +50,8 @@
         Rc::new(Self {
             bed,
             calls: RefCell::default(),
+            passing: RefCell::default(),
+            asked: Cell::new(0),
             ending: Cell::new(false),
         })
     }
@@ -59,6 +67,16 @@
         self.calls.borrow().clone()
     }
 
+    /// Waits for those who ask once.
+    pub(crate) async fn passing(&self) {
+        let passing = self.passing.take();
+        for caller in passing {
+            if let Err(e) = caller.await {
+                eprintln!("a caller ended early: {e}");
+            }
+        }
+    }
+
     /// One caller, until callers are to end. It keeps its connections as long
     /// as they are kept for it.
     pub(crate) async fn run(self: Rc<Self>, number: usize, seed: u64) {
@@ -115,13 +133,20 @@
         keys[one].text.clone()
     }
 
-    async fn ask(&self, client: &Client, asked: Asked, req: &CallerRequest) -> Call {
+    pub(super) async fn ask(&self, client: &Client, asked: Asked, req: &CallerRequest) -> Call {
+        let to = self.bed.caller_links[asked.vm].addr();
+        let asking = async { take(client.send(to, req.build(), Reuse::Any).await).await };
+        let told = tokio::time::timeout(PATIENCE + HUNG_AFTER, asking);
+        let told = async { told.await.unwrap_or(Told::Nothing) };
+        self.note(asked, told).await
+    }
+
+    /// Waits for what a caller is told.
+    pub(super) async fn note(&self, asked: Asked, told: impl Future<Output = Told>) -> Call {
         let Asked { id, vm, route, key } = asked;
-        let to = self.bed.caller_links[vm].addr();
         let life = self.bed.vms[vm].life();
         let sent = Instant::now();
-        let asking = async { take(client.send(to, req.build(), Reuse::Any).await).await };
-        let told = tokio::time::timeout(PATIENCE + HUNG_AFTER, asking).await;
+        let told = told.await;
         let same_life = life == self.bed.vms[vm].life();
         Call {
             id,
@@ -131,27 +156,30 @@
             key,
             sent,
             ended: Instant::now(),
-            told: told.unwrap_or(Told::Nothing),
+            told,
         }
     }
 }
 
 /// What is asked, and of which VM.
-struct Asked {
-    id: String,
-    vm: usize,
-    route: RouteName,
-    key: String,
+pub(super) struct Asked {
+    pub(super) id: String,
+    pub(super) vm: usize,
+    pub(super) route: RouteName,
+    pub(super) key: String,
 }
 
 impl Asked {
-    fn request(&self) -> CallerRequest {
+    pub(super) fn request(&self) -> CallerRequest {
         let req = CallerRequest::get(&self.id, HOST, &self.route.target())
             .key(&self.key)
             .patience(PATIENCE);
-        match self.route.kind().is_stream() {
-            true => req.post("a prompt").tokens(PROMPT_TOKENS, GUESSED_TOKENS),
-            false => req,
+        let stream = |body, prompt| req.clone().post(body).tokens(prompt, GUESSED_TOKENS);
+        match self.route {
+            RouteName::Long => stream(LONG, PROMPT_TOKENS),
+            RouteName::Patient => stream("a prompt", LONG_PROMPT_TOKENS),
+            route if route.kind().is_stream() => stream("a prompt", PROMPT_TOKENS),
+            _ => req,
         }
     }
 }
--- /dev/null
+++ b/trouttrack_soak/src/callers/hard_load.rs
@@ -0,0 +1,145 @@
+//! Callers who ask all at once, and callers who read slowly or not at all.
+
+use super::ask::{Asked, Callers, HUNG_AFTER, PATIENCE};
+use super::call::Told;
+use crate::bed::{LASTING_KEY, RouteName};
+use rand::RngExt;
+use rand::rngs::SmallRng;
+use std::ops::Range;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::time::{sleep, timeout};
+use trouttrack_http::{Answer, Client, Reuse};
+use trouttrack_platform_standin::Reply;
+
+/// Between two patient requests of a burst, and the urgent ones that follow it.
+const BURST_PAUSE: Duration = Duration::from_millis(25);
+const URGENT: usize = 10;
+/// Callers that begin to read slowly at once.
+const READERS: Range<usize> = 4..8;
+/// How long one stops reading, in seconds.
+const STALL: Range<f64> = 2.0..5.0;
+/// Between two pieces that one reads who reads on slowly.
+const PIECE_PAUSE: Duration = Duration::from_secs(1);
+/// How soon one who does not read notices that the VM has gone, or that the soak ends.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// How a caller reads.
+#[derive(Clone, Copy, Debug)]
+enum Manner {
+    /// Stops once for so long.
+    Stalls(Duration),
+    /// Stops for good, and keeps its connection.
+    Stops,
+    /// Reads a piece each second.
+    Trickles,
+}
+
+impl Manner {
+    fn draw(rng: &mut SmallRng) -> Self {
+        match rng.random_range(0..3) {
+            0 => Self::Stalls(Duration::from_secs_f64(rng.random_range(STALL))),
+            1 => Self::Stops,
+            _ => Self::Trickles,
+        }
+    }
+
+    /// How long it does not read after so many pieces.
+    fn pause(self, pieces: usize) -> Duration {
+        match self {
+            Self::Stalls(lasts) if pieces == 1 => lasts,
+            Self::Stalls(_) => Duration::ZERO,
+            Self::Stops => Duration::MAX,
+            Self::Trickles => PIECE_PAUSE,
+        }
+    }
+}
+
+impl Callers {
+    /// Many patient requests, and urgent ones right after them, at any VM.
+    pub(crate) async fn burst(self: &Rc<Self>, lasts: Duration) {
+        let began = Instant::now();
+        while began.elapsed() < lasts {
+            self.ask_once(RouteName::Patient);
+            sleep(BURST_PAUSE).await;
+        }
+        (0..URGENT).for_each(|_| self.ask_once(RouteName::Urgent));
+    }
+
+    /// Several callers of a VM begin to read slowly, each on a connection of its own.
+    pub(crate) fn read_slowly(self: &Rc<Self>, vm: usize, rng: &mut SmallRng) {
+        for _ in 0..rng.random_range(READERS) {
+            let (this, manner) = (Rc::clone(self), Manner::draw(rng));
+            let asked = self.passing_by(vm, RouteName::Long);
+            let reading = actix_rt::spawn(async move {
+                let told = this.slowly(asked.vm, asked.request().build(), manner);
+                let call = this.note(asked, told).await;
+                this.calls.borrow_mut().push(call);
+            });
+            self.passing.borrow_mut().push(reading);
+        }
+    }
+
+    fn ask_once(self: &Rc<Self>, route: RouteName) {
+        let ready = self.bed.ready();
+        let this = Rc::clone(self);
+        let asked = self.passing_by(ready[self.asked.get() as usize % ready.len()], route);
+        let asking = actix_rt::spawn(async move {
+            let req = asked.request();
+            let call = this.ask(&Client::builder().build(), asked, &req).await;
+            this.calls.borrow_mut().push(call);
+        });
+        self.passing.borrow_mut().push(asking);
+    }
+
+    fn passing_by(&self, vm: usize, route: RouteName) -> Asked {
+        self.asked.set(self.asked.get() + 1);
+        Asked {
+            id: format!("p{}", self.asked.get()),
+            vm,
+            route,
+            key: LASTING_KEY.to_owned(),
+        }
+    }
+
+    /// Asks a VM without a link between, which would read in the caller's place.
+    async fn slowly(&self, vm: usize, req: http::Request<bytes::Bytes>, manner: Manner) -> Told {
+        let client = Client::builder().build();
+        let asking = client.send(self.bed.vms[vm].ports.callers, req, Reuse::Never);
+        match timeout(PATIENCE + HUNG_AFTER, asking).await {
+            Ok(Ok(answer)) => Told::Answer(self.take_slowly(vm, answer, manner).await),
+            Ok(Err(e)) => Told::NoAnswer {
+                was_sent: !e.was_not_sent(),
+            },
+            Err(_) => Told::Nothing,
+        }
+    }
+
+    /// Reads in a manner, until the end, the end of the VM's process, or that of the soak.
+    async fn take_slowly(&self, vm: usize, mut answer: Answer, manner: Manner) -> Reply {
+        let mut reply = Reply::begin(&answer);
+        let life = self.bed.vms[vm].life();
+        let mut pieces = 0;
+        let mut read_at = Instant::now();
+        while !self.ending.get() && life == self.bed.vms[vm].life() {
+            if pieces > 0 && read_at.elapsed() < manner.pause(pieces) {
+                sleep(LOOK).await;
+                continue;
+            }
+            match timeout(LOOK, answer.body.next()).await {
+                Err(_) => {}
+                Ok(Ok(Some(bytes))) => {
+                    reply.body.extend_from_slice(&bytes);
+                    pieces += 1;
+                    read_at = Instant::now();
+                }
+                Ok(Ok(None)) => {
+                    reply.whole = true;
+                    break;
+                }
+                Ok(Err(_)) => break,
+            }
+        }
+        reply
+    }
+}
--- a/trouttrack_soak/src/callers/mod.rs
+++ b/trouttrack_soak/src/callers/mod.rs
@@ -2,6 +2,7 @@
 
 mod ask;
 mod call;
+mod hard_load;
 
 pub(crate) use ask::{Callers, FATAL_ID};
 pub(crate) use call::is_success;
--- a/trouttrack_soak/src/check/answers.rs
+++ b/trouttrack_soak/src/check/answers.rs
@@ -1,7 +1,7 @@
 //! Each caller gets its own whole answer, each token once and in order.
 
 use super::{CONTACT, Evidence, Finding};
-use crate::bed::{EVENTS, ORGANISATION};
+use crate::bed::{EVENTS, LONG_BY, ORGANISATION, RouteName};
 use crate::callers::{Call, Told, is_success};
 use trouttrack_platform_standin::Reply;
 
@@ -48,7 +48,11 @@
 
 fn stream(call: &Call, reply: &Reply) -> Option<Finding> {
     let id = &call.id;
-    let events = (1..=EVENTS).map(|n| format!("id: {n}\ndata: {id}/{n}\n\n"));
+    let padding = match call.route {
+        RouteName::Long => ".".repeat(LONG_BY),
+        _ => String::new(),
+    };
+    let events = (1..=EVENTS).map(|n| format!("id: {n}\ndata: {id}/{n}{padding}\n\n"));
     let expected: String = events.collect();
     let text = reply.text();
     (!is_right(reply, &text, &expected)).then(|| {
--- a/trouttrack_soak/src/check/evidence.rs
+++ b/trouttrack_soak/src/check/evidence.rs
@@ -4,6 +4,7 @@
 use crate::callers::Call;
 use crate::faults::History;
 use crate::vm::EndedBy;
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 use trouttrack_core::ConfigVersion;
@@ -49,6 +50,10 @@
     pub passing_keys: Vec<Key>,
     /// How the lives of each VM ended.
     pub lives: Vec<(String, Vec<EndedBy>)>,
+    /// The requests whose callers were disconnected because they did not read.
+    pub ended_readers: Vec<String>,
+    /// The most bytes that each VM said it kept for such callers; `None` if it said nothing.
+    pub most_kept: Vec<Option<usize>>,
     /// What was done when.
     pub history: History,
     /// Whether promises about times are checked.
@@ -86,6 +91,8 @@
             versions: configs.acknowledged.clone(),
             passing_keys: configs.passing_keys.clone(),
             lives: lives.collect(),
+            ended_readers: bed.vms.iter().flat_map(|vm| vm.ended_readers()).collect(),
+            most_kept: bed.most_kept.iter().map(Cell::get).collect(),
             history,
             timed,
         }
--- a/trouttrack_soak/src/check/keys.rs
+++ b/trouttrack_soak/src/check/keys.rs
@@ -35,7 +35,7 @@
 
 /// What stands in all configurations is refused by nobody.
 fn denied(call: &Call) -> Option<Finding> {
-    let lasting = RouteName::LASTING.contains(&call.route) && call.key == LASTING_KEY;
+    let lasting = call.route.is_lasting() && call.key == LASTING_KEY;
     (lasting && is_denied(call)).then(|| Finding::of(ALLOWED, &call.id, format!("{:?}", call.told)))
 }
 
--- /dev/null
+++ b/trouttrack_soak/src/check/load.rs
@@ -0,0 +1,66 @@
+//! Slow readers and upstreams that are gone.
+
+use super::{BUFFERS, CONTACT, Evidence, Finding};
+use crate::bed::RouteName;
+use crate::callers::Call;
+use crate::plan::Act;
+use std::time::Instant;
+
+const KEPT: &str = "what a VM keeps for slow readers stays under its bound";
+const READS: &str = "a caller that reads is not disconnected for another's stall";
+const REACHED: &str = "upstreams that are gone make nothing fail that others could serve";
+
+/// What a front says when nobody listens where it would send a request.
+const UNREACHABLE: [&str; 2] = [
+    "no upstream can be reached in time",
+    "nobody listens at the upstream's address",
+];
+
+pub(super) fn check(evidence: &Evidence) -> Vec<Finding> {
+    let calls = evidence.calls.iter();
+    let of_calls = calls.flat_map(|call| [ended(evidence, call), refused(evidence, call)]);
+    of_calls.flatten().chain(kept(evidence)).collect()
+}
+
+fn kept(evidence: &Evidence) -> Option<Finding> {
+    let most = evidence.most_kept.iter().copied().flatten().max()?;
+    (most > BUFFERS).then(|| Finding {
+        promise: KEPT,
+        request: None,
+        seen: format!("{most} bytes, {BUFFERS} are allowed"),
+    })
+}
+
+/// A caller that reads is disconnected, though neither it nor its VM stood still.
+fn ended(evidence: &Evidence, call: &Call) -> Option<Finding> {
+    let ended = call.route != RouteName::Long && evidence.ended_readers.contains(&call.id);
+    let found = ended && evidence.left_alone(call, CONTACT);
+    found.then(|| Finding::of(READS, &call.id, "disconnected as a slow reader"))
+}
+
+/// A repeatable request is refused because nobody listens, though only a part of the
+/// upstreams is gone.
+fn refused(evidence: &Evidence, call: &Call) -> Option<Finding> {
+    let judged = call.told_not_run() && call.route.kind().repeatable();
+    let text = call.reply().filter(|_| judged)?.text();
+    let unreachable = UNREACHABLE.iter().any(|reason| text.contains(reason));
+    let found = unreachable && only_some_gone(evidence, call.vm, call.sent, call.ended);
+    found.then(|| Finding::of(REACHED, &call.id, text))
+}
+
+/// Whether nothing but upstreams that vanished could keep a VM from upstreams.
+fn only_some_gone(evidence: &Evidence, vm: usize, from: Instant, until: Instant) -> bool {
+    let mut during = evidence.history.during(from, CONTACT, until);
+    during.all(|d| match d.act {
+        Act::Stop(v) | Act::Kill(v) => v != vm,
+        Act::Vanish(_)
+        | Act::SlowDown(_)
+        | Act::SlowForGood(_)
+        | Act::Burst
+        | Act::SlowReaders(_)
+        | Act::Configure
+        | Act::Revoke
+        | Act::Reload(_) => true,
+        _ => false,
+    })
+}
--- a/trouttrack_soak/src/check/mod.rs
+++ b/trouttrack_soak/src/check/mod.rs
@@ -7,6 +7,8 @@
 //! - `stops`: planned work cuts off nothing; leaving upstreams and evacuated failure
 //!   domains get no work.
 //! - `words`: what upstreams say in their answers is heeded.
+//! - `load`: what a VM keeps for slow readers is bounded, readers are not ended for others'
+//!   stalls, and upstreams that are gone make nothing fail that others could serve.
 //! - `limits`: VMs keep together to the limits that upstreams name.
 //!
 //! Those that hold within a time are checked only if [`Evidence::timed`] says
@@ -17,6 +19,7 @@
 mod evidence;
 mod keys;
 mod limits;
+mod load;
 mod runs;
 mod stops;
 mod words;
@@ -36,6 +39,8 @@
 pub const RETRY_EXTRA: f64 = 20.0;
 /// That window.
 pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// The most bytes that a VM keeps for callers that read slowly.
+pub const BUFFERS: usize = 384 << 10;
 /// After trouble, a VM is held to times again from then on.
 pub const CONTACT: Duration = Duration::from_secs(3);
 
@@ -70,5 +75,6 @@
     findings.extend(ends::check(evidence));
     findings.extend(words::check(evidence));
     findings.extend(limits::check(evidence));
+    findings.extend(load::check(evidence));
     findings
 }
--- a/trouttrack_soak/src/faults/carry_out.rs
+++ b/trouttrack_soak/src/faults/carry_out.rs
@@ -98,6 +98,13 @@
                 upstreams::leave_by_answers(bed, place, step.lasts).await;
             }
             Act::NameLimit(place) => upstreams::name_limit(bed, place, step.lasts).await,
+            Act::SlowDown(place) => {
+                upstreams::slow_down(bed, place, Some(step.lasts), rng).await;
+            }
+            Act::SlowForGood(place) => upstreams::slow_down(bed, place, None, rng).await,
+            Act::Vanish(place) => upstreams::vanish(bed, place, step.lasts).await,
+            Act::Burst => self.callers.burst(step.lasts).await,
+            Act::SlowReaders(vm) => self.callers.read_slowly(vm, rng),
             Act::EndEngines => self.end_engines(step.lasts, rng).await,
         }
     }
--- a/trouttrack_soak/src/faults/history.rs
+++ b/trouttrack_soak/src/faults/history.rs
@@ -64,7 +64,7 @@
         self.during(from, before, until).all(|d| match d.act {
             Act::Stop(v) | Act::Kill(v) | Act::Pause(v) => v != vm,
             Act::Link(Place::Callers(v) | Place::Store(v), _) => v != vm,
-            Act::Store(_) | Act::ForgetHistory | Act::RestoreStore => false,
+            Act::Store(_) | Act::ForgetHistory | Act::RestoreStore | Act::Vanish(_) => false,
             _ => true,
         })
     }
--- a/trouttrack_soak/src/faults/upstreams.rs
+++ b/trouttrack_soak/src/faults/upstreams.rs
@@ -1,13 +1,13 @@
 //! Upstreams that leave, crash or misbehave.
 
-use crate::bed::{Bed, ENGINES, EVENTS, Member, Upstreams};
+use crate::bed::{Bed, ENGINES, EVENTS, Member, PACE, Upstreams};
 use crate::plan::LinkFault;
 use rand::RngExt;
 use rand::rngs::SmallRng;
 use std::ops::Range;
 use std::time::Duration;
 use tokio::time::sleep;
-use trouttrack_platform_standin::Behaviour;
+use trouttrack_platform_standin::{Behaviour, StoreFault};
 
 /// How long a leaving upstream serves on after the store has taken its word:
 /// the platform's two seconds, and a little.
@@ -18,6 +18,8 @@
 const REST: Duration = Duration::from_secs(3);
 /// The requests a second that an upstream in need takes.
 const LIMIT: f64 = 1.0;
+/// How much later the events of a slow engine come.
+const SLOWER: Range<f64> = 2.0..3.0;
 /// Requests that an upstream that misbehaves answers badly.
 const BAD_ANSWERS: Range<usize> = 1..5;
 
@@ -77,6 +79,33 @@
     replace(bed, &member).await;
 }
 
+/// The events of an engine come later, for a while or until it ends.
+pub(super) async fn slow_down(
+    bed: &Bed,
+    place: usize,
+    lasts: Option<Duration>,
+    rng: &mut SmallRng,
+) {
+    let upstream = bed.upstreams.at(place).upstream;
+    upstream.pace(PACE.mul_f64(rng.random_range(SLOWER)));
+    if let Some(lasts) = lasts {
+        sleep(lasts).await;
+        upstream.pace(PACE);
+    }
+}
+
+/// A quarter of a service ends at once while the store is away; others take their places later.
+pub(super) async fn vanish(bed: &Bed, place: usize, lasts: Duration) {
+    let gone = bed.upstreams.quarter(place);
+    bed.store.set_fault(StoreFault::Silent);
+    gone.iter().for_each(|m| bed.upstreams.vanish(m));
+    sleep(lasts).await;
+    bed.store.set_fault(StoreFault::None);
+    for member in &gone {
+        replace(bed, member).await;
+    }
+}
+
 /// The upstream at a place, unless it leaves already.
 fn staying(bed: &Bed, place: usize) -> Option<Member> {
     let member = bed.upstreams.at(place);
--- a/trouttrack_soak/src/plan/act.rs
+++ b/trouttrack_soak/src/plan/act.rs
@@ -91,13 +91,25 @@
     LeaveByAnswers(usize),
     /// An upstream names a limit of requests a second in its answers while it lasts.
     NameLimit(usize),
+    /// An engine's events come two to three times later while it lasts.
+    SlowDown(usize),
+    /// The same, until it ends.
+    SlowForGood(usize),
+    /// A quarter of an upstream's service ends at once without a word, while the store is
+    /// away: the entries stay, and connections are refused.
+    Vanish(usize),
+    /// Many patient requests with long prompts while it lasts, then urgent ones.
+    Burst,
+    /// Callers of a VM ask for long streams at once, and stop reading or read slowly.
+    SlowReaders(usize),
     /// A request that ends each engine that begins to run it comes again and again, at
     /// any VM, while it lasts.
     EndEngines,
 }
 
 impl Act {
-    /// Whether it is planned work, which must cut off no request.
+    /// Whether it is planned work, which must cut off no request; the demand of callers
+    /// must not either.
     #[must_use]
     pub fn is_planned(self) -> bool {
         matches!(
@@ -112,6 +124,8 @@
                 | Self::Evacuate(_)
                 | Self::TurnCold(_)
                 | Self::NameLimit(_)
+                | Self::Burst
+                | Self::SlowReaders(_)
         )
     }
 }
--- a/trouttrack_soak/src/plan/draw.rs
+++ b/trouttrack_soak/src/plan/draw.rs
@@ -2,6 +2,7 @@
 //! draws stays.
 
 use super::act::{Act, LinkFault, Place, StoreFailure};
+use super::hard_load::hard_load;
 use super::size::Size;
 use crate::bed::DOMAINS;
 use rand::rngs::SmallRng;
@@ -10,7 +11,7 @@
 use std::time::Duration;
 
 /// Before the first fault: the fleet finds itself.
-const SETTLE: Duration = Duration::from_millis(1500);
+pub(super) const SETTLE: Duration = Duration::from_millis(1500);
 /// After the last fault has ended: everything serves again.
 const RECOVER: Duration = Duration::from_secs(4);
 /// How long a fault lasts, in seconds.
@@ -105,6 +106,11 @@
         let spoken = words(seed, size, ends).into_iter();
         steps.extend(spoken.filter(|s| !planned_only || s.act.is_planned()));
         steps.extend(limits(seed, size, ends));
+        if let Some(hard) = hard_load(seed, size, ends) {
+            steps.retain(|_| planned_only || !hard.alone);
+            let hard = hard.steps.into_iter();
+            steps.extend(hard.filter(|s| !planned_only || s.act.is_planned()));
+        }
         steps.sort_by_key(|s| s.at);
         Self { steps }
     }
--- a/trouttrack_soak/src/plan/mod.rs
+++ b/trouttrack_soak/src/plan/mod.rs
@@ -2,6 +2,7 @@
 
 mod act;
 mod draw;
+mod hard_load;
 mod size;
 
 pub use act::{Act, LinkFault, Place, StoreFailure};
--- a/trouttrack_soak/src/run.rs
+++ b/trouttrack_soak/src/run.rs
@@ -45,6 +45,10 @@
     pub served: usize,
     /// Requests that were told that they have not run.
     pub not_run: usize,
+    /// Callers that were disconnected because they did not read.
+    pub readers_ended: usize,
+    /// The most bytes that a VM said it kept.
+    pub most_kept: usize,
     /// Broken promises.
     pub findings: Vec<Finding>,
 }
@@ -118,6 +122,7 @@
     let history = Rc::new(RefCell::new(History::default()));
     let callers = Callers::new(Rc::clone(bed));
     let balancing = actix_rt::spawn(Rc::clone(bed).balance());
+    let watching = actix_rt::spawn(Rc::clone(bed).watch_kept());
     let asking = start_callers(&callers, options);
     let began = Instant::now();
     let (history_of, asking_too) = (Rc::clone(&history), Rc::clone(&callers));
@@ -127,6 +132,8 @@
     tokio::time::sleep_until(began + options.size.lasts).await;
     callers.end();
     wait_for_callers(asking).await;
+    callers.passing().await;
+    watching.abort();
     disturbing.abort();
     replacing.abort();
     balancing.abort();
@@ -168,6 +175,14 @@
         calls: calls.len(),
         served: calls.iter().filter(|c| c.is_served()).count(),
         not_run: calls.iter().filter(|c| c.told_not_run()).count(),
+        readers_ended: evidence.ended_readers.len(),
+        most_kept: evidence
+            .most_kept
+            .iter()
+            .copied()
+            .flatten()
+            .max()
+            .unwrap_or(0),
         findings: check(evidence),
     }
 }
--- a/trouttrack_soak/src/vm/ports.rs
+++ b/trouttrack_soak/src/vm/ports.rs
@@ -17,7 +17,7 @@
     /// Readiness.
     pub(crate) ready: SocketAddr,
     /// Metrics.
-    pub(super) metrics: SocketAddr,
+    pub(crate) metrics: SocketAddr,
     /// Datagrams of other VMs.
     pub(super) peers: SocketAddr,
 }
--- a/trouttrack_soak/src/vm/settings.rs
+++ b/trouttrack_soak/src/vm/settings.rs
@@ -2,10 +2,13 @@
 
 use super::ports::Ports;
 use super::supervisor::GRACE;
-use crate::check::{EVACUATE, RETRY_EXTRA, RETRY_RATIO};
+use crate::check::{BUFFERS, EVACUATE, RETRY_EXTRA, RETRY_RATIO};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The most bytes that a front keeps for one stream: one long event and a little.
+const BUFFERS_REQUEST: usize = 128 << 10;
+
 /// The text of the settings of the VM `name` that finds the store at `store`
 /// and refuses removed keys after `revoke`.
 pub(super) fn text(name: &str, store: SocketAddr, ports: &Ports, revoke: Duration) -> String {
@@ -19,7 +22,8 @@
         "[vm]\nname = {name}\nfailure_domain = a\n[log]\nformat = json\n\
          [platform]\nurl = http://{store}\n\
          [front]\nlisten = {callers}\nready = {ready}\nmetrics = {metrics}\npeers = {peers}\n\
-         [bounds]\nrevoke = {}ms\nevacuate = {}ms\ngrace = {}s\n[retry]\nratio = {RETRY_RATIO}\nextra = {RETRY_EXTRA}\n",
+         [bounds]\nrevoke = {}ms\nevacuate = {}ms\ngrace = {}s\n[retry]\nratio = {RETRY_RATIO}\nextra = {RETRY_EXTRA}\n\
+         [buffers]\nrequest = {BUFFERS_REQUEST}\norganisation = {BUFFERS}\nvm = {BUFFERS}\n",
         revoke.as_millis(),
         EVACUATE.as_millis(),
         GRACE.as_secs(),
--- a/trouttrack_soak/src/vm/supervisor.rs
+++ b/trouttrack_soak/src/vm/supervisor.rs
@@ -21,6 +21,9 @@
 /// How much longer than its grace a process may take to stop.
 const STOP_SLACK: Duration = Duration::from_secs(2);
 
+/// In the log line of a caller that was disconnected because it did not read.
+const READER_ENDED: &str = "\"slow-reader-ended\"";
+
 /// The time between the signal to stop and the end that the settings grant.
 pub(crate) const GRACE: Duration = Duration::from_secs(8);
 
@@ -108,6 +111,18 @@
         self.life.get()
     }
 
+    /// The requests whose callers it has disconnected because they did not read.
+    #[must_use]
+    pub(crate) fn ended_readers(&self) -> Vec<String> {
+        let log = fs::read_to_string(&self.log).unwrap_or_default();
+        let ended = log.lines().filter(|l| l.contains(READER_ENDED));
+        let ids = ended.filter_map(|l| {
+            let line: serde_json::Value = serde_json::from_str(l).ok()?;
+            Some(line["request"].as_str()?.to_owned())
+        });
+        ids.collect()
+    }
+
     /// How its lives ended.
     #[must_use]
     pub(crate) fn ended(&self) -> Vec<EndedBy> {
--- a/trouttrack_soak/tests/soak/main.rs
+++ b/trouttrack_soak/tests/soak/main.rs
@@ -2,3 +2,4 @@
 
 mod check;
 mod link;
+mod load;
