Soak: read ended readers from the log, and give patient callers time

The log nests an event's fields under `kvs`, so no ended reader was seen. Bounds of 384 KiB were seldom reached by four to seven readers: now 256 KiB and five to eight. Patient callers waited 4 s in all, while their route may wait 2.4 s for a place and a stream takes up to 2.7 s at a slow engine. Patient callers now wait 6 s; the check is as it was.

--- a/trouttrack_soak/src/callers/ask.rs
+++ b/trouttrack_soak/src/callers/ask.rs
@@ -16,6 +16,9 @@
 const PAUSE_MS: Range<u64> = 2..60;
 /// How long callers wait: longer than a stream takes.
 pub(super) const PATIENCE: Duration = Duration::from_secs(4);
+/// How long those wait who have time to spare: a stream still ends within it after the
+/// longest wait for a place. Routes hold a request for as long.
+const LONG_PATIENCE: Duration = Duration::from_secs(6);
 /// How much longer than that an answer is waited for before it is missed.
 pub(super) const HUNG_AFTER: Duration = Duration::from_millis(2500);
 /// Tokens of a prompt.
@@ -136,7 +139,7 @@
     pub(super) async fn ask(&self, client: &Client, asked: Asked, req: &CallerRequest) -> Call {
         let to = self.bed.caller_links[asked.vm].addr();
         let asking = async { take(client.send(to, req.build(), Reuse::Any).await).await };
-        let told = tokio::time::timeout(PATIENCE + HUNG_AFTER, asking);
+        let told = tokio::time::timeout(req.patience + HUNG_AFTER, asking);
         let told = async { told.await.unwrap_or(Told::Nothing) };
         self.note(asked, told).await
     }
@@ -170,10 +173,17 @@
 }
 
 impl Asked {
+    fn patience(&self) -> Duration {
+        match self.route {
+            RouteName::Patient => LONG_PATIENCE,
+            _ => PATIENCE,
+        }
+    }
+
     pub(super) fn request(&self) -> CallerRequest {
         let req = CallerRequest::get(&self.id, HOST, &self.route.target())
             .key(&self.key)
-            .patience(PATIENCE);
+            .patience(self.patience());
         let stream = |body, prompt| req.clone().post(body).tokens(prompt, GUESSED_TOKENS);
         match self.route {
             RouteName::Long => stream(LONG, PROMPT_TOKENS),
--- a/trouttrack_soak/src/callers/hard_load.rs
+++ b/trouttrack_soak/src/callers/hard_load.rs
@@ -16,7 +16,7 @@
 const BURST_PAUSE: Duration = Duration::from_millis(25);
 const URGENT: usize = 10;
 /// Callers that begin to read slowly at once.
-const READERS: Range<usize> = 4..8;
+const READERS: Range<usize> = 5..9;
 /// How long one stops reading, in seconds.
 const STALL: Range<f64> = 2.0..5.0;
 /// Between two pieces that one reads who reads on slowly.
--- a/trouttrack_soak/src/check/mod.rs
+++ b/trouttrack_soak/src/check/mod.rs
@@ -40,7 +40,7 @@
 /// That window.
 pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
 /// The most bytes that a VM keeps for callers that read slowly.
-pub const BUFFERS: usize = 384 << 10;
+pub const BUFFERS: usize = 256 << 10;
 /// After trouble, a VM is held to times again from then on.
 pub const CONTACT: Duration = Duration::from_secs(3);
 
--- a/trouttrack_soak/src/vm/supervisor.rs
+++ b/trouttrack_soak/src/vm/supervisor.rs
@@ -118,7 +118,7 @@
         let ended = log.lines().filter(|l| l.contains(READER_ENDED));
         let ids = ended.filter_map(|l| {
             let line: serde_json::Value = serde_json::from_str(l).ok()?;
-            Some(line["request"].as_str()?.to_owned())
+            Some(line["kvs"]["request"].as_str()?.to_owned())
         });
         ids.collect()
     }
