Soak: silence of the gauge breaks the bound's promise

A front that never says what it keeps, or a renamed gauge, passed the check unseen. Now it is a finding. The names of ended readers are read by a function with a test of its own, as a wrong reading of the log passed unseen too.

--- a/trouttrack_soak/src/check/load.rs
+++ b/trouttrack_soak/src/check/load.rs
@@ -23,12 +23,19 @@
 }
 
 fn kept(evidence: &Evidence) -> Option<Finding> {
-    let most = evidence.most_kept.iter().copied().flatten().max()?;
-    (most > BUFFERS).then(|| Finding {
+    let said = evidence.most_kept.iter().copied();
+    // Without VMs there is nothing to be said.
+    let most = said.max()?;
+    let seen = match most {
+        None => "no VM said what it keeps".to_owned(),
+        Some(most) => format!("{most} bytes, {BUFFERS} are allowed"),
+    };
+    let found = Finding {
         promise: KEPT,
         request: None,
-        seen: format!("{most} bytes, {BUFFERS} are allowed"),
-    })
+        seen,
+    };
+    most.is_none_or(|most| most > BUFFERS).then_some(found)
 }
 
 /// A caller that reads is disconnected, though neither it nor its VM stood still.
--- a/trouttrack_soak/src/vm/mod.rs
+++ b/trouttrack_soak/src/vm/mod.rs
@@ -5,5 +5,5 @@
 mod settings;
 mod supervisor;
 
-pub use supervisor::EndedBy;
+pub use supervisor::{EndedBy, ended_readers};
 pub(crate) use supervisor::{GRACE, Vm};
--- a/trouttrack_soak/src/vm/supervisor.rs
+++ b/trouttrack_soak/src/vm/supervisor.rs
@@ -24,6 +24,17 @@
 /// In the log line of a caller that was disconnected because it did not read.
 const READER_ENDED: &str = "\"slow-reader-ended\"";
 
+/// The requests whose callers were disconnected because they did not read, by a log.
+#[must_use]
+pub fn ended_readers(log: &str) -> Vec<String> {
+    let ended = log.lines().filter(|l| l.contains(READER_ENDED));
+    let ids = ended.filter_map(|l| {
+        let line: serde_json::Value = serde_json::from_str(l).ok()?;
+        Some(line["kvs"]["request"].as_str()?.to_owned())
+    });
+    ids.collect()
+}
+
 /// The time between the signal to stop and the end that the settings grant.
 pub(crate) const GRACE: Duration = Duration::from_secs(8);
 
@@ -114,13 +125,7 @@
     /// The requests whose callers it has disconnected because they did not read.
     #[must_use]
     pub(crate) fn ended_readers(&self) -> Vec<String> {
-        let log = fs::read_to_string(&self.log).unwrap_or_default();
-        let ended = log.lines().filter(|l| l.contains(READER_ENDED));
-        let ids = ended.filter_map(|l| {
-            let line: serde_json::Value = serde_json::from_str(l).ok()?;
-            Some(line["kvs"]["request"].as_str()?.to_owned())
-        });
-        ids.collect()
+        ended_readers(&fs::read_to_string(&self.log).unwrap_or_default())
     }
 
     /// How its lives ended.
--- a/trouttrack_soak/tests/soak/load.rs
+++ b/trouttrack_soak/tests/soak/load.rs
@@ -6,6 +6,7 @@
 use trouttrack_soak::check::{BUFFERS, Evidence};
 use trouttrack_soak::faults::Disturbance;
 use trouttrack_soak::plan::Act;
+use trouttrack_soak::vm::ended_readers;
 use trouttrack_soak::{Plan, Size};
 
 const READS: &str = "a caller that reads is not disconnected for another's stall";
@@ -79,6 +80,14 @@
     assert!(broken(&evidence).is_empty());
 }
 
+#[test]
+fn a_log_names_those_who_were_disconnected() {
+    let ended = r#"{"message":"slow-reader-ended","kvs":{"bound":"vm","request":"p3"}}"#;
+    let other = r#"{"message":"not-run","kvs":{"request":"c1-1"}}"#;
+    let log = format!("{other}\n{ended}\n{}", &ended[..60]);
+    assert_eq!(ended_readers(&log), ["p3"]);
+}
+
 #[test]
 fn more_than_the_bound_is_found() {
     let mut evidence = evidence(Vec::new(), Vec::new());
@@ -87,6 +96,8 @@
     evidence.most_kept.push(Some(BUFFERS + 1));
     let kept = "what a VM keeps for slow readers stays under its bound";
     assert_eq!(broken(&evidence), [kept]);
+    evidence.most_kept = vec![None];
+    assert_eq!(broken(&evidence), [kept]);
 }
 
 #[test]
