Soak: a link's port stays reserved after it has closed

A closed link's port was free, and another process's listener could take it while the entry was still listed: the fronts then got answers of an upstream that is not in the books. The port is now held until the run ends, as that of a stand-in's upstream.

--- a/trouttrack_soak/src/bed/upstreams.rs
+++ b/trouttrack_soak/src/bed/upstreams.rs
@@ -43,6 +43,8 @@
 pub(crate) struct Upstreams {
     now: RefCell<Vec<Member>>,
     all: RefCell<Vec<Upstream>>,
+    /// All links, also of those that were: their ports stay reserved.
+    links: RefCell<Vec<Link>>,
     /// Who was said to leave, and when the store took that.
     left: RefCell<Vec<(String, Instant)>>,
     /// Those that have gone, and that only the act by which they went replaces.
@@ -56,6 +58,7 @@
         let upstreams = Self {
             now: RefCell::default(),
             all: RefCell::default(),
+            links: RefCell::default(),
             left: RefCell::default(),
             gone: RefCell::default(),
             started: Cell::new(0),
@@ -83,6 +86,7 @@
         }
         let link = Link::before(upstream.addr).await?;
         self.all.borrow_mut().push(upstream.clone());
+        self.links.borrow_mut().push(link.clone());
         upstream.addr = link.addr();
         let member = Member { upstream, link };
         actix_rt::spawn(member.clone().close_after_its_end());
--- a/trouttrack_soak/src/link/proxy.rs
+++ b/trouttrack_soak/src/link/proxy.rs
@@ -4,9 +4,9 @@
 use super::pump::pump;
 use crate::plan::LinkFault;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
 /// A proxy before one server.
@@ -15,6 +15,22 @@
     addr: SocketAddr,
     server: SocketAddr,
     condition: Rc<watch::Sender<Condition>>,
+    /// Keeps the port from other processes' listeners after its own has closed.
+    _reserved: Rc<TcpSocket>,
+}
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Opens a listener on a free port, and a second socket that reserves the port without listening.
+fn listen() -> io::Result<(TcpSocket, TcpListener)> {
+    let reserved = TcpSocket::new_v4()?;
+    reserved.set_reuseport(true)?;
+    reserved.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseport(true)?;
+    socket.bind(reserved.local_addr()?)?;
+    Ok((reserved, socket.listen(BACKLOG)?))
 }
 
 impl Link {
@@ -24,11 +40,12 @@
     ///
     /// There is no free port.
     pub async fn before(server: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let (reserved, listener) = listen()?;
         let link = Self {
             addr: listener.local_addr()?,
             server,
             condition: Rc::new(watch::Sender::new(Condition::default())),
+            _reserved: Rc::new(reserved),
         };
         let serving = link.clone();
         actix_rt::spawn(async move {
--- a/trouttrack_soak/tests/soak/link.rs
+++ b/trouttrack_soak/tests/soak/link.rs
@@ -62,3 +62,16 @@
     let mut refused = TcpStream::connect(link.addr()).await.unwrap();
     assert!(is_reset(&mut refused).await);
 }
+
+#[actix_rt::test]
+async fn a_closed_link_refuses_and_keeps_its_port() {
+    let (link, _client, _server) = joined().await;
+    link.close();
+    let refused = async {
+        while TcpStream::connect(link.addr()).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, refused).await.unwrap();
+    assert!(TcpListener::bind(link.addr()).await.is_err());
+}
