Weigh the pauses that a prompt brings upon running streams

Placement weighed the pauses that a request itself would meet, not those that its prompt brings upon the long generations that run at the engine. Two thirds of the streams that are late by a pause run on slow engines, nine in ten of these while another request's prompt loads beside them.

`Excess::harm` is the risk of a pause above the longest, less that at a typical upstream, times the long generations there and how long the prompt is; never below zero, and exactly zero for equal upstreams. `[placement] harm` weighs it, `placed` logs it as `harm_percent`. The remaining tokens of own runs and the reports of peers give the number; no message changes.

`engines_of_three_speeds` played 8 short requests a second: none went to fast engines, 10 of 120 to slow ones, on which a long generation runs at first. These 10 now go to typical ones, so that its last assertion compares 0 with 0 and fails, though no fast engine is used. It plays 16 a second (25 fast, 151 typical, 64 slow) and asks for more than twice as many on slow engines as on fast ones, where it asked for more. The others are the same.

--- a/trouttrack_config/src/settings/front.rs
+++ b/trouttrack_config/src/settings/front.rs
@@ -200,6 +200,7 @@
         late: weight("late", default.late),
         pause: weight("pause", default.pause),
         hold: weight("hold", default.hold),
+        harm: weight("harm", default.harm),
         speed: weight("speed", default.speed),
     }
 }
--- a/trouttrack_config/src/settings/keys.rs
+++ b/trouttrack_config/src/settings/keys.rs
@@ -151,6 +151,7 @@
     key("placement", "late", "0 to 100", "4", FRONT, "What the risk of a late first token, or of an end after the caller gives up, counts beyond that at a typical upstream."),
     key("placement", "pause", "0 to 100", "4", FRONT, "What the risk of a pause above the route's longest counts beyond that at a typical upstream."),
     key("placement", "hold", "0 to 100", "0.3", FRONT, "What an engine's whole memory held for a second counts beyond that at a typical upstream."),
+    key("placement", "harm", "0 to 100", "4", FRONT, "What the risk counts that a prompt's load brings a pause above the route's longest upon a long generation that runs there, for each of them, beyond that at a typical upstream."),
     key("placement", "speed", "0 to 100", "1", FRONT, "What a fast engine counts for a short request, so that long ones find it free."),
 ];
 
--- a/trouttrack_core/src/routing/prediction.rs
+++ b/trouttrack_core/src/routing/prediction.rs
@@ -8,6 +8,9 @@
 const PEAK_GAP_RATIO: f64 = 3.0;
 /// Output length, in tokens, of which a request counts half as a long generation.
 const LONG_OUTPUT_TOKENS: f64 = 64.0;
+/// Prompt length, in tokens, of which the load counts half as that of a long prompt: one that
+/// loads within a step or two delays no event by much.
+const LONG_PROMPT_TOKENS: f64 = 1_000.0;
 /// Time that a typical engine takes for a token of a generation, in seconds.
 const TOKEN_SECONDS: f64 = 0.01;
 /// Steepness of [`risk`] for an upstream whose rate is known exactly.
@@ -47,6 +50,10 @@
     pub pause: f64,
     /// Memory held, as a fraction of capacity, multiplied by seconds.
     pub hold: f64,
+    /// Risk that the load of its prompt brings a pause above the route's longest upon long
+    /// generations that run there, multiplied by their number. Never negative: that fast
+    /// upstreams bear more must not draw everything to the fullest of them.
+    pub harm: f64,
     /// Speed that a short request does not need: that of the upstream divided by that of a
     /// typical one, less 1, weighted by how short and how little at risk the request is.
     pub speed: f64,
@@ -105,6 +112,8 @@
     pub tokens_until_memory: f64,
     /// Token memory; 0 for a plain service.
     pub capacity: f64,
+    /// Number of long generations that run there; others count by how long they are.
+    pub long_generations: f64,
 }
 
 impl Prediction {
@@ -118,6 +127,7 @@
             late: 0.0,
             pause: 0.0,
             hold: 0.0,
+            harm: 0.0,
             speed: 0.0,
         },
     };
@@ -177,24 +187,26 @@
             true => 1.0,
             false => 0.0,
         };
-        let is_short = 1.0 - self.long_share();
+        let is_short = 1.0 - long_share(self.output_tokens);
+        let pause = self.pause_excess(rate, exponent);
         Excess {
             late: late - risk(typical, self.time_left, exponent) + no_end,
-            pause: self.pause_excess(rate, exponent),
+            pause: long_share(self.output_tokens) * pause,
             hold: engine * self.mean_tokens() / load.capacity.max(1.0) * (end - typical_end),
+            harm: self.loading_share() * load.long_generations * pause.max(0.0),
             speed: engine * is_short * (1.0 - late) * (1.0 / rate.slowdown - 1.0),
         }
     }
 
-    /// Risk of a pause above the longest, less that at a typical upstream of the same load.
+    /// Risk that a long generation pauses for longer than the longest pause, less that at a
+    /// typical upstream of the same load.
     fn pause_excess(&self, rate: &ServiceRate, exponent: f64) -> f64 {
         let (Some(gap), Some(longest)) = (rate.event_gap, self.longest_pause) else {
             return 0.0;
         };
         let peak = gap.as_secs_f64() * PEAK_GAP_RATIO;
         let typical = peak / rate.slowdown;
-        let excess = risk(peak, longest, exponent) - risk(typical, longest, exponent);
-        self.long_share() * excess
+        risk(peak, longest, exponent) - risk(typical, longest, exponent)
     }
 
     /// Tokens that it holds in the mean over its run.
@@ -202,12 +214,17 @@
         self.prompt_tokens + self.output_tokens / 2.0
     }
 
-    /// How much it counts as a long generation, from 0 to 1.
-    fn long_share(&self) -> f64 {
-        self.output_tokens / (self.output_tokens + LONG_OUTPUT_TOKENS)
+    /// How much the load of its prompt counts as that of a long one, from 0 to 1.
+    fn loading_share(&self) -> f64 {
+        self.prompt_tokens / (self.prompt_tokens + LONG_PROMPT_TOKENS)
     }
 }
 
+/// How much a request counts as a long generation, from 0 to 1.
+pub(crate) fn long_share(output_tokens: f64) -> f64 {
+    output_tokens / (output_tokens + LONG_OUTPUT_TOKENS)
+}
+
 /// Risk that a time predicted to be `seconds` exceeds `limit`: one half at the limit, and
 /// steeper with a larger exponent.
 fn risk(seconds: f64, limit: Duration, exponent: f64) -> f64 {
--- a/trouttrack_core/src/routing/score.rs
+++ b/trouttrack_core/src/routing/score.rs
@@ -36,6 +36,8 @@
     pub pause: f64,
     /// Penalty per unit of [`Excess::hold`](super::Excess::hold).
     pub hold: f64,
+    /// Penalty per unit of [`Excess::harm`](super::Excess::harm).
+    pub harm: f64,
     /// Penalty per unit of [`Excess::speed`](super::Excess::speed).
     pub speed: f64,
 }
@@ -60,6 +62,7 @@
         late: 0.0,
         pause: 0.0,
         hold: 0.0,
+        harm: 0.0,
         speed: 0.0,
     };
 }
@@ -71,6 +74,7 @@
             late: 4.0,
             pause: 4.0,
             hold: 0.3,
+            harm: 4.0,
             speed: 1.0,
             ..Self::WITHOUT_PREDICTIONS
         }
@@ -144,6 +148,7 @@
         w.late * excess.late
             + w.pause * excess.pause
             + w.hold * excess.hold
+            + w.harm * excess.harm
             + w.speed * excess.speed
     }
 }
--- a/trouttrack_core/src/upstream/room.rs
+++ b/trouttrack_core/src/upstream/room.rs
@@ -24,11 +24,10 @@
 
 impl From<&PeerUse> for Runs {
     fn from(peer: &PeerUse) -> Self {
-        let growth = (peer.peak_tokens - peer.held_tokens).max(0.0);
         Self {
             count: peer.running,
             held: peer.held_tokens,
-            remaining: growth / peer.running.max(1) as f64,
+            remaining: peer.mean_remaining(),
         }
     }
 }
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -16,7 +16,7 @@
 use crate::Time;
 use crate::debug_asserts::assert_positive;
 use crate::membership::UpstreamUse;
-use crate::routing::PredictedLoad;
+use crate::routing::{PredictedLoad, long_share};
 use crate::world::RequestKey;
 use slotmap::new_key_type;
 
@@ -196,14 +196,16 @@
     #[must_use]
     pub fn predicted_load(&self, now: Time, prompt_tokens: u64) -> PredictedLoad {
         let capacity = self.spec.capacity_tokens as f64;
-        let (mut held, mut prompts_ahead) = (0.0, 0.0);
+        let (mut held, mut prompts_ahead, mut long_generations) = (0.0, 0.0, 0.0);
         for run in &self.own {
             held += run.tokens;
             prompts_ahead += if run.loaded { 0.0 } else { run.tokens };
+            long_generations += long_share(run.remaining);
         }
         for peer in &self.peers {
             held += peer.held_tokens;
             prompts_ahead += peer.backlog.tokens(now);
+            long_generations += peer.long_generations();
         }
         let missing = held + prompt_tokens as f64 - capacity;
         PredictedLoad {
@@ -213,6 +215,7 @@
                 false => 0.0,
             },
             capacity,
+            long_generations,
         }
     }
 
--- a/trouttrack_core/src/upstream/runs.rs
+++ b/trouttrack_core/src/upstream/runs.rs
@@ -2,6 +2,7 @@
 //! they are forecast to need.
 
 use super::backlog::Backlog;
+use crate::routing::long_share;
 use crate::world::RequestKey;
 use crate::{FailureDomain, Time};
 
@@ -68,8 +69,21 @@
     /// the peak. With long prompts nearly all of the peak is already held; applying the
     /// fraction to the whole peak rated engines 85% full that held more than their memory.
     pub(crate) fn expected_tokens(&self) -> f64 {
-        let growth = (self.peak_tokens - self.held_tokens).max(0.0);
-        self.held_tokens + growth * GROWTH_FRACTION
+        self.held_tokens + self.growth() * GROWTH_FRACTION
+    }
+
+    /// Mean number of tokens that each of its requests has yet to generate.
+    pub(super) fn mean_remaining(&self) -> f64 {
+        self.growth() / self.running.max(1) as f64
+    }
+
+    /// Number of its requests that are long generations; others count by how long they are.
+    pub(super) fn long_generations(&self) -> f64 {
+        self.running as f64 * long_share(self.mean_remaining())
+    }
+
+    fn growth(&self) -> f64 {
+        (self.peak_tokens - self.held_tokens).max(0.0)
     }
 }
 
--- a/trouttrack_core/tests/core/placement_under_load.rs
+++ b/trouttrack_core/tests/core/placement_under_load.rs
@@ -40,14 +40,65 @@
     fleet.learn_rates();
     fleet.load(
         Duration::from_secs(15),
-        &[(Kind::Long, 6), (Kind::Short, 8)],
+        &[(Kind::Long, 6), (Kind::Short, 16)],
     );
     let count = |kind, speed: &str| fleet.count(kind, |id| id.ends_with(speed));
     let long = ["fast", "typical", "slow"].map(|speed| count(Kind::Long, speed));
     let short = ["fast", "typical", "slow"].map(|speed| count(Kind::Short, speed));
     assert!(2 * long[2] <= long[0], "long: {long:?}");
     assert!(long[1] <= long[0], "long: {long:?}");
-    assert!(short[2] > short[0], "short: {short:?}");
+    assert!(short[2] > 2 * short[0], "short: {short:?}");
+}
+
+/// The prompts of short requests load where they bring no pause upon the long generations that
+/// run there, even where a slow engine would answer in time.
+#[test]
+fn prompts_beside_long_generations_near_their_limit() {
+    let engines = three_speeds("a", 15);
+    let beside_slow = |weights| {
+        let mut fleet = Fleet::new(weights, SEED, &engines);
+        fleet.learn_rates();
+        fleet.run_for(Duration::from_secs(16));
+        let uses: Vec<_> = engines.iter().map(|e| peer_use(&e.0, 2, 7_000)).collect();
+        for _ in 0..8 {
+            report(&mut fleet, &uses);
+            fleet.load(Duration::from_millis(500), &[(Kind::Short, 20)]);
+        }
+        let count = |speed: &str| fleet.count(Kind::Short, |id| id.ends_with(speed));
+        count("slow")
+    };
+    let without = Weights {
+        harm: 0.0,
+        ..Weights::default()
+    };
+    let (old, new) = (beside_slow(without), beside_slow(Weights::default()));
+    assert!(old > 20, "{old} of 80 beside streams of slow engines");
+    assert!(new <= 4, "{new} of 80 beside streams of slow engines");
+}
+
+/// A short request that would be late elsewhere loads its prompt beside long generations.
+#[test]
+fn a_prompt_that_is_in_time_only_at_a_slow_engine() {
+    let engines = three_speeds("a", 15);
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(Weights::default(), seed, &engines);
+        fleet.learn_rates();
+        fleet.run_for(Duration::from_secs(16));
+        let uses: Vec<_> = engines
+            .iter()
+            .map(|e| UpstreamUse {
+                loading_tokens: match e.0.ends_with("slow") {
+                    true => 0,
+                    false => 9_000,
+                },
+                ..peer_use(&e.0, 2, 7_000)
+            })
+            .collect();
+        report(&mut fleet, &uses);
+        fleet.submit(Kind::Short);
+        let (_, upstream) = &fleet.placed[0];
+        assert!(upstream.ends_with("slow"), "seed {seed}: {upstream}");
+    }
 }
 
 /// What fast engines cannot take goes to the typical ones, rather than waiting for memory.
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -174,6 +174,7 @@
                 .event_gap
                 .map(|gap| gap.as_millis() as u64),
             slowdown_percent = (placed.prediction.slowdown * 100.0) as u64,
+            harm_percent = (placed.prediction.excess.harm * 100.0) as u64,
             fill_percent = (placed.fill * 100.0) as u64,
             prompt_tokens = self.admitted.head.prompt_tokens,
             guessed_tokens = self.admitted.head.guessed_tokens,
