Revert the pause between load updates of large fleets

Cause: at 340 VMs and 1,000 generations a second load updates are over the budget for control by calculation. The pause bounded them, but made reports 0.9 to 5.5 s older, urgent updates were not bounded by it, and its test held for any input. Other VMs need a placement within the 200 ms in which its prompt loads.

Change: updates go out as before.

--- a/trouttrack_core/src/membership/heartbeat.rs
+++ b/trouttrack_core/src/membership/heartbeat.rs
@@ -2,10 +2,9 @@
 //!
 //! Control traffic must fit a budget of 13 kB/s per VM that does not grow with the fleet.
 //! Heartbeats of 0.2 to 0.3 kB are sent to a subset of the peers at an interval that grows
-//! with the fleet. Updates of the use of upstreams, of 0.1 kB and more, are sent to all VMs that
-//! select among the same upstreams when a generation is dispatched, has its first token and
-//! ends. With 340 VMs in 8 failure domains that dispatch 1,000 generations a second this would
-//! amount to 3 x 2.9/s x 42 x 0.1 kB = 37 kB/s, so in large fleets a pause follows each update.
+//! with the fleet. Updates of the use of upstreams, of 0.1 kB and more, are sent when a
+//! generation is dispatched, has its first token and ends, to all VMs that select among the
+//! same upstreams. They grow with the rate of generations, which the budget does not cover.
 
 use std::time::Duration;
 
@@ -18,8 +17,7 @@
 /// Maximum heartbeat interval of a VM that watches the store, whose heartbeats go to its
 /// whole failure domain. A failed watcher is replaced after three intervals, well within the
 /// five seconds in which a configuration change or the removal of a key must take effect
-/// everywhere. With the interval of other VMs, a failure domain of 164 VMs had no watcher for
-/// at least 9.3 s. The cost for a watcher is 0.3 kB twice a second for each VM of its failure
+/// everywhere. The cost for a watcher is 0.3 kB twice a second for each VM of its failure
 /// domain.
 const MAX_WATCHER_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of randomly selected receivers of each heartbeat in the local failure domain.
@@ -30,13 +28,6 @@
 /// Maximum fleet size in which each VM sends its use of upstreams to all others. In a larger
 /// fleet it sends them to its own failure domain, and other VMs receive aggregates.
 const MAX_VMS_FOR_BROADCAST: usize = 24;
-/// Fleet size up to which load updates are sent without a pause.
-const MAX_VMS_WITHOUT_PAUSE: usize = 100;
-/// Number of VMs beyond it over which the pause grows to its full length.
-const PAUSE_GROWTH_VMS: f64 = 100.0;
-/// Bytes per second that load updates take with the full pause: what heartbeats, service rates
-/// and configurations leave of the budget.
-const LOAD_UPDATE_BYTES_PER_SECOND: f64 = 4_000.0;
 /// Maximum number of upstream limits in a datagram, at about 40 bytes each.
 pub const MAX_LIMITS_PER_DATAGRAM: usize = 16;
 /// Period after a change of a limit in which it is included in each load update.
@@ -85,25 +76,6 @@
     vms > MAX_VMS_FOR_BROADCAST
 }
 
-/// Returns the pause after a load update of `bytes`, summed over its receivers, in a fleet of
-/// `vms` VMs.
-///
-/// # Examples
-///
-/// ```
-/// use std::time::Duration;
-/// use trouttrack_core::membership::load_update_pause;
-/// let bytes = 42 * 100;
-/// assert_eq!(load_update_pause(96, bytes), Duration::ZERO);
-/// assert_eq!(load_update_pause(340, bytes), Duration::from_millis(1050));
-/// ```
-#[must_use]
-pub fn load_update_pause(vms: usize, bytes: usize) -> Duration {
-    let beyond = vms.saturating_sub(MAX_VMS_WITHOUT_PAUSE) as f64;
-    let full = bytes as f64 / LOAD_UPDATE_BYTES_PER_SECOND;
-    Duration::from_secs_f64(full * (beyond / PAUSE_GROWTH_VMS).min(1.0))
-}
-
 /// Returns the silence after which a peer is considered failed if it is one of `near` peers in
 /// the local failure domain.
 #[must_use]
--- a/trouttrack_core/src/membership/mod.rs
+++ b/trouttrack_core/src/membership/mod.rs
@@ -31,8 +31,7 @@
 pub use evacuations::Evacuations;
 pub use heartbeat::{
     CHANGED_LIMIT_REPEAT_PERIOD, LOCAL_FANOUT, MAX_LIMITS_PER_DATAGRAM, REMOTE_FANOUT,
-    heartbeat_interval, load_update_pause, peer_timeout, sends_aggregates,
-    watcher_heartbeat_interval,
+    heartbeat_interval, peer_timeout, sends_aggregates, watcher_heartbeat_interval,
 };
 pub use marks::{Mark, MarkEntry, MarkSource, MarkTable};
 pub use peers::{Digest, Peer, PeerTable, UpstreamUse};
--- a/trouttrack_front/src/follow/self_reports.rs
+++ b/trouttrack_front/src/follow/self_reports.rs
@@ -165,7 +165,7 @@
         record(front, &life, received);
     }
     if limit_changed {
-        front.scheduler.schedule_urgent_load_update();
+        front.scheduler.schedule_load_update();
     }
     // The entry may have been removed and written again while the request was in progress.
     let listed = front.upstreams.get(&upstream.id);
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -5,8 +5,7 @@
 //! fleet's budget. The VM's use of upstreams changes with each generation that it
 //! dispatches, and with each request to an upstream whose rate limit the VMs share. Other
 //! VMs need such a change within the 200 ms that loading a prompt takes, so a load update
-//! goes out at once to all VMs that select among the same upstreams. In large fleets a pause
-//! follows, which only losses, refusals and limits do not wait for.
+//! goes out at once to all VMs that select among the same upstreams.
 
 use super::message::{Datagram, Heartbeat, Load};
 use super::post::post_with;
@@ -22,7 +21,7 @@
 use trouttrack_core::FailureDomain;
 use trouttrack_core::membership::{
     CHANGED_LIMIT_REPEAT_PERIOD, Conditions, Digest, LOCAL_FANOUT, REMOTE_FANOUT, UpstreamUse,
-    load_update_pause, sends_aggregates,
+    sends_aggregates,
 };
 use trouttrack_core::upstream::{RateShare, ReportedLimit, ReportedRate};
 use trouttrack_telemetry::{events, record};
@@ -40,7 +39,6 @@
 pub(crate) async fn send(front: Rc<Front>, socket: Rc<UdpSocket>) {
     let mut heartbeat_at = Instant::now();
     let mut update_at: Option<Instant> = None;
-    let mut pause_ends_at = Instant::now();
     loop {
         let wake_at = update_at.unwrap_or(heartbeat_at);
         tokio::select! {
@@ -53,29 +51,19 @@
                 heartbeat_at = Instant::now() + heartbeat_interval(&front);
             }
             () = front.quarantine.changes_pending() => quarantine::send_changes(&front, &socket),
-            () = front.scheduler.urgent_load_update_requested(), if !is_soon(update_at) => {
-                update_at = Some(Instant::now() + LOAD_UPDATE_DELAY);
-            }
             () = front.scheduler.load_update_requested(), if update_at.is_none() => {
-                update_at = Some(pause_ends_at.max(Instant::now() + LOAD_UPDATE_DELAY));
+                update_at = Some(Instant::now() + LOAD_UPDATE_DELAY);
             }
             () = tokio::time::sleep_until(wake_at), if update_at.is_some() => {
                 update_at = None;
                 if front.serving.tell_changes {
-                    let sent = send_load(&front, &socket);
-                    let pause = load_update_pause(front.peers.listed(), sent);
-                    pause_ends_at = Instant::now() + pause;
+                    send_load(&front, &socket);
                 }
             }
         }
     }
 }
 
-/// Whether a load update is due that does not wait for a pause to end.
-fn is_soon(update_at: Option<Instant>) -> bool {
-    update_at.is_some_and(|at| at <= Instant::now() + LOAD_UPDATE_DELAY)
-}
-
 /// Interval until the next heartbeats. Peers rely on those of a VM that watches the store,
 /// so it has an interval of its own.
 fn heartbeat_interval(front: &Front) -> Duration {
@@ -175,8 +163,8 @@
 /// its own failure domain, and those in the failure domains of the upstreams in use.
 ///
 /// The latter would otherwise learn of requests from this VM only by heartbeats, after their
-/// prompts have been loaded. Returns the number of bytes sent.
-fn send_load(front: &Front, socket: &UdpSocket) -> usize {
+/// prompts have been loaded.
+fn send_load(front: &Front, socket: &UdpSocket) {
     let to_all = !is_large(front);
     let uses = front.scheduler.local_uses();
     let limits = front.scheduler.limits(Some(CHANGED_LIMIT_REPEAT_PERIOD));
@@ -186,7 +174,7 @@
     };
     let receivers = front.peers.live_addrs(selects_same_upstreams);
     if receivers.is_empty() {
-        return 0;
+        return;
     }
     let load = Load {
         name: front.name.clone(),
@@ -196,7 +184,7 @@
     };
     let mut conditions = front.scheduler.conditions();
     conditions.retain_new_reachability();
-    post_with(socket, &Datagram::Load(load), &conditions, receivers)
+    post_with(socket, &Datagram::Load(load), &conditions, receivers);
 }
 
 /// Failure domains of the upstreams that are in use or whose limits have changed.
--- a/trouttrack_front/src/peers/post.rs
+++ b/trouttrack_front/src/peers/post.rs
@@ -19,23 +19,19 @@
     post_with(socket, datagram, &Conditions::default(), to);
 }
 
-/// Sends a datagram and this VM's conditions to several peers. Returns the number of bytes sent
-/// to all of them.
+/// Sends a datagram and this VM's conditions to several peers.
 pub(super) fn post_with(
     socket: &UdpSocket,
     datagram: &Datagram,
     conditions: &Conditions,
     to: impl IntoIterator<Item = SocketAddr>,
-) -> usize {
+) {
     let Some(bytes) = encode_with(datagram, conditions) else {
-        return 0;
+        return;
     };
-    let mut sent = 0;
     for addr in to {
-        sent += bytes.len();
         if let Err(e) = socket.try_send_to(&bytes, addr) {
             log::debug!("sending a datagram to peer {addr} failed: {e}");
         }
     }
-    sent
 }
--- a/trouttrack_front/src/state/reachability.rs
+++ b/trouttrack_front/src/state/reachability.rs
@@ -22,7 +22,7 @@
     pub(super) fn report_reachability(&self) {
         let changes = self.world.borrow_mut().take_reachability_changes();
         if changes.iter().any(|change| change.peer.is_none()) {
-            self.schedule_urgent_load_update();
+            self.schedule_load_update();
         }
         changes.iter().for_each(log_change);
     }
--- a/trouttrack_front/src/state/scheduler.rs
+++ b/trouttrack_front/src/state/scheduler.rs
@@ -70,8 +70,6 @@
     queued: Notify,
     /// Signalled when a change should be sent to the other VMs soon.
     load_update: Notify,
-    /// As `load_update`, for changes that do not wait for the pause between load updates.
-    urgent_load_update: Notify,
 }
 
 impl Scheduler {
@@ -84,7 +82,6 @@
             waiting: RefCell::default(),
             queued: Notify::new(),
             load_update: Notify::new(),
-            urgent_load_update: Notify::new(),
         }
     }
 
@@ -177,17 +174,6 @@
         self.load_update.notify_one();
     }
 
-    /// Requests that a change be sent to the other VMs soon, even shortly after another one.
-    pub(crate) fn schedule_urgent_load_update(&self) {
-        self.urgent_load_update.notify_one();
-    }
-
-    /// Waits until a change should be sent soon even shortly after another one: a connection was
-    /// lost or refused, or an upstream refused a request or stated a limit.
-    pub(crate) async fn urgent_load_update_requested(&self) {
-        self.urgent_load_update.notified().await;
-    }
-
     /// Waits until a change should be sent to the other VMs soon: a generation was placed on an
     /// engine, has its first token or has ended, or a shared rate limit was used.
     pub async fn load_update_requested(&self) {
--- a/trouttrack_front/src/state/ticket.rs
+++ b/trouttrack_front/src/state/ticket.rs
@@ -77,7 +77,7 @@
             .world
             .borrow_mut()
             .record_refusal(now, self.key);
-        self.scheduler.schedule_urgent_load_update();
+        self.scheduler.schedule_load_update();
     }
 
     /// Records that the connection closed before any answer, and notifies the other VMs.
@@ -85,7 +85,7 @@
         self.fault.set(true);
         let now = self.now();
         self.scheduler.world.borrow_mut().record_loss(now, self.key);
-        self.scheduler.schedule_urgent_load_update();
+        self.scheduler.schedule_load_update();
     }
 
     /// Records that the answer completed after `tokens`.
