Report refusals again when no peer is answered meanwhile

Cause: after its second refusal a VM withheld what it knew, to leave the next trial to others. Two VMs that tried at the same times both withheld it for good, so a VM that started heard of nothing and paid a refused connection for each upstream that was gone.

Change: a VM withholds its refusal in the second backoff only. If no peer was answered until it tries again, it reports it like the first.

--- a/trouttrack_core/src/upstream/reachability.rs
+++ b/trouttrack_core/src/upstream/reachability.rs
@@ -40,35 +40,20 @@
     answered_at: Option<Time>,
     /// Number of consecutive backoffs.
     backoffs: u32,
-    /// Who was refused.
-    refused: Refused,
+    /// Number of backoffs in a row that this VM's refused connections began; 0 if a peer's did.
+    own_refusals: u32,
     /// Whether a peer was answered after this VM was refused, and this VM was not since.
     refuted: bool,
 }
 
-/// Who was refused the connection that began a backoff.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Refused {
-    /// A peer.
-    #[default]
-    Peer,
-    /// This VM.
-    Own,
-    /// This VM, whose refusal had begun the backoff before as well.
-    OwnTrial,
-}
-
 impl Reachability {
     /// Records that a connection of this VM was refused at `at`. Returns whether that closes the
     /// upstream.
     pub(crate) fn record_refusal(&mut self, at: Time) -> bool {
-        let is_repeated = self.refusal().is_some() && self.refused != Refused::Peer;
+        let before = self.refusal().map_or(0, |_| self.own_refusals);
         let closes = self.begin_backoff(at);
         if closes {
-            self.refused = match is_repeated {
-                true => Refused::OwnTrial,
-                false => Refused::Own,
-            };
+            self.own_refusals = before.saturating_add(1);
         }
         closes
     }
@@ -80,7 +65,7 @@
         self.refuted &= passed_on_until > Some(at);
         let closes = self.begin_backoff(at);
         if closes {
-            self.refused = Refused::Peer;
+            self.own_refusals = 0;
         }
         while closes && self.backoff() <= age && self.backoffs <= MAX_DOUBLINGS {
             self.backoffs += 1;
@@ -113,7 +98,7 @@
     /// Records that a peer was answered at `at`. Returns whether that ends a refusal.
     pub(crate) fn record_reported_answer(&mut self, at: Time) -> bool {
         let ends = self.end_refusal(at);
-        self.refuted |= ends && self.refused != Refused::Peer;
+        self.refuted |= ends && self.is_own();
         ends
     }
 
@@ -140,12 +125,13 @@
 
     /// Returns whether it was this VM that was refused.
     pub(crate) fn is_own(&self) -> bool {
-        self.refused != Refused::Peer
+        self.own_refusals > 0
     }
 
-    /// Returns whether only this VM was refused, more than once in a row.
-    pub(crate) fn is_unconfirmed(&self) -> bool {
-        self.refused == Refused::OwnTrial
+    /// Returns whether the next trial is a peer's: this VM's own has just been refused as well.
+    /// If nobody is answered until this VM tries again, the upstream is gone for all.
+    pub(crate) fn awaits_peer_trial(&self) -> bool {
+        self.own_refusals == 2
     }
 
     /// Returns the time of the last refusal if nothing was answered since.
--- a/trouttrack_core/src/world/reachability/reports.rs
+++ b/trouttrack_core/src/world/reachability/reports.rs
@@ -1,9 +1,10 @@
-//! What the VMs of a failure domain tell each other about upstreams that refuse connections.
+//! Reports between the VMs of a failure domain about upstreams that refuse connections.
 //!
 //! A VM whose own path to upstreams is broken is refused everywhere. It finds out from the
 //! answers of its peers, and then keeps its refusals to itself: those of an upstream that has
 //! answered a peer, and all of them once two upstreams have. Others find what is gone indeed.
-//! A refused trial is no second opinion either, so that another VM tries the upstream next.
+//! A refused trial is no second opinion either, so that another VM tries the upstream next. Only
+//! if no peer is answered in that backoff does it report the next refusal.
 
 use crate::Time;
 use crate::membership::{MAX_UNREACHABLE_PER_DATAGRAM, ReportedReachable, ReportedUnreachable};
@@ -13,7 +14,7 @@
 
 /// How long the end of a refusal is reported: longer than any backoff that it ends.
 const REACHABLE_REPORT_PERIOD: Duration = Duration::from_secs(5);
-/// Time after which a peer that is not heard of no longer counts as present.
+/// Time after which a silent peer no longer counts as present.
 const PEER_PERIOD: Duration = Duration::from_secs(5);
 /// Number of upstreams that answer peers and not this VM from which the fault is this VM's. A
 /// single one may refuse connections now and then.
@@ -39,7 +40,7 @@
                 continue;
             }
             if has_answered {
-                // Lets the peer and those that it has told know.
+                // Reports the answer, which ends the refusal at the peer and where it was passed on.
                 row.record_answer(now);
                 self.reachability_changed(&report.upstream, true, None, Duration::ZERO);
             } else {
@@ -72,13 +73,13 @@
         }
     }
 
-    /// Returns the upstreams that peers should not try either, the latest first.
+    /// Returns the unreachable upstreams to report to peers, the latest first.
     pub(in crate::world) fn unreachable_to_report(&self, now: Time) -> Vec<ReportedUnreachable> {
         let hears_peers = self.hears_peers(now);
         let is_refuted = self.is_refuted();
         let is_doubtful = |r: &Reachability| {
-            let unconfirmed = hears_peers && r.is_unconfirmed();
-            r.is_own() && (is_refuted || r.is_refuted() || unconfirmed)
+            let is_pending = hears_peers && r.awaits_peer_trial();
+            r.is_own() && (is_refuted || r.is_refuted() || is_pending)
         };
         let known = self.reachability.iter();
         let known = known.filter(|(_, r)| !is_doubtful(r));
--- a/trouttrack_core/tests/core/broken_path.rs
+++ b/trouttrack_core/tests/core/broken_path.rs
@@ -235,3 +235,26 @@
     assert_eq!(others[0].unreachable(), 20);
     assert_eq!(place(&mut others[0], MS * 2, "r2"), None);
 }
+
+/// Two VMs try an upstream that is gone again and again, at the same times. A VM that starts then
+/// learns of it from either.
+#[test]
+fn an_upstream_that_answers_nobody_is_reported_to_vms_that_start() {
+    let mut vms = vms(2, 3);
+    let gone = incarnation("e00");
+    for step in 1..600 {
+        let now = STEP * step;
+        for vm in &mut vms {
+            if !is_backed_off(vm, now, "e00") {
+                vm.record_connection_refused(now, &gone);
+            }
+        }
+        exchange(&mut vms, now);
+    }
+    let now = STEP * 600;
+    for informant in &vms {
+        let mut started = vm("a", 9, 3);
+        started.record_peer_conditions(now, "vm", true, &informant.conditions(now));
+        assert!(is_backed_off(&started, now, "e00"));
+    }
+}
