Comments on scores, scans and reachability in the field's terms

Change: `last_response_at`, `is_silent_since`, `has_live_peers`; scan limits and `alternatives` have a doc line; comments say what a term is. No behaviour changes.

--- a/trouttrack_core/src/request/search.rs
+++ b/trouttrack_core/src/request/search.rs
@@ -68,6 +68,7 @@
     }
 
     /// Returns whether another upstream may be tried. `has_untried` tells whether one is left.
+    /// Without a refused connection the scheduler's deadline bounds the search.
     #[must_use]
     pub fn may_continue(&self, now: Time, has_untried: bool) -> bool {
         let in_bounds = self.refused < MAX_REFUSED && self.failed < MAX_FAILED;
--- a/trouttrack_core/src/routing/prediction.rs
+++ b/trouttrack_core/src/routing/prediction.rs
@@ -23,7 +23,7 @@
 /// Upper bound of a predicted time, in seconds; no request waits that long.
 const MAX_SECONDS: f64 = 3600.0;
 
-/// What a request is predicted to experience at an upstream.
+/// Predicted latency of a request at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Prediction {
     /// Time until its first token: the wait for memory, then the prefill of the prompts ahead
@@ -50,9 +50,9 @@
     pub pause: f64,
     /// Memory held, as a fraction of capacity, multiplied by seconds.
     pub hold: f64,
-    /// Risk that the load of its prompt brings a pause above the route's longest upon long
-    /// generations that run there, multiplied by their number. Never negative: that fast
-    /// upstreams bear more must not draw everything to the fullest of them.
+    /// Risk that loading its prompt causes a pause above the route's longest in the long
+    /// generations that run there, multiplied by their number. Never negative: as a gain it would
+    /// favour the fastest upstreams the more, the fuller they are.
     pub harm: f64,
     /// Speed that a short request does not need: that of the upstream divided by that of a
     /// typical one, less 1, weighted by how short and how little at risk the request is.
--- a/trouttrack_core/src/routing/score.rs
+++ b/trouttrack_core/src/routing/score.rs
@@ -8,8 +8,8 @@
 /// index; others count by their share. A small sample keeps gateways with the same outdated
 /// report from all choosing the same upstream.
 const SAMPLE_SIZE: f64 = 6.0;
-/// Penalty for an upstream that may be gone, as for half of its memory in use. It is still tried
-/// while the others are full, so an idle upstream is heard of before it is needed.
+/// Penalty for an upstream whose departure may be unknown, equal to that of half of its memory in
+/// use. It still gets requests while the others are full, so its state is known before it is needed.
 pub(crate) const UNCERTAINTY_PENALTY: f64 = 0.5;
 
 /// Weights of the terms of a score.
@@ -27,8 +27,8 @@
     pub backlog: f64,
     /// Penalty for an upstream that has just started; decreases as it warms up.
     pub cold: f64,
-    /// How much running requests and pending prefill count by the time that the upstream takes
-    /// for them: 0 as at a typical upstream, 1 in proportion to its slowdown.
+    /// Weight of the slowdown in the costs of running requests and pending prefill: 0 ignores it,
+    /// 1 scales them in proportion.
     pub slowdown: f64,
     /// Penalty per unit of [`Excess::late`](super::Excess::late).
     pub late: f64,
--- a/trouttrack_core/src/upstream/reachability.rs
+++ b/trouttrack_core/src/upstream/reachability.rs
@@ -1,6 +1,6 @@
 //! Upstreams whose address refuses connections, because no process listens there.
 //!
-//! An upstream that is gone has nothing running and would look like the best candidate until
+//! An upstream that has exited has nothing running and would look like the best candidate until
 //! its entry disappears, which takes long while the store is silent. A refused connection
 //! therefore closes the upstream for the VMs of a failure domain, for a backoff that doubles
 //! with each trial that is refused too.
@@ -17,7 +17,8 @@
 const MAX_DOUBLINGS: u32 = 3;
 /// Time after which a refused connection is forgotten.
 const RETENTION: Duration = Duration::from_secs(60);
-/// Time after an answer during which peers may still pass on the refusal that it has ended.
+/// Time after an answer during which peers may still pass on the refusal that it has ended: as long
+/// as a first backoff.
 const PASSED_ON_PERIOD: Duration = Duration::from_millis(500);
 
 /// Whether an upstream may be connected to.
--- a/trouttrack_core/src/upstream/room.rs
+++ b/trouttrack_core/src/upstream/room.rs
@@ -33,7 +33,7 @@
 }
 
 impl Runs {
-    /// One source of memory that is freed at once.
+    /// One source of memory, all of which is freed after `remaining` tokens.
     pub(super) fn one(held: f64, remaining: f64) -> Self {
         Self {
             count: 1,
--- a/trouttrack_core/src/upstream/row.rs
+++ b/trouttrack_core/src/upstream/row.rs
@@ -75,7 +75,7 @@
     /// Whether its address refuses connections.
     pub(crate) reachability: Reachability,
     /// When this VM or a peer last received a response from it.
-    pub(crate) heard_at: Option<Time>,
+    pub(crate) last_response_at: Option<Time>,
     /// Latest submission among the requests of this VM that it has responded to.
     pub(crate) reached_at: Option<Time>,
     /// Samples of its speed.
@@ -105,7 +105,7 @@
             handovers: Handovers::default(),
             losses: Losses::default(),
             reachability: Reachability::default(),
-            heard_at: None,
+            last_response_at: None,
             reached_at: None,
             rates: ObservedRates::default(),
             retained: Retained::default(),
@@ -380,9 +380,9 @@
         self.reachability.refusal().is_some()
     }
 
-    /// Returns whether neither this VM nor its peers have heard of it since `since`.
-    pub(crate) fn is_unheard_since(&self, since: Time) -> bool {
-        self.heard_at.is_none_or(|at| at < since)
+    /// Returns whether neither this VM nor its peers have had a response from it since `since`.
+    pub(crate) fn is_silent_since(&self, since: Time) -> bool {
+        self.last_response_at.is_none_or(|at| at < since)
     }
 
     /// Returns its current incarnation.
--- a/trouttrack_core/src/upstream/table.rs
+++ b/trouttrack_core/src/upstream/table.rs
@@ -78,7 +78,7 @@
                 let restarted = row.spec.born != spec.born;
                 if restarted {
                     row.retained = Retained::default();
-                    (row.heard_at, row.reached_at) = (None, None);
+                    (row.last_response_at, row.reached_at) = (None, None);
                 }
                 if restarted && row.spec.born != 0 {
                     row.reset_rates();
--- a/trouttrack_core/src/world/conditions.rs
+++ b/trouttrack_core/src/world/conditions.rs
@@ -17,7 +17,8 @@
         }
     }
 
-    /// Records the conditions that a peer reports. `is_local` tells whether it is in this VM's failure domain.
+    /// Records the conditions that a peer reports. `is_local` tells whether it is in this VM's
+    /// failure domain.
     pub fn record_peer_conditions(
         &mut self,
         now: Time,
@@ -26,7 +27,7 @@
         conditions: &Conditions,
     ) {
         if is_local {
-            self.local_peer_heard_at = Some(now);
+            self.local_peer_seen_at = Some(now);
         }
         self.record_peer_rates(now, peer, is_local, &conditions.rates);
         self.record_peer_unreachable(now, peer, is_local, &conditions.unreachable);
--- a/trouttrack_core/src/world/peers.rs
+++ b/trouttrack_core/src/world/peers.rs
@@ -144,7 +144,7 @@
             rows.push(key);
             u.handovers.record_peer(now, &source, handover_counts(used));
             if has_output(used) {
-                u.heard_at = Some(now);
+                u.last_response_at = Some(now);
             }
             u.set_peer_use(peer_use(now, &source, used, is_local));
             u.note_loading(now);
--- a/trouttrack_core/src/world/reachability/mod.rs
+++ b/trouttrack_core/src/world/reachability/mod.rs
@@ -1,6 +1,6 @@
 //! Upstreams that refuse connections: observations of this VM, and the reports of peers.
 //!
-//! Only VMs of the same failure domain are believed: a network partition refuses connections as
+//! Only reports from the same failure domain count: a network partition refuses connections as
 //! well, and what cannot be reached from one failure domain may be reachable from another.
 
 mod reports;
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// Time within which the output of a busy engine reaches this VM or is reported by a peer.
-const UNHEARD_PERIOD: Duration = Duration::from_secs(1);
+const RESPONSE_REPORT_PERIOD: Duration = Duration::from_secs(1);
 /// Maximum number of changes kept until they are taken.
 const MAX_CHANGES: usize = 256;
 
@@ -82,7 +82,7 @@
         let Some(u) = row.upstream.and_then(|k| self.upstreams.get_mut(k)) else {
             return;
         };
-        u.heard_at = Some(now);
+        u.last_response_at = Some(now);
         u.reached_at = u.reached_at.max(Some(since));
         if !u.reachability.is_disproved_by(since) {
             return;
@@ -125,19 +125,19 @@
         opens_at.flatten().min()
     }
 
-    /// Sets whether departures of upstreams cannot be learned, because the store is silent. An
-    /// upstream that nobody hears of since then may be gone.
+    /// Sets whether departures of upstreams cannot be learned, because the store does not
+    /// answer. An engine without a response since then may have left.
     pub fn set_store_silent(&mut self, now: Time, silent: bool) {
         self.store_silent_since = silent.then(|| self.store_silent_since.unwrap_or(now));
     }
 
-    /// Whether an engine may be gone without this VM knowing it. Peers do not report the answers
+    /// Whether an engine may have left without this VM's knowledge. Peers do not report the answers
     /// to plain calls, so nothing is concluded from silence about a plain upstream.
     pub(super) fn is_uncertain(&self, now: Time, u: &Upstream) -> bool {
         let silent_since = self.store_silent_since;
-        let since = silent_since.filter(|at| now.saturating_sub(*at) >= UNHEARD_PERIOD);
+        let since = silent_since.filter(|at| now.saturating_sub(*at) >= RESPONSE_REPORT_PERIOD);
         let is_engine = u.spec.capacity_tokens > 0;
-        is_engine && since.is_some_and(|since| u.is_unheard_since(since))
+        is_engine && since.is_some_and(|since| u.is_silent_since(since))
     }
 
     fn serving_rows(&self, service: &str) -> impl Iterator<Item = &Upstream> {
--- a/trouttrack_core/src/world/reachability/reports.rs
+++ b/trouttrack_core/src/world/reachability/reports.rs
@@ -75,10 +75,10 @@
 
     /// Returns the unreachable upstreams to report to peers, the latest first.
     pub(in crate::world) fn unreachable_to_report(&self, now: Time) -> Vec<ReportedUnreachable> {
-        let hears_peers = self.hears_peers(now);
+        let has_live_peers = self.has_live_peers(now);
         let is_refuted = self.is_refuted();
         let is_doubtful = |r: &Reachability| {
-            let is_pending = hears_peers && r.awaits_peer_trial();
+            let is_pending = has_live_peers && r.awaits_peer_trial();
             r.is_own() && (is_refuted || r.is_refuted() || is_pending)
         };
         let known = self.reachability.iter();
@@ -124,9 +124,9 @@
     }
 
     /// Whether peers of this failure domain are there to try an upstream again.
-    fn hears_peers(&self, now: Time) -> bool {
-        let heard_at = self.local_peer_heard_at;
-        heard_at.is_some_and(|at| now.saturating_sub(at) < PEER_PERIOD)
+    fn has_live_peers(&self, now: Time) -> bool {
+        let seen_at = self.local_peer_seen_at;
+        seen_at.is_some_and(|at| now.saturating_sub(at) < PEER_PERIOD)
     }
 }
 
--- a/trouttrack_core/src/world/systems/scan.rs
+++ b/trouttrack_core/src/world/systems/scan.rs
@@ -18,7 +18,7 @@
         new: OwnRun,
         skip_avoided: bool,
     ) -> Vec<Candidate> {
-        let draw: usize = self.rng.random_range(0..usize::MAX);
+        let start: usize = self.rng.random_range(0..usize::MAX);
         let row = &self.requests[new.key];
         let submission = &row.submission;
         let Some(serving) = self.upstreams.serving(&submission.service) else {
@@ -39,8 +39,8 @@
         if serving.keys.len() <= MAX_FULL_SCAN {
             return scan.all(local).chain(scan.all(remote)).collect();
         }
-        let mut found = scan.sample(local, draw, LOCAL_SCAN);
-        found.extend(scan.sample(remote, draw, REMOTE_SCAN));
+        let mut found = scan.sample(local, start, LOCAL_SCAN);
+        found.extend(scan.sample(remote, start, REMOTE_SCAN));
         found
     }
 
@@ -66,6 +66,7 @@
     /// Share of the memory that stays free for growth and for more urgent requests.
     reserve: f64,
     request: PredictedRequest,
+    /// Number of local upstreams for each that a sample has, at least 1.
     alternatives: f64,
 }
 
@@ -79,10 +80,12 @@
     max_fitting: f64,
 }
 
+/// Limits in this VM's failure domain.
 const LOCAL_SCAN: ScanLimits = ScanLimits {
     max_scanned: 40,
     max_fitting: 6.0,
 };
+/// Limits in other failure domains, of which a few good candidates are enough.
 const REMOTE_SCAN: ScanLimits = ScanLimits {
     max_scanned: 16,
     max_fitting: 3.0,
--- a/trouttrack_core/src/world/tables/mod.rs
+++ b/trouttrack_core/src/world/tables/mod.rs
@@ -76,7 +76,7 @@
     /// Changes of `reachability` that have not been returned to the caller yet.
     pub(crate) reachability_changes: Vec<ReachabilityChange>,
     /// Time of the last message from a peer in this VM's failure domain.
-    pub(crate) local_peer_heard_at: Option<Time>,
+    pub(crate) local_peer_seen_at: Option<Time>,
     /// Since when departures of upstreams cannot be learned, because the store is silent.
     pub(crate) store_silent_since: Option<Time>,
     /// Share that this VM has of a rate limit common to all VMs; none until it is set.
@@ -110,7 +110,7 @@
             notices: UpstreamNotices::default(),
             reachability: ReachabilityTable::default(),
             reachability_changes: Vec::new(),
-            local_peer_heard_at: None,
+            local_peer_seen_at: None,
             store_silent_since: None,
             retaining: HashSet::new(),
             refused: Vec::new(),
