A starting VM asks a peer when the store's first page is late

A VM that started while the store was silent asked its peers for the upstreams only after its own list had timed out, so it served nothing for two seconds although the peers and the configuration were known.

Once the first page is 250 ms late, the VM also fetches the list from a peer that has it, while its own call goes on. If the store answers first, the fetch ends. If the peer does, the VM serves; a list of the store that is no newer is then ignored, since it would bring back entries that were removed after it, and a newer one is applied. Of a longer list no further page is read, because the watch resumes from the peer's revision. Peers that have no list are not asked, and the limit on concurrent transfers is unchanged.

--- a/trouttrack_front/src/follow/bootstrap.rs
+++ b/trouttrack_front/src/follow/bootstrap.rs
@@ -62,7 +62,7 @@
 }
 
 /// Asks peers until one returns the list or the upstreams have advanced past `known`.
-async fn fetch_from_any_peer(front: &Rc<Front>, known: Revision) {
+pub(super) async fn fetch_from_any_peer(front: &Rc<Front>, known: Revision) {
     let mut backoff = Backoff::new();
     loop {
         backoff.pause_for_peers().await;
--- a/trouttrack_front/src/follow/calls.rs
+++ b/trouttrack_front/src/follow/calls.rs
@@ -13,6 +13,9 @@
 const MAX_PAGE_ATTEMPTS: usize = 4;
 /// Timeout for one page of a list.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a VM waits for the first page before it also asks a peer. A store in good health
+/// answers in milliseconds, and the slowest links, 10 Mbit/s, carry 0.3 MB in this time.
+const FIRST_PAGE_PATIENCE: Duration = Duration::from_millis(250);
 
 /// The result of a watch that the store answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,8 +60,8 @@
     }
 }
 
-/// Lists all objects page by page. If there is more than one page, the list is fetched from a
-/// peer that has it.
+/// Lists all objects page by page. If there is more than one page, or the first one is late, the
+/// list is fetched from a peer that has it.
 pub(super) async fn list<F: Follower>(
     front: &Front,
     follower: &F,
@@ -68,8 +71,10 @@
     let mut oldest: Option<Revision> = None;
     loop {
         let is_first = objects.is_empty();
-        let after = objects.last().map(|o| o.name.clone());
-        let page = page_after::<F>(front, after.as_deref(), reading).await?;
+        let page = match objects.last().map(|o| o.name.clone()) {
+            None => first_page(front, follower, reading).await?,
+            after => page_after::<F>(front, after.as_deref(), reading).await?,
+        };
         front.store_answered();
         // The watch starts at the oldest page, so that it covers changes made during the list.
         let lowest = oldest.get_or_insert(page.revision);
@@ -80,6 +85,10 @@
         *lowest = page.revision.min(*lowest);
         let oldest = *lowest;
         let ended = !page.more || page.objects.is_empty();
+        if !ended && follower.revision().is_some() {
+            // A peer's list arrived during the call; a watch from its revision reads the rest.
+            return Ok(());
+        }
         if is_first && !ended && follower.fetch_from_peers().await {
             return Ok(());
         }
@@ -91,6 +100,27 @@
     }
 }
 
+/// Reads the first page. If it is late, a list is also fetched from a peer, until either arrives;
+/// the call to the store goes on.
+async fn first_page<F: Follower>(
+    front: &Front,
+    follower: &F,
+    reading: Reading,
+) -> Result<Listed, StoreError> {
+    let page = page_after::<F>(front, None, reading);
+    tokio::pin!(page);
+    let fetching = async {
+        tokio::time::sleep(FIRST_PAGE_PATIENCE).await;
+        follower.fetch_from_peers_at_start().await;
+    };
+    tokio::select! {
+        biased;
+        page = &mut page => return page,
+        () = fetching => {}
+    }
+    page.await
+}
+
 /// Reads one page. Pages after the first are retried, so that a list resumes at the page that
 /// failed.
 async fn page_after<F: Follower>(
--- a/trouttrack_front/src/follow/follower.rs
+++ b/trouttrack_front/src/follow/follower.rs
@@ -44,11 +44,16 @@
         false
     }
 
+    /// Called while the first list of a starting VM is late. Fetches a full list from a peer that
+    /// has it, and waits until there is one. Cancelled when the store answers.
+    async fn fetch_from_peers_at_start(&self) {}
+
     /// Called after a failed call to the store. Fetches a full list from a peer with a newer
     /// revision if the changes that peers send do not follow the known revision.
     async fn fetch_from_peers_after_failure(&self) {}
 
-    /// Applies a full list as of a revision.
+    /// Applies a full list as of a revision. Ignored if a peer's list that is as new arrived during
+    /// the call.
     fn apply_list(&self, objects: &[Object], revision: Revision);
 
     /// Applies changes up to a revision.
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -1,6 +1,6 @@
 //! Follows the upstream entries in the store.
 
-use super::bootstrap::{fetch_from_peers, try_fetch_from_peers};
+use super::bootstrap::{fetch_from_any_peer, fetch_from_peers, try_fetch_from_peers};
 use super::evacuations::expire_lost_evacuations;
 use super::follower::Follower;
 use crate::peers::{
@@ -79,6 +79,14 @@
         taken
     }
 
+    async fn fetch_from_peers_at_start(&self) {
+        let upstreams = &self.front.upstreams;
+        if !upstreams.is_listed() {
+            fetch_from_any_peer(&self.front, upstreams.revision()).await;
+            self.needs_list.set(false);
+        }
+    }
+
     async fn fetch_from_peers_after_failure(&self) {
         let peers = &self.front.peers;
         let known = self.front.upstreams.revision();
@@ -93,6 +101,9 @@
     }
 
     fn apply_list(&self, objects: &[Object], revision: Revision) {
+        if self.revision().is_some_and(|known| known >= revision) {
+            return;
+        }
         let read = objects.iter().map(|o| UpstreamEntry::decode(o.spec.get()));
         let read: Vec<DecodedEntry> = read.collect();
         // If any entry has a start time, all entries must have one, so this runs before the
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -20,6 +20,7 @@
 mod repeats;
 mod slow_upstreams;
 mod soak;
+mod starts;
 mod stop;
 mod store;
 mod store_restored;
