Tests of slow readers: callers whose send buffers are small

Cause: the system sizes a connection's send buffer by its segments, and those of the loopback interface made it accept 2,990,080 bytes of a caller that reads nothing (a socket pair outside the tests). Each caller had to be sent that much, in events of 8 KiB, before the front kept bytes for it. Under load some callers' windows were shut for 9 s before the bound was reached, and the system then closes the connection, although the peer answers its probes (TCP_USER_TIMEOUT, which the front sets: 9.4 s in the socket pair). In a traced failure all twelve streams were gone within half a second, none ended by the front, so that six ended readers could no longer be seen. The tests are of the bounds, and depended on how fast the machine fills the sockets.

Change: the callers ask for segments of 536 bytes, for which the system accepts 101,216 bytes. Conditions, bounds, time-outs, number and size of events are as before. That the system closes the connections of live callers that accept nothing for 9 s is as before, and not tested.

--- a/trouttrack_front/tests/front/buffers.rs
+++ b/trouttrack_front/tests/front/buffers.rs
@@ -1,6 +1,7 @@
 //! Bytes that are kept for callers that do not read, counted against the bounds.
 
 use crate::support::{Bed, ENGINES, HOST, KEY, config, until};
+use socket2::SockRef;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
@@ -13,6 +14,9 @@
 /// More than the system's socket buffers hold.
 const EVENTS: u64 = 800;
 const EVENT_PADDING: usize = 8 * KIB;
+/// Bytes in a TCP segment. The system sizes send buffers by it: segments of the loopback
+/// interface make it accept some MiB that nobody reads, and these some 100 KiB.
+const SEGMENT: u32 = 536;
 const OTHER_KEY: &str = "key-of-beta";
 /// The end of a complete chunked body.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
@@ -50,6 +54,9 @@
     socket
         .set_recv_buffer_size(4 << 10)
         .expect("a small buffer");
+    SockRef::from(&socket)
+        .set_tcp_mss(SEGMENT)
+        .expect("small segments");
     let mut stream = socket.connect(bed.addr()).await.expect("a connection");
     let req = CallerRequest::get(id, HOST, "/draft/x")
         .post("x")
