Tests of compatibility: a stream that lasts until its reports are heard

Cause: the test read a heartbeat with rates while a stream of 120 events at 10 ms ran, and then expected the stream to be whole within the caller's five seconds. With 120 the test depended on the heartbeat coming before the stream's end.

Change: the stream lasts until both datagrams have been received, and then ends as fast as it can; callers and routes allow a minute. The text of the answer is compared as well.

--- a/trouttrack_front/tests/front/compatibility.rs
+++ b/trouttrack_front/tests/front/compatibility.rs
@@ -2,7 +2,7 @@
 //!
 //! The types are those of the previous version, which ignores the bytes after a datagram.
 
-use crate::support::{Bed, ENGINES, long, until};
+use crate::support::{Bed, ENGINES, config, events, long, until};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,7 +15,11 @@
 
 const FORMAT_VERSION: u8 = 6;
 const OWN_NAME: &str = "front-0";
-const EVENTS: u64 = 120;
+/// A stream of these events at this pace lasts longer than it takes to hear of it.
+const EVENTS: u64 = 1500;
+const PACE: Duration = Duration::from_millis(10);
+/// So long that no stream reaches it.
+const TIMEOUT: Duration = Duration::from_secs(60);
 
 /// The first two variants, which carry conditions.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
@@ -174,20 +178,42 @@
     }
 }
 
-#[actix_rt::test]
-async fn previous_version_understands_heartbeats_and_load_updates_with_conditions() {
+/// Starts a bed whose streams last until [`finish_streams`].
+async fn bed_with_long_streams() -> Bed {
     let bed = Bed::new(ENGINES).await;
+    let mut config = config(2);
+    for route in &mut config.routes {
+        route.timeout = TIMEOUT;
+    }
+    bed.store.put_config(&config);
+    until("the time-outs are in force", || {
+        bed.front.front.routing.version() == 2
+    })
+    .await;
     for upstream in &bed.upstreams {
         upstream.always(Behaviour::Stream(EVENTS));
-        upstream.pace(Duration::from_millis(10));
+        upstream.pace(PACE);
     }
+    bed
+}
+
+/// Lets the upstreams write the rest of their streams at once.
+fn finish_streams(bed: &Bed) {
+    for upstream in &bed.upstreams {
+        upstream.pace(Duration::ZERO);
+    }
+}
+
+#[actix_rt::test]
+async fn previous_version_understands_heartbeats_and_load_updates_with_conditions() {
+    let bed = bed_with_long_streams().await;
     let mut previous = PreviousVm::start(&bed).await;
     previous.send_heartbeat(Vec::new()).await;
     until("the previous version is heard", || {
         bed.front.front.peers.is_live(OWN_NAME)
     })
     .await;
-    let (req, addr) = (long("r1", "draft"), bed.addr());
+    let (req, addr) = (long("r1", "draft").patience(TIMEOUT), bed.addr());
     let answer = actix_rt::spawn(async move { req.send(addr).await });
     let is_load = |d: &Datagram, _: &[u8]| matches!(d, Datagram::Load(l) if !l.uses.is_empty());
     let (load, mut bytes) = previous.receive(is_load).await;
@@ -213,7 +239,10 @@
     };
     assert_eq!(heartbeat.digest.name, "front-1");
     assert_eq!(heartbeat.digest.uses.len(), 1);
-    assert!(answer.await.expect("an answer").whole);
+    finish_streams(&bed);
+    let reply = answer.await.expect("an answer");
+    assert!(reply.whole);
+    assert_eq!(reply.text(), events("r1", EVENTS));
 }
 
 #[actix_rt::test]
