Judge every request for upstreams that are gone

The soak judged only repeatable requests that were refused because nobody listens. A refused connection is no attempt for requests that may run at most once either (docs/design/hard-load.md, what becomes of a request without a token), so their refusals are findings as well.

The test asserted that a refused request that may run at most once breaks nothing, which the table contradicts. It asserts the finding for every lasting route instead.

--- a/trouttrack_soak/src/check/load.rs
+++ b/trouttrack_soak/src/check/load.rs
@@ -45,11 +45,10 @@
     found.then(|| Finding::of(READS, &call.id, "disconnected as a slow reader"))
 }
 
-/// A repeatable request is refused because nobody listens, though only a part of the
-/// upstreams is gone.
+/// A request is refused because nobody listens, though only a part of the upstreams is gone. A
+/// refused connection is no attempt, also of a request that may run at most once.
 fn refused(evidence: &Evidence, call: &Call) -> Option<Finding> {
-    let judged = call.told_not_run() && call.route.kind().repeatable();
-    let text = call.reply().filter(|_| judged)?.text();
+    let text = call.reply().filter(|_| call.told_not_run())?.text();
     let unreachable = UNREACHABLE.iter().any(|reason| text.contains(reason));
     let found = unreachable && only_some_gone(evidence, call.vm, call.sent, call.ended);
     found.then(|| Finding::of(REACHED, &call.id, text))
--- a/trouttrack_soak/tests/soak/load.rs
+++ b/trouttrack_soak/tests/soak/load.rs
@@ -113,8 +113,9 @@
     let reason = "no upstream can be reached in time";
     let nobody = "nobody listens at the upstream's address";
     for reason in [reason, nobody] {
-        assert_eq!(broken(&refused(RouteName::Many, reason)), [REACHED]);
-        assert!(broken(&refused(RouteName::Once, reason)).is_empty());
+        for route in RouteName::LASTING {
+            assert_eq!(broken(&refused(route, reason)), [REACHED], "{route:?}");
+        }
     }
     assert!(broken(&refused(RouteName::Many, "too many requests wait")).is_empty());
     for other in [Act::Kill(0), Act::Crash(1), Act::Evacuate("a")] {
