Count requests that never begin as late

A request without a first token passed the bound on late first tokens of unevenly used failure domains. It counts as late if its objective ended before the run did.

--- a/trouttrack_core/tests/core/flow.rs
+++ b/trouttrack_core/tests/core/flow.rs
@@ -212,6 +212,7 @@
             vm.placements.insert(key, self.placements.len());
             self.placements.push(Placement {
                 at: now,
+                submitted_at: since,
                 vm: i,
                 ask,
                 upstream,
--- a/trouttrack_core/tests/core/flow/vm.rs
+++ b/trouttrack_core/tests/core/flow/vm.rs
@@ -13,6 +13,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Placement {
     pub(crate) at: Time,
+    pub(crate) submitted_at: Time,
     pub(crate) ask: Ask,
     pub(crate) vm: usize,
     pub(crate) upstream: String,
--- a/trouttrack_core/tests/core/uneven_domains.rs
+++ b/trouttrack_core/tests/core/uneven_domains.rs
@@ -180,7 +180,7 @@
         assert!(predicted <= MOST_PREDICTED_LATE, "seed {seed}: {predicted}");
         let seen = self
             .placements()
-            .filter(|p| p.first_token.is_some_and(|time| late(time, p)));
+            .filter(|p| late(p.first_token.unwrap_or(self.flow.now - p.submitted_at), p));
         let seen = seen.count() as f64 / placed as f64;
         assert!(seen <= MOST_LATE, "seed {seed}: {seen}");
     }
