Judge readers that were disconnected beside store faults

The promise that a caller that reads is not disconnected counted only where the store was left alone too, so it was never judged beside upstreams that vanish, when the store is silent. Neither touches a caller: only what is done to the VM or its link to callers excuses a disconnection.

--- a/trouttrack_soak/src/check/load.rs
+++ b/trouttrack_soak/src/check/load.rs
@@ -41,7 +41,8 @@
 /// A caller that reads is disconnected, though neither it nor its VM stood still.
 fn ended(evidence: &Evidence, call: &Call) -> Option<Finding> {
     let ended = call.route != RouteName::Long && evidence.ended_readers.contains(&call.id);
-    let found = ended && evidence.left_alone(call, CONTACT);
+    let history = &evidence.history;
+    let found = ended && history.callers_left_alone(call.vm, call.sent, CONTACT, call.ended);
     found.then(|| Finding::of(READS, &call.id, "disconnected as a slow reader"))
 }
 
--- a/trouttrack_soak/src/faults/history.rs
+++ b/trouttrack_soak/src/faults/history.rs
@@ -61,11 +61,38 @@
     /// Whether a VM, its links and the store were left alone then.
     #[must_use]
     pub fn left_alone(&self, vm: usize, from: Instant, before: Duration, until: Instant) -> bool {
-        self.during(from, before, until).all(|d| match d.act {
-            Act::Stop(v) | Act::Kill(v) | Act::Pause(v) => v != vm,
-            Act::Link(Place::Callers(v) | Place::Store(v), _) => v != vm,
-            Act::Store(_) | Act::ForgetHistory | Act::RestoreStore | Act::Vanish(_) => false,
-            _ => true,
-        })
+        let mut during = self.during(from, before, until);
+        during.all(|d| !disturbs_callers(d.act, vm) && !disturbs_store(d.act, vm))
+    }
+
+    /// Whether a VM and its links to callers were left alone then.
+    #[must_use]
+    pub fn callers_left_alone(
+        &self,
+        vm: usize,
+        from: Instant,
+        before: Duration,
+        until: Instant,
+    ) -> bool {
+        let mut during = self.during(from, before, until);
+        during.all(|d| !disturbs_callers(d.act, vm))
+    }
+}
+
+/// Whether a VM or its link to callers is disturbed.
+fn disturbs_callers(act: Act, vm: usize) -> bool {
+    match act {
+        Act::Stop(v) | Act::Kill(v) | Act::Pause(v) => v == vm,
+        Act::Link(Place::Callers(v), _) => v == vm,
+        _ => false,
+    }
+}
+
+/// Whether the store, or a VM's link to it, is disturbed.
+fn disturbs_store(act: Act, vm: usize) -> bool {
+    match act {
+        Act::Link(Place::Store(v), _) => v == vm,
+        Act::Store(_) | Act::ForgetHistory | Act::RestoreStore | Act::Vanish(_) => true,
+        _ => false,
     }
 }
--- a/trouttrack_soak/tests/soak/load.rs
+++ b/trouttrack_soak/tests/soak/load.rs
@@ -5,7 +5,7 @@
 use trouttrack_soak::bed::{EVENTS, LONG_BY, RouteName};
 use trouttrack_soak::check::{BUFFERS, Evidence};
 use trouttrack_soak::faults::Disturbance;
-use trouttrack_soak::plan::Act;
+use trouttrack_soak::plan::{Act, LinkFault, Place, StoreFailure};
 use trouttrack_soak::vm::ended_readers;
 use trouttrack_soak::{Plan, Size};
 
@@ -76,8 +76,23 @@
     evidence.ended_readers.push("a".to_owned());
     disturb(&mut evidence, Act::SlowReaders(0));
     assert_eq!(broken(&evidence), [READS]);
-    disturb(&mut evidence, Act::Pause(0));
-    assert!(broken(&evidence).is_empty());
+    for elsewhere in [
+        Act::Vanish(0),
+        Act::Store(StoreFailure::Silent),
+        Act::Link(Place::Store(0), LinkFault::Silence),
+        Act::Pause(1),
+    ] {
+        disturb(&mut evidence, elsewhere);
+        assert_eq!(broken(&evidence), [READS], "{elsewhere:?}");
+    }
+    for of_callers in [
+        Act::Pause(0),
+        Act::Link(Place::Callers(0), LinkFault::Silence),
+    ] {
+        let mut disturbed = evidence.clone();
+        disturb(&mut disturbed, of_callers);
+        assert!(broken(&disturbed).is_empty(), "{of_callers:?}");
+    }
 }
 
 #[test]
