Find VMs that never say what they keep

The bound on what VMs keep for slow readers was held against the largest figure of all, so a VM that said nothing hid behind one that did. Each VM is judged: above the bound, and never read from though one of its lives was long enough to be asked. That no VM said anything is a finding as before.

--- a/trouttrack_soak/src/check/evidence.rs
+++ b/trouttrack_soak/src/check/evidence.rs
@@ -4,7 +4,6 @@
 use crate::callers::Call;
 use crate::faults::History;
 use crate::vm::EndedBy;
-use std::cell::Cell;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 use trouttrack_core::ConfigVersion;
@@ -31,6 +30,24 @@
     }
 }
 
+/// What a VM said that it kept for callers that read slowly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Kept {
+    /// The most bytes; `None` if it said nothing.
+    pub most: Option<usize>,
+    /// How long its longest life was.
+    pub longest_life: Duration,
+}
+
+fn kept(bed: &Bed) -> Vec<Kept> {
+    let vms = bed.vms.iter().zip(&bed.most_kept);
+    let kept = vms.map(|(vm, most)| Kept {
+        most: most.get(),
+        longest_life: vm.longest_life(),
+    });
+    kept.collect()
+}
+
 /// Everything that was seen in a run.
 #[derive(Clone, Debug)]
 pub struct Evidence {
@@ -52,8 +69,8 @@
     pub lives: Vec<(String, Vec<EndedBy>)>,
     /// The requests whose callers were disconnected because they did not read.
     pub ended_readers: Vec<String>,
-    /// The most bytes that each VM said it kept for such callers; `None` if it said nothing.
-    pub most_kept: Vec<Option<usize>>,
+    /// What each VM said that it kept for such callers.
+    pub kept: Vec<Kept>,
     /// What was done when.
     pub history: History,
     /// Whether promises about times are checked.
@@ -92,7 +109,7 @@
             passing_keys: configs.passing_keys.clone(),
             lives: lives.collect(),
             ended_readers: bed.vms.iter().flat_map(|vm| vm.ended_readers()).collect(),
-            most_kept: bed.most_kept.iter().map(Cell::get).collect(),
+            kept: kept(bed),
             history,
             timed,
         }
--- a/trouttrack_soak/src/check/load.rs
+++ b/trouttrack_soak/src/check/load.rs
@@ -1,6 +1,6 @@
 //! Slow readers and upstreams that are gone.
 
-use super::{BUFFERS, CONTACT, Evidence, Finding};
+use super::{ASKED, BUFFERS, CONTACT, Evidence, Finding};
 use crate::bed::RouteName;
 use crate::callers::Call;
 use crate::plan::Act;
@@ -22,20 +22,30 @@
     of_calls.flatten().chain(kept(evidence)).collect()
 }
 
-fn kept(evidence: &Evidence) -> Option<Finding> {
-    let said = evidence.most_kept.iter().copied();
-    // Without VMs there is nothing to be said.
-    let most = said.max()?;
-    let seen = match most {
-        None => "no VM said what it keeps".to_owned(),
-        Some(most) => format!("{most} bytes, {BUFFERS} are allowed"),
-    };
-    let found = Finding {
-        promise: KEPT,
-        request: None,
-        seen,
-    };
-    most.is_none_or(|most| most > BUFFERS).then_some(found)
+/// A VM kept too much, or never said what it keeps though it lived long enough to be asked. At
+/// least one of them says it.
+fn kept(evidence: &Evidence) -> impl Iterator<Item = Finding> {
+    let none_said = evidence.kept.iter().all(|k| k.most.is_none());
+    let vms = evidence.kept.iter().enumerate();
+    vms.filter_map(move |(vm, kept)| {
+        let seen = match kept.most {
+            None if none_said || kept.longest_life >= ASKED => {
+                format!(
+                    "VM {vm} did not say in {:?} what it keeps",
+                    kept.longest_life
+                )
+            }
+            Some(most) if most > BUFFERS => {
+                format!("VM {vm}: {most} bytes, {BUFFERS} are allowed")
+            }
+            _ => return None,
+        };
+        Some(Finding {
+            promise: KEPT,
+            request: None,
+            seen,
+        })
+    })
 }
 
 /// A caller that reads is disconnected, though neither it nor its VM stood still.
--- a/trouttrack_soak/src/check/mod.rs
+++ b/trouttrack_soak/src/check/mod.rs
@@ -24,7 +24,7 @@
 mod stops;
 mod words;
 
-pub use evidence::{Evidence, Run};
+pub use evidence::{Evidence, Kept, Run};
 
 use serde::Serialize;
 use std::time::Duration;
@@ -41,6 +41,9 @@
 pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
 /// The most bytes that a VM keeps for callers that read slowly.
 pub const BUFFERS: usize = 256 << 10;
+/// A VM that lives for so long has been asked what it keeps: it has started, and several
+/// rounds of questions have passed, in which each VM may miss one.
+pub const ASKED: Duration = Duration::from_secs(5);
 /// After trouble, a VM is held to times again from then on.
 pub const CONTACT: Duration = Duration::from_secs(3);
 
--- a/trouttrack_soak/src/run.rs
+++ b/trouttrack_soak/src/run.rs
@@ -177,10 +177,9 @@
         not_run: calls.iter().filter(|c| c.told_not_run()).count(),
         readers_ended: evidence.ended_readers.len(),
         most_kept: evidence
-            .most_kept
+            .kept
             .iter()
-            .copied()
-            .flatten()
+            .filter_map(|k| k.most)
             .max()
             .unwrap_or(0),
         findings: check(evidence),
--- a/trouttrack_soak/src/vm/supervisor.rs
+++ b/trouttrack_soak/src/vm/supervisor.rs
@@ -68,6 +68,10 @@
     pid: Cell<Option<Pid>>,
     /// Numbers the lives from 1 on.
     life: Cell<u64>,
+    /// When the process that runs now, or ran last, was started.
+    began: Cell<Option<Instant>>,
+    /// The longest of the lives that have ended.
+    longest: Cell<Duration>,
     /// When the process that runs now was told to stop.
     told_to_stop: Cell<Option<Instant>>,
     /// Whether the process that runs now was killed.
@@ -98,6 +102,8 @@
             store,
             pid: Cell::new(None),
             life: Cell::new(0),
+            began: Cell::new(None),
+            longest: Cell::default(),
             told_to_stop: Cell::new(None),
             was_killed: Cell::new(false),
             ended: RefCell::default(),
@@ -122,6 +128,14 @@
         self.life.get()
     }
 
+    /// How long its longest life was so far.
+    #[must_use]
+    pub(crate) fn longest_life(&self) -> Duration {
+        let began = self.began.get().filter(|_| self.pid.get().is_some());
+        let now = began.map_or(Duration::ZERO, |at| at.elapsed());
+        self.longest.get().max(now)
+    }
+
     /// The requests whose callers it has disconnected because they did not read.
     #[must_use]
     pub(crate) fn ended_readers(&self) -> Vec<String> {
@@ -182,6 +196,7 @@
             let process = Process::start(&self.program, &self.settings, &self.log)?;
             self.begin_life(process.pid());
             let ended = self.wait(process).await?;
+            self.longest.set(self.longest_life());
             self.pid.set(None);
             self.ended.borrow_mut().push(ended);
             tokio::time::sleep(RESTART).await;
@@ -193,6 +208,7 @@
         self.was_killed.set(false);
         self.told_to_stop.set(None);
         self.life.set(self.life.get() + 1);
+        self.began.set(Some(Instant::now()));
         self.pid.set(Some(pid));
     }
 
--- a/trouttrack_soak/tests/soak/check.rs
+++ b/trouttrack_soak/tests/soak/check.rs
@@ -81,7 +81,7 @@
         passing_keys: Vec::new(),
         lives: Vec::new(),
         ended_readers: Vec::new(),
-        most_kept: Vec::new(),
+        kept: Vec::new(),
         history: History::default(),
         timed: true,
     }
--- a/trouttrack_soak/tests/soak/load.rs
+++ b/trouttrack_soak/tests/soak/load.rs
@@ -4,13 +4,14 @@
 use std::time::Instant;
 use trouttrack_soak::bed::{EVENTS, LONG_BY, RouteName};
 use trouttrack_soak::callers::Told;
-use trouttrack_soak::check::{BUFFERS, Evidence};
+use trouttrack_soak::check::{ASKED, BUFFERS, Evidence, Kept};
 use trouttrack_soak::faults::Disturbance;
 use trouttrack_soak::plan::{Act, LinkFault, Place, StoreFailure};
 use trouttrack_soak::vm::ended_readers;
 use trouttrack_soak::{Plan, Size};
 
 const CUT: &str = "planned work cuts off no request";
+const KEPT: &str = "what a VM keeps for slow readers stays under its bound";
 const READS: &str = "a caller that reads is not disconnected for another's stall";
 const REACHED: &str = "upstreams that are gone make nothing fail that others could serve";
 
@@ -119,13 +120,28 @@
 #[test]
 fn more_than_the_bound_is_found() {
     let mut evidence = evidence(Vec::new(), Vec::new());
-    evidence.most_kept = vec![None, Some(BUFFERS)];
+    let kept = |most, longest_life| Kept { most, longest_life };
+    let shortly = ASKED / 2;
+    evidence.kept = vec![kept(None, shortly), kept(Some(BUFFERS), ASKED)];
     assert!(broken(&evidence).is_empty());
-    evidence.most_kept.push(Some(BUFFERS + 1));
-    let kept = "what a VM keeps for slow readers stays under its bound";
-    assert_eq!(broken(&evidence), [kept]);
-    evidence.most_kept = vec![None];
-    assert_eq!(broken(&evidence), [kept]);
+    evidence.kept.push(kept(Some(BUFFERS + 1), shortly));
+    assert_eq!(broken(&evidence), [KEPT]);
+    evidence.kept = vec![kept(None, shortly)];
+    assert_eq!(broken(&evidence), [KEPT]);
+}
+
+#[test]
+fn a_vm_that_never_says_what_it_keeps_is_found_beside_others_that_do() {
+    let mut evidence = evidence(Vec::new(), Vec::new());
+    let said = Kept {
+        most: Some(0),
+        longest_life: ASKED,
+    };
+    let silent = Kept { most: None, ..said };
+    evidence.kept = vec![said, said];
+    assert!(broken(&evidence).is_empty());
+    evidence.kept = vec![said, silent, silent];
+    assert_eq!(broken(&evidence), [KEPT, KEPT]);
 }
 
 #[test]
