Let the end of a fault leave others of its kind in force

An engine that was slow for a while got its usual pace back, also if it was to stay slow. The first of two overlapping store faults to end made the store answer: the end of a vanished quarter ended another step's outage and the reverse. Both are counted now: an engine has the longest pace of what slows it, and the store answers when the last fault that keeps it away has ended. Plans do not change.

--- a/trouttrack_soak/src/bed/fleet.rs
+++ b/trouttrack_soak/src/bed/fleet.rs
@@ -2,7 +2,8 @@
 
 use super::balance::MISSES;
 use super::config::Configs;
-use super::upstreams::Upstreams;
+use super::upstreams::{PACE, Upstreams};
+use crate::faults::{Lasting, Slow};
 use crate::link::Link;
 use crate::plan::Size;
 use crate::vm::Vm;
@@ -11,7 +12,7 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use trouttrack_platform_standin::{Store, StoreData, Upstream};
+use trouttrack_platform_standin::{Store, StoreData, StoreFault, Upstream};
 
 /// A failure domain that was evacuated.
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +41,10 @@
 pub(crate) struct Bed {
     /// The store.
     pub(crate) store: Store,
+    /// How it fails.
+    store_faults: Lasting<StoreFault>,
+    /// Engines that are slow.
+    slow: Lasting<Slow>,
     /// Between each VM and the store.
     pub(crate) store_links: Vec<Link>,
     /// Between callers and each VM.
@@ -75,6 +80,8 @@
         let upstreams = Upstreams::start(&store, size.upstreams).await?;
         let mut bed = Self {
             store,
+            store_faults: Lasting::default(),
+            slow: Lasting::default(),
             store_links: Vec::new(),
             caller_links: Vec::new(),
             vms: Vec::new(),
@@ -97,6 +104,35 @@
         Ok(Rc::new(bed))
     }
 
+    /// The store begins to fail; returns the fault's number.
+    pub(crate) fn begin_store_fault(&self, fault: StoreFault) -> u64 {
+        let number = self.store_faults.begin(fault);
+        self.store.set_fault(self.store_faults.fault());
+        number
+    }
+
+    /// A fault of the store ends.
+    pub(crate) fn end_store_fault(&self, number: u64) {
+        self.store_faults.end(number);
+        self.store.set_fault(self.store_faults.fault());
+    }
+
+    /// An engine's events come so many times later; returns the number of what slows it down.
+    pub(crate) fn slow_down(&self, engine: &Upstream, times: f64) -> u64 {
+        let number = self.slow.begin(Slow {
+            engine: engine.id.clone(),
+            pace: PACE.mul_f64(times),
+        });
+        engine.pace(self.slow.pace(&engine.id, PACE));
+        number
+    }
+
+    /// One of the things that slow an engine down ends.
+    pub(crate) fn end_slow_down(&self, engine: &Upstream, number: u64) {
+        self.slow.end(number);
+        engine.pace(self.slow.pace(&engine.id, PACE));
+    }
+
     /// Evacuates a failure domain for a while, unless it is evacuated.
     pub(crate) async fn evacuate(&self, domain: &'static str, lasts: Duration) {
         let lasting = |e: &Evacuated| e.domain == domain && e.until.is_none();
--- a/trouttrack_soak/src/bed/mod.rs
+++ b/trouttrack_soak/src/bed/mod.rs
@@ -14,4 +14,4 @@
 pub use routes::RouteName;
 pub(crate) use routes::{ENGINES, HOST};
 pub use upstreams::{DOMAINS, EVENTS, FATAL, LONG_BY};
-pub(crate) use upstreams::{LONG, Member, PACE, Upstreams};
+pub(crate) use upstreams::{LONG, Member, Upstreams};
--- a/trouttrack_soak/src/faults/mod.rs
+++ b/trouttrack_soak/src/faults/mod.rs
@@ -2,8 +2,10 @@
 
 mod carry_out;
 mod history;
+mod lasting;
 mod store;
 mod upstreams;
 
 pub(crate) use carry_out::Faults;
 pub use history::{Disturbance, History};
+pub use lasting::{Lasting, Slow};
--- a/trouttrack_soak/src/faults/store.rs
+++ b/trouttrack_soak/src/faults/store.rs
@@ -17,7 +17,7 @@
 
 /// Makes the store fail for a while.
 pub(super) async fn fail(bed: &Bed, failure: StoreFailure, lasts: Duration, rng: &mut SmallRng) {
-    bed.store.set_fault(fault(failure));
+    let failing = bed.begin_store_fault(fault(failure));
     let lapsed = match failure {
         StoreFailure::Lapse => bed.upstreams.now(),
         _ => Vec::new(),
@@ -26,7 +26,7 @@
         bed.store.remove_upstream(&member.upstream.id);
     }
     sleep(lasts).await;
-    bed.store.set_fault(StoreFault::None);
+    bed.end_store_fault(failing);
     return_entries(bed, &lapsed, rng).await;
 }
 
@@ -36,10 +36,10 @@
     let Some(backup) = bed.store_backup.borrow().clone() else {
         return;
     };
-    bed.store.set_fault(StoreFault::Silent);
+    let away = bed.begin_store_fault(StoreFault::Silent);
     sleep(Duration::from_millis(rng.random_range(RESTORE_OUTAGE_MS))).await;
     bed.store.restore(&backup);
-    bed.store.set_fault(StoreFault::None);
+    bed.end_store_fault(away);
     sleep(ENTRIES_RETURN.mul_f64(rng.random())).await;
     bed.rewrite_current_state();
 }
--- a/trouttrack_soak/src/faults/upstreams.rs
+++ b/trouttrack_soak/src/faults/upstreams.rs
@@ -1,6 +1,6 @@
 //! Upstreams that leave, crash or misbehave.
 
-use crate::bed::{Bed, ENGINES, EVENTS, Member, PACE, Upstreams};
+use crate::bed::{Bed, ENGINES, EVENTS, Member, Upstreams};
 use crate::plan::LinkFault;
 use rand::RngExt;
 use rand::rngs::SmallRng;
@@ -87,20 +87,20 @@
     rng: &mut SmallRng,
 ) {
     let upstream = bed.upstreams.at(place).upstream;
-    upstream.pace(PACE.mul_f64(rng.random_range(SLOWER)));
+    let slow = bed.slow_down(&upstream, rng.random_range(SLOWER));
     if let Some(lasts) = lasts {
         sleep(lasts).await;
-        upstream.pace(PACE);
+        bed.end_slow_down(&upstream, slow);
     }
 }
 
 /// A quarter of a service ends at once while the store is away; others take their places later.
 pub(super) async fn vanish(bed: &Bed, place: usize, lasts: Duration) {
     let gone = bed.upstreams.quarter(place);
-    bed.store.set_fault(StoreFault::Silent);
+    let away = bed.begin_store_fault(StoreFault::Silent);
     gone.iter().for_each(|m| bed.upstreams.vanish(m));
     sleep(lasts).await;
-    bed.store.set_fault(StoreFault::None);
+    bed.end_store_fault(away);
     for member in &gone {
         replace(bed, member).await;
     }
--- a/trouttrack_soak/tests/soak/main.rs
+++ b/trouttrack_soak/tests/soak/main.rs
@@ -1,5 +1,6 @@
 //! The soak's own parts.
 
 mod check;
+mod lasting;
 mod link;
 mod load;
