Merge checks of the soak as strict as its promises

Change: every request is judged, slow readers are excused only once their answer has begun, each VM is judged, and the end of a fault leaves others of its kind in force.

--- a/trouttrack_soak/tests/soak/load.rs
+++ b/trouttrack_soak/tests/soak/load.rs
@@ -3,12 +3,15 @@
 use crate::check::{SECOND, broken, call, evidence, reply, run, served};
 use std::time::Instant;
 use trouttrack_soak::bed::{EVENTS, LONG_BY, RouteName};
-use trouttrack_soak::check::{BUFFERS, Evidence};
+use trouttrack_soak::callers::Told;
+use trouttrack_soak::check::{ASKED, BUFFERS, Evidence, Kept};
 use trouttrack_soak::faults::Disturbance;
-use trouttrack_soak::plan::Act;
+use trouttrack_soak::plan::{Act, LinkFault, Place, StoreFailure};
 use trouttrack_soak::vm::ended_readers;
 use trouttrack_soak::{Plan, Size};
 
+const CUT: &str = "planned work cuts off no request";
+const KEPT: &str = "what a VM keeps for slow readers stays under its bound";
 const READS: &str = "a caller that reads is not disconnected for another's stall";
 const REACHED: &str = "upstreams that are gone make nothing fail that others could serve";
 
@@ -43,7 +46,6 @@
     let all = long_events("s", EVENTS);
     assert!(broken(&read_slowly(&all, true)).is_empty());
     assert!(broken(&read_slowly(&all[..LONG_BY * 3 / 2], false)).is_empty());
-    assert!(broken(&read_slowly("", false)).is_empty());
     assert_eq!(broken(&read_slowly(&long_events("s", 3), true)), [tokens]);
     let skipped = all.replace("id: 2\n", "id: 3\n");
     assert_eq!(broken(&read_slowly(&skipped, false)), [tokens]);
@@ -56,6 +58,18 @@
     let mut slow = read_slowly(&long_events("s", 2), false);
     disturb(&mut slow, Act::SlowReaders(0));
     assert!(broken(&slow).is_empty());
+    // Before its answer has begun with success, it reads like any other.
+    let mut failed = read_slowly("", true);
+    failed.calls[0].told = Told::Answer(reply(504, "s", None, "uncertain: too late"));
+    let mut unanswered = read_slowly("", true);
+    unanswered.calls[0].told = Told::NoAnswer { was_sent: true };
+    let mut hung = read_slowly("", true);
+    hung.calls[0].told = Told::Nothing;
+    for mut cut in [read_slowly("", false), failed, unanswered, hung] {
+        disturb(&mut cut, Act::SlowReaders(0));
+        let found = broken(&cut);
+        assert!(found.contains(&CUT), "{:?}: {found:?}", cut.calls[0].told);
+    }
     for demand in [Act::SlowReaders(0), Act::Burst] {
         let now = Instant::now();
         let mut part = reply(200, "a", Some("u1"), "");
@@ -63,7 +77,7 @@
         let calls = vec![call("a", RouteName::Draft, now, part)];
         let mut other = evidence(calls, vec![run("a", RouteName::Draft, "u1", now)]);
         disturb(&mut other, demand);
-        assert_eq!(broken(&other), ["planned work cuts off no request"]);
+        assert_eq!(broken(&other), [CUT]);
     }
 }
 
@@ -76,8 +90,23 @@
     evidence.ended_readers.push("a".to_owned());
     disturb(&mut evidence, Act::SlowReaders(0));
     assert_eq!(broken(&evidence), [READS]);
-    disturb(&mut evidence, Act::Pause(0));
-    assert!(broken(&evidence).is_empty());
+    for elsewhere in [
+        Act::Vanish(0),
+        Act::Store(StoreFailure::Silent),
+        Act::Link(Place::Store(0), LinkFault::Silence),
+        Act::Pause(1),
+    ] {
+        disturb(&mut evidence, elsewhere);
+        assert_eq!(broken(&evidence), [READS], "{elsewhere:?}");
+    }
+    for of_callers in [
+        Act::Pause(0),
+        Act::Link(Place::Callers(0), LinkFault::Silence),
+    ] {
+        let mut disturbed = evidence.clone();
+        disturb(&mut disturbed, of_callers);
+        assert!(broken(&disturbed).is_empty(), "{of_callers:?}");
+    }
 }
 
 #[test]
@@ -91,13 +120,28 @@
 #[test]
 fn more_than_the_bound_is_found() {
     let mut evidence = evidence(Vec::new(), Vec::new());
-    evidence.most_kept = vec![None, Some(BUFFERS)];
+    let kept = |most, longest_life| Kept { most, longest_life };
+    let shortly = ASKED / 2;
+    evidence.kept = vec![kept(None, shortly), kept(Some(BUFFERS), ASKED)];
+    assert!(broken(&evidence).is_empty());
+    evidence.kept.push(kept(Some(BUFFERS + 1), shortly));
+    assert_eq!(broken(&evidence), [KEPT]);
+    evidence.kept = vec![kept(None, shortly)];
+    assert_eq!(broken(&evidence), [KEPT]);
+}
+
+#[test]
+fn a_vm_that_never_says_what_it_keeps_is_found_beside_others_that_do() {
+    let mut evidence = evidence(Vec::new(), Vec::new());
+    let said = Kept {
+        most: Some(0),
+        longest_life: ASKED,
+    };
+    let silent = Kept { most: None, ..said };
+    evidence.kept = vec![said, said];
     assert!(broken(&evidence).is_empty());
-    evidence.most_kept.push(Some(BUFFERS + 1));
-    let kept = "what a VM keeps for slow readers stays under its bound";
-    assert_eq!(broken(&evidence), [kept]);
-    evidence.most_kept = vec![None];
-    assert_eq!(broken(&evidence), [kept]);
+    evidence.kept = vec![said, silent, silent];
+    assert_eq!(broken(&evidence), [KEPT, KEPT]);
 }
 
 #[test]
@@ -113,8 +157,9 @@
     let reason = "no upstream can be reached in time";
     let nobody = "nobody listens at the upstream's address";
     for reason in [reason, nobody] {
-        assert_eq!(broken(&refused(RouteName::Many, reason)), [REACHED]);
-        assert!(broken(&refused(RouteName::Once, reason)).is_empty());
+        for route in RouteName::LASTING {
+            assert_eq!(broken(&refused(route, reason)), [REACHED], "{route:?}");
+        }
     }
     assert!(broken(&refused(RouteName::Many, "too many requests wait")).is_empty());
     for other in [Act::Kill(0), Act::Crash(1), Act::Evacuate("a")] {
