Log and count the framing of forwarded answers

Cause: `answered` did not tell whether an upstream had framed its body, nor whether a stream ended inside an event, so the logs of an answer that was broken off could not say why it passed for complete. Change: fields `framed` and `partial_bytes`, counter `trouttrack_answers_total{kind,framing}`.

--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -22,6 +22,8 @@
     registry: Registry,
     /// Finished requests, by kind and outcome.
     pub ended: IntCounterVec,
+    /// Forwarded answers, by kind and framing of the upstream's body.
+    pub answers: IntCounterVec,
     /// Refused requests, by reason.
     pub refused: IntCounterVec,
     /// Attempts on upstreams, by result.
@@ -104,6 +106,12 @@
                 "Requests that ended, by kind and how",
                 &["kind", "end"],
             ),
+            answers: counter_vec(
+                &r,
+                "trouttrack_answers_total",
+                "Answers of upstreams that were forwarded, by kind and whether their body had a length or chunks",
+                &["kind", "framing"],
+            ),
             words: counter_vec(
                 &r,
                 "trouttrack_upstream_words_total",
--- a/trouttrack_front/src/request/end.rs
+++ b/trouttrack_front/src/request/end.rs
@@ -185,8 +185,12 @@
     pub(crate) attempts: u32,
     /// Time at which the first byte was forwarded.
     pub(crate) first_byte_at: Time,
+    /// Whether the upstream framed the body, by a length or by chunks.
+    pub(crate) framed: bool,
     /// Number of forwarded stream events; zero for a plain call.
     pub(crate) events: u64,
+    /// Bytes of a stream after its last complete event.
+    pub(crate) partial_bytes: usize,
     /// Longest pause between two events of a stream.
     pub(crate) longest_pause: Duration,
     /// Total time during which the caller of a stream accepted no bytes.
@@ -210,7 +214,9 @@
         route = admitted.route.name.as_str(),
         status = response.status,
         attempts = response.attempts,
+        framed = response.framed,
         events = response.events,
+        partial_bytes = response.partial_bytes,
         pause_ms = response.longest_pause.as_millis() as u64,
         max_pause_ms = pause_limit.map(|limit| limit.as_millis() as u64),
         caller_wait_ms = response.caller_wait.as_millis() as u64,
@@ -219,6 +225,14 @@
         held_ms = elapsed.as_millis() as u64,
     );
     count_end(front, kind_name(admitted), "answered");
+    let framing = match response.framed {
+        true => "framed",
+        false => "unframed",
+    };
+    let answers = &front.metrics.answers;
+    answers
+        .with_label_values(&[kind_name(admitted), framing])
+        .inc();
     front.metrics.first_byte_after(first);
     if admitted.route.kind.is_stream() && response.status < SERVER_ERROR {
         let timing = StreamTiming {
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -280,7 +280,9 @@
             status: response.head.status.as_u16(),
             attempts: self.attempts.sent,
             first_byte_at: self.front.clock.now(),
+            framed: response.framed,
             events: 0,
+            partial_bytes: 0,
             longest_pause: Duration::ZERO,
             caller_wait: Duration::ZERO,
         };
--- a/trouttrack_front/src/request/stream/finish.rs
+++ b/trouttrack_front/src/request/stream/finish.rs
@@ -77,7 +77,9 @@
             status,
             attempts: self.attempts.sent,
             first_byte_at: first,
+            framed: self.framed,
             events: self.reader.events(),
+            partial_bytes: self.partial_bytes,
             longest_pause: self.pace.longest_pause(),
             caller_wait: self.pace.caller_wait(),
         };
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -155,6 +155,7 @@
     /// Completes the stream with the bytes after the last complete event.
     async fn finish_stream(&mut self, source: &Source) -> Result<RelayEnd, AttemptError> {
         self.framed = source.framed;
+        self.partial_bytes = self.reader.partial_len();
         let remainder = self.reader.take_remainder();
         if !remainder.is_empty() || !self.output.head_sent() {
             self.send_to_caller(source, remainder).await?;
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -58,6 +58,8 @@
     /// Whether the body was framed. Without framing, the exit of the upstream cannot be told
     /// from the end of the stream.
     pub(super) framed: bool,
+    /// Bytes after the last complete event at the end of the stream.
+    pub(super) partial_bytes: usize,
 }
 
 impl StreamRun {
@@ -93,6 +95,7 @@
             first_event_at: None,
             pace: EventPace::default(),
             framed: false,
+            partial_bytes: 0,
         }
     }
 
--- a/trouttrack_front/src/request/stream/send.rs
+++ b/trouttrack_front/src/request/stream/send.rs
@@ -36,6 +36,7 @@
             return Err(AttemptFailure::new(Failure::Lost, reason).into());
         }
         let body = sent.read_body(MAX_ERROR_BODY_BYTES).await?;
+        self.framed = sent.framed;
         if sent.head.status.is_server_error() && self.admitted.route.kind.repeatable() {
             let reason = "the upstream answered with a failure";
             if self.attempts.sent < self.admitted.route.max_attempts {
