Reproduce answers that were broken off and framed as complete

Callers saw streams and calls that an upstream had broken off end as whole ones do: with the last chunk, or with a length. The stand-in plays answers without a length or chunks that are cut inside an event or between two, by a close or a reset, chunks that end inside an event, and half a body.

--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -29,3 +29,4 @@
 mod store_restored;
 mod streams;
 mod support;
+mod unframed;
--- a/trouttrack_soak/tests/soak/check.rs
+++ b/trouttrack_soak/tests/soak/check.rs
@@ -36,6 +36,7 @@
         closes: false,
         body: body.as_bytes().to_vec(),
         whole: true,
+        framed: true,
     }
 }
 
