Forward unframed answers without framing, break off streams that end inside an event

Callers saw answers that their upstream had broken off end as whole ones do. Cause: the end of a connection was taken for the end of an answer. A stream got chunks and a last chunk from the VM, a call a length, whatever the upstream's body had; what was left after the last whole event was sent along. Change: an answer is framed for its caller only if its upstream framed it; otherwise it ends with its connection, which is reset unless the upstream closed it in order, also when the VM is killed meanwhile. A stream that ends inside an event, chunked or not, has been broken off and is resumed, restored or tried again where it may be. A chunked answer that goes on at an upstream without framing gets no last chunk from it. Events may end in LF, CR LF or CR.

--- a/trouttrack_front/src/caller/body.rs
+++ b/trouttrack_front/src/caller/body.rs
@@ -3,6 +3,7 @@
 use crate::state::HeldBytes;
 use actix_http::body::{BodySize, MessageBody};
 use bytes::Bytes;
+use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -24,10 +25,27 @@
 /// The sending half of a stream body. It closes when the caller disconnects.
 pub(crate) type EventSender = mpsc::Sender<Result<Bytes, Broken>>;
 
+/// The end of a body that ends with its connection, shared by the body and the connection.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct UnframedEnd(Rc<Cell<bool>>);
+
+impl UnframedEnd {
+    fn reach(&self) {
+        self.0.set(true);
+    }
+
+    /// Whether the connection has taken the last bytes of the body.
+    pub(crate) fn is_reached(&self) -> bool {
+        self.0.get()
+    }
+}
+
 /// A response body.
 #[derive(Debug)]
 pub(crate) struct CallerBody {
     content: Content,
+    /// Its end, if it has neither a length nor chunks.
+    unframed: Option<UnframedEnd>,
     /// Counts the bytes; `None` for the short responses of this VM.
     held: Option<Rc<HeldBytes>>,
 }
@@ -46,15 +64,35 @@
     pub(crate) fn stream(held: Rc<HeldBytes>) -> (EventSender, Self) {
         let (tx, rx) = mpsc::channel(STREAM_BUFFER_CHUNKS);
         let content = Content::Stream(rx);
-        let held = Some(held);
-        (tx, Self { content, held })
+        let body = Self {
+            content,
+            unframed: None,
+            held: Some(held),
+        };
+        (tx, body)
     }
 
     /// Creates a complete body.
     #[must_use]
     pub(crate) fn whole(bytes: Bytes, held: Option<Rc<HeldBytes>>) -> Self {
-        let content = Content::Whole(bytes);
-        Self { content, held }
+        Self {
+            content: Content::Whole(bytes),
+            unframed: None,
+            held,
+        }
+    }
+
+    /// The same body without a length or chunks: it ends with its connection.
+    #[must_use]
+    pub(crate) fn unframed(mut self) -> Self {
+        self.unframed = Some(UnframedEnd::default());
+        self
+    }
+
+    /// Returns its end, if it ends with its connection.
+    #[must_use]
+    pub(crate) fn unframed_end(&self) -> Option<UnframedEnd> {
+        self.unframed.clone()
     }
 
     /// Returns the counter of the bytes.
@@ -77,6 +115,7 @@
 
     fn size(&self) -> BodySize {
         match &self.content {
+            _ if self.unframed.is_some() => BodySize::Stream,
             Content::Whole(bytes) => BodySize::Sized(bytes.len() as u64),
             Content::Stream(_) => BodySize::Stream,
         }
@@ -97,6 +136,9 @@
         if let (Some(Ok(bytes)), Some(held)) = (&next, &self.held) {
             held.taken(bytes.len());
         }
+        if let (None, Some(end)) = (&next, &self.unframed) {
+            end.reach();
+        }
         Poll::Ready(next)
     }
 }
--- a/trouttrack_front/src/caller/handler.rs
+++ b/trouttrack_front/src/caller/handler.rs
@@ -26,7 +26,7 @@
     let payload = req.take_payload();
     let res = respond(front, &req, payload).await;
     if let Some(current) = current {
-        current.set(res.body().held());
+        current.set(res.body());
     }
     res
 }
--- a/trouttrack_front/src/caller/reply.rs
+++ b/trouttrack_front/src/caller/reply.rs
@@ -16,17 +16,20 @@
     pub head: CallerAnswer,
     /// The body; `None` if it is a stream.
     pub body: Option<Bytes>,
+    /// Whether the body has a length or chunks. Without, it ends with its connection.
+    pub framed: bool,
     /// Counts the bytes of the body.
     pub held: Option<Rc<HeldBytes>>,
 }
 
 impl Reply {
-    /// A complete upstream response.
+    /// An upstream response that has been read to its end; `framed` as it was by its upstream.
     #[must_use]
-    pub(crate) fn of_upstream(head: AnswerHead, body: Bytes) -> Self {
+    pub(crate) fn of_upstream(head: AnswerHead, body: Bytes, framed: bool) -> Self {
         Self {
             head: CallerAnswer::of_upstream(head),
             body: Some(body),
+            framed,
             held: None,
         }
     }
@@ -38,12 +41,13 @@
         self
     }
 
-    /// The head of an upstream's streamed response.
+    /// The head of an upstream's streamed response; `framed` as it is by its upstream.
     #[must_use]
-    pub(crate) fn stream(head: AnswerHead) -> Self {
+    pub(crate) fn stream(head: AnswerHead, framed: bool) -> Self {
         Self {
             head: CallerAnswer::of_upstream(head),
             body: None,
+            framed,
             held: None,
         }
     }
@@ -53,6 +57,7 @@
         Self {
             head,
             body: Some(body),
+            framed: true,
             held: None,
         }
     }
@@ -93,6 +98,10 @@
             (None, Some(stream)) => stream,
             (None, None) => CallerBody::whole(Bytes::new(), None),
         };
+        let body = match self.framed {
+            true => body,
+            false => body.unframed(),
+        };
         let status = StatusCode::from_u16(self.head.status.as_u16());
         let mut res = Response::with_body(status.unwrap_or(StatusCode::BAD_GATEWAY), body);
         for (name, value) in &self.head.headers {
@@ -102,7 +111,10 @@
                 res.headers_mut().append(name, value);
             }
         }
-        if close {
+        if !self.framed {
+            res.head_mut().no_chunking(true);
+        }
+        if close || !self.framed {
             res.head_mut().set_connection_type(ConnectionType::Close);
         }
         res
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -27,6 +27,10 @@
 const RESPONSE_TRUNCATED: &str = "the answer broke off";
 /// Reason of an attempt whose stream was truncated.
 pub(super) const STREAM_TRUNCATED: &str = "the stream broke off";
+/// Reason of an attempt whose stream was framed as complete in the middle of an event.
+pub(super) const ENDED_INSIDE_EVENT: &str = "the stream ended inside an event";
+/// Reason of an attempt whose stream may have been cut off: it ended with its connection.
+pub(super) const END_UNKNOWN: &str = "the stream may not be complete";
 /// Reason of an attempt that took longer than its part of the objective.
 pub(super) const UPSTREAM_SLOW: &str = "the upstream is slow";
 /// Reason of an attempt that was not sent because its upstream no longer accepts work.
@@ -43,7 +47,8 @@
     pub(crate) head: AnswerHead,
     /// The body, not yet read.
     pub(crate) body: AnswerBody,
-    /// Whether the body is framed, by a length or by chunks, so that truncation is detectable.
+    /// Whether the body is framed, by a length or by chunks, so that its end shows that it is
+    /// complete.
     pub(crate) framed: bool,
 }
 
@@ -160,6 +165,8 @@
             }
             Failure::NotConnected => ticket.unreachable(),
             Failure::Lost if is_suspect && self.may_be_the_network() => {}
+            // A sound stream may end this way.
+            Failure::Lost if self.reason == END_UNKNOWN => {}
             Failure::Lost if self.closed_without_response() => ticket.lost(),
             Failure::Lost | Failure::Aborted => ticket.fault(),
         }
--- a/trouttrack_front/src/request/events.rs
+++ b/trouttrack_front/src/request/events.rs
@@ -6,7 +6,6 @@
 
 use bytes::{Bytes, BytesMut};
 
-const EVENT_TERMINATORS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
 /// Prefix of the line that carries the event id.
 const ID_PREFIX: &[u8] = b"id:";
 
@@ -76,6 +75,12 @@
         self.partial.split().freeze()
     }
 
+    /// Whether an event has begun and is not complete. Empty lines belong to no event.
+    #[must_use]
+    pub fn is_inside_event(&self) -> bool {
+        self.partial.iter().any(|byte| !is_line_end(*byte))
+    }
+
     /// Number of bytes of the incomplete event.
     #[must_use]
     pub fn partial_len(&self) -> usize {
@@ -95,17 +100,28 @@
     }
 }
 
-/// Length of the first complete event, including its terminator.
+fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
+/// Length of the first complete event, including the empty line that ends it. Lines end with LF,
+/// CR LF or CR.
 fn first_event_len(bytes: &[u8]) -> Option<usize> {
-    let ends = EVENT_TERMINATORS.iter().filter_map(|blank| {
-        let at = bytes.windows(blank.len()).position(|w| w == *blank)?;
-        Some(at + blank.len())
-    });
-    ends.min()
+    let mut at = 0;
+    let mut has_lines = false;
+    loop {
+        let length = bytes[at..].iter().position(|byte| is_line_end(*byte))?;
+        let end = &bytes[at + length..];
+        at += length + if end.starts_with(b"\r\n") { 2 } else { 1 };
+        if length == 0 && has_lines {
+            return Some(at);
+        }
+        has_lines |= length > 0;
+    }
 }
 
 fn id_of(event: &[u8]) -> Option<String> {
-    let lines = event.split(|&b| b == b'\n');
+    let lines = event.split(|byte| is_line_end(*byte));
     let mut ids = lines.filter_map(|line| line.strip_prefix(ID_PREFIX));
     let id = std::str::from_utf8(ids.next()?).ok()?;
     Some(id.trim().to_owned())
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -287,7 +287,7 @@
             caller_wait: Duration::ZERO,
         };
         record_forwarded(self.front, self.admitted, forwarded);
-        Reply::of_upstream(response.head, response.body).counted_in(response.held)
+        Reply::of_upstream(response.head, response.body, response.framed).counted_in(response.held)
     }
 
     /// Forwards the server error of an upstream if there is one, since it tells the caller more
--- a/trouttrack_front/src/request/stream/finish.rs
+++ b/trouttrack_front/src/request/stream/finish.rs
@@ -50,7 +50,8 @@
             StreamEnd::Complete => self.log_response(http::StatusCode::OK.as_u16()),
             StreamEnd::Response(head, body) => {
                 self.log_response(head.status.as_u16());
-                self.output.send_reply(Reply::of_upstream(head, body));
+                let reply = Reply::of_upstream(head, body, self.framed);
+                self.output.send_reply(reply);
             }
             StreamEnd::Ended(end) => {
                 let reply = end.reply(&self.front, &self.admitted, self.attempts.sent);
--- a/trouttrack_front/src/request/stream/output.rs
+++ b/trouttrack_front/src/request/stream/output.rs
@@ -15,6 +15,8 @@
 #[derive(Debug)]
 pub(super) struct Output {
     head: Option<oneshot::Sender<Reply>>,
+    /// Whether a head was sent with which the end of the body claims that the stream is complete.
+    framed: bool,
     chunks: EventSender,
     /// Counts the unread bytes.
     held: Rc<HeldBytes>,
@@ -28,6 +30,7 @@
     ) -> Self {
         Self {
             head: Some(head),
+            framed: false,
             chunks,
             held,
         }
@@ -39,16 +42,22 @@
         self.head.is_none()
     }
 
+    /// Whether the head has been sent and frames the body by chunks.
+    pub(super) fn is_framed(&self) -> bool {
+        self.framed
+    }
+
     /// Returns a sender whose `closed` completes when the caller disconnects.
     pub(super) fn disconnect_watcher(&self) -> EventSender {
         self.chunks.clone()
     }
 
-    /// Sends the head of a stream.
-    pub(super) fn send_head(&mut self, head: &AnswerHead) {
+    /// Sends the head of a stream, which is framed if the upstream frames it.
+    pub(super) fn send_head(&mut self, head: &AnswerHead, framed: bool) {
         if let Some(tx) = self.head.take() {
+            self.framed = framed;
             // If the caller has disconnected, sending the next chunk fails.
-            drop(tx.send(Reply::stream(head.clone())));
+            drop(tx.send(Reply::stream(head.clone(), framed)));
         }
     }
 
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -4,7 +4,7 @@
 use super::finish::AttemptError;
 use super::run::StreamRun;
 use super::source::{Source, SourceEvent};
-use crate::request::attempt::{AttemptFailure, STREAM_TRUNCATED};
+use crate::request::attempt::{AttemptFailure, END_UNKNOWN, ENDED_INSIDE_EVENT, STREAM_TRUNCATED};
 use crate::request::submission::{SHORT_REQUEST_MAX_TOKENS, is_short};
 use crate::rescue::{GenerationMove, MoveEnd, MoveTask};
 use crate::state::{Ticket, Upstream};
@@ -46,11 +46,22 @@
             {
                 SourceEvent::Chunk(bytes) => self.forward(source, &bytes, ticket).await?,
                 SourceEvent::Ended => match self.resolve_end(source, task.take()).await {
-                    MoveEnd::NotMoved => return self.finish_stream(source).await,
+                    MoveEnd::NotMoved => {
+                        return match self.missing_end(source) {
+                            Some(reason) => self.recover(source, None, reason, ticket).await,
+                            None => self.finish_stream(source).await,
+                        };
+                    }
                     MoveEnd::Moved(moved) => return self.resume_moved(source, moved, ticket).await,
-                    MoveEnd::Stopped => return self.recover(source, None, ticket).await,
+                    MoveEnd::Stopped => {
+                        let reason = STREAM_TRUNCATED;
+                        return self.recover(source, None, reason, ticket).await;
+                    }
                 },
-                SourceEvent::Truncated => return self.recover(source, task.take(), ticket).await,
+                SourceEvent::Truncated => {
+                    let reason = STREAM_TRUNCATED;
+                    return self.recover(source, task.take(), reason, ticket).await;
+                }
                 SourceEvent::Idle => {
                     return Err(AttemptFailure::new(Failure::Lost, "the stream is silent").into());
                 }
@@ -128,7 +139,7 @@
     /// Sends bytes to the caller, preceded by the head if they are the first.
     async fn send_to_caller(&mut self, source: &Source, bytes: Bytes) -> Result<(), AttemptError> {
         self.output
-            .send_head(self.head.as_ref().unwrap_or(&source.head));
+            .send_head(self.head.as_ref().unwrap_or(&source.head), source.framed);
         self.mark_first_event();
         let sent_at = self.front.clock.now();
         let sent = self.output.send_chunk(bytes).await;
@@ -152,7 +163,24 @@
         move_task.outcome().await
     }
 
-    /// Completes the stream with the bytes after the last complete event.
+    /// Why the end of a body is not the end of the stream, if it is not.
+    ///
+    /// A body that ends with its connection may have been cut off between two events. A response
+    /// that is framed as its upstream framed it may end there, but its last chunk would claim more
+    /// than such a body shows, and so would a stream without events.
+    fn missing_end(&self, source: &Source) -> Option<&'static str> {
+        if self.reader.is_inside_event() {
+            return Some(match source.framed {
+                true => ENDED_INSIDE_EVENT,
+                false => STREAM_TRUNCATED,
+            });
+        }
+        let has_event = self.reader.events() > 0 || self.admitted.head.last_event.is_some();
+        let shows_end = source.framed || has_event && !self.output.is_framed();
+        (!shows_end).then_some(END_UNKNOWN)
+    }
+
+    /// Completes the stream with the line ends after the last event.
     async fn finish_stream(&mut self, source: &Source) -> Result<RelayEnd, AttemptError> {
         self.framed = source.framed;
         self.partial_bytes = self.reader.partial_len();
@@ -169,6 +197,7 @@
         &mut self,
         source: &mut Source,
         move_task: Option<MoveTask>,
+        reason: &'static str,
         ticket: &Rc<Ticket>,
     ) -> Result<RelayEnd, AttemptError> {
         if let Some(move_task) = move_task
@@ -176,7 +205,7 @@
         {
             return self.resume_moved(source, moved, ticket).await;
         }
-        let failure = AttemptFailure::new(Failure::Lost, STREAM_TRUNCATED);
+        let failure = AttemptFailure::new(Failure::Lost, reason);
         let scheduler = &self.front.scheduler;
         let may_continue_at = |backup: &Rc<Upstream>| {
             scheduler.accepts_requests(&backup.id) && !scheduler.refuses_connections(&backup.id)
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -7,6 +7,7 @@
 mod config;
 mod entries;
 mod evacuation;
+mod event_reader;
 mod freshness;
 mod incarnations;
 mod large_fleet;
--- a/trouttrack_http/src/answer.rs
+++ b/trouttrack_http/src/answer.rs
@@ -26,7 +26,7 @@
     pub head: Parts,
     /// The body.
     pub body: AnswerBody,
-    /// Whether the body tells where it ends. If not, it ends with its
+    /// Whether the body tells where it ends, by a length or by chunks. If not, it ends with its
     /// connection, and a connection that was closed early looks the same.
     pub framed: bool,
 }
@@ -41,10 +41,8 @@
         channel: Channel,
     ) -> Self {
         let kept_for = kept_for(&head.headers);
-        let framed = head.headers.contains_key(header::CONTENT_LENGTH)
-            || head.headers.contains_key(header::TRANSFER_ENCODING);
-        let has_end = framed || body.is_end_stream();
-        let end_is_certain = has_end || !channel.is_relayed();
+        let framed = is_framed(&head.headers) || body.is_end_stream();
+        let end_is_certain = framed || !channel.is_relayed();
         let returns = Returns {
             pool: Rc::clone(pool),
             peer,
@@ -150,6 +148,18 @@
     kept_for: Duration,
 }
 
+/// Whether the headers frame a body. Chunks do so only as the last coding, and override a length.
+fn is_framed(headers: &HeaderMap) -> bool {
+    match headers.get_all(header::TRANSFER_ENCODING).iter().next_back() {
+        Some(codings) => {
+            let codings = codings.to_str().unwrap_or_default();
+            let last = codings.rsplit(',').next().unwrap_or_default();
+            last.trim().eq_ignore_ascii_case("chunked")
+        }
+        None => headers.contains_key(header::CONTENT_LENGTH),
+    }
+}
+
 /// How long the peer keeps the connection after this answer.
 fn kept_for(headers: &HeaderMap) -> Duration {
     let says = |name, word: &str| {
--- a/trouttrack_http/src/socket.rs
+++ b/trouttrack_http/src/socket.rs
@@ -35,6 +35,17 @@
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
 }
 
+/// Sets whether closing a connection resets it, also when its process is killed. What the peer has
+/// not acknowledged by then is lost.
+///
+/// # Errors
+///
+/// The system refuses the option.
+pub fn set_reset_on_close(stream: &TcpStream, reset: bool) -> io::Result<()> {
+    let linger = reset.then_some(Duration::ZERO);
+    SockRef::from(stream).set_linger(linger)
+}
+
 /// Connects to a peer, from a local address if one is given.
 pub(crate) async fn connect(peer: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
     let Some(source) = source else {
