Soak: answers without framing, whole and cut off

Cause: the soak's upstreams sent no stream without chunks and cut none in a way that looks complete, so nothing asked what a VM makes of it. An answer with framing has to be the whole one; one without may be cut only where an upstream's answer was cut in a way that does not show.

--- a/trouttrack_http/src/answer.rs
+++ b/trouttrack_http/src/answer.rs
@@ -150,7 +150,11 @@
 
 /// Whether the headers frame a body. Chunks do so only as the last coding, and override a length.
 fn is_framed(headers: &HeaderMap) -> bool {
-    match headers.get_all(header::TRANSFER_ENCODING).iter().next_back() {
+    match headers
+        .get_all(header::TRANSFER_ENCODING)
+        .iter()
+        .next_back()
+    {
         Some(codings) => {
             let codings = codings.to_str().unwrap_or_default();
             let last = codings.rsplit(',').next().unwrap_or_default();
--- a/trouttrack_soak/src/faults/upstreams.rs
+++ b/trouttrack_soak/src/faults/upstreams.rs
@@ -7,7 +7,7 @@
 use std::ops::Range;
 use std::time::Duration;
 use tokio::time::sleep;
-use trouttrack_platform_standin::{Behaviour, StoreFault};
+use trouttrack_platform_standin::{Behaviour, CutEnd, Place, StoreFault, StreamCut};
 
 /// How long a leaving upstream serves on after the store has taken its word:
 /// the platform's two seconds, and a little.
@@ -135,15 +135,26 @@
     }
 }
 
+/// A stream that is cut off in a way that may look complete.
+fn cut_stream(rng: &mut SmallRng, after: u64) -> Behaviour {
+    let cuts: Vec<StreamCut> = StreamCut::all(EVENTS, after)
+        // An upstream whose chunks are complete says that its stream is.
+        .filter(|cut| cut.end != CutEnd::LastChunk || cut.place == Place::InsideEvent)
+        .collect();
+    Behaviour::StreamCut(cuts[rng.random_range(0..cuts.len())])
+}
+
 fn bad_stream(rng: &mut SmallRng) -> Behaviour {
     // A broken stream ends after fewer events than a whole one has.
     let most = rng.random_range(0..EVENTS);
-    match rng.random_range(0..7) {
+    match rng.random_range(0..9) {
         0 | 1 => Behaviour::StreamReset(EVENTS, most),
         2 => Behaviour::StreamSilent(EVENTS, most),
         3 => Behaviour::Refuse,
         4 => Behaviour::OtherInstance,
         5 => Behaviour::Fail,
+        6 => Behaviour::StreamUnframed(EVENTS),
+        7 => cut_stream(rng, most),
         _ => Behaviour::LoseAnswer,
     }
 }
--- a/trouttrack_soak/tests/soak/check.rs
+++ b/trouttrack_soak/tests/soak/check.rs
@@ -60,6 +60,7 @@
             continued_from: None,
             backup_at: None,
             ran: true,
+            looks_complete: false,
             asked_rest: None,
             said_leaving: false,
             named_limit: None,
@@ -118,6 +119,26 @@
     assert!(broken(&evidence(vec![plain, streamed], runs)).is_empty());
 }
 
+/// An answer without framing may end early only where an upstream's did; one with framing never.
+#[test]
+fn a_stream_cut_short_is_found_unless_its_upstream_cut_it_without_framing() {
+    let now = Instant::now();
+    for (framed, upstream_cut, is_found) in [
+        (true, true, true),
+        (true, false, true),
+        (false, false, true),
+        (false, true, false),
+    ] {
+        let mut cut = reply(200, "s", Some("u1"), &stream("s", EVENTS - 1));
+        cut.framed = framed;
+        let mut ran = run("s", RouteName::Draft, "u1", now);
+        ran.arrival.looks_complete = upstream_cut;
+        let calls = vec![call("s", RouteName::Draft, now, cut)];
+        let found = broken(&evidence(calls, vec![ran]));
+        assert_eq!(!found.is_empty(), is_found, "{framed} {upstream_cut}");
+    }
+}
+
 #[test]
 fn another_callers_answer_is_found() {
     let now = Instant::now();
