Gateway: an answer of a plain service without framing is not complete

Seen while looking for the cause of answers that were framed as complete elsewhere: the HTTP client reads a body that ends with its connection as empty, and the caller got 200 without a body and the outcome `complete`. Change: such an answer counts as lost, like one that is cut short.

--- a/trouttrack_gateway/src/request/plain.rs
+++ b/trouttrack_gateway/src/request/plain.rs
@@ -5,7 +5,7 @@
 use super::wire::{ErrorBody, NOT_STARTED};
 use crate::app::{InFlightGuard, Shared};
 use awc::error::SendRequestError;
-use awc::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue};
+use awc::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, TRANSFER_ENCODING};
 use awc::http::{Method, StatusCode};
 use awc::{ClientRequest, ClientResponse};
 use bytes::Bytes;
@@ -174,7 +174,7 @@
     }
     let answered = async {
         let answer = req.send_body(call.body.clone()).await;
-        received(answer).await
+        received(answer, &call.method).await
     };
     match tokio::time::timeout(clients.limits.first_token, answered).await {
         Ok(tried) => tried,
@@ -182,7 +182,7 @@
     }
 }
 
-async fn received(answer: Result<ClientResponse, SendRequestError>) -> Tried {
+async fn received(answer: Result<ClientResponse, SendRequestError>, method: &Method) -> Tried {
     let mut res = match answer {
         Ok(res) => res,
         Err(e) if never_sent(&e) => {
@@ -193,6 +193,12 @@
     let status = res.status();
     let content_type = res.headers().get(CONTENT_TYPE).cloned();
     let length = res.headers().get(CONTENT_LENGTH).cloned();
+    let has_body = *method != Method::HEAD
+        && !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    if has_body && length.is_none() && !res.headers().contains_key(TRANSFER_ENCODING) {
+        // `awc` reads a body that ends with its connection as empty.
+        return Tried::Failed(Failure::Lost, "the answer has no length".to_owned());
+    }
     let body = match res.body().limit(MAX_ANSWER).await {
         Ok(body) => body,
         Err(e) => return Tried::Failed(Failure::Lost, e.to_string()),
--- a/trouttrack_gateway/tests/gateway/faults.rs
+++ b/trouttrack_gateway/tests/gateway/faults.rs
@@ -219,6 +219,7 @@
     PlainRow { name: "refused",    faults: &[PlainFault::Refuse],    dead: false, outcomes: [("complete", 1), ("complete", 1)] },
     PlainRow { name: "call-lost",  faults: &[PlainFault::LoseCall],  dead: false, outcomes: [("complete", 1), ("unknown", 0)] },
     PlainRow { name: "reply-lost", faults: &[PlainFault::LoseReply], dead: false, outcomes: [("complete", 2), ("unknown", 1)] },
+    PlainRow { name: "unframed",   faults: &[PlainFault::UnframedHalf], dead: false, outcomes: [("complete", 2), ("unknown", 1)] },
     PlainRow { name: "reply-cut",  faults: &[PlainFault::CutReply],  dead: false, outcomes: [("complete", 2), ("unknown", 1)] },
 ];
 
--- a/trouttrack_standin/src/plain/mod.rs
+++ b/trouttrack_standin/src/plain/mod.rs
@@ -6,6 +6,7 @@
 use actix_web::{HttpRequest, HttpResponse};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -21,6 +22,9 @@
     LoseReply,
     /// The call takes effect and the answer stops half way.
     CutReply,
+    /// The call takes effect; half of the answer comes without a length or chunks, and ends with
+    /// its connection.
+    UnframedHalf,
     /// The call is never answered and has no effect.
     LoseCall,
 }
@@ -152,6 +156,7 @@
     match fault {
         Some(PlainFault::LoseReply) => std::future::pending().await,
         Some(PlainFault::CutReply) => cut_short(&answer.to_string()),
+        Some(PlainFault::UnframedHalf) => unframed_half(&answer.to_string()),
         _ => HttpResponse::Ok().json(answer),
     }
 }
@@ -164,6 +169,16 @@
         .streaming(futures_util::stream::iter([Ok(half), Err(cut)]))
 }
 
+fn unframed_half(answer: &str) -> HttpResponse {
+    let half = Bytes::copy_from_slice(&answer.as_bytes()[..answer.len() / 2]);
+    let mut res = HttpResponse::Ok()
+        .content_type("application/json")
+        .force_close()
+        .streaming(futures_util::stream::iter([Ok::<_, Infallible>(half)]));
+    res.head_mut().no_chunking(true);
+    res
+}
+
 async fn ledger(state: Data<PlainState>) -> HttpResponse {
     HttpResponse::Ok().json(state.ledger())
 }
