--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -31,3 +31,4 @@
 mod streams;
 mod support;
 mod unframed;
+mod versions;
