Continue a stream only at upstreams of the software version that began it

Callers saw streams that hold events of two versions: a VM moved, restored or tried a stream again at any upstream of the service. Cause: the choice of an upstream did not know versions. Change: a stream is bound to the version of the incarnation that brought its first event. Placement takes only upstreams of that version, and refuses at once if none is left; moves and copies are confined to the version of their source; an entry with another version is another incarnation, and a request for an incarnation that is gone by the time its connection is up is withdrawn. A stream whose upstream is silent waits for it if no other of its version could go on. A version that is not known equals none.

--- a/trouttrack_config/src/fleet/view.rs
+++ b/trouttrack_config/src/fleet/view.rs
@@ -131,6 +131,7 @@
                 capacity_tokens: u.capacity_tokens,
                 max_running: u.max_running,
                 warm_up_ends_at: Duration::ZERO,
+                version: String::new(),
                 born: 0,
                 cold_rate: 0.0,
             })
--- a/trouttrack_core/benches/decision.rs
+++ b/trouttrack_core/benches/decision.rs
@@ -65,6 +65,7 @@
         capacity_tokens: 49_152,
         max_running: 64,
         warm_up_ends_at: Duration::ZERO,
+        version: String::new(),
         born: 0,
         cold_rate: 0.0,
     }
@@ -85,6 +86,7 @@
         max_running: None,
         avoid: Vec::new(),
         guessed_tokens: None,
+        version: None,
         known_tokens: None,
     }
 }
--- a/trouttrack_core/src/upstream/service_rate/upstream.rs
+++ b/trouttrack_core/src/upstream/service_rate/upstream.rs
@@ -22,6 +22,7 @@
     ///     capacity_tokens: 1000,
     ///     max_running: 8,
     ///     warm_up_ends_at: Duration::ZERO,
+    ///     version: String::new(),
     ///     born: 0,
     ///     cold_rate: 0.0,
     /// };
--- a/trouttrack_core/src/upstream/spec.rs
+++ b/trouttrack_core/src/upstream/spec.rs
@@ -1,6 +1,6 @@
 //! Configuration and load reports of an upstream.
 
-use crate::{FailureDomain, Time, UpstreamId};
+use crate::{FailureDomain, SoftwareVersion, Time, UpstreamId};
 
 /// Configuration of an upstream.
 #[derive(Clone, Debug, PartialEq)]
@@ -11,6 +11,8 @@
     pub born: u64,
     /// The failure domain that it runs in.
     pub failure_domain: FailureDomain,
+    /// Version of its software.
+    pub version: SoftwareVersion,
     /// Services that it can run.
     pub services: Vec<String>,
     /// Token memory of an engine; 0 for a plain service.
--- a/trouttrack_core/src/upstream/table.rs
+++ b/trouttrack_core/src/upstream/table.rs
@@ -54,6 +54,7 @@
     ///     capacity_tokens: 1000,
     ///     max_running: 8,
     ///     warm_up_ends_at: std::time::Duration::ZERO,
+    ///     version: String::new(),
     ///     born: 0,
     ///     cold_rate: 0.0,
     /// };
--- a/trouttrack_core/src/world/admission/claims.rs
+++ b/trouttrack_core/src/world/admission/claims.rs
@@ -61,7 +61,7 @@
             .iter()
             .filter_map(|&k| Some((k, self.upstreams.get(k)?)));
         let fills = rows
-            .filter(|(_, u)| u.is_available(now))
+            .filter(|(_, u)| u.is_available(now) && s.accepts_version(&u.spec.version))
             .map(|(k, u)| (k, u.fill_with(None)));
         let emptiest = fills.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(k, _)| k);
         let claim = Claim {
--- a/trouttrack_core/src/world/admission/outlook.rs
+++ b/trouttrack_core/src/world/admission/outlook.rs
@@ -87,7 +87,8 @@
             return false;
         };
         let rows = serving.keys.iter().filter_map(|k| self.upstreams.get(*k));
-        let mut available = rows.filter(|u| u.is_available(now));
+        let mut available =
+            rows.filter(|u| u.is_available(now) && s.accepts_version(&u.spec.version));
         available.any(|u| u.is_idle() || u.fill_with(Some(new)) <= limit)
     }
 }
--- a/trouttrack_core/src/world/reachability/mod.rs
+++ b/trouttrack_core/src/world/reachability/mod.rs
@@ -108,12 +108,20 @@
     }
 
     /// Whether an upstream of a service that is not in `tried` accepts requests and is not
-    /// known to be unreachable.
+    /// known to be unreachable. With `version`, only upstreams of that software count.
     #[must_use]
-    pub fn has_untried(&self, now: Time, service: &str, tried: &[UpstreamId]) -> bool {
+    pub fn has_untried(
+        &self,
+        now: Time,
+        service: &str,
+        version: Option<&str>,
+        tried: &[UpstreamId],
+    ) -> bool {
         let may_try = |u: &Upstream| {
             let opens_at = u.available_at(now);
-            opens_at.is_some_and(|at| at <= now) && !tried.contains(&u.spec.id)
+            opens_at.is_some_and(|at| at <= now)
+                && version.is_none_or(|version| u.spec.version == version)
+                && !tried.contains(&u.spec.id)
         };
         self.serving_rows(service).any(may_try)
     }
--- a/trouttrack_core/src/world/relocate.rs
+++ b/trouttrack_core/src/world/relocate.rs
@@ -24,13 +24,15 @@
 impl World {
     /// Returns the best upstream to move a running request to, by forecast memory use,
     /// number of running requests and failure domain. `home` is the failure domain where
-    /// the request runs.
+    /// the request runs, and `version` that of the software that runs it: another version
+    /// cannot continue it.
     #[must_use]
     pub fn move_target(
         &self,
         now: Time,
         key: RequestKey,
         home: &str,
+        version: &str,
         avoid: &[UpstreamId],
     ) -> Option<Target> {
         let row = self.requests.get(key)?;
@@ -44,7 +46,7 @@
             .filter(|k| usable(k))
             .filter_map(|k| self.upstreams.get(*k))
             .filter(|u| u.is_available(now) && self.admits_one_more(now, u, false))
-            .filter(|u| !avoid.contains(&u.spec.id))
+            .filter(|u| u.spec.version == version && !avoid.contains(&u.spec.id))
             .filter_map(|u| {
                 let (score, target) = score_target(u, run, home, self.settings.moved_fill)?;
                 let uncertain = f64::from(self.is_uncertain(now, u));
--- a/trouttrack_core/src/world/tables/request.rs
+++ b/trouttrack_core/src/world/tables/request.rs
@@ -5,7 +5,7 @@
 use crate::upstream::UpstreamKey;
 use crate::world::queue::QueuePosition;
 use crate::world::service_level::ServiceLevel;
-use crate::{OrganisationId, RequestId, ServiceId, Time};
+use crate::{OrganisationId, RequestId, ServiceId, SoftwareVersion, Time};
 use slotmap::new_key_type;
 use std::time::Duration;
 
@@ -39,12 +39,24 @@
     pub max_running: Option<usize>,
     /// Upstreams to use only if no other upstream is available.
     pub avoid: Vec<String>,
+    /// The only software version that it may be placed on, if it continues a stream. An unknown one,
+    /// which is empty, is none.
+    pub version: Option<SoftwareVersion>,
     /// Output length in tokens as estimated by the caller.
     pub guessed_tokens: Option<u64>,
     /// Actual output length in tokens; set only by oracle baselines.
     pub known_tokens: Option<u64>,
 }
 
+impl Submission {
+    /// Whether an upstream's software may run it.
+    #[must_use]
+    pub(crate) fn accepts_version(&self, version: &str) -> bool {
+        let is_only = |only: &str| only == version && !only.is_empty();
+        self.version.as_deref().is_none_or(is_only)
+    }
+}
+
 /// A waiting or running request.
 #[derive(Debug)]
 pub struct Request {
--- a/trouttrack_core/tests/core/admission.rs
+++ b/trouttrack_core/tests/core/admission.rs
@@ -46,6 +46,7 @@
     Submission {
         prompt_tokens: prompt,
         guessed_tokens: Some(if class == 0 { 8 } else { 700 }),
+        version: None,
         known_tokens: Some(if class == 0 { 8 } else { 700 }),
         deadline: now + objective.mul_f64(0.6),
         service_level: ServiceLevel {
--- a/trouttrack_core/tests/core/flow/ask.rs
+++ b/trouttrack_core/tests/core/flow/ask.rs
@@ -21,6 +21,7 @@
             prompt_tokens: self.prompt_tokens,
             length_key: LengthKey::new(SERVICE, "m", &self.class.to_string()),
             guessed_tokens: Some(self.output_tokens),
+            version: None,
             known_tokens: Some(self.output_tokens),
             deadline: now + self.objective.mul_f64(0.6),
             service_level: ServiceLevel {
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -30,5 +30,6 @@
 mod upstream_notices;
 mod upstream_table;
 mod urgent_on_some_vms;
+mod versions;
 mod watcher_election;
 mod world;
--- a/trouttrack_core/tests/core/placement_under_load/fleet.rs
+++ b/trouttrack_core/tests/core/placement_under_load/fleet.rs
@@ -56,6 +56,7 @@
                 expires: now + Duration::from_secs(patience),
             },
             guessed_tokens: Some(tokens),
+            version: None,
             known_tokens: Some(tokens),
             ..submission(&format!("r{id}"), "o", u8::from(self != Self::Urgent))
         }
--- a/trouttrack_core/tests/core/rate_limited_fleet.rs
+++ b/trouttrack_core/tests/core/rate_limited_fleet.rs
@@ -33,6 +33,7 @@
 pub(crate) fn cold(id: &str, domain: &str, rate: f64) -> UpstreamSpec {
     UpstreamSpec {
         warm_up_ends_at: Duration::from_secs(1_000),
+        version: String::new(),
         born: 0,
         cold_rate: rate,
         ..spec(id, domain, 0, 1_000)
--- a/trouttrack_core/tests/core/retained_memory.rs
+++ b/trouttrack_core/tests/core/retained_memory.rs
@@ -57,6 +57,7 @@
 fn long() -> Submission {
     Submission {
         prompt_tokens: 3_000,
+        version: None,
         known_tokens: Some(700),
         ..submission("r", "o", 1)
     }
--- a/trouttrack_core/tests/core/support.rs
+++ b/trouttrack_core/tests/core/support.rs
@@ -39,6 +39,7 @@
         capacity_tokens,
         max_running,
         warm_up_ends_at: Duration::ZERO,
+        version: String::new(),
         born: 0,
         cold_rate: 0.0,
     }
@@ -64,6 +65,7 @@
         max_running: None,
         avoid: Vec::new(),
         guessed_tokens: None,
+        version: None,
         known_tokens: None,
     }
 }
--- a/trouttrack_front/src/peers/transfer/snapshot.rs
+++ b/trouttrack_front/src/peers/transfer/snapshot.rs
@@ -93,7 +93,7 @@
             let failure_domain = failure_domains.intern(&upstream.failure_domain);
             let row = encode_row(upstream, lapsed, now, service, failure_domain);
             snapshot.rows.push(row);
-            let version = versions.intern(&upstream.version);
+            let version = versions.intern(upstream.version());
             snapshot.versions.of_rows.push(version);
         });
         snapshot.services = services.in_order;
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -241,7 +241,10 @@
     };
     let continues = to.continue_from.is_some();
     let sent_at = front.clock.now();
-    let still_wanted = || continues || front.scheduler.accepts_requests(&upstream.id);
+    let still_wanted = || {
+        let is_current = front.upstreams.is_current(upstream);
+        continues || is_current && front.scheduler.accepts_requests(&upstream.id)
+    };
     let response = {
         let sending = front.http.send_if(upstream.addr, req, reuse, still_wanted);
         let mut sending = std::pin::pin!(sending);
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -122,7 +122,7 @@
     async fn attempt(&mut self) -> Result<BufferedResponse, AttemptError> {
         self.check_quarantine()?;
         let avoid = self.attempts.avoided(self.front, &self.avoid);
-        let submission = build_submission(self.front, self.admitted, &self.service, &avoid);
+        let submission = build_submission(self.front, self.admitted, &self.service, None, &avoid);
         let placed = self.front.scheduler.place(submission).await;
         let placed = placed.map_err(|refusal| {
             AttemptError::Ended(End::refused(self.front, &self.service, &refusal))
@@ -271,7 +271,7 @@
     fn may_retry(&self, failure: Failure) -> bool {
         let (front, admitted) = (self.front, self.admitted);
         self.attempts
-            .may_retry(front, admitted, &self.service, &self.avoid, failure)
+            .may_retry(front, admitted, &self.service, None, &self.avoid, failure)
     }
 
     fn forward(&mut self, response: BufferedResponse) -> Reply {
--- a/trouttrack_front/src/request/retry.rs
+++ b/trouttrack_front/src/request/retry.rs
@@ -5,8 +5,8 @@
 use super::submission::placement_deadline;
 use crate::caller::Admitted;
 use crate::state::{Front, Upstream};
-use trouttrack_core::UpstreamId;
 use trouttrack_core::request::{Failure, Step, StepResult, UpstreamSearch};
+use trouttrack_core::{SoftwareVersion, UpstreamId};
 use trouttrack_telemetry::{events, record};
 
 /// Whether the retry rule asks for another attempt.
@@ -74,17 +74,19 @@
     }
 
     /// Whether the limit of the route and the shared retry budget allow another attempt after
-    /// this failure. Consumes one retry from the budget if so, except after a failed connection.
+    /// this failure, at upstreams of `version` if one is given. Consumes one retry from the budget if so, except after a failed connection.
     pub(super) fn may_retry(
         &self,
         front: &Front,
         admitted: &Admitted,
         service: &str,
+        version: Option<&SoftwareVersion>,
         tried: &[UpstreamId],
         failure: Failure,
     ) -> bool {
         if failure == Failure::NotConnected {
-            let has_untried = front.scheduler.has_untried(service, tried);
+            let version = version.map(String::as_str);
+            let has_untried = front.scheduler.has_untried(service, version, tried);
             return self.search.may_continue(front.clock.now(), has_untried);
         }
         if self.sent >= admitted.route.max_attempts {
--- a/trouttrack_front/src/request/stream/continuation.rs
+++ b/trouttrack_front/src/request/stream/continuation.rs
@@ -36,9 +36,9 @@
                     events::MOVED,
                     request = self.admitted.head.id.as_str(),
                     from = source.upstream.id.as_str(),
-                    from_version = source.upstream.version.as_str(),
+                    from_version = source.upstream.version(),
                     to = moved.target.id.as_str(),
-                    to_version = moved.target.version.as_str(),
+                    to_version = moved.target.version(),
                     events = self.reader.events(),
                     pause_ms = pause.map(|p| p.as_millis() as u64),
                     stop_ms = moved.stopping.as_millis() as u64,
@@ -78,9 +78,9 @@
                     events::RESTORED,
                     request = self.admitted.head.id.as_str(),
                     from = source.upstream.id.as_str(),
-                    from_version = source.upstream.version.as_str(),
+                    from_version = source.upstream.version(),
                     to = target.id.as_str(),
-                    to_version = target.version.as_str(),
+                    to_version = target.version(),
                     events = self.reader.events(),
                 );
                 let moves = &self.front.metrics.moves;
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -62,6 +62,8 @@
                     let reason = STREAM_TRUNCATED;
                     return self.recover(source, task.take(), reason, ticket).await;
                 }
+                // The stream may still go on, and another upstream cannot.
+                SourceEvent::Idle if !self.has_alternative() => {}
                 SourceEvent::Idle => {
                     return Err(AttemptFailure::new(Failure::Lost, "the stream is silent").into());
                 }
@@ -141,6 +143,10 @@
         self.output
             .send_head(self.head.as_ref().unwrap_or(&source.head), source.framed);
         self.mark_first_event();
+        if self.reader.events() > 0 {
+            let version = source.upstream.version();
+            self.version.get_or_insert_with(|| version.to_owned());
+        }
         let sent_at = self.front.clock.now();
         let sent = self.output.send_chunk(bytes).await;
         self.pace.caller_waited(sent_at, self.front.clock.now());
--- a/trouttrack_front/src/request/stream/retry.rs
+++ b/trouttrack_front/src/request/stream/retry.rs
@@ -45,8 +45,22 @@
 
     fn may_retry(&self, failure: Failure) -> bool {
         let (front, admitted) = (&self.front, &self.admitted);
-        self.attempts
-            .may_retry(front, admitted, &self.service, &self.avoid, failure)
+        let version = self.version.as_ref();
+        self.attempts.may_retry(
+            front,
+            admitted,
+            &self.service,
+            version,
+            &self.avoid,
+            failure,
+        )
+    }
+
+    /// Whether another upstream may go on with the stream, or begin it.
+    pub(super) fn has_alternative(&self) -> bool {
+        let version = self.version.as_deref();
+        let scheduler = &self.front.scheduler;
+        version.is_none() || scheduler.has_untried(&self.service, version, &self.avoid)
     }
 
     /// Time without data after which another upstream is tried; `None` if the route or the
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -19,7 +19,7 @@
 use trouttrack_core::fleet::EngineSpec;
 use trouttrack_core::request::{Delivery, Failure, Machine, Traits};
 use trouttrack_core::routing::Prediction;
-use trouttrack_core::{ServiceId, Time, UpstreamId};
+use trouttrack_core::{ServiceId, SoftwareVersion, Time, UpstreamId};
 use trouttrack_platform::AnswerHead;
 use trouttrack_telemetry::{events, record};
 
@@ -30,6 +30,9 @@
     pub(super) admitted: Rc<Admitted>,
     /// Service selected from the route.
     pub(super) service: ServiceId,
+    /// Version of the software that began the stream, the only one that may go on with it; `None`
+    /// before its first event.
+    pub(super) version: Option<SoftwareVersion>,
     /// Request body.
     pub(super) body: Bytes,
     pub(super) output: Output,
@@ -81,6 +84,7 @@
             machine: Machine::new(traits, admitted.route.max_attempts),
             admitted: Rc::new(admitted),
             service,
+            version: None,
             body,
             output,
             reader: EventReader::default(),
@@ -142,7 +146,13 @@
     async fn attempt(&mut self) -> Result<(), AttemptError> {
         self.check_quarantine()?;
         let avoid = self.attempts.avoided(&self.front, &self.avoid);
-        let submission = build_submission(&self.front, &self.admitted, &self.service, &avoid);
+        let submission = build_submission(
+            &self.front,
+            &self.admitted,
+            &self.service,
+            self.version.as_ref(),
+            &avoid,
+        );
         let placed = self.front.scheduler.place(submission).await;
         let placed = placed.map_err(|refusal| {
             let end = End::refused(&self.front, &self.service, &refusal)
@@ -166,7 +176,7 @@
             events::PLACED,
             request = self.admitted.head.id.as_str(),
             upstream = upstream.id.as_str(),
-            version = upstream.version.as_str(),
+            version = upstream.version(),
             resumes = self.admitted.head.resumes.as_deref(),
             last_event = self.admitted.head.last_event.as_deref(),
             route = self.admitted.route.name.as_str(),
@@ -346,10 +356,11 @@
             return None;
         }
         let avoid = [upstream.id.clone()];
-        let target = ticket.target(&upstream.failure_domain, &avoid)?;
+        let target = ticket.target(&upstream.failure_domain, upstream.version(), &avoid)?;
         if target.fill > max_fill {
             return None;
         }
-        self.front.upstreams.get(&target.upstream)
+        let target = self.front.upstreams.get(&target.upstream)?;
+        target.runs_version_of(upstream).then_some(target)
     }
 }
--- a/trouttrack_front/src/request/submission.rs
+++ b/trouttrack_front/src/request/submission.rs
@@ -4,7 +4,7 @@
 use crate::state::Front;
 use trouttrack_core::length::LengthKey;
 use trouttrack_core::world::{ServiceLevel, Submission};
-use trouttrack_core::{ServiceId, Time, UpstreamId};
+use trouttrack_core::{ServiceId, SoftwareVersion, Time, UpstreamId};
 
 /// Fraction of the objective that a retry may wait for an upstream, even if the wait limit of
 /// the first attempt has expired: a late response is still useful.
@@ -17,6 +17,7 @@
     front: &Front,
     admitted: &Admitted,
     service: &ServiceId,
+    version: Option<&SoftwareVersion>,
     avoid: &[UpstreamId],
 ) -> Submission {
     let head = &admitted.head;
@@ -34,6 +35,7 @@
         max_running: None,
         avoid: avoid.to_vec(),
         guessed_tokens: head.guessed_tokens,
+        version: version.cloned(),
         known_tokens: None,
     }
 }
--- a/trouttrack_front/src/rescue/generation_move.rs
+++ b/trouttrack_front/src/rescue/generation_move.rs
@@ -107,9 +107,12 @@
     }
 
     fn target(&self, avoid: &[UpstreamId]) -> Option<Rc<Upstream>> {
-        let failure_domain = &self.source.failure_domain;
-        let target = self.ticket.target(failure_domain, avoid)?;
-        self.front.upstreams.get(&target.upstream)
+        let source = &self.source;
+        let target = self
+            .ticket
+            .target(&source.failure_domain, source.version(), avoid)?;
+        let target = self.front.upstreams.get(&target.upstream)?;
+        target.runs_version_of(source).then_some(target)
     }
 
     /// Copies the KV cache while the generation runs.
--- a/trouttrack_front/src/state/reachability.rs
+++ b/trouttrack_front/src/state/reachability.rs
@@ -49,9 +49,15 @@
 
     /// Whether an upstream of a service that is not in `tried` may be given a request now.
     #[must_use]
-    pub(crate) fn has_untried(&self, service: &str, tried: &[UpstreamId]) -> bool {
+    pub(crate) fn has_untried(
+        &self,
+        service: &str,
+        version: Option<&str>,
+        tried: &[UpstreamId],
+    ) -> bool {
         let now = self.clock.now();
-        self.world.borrow().has_untried(now, service, tried)
+        let world = self.world.borrow();
+        world.has_untried(now, service, version, tried)
     }
 
     /// Logs why all upstreams of a service get no requests, unless that was logged last.
--- a/trouttrack_front/src/state/ticket.rs
+++ b/trouttrack_front/src/state/ticket.rs
@@ -94,12 +94,12 @@
     }
 
     /// Selects the best upstream to move the generation to, away from one in the failure domain
-    /// `home`.
+    /// `home` that runs a version of the software.
     #[must_use]
-    pub fn target(&self, home: &str, avoid: &[UpstreamId]) -> Option<Target> {
+    pub fn target(&self, home: &str, version: &str, avoid: &[UpstreamId]) -> Option<Target> {
         let now = self.now();
         let world = self.scheduler.world.borrow();
-        world.move_target(now, self.key, home, avoid)
+        world.move_target(now, self.key, home, version, avoid)
     }
 
     /// Memory that the generation occupies, in tokens.
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -3,7 +3,7 @@
 use super::clock::Clock;
 use super::deferred::DeferredEntries;
 use rand::seq::IteratorRandom;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,8 +30,8 @@
     pub service: ServiceId,
     /// The failure domain it runs in.
     pub failure_domain: FailureDomain,
-    /// Version of its software; empty if a peer that does not report it told of the entry.
-    pub version: SoftwareVersion,
+    /// Version of its software; not set while only peers that do not report it told of the entry.
+    version: OnceCell<SoftwareVersion>,
     slots: usize,
     /// End of the warm-up period.
     warm_up_ends_at: Cell<Time>,
@@ -46,7 +46,7 @@
             addr: entry.addr,
             service: entry.service,
             failure_domain: entry.failure_domain,
-            version: entry.version,
+            version: known_version(entry.version).map_or_else(OnceCell::new, OnceCell::from),
             slots: entry.slots,
             warm_up_ends_at: Cell::new(now + entry.cold_for),
             departure: watch::Sender::new(None),
@@ -59,6 +59,19 @@
         Incarnation::new(&self.id, self.born)
     }
 
+    /// Whether it can continue a stream of another upstream: both are known to run the same
+    /// version of the software.
+    #[must_use]
+    pub fn runs_version_of(&self, other: &Self) -> bool {
+        !self.version().is_empty() && self.version() == other.version()
+    }
+
+    /// Version of its software; empty if it is not known.
+    #[must_use]
+    pub fn version(&self) -> &str {
+        self.version.get().map_or("", String::as_str)
+    }
+
     /// Number of requests it processes concurrently.
     #[must_use]
     pub fn slots(&self) -> usize {
@@ -73,7 +86,12 @@
 
     /// Whether an entry describes this incarnation.
     fn is_same_incarnation(&self, entry: &UpstreamEntry) -> bool {
-        self.addr == entry.addr && self.service == entry.service && self.born == entry.born
+        self.addr == entry.addr
+            && self.service == entry.service
+            && self.born == entry.born
+            && (self.version().is_empty()
+                || entry.version.is_empty()
+                || self.version() == entry.version)
     }
 
     /// Watches the departure; `None` while the upstream is not leaving.
@@ -156,6 +174,14 @@
         self.by_id.borrow().get(id).cloned()
     }
 
+    /// Whether this is the incarnation that is listed now.
+    #[must_use]
+    pub fn is_current(&self, upstream: &Rc<Upstream>) -> bool {
+        let by_id = self.by_id.borrow();
+        let listed = by_id.get(&upstream.id);
+        listed.is_some_and(|listed| Rc::ptr_eq(listed, upstream))
+    }
+
     /// Returns the upstream that accepts requests at an address.
     #[must_use]
     pub fn at(&self, addr: SocketAddr) -> Option<Rc<Upstream>> {
@@ -267,6 +293,9 @@
         let (upstream, before) = match known {
             Some(known) if known.is_same_incarnation(&entry) => {
                 self.update_cold_for(&known, entry.cold_for);
+                if let Some(version) = known_version(entry.version) {
+                    known.version.get_or_init(|| version);
+                }
                 (known, None)
             }
             before => (self.add(id, revision, entry), before),
@@ -470,12 +499,18 @@
     );
 }
 
+/// A version that is not empty.
+fn known_version(version: SoftwareVersion) -> Option<SoftwareVersion> {
+    (!version.is_empty()).then_some(version)
+}
+
 fn spec(upstream: &Upstream, table: &RouteTable) -> UpstreamSpec {
     let service = table.service(&upstream.service);
     let engine = service.and_then(|s| s.engine.as_ref());
     UpstreamSpec {
         id: upstream.id.clone(),
         born: upstream.born,
+        version: upstream.version().to_owned(),
         failure_domain: upstream.failure_domain.clone(),
         services: vec![upstream.service.clone()],
         capacity_tokens: engine.map_or(0, |e| e.memory_tokens),
--- a/trouttrack_front/tests/front/rate_limits.rs
+++ b/trouttrack_front/tests/front/rate_limits.rs
@@ -233,6 +233,7 @@
     let scheduler = Rc::new(Scheduler::new(clock.clone(), world_settings()));
     let upstream = |id: &str, warm_up_ends_at| UpstreamSpec {
         id: id.to_owned(),
+        version: String::new(),
         born: 0,
         failure_domain: "a".to_owned(),
         services: vec![id.to_owned()],
@@ -288,6 +289,7 @@
         max_running: None,
         avoid: Vec::new(),
         guessed_tokens: None,
+        version: None,
         known_tokens: None,
     }
 }
--- a/trouttrack_gateway/src/app/shared.rs
+++ b/trouttrack_gateway/src/app/shared.rs
@@ -362,6 +362,7 @@
             max_running: parts.max_running,
             avoid,
             guessed_tokens: None,
+            version: None,
             known_tokens: None,
         }
     }
--- a/trouttrack_load/src/compare/bench.rs
+++ b/trouttrack_load/src/compare/bench.rs
@@ -109,6 +109,7 @@
             // A baseline hands everything over at once; engines queue it.
             max_running: if own { e.max_batch } else { usize::MAX },
             warm_up_ends_at: Duration::ZERO,
+            version: String::new(),
             born: 0,
             cold_rate: 0.0,
         };
@@ -232,6 +233,7 @@
                 max_running: None,
                 avoid,
                 guessed_tokens: None,
+                version: None,
                 known_tokens: self.oracle.then_some(a.output_tokens),
             },
         );
--- a/trouttrack_load/src/patterns/fleet.rs
+++ b/trouttrack_load/src/patterns/fleet.rs
@@ -113,6 +113,7 @@
         capacity_tokens: settings.capacity_tokens(),
         max_running: settings.max_batch,
         warm_up_ends_at,
+        version: String::new(),
         born: 0,
         cold_rate,
     }
@@ -229,6 +230,7 @@
             max_running: None,
             avoid: Vec::new(),
             guessed_tokens: Some(a.output),
+            version: None,
             known_tokens: None,
         };
         let vm = &mut self.vms[a.vm];
--- a/trouttrack_load/src/patterns/shed/layout.rs
+++ b/trouttrack_load/src/patterns/shed/layout.rs
@@ -32,6 +32,7 @@
 fn spec(upstream: usize) -> UpstreamSpec {
     UpstreamSpec {
         id: id(upstream),
+        version: String::new(),
         born: 0,
         failure_domain: domain(upstream),
         services: vec![SERVICE.to_owned()],
--- a/trouttrack_load/src/patterns/shed/play.rs
+++ b/trouttrack_load/src/patterns/shed/play.rs
@@ -182,6 +182,7 @@
             max_running: None,
             avoid: Vec::new(),
             guessed_tokens: None,
+            version: None,
             known_tokens: None,
         };
         self.vms[vm].world.submit(self.now, call);
