Find out which version began the stream that a returning caller takes up

Callers that lost their connection and returned, to any VM, got the rest of their stream from any version. Cause: nothing read which attempt a caller resumes, and a VM knew nothing of streams that other VMs, or it in an earlier life, had begun. Change: a VM keeps the version of each stream that it forwards, until its caller cannot return any more. While a service has, or lately had, upstreams of several versions, each stream is told to four other VMs by rendezvous hashing as it begins, and the running ones when the second version appears; with one version nothing is sent. A VM to which a caller returns asks those four, and two VMs of other failure domains. Without an answer that names the version it takes the only one that has served within the time of a stream, if the store or another domain shows that it is not cut off; otherwise, and where no upstream of the version is left, it answers at once that nothing was run. Event `taken-up`, counter `trouttrack_taken_up_total`. The new datagrams are unknown to VMs of the previous version, which ignore them.

--- a/trouttrack_core/src/ids.rs
+++ b/trouttrack_core/src/ids.rs
@@ -26,6 +26,10 @@
 pub type TokenIndex = u64;
 /// Version of an upstream's software; empty if it is not known. Versions have no order.
 pub type SoftwareVersion = String;
+/// Hash of a service and a version of its upstreams' software.
+pub type OriginId = u64;
+/// Hash of the id of the attempt that brought a stream's first event.
+pub type StreamKey = u64;
 /// Number of times the platform's store has been restored from a backup.
 pub type StoreEpoch = u64;
 /// Version of the fleet configuration; increases monotonically.
--- a/trouttrack_core/src/lib.rs
+++ b/trouttrack_core/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`length`] estimates how many tokens of an answer remain.
 //! - [`quarantine`] tracks requests that were running when upstreams failed.
 //! - [`membership`] merges the state that peers exchange.
+//! - [`versions`] finds out which software version began a stream.
 
 pub mod buffers;
 pub mod claims;
@@ -35,12 +36,13 @@
 pub mod rescue;
 pub mod routing;
 pub mod upstream;
+pub mod versions;
 pub mod world;
 
 mod debug_asserts;
 
 pub use ids::{
-    ConfigVersion, FailureDomain, Fingerprint, Generation, OrganisationId, RequestId, ServiceId,
-    SoftwareVersion, StoreEpoch, StreamId, Time, TokenIndex, UpstreamId,
+    ConfigVersion, FailureDomain, Fingerprint, Generation, OrganisationId, OriginId, RequestId,
+    ServiceId, SoftwareVersion, StoreEpoch, StreamId, StreamKey, Time, TokenIndex, UpstreamId,
 };
 pub use outcome::Outcome;
--- /dev/null
+++ b/trouttrack_core/src/versions/mod.rs
@@ -0,0 +1,54 @@
+//! Which version of an upstream's software began a stream.
+//!
+//! What two versions write does not fit together, so a stream may go on only at the version that
+//! began it, also when its caller returns to another VM. A VM knows the streams that it began. While
+//! a service has upstreams of several versions, it tells each stream to a few other VMs
+//! ([`StreamTable`]). A VM to which a caller returns asks these, and decides by their answers and by
+//! the versions that have served lately ([`OriginSearch`], [`VersionCensus`]).
+
+mod census;
+mod search;
+mod streams;
+
+pub use census::VersionCensus;
+pub use search::{OriginAnswer, OriginSearch, Resolution};
+pub use streams::{StreamOrigin, StreamTable, TOLD_VMS};
+
+use crate::{OriginId, StreamKey};
+use std::hash::{Hash, Hasher};
+use xxhash_rust::xxh3::Xxh3;
+
+/// Identifies a software version of a service.
+///
+/// # Examples
+///
+/// ```
+/// use trouttrack_core::versions::origin_id;
+/// assert_eq!(origin_id("drafts", "v1"), origin_id("drafts", "v1"));
+/// assert_ne!(origin_id("drafts", "v1"), origin_id("drafts", "v2"));
+/// assert_ne!(origin_id("drafts", "v1"), origin_id("quotes", "v1"));
+/// ```
+#[must_use]
+pub fn origin_id(service: &str, version: &str) -> OriginId {
+    hash(&(service, version))
+}
+
+/// Identifies a stream by the id of the attempt that brought its first event.
+///
+/// # Examples
+///
+/// ```
+/// use trouttrack_core::versions::stream_key;
+/// assert_eq!(stream_key("9c41"), stream_key("9c41"));
+/// ```
+#[must_use]
+pub fn stream_key(first_attempt: &str) -> StreamKey {
+    hash(&first_attempt)
+}
+
+/// VMs may run different builds, so the hash must not change between them.
+fn hash(value: &impl Hash) -> u64 {
+    let mut hasher = Xxh3::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -13,6 +13,7 @@
 mod known_load;
 mod length;
 mod membership;
+mod origins;
 mod paths;
 mod placement_under_load;
 mod policies;
--- a/trouttrack_front/src/app/start.rs
+++ b/trouttrack_front/src/app/start.rs
@@ -93,6 +93,8 @@
     listener: TcpListener,
     updates: mpsc::Receiver<EntryUpdate>,
 ) {
+    // Set only once, because a front is started once.
+    drop(front.peer_socket.set(Rc::clone(&socket)));
     let serving = peers::serve(Rc::clone(front), listener);
     actix_rt::spawn(async move {
         if let Err(e) = serving.await {
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -30,6 +30,8 @@
     pub attempts: IntCounterVec,
     /// Moves of generations, by result.
     pub moves: IntCounterVec,
+    /// Streams that returning callers took up, by whether their version was found.
+    pub taken_up: IntCounterVec,
     /// Requests in progress.
     pub in_flight: IntGauge,
     /// Number of evacuated failure domains known to this VM.
@@ -136,6 +138,12 @@
                 "Moves of generations, by result",
                 &["result"],
             ),
+            taken_up: counter_vec(
+                &r,
+                "trouttrack_taken_up_total",
+                "Streams that returning callers took up, by whether the version that began them is known and still serves",
+                &["result"],
+            ),
             in_flight: gauge(&r, "trouttrack_in_flight", "Requests in progress"),
             evacuated: gauge(
                 &r,
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -8,6 +8,7 @@
 //! goes out at once to all VMs that select among the same upstreams.
 
 use super::message::{Datagram, Heartbeat, Load};
+use super::origins;
 use super::post::post_with;
 use super::quarantine;
 use super::roles::watches_store;
@@ -52,6 +53,7 @@
             }
             () = front.paths.changed() => send_load(&front, &socket),
             () = front.quarantine.changes_pending() => quarantine::send_changes(&front, &socket),
+            () = front.origins.changes_pending() => origins::send_changes(&front, &socket),
             () = front.scheduler.load_update_requested(), if update_at.is_none() => {
                 update_at = Some(Instant::now() + LOAD_UPDATE_DELAY);
             }
@@ -83,6 +85,7 @@
         front.scheduler.set_fleet_size(front.peers.listed());
     }
     front.quarantine.expire();
+    front.origins.refresh();
     front.metrics.held.set(front.quarantine.held() as i64);
     front
         .metrics
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -5,6 +5,7 @@
 use super::heartbeat::send_first_heartbeat;
 use super::message::{Datagram, Heartbeat, Load, decode};
 use super::news::{handle_news, retransmit};
+use super::origins;
 use super::quarantine::{self, CatchUp};
 use super::roles::receive_announcement;
 use crate::follow::{self, UpdateSource};
@@ -61,6 +62,11 @@
                 confirm::answer(&front, &socket, from, echo);
             }
             Datagram::Confirmation(received) => confirm::apply(&front, &received),
+            Datagram::Origins(told) => front.origins.record_told(&told),
+            Datagram::OriginWanted(question) => origins::answer(&front, &socket, from, &question),
+            Datagram::Origin(number, answer) => {
+                front.origins.receive_answer(number, from, answer);
+            }
             Datagram::NewsWanted(after) => retransmit(&front, &socket, from, after),
             Datagram::NewsForgotten => front.peers.set_far_behind(true),
             Datagram::News(news, pass_on) => {
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -10,7 +10,8 @@
 use trouttrack_core::membership::{Conditions, Digest, Evacuations, Revision, UpstreamUse};
 use trouttrack_core::quarantine::CrashRecord;
 use trouttrack_core::upstream::ReportedLimit;
-use trouttrack_core::{ConfigVersion, SoftwareVersion, UpstreamId};
+use trouttrack_core::versions::{OriginAnswer, StreamOrigin};
+use trouttrack_core::{ConfigVersion, ServiceId, SoftwareVersion, StreamKey, UpstreamId};
 use trouttrack_platform::UpstreamEntry;
 
 /// Wire format version. Must change whenever any of the types below changes; what VMs of
@@ -45,6 +46,26 @@
     ConfirmationWanted(Echo),
     /// The reply to `ConfirmationWanted`.
     Confirmation(Confirmation),
+    /// Versions that began streams. VMs of earlier versions do not know this datagram and those
+    /// after it, and ignore them.
+    Origins(Vec<StreamOrigin>),
+    /// Asks the receiver which version began a stream.
+    OriginWanted(OriginQuestion),
+    /// The reply to `OriginWanted`, with its number.
+    Origin(u64, OriginAnswer),
+}
+
+/// A question for the version that began a stream.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct OriginQuestion {
+    /// Identifies the question.
+    pub(super) number: u64,
+    /// The stream.
+    pub(super) stream: StreamKey,
+    /// The services that may have begun it.
+    pub(super) services: Vec<ServiceId>,
+    /// Time within which it began, in milliseconds.
+    pub(super) within_ms: u64,
 }
 
 /// The sender's state.
--- a/trouttrack_front/src/peers/mod.rs
+++ b/trouttrack_front/src/peers/mod.rs
@@ -13,6 +13,7 @@
 //!   next heartbeat and asks a VM that has it, or the store as a last resort.
 //! - A configuration is requested from a VM that has it (`config`), as is a confirmation
 //!   that it is current (`confirm`).
+//! - The software versions that began streams are told while there are several (`origins`).
 //! - A starting VM fetches all upstreams from a peer that has them (`transfer`).
 //!
 //! `tarpc` is not used: it would keep a connection for each pair of VMs and wait for
@@ -26,6 +27,7 @@
 mod listen;
 mod message;
 mod news;
+mod origins;
 mod post;
 mod quarantine;
 mod roles;
@@ -40,6 +42,7 @@
 pub(crate) use listen::listen;
 pub use message::{EntryChange, EntryState, EntryUpdate};
 pub(crate) use news::send_updates;
+pub(crate) use origins::find_origin;
 pub use roles::watches_store;
 pub use table::{PeerState, PeerTable};
 pub use transfer::{Snapshot, SnapshotEntry};
--- a/trouttrack_front/src/request/stream/mod.rs
+++ b/trouttrack_front/src/request/stream/mod.rs
@@ -1,6 +1,7 @@
 //! Event streams, forwarded as they arrive.
 //!
 //! - [`serve`] accepts a request and waits for the head of its response.
+//! - [`resume`] finds out which software version began a returning caller's stream.
 //! - [`run`] drives the request through its attempts.
 //! - [`send`] sends it to an upstream.
 //! - [`retry`] decides whether it is sent again.
@@ -16,6 +17,7 @@
 mod output;
 mod pace;
 mod relay;
+mod resume;
 mod retry;
 mod run;
 mod send;
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -143,16 +143,38 @@
         self.output
             .send_head(self.head.as_ref().unwrap_or(&source.head), source.framed);
         self.mark_first_event();
-        if self.reader.events() > 0 {
-            let version = source.upstream.version();
-            self.version.get_or_insert_with(|| version.to_owned());
-        }
+        self.record_origin(source);
         let sent_at = self.front.clock.now();
         let sent = self.output.send_chunk(bytes).await;
         self.pace.caller_waited(sent_at, self.front.clock.now());
         sent.map_err(|_| AttemptError::Finished(self.disconnected()))
     }
 
+    /// Binds the stream to the version that brings its first event, and records that for callers
+    /// that return.
+    fn record_origin(&mut self, source: &Source) {
+        if self.origin_recorded || self.reader.events() == 0 {
+            return;
+        }
+        self.origin_recorded = true;
+        let begun_by = source.upstream.version();
+        let version = self.version.get_or_insert_with(|| begun_by.to_owned());
+        let (admitted, head) = (&self.admitted, &self.admitted.head);
+        // Without an id nobody can name the stream.
+        let first_attempt = match (&head.last_event, &head.resumes) {
+            (None, _) => Some(&head.id),
+            (Some(_), resumes) => resumes.as_ref(),
+        };
+        if let Some(first_attempt) = first_attempt {
+            self.front.origins.record(
+                first_attempt,
+                (&self.service, version),
+                admitted.deadline,
+                admitted.route.timeout,
+            );
+        }
+    }
+
     /// Determines whether the end of a body is the end of the stream. A framed body is complete;
     /// one that ends with its connection may have been stopped for a move.
     async fn resolve_end(&self, source: &Source, move_task: Option<MoveTask>) -> MoveEnd {
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -4,6 +4,7 @@
 use super::output::Output;
 use super::pace::EventPace;
 use super::relay::RelayEnd;
+use super::resume::Begin;
 use super::source::Source;
 use crate::caller::Admitted;
 use crate::request::EventReader;
@@ -33,6 +34,8 @@
     /// Version of the software that began the stream, the only one that may go on with it; `None`
     /// before its first event.
     pub(super) version: Option<SoftwareVersion>,
+    /// Whether the version is recorded for callers that return.
+    pub(super) origin_recorded: bool,
     /// Request body.
     pub(super) body: Bytes,
     pub(super) output: Output,
@@ -69,7 +72,7 @@
     pub(super) fn new(
         front: Rc<Front>,
         admitted: Admitted,
-        service: ServiceId,
+        begin: Begin,
         body: Bytes,
         output: Output,
     ) -> Self {
@@ -83,8 +86,9 @@
             front,
             machine: Machine::new(traits, admitted.route.max_attempts),
             admitted: Rc::new(admitted),
-            service,
-            version: None,
+            service: begin.service,
+            version: begin.version,
+            origin_recorded: false,
             body,
             output,
             reader: EventReader::default(),
--- a/trouttrack_front/src/request/stream/serve.rs
+++ b/trouttrack_front/src/request/stream/serve.rs
@@ -1,6 +1,7 @@
 //! Accepts a stream request, starts its task and waits for the head of the response.
 
 use super::output::Output;
+use super::resume::begin;
 use super::run::StreamRun;
 use crate::caller::{Admitted, CallerBody, Reply};
 use crate::request::end::End;
@@ -27,9 +28,9 @@
     if !accepts(front, &admitted) {
         return (End::stopping().reply(front, &admitted, 0), None);
     }
-    let Some(service) = admitted.route.sample_service(&mut rand::rng()).cloned() else {
-        let end = End::not_run("the route has no service");
-        return (end.reply(front, &admitted, 0), None);
+    let begin = match begin(front, &admitted).await {
+        Ok(begin) => begin,
+        Err(end) => return (end.reply(front, &admitted, 0), None),
     };
     let id = admitted.head.id.clone();
     let organisation = admitted.organisation.as_deref().unwrap_or_default();
@@ -38,7 +39,7 @@
     let (chunks, stream) = CallerBody::stream(Rc::clone(&held));
     let (head_tx, head) = oneshot::channel();
     let output = Output::new(head_tx, chunks, held);
-    let run = StreamRun::new(Rc::clone(front), admitted, service, body, output);
+    let run = StreamRun::new(Rc::clone(front), admitted, begin, body, output);
     actix_rt::spawn(run.run(guards));
     match head.await {
         Ok(reply) if reply.body.is_none() => (reply, Some(stream)),
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -4,6 +4,7 @@
 use super::buffers::Buffers;
 use super::clock::Clock;
 use super::lifecycle::Lifecycle;
+use super::origins::Origins;
 use super::quarantine::QuarantineState;
 use super::routing::Routing;
 use super::scheduler::Scheduler;
@@ -16,6 +17,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use trouttrack_config::settings::{FrontSettings, ServingSettings};
 use trouttrack_core::fleet::idle_share;
@@ -63,12 +65,16 @@
     pub failure_domain: FailureDomain,
     /// The address for peers, once bound.
     pub peer_addr: OnceCell<SocketAddr>,
+    /// The socket for datagrams to peers, once bound.
+    pub(crate) peer_socket: OnceCell<Rc<UdpSocket>>,
     /// The process-wide clock.
     pub clock: Clock,
     /// Readiness, graceful shutdown and requests in progress.
     pub lifecycle: Rc<Lifecycle>,
     /// The configuration in force.
     pub routing: Routing,
+    /// Which software version began which stream.
+    pub origins: Rc<Origins>,
     /// The upstreams.
     pub upstreams: Rc<Upstreams>,
     /// Places requests on upstreams.
@@ -117,7 +123,8 @@
         let clock = Clock::start();
         let metrics = Metrics::new();
         let slow_readers = metrics.slow_readers.clone();
-        let upstreams = Rc::new(Upstreams::new(clock.clone()));
+        let origins = Rc::new(Origins::new(clock.clone()));
+        let upstreams = Rc::new(Upstreams::new(clock.clone()).counted_in(Rc::clone(&origins)));
         let peers = Rc::new(PeerTable::new(&settings.vm.name));
         let paths = Rc::new(Paths::new(clock.clone()));
         let direct = Direct::new(UPSTREAM_CONNECT_TIMEOUT).source(settings.front.source);
@@ -138,9 +145,11 @@
             name: settings.vm.name.clone(),
             failure_domain: settings.vm.failure_domain.clone(),
             peer_addr: OnceCell::new(),
+            peer_socket: OnceCell::new(),
             clock: clock.clone(),
             lifecycle: Rc::default(),
             routing: Routing::new(clock.clone(), &settings.bounds),
+            origins,
             upstreams,
             scheduler: Rc::new(Scheduler::new(clock.clone(), world_settings(settings))),
             peers,
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -2,6 +2,7 @@
 
 use super::clock::Clock;
 use super::deferred::DeferredEntries;
+use super::origins::Origins;
 use rand::seq::IteratorRandom;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -132,6 +133,8 @@
 #[derive(Debug)]
 pub struct Upstreams {
     clock: Clock,
+    /// Counts the upstreams of each version.
+    origins: Option<Rc<Origins>>,
     by_id: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
     /// The upstream that was listed last with an address.
     by_addr: RefCell<HashMap<SocketAddr, UpstreamId>>,
@@ -156,6 +159,7 @@
     pub fn new(clock: Clock) -> Self {
         Self {
             clock,
+            origins: None,
             by_id: RefCell::default(),
             by_addr: RefCell::default(),
             entries: RefCell::default(),
@@ -168,6 +172,13 @@
         }
     }
 
+    /// The same table, whose upstreams are counted by version.
+    #[must_use]
+    pub fn counted_in(mut self, origins: Rc<Origins>) -> Self {
+        self.origins = Some(origins);
+        self
+    }
+
     /// Returns the upstream with this id.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<Rc<Upstream>> {
@@ -293,8 +304,12 @@
         let (upstream, before) = match known {
             Some(known) if known.is_same_incarnation(&entry) => {
                 self.update_cold_for(&known, entry.cold_for);
-                if let Some(version) = known_version(entry.version) {
+                if let Some(version) = known_version(entry.version)
+                    && known.version().is_empty()
+                {
+                    self.uncount(&known);
                     known.version.get_or_init(|| version);
+                    self.count(&known);
                 }
                 (known, None)
             }
@@ -336,11 +351,36 @@
             .insert(id.to_owned(), Rc::clone(&new));
         if let Some(before) = before {
             remove_addr(&mut by_addr, &before);
+            self.uncount(&before);
         }
+        self.count(&new);
         by_addr.insert(new.addr, id.to_owned());
         new
     }
 
+    fn count(&self, upstream: &Upstream) {
+        if let Some(origins) = &self.origins {
+            origins.add(&upstream.service, upstream.version());
+        }
+    }
+
+    fn uncount(&self, upstream: &Upstream) {
+        if let Some(origins) = &self.origins {
+            origins.remove(&upstream.service, upstream.version());
+        }
+    }
+
+    /// The service and version of an upstream to which `f` applies and whose version is known.
+    #[must_use]
+    pub fn find_version(
+        &self,
+        f: impl Fn(&Upstream) -> bool,
+    ) -> Option<(ServiceId, SoftwareVersion)> {
+        let by_id = self.by_id.borrow();
+        let found = by_id.values().find(|u| !u.version().is_empty() && f(u))?;
+        Some((found.service.clone(), found.version().to_owned()))
+    }
+
     /// Marks an upstream as leaving. Returns `false` if it already was.
     pub fn depart(&self, upstream: &Upstream, departure: Departure, how: &str) -> bool {
         if upstream.is_leaving() {
@@ -414,6 +454,7 @@
     fn remove_known(&self, id: &str) -> Option<Rc<Upstream>> {
         let upstream = self.by_id.borrow_mut().remove(id)?;
         remove_addr(&mut self.by_addr.borrow_mut(), &upstream);
+        self.uncount(&upstream);
         record!(events::UPSTREAM_GONE, upstream = id);
         let mut deferred = self.deferred.borrow_mut();
         deferred.record_removal(self.clock.now(), &upstream.incarnation(), self.revision());
--- a/trouttrack_telemetry/src/events/catalogue.rs
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -105,4 +105,5 @@
     PATH_LOST = 133, Warn, "path-lost", "A connection to an upstream came up through a peer and not directly: the fault is this VM's network, and speaks neither against the upstream nor against a request. Connections to it are relayed by peers until a direct one comes up. Names its address, the number of lost paths, and whether all are lost, which peers are told.";
     PATH_RESTORED = 134, Info, "path-restored", "A direct connection to an upstream whose path was lost came up. Names its address and the number of paths that are still lost.";
     RELAYED = 135, Info, "relayed", "A peer whose path to an upstream is lost asked this VM to relay a connection. Names the upstream's address, the peer's address, the result (connected, refused by the upstream's address, refused there and not accepted by another upstream either, so that this VM may be partitioned too, or unreached) and the number of connections that are relayed already.";
+    TAKEN_UP = 136, Info, "taken-up", "A caller returned for the rest of a stream. Names the attempt that began it, and the software version that did, if that is known and still serves; otherwise nothing is run.";
 }
