Keep room for streams that few upstreams can continue

Cause: a stream that goes on may use the upstreams of its version only. Where two of nine were left, new streams filled them like the others, and a returning stream waited behind the heads of its class: of 12, none was placed beside new streams of which 56 % were. Change: waiting requests that continue a stream are placed first. While fewer than half as many upstreams have a version as the most common one, new streams leave a quarter of their memory free. Result: the new test failed before (0 of 12; 2 of 12 with the order alone) and passes: at least half the share of new streams.

--- a/trouttrack_core/src/upstream/table.rs
+++ b/trouttrack_core/src/upstream/table.rs
@@ -5,8 +5,8 @@
 use super::row::{Upstream, UpstreamKey};
 use super::service_rate::{Typical, incarnation_hash};
 use super::spec::UpstreamSpec;
-use crate::UpstreamId;
 use crate::membership::Evacuations;
+use crate::{SoftwareVersion, UpstreamId};
 use slotmap::SlotMap;
 use std::collections::{HashMap, HashSet};
 use std::mem;
@@ -36,6 +36,30 @@
     pub keys: Vec<UpstreamKey>,
     /// Number of leading keys whose upstreams are in this VM's failure domain.
     pub local: usize,
+    /// Number of upstreams of each software version.
+    versions: HashMap<SoftwareVersion, usize>,
+}
+
+impl ServiceUpstreams {
+    fn count_version(&mut self, version: &str) {
+        *self.versions.entry(version.to_owned()).or_default() += 1;
+    }
+
+    fn uncount_version(&mut self, version: &str) {
+        if let Some(count) = self.versions.get_mut(version) {
+            *count -= 1;
+            if *count == 0 {
+                self.versions.remove(version);
+            }
+        }
+    }
+
+    /// Whether fewer than half as many upstreams have a software version as the most common one.
+    pub(crate) fn is_scarce(&self, version: &str) -> bool {
+        let of_version = self.versions.get(version).copied().unwrap_or_default();
+        let most = self.versions.values().max().copied().unwrap_or_default();
+        2 * of_version < most
+    }
 }
 
 impl UpstreamTable {
@@ -130,6 +154,7 @@
             for service in &spec.services {
                 let serving = self.by_service.entry(service.clone()).or_default();
                 serving.keys.push(key);
+                serving.count_version(&spec.version);
                 serving.local += usize::from(spec.failure_domain == home);
             }
         }
@@ -149,18 +174,21 @@
             let before = |k: &UpstreamKey| self.rows[*k].spec.id < spec.id;
             let pos = part.start + serving.keys[part].partition_point(before);
             serving.keys.insert(pos, key);
+            serving.count_version(&spec.version);
             serving.local += usize::from(is_local);
         }
     }
 
     /// Removes a row from the list of each of its services.
     fn unindex(&mut self, key: UpstreamKey) {
-        for service in &self.rows[key].spec.services {
+        let spec = &self.rows[key].spec;
+        for service in &spec.services {
             let Some(serving) = self.by_service.get_mut(service) else {
                 continue;
             };
             if let Some(pos) = serving.keys.iter().position(|k| *k == key) {
                 serving.keys.remove(pos);
+                serving.uncount_version(&spec.version);
                 serving.local -= usize::from(pos < serving.local);
             }
             if serving.keys.is_empty() {
@@ -175,7 +203,9 @@
         let known = self.by_id.get(&spec.id).copied();
         let same_lists = known.is_some_and(|key| {
             let old = &self.rows[key].spec;
-            old.services == spec.services && old.failure_domain == spec.failure_domain
+            old.services == spec.services
+                && old.failure_domain == spec.failure_domain
+                && old.version == spec.version
         });
         if let Some(key) = known.filter(|_| !same_lists) {
             self.unindex(key);
--- a/trouttrack_core/src/world/systems/place.rs
+++ b/trouttrack_core/src/world/systems/place.rs
@@ -12,10 +12,12 @@
 const EXPLAINED_CANDIDATES: usize = 8;
 
 impl World {
-    /// Places waiting requests in the queue's service order until no head fits.
+    /// Places waiting requests in the queue's service order until no head fits. Those that continue
+    /// a stream come first: few upstreams may do that, and others' heads would keep them waiting.
     pub(super) fn place(&mut self, now: Time, decisions: &mut Vec<Decision>) {
         self.held_back.clear();
         self.claims.clear();
+        decisions.extend(self.place_continuing(now));
         loop {
             let placed = self
                 .queue
@@ -29,6 +31,22 @@
         }
     }
 
+    fn place_continuing(&mut self, now: Time) -> Vec<Decision> {
+        let requests = &self.requests;
+        let is_waiting = |key: &RequestKey| {
+            let row = requests.get(*key);
+            row.is_some_and(|row| row.queue_position.is_some())
+        };
+        self.continuing.retain(is_waiting);
+        let mut placed = Vec::new();
+        for key in self.continuing.clone() {
+            if self.requests[key].not_before <= now {
+                placed.extend(self.try_place(now, key));
+            }
+        }
+        placed
+    }
+
     fn place_one(&mut self, now: Time, class: u8) -> Option<Decision> {
         let held_back = &self.held_back;
         let requests = &self.requests;
--- a/trouttrack_core/src/world/systems/scan.rs
+++ b/trouttrack_core/src/world/systems/scan.rs
@@ -2,7 +2,7 @@
 
 use crate::Time;
 use crate::routing::{Candidate, PredictedRequest};
-use crate::upstream::{OwnRun, Upstream, UpstreamKey, prefill_seconds};
+use crate::upstream::{OwnRun, ServiceUpstreams, Upstream, UpstreamKey, prefill_seconds};
 use crate::world::tables::{Submission, World};
 use rand::RngExt;
 use rand::seq::SliceRandom;
@@ -10,6 +10,9 @@
 /// Number of brittle upstreams among which the best one is chosen. All VMs see the same one of them
 /// as the best, and several would place a request there before they hear of each other's.
 const BRITTLE_CHOICES: usize = 2;
+/// Share of the memory that requests leave free, while a service has several software versions, on
+/// upstreams of one that few have: what its streams have begun can go on only there.
+const SCARCE_VERSION_RESERVE: f64 = 0.25;
 /// Up to this number of upstreams all are scanned; of more, a sample.
 const MAX_FULL_SCAN: usize = 16;
 
@@ -38,6 +41,7 @@
         };
         let scan = Scan {
             world: self,
+            serving,
             submission,
             new,
             now,
@@ -84,6 +88,8 @@
 /// A scan of upstreams for one request.
 struct Scan<'a> {
     world: &'a World,
+    /// The upstreams of its service.
+    serving: &'a ServiceUpstreams,
     submission: &'a Submission,
     new: OwnRun,
     now: Time,
@@ -142,8 +148,13 @@
         // less urgent ones. An idle engine accepts even a request that is forecast to
         // exceed its memory.
         let claimed = (self.world.claims).excludes(key, self.submission.priority, self.new.key);
-        let fits = urgent
-            || !claimed && (fill <= self.world.settings.placed_fill - self.reserve || u.is_idle());
+        let is_begun = self.submission.version.is_some();
+        let scarce = match !is_begun && self.serving.is_scarce(&u.spec.version) {
+            true => SCARCE_VERSION_RESERVE,
+            false => 0.0,
+        };
+        let limit = self.world.settings.placed_fill - self.reserve - scarce;
+        let fits = urgent || !claimed && (fill <= limit || u.is_idle());
         Some(Candidate {
             upstream: key,
             running,
--- a/trouttrack_core/src/world/tables/lifecycle.rs
+++ b/trouttrack_core/src/world/tables/lifecycle.rs
@@ -44,6 +44,9 @@
             };
             let position = self.queue.push(key, arrival);
             self.requests[key].queue_position = Some(position);
+            if self.requests[key].submission.version.is_some() {
+                self.continuing.push(key);
+            }
             self.deadlines.insert((deadline, key));
         }
         key
--- a/trouttrack_core/src/world/tables/mod.rs
+++ b/trouttrack_core/src/world/tables/mod.rs
@@ -62,6 +62,8 @@
     pub(crate) requests: SlotMap<RequestKey, Request>,
     pub(crate) queue: FairQueue,
     pub(crate) deadlines: BTreeSet<(Time, RequestKey)>,
+    /// Waiting requests that continue a stream.
+    pub(crate) continuing: Vec<RequestKey>,
     pub(crate) limits: Limits,
     pub(crate) admission: Admission,
     pub(crate) claims: Claims,
@@ -97,6 +99,7 @@
             explanations: ExplanationTable::new(MAX_EXPLANATIONS),
             queue: FairQueue::new(settings.ageing, settings.max_wait),
             rate_share: RateShare::NONE,
+            continuing: Vec::new(),
             rng: SmallRng::seed_from_u64(settings.seed),
             settings,
             requests: SlotMap::with_key(),
--- a/trouttrack_core/tests/core/versions.rs
+++ b/trouttrack_core/tests/core/versions.rs
@@ -131,3 +131,34 @@
     assert!(is_placed(Some("old")));
     assert!(!is_placed(None));
 }
+
+/// Two upstreams of the old version are left of nine, and more arrives than fits. Returning streams
+/// have few upstreams, and still at least half the chance of new ones.
+#[test]
+fn returning_streams_find_room_beside_new_ones() {
+    let version = |n| if n < 2 { "old" } else { "new" };
+    let mut world = world((0..9).map(|n| upstream(n, version(n))).collect());
+    let stream = |id: String| Submission {
+        prompt_tokens: 800,
+        known_tokens: Some(512),
+        ..submission(&id, "o", 1)
+    };
+    let share = |world: &mut World, count: usize, of: &dyn Fn(usize) -> Submission| {
+        let mut begun = 0;
+        for n in 0..count {
+            let (_, decisions) = submit(world, of(n));
+            begun += placed(&decisions).len();
+        }
+        begun as f64 / count as f64
+    };
+    let new = share(&mut world, 90, &|n| stream(format!("new-{n}")));
+    let returning = share(&mut world, 12, &|n| Submission {
+        version: Some("old".to_owned()),
+        ..stream(format!("returns-{n}"))
+    });
+    assert!(new < 1.0, "more arrives than fits: {new}");
+    assert!(
+        returning >= new / 2.0,
+        "{returning} of those returning, {new} of the new ones"
+    );
+}
