Soak: upstreams of two versions, and callers that return for the rest of a stream

Cause: all upstreams of the soak had one version and callers never returned, so no seed could show a stream that goes on at another version. Change: from seed 4000 on upstreams have two versions by turns, and a caller whose resumable stream breaks off returns once, to any VM, with the attempt that began it. A run that goes on (`Last-Event-Id`, or a copy) has to be of the version that began the stream.

--- a/trouttrack_front/tests/front/versions.rs
+++ b/trouttrack_front/tests/front/versions.rs
@@ -85,14 +85,7 @@
 
 /// The request of a caller that takes up a stream after some events.
 fn returns(id: &str, resumes: &str) -> CallerRequest {
-    let mut req = long(id, "resume");
-    let headers = [
-        ("Last-Event-Id", BEFORE_BREAK.to_string()),
-        ("Resumes", resumes.to_owned()),
-    ];
-    req.headers
-        .extend(headers.map(|(name, value)| (name.to_owned(), value)));
-    req
+    long(id, "resume").resuming(resumes, BEFORE_BREAK)
 }
 
 /// The events after those that a returning caller has.
--- a/trouttrack_soak/src/bed/fleet.rs
+++ b/trouttrack_soak/src/bed/fleet.rs
@@ -53,6 +53,8 @@
     pub(crate) vms: Vec<Rc<Vm>>,
     /// The upstreams.
     pub(crate) upstreams: Upstreams,
+    /// How many software versions these have.
+    pub(crate) versions: usize,
     /// The last backup of the store.
     pub(crate) store_backup: RefCell<Option<StoreData>>,
     /// The evacuations so far.
@@ -68,16 +70,22 @@
 }
 
 impl Bed {
-    /// Starts a fleet whose fronts run `program` and keep their files in `dir`.
+    /// Starts a fleet whose upstreams have so many versions, and whose fronts run `program` and
+    /// keep their files in `dir`.
     ///
     /// # Errors
     ///
     /// A process or port cannot be had.
-    pub(crate) async fn start(size: Size, program: &Path, dir: &Path) -> io::Result<Rc<Self>> {
+    pub(crate) async fn start(
+        size: Size,
+        versions: usize,
+        program: &Path,
+        dir: &Path,
+    ) -> io::Result<Rc<Self>> {
         let store = Store::start().await;
         let configs = Configs::first();
         store.put_config(configs.newest());
-        let upstreams = Upstreams::start(&store, size.upstreams).await?;
+        let upstreams = Upstreams::start(&store, size.upstreams, versions).await?;
         let mut bed = Self {
             store,
             store_faults: Lasting::default(),
@@ -86,6 +94,7 @@
             caller_links: Vec::new(),
             vms: Vec::new(),
             upstreams,
+            versions,
             store_backup: RefCell::default(),
             evacuations: RefCell::default(),
             cold: RefCell::default(),
--- a/trouttrack_soak/src/bed/upstreams.rs
+++ b/trouttrack_soak/src/bed/upstreams.rs
@@ -50,11 +50,13 @@
     /// Those that have gone, and that only the act by which they went replaces.
     gone: RefCell<Vec<String>>,
     started: Cell<usize>,
+    /// Software versions that upstreams have by turns.
+    versions: usize,
 }
 
 impl Upstreams {
-    /// Starts so many plain upstreams, and as many engines.
-    pub(super) async fn start(store: &Store, each: usize) -> io::Result<Self> {
+    /// Starts so many plain upstreams, and as many engines, of so many versions.
+    pub(super) async fn start(store: &Store, each: usize, versions: usize) -> io::Result<Self> {
         let upstreams = Self {
             now: RefCell::default(),
             all: RefCell::default(),
@@ -62,6 +64,7 @@
             left: RefCell::default(),
             gone: RefCell::default(),
             started: Cell::new(0),
+            versions,
         };
         for service in [PLAIN, ENGINES] {
             for _ in 0..each {
@@ -78,6 +81,7 @@
         self.started.set(number);
         let domain = DOMAINS[number % DOMAINS.len()];
         let mut upstream = Upstream::start(&format!("u{number}"), service, domain).await;
+        upstream.version = format!("v{}", 1 + number % self.versions);
         if service == ENGINES {
             upstream.pace(PACE);
             upstream.always(Behaviour::Stream(EVENTS));
--- a/trouttrack_soak/src/callers/ask.rs
+++ b/trouttrack_soak/src/callers/ask.rs
@@ -1,6 +1,6 @@
 //! Callers that ask until they are to end.
 
-use super::call::{Call, Told};
+use super::call::{Call, Told, is_success};
 use crate::bed::{Bed, FATAL, HOST, LASTING_KEY, LONG, RouteName};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -92,10 +92,17 @@
             let vm = ready[rng.random_range(0..ready.len())];
             let (route, key) = (self.route(&mut rng), self.key(&mut rng));
             let id = format!("c{number}-{count}");
-            let asked = Asked { id, vm, route, key };
+            let asked = Asked::new(id, vm, route, key);
             let req = asked.request();
             let call = self.ask(&client, asked, &req).await;
+            let vm = ready[count % ready.len()];
+            let returning = Asked::after(&call, vm).filter(|_| self.bed.versions > 1);
             self.calls.borrow_mut().push(call);
+            if let Some(asked) = returning {
+                let req = asked.request();
+                let call = self.ask(&client, asked, &req).await;
+                self.calls.borrow_mut().push(call);
+            }
             let pause = rng.random_range(PAUSE_MS);
             tokio::time::sleep(Duration::from_millis(pause)).await;
         }
@@ -106,12 +113,8 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let ready = self.bed.ready();
         let vm = ready[rng.random_range(0..ready.len())];
-        let asked = Asked {
-            id: format!("{FATAL_ID}{number}"),
-            vm,
-            route: RouteName::Resume,
-            key: LASTING_KEY.to_owned(),
-        };
+        let (id, route) = (format!("{FATAL_ID}{number}"), RouteName::Resume);
+        let asked = Asked::new(id, vm, route, LASTING_KEY.to_owned());
         let client = Client::builder().build();
         let req = asked.request().post(FATAL);
         let call = self.ask(&client, asked, &req).await;
@@ -146,7 +149,14 @@
 
     /// Waits for what a caller is told.
     pub(super) async fn note(&self, asked: Asked, told: impl Future<Output = Told>) -> Call {
-        let Asked { id, vm, route, key } = asked;
+        let Asked {
+            id,
+            vm,
+            route,
+            key,
+            resumes,
+            had,
+        } = asked;
         let life = self.bed.vms[vm].life();
         let sent = Instant::now();
         let told = told.await;
@@ -157,6 +167,8 @@
             life: same_life.then_some(life),
             route,
             key,
+            resumes,
+            had,
             sent,
             ended: Instant::now(),
             told,
@@ -170,9 +182,42 @@
     pub(super) vm: usize,
     pub(super) route: RouteName,
     pub(super) key: String,
+    /// The call that brought the first event of the stream that is taken up, if one is.
+    resumes: Option<String>,
+    /// Events of that stream that the caller has.
+    had: u64,
 }
 
 impl Asked {
+    pub(super) fn new(id: String, vm: usize, route: RouteName, key: String) -> Self {
+        Self {
+            id,
+            vm,
+            route,
+            key,
+            resumes: None,
+            had: 0,
+        }
+    }
+
+    /// What a caller asks of a VM after its stream has broken off, if it has events and may
+    /// return.
+    fn after(broken: &Call, vm: usize) -> Option<Self> {
+        let reply = broken.reply().filter(|r| !r.whole && is_success(r))?;
+        let had = last_event(&reply.text())?;
+        let may_return = broken.route == RouteName::Resume && broken.resumes.is_none();
+        may_return.then(|| Self {
+            resumes: Some(broken.id.clone()),
+            had,
+            ..Self::new(
+                format!("{}-again", broken.id),
+                vm,
+                broken.route,
+                broken.key.clone(),
+            )
+        })
+    }
+
     fn patience(&self) -> Duration {
         match self.route {
             RouteName::Patient => LONG_PATIENCE,
@@ -184,6 +229,10 @@
         let req = CallerRequest::get(&self.id, HOST, &self.route.target())
             .key(&self.key)
             .patience(self.patience());
+        let req = match &self.resumes {
+            Some(first) => req.resuming(first, self.had),
+            None => req,
+        };
         let stream = |body, prompt| req.clone().post(body).tokens(prompt, GUESSED_TOKENS);
         match self.route {
             RouteName::Long => stream(LONG, PROMPT_TOKENS),
@@ -194,6 +243,16 @@
     }
 }
 
+/// The number of the last complete event of a stream.
+fn last_event(text: &str) -> Option<u64> {
+    let complete = &text[..text.rfind("\n\n")?];
+    let last = complete.rsplit("\n\n").next()?;
+    last.lines()
+        .find_map(|line| line.strip_prefix("id: "))?
+        .parse()
+        .ok()
+}
+
 /// Takes an answer as far as it comes.
 async fn take(answer: Result<Answer, SendError>) -> Told {
     match answer {
--- a/trouttrack_soak/src/callers/call.rs
+++ b/trouttrack_soak/src/callers/call.rs
@@ -17,6 +17,10 @@
     pub route: RouteName,
     /// Its key.
     pub key: String,
+    /// The call that brought the first event of the stream that it takes up, if it does.
+    pub resumes: Option<String>,
+    /// Events of that stream that its caller has.
+    pub had: u64,
     /// When it was sent.
     pub sent: Instant,
     /// When its caller had what it got.
--- a/trouttrack_soak/src/callers/hard_load.rs
+++ b/trouttrack_soak/src/callers/hard_load.rs
@@ -94,12 +94,8 @@
 
     fn passing_by(&self, vm: usize, route: RouteName) -> Asked {
         self.asked.set(self.asked.get() + 1);
-        Asked {
-            id: format!("p{}", self.asked.get()),
-            vm,
-            route,
-            key: LASTING_KEY.to_owned(),
-        }
+        let id = format!("p{}", self.asked.get());
+        Asked::new(id, vm, route, LASTING_KEY.to_owned())
     }
 
     /// Asks a VM without a link between, which would read in the caller's place.
--- a/trouttrack_soak/src/check/answers.rs
+++ b/trouttrack_soak/src/check/answers.rs
@@ -52,7 +52,7 @@
         RouteName::Long => ".".repeat(LONG_BY),
         _ => String::new(),
     };
-    let events = (1..=EVENTS).map(|n| format!("id: {n}\ndata: {id}/{n}{padding}\n\n"));
+    let events = (call.had + 1..=EVENTS).map(|n| format!("id: {n}\ndata: {id}/{n}{padding}\n\n"));
     let expected: String = events.collect();
     let text = reply.text();
     (!is_right(evidence, reply, &text, &expected)).then(|| {
--- a/trouttrack_soak/src/check/evidence.rs
+++ b/trouttrack_soak/src/check/evidence.rs
@@ -18,6 +18,8 @@
     pub failure_domain: String,
     /// Its service.
     pub service: String,
+    /// The version of its software.
+    pub version: String,
     /// What reached it.
     pub arrival: Arrival,
 }
@@ -93,6 +95,7 @@
                     upstream: upstream.id.clone(),
                     failure_domain: upstream.failure_domain.clone(),
                     service: upstream.service.clone(),
+                    version: upstream.version.clone(),
                     arrival,
                 });
             }
--- a/trouttrack_soak/src/check/mod.rs
+++ b/trouttrack_soak/src/check/mod.rs
@@ -10,6 +10,7 @@
 //! - `load`: what a VM keeps for slow readers is bounded, readers are not ended for others'
 //!   stalls, and upstreams that are gone make nothing fail that others could serve.
 //! - `paths`: callers of VMs that lost their paths to upstreams are served.
+//! - `versions`: a stream holds events of one software version.
 //! - `limits`: VMs keep together to the limits that upstreams name.
 //!
 //! Those that hold within a time are checked only if [`Evidence::timed`] says
@@ -24,6 +25,7 @@
 mod paths;
 mod runs;
 mod stops;
+mod versions;
 mod words;
 
 pub use evidence::{Evidence, Kept, Run};
@@ -82,5 +84,6 @@
     findings.extend(limits::check(evidence));
     findings.extend(load::check(evidence));
     findings.extend(paths::check(evidence));
+    findings.extend(versions::check(evidence));
     findings
 }
--- a/trouttrack_soak/src/check/paths.rs
+++ b/trouttrack_soak/src/check/paths.rs
@@ -22,7 +22,9 @@
 /// A request is refused because its VM reaches no upstream, though other VMs do and the partition
 /// has lasted long enough to be noticed.
 fn refused(evidence: &Evidence, call: &Call) -> Option<Finding> {
-    let text = call.reply().filter(|_| call.told_not_run())?.text();
+    // Upstreams of other versions do not help a caller that takes up a stream.
+    let reply = call.reply().filter(|_| call.resumes.is_none());
+    let text = reply.filter(|_| call.told_not_run())?.text();
     let unreachable = UNREACHABLE.iter().any(|reason| text.contains(reason));
     (unreachable && others_have_paths(evidence, call)).then(|| Finding::of(SERVED, &call.id, text))
 }
--- a/trouttrack_soak/src/plan/draw.rs
+++ b/trouttrack_soak/src/plan/draw.rs
@@ -61,6 +61,9 @@
 const LASTS_LOST_PATHS: Range<f64> = 3.5..8.0;
 /// The share of these plans that hold nothing else but new configurations and settings.
 const LOST_PATHS_ALONE: f64 = 0.5;
+/// The first seed whose upstreams have several software versions, and how many.
+const FIRST_WITH_VERSIONS: u64 = 4000;
+const VERSIONS: usize = 2;
 /// How long bytes are delayed, in milliseconds.
 const DELAY_MS: Range<u64> = 5..400;
 
@@ -80,6 +83,8 @@
 pub struct Plan {
     /// By their beginnings.
     pub steps: Vec<Step>,
+    /// How many software versions upstreams have.
+    pub versions: usize,
 }
 
 impl Plan {
@@ -127,7 +132,11 @@
             steps.extend(lost.filter(|_| !planned_only));
         }
         steps.sort_by_key(|s| s.at);
-        Self { steps }
+        let versions = match seed < FIRST_WITH_VERSIONS {
+            true => 1,
+            false => VERSIONS,
+        };
+        Self { steps, versions }
     }
 }
 
--- a/trouttrack_soak/tests/soak/check.rs
+++ b/trouttrack_soak/tests/soak/check.rs
@@ -20,6 +20,8 @@
         vm: 0,
         life: Some(1),
         route,
+        resumes: None,
+        had: 0,
         key: LASTING_KEY.to_owned(),
         sent,
         ended: sent + SECOND / 10,
@@ -45,6 +47,7 @@
         upstream: upstream.to_owned(),
         failure_domain: "a".to_owned(),
         service: "quotes".to_owned(),
+        version: "v1".to_owned(),
         arrival: Arrival {
             at,
             id: id.to_owned(),
@@ -139,6 +142,30 @@
     }
 }
 
+/// What began without an event may begin again elsewhere; what goes on may not.
+#[test]
+fn a_stream_that_goes_on_at_another_version_is_found() {
+    let now = Instant::now();
+    for (last_event, continued_from, is_found) in [
+        (None, None, false),
+        (Some("4"), None, true),
+        (None, Some("u1/h"), true),
+    ] {
+        let mut next = run("s-again", RouteName::Resume, "u2", now + SECOND);
+        next.version = "v2".to_owned();
+        next.arrival.last_event = last_event.map(str::to_owned);
+        next.arrival.continued_from = continued_from.map(str::to_owned);
+        let whole = reply(200, "s-again", Some("u2"), &stream("s-again", EVENTS));
+        let mut returned = call("s-again", RouteName::Resume, now, whole);
+        returned.resumes = Some("s".to_owned());
+        let refused = call("s", RouteName::Resume, now, reply(502, "s", None, ""));
+        let runs = vec![run("s", RouteName::Resume, "u1", now), next];
+        let found = broken(&evidence(vec![refused, returned], runs));
+        let of_versions = found.iter().any(|f| f.contains("version"));
+        assert_eq!(of_versions, is_found, "{last_event:?} {continued_from:?}");
+    }
+}
+
 #[test]
 fn another_callers_answer_is_found() {
     let now = Instant::now();
