Pass on the ends of relayed connections as they are

Cause: a relayed connection closed in order whatever became of the upstream's, so an answer without a length or chunks counted as broken off, a sound one too. Change: a relaying VM closes in order only if the upstream has, and resets the connection otherwise, also when it is killed; it says so in its answer to CONNECT. An unframed answer is then as certain as over a direct connection. Peers of the previous version do not say it and are treated as before. Relayed bytes are not held back (no delay).

--- a/trouttrack_front/src/relay/ask.rs
+++ b/trouttrack_front/src/relay/ask.rs
@@ -8,10 +8,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use trouttrack_core::FailureDomain;
 use trouttrack_core::paths::RelayTable;
-use trouttrack_http::{Direct, TunnelError, tunnel};
+use trouttrack_http::{Direct, Tunnel, TunnelError, tunnel};
 
 /// Time limit of a relayed connection, from the first peer that is asked. As long as that of a
 /// direct one: several round trips between failure domains.
@@ -72,13 +71,13 @@
         &self,
         (name, peer): (String, SocketAddr),
         upstream: SocketAddr,
-    ) -> Result<TcpStream, RelayError> {
+    ) -> Result<Tunnel, RelayError> {
         let opened = tunnel::open(&self.connector, peer, upstream).await;
         let mut table = self.table.borrow_mut();
         match opened {
-            Ok(stream) => {
+            Ok(tunnel) => {
                 table.record_answered(&name);
-                Ok(stream)
+                Ok(tunnel)
             }
             Err(TunnelError::Declined(status)) if status == REFUSED => {
                 table.record_answered(&name);
@@ -95,7 +94,7 @@
 }
 
 impl Relay for PeerRelay {
-    async fn connect(&self, upstream: SocketAddr) -> Result<TcpStream, RelayError> {
+    async fn connect(&self, upstream: SocketAddr) -> Result<Tunnel, RelayError> {
         let mut peers = self.choose(upstream).into_iter();
         let Some(first) = peers.next() else {
             return Err(match self.peers.others().is_empty() {
@@ -110,7 +109,7 @@
             let is_last = peers.len() == 0;
             tokio::select! {
                 Some(answer) = asked.next() => match answer {
-                    Ok(stream) => return Ok(stream),
+                    Ok(tunnel) => return Ok(tunnel),
                     Err(RelayError::Refused) => {
                         // Peers may be partitioned from the same upstream, so all are asked.
                         failure = RelayError::Refused;
--- a/trouttrack_front/src/relay/join.rs
+++ b/trouttrack_front/src/relay/join.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpStream;
+use trouttrack_http::socket::set_reset_on_close;
 
 /// Bytes that are read at once, and kept while the other side takes none.
 const BUFFER: usize = 8 << 10;
@@ -9,13 +11,17 @@
 /// Carries bytes both ways until the upstream or the peer closes.
 ///
 /// The peer closes to cancel its request, so the connection to the upstream is then closed at once.
-/// What the upstream has sent before it closes is delivered first.
-pub(super) async fn join<P, U>(peer: P, upstream: U)
-where
-    P: AsyncRead + AsyncWrite,
-    U: AsyncRead + AsyncWrite,
-{
-    let (mut from_peer, mut to_peer) = tokio::io::split(peer);
+/// What the upstream has sent before it closes is delivered first. The connection to the peer closes
+/// in order only if the upstream's does: an answer without a length or chunks ends with it.
+///
+/// # Errors
+///
+/// The system refuses an option of the connection to the peer.
+pub(super) async fn join(mut peer: TcpStream, upstream: TcpStream) -> io::Result<()> {
+    // A reset discards what waits to be sent.
+    peer.set_nodelay(true)?;
+    set_reset_on_close(&peer, true)?;
+    let (mut from_peer, mut to_peer) = peer.split();
     let (mut from_upstream, mut to_upstream) = tokio::io::split(upstream);
     let requests = async {
         if carry(&mut from_peer, &mut to_upstream).await == Carried::Untaken {
@@ -23,20 +29,25 @@
             std::future::pending::<()>().await;
         }
     };
-    tokio::select! {
-        () = requests => {}
-        _ = carry(&mut from_upstream, &mut to_peer) => {
-            // The peer may be gone.
-            drop(to_peer.shutdown().await);
-        }
+    let ends_in_order = tokio::select! {
+        () = requests => false,
+        carried = carry(&mut from_upstream, &mut to_peer) => carried == Carried::Ended,
+    };
+    if ends_in_order {
+        set_reset_on_close(&peer, false)?;
+        // The peer may be gone.
+        drop(peer.shutdown().await);
     }
+    Ok(())
 }
 
 /// Why no more bytes are carried one way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Carried {
-    /// The reading end has closed.
+    /// The reading end has closed in order.
     Ended,
+    /// The reading end was reset.
+    Broken,
     /// The writing end takes no more.
     Untaken,
 }
@@ -44,17 +55,13 @@
 async fn carry(from: &mut (impl AsyncRead + Unpin), to: &mut (impl AsyncWrite + Unpin)) -> Carried {
     let mut buf = vec![0; BUFFER];
     loop {
-        let Some(read) = read_some(from, &mut buf).await else {
-            return Carried::Ended;
+        let read = match from.read(&mut buf).await {
+            Ok(0) => return Carried::Ended,
+            Ok(read) => read,
+            Err(_) => return Carried::Broken,
         };
         if to.write_all(&buf[..read]).await.is_err() {
             return Carried::Untaken;
         }
     }
 }
-
-/// The number of bytes read; `None` at the end, also if that is an error.
-async fn read_some(from: &mut (impl AsyncRead + Unpin), buf: &mut [u8]) -> Option<usize> {
-    let read: io::Result<usize> = from.read(buf).await;
-    read.ok().filter(|read| *read > 0)
-}
--- a/trouttrack_front/src/relay/routed.rs
+++ b/trouttrack_front/src/relay/routed.rs
@@ -5,8 +5,9 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
-use trouttrack_http::{Connect, Connection, DeadConnections, Path, SendError, SendErrorKind};
+use trouttrack_http::{
+    Connect, Connection, DeadConnections, Path, SendError, SendErrorKind, Tunnel,
+};
 
 /// How long a relayed connection may carry requests. Its end leads to a new connection, which is
 /// a direct one if the path is back.
@@ -30,7 +31,7 @@
     /// # Errors
     ///
     /// No connection came up, so nothing was sent.
-    fn connect(&self, upstream: SocketAddr) -> impl Future<Output = Result<TcpStream, RelayError>>;
+    fn connect(&self, upstream: SocketAddr) -> impl Future<Output = Result<Tunnel, RelayError>>;
 }
 
 /// Opens connections directly, or through a peer where that fails.
@@ -62,7 +63,7 @@
         connected
     }
 
-    fn relayed(&self, upstream: SocketAddr, stream: TcpStream, is_silent: bool) -> Connection {
+    fn relayed(&self, upstream: SocketAddr, tunnel: Tunnel, is_silent: bool) -> Connection {
         let all_lost = self.paths.record_relayed(upstream);
         // Where new connections are refused, those that are open may live on.
         let dead = match (is_silent, all_lost) {
@@ -71,8 +72,11 @@
             (true, true) => DeadConnections::All,
         };
         Connection {
-            stream,
-            path: Path::Relayed(RELAYED_REUSE),
+            stream: tunnel.stream,
+            path: Path::Relayed {
+                reuse: RELAYED_REUSE,
+                shows_end: tunnel.shows_end,
+            },
             dead,
         }
     }
@@ -98,8 +102,8 @@
                     Ok(connected) => return Ok(self.directly(upstream, connected)),
                     Err(e) => failed = Some(e),
                 },
-                stream = relayed.as_mut() => match stream {
-                    Ok(stream) => return Ok(self.relayed(upstream, stream, failed.is_none())),
+                tunnel = relayed.as_mut() => match tunnel {
+                    Ok(tunnel) => return Ok(self.relayed(upstream, tunnel, failed.is_none())),
                     Err(e) => break e,
                 },
             }
--- a/trouttrack_front/src/relay/serve.rs
+++ b/trouttrack_front/src/relay/serve.rs
@@ -6,6 +6,7 @@
 use actix_codec::Framed;
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message};
+use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::uri::Authority;
 use actix_http::{Request, Response, StatusCode};
 use actix_rt::net::TcpStream;
@@ -14,6 +15,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use trouttrack_http::tunnel::SHOWS_END;
 use trouttrack_http::{Connect, SendErrorKind};
 use trouttrack_telemetry::{events, record};
 
@@ -57,7 +59,9 @@
         let accepted = answer(&mut framed, ACCEPTED, BodySize::None).await;
         let parts = framed.into_parts();
         match accepted {
-            Ok(()) if parts.read_buf.is_empty() => join(parts.io, upstream).await,
+            Ok(()) if parts.read_buf.is_empty() => {
+                report_failure(join(parts.io, upstream).await);
+            }
             accepted => report_failure(accepted),
         }
     }
@@ -116,7 +120,12 @@
     size: BodySize,
 ) -> io::Result<()> {
     let status = StatusCode::from_u16(status).map_err(io::Error::other)?;
-    let head = Response::new(status).drop_body();
+    let mut head = Response::new(status).drop_body();
+    if status.is_success() {
+        let name = HeaderName::from_static(SHOWS_END);
+        head.headers_mut()
+            .insert(name, HeaderValue::from_static("1"));
+    }
     framed.send(Message::Item((head, size))).await
 }
 
--- a/trouttrack_http/src/answer.rs
+++ b/trouttrack_http/src/answer.rs
@@ -42,7 +42,7 @@
     ) -> Self {
         let kept_for = kept_for(&head.headers);
         let framed = is_framed(&head.headers) || body.is_end_stream();
-        let end_is_certain = framed || !channel.is_relayed();
+        let end_is_certain = framed || channel.shows_end;
         let returns = Returns {
             pool: Rc::clone(pool),
             peer,
--- a/trouttrack_http/src/client.rs
+++ b/trouttrack_http/src/client.rs
@@ -230,13 +230,14 @@
         self.shared.opened.set(self.shared.opened.get() + 1);
         // Its errors reach the request that waits on the connection, if any.
         tokio::task::spawn_local(async move { drop(connection.await) });
-        let relayed_until = match connected.path {
-            Path::Direct => None,
-            Path::Relayed(reuse) => Some(Instant::now() + reuse),
+        let (relayed_until, shows_end) = match connected.path {
+            Path::Direct => (None, true),
+            Path::Relayed { reuse, shows_end } => (Some(Instant::now() + reuse), shows_end),
         };
         Ok(Channel {
             sender,
             relayed_until,
+            shows_end,
         })
     }
 
--- a/trouttrack_http/src/connect.rs
+++ b/trouttrack_http/src/connect.rs
@@ -24,9 +24,14 @@
 pub enum Path {
     /// Without anything between that may end on its own.
     Direct,
-    /// Through another process, whose end looks like the peer's. It is used again only within
-    /// this time, so that a direct path is found once there is one.
-    Relayed(Duration),
+    /// Through another process.
+    Relayed {
+        /// It is used again only within this time, so that a direct path is found once there is
+        /// one.
+        reuse: Duration,
+        /// Whether its end in order is the peer's, and not that of the process between.
+        shows_end: bool,
+    },
 }
 
 /// Idle connections that no longer reach their peers.
--- a/trouttrack_http/src/lib.rs
+++ b/trouttrack_http/src/lib.rs
@@ -27,4 +27,4 @@
 pub use client::{Client, ClientBuilder, Presence, Reuse};
 pub use connect::{Connect, Connection, DeadConnections, Direct, Path};
 pub use error::{BodyError, SendError, SendErrorKind};
-pub use tunnel::TunnelError;
+pub use tunnel::{Tunnel, TunnelError};
--- a/trouttrack_http/src/pool.rs
+++ b/trouttrack_http/src/pool.rs
@@ -15,6 +15,8 @@
     pub(crate) sender: Sender,
     /// Until when it may be used again, if it is relayed.
     pub(crate) relayed_until: Option<Instant>,
+    /// Whether its end in order is the peer's.
+    pub(crate) shows_end: bool,
 }
 
 impl Channel {
--- a/trouttrack_http/src/tunnel.rs
+++ b/trouttrack_http/src/tunnel.rs
@@ -11,6 +11,19 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
+/// Header of an accepted `CONNECT` with which a peer says that the connection shows its target's
+/// end: it closes in order only if the target does, and is reset otherwise, also if the peer ends.
+pub const SHOWS_END: &str = "relay-shows-end";
+
+/// A connection that a peer relays.
+#[derive(Debug)]
+pub struct Tunnel {
+    /// The connection to the peer.
+    pub stream: TcpStream,
+    /// Whether it closes in order only if its target does.
+    pub shows_end: bool,
+}
+
 /// Why a peer relays no connection.
 #[derive(Debug, Error)]
 #[non_exhaustive]
@@ -39,7 +52,7 @@
     connector: &C,
     peer: SocketAddr,
     target: SocketAddr,
-) -> Result<TcpStream, TunnelError> {
+) -> Result<Tunnel, TunnelError> {
     let connected = connector.connect(peer).await?;
     let handshake = http1::handshake(TokioIo::new(connected.stream)).await;
     let (mut sender, connection) = handshake?;
@@ -54,11 +67,15 @@
     if !answer.status().is_success() {
         return Err(TunnelError::Declined(answer.status().as_u16()));
     }
+    let shows_end = answer.headers().contains_key(SHOWS_END);
     let upgraded = hyper::upgrade::on(answer).await?;
     let parts = upgraded.downcast::<TokioIo<TcpStream>>();
     let parts = parts.map_err(|_| TunnelError::NotATunnel)?;
     match parts.read_buf.is_empty() {
-        true => Ok(parts.io.into_inner()),
+        true => Ok(Tunnel {
+            stream: parts.io.into_inner(),
+            shows_end,
+        }),
         false => Err(TunnelError::NotATunnel),
     }
 }
