Give an incarnation of an upstream a file of its own; streams without an id are not kept

A stream whose caller names no attempt would have been kept under the empty id, together with all others: it is not kept.

--- a/trouttrack_front/src/request/retry.rs
+++ b/trouttrack_front/src/request/retry.rs
@@ -74,7 +74,8 @@
     }
 
     /// Whether the limit of the route and the shared retry budget allow another attempt after
-    /// this failure, at upstreams of `version` if one is given. Consumes one retry from the budget if so, except after a failed connection.
+    /// this failure, at upstreams of `version` if one is given. Consumes one retry from the budget
+    /// if so, except after a failed connection.
     pub(super) fn may_retry(
         &self,
         front: &Front,
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -165,7 +165,7 @@
             (None, _) => Some(&head.id),
             (Some(_), resumes) => resumes.as_ref(),
         };
-        if let Some(first_attempt) = first_attempt {
+        if let Some(first_attempt) = first_attempt.filter(|id| !id.is_empty()) {
             self.front.origins.record(
                 first_attempt,
                 (&self.service, version),
--- a/trouttrack_front/src/state/mod.rs
+++ b/trouttrack_front/src/state/mod.rs
@@ -13,6 +13,7 @@
 mod scheduler;
 mod store_contact;
 mod ticket;
+mod upstream;
 mod upstreams;
 
 pub use budgets::Budgets;
@@ -26,4 +27,5 @@
 pub use scheduler::{Placed, Refusal, Scheduler};
 pub use store_contact::StoreContact;
 pub use ticket::Ticket;
-pub use upstreams::{Seen, Upstream, Upstreams};
+pub use upstream::Upstream;
+pub use upstreams::{Seen, Upstreams};
--- a/trouttrack_front/src/state/quarantine.rs
+++ b/trouttrack_front/src/state/quarantine.rs
@@ -1,7 +1,7 @@
 //! Quarantine of requests during which upstreams crashed, as far as this VM knows.
 
 use super::clock::Clock;
-use super::upstreams::Upstream;
+use super::upstream::Upstream;
 use std::cell::RefCell;
 use tokio::sync::Notify;
 use trouttrack_core::Fingerprint;
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -3,122 +3,21 @@
 use super::clock::Clock;
 use super::deferred::DeferredEntries;
 use super::origins::Origins;
+use super::upstream::Upstream;
 use rand::seq::IteratorRandom;
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::watch;
 use trouttrack_core::fleet::{RouteTable, ServiceSpec};
 use trouttrack_core::membership::{Entries, Revision};
 use trouttrack_core::rescue::Departure;
 use trouttrack_core::upstream::{Incarnation, UpstreamSpec};
-use trouttrack_core::{FailureDomain, ServiceId, SoftwareVersion, Time, UpstreamId};
+use trouttrack_core::{ServiceId, SoftwareVersion, Time, UpstreamId};
 use trouttrack_platform::UpstreamEntry;
 use trouttrack_telemetry::{events, record};
 
-/// One incarnation of an upstream.
-#[derive(Debug)]
-pub struct Upstream {
-    /// The id, shared by all incarnations.
-    pub id: UpstreamId,
-    /// Start time of this incarnation in Unix milliseconds; 0 if the entry has none.
-    pub born: u64,
-    /// Address on which it accepts requests.
-    pub addr: SocketAddr,
-    /// The service it runs.
-    pub service: ServiceId,
-    /// The failure domain it runs in.
-    pub failure_domain: FailureDomain,
-    /// Version of its software; not set while only peers that do not report it told of the entry.
-    version: OnceCell<SoftwareVersion>,
-    slots: usize,
-    /// End of the warm-up period.
-    warm_up_ends_at: Cell<Time>,
-    departure: watch::Sender<Option<Departure>>,
-}
-
-impl Upstream {
-    fn new(id: &str, entry: UpstreamEntry, now: Time) -> Self {
-        Self {
-            id: id.to_owned(),
-            born: entry.born,
-            addr: entry.addr,
-            service: entry.service,
-            failure_domain: entry.failure_domain,
-            version: known_version(entry.version).map_or_else(OnceCell::new, OnceCell::from),
-            slots: entry.slots,
-            warm_up_ends_at: Cell::new(now + entry.cold_for),
-            departure: watch::Sender::new(None),
-        }
-    }
-
-    /// Identifies this incarnation by id and start time.
-    #[must_use]
-    pub fn incarnation(&self) -> Incarnation {
-        Incarnation::new(&self.id, self.born)
-    }
-
-    /// Whether it can continue a stream of another upstream: both are known to run the same
-    /// version of the software.
-    #[must_use]
-    pub fn runs_version_of(&self, other: &Self) -> bool {
-        !self.version().is_empty() && self.version() == other.version()
-    }
-
-    /// Version of its software; empty if it is not known.
-    #[must_use]
-    pub fn version(&self) -> &str {
-        self.version.get().map_or("", String::as_str)
-    }
-
-    /// Number of requests it processes concurrently.
-    #[must_use]
-    pub fn slots(&self) -> usize {
-        self.slots
-    }
-
-    /// Remaining warm-up time.
-    #[must_use]
-    pub fn cold_for(&self, now: Time) -> Duration {
-        self.warm_up_ends_at.get().saturating_sub(now)
-    }
-
-    /// Whether an entry describes this incarnation.
-    fn is_same_incarnation(&self, entry: &UpstreamEntry) -> bool {
-        self.addr == entry.addr
-            && self.service == entry.service
-            && self.born == entry.born
-            && (self.version().is_empty()
-                || entry.version.is_empty()
-                || self.version() == entry.version)
-    }
-
-    /// Watches the departure; `None` while the upstream is not leaving.
-    #[must_use]
-    pub fn departure(&self) -> watch::Receiver<Option<Departure>> {
-        self.departure.subscribe()
-    }
-
-    /// Updates the departure, if there is one.
-    pub fn update_departure(&self, f: impl FnOnce(&mut Departure)) {
-        self.departure.send_if_modified(|d| match d {
-            Some(departure) => {
-                f(departure);
-                true
-            }
-            None => false,
-        });
-    }
-
-    /// Whether its departure is known.
-    #[must_use]
-    pub fn is_leaving(&self) -> bool {
-        self.departure.borrow().is_some()
-    }
-}
-
 /// The effect of an entry on the table.
 #[derive(Debug, Default)]
 pub struct Seen {
@@ -304,13 +203,7 @@
         let (upstream, before) = match known {
             Some(known) if known.is_same_incarnation(&entry) => {
                 self.update_cold_for(&known, entry.cold_for);
-                if let Some(version) = known_version(entry.version)
-                    && known.version().is_empty()
-                {
-                    self.uncount(&known);
-                    known.version.get_or_init(|| version);
-                    self.count(&known);
-                }
+                self.learn_version(&known, &entry.version);
                 (known, None)
             }
             before => (self.add(id, revision, entry), before),
@@ -328,7 +221,7 @@
     /// Updates the remaining warm-up time of a known upstream. An upstream may turn cold at any
     /// time, and may be warm earlier than it announced.
     fn update_cold_for(&self, upstream: &Upstream, cold_for: Duration) {
-        upstream.warm_up_ends_at.set(self.clock.now() + cold_for);
+        upstream.warm_up_until(self.clock.now() + cold_for);
         if !cold_for.is_zero() {
             record!(
                 events::UPSTREAM_COLD,
@@ -358,6 +251,17 @@
         new
     }
 
+    /// Sets the version of a known upstream that only peers told of that do not report it.
+    fn learn_version(&self, upstream: &Upstream, version: &str) {
+        let before = upstream.version().to_owned();
+        if upstream.learn_version(version)
+            && let Some(origins) = &self.origins
+        {
+            origins.remove(&upstream.service, &before);
+            self.count(upstream);
+        }
+    }
+
     fn count(&self, upstream: &Upstream) {
         if let Some(origins) = &self.origins {
             origins.add(&upstream.service, upstream.version());
@@ -386,7 +290,7 @@
         if upstream.is_leaving() {
             return false;
         }
-        upstream.departure.send_replace(Some(departure));
+        upstream.announce_departure(departure);
         record!(
             events::DEPARTURE,
             upstream = upstream.id.as_str(),
@@ -540,11 +444,6 @@
     );
 }
 
-/// A version that is not empty.
-fn known_version(version: SoftwareVersion) -> Option<SoftwareVersion> {
-    (!version.is_empty()).then_some(version)
-}
-
 fn spec(upstream: &Upstream, table: &RouteTable) -> UpstreamSpec {
     let service = table.service(&upstream.service);
     let engine = service.and_then(|s| s.engine.as_ref());
@@ -555,8 +454,8 @@
         failure_domain: upstream.failure_domain.clone(),
         services: vec![upstream.service.clone()],
         capacity_tokens: engine.map_or(0, |e| e.memory_tokens),
-        max_running: upstream.slots,
-        warm_up_ends_at: upstream.warm_up_ends_at.get(),
+        max_running: upstream.slots(),
+        warm_up_ends_at: upstream.warm_up_ends_at(),
         cold_rate: service.map_or(0.0, |s| s.cold_rate),
     }
 }
