--- a/trouttrack_soak/src/link/proxy.rs
+++ b/trouttrack_soak/src/link/proxy.rs
@@ -125,21 +125,28 @@
     }
 }
 
-/// Carries bytes both ways until both have ended, or until the link has been
-/// reset more often than `resets` times: then both connections are reset.
+/// Carries bytes both ways until both have ended, until the link has been reset more often than
+/// `resets` times, or until a peer has reset its connection: then both connections are reset.
 async fn join(
     client: TcpStream,
     server: TcpStream,
     condition: &watch::Receiver<Condition>,
     resets: u64,
 ) {
+    for connection in [&client, &server] {
+        // A reset discards what waits to be sent.
+        if let Err(e) = connection.set_nodelay(true) {
+            eprintln!("link: {e}");
+        }
+    }
+    let broken = watch::Sender::new(false);
     let (from_client, to_client) = client.into_split();
     let (from_server, to_server) = server.into_split();
-    let carry = |from, to, way| pump(from, to, way, condition.clone(), resets);
+    let carry = |from, to, way| pump(from, to, way, condition.clone(), resets, &broken);
     let up = carry(from_client, to_server, Way::ToServer);
     let down = carry(from_server, to_client, Way::FromServer);
     let ((from_client, to_server), (from_server, to_client)) = tokio::join!(up, down);
-    if condition.borrow().resets > resets {
+    if condition.borrow().resets > resets || *broken.borrow() {
         let client = from_client.reunite(to_client);
         let server = from_server.reunite(to_server);
         for joined in [client, server] {
--- a/trouttrack_soak/tests/soak/link.rs
+++ b/trouttrack_soak/tests/soak/link.rs
@@ -75,3 +75,21 @@
     tokio::time::timeout(PATIENCE, refused).await.unwrap();
     assert!(TcpListener::bind(link.addr()).await.is_err());
 }
+
+/// Guards against a reset that arrives as an orderly close, which would end an unframed answer.
+#[actix_rt::test]
+async fn a_reset_of_one_end_reaches_the_other_as_a_reset() {
+    for resets_server in [true, false] {
+        let (_link, client, server) = joined().await;
+        let (resetting, mut other) = match resets_server {
+            true => (server, client),
+            false => (client, server),
+        };
+        resetting.set_zero_linger().unwrap();
+        drop(resetting);
+        let mut byte = [0; 1];
+        let read = tokio::time::timeout(PATIENCE, other.read(&mut byte)).await;
+        let kind = read.expect("an end").map_err(|e| e.kind());
+        assert_eq!(kind, Err(std::io::ErrorKind::ConnectionReset));
+    }
+}
