Count versions of a service only where it has several

Cause: each candidate of a placement looked up how many upstreams have its version, also with one version. Change: an early return. Result: the tests of versions pass; no decision differs.

--- a/trouttrack_core/src/upstream/table.rs
+++ b/trouttrack_core/src/upstream/table.rs
@@ -56,6 +56,9 @@
 
     /// Whether fewer than half as many upstreams have a software version as the most common one.
     pub(crate) fn is_scarce(&self, version: &str) -> bool {
+        if self.versions.len() < 2 {
+            return false;
+        }
         let of_version = self.versions.get(version).copied().unwrap_or_default();
         let most = self.versions.values().max().copied().unwrap_or_default();
         2 * of_version < most
