Doc example of refused connections: name the software version

Cause: the example builds a row of an upstream, which has a version since streams are bound to one; the example of one of three such places was left out.

--- a/trouttrack_core/src/world/reachability/mod.rs
+++ b/trouttrack_core/src/world/reachability/mod.rs
@@ -53,6 +53,7 @@
     /// # };
     /// let mut world = World::new(settings);
     /// world.put_upstream(UpstreamSpec {
+    ///     version: String::new(),
     ///     id: "e1".into(),
     ///     failure_domain: "a".into(),
     ///     services: vec!["lookup".into()],
