Reproduce a part of prompts that crashes upstream after upstream

Cause: no test had requests that share anything but a whole body.

Three tests send such requests, no two alike, at two VMs among sound ones that share the organisation and the other part.

--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -18,6 +18,7 @@
 mod pace;
 mod peers;
 mod plain;
+mod prompt_parts;
 mod rate_limits;
 mod reachability;
 mod repeats;
