--- a/trouttrack_config/src/settings/front.rs
+++ b/trouttrack_config/src/settings/front.rs
@@ -9,7 +9,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use trouttrack_core::buffers::BufferLimits;
-use trouttrack_core::quarantine::QuarantineSettings;
+use trouttrack_core::quarantine::{QuarantineSettings, Subject};
 use trouttrack_core::routing::{AnyPolicy, Weights};
 use trouttrack_core::world::AdmissionSettings;
 
@@ -33,6 +33,8 @@
     pub retry: RetrySettings,
     /// `[quarantine]`
     pub quarantine: QuarantineSettings,
+    /// `[quarantine] lift`: requests and parts of prompts that are never held.
+    pub lifted: Vec<Subject>,
     /// `[serving]`
     pub serving: ServingSettings,
     /// `[placement]`
@@ -148,15 +150,25 @@
     }
 }
 
-/// `[quarantine]`: requests that end what runs them.
+/// `[quarantine]`: requests and parts of prompts that end what runs them.
 fn quarantine(r: &mut SectionReader<'_>) -> QuarantineSettings {
     let default = QuarantineSettings::default();
     QuarantineSettings {
         ends: r.within("ends", default.ends, 0, 1000),
+        part_ends: r.within("part_ends", default.part_ends, 0, 1000),
         hold: r.duration("hold", default.hold),
     }
 }
 
+/// Requests and parts that are never held.
+fn lifted(r: &mut SectionReader<'_>) -> Vec<Subject> {
+    r.parse_with("lift", Vec::new(), |text| {
+        let listed = text.split(',').map(str::trim).filter(|t| !t.is_empty());
+        let parsed = listed.map(|t| t.parse().map_err(|e| format!("`{t}`: {e}")));
+        parsed.collect()
+    })
+}
+
 /// `[serving]`: policies that can be switched and measured.
 #[derive(Clone, Debug)]
 pub struct ServingSettings {
@@ -265,6 +277,7 @@
     const PROGRAM: Program = Program::Front;
 
     fn read(s: &mut Sections<'_>) -> Self {
+        let (quarantine, lifted) = s.section("quarantine", |r| (quarantine(r), lifted(r)));
         Self {
             vm: s.section("vm", VmSettings::read),
             log: s.section("log", LogSettings::read),
@@ -272,7 +285,8 @@
             front: s.section("front", ListenSettings::read),
             bounds: s.section("bounds", BoundSettings::read),
             retry: s.section("retry", RetrySettings::read),
-            quarantine: s.section("quarantine", quarantine),
+            quarantine,
+            lifted,
             serving: s.section("serving", ServingSettings::read),
             placement: s.section("placement", weights),
             buffers: s.section("buffers", buffers),
--- a/trouttrack_core/src/quarantine/table.rs
+++ b/trouttrack_core/src/quarantine/table.rs
@@ -1,11 +1,14 @@
-//! Table of requests whose upstreams crashed.
+//! Table of requests and parts of prompts under which upstreams crashed.
 
-use super::crash_record::CrashRecord;
-use super::record::Record;
+use super::companions::Companions;
+use super::crash_record::{CrashContext, CrashRecord};
+use super::holds::Holds;
+use super::record::{Crash, Record};
 use super::settings::QuarantineSettings;
+use super::subject::{Attributes, Subject};
 use crate::upstream::Incarnation;
-use crate::{Fingerprint, Time};
-use std::cell::Cell;
+use crate::{Fingerprint, PartId, Time};
+use std::cell::{Cell, OnceCell};
 use std::collections::HashMap;
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
@@ -14,32 +17,56 @@
 /// Maximum number of recorded requests. A record takes about 0.3 kB, so the table takes up
 /// to 0.6 MB. It covers the loss of a sixth of 122 engines with 24 requests each.
 const MAX_REQUESTS: usize = 2048;
+/// Maximum number of recorded parts. A record takes about 0.5 kB, more where many requests with
+/// the part were at the same upstreams.
+const MAX_PARTS: usize = 1024;
 
-/// Hold on a request, which no upstream may run.
+/// Hold, because of which no upstream may run a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Hold {
-    /// Number of upstreams that crashed while running it.
+    /// What is held.
+    pub subject: Subject,
+    /// Number of upstreams that crashed while running a request with it. Upstreams that crashed
+    /// at the same moment count once.
     pub ends: usize,
     /// Remaining duration of the hold.
     pub left: Duration,
 }
 
+/// Run during which an upstream crashed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashedRun {
+    /// Incarnation that crashed.
+    pub upstream: Incarnation,
+    /// Time at which the request was sent to it; `None` if it is not known.
+    pub sent_at: Option<Time>,
+}
+
+impl From<&Incarnation> for CrashedRun {
+    fn from(upstream: &Incarnation) -> Self {
+        Self {
+            upstream: upstream.clone(),
+            sent_at: None,
+        }
+    }
+}
+
 /// Result of merging the records of another VM.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct MergeResult {
-    /// Requests that are held as a result.
-    pub held: Vec<Fingerprint>,
-    /// Requests with a later completed run that the other VM does not know of.
-    pub newer_runs: Vec<Fingerprint>,
+    /// Subjects that are held as a result.
+    pub held: Vec<Subject>,
+    /// Subjects with a later run that the other VM does not know of.
+    pub newer_runs: Vec<Subject>,
 }
 
-/// Table of requests whose upstreams crashed.
+/// Table of requests and parts of prompts under which upstreams crashed.
 ///
 /// # Examples
 ///
 /// ```
 /// use std::time::Duration;
-/// use trouttrack_core::quarantine::{Quarantine, QuarantineSettings};
+/// use trouttrack_core::quarantine::{Attributes, Quarantine, QuarantineSettings};
 /// use trouttrack_core::upstream::Incarnation;
 ///
 /// let mut quarantine = Quarantine::new(QuarantineSettings::default());
@@ -52,13 +79,26 @@
 /// // Another request that ran on one of these upstreams is not held.
 /// quarantine.record_crash(now, 8, &Incarnation::new("u1", 0));
 /// assert!(quarantine.hold(now, 8).is_none());
+///
+/// // No two of these requests are alike, and all have part 1 in their prompts.
+/// for request in 11..14 {
+///     let upstream = Incarnation::new(&format!("u{request}"), 0);
+///     let attributes = Attributes::new(request, vec![1, request as u64]);
+///     quarantine.record_crash(now, attributes, &upstream);
+/// }
+/// assert!(quarantine.hold(now, Attributes::new(20, vec![1])).is_some());
+/// assert!(quarantine.hold(now, Attributes::new(20, vec![11])).is_none());
 /// ```
 #[derive(Clone, Debug)]
 pub struct Quarantine {
     settings: QuarantineSettings,
+    /// Requests and parts that are never held.
+    lifted: Vec<Subject>,
     /// Times in the records are offset by one hold duration, so that events from before
     /// this VM's start have positive times and keep their order.
-    requests: HashMap<Fingerprint, Record>,
+    records: HashMap<Subject, Record>,
+    /// Cached holds; empty after a change.
+    holds: OnceCell<Holds>,
     /// Cached [`checksum`](Self::checksum), which is read for every heartbeat received;
     /// `None` after a change.
     cached_checksum: Cell<Option<u64>>,
@@ -70,182 +110,279 @@
     pub fn new(settings: QuarantineSettings) -> Self {
         Self {
             settings,
-            requests: HashMap::new(),
+            lifted: Vec::new(),
+            records: HashMap::new(),
+            holds: OnceCell::new(),
             cached_checksum: Cell::new(Some(0)),
         }
     }
 
-    /// Whether no request is recorded.
+    /// Whether nothing is recorded.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.requests.is_empty()
+        self.records.is_empty()
     }
 
-    /// Number of recorded requests.
+    /// Number of recorded requests and parts.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.requests.len()
+        self.records.len()
+    }
+
+    /// Replaces the requests and parts that are never held. Returns those whose holds end.
+    pub fn set_lifted(&mut self, lifted: Vec<Subject>) -> Vec<Subject> {
+        let before: Vec<Subject> = self.holds().iter().map(|(subject, _)| subject).collect();
+        self.lifted = lifted;
+        self.changed();
+        let is_over = |subject: &Subject| !self.holds().contains(*subject);
+        before.into_iter().filter(is_over).collect()
     }
 
-    /// Records that an upstream crashed while it ran a request. Returns whether that is new.
+    /// Records that an upstream crashed while it ran a request. Its parts are blamed as well, so
+    /// they are left out if its answer had begun long before
+    /// ([`Attributes::without_parts`]). Returns whether that is new for one of its attributes.
     pub fn record_crash(
         &mut self,
         now: Time,
-        request: Fingerprint,
-        upstream: &Incarnation,
+        request: impl Into<Attributes>,
+        run: impl Into<CrashedRun>,
     ) -> bool {
-        self.record_crash_at(self.offset(now), request, upstream)
+        let attributes = request.into();
+        let run = run.into();
+        let crash = |subject| Crash {
+            upstream: run.upstream.clone(),
+            at: self.offset(now),
+            sent_at: run.sent_at.map(|at| self.offset(at)),
+            companions: Companions::of(subject, &attributes),
+        };
+        let crashes: Vec<(Subject, Crash)> = attributes.subjects().map(|s| (s, crash(s))).collect();
+        let mut new = false;
+        for (subject, crash) in crashes {
+            new |= self.insert_crash(subject, crash);
+        }
+        new
     }
 
     fn offset(&self, now: Time) -> Time {
         now + self.settings.hold
     }
 
-    fn record_crash_at(&mut self, at: Time, request: Fingerprint, upstream: &Incarnation) -> bool {
-        if self.settings.ends == 0 {
+    fn insert_crash(&mut self, subject: Subject, crash: Crash) -> bool {
+        let Some(limit) = self.limit(subject) else {
+            return false;
+        };
+        if !self.make_room(subject) {
             return false;
         }
-        if !self.requests.contains_key(&request) {
-            self.evict_if_full();
+        let record = self.records.entry(subject).or_default();
+        let before = record.count();
+        let is_new = record.record_crash(crash);
+        if before.max(record.count()) >= limit {
+            self.changed();
         }
-        let record = self.requests.entry(request).or_default();
+        is_new
+    }
+
+    fn changed(&mut self) {
+        self.holds.take();
         self.cached_checksum.set(None);
-        record.record_crash(upstream, at)
     }
 
-    /// Records a completed run of a request, after which earlier crashes no longer count.
-    /// Returns whether there were any that counted.
+    /// Records a completed run of a request, after which earlier crashes no longer count
+    /// against it. Returns whether there were any that counted.
     pub fn record_completed_run(&mut self, now: Time, request: Fingerprint) -> bool {
-        let now = self.offset(now);
-        let Some(record) = self.requests.get_mut(&request) else {
+        self.record_run(now, Subject::Request(request))
+    }
+
+    /// Records that a run outlived its beginning: crashes before it began no longer count against
+    /// the parts of its prompt. Returns the parts for which there were any that counted.
+    pub fn record_begun_run(&mut self, began_at: Time, parts: &[PartId]) -> Vec<Subject> {
+        let subjects = parts.iter().map(|part| Subject::Part(*part));
+        subjects
+            .filter(|subject| self.record_run(began_at, *subject))
+            .collect()
+    }
+
+    fn record_run(&mut self, at: Time, subject: Subject) -> bool {
+        let at = self.offset(at);
+        let Some(record) = self.records.get_mut(&subject) else {
             return false;
         };
-        let counted = record.count() > 0;
-        record.record_completed_run(now);
-        self.cached_checksum.set(None);
-        counted
+        let counted = record.count();
+        record.record_run(at);
+        let is_news = record.count() < counted;
+        self.changed();
+        is_news
+    }
+
+    fn holds(&self) -> &Holds {
+        self.holds
+            .get_or_init(|| Holds::choose(&self.records, |subject| self.limit(subject)))
     }
 
-    /// The hold on a request, if it is held.
+    /// Number of crashes from which a subject is held; `None` if it never is.
+    fn limit(&self, subject: Subject) -> Option<usize> {
+        let limit = self.settings.limit(subject);
+        limit.filter(|_| !self.lifted.contains(&subject))
+    }
+
+    /// The hold because of which a request is refused, if any.
     #[must_use]
-    pub fn hold(&self, now: Time, request: Fingerprint) -> Option<Hold> {
-        let record = self.requests.get(&request)?;
-        self.hold_of(now, record)
+    pub fn hold(&self, now: Time, request: impl Into<Attributes>) -> Option<Hold> {
+        let attributes = request.into();
+        let mut refusing = self.holds().refusing(&attributes);
+        refusing.find_map(|subject| self.hold_on(now, subject))
     }
 
-    fn hold_of(&self, now: Time, record: &Record) -> Option<Hold> {
-        let ends = record.count();
-        if ends < self.settings.ends {
+    /// The hold on a subject, alone or together with others, if it is held.
+    #[must_use]
+    pub fn hold_on(&self, now: Time, subject: Subject) -> Option<Hold> {
+        if !self.holds().contains(subject) {
             return None;
         }
+        let record = self.records.get(&subject)?;
         let over_at = record.last_at() + self.settings.hold;
         let left = over_at.saturating_sub(self.offset(now));
-        (!left.is_zero()).then_some(Hold { ends, left })
+        (!left.is_zero()).then(|| Hold {
+            subject,
+            ends: record.count(),
+            left,
+        })
+    }
+
+    /// The attributes that a request needs besides a held subject to be refused.
+    #[must_use]
+    pub fn needed_with(&self, subject: Subject) -> &[Subject] {
+        self.holds().needed(subject)
     }
 
-    /// Number of held requests.
+    /// Whether all VMs must know the record of a subject: it is held, or a part that one more
+    /// crash would hold, which runs at any VM may clear.
+    #[must_use]
+    pub fn concerns_all(&self, now: Time, subject: Subject) -> bool {
+        let is_close = || {
+            let count = self.records.get(&subject).map_or(0, Record::count);
+            let limit = self.limit(subject);
+            subject.is_part() && limit.is_some_and(|limit| count > 0 && count + 1 >= limit)
+        };
+        self.hold_on(now, subject).is_some() || is_close()
+    }
+
+    /// Number of held requests and parts.
     #[must_use]
     pub fn held(&self, now: Time) -> usize {
-        let records = self.requests.values();
-        records.filter(|r| self.hold_of(now, r).is_some()).count()
+        let subjects = self.holds().iter();
+        subjects
+            .filter(|(subject, _)| self.hold_on(now, *subject).is_some())
+            .count()
     }
 
-    /// Requests that are held, and those with a completed run after crashes, which may have
-    /// been held before.
-    pub fn held_or_released(&self, now: Time) -> impl Iterator<Item = Fingerprint> {
-        let records = self.requests.iter();
-        let chosen = records.filter(move |(_, r)| r.count() == 0 || self.hold_of(now, r).is_some());
-        chosen.map(|(request, _)| *request)
+    /// Subjects that are held, and those with a run after crashes, which may have been held
+    /// before.
+    pub fn held_or_released(&self, now: Time) -> impl Iterator<Item = Subject> {
+        let records = self.records.iter();
+        let chosen =
+            records.filter(move |(s, r)| r.count() == 0 || self.hold_on(now, **s).is_some());
+        chosen.map(|(subject, _)| *subject)
     }
 
-    /// Upstreams whose crashes count for a request.
+    /// Upstreams whose crashes count against a subject.
     #[must_use]
-    pub fn counted_crashes(&self, request: Fingerprint) -> Vec<Incarnation> {
-        let record = self.requests.get(&request);
+    pub fn counted_crashes(&self, subject: impl Into<Subject>) -> Vec<Incarnation> {
+        let record = self.records.get(&subject.into());
         record.map_or_else(Vec::new, |r| r.upstreams().cloned().collect())
     }
 
-    /// Restores a request that was held before, as read from the store. The hold starts now,
-    /// unless the request is already recorded. Returns whether a hold was added.
-    pub fn restore(&mut self, now: Time, request: Fingerprint, ended: &[Incarnation]) -> bool {
-        if self.requests.contains_key(&request) {
+    /// Restores a subject that was held before, as read from the store, with the attributes
+    /// needed besides. The hold starts now, unless the subject is already recorded. Returns
+    /// whether a hold was added.
+    pub fn restore(
+        &mut self,
+        now: Time,
+        subject: impl Into<Subject>,
+        ended: &[Incarnation],
+        needed: &[Subject],
+    ) -> bool {
+        let subject = subject.into();
+        if self.records.contains_key(&subject) {
             return false;
         }
         for upstream in ended {
-            self.record_crash(now, request, upstream);
+            let crash = Crash {
+                upstream: upstream.clone(),
+                at: self.offset(now),
+                sent_at: None,
+                companions: needed.iter().copied().collect(),
+            };
+            self.insert_crash(subject, crash);
         }
-        self.hold(now, request).is_some()
+        self.hold_on(now, subject).is_some()
     }
 
-    /// Drops records older than a hold. Returns those requests that had been held.
-    pub fn expire(&mut self, now: Time) -> Vec<Fingerprint> {
+    /// Drops records older than a hold. Returns those subjects that had been held.
+    pub fn expire(&mut self, now: Time) -> Vec<Subject> {
         let (now, keep) = (self.offset(now), self.settings.hold);
-        let ends = self.settings.ends;
-        let mut over = Vec::new();
-        self.requests.retain(|request, record| {
-            let keeps = record.is_current(now, keep);
-            if !keeps && record.count() >= ends {
-                over.push(*request);
-            }
-            keeps
-        });
-        if !over.is_empty() {
-            self.cached_checksum.set(None);
+        let records = self.records.iter();
+        let expired = records.filter(|(_, record)| !record.is_current(now, keep));
+        let expired: Vec<Subject> = expired.map(|(subject, _)| *subject).collect();
+        if expired.is_empty() {
+            return expired;
+        }
+        let held = expired.iter().copied();
+        let held: Vec<Subject> = held.filter(|s| self.holds().contains(*s)).collect();
+        for subject in &expired {
+            self.records.remove(subject);
         }
-        over
+        self.changed();
+        held
     }
 
-    /// The records of some requests, as sent to other VMs.
+    /// The records of some subjects, as sent to other VMs.
     #[must_use]
-    pub fn records_of(&self, now: Time, requests: &[Fingerprint]) -> Vec<CrashRecord> {
+    pub fn records_of<S>(&self, now: Time, subjects: &[S]) -> Vec<CrashRecord>
+    where
+        S: Copy + Into<Subject>,
+    {
         let now = self.offset(now);
-        let known = requests.iter().filter_map(|&request| {
-            let record = self.requests.get(&request)?;
-            Some(record.to_crash_record(request, now))
+        let known = subjects.iter().filter_map(|subject| {
+            let subject = (*subject).into();
+            let record = self.records.get(&subject)?;
+            Some(record.to_crash_record(subject, now))
         });
         known.collect()
     }
 
-    /// Records sent to a VM whose checksum differs: up to `limit` held requests, most recent
+    /// Records sent to a VM whose checksum differs: up to `limit` held subjects, most recent
     /// crash first. The VM has just started, was cut off, or missed a datagram.
     #[must_use]
     pub fn held_records(&self, now: Time, limit: usize) -> Vec<CrashRecord> {
-        let mut order: Vec<(&Fingerprint, &Record)> = self.with_enough_ends().collect();
-        order.sort_unstable_by_key(|(request, r)| std::cmp::Reverse((r.last_at(), **request)));
-        let now = self.offset(now);
-        let first = order.into_iter().take(limit);
-        first
-            .map(|(request, r)| r.to_crash_record(*request, now))
-            .collect()
-    }
-
-    /// Records with enough crashes for a hold.
-    fn with_enough_ends(&self) -> impl Iterator<Item = (&Fingerprint, &Record)> {
-        let all = self.requests.iter();
-        all.filter(|(_, r)| r.count() >= self.settings.ends)
+        let mut order: Vec<Subject> = self.holds().iter().map(|(subject, _)| subject).collect();
+        order.sort_unstable_by_key(|s| std::cmp::Reverse((self.records[s].last_at(), *s)));
+        order.truncate(limit);
+        self.records_of(now, &order)
     }
 
     /// Merges records of another VM.
     pub fn merge_records(&mut self, now: Time, records: &[CrashRecord]) -> MergeResult {
         let mut result = MergeResult::default();
         for received in records {
-            let request = received.fingerprint;
-            let was_held = self.hold(now, request).is_some();
+            let subject = received.subject();
+            let was_held = self.hold_on(now, subject).is_some();
             self.merge(now, received);
-            if !was_held && self.hold(now, request).is_some() {
-                result.held.push(request);
+            if !was_held && self.hold_on(now, subject).is_some() {
+                result.held.push(subject);
             }
             if self.has_newer_run(now, received) {
-                result.newer_runs.push(request);
+                result.newer_runs.push(subject);
             }
         }
         result
     }
 
-    /// Whether this VM knows a completed run later than all crashes in the received record,
-    /// and the sender does not.
+    /// Whether this VM knows a run later than all crashes in the received record, and the sender
+    /// does not.
     fn has_newer_run(&self, now: Time, received: &CrashRecord) -> bool {
-        let record = self.requests.get(&received.fingerprint);
+        let record = self.records.get(&received.subject());
         let ran_well = record.and_then(|r| r.ran_well_ago(self.offset(now)));
         let Some(ago) = ran_well else {
             return false;
@@ -264,19 +401,27 @@
         if last.is_none_or(is_over) {
             return;
         }
-        for end in &received.ends {
-            self.record_crash_at(time_of(end.ago_ms), received.fingerprint, &end.upstream);
+        let subject = received.subject();
+        let unknown = CrashContext::default();
+        for (n, end) in received.ends.iter().enumerate() {
+            let context = received.context.crashes.get(n).unwrap_or(&unknown);
+            let crash = Crash {
+                upstream: end.upstream.clone(),
+                at: time_of(end.ago_ms),
+                sent_at: context.sent_ago_ms.map(time_of),
+                companions: context.companions.clone(),
+            };
+            self.insert_crash(subject, crash);
         }
         if let Some(ago_ms) = received.ran_well_ago_ms
-            && let Some(record) = self.requests.get_mut(&received.fingerprint)
+            && let Some(record) = self.records.get_mut(&subject)
         {
-            record.record_completed_run(time_of(ago_ms));
-            self.cached_checksum.set(None);
+            record.record_run(time_of(ago_ms));
+            self.changed();
         }
     }
 
-    /// Checksum over the requests with enough crashes for a hold, by which VMs compare their
-    /// tables; 0 if there are none.
+    /// Checksum over the held subjects, by which VMs compare their tables; 0 if there are none.
     #[must_use]
     pub fn checksum(&self) -> u64 {
         if let Some(checksum) = self.cached_checksum.get() {
@@ -288,22 +433,42 @@
     }
 
     fn compute_checksum(&self) -> u64 {
-        self.with_enough_ends().fold(0, |sum, (request, _)| {
+        self.holds().iter().fold(0, |sum, (subject, _)| {
             let mut hasher = Xxh3::new();
-            request.hash(&mut hasher);
+            match subject {
+                // Earlier versions compute the same for requests.
+                Subject::Request(fingerprint) => fingerprint.hash(&mut hasher),
+                Subject::Part(_) => {
+                    subject.hash(&mut hasher);
+                    self.records[&subject].common_companions().hash(&mut hasher);
+                }
+            }
             sum ^ hasher.finish()
         })
     }
 
-    /// Evicts a record if the table is full: the one with the fewest crashes, then the oldest.
-    fn evict_if_full(&mut self) {
-        if self.requests.len() < MAX_REQUESTS {
-            return;
+    /// Makes room for the record of a subject: of the requests or the parts, evicts the one with
+    /// the fewest crashes, then the oldest, but none that is held. Returns whether there is room.
+    fn make_room(&mut self, subject: Subject) -> bool {
+        if self.records.contains_key(&subject) {
+            return true;
         }
-        let least = self.requests.iter();
-        let least = least.min_by_key(|(request, r)| (r.count(), r.last_at(), **request));
-        if let Some(request) = least.map(|(request, _)| *request) {
-            self.requests.remove(&request);
+        let limit = match subject {
+            Subject::Request(_) => MAX_REQUESTS,
+            Subject::Part(_) => MAX_PARTS,
+        };
+        let same_kind = |s: &Subject| s.is_part() == subject.is_part();
+        if self.records.keys().filter(|s| same_kind(s)).count() < limit {
+            return true;
         }
+        let holds = self.holds();
+        let records = self.records.iter();
+        let evictable = records.filter(|(s, _)| same_kind(s) && !holds.contains(**s));
+        let least = evictable.min_by_key(|(s, r)| (r.count(), r.last_at(), **s));
+        let Some(least) = least.map(|(subject, _)| *subject) else {
+            return false;
+        };
+        self.records.remove(&least);
+        true
     }
 }
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -18,6 +18,7 @@
 mod placement_under_load;
 mod policies;
 mod quarantine;
+mod quarantine_parts;
 mod rate_limited_fleet;
 mod rate_limits;
 mod reachability;
--- a/trouttrack_core/tests/core/quarantine.rs
+++ b/trouttrack_core/tests/core/quarantine.rs
@@ -3,7 +3,7 @@
 
 use proptest::prelude::*;
 use std::time::Duration;
-use trouttrack_core::quarantine::{CrashRecord, Quarantine, QuarantineSettings};
+use trouttrack_core::quarantine::{CrashRecord, Quarantine, QuarantineSettings, Subject};
 use trouttrack_core::upstream::Incarnation;
 use trouttrack_core::{Fingerprint, Time};
 
@@ -23,6 +23,7 @@
     Quarantine::new(QuarantineSettings {
         ends: 3,
         hold: HOLD,
+        ..QuarantineSettings::default()
     })
 }
 
@@ -57,9 +58,9 @@
     assert!(quarantine.hold(at(1_099), FATAL).is_some());
     let mut started = self::quarantine();
     let heard = started.merge_records(at(1), &quarantine.held_records(at(1_000), 10));
-    assert_eq!(heard.held, [FATAL]);
+    assert_eq!(heard.held, [Subject::Request(FATAL)]);
     assert_eq!(started.checksum(), quarantine.checksum());
-    assert_eq!(quarantine.expire(at(1_100)), [FATAL]);
+    assert_eq!(quarantine.expire(at(1_100)), [Subject::Request(FATAL)]);
 }
 
 #[test]
@@ -101,7 +102,7 @@
     seen.record_completed_run(at(4), FATAL);
     assert_ne!(seen.checksum(), other.checksum());
     let heard = seen.merge_records(at(5), &other.held_records(at(5), 10));
-    assert_eq!(heard.newer_runs, [FATAL]);
+    assert_eq!(heard.newer_runs, [Subject::Request(FATAL)]);
     let answer = other.merge_records(at(5), &seen.records_of(at(5), &heard.newer_runs));
     assert!(answer.newer_runs.is_empty());
     assert_eq!(seen.checksum(), other.checksum());
@@ -120,7 +121,7 @@
     }
     for vm in &mut vms {
         let heard = vm.merge_records(at(1), &keeper.held_records(at(1), 10));
-        assert_eq!(heard.held, [FATAL]);
+        assert_eq!(heard.held, [Subject::Request(FATAL)]);
         assert_eq!(vm.checksum(), keeper.checksum());
     }
 }
@@ -130,6 +131,7 @@
     let mut off = Quarantine::new(QuarantineSettings {
         ends: 0,
         hold: HOLD,
+        ..QuarantineSettings::default()
     });
     assert!(!off.record_crash(at(1), FATAL, &upstream(1)));
     assert!(off.is_empty());
@@ -152,7 +154,7 @@
     let mut started = quarantine();
     // Its clock starts at 0, long after the crashes.
     let heard = started.merge_records(at(1), &held.held_records(at(60), 10));
-    assert_eq!(heard.held, [FATAL]);
+    assert_eq!(heard.held, [Subject::Request(FATAL)]);
     assert!(started.hold(at(1), FATAL).is_some());
     // Records whose hold has expired are ignored.
     let mut late = quarantine();
@@ -234,7 +236,7 @@
                     vms[vm].record_completed_run(at(now), request);
                 }
                 Step::Send(from, to) => {
-                    let told = vms[from].records_of(at(now), &[1, 2, 3]);
+                    let told = vms[from].records_of(at(now), &[1u128, 2, 3]);
                     vms[to].merge_records(at(now), &told);
                     vms[to].merge_records(at(now), &told);
                     messages.push((now, told));
@@ -249,14 +251,14 @@
         for _ in 0..2 {
             for from in 0..VMS {
                 for to in 0..VMS {
-                    let told = vms[from].records_of(at(now), &[1, 2, 3]);
+                    let told = vms[from].records_of(at(now), &[1u128, 2, 3]);
                     vms[to].merge_records(at(now), &told);
                 }
             }
         }
         for vm in &vms {
             prop_assert_eq!(vm.checksum(), vms[0].checksum());
-            prop_assert_eq!(vm.hold(at(now), 1).is_some(), ended.len() >= 3);
+            prop_assert_eq!(vm.hold(at(now), 1u128).is_some(), ended.len() >= 3);
         }
     }
 
--- a/trouttrack_front/src/app/reload.rs
+++ b/trouttrack_front/src/app/reload.rs
@@ -43,11 +43,12 @@
     fs::metadata(file).and_then(|m| m.modified()).ok()
 }
 
-/// Applies changed revocation bounds. All other settings stay as they were at startup.
+/// Applies changed revocation bounds and lifted holds. All other settings stay as they were at startup.
 fn reload(front: &Front, file: &Path) {
     match load::<FrontSettings>(file) {
         Ok(settings) => {
             front.routing.set_bounds(&settings.bounds);
+            front.quarantine.set_lifted(&settings.lifted);
             record!(
                 events::SETTINGS_RELOADED,
                 revoke_ms = settings.bounds.revoke.as_millis() as u64,
--- a/trouttrack_front/src/app/start.rs
+++ b/trouttrack_front/src/app/start.rs
@@ -46,6 +46,7 @@
 pub async fn start(settings: &FrontSettings) -> Result<Running, AppError> {
     let (updates_tx, updates) = mpsc::channel(UPDATE_CAPACITY);
     let front = Front::new(settings, updates_tx);
+    front.quarantine.set_lifted(&settings.lifted);
     let ports = settings.front.clone();
     let bound = bind_peers(ports.peers).await;
     let (socket, listener) = bound.map_err(|e| AppError::Listen(ports.peers, e))?;
--- a/trouttrack_front/src/follow/holds.rs
+++ b/trouttrack_front/src/follow/holds.rs
@@ -1,4 +1,4 @@
-//! Persists held requests in the store. VMs have no persistent state of their own, so without
+//! Persists held requests and parts in the store. VMs have no persistent state of their own, so without
 //! this, requests that crashed upstreams before all VMs lost power would crash as many
 //! afterwards.
 //!
@@ -10,8 +10,7 @@
 use crate::state::Front;
 use std::rc::Rc;
 use std::time::Duration;
-use trouttrack_core::Fingerprint;
-use trouttrack_core::quarantine::record_holders;
+use trouttrack_core::quarantine::{Subject, record_holders};
 use trouttrack_platform::{HoldEntry, Kind, Object, StoreError};
 
 /// Timeout for a store call.
@@ -25,7 +24,7 @@
 pub(super) async fn sync(front: Rc<Front>) {
     let mut epoch = None;
     loop {
-        let requests = tokio::select! {
+        let subjects = tokio::select! {
             biased;
             restored_epoch = front.store_contact.restored_after(epoch) => {
                 epoch = restored_epoch;
@@ -34,19 +33,19 @@
             }
             changed = front.quarantine.changed() => changed,
         };
-        for request in requests {
-            if is_writer(&front, request) {
-                actix_rt::spawn(write(Rc::clone(&front), request));
+        for subject in subjects {
+            if is_writer(&front, subject) {
+                actix_rt::spawn(write(Rc::clone(&front), subject));
             }
         }
     }
 }
 
-/// Whether this VM is one of those that write the request's hold.
-fn is_writer(front: &Front, request: Fingerprint) -> bool {
+/// Whether this VM is one of those that write the hold on a subject.
+fn is_writer(front: &Front, subject: Subject) -> bool {
     let vms = front.peers.live_names().into_iter();
     let vms = vms.chain([front.name.clone()]);
-    let first = record_holders(request, vms, String::as_str);
+    let first = record_holders(subject.key(), vms, String::as_str);
     first
         .iter()
         .take(WRITER_COUNT)
@@ -54,35 +53,39 @@
 }
 
 /// Writes or removes a hold, and retries until the store accepts the call.
-async fn write(front: Rc<Front>, request: Fingerprint) {
+async fn write(front: Rc<Front>, subject: Subject) {
     let mut backoff = Backoff::new();
-    while let Err(e) = write_once(&front, request).await {
+    while let Err(e) = write_once(&front, subject).await {
         log::debug!("cannot update a hold in the store: {e}");
         backoff.pause().await;
     }
 }
 
-async fn write_once(front: &Front, request: Fingerprint) -> Result<(), StoreError> {
-    let name = HoldEntry::name(request);
-    if front.quarantine.hold(request).is_none() {
+async fn write_once(front: &Front, subject: Subject) -> Result<(), StoreError> {
+    let name = HoldEntry::name(subject);
+    if front.quarantine.hold_on(subject).is_none() {
         return front.store.remove(Kind::Vms, &name, CALL_TIMEOUT).await;
     }
-    let ended = front.quarantine.counted_crashes(request);
-    let entry = HoldEntry { ended };
+    let entry = HoldEntry::new(
+        front.quarantine.counted_crashes(subject),
+        &front.quarantine.needed_with(subject),
+    );
     front
         .store
         .put(Kind::Vms, &name, &entry, CALL_TIMEOUT)
         .await
 }
 
-/// Restores a held request if the object is a hold rather than a VM entry. Returns whether it is
+/// Restores a hold if the object is a hold rather than a VM entry. Returns whether it is
 /// a hold.
 pub(super) fn apply_if_hold(front: &Front, object: &Object) -> bool {
-    let Some(request) = HoldEntry::request(&object.name) else {
+    let Some(subject) = HoldEntry::subject(&object.name) else {
         return false;
     };
     match HoldEntry::decode(object.spec.get()) {
-        Ok(entry) => front.quarantine.restore(request, &entry.ended),
+        Ok(entry) => front
+            .quarantine
+            .restore(subject, &entry.ended, &entry.needed()),
         Err(e) => log::warn!("hold {}: entry cannot be read: {e}", object.name),
     }
     true
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use trouttrack_core::membership::{Conditions, Digest, Evacuations, Revision, UpstreamUse};
-use trouttrack_core::quarantine::CrashRecord;
+use trouttrack_core::quarantine::{CrashRecord, RecordContext};
 use trouttrack_core::upstream::ReportedLimit;
 use trouttrack_core::versions::{OriginAnswer, StreamOrigin};
 use trouttrack_core::{ConfigVersion, ServiceId, SoftwareVersion, StreamKey, UpstreamId};
@@ -39,7 +39,7 @@
     /// The sender's active configuration has this version and is too large for a
     /// datagram; the receiver may fetch it.
     ConfigReady(ConfigVersion),
-    /// Requests during which upstreams terminated.
+    /// Requests and parts of prompts under which upstreams terminated.
     Suspects(Vec<CrashRecord>),
     /// Asks the receiver how long ago its configuration was confirmed. Shares its sequence
     /// numbers with the sender's heartbeats.
@@ -88,7 +88,7 @@
     /// Aggregate use of the upstreams in the sender's failure domain by all VMs of that
     /// domain. Sent in large fleets for the benefit of other failure domains.
     pub(super) domain_uses: Vec<UpstreamUse>,
-    /// Checksum of the requests that the sender holds in quarantine.
+    /// Checksum of what the sender holds in quarantine.
     pub(super) quarantine_checksum: u64,
     /// Limits announced by upstreams that are known to the sender.
     pub(super) limits: Vec<ReportedLimit>,
@@ -259,23 +259,28 @@
     encode_with(datagram, &Conditions::default())
 }
 
-/// Encodes a datagram, followed by the sender's conditions and the software versions of the entries
-/// in it if it has any to report. VMs of earlier versions decode the datagram and ignore the bytes
-/// after it.
+/// Encodes a datagram, followed by the sender's conditions and what VMs of earlier versions do not
+/// know of its content, if there is any. They decode the datagram and ignore the bytes after it.
 pub(super) fn encode_with(datagram: &Datagram, conditions: &Conditions) -> Option<Vec<u8>> {
     let plain = postcard::to_extend(datagram, vec![FORMAT_VERSION]);
     let versions = match datagram {
         Datagram::News(update, _) => update.versions(),
         _ => Vec::new(),
     };
-    let bytes = match conditions.is_empty() && versions.is_empty() {
+    let contexts: Vec<&RecordContext> = match datagram {
+        Datagram::Suspects(records) => records.iter().map(|record| &record.context).collect(),
+        _ => Vec::new(),
+    };
+    let is_plain = conditions.is_empty() && versions.is_empty() && contexts.is_empty();
+    let bytes = match is_plain {
         true => plain,
         false => plain
             .and_then(|bytes| postcard::to_extend(conditions, bytes))
             .and_then(|bytes| postcard::to_extend(&conditions.paths_lost, bytes))
-            .and_then(|bytes| match versions.is_empty() {
-                true => Ok(bytes),
-                false => postcard::to_extend(&versions, bytes),
+            .and_then(|bytes| match (versions.is_empty(), contexts.is_empty()) {
+                (true, true) => Ok(bytes),
+                (false, _) => postcard::to_extend(&versions, bytes),
+                (true, false) => postcard::to_extend(&contexts, bytes),
             }),
     };
     bytes
@@ -284,7 +289,7 @@
 }
 
 /// Decodes a datagram and its sender's conditions; `None` if the datagram has another format
-/// version or is malformed. Conditions and versions that are missing or malformed count as empty.
+/// version or is malformed. What is missing or malformed after it counts as empty.
 pub(super) fn decode(bytes: &[u8]) -> Option<(Datagram, Conditions)> {
     let (version, payload) = bytes.split_first()?;
     if *version != FORMAT_VERSION {
@@ -293,8 +298,17 @@
     let (mut datagram, rest) = postcard::take_from_bytes(payload).ok()?;
     let (conditions, rest) = postcard::take_from_bytes::<Conditions>(rest).unwrap_or_default();
     let (paths_lost, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
-    if let Datagram::News(update, _) = &mut datagram {
-        update.set_versions(postcard::from_bytes(rest).unwrap_or_default());
+    match &mut datagram {
+        Datagram::News(update, _) => {
+            update.set_versions(postcard::from_bytes(rest).unwrap_or_default());
+        }
+        Datagram::Suspects(records) => {
+            let contexts: Vec<RecordContext> = postcard::from_bytes(rest).unwrap_or_default();
+            for (record, context) in records.iter_mut().zip(contexts) {
+                record.context = context;
+            }
+        }
+        _ => {}
     }
     let conditions = Conditions {
         paths_lost,
--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -183,8 +183,8 @@
     pub(crate) fn report(&self, front: &Front, admitted: &Admitted, attempt: &FailedAttempt<'_>) {
         let may_have_run = matches!(self.failure, Failure::Lost | Failure::Aborted);
         let fingerprint = may_have_run.then(|| {
-            let request = attempt.quarantine.fingerprint(admitted, attempt.body);
-            fingerprint_text(request)
+            let attributes = attempt.quarantine.attributes(admitted, attempt.body);
+            fingerprint_text(attributes.request())
         });
         let parts = may_have_run.then(|| parts_text(&admitted.head.prompt_parts()));
         let organisation = admitted.organisation.as_deref();
--- a/trouttrack_front/src/request/end.rs
+++ b/trouttrack_front/src/request/end.rs
@@ -4,7 +4,7 @@
 use crate::metrics::StreamTiming;
 use crate::state::{Front, Refusal};
 use std::time::Duration;
-use trouttrack_core::quarantine::Hold;
+use trouttrack_core::quarantine::{Hold, Subject};
 use trouttrack_core::upstream::MAX_PAUSE;
 use trouttrack_core::world::NotRunReason;
 use trouttrack_core::{Outcome, Time};
@@ -81,7 +81,10 @@
     /// The request is quarantined because upstreams exited while they ran it.
     pub(crate) fn quarantined(hold: Hold) -> Self {
         Self::NotRun {
-            reason: "upstreams ended while they ran it",
+            reason: match hold.subject {
+                Subject::Request(_) => "upstreams ended while they ran it",
+                Subject::Part(_) => "upstreams ended under a part of its prompt",
+            },
             retry_after: hold.left,
         }
     }
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -2,7 +2,7 @@
 
 use super::attempt::{AttemptFailure, FailedAttempt, UPSTREAM_SLOW, check_path, handover, send};
 use super::end::{End, ForwardedResponse, record_forwarded};
-use super::quarantine::QuarantineCheck;
+use super::quarantine::{QuarantineCheck, QuarantinedAttempt};
 use super::retry::{AttemptCounts, end_without_retry, is_attempt};
 use super::submission::build_submission;
 use crate::caller::{Admitted, Reply};
@@ -123,7 +123,13 @@
         self.check_quarantine()?;
         let avoid = self.attempts.avoided(self.front, &self.avoid);
         let submission = build_submission(self.front, self.admitted, &self.service, None, &avoid);
-        let placed = self.front.scheduler.place(submission).await;
+        let placed = tokio::select! {
+            biased;
+            placed = self.front.scheduler.place(submission) => placed,
+            end = self.quarantine.quarantined(self.front, self.admitted, &self.body) => {
+                return Err(AttemptError::Ended(end));
+            }
+        };
         let placed = placed.map_err(|refusal| {
             AttemptError::Ended(End::refused(self.front, &self.service, &refusal))
         })?;
@@ -198,9 +204,14 @@
             Ok(response) if response.framed => self.quarantine.record_run(front, admitted, body),
             Ok(_) => {}
             Err(failure) => {
-                let update = self
-                    .quarantine
-                    .record_failure(front, admitted, body, upstream, failure);
+                let attempt = QuarantinedAttempt {
+                    front,
+                    admitted,
+                    body,
+                };
+                let update =
+                    self.quarantine
+                        .record_failure(attempt, upstream, self.placed_at, failure);
                 update.await;
             }
         }
--- a/trouttrack_front/src/request/quarantine.rs
+++ b/trouttrack_front/src/request/quarantine.rs
@@ -1,4 +1,4 @@
-//! Quarantine of requests that make upstreams exit.
+//! Quarantine of requests, and of parts of prompts, that make upstreams exit.
 
 use super::attempt::AttemptFailure;
 use super::end::End;
@@ -6,10 +6,11 @@
 use crate::caller::Admitted;
 use crate::state::{Front, Upstream};
 use bytes::Bytes;
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
-use trouttrack_core::Fingerprint;
+use trouttrack_core::Time;
+use trouttrack_core::quarantine::{Attributes, CrashedRun};
 use trouttrack_http::{Presence, SendErrorKind};
 
 /// Time limit of the probe that checks, after a lost connection and before the next attempt,
@@ -24,17 +25,35 @@
 const MAX_PROBES: u32 = 8;
 const PROBE_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Quarantine check of one arrival of a request. The fingerprint is computed only if some
-/// request is suspected or an attempt lost its connection.
+/// How long the answer of an upstream must go on for its beginning to be over.
+const BEGINNING: Duration = Duration::from_millis(500);
+
+/// An attempt, as far as the quarantine is concerned.
+#[derive(Clone, Debug)]
+pub(super) struct QuarantinedAttempt<'a> {
+    pub(super) front: &'a Rc<Front>,
+    pub(super) admitted: &'a Admitted,
+    pub(super) body: &'a Bytes,
+}
+
+/// Quarantine check of one arrival of a request. Its attributes are computed only if something
+/// is suspected or an attempt lost its connection.
 #[derive(Debug, Default)]
 pub(super) struct QuarantineCheck {
-    fingerprint: OnceCell<Fingerprint>,
+    attributes: OnceCell<Attributes>,
+    /// When the current upstream began its answer.
+    began_at: Cell<Option<Time>>,
+    /// Whether the beginning of an answer is over, at this or an earlier upstream.
+    is_beginning_over: Cell<bool>,
 }
 
 impl QuarantineCheck {
-    /// Fingerprint of the request, computed on first use.
-    pub(super) fn fingerprint(&self, admitted: &Admitted, body: &Bytes) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| fingerprint(admitted, body))
+    /// Attributes of the request, computed on first use.
+    pub(super) fn attributes(&self, admitted: &Admitted, body: &Bytes) -> &Attributes {
+        self.attributes.get_or_init(|| {
+            let parts = admitted.head.prompt_parts();
+            Attributes::new(fingerprint(admitted, body), parts)
+        })
     }
 
     /// Returns the outcome of the request if it is quarantined. Earlier attempts may have run.
@@ -42,33 +61,83 @@
         if front.quarantine.is_empty() {
             return None;
         }
-        let hold = front.quarantine.hold(self.fingerprint(admitted, body))?;
+        let hold = front.quarantine.hold(self.attributes(admitted, body))?;
         Some(End::quarantined(hold))
     }
 
-    /// Records a failed attempt. The request is suspected if its upstream exited without
-    /// having announced that it leaves.
-    pub(super) async fn record_failure(
+    /// Waits until the request is quarantined, and returns its outcome.
+    pub(super) async fn quarantined(
         &self,
-        front: &Rc<Front>,
+        front: &Front,
         admitted: &Admitted,
         body: &Bytes,
+    ) -> End {
+        loop {
+            front.quarantine.hold_begun().await;
+            if let Some(end) = self.check(front, admitted, body) {
+                return end;
+            }
+        }
+    }
+
+    /// Forgets the answer of the previous upstream.
+    pub(super) fn change_upstream(&self) {
+        self.began_at.set(None);
+    }
+
+    /// Records that the current upstream wrote a part of its answer.
+    pub(super) fn wrote(&self, front: &Front, admitted: &Admitted, now: Time) {
+        if self.is_beginning_over.get() {
+            return;
+        }
+        let began_at = self.began_at.get().unwrap_or(now);
+        self.began_at.set(Some(began_at));
+        if now.saturating_sub(began_at) >= BEGINNING {
+            self.end_beginning(front, admitted, began_at);
+        }
+    }
+
+    /// Clears the parts of the prompt of crashes before the answer began.
+    fn end_beginning(&self, front: &Front, admitted: &Admitted, began_at: Time) {
+        self.is_beginning_over.set(true);
+        if !front.quarantine.is_empty() {
+            let parts = admitted.head.prompt_parts();
+            front.quarantine.record_begun_run(began_at, &parts);
+        }
+    }
+
+    /// Records a failed attempt, which began at `sent_at`. The request is suspected if its
+    /// upstream exited without having announced that it leaves.
+    pub(super) async fn record_failure(
+        &self,
+        attempt: QuarantinedAttempt<'_>,
         upstream: &Rc<Upstream>,
+        sent_at: Time,
         failure: &AttemptFailure,
     ) {
         if !failure.connection_closed() || upstream.is_leaving() {
             return;
         }
-        let request = self.fingerprint(admitted, body);
+        let QuarantinedAttempt {
+            front,
+            admitted,
+            body,
+        } = attempt;
+        let attributes = self.attributes(admitted, body);
+        let suspect = SuspectedExit {
+            attributes: match self.is_beginning_over.get() {
+                true => attributes.without_parts(),
+                false => attributes.clone(),
+            },
+            upstream: Rc::clone(upstream),
+            sent_at,
+            lost_at: front.clock.now(),
+        };
         let probed = tokio::time::timeout(PROBE_TIMEOUT, front.http.probe(upstream.addr)).await;
         match probed {
-            Ok(Err(e)) if e.kind == SendErrorKind::NobodyThere => {
-                front.scheduler.connection_refused(&upstream.incarnation());
-                front.quarantine.ended(request, upstream);
-            }
+            Ok(Err(e)) if e.kind == SendErrorKind::NobodyThere => suspect.confirm(front),
             Ok(Ok(presence)) => {
-                let (front, upstream) = (Rc::clone(front), Rc::clone(upstream));
-                actix_rt::spawn(probe_until_exit(front, upstream, request, presence));
+                actix_rt::spawn(suspect.probe_until_exit(Rc::clone(front), presence));
             }
             _ => {}
         }
@@ -76,36 +145,59 @@
 
     /// Records a run that completed.
     pub(super) fn record_run(&self, front: &Front, admitted: &Admitted, body: &Bytes) {
-        if !front.quarantine.is_empty() {
-            front
-                .quarantine
-                .record_completed_run(self.fingerprint(admitted, body));
+        if front.quarantine.is_empty() {
+            return;
+        }
+        let attributes = self.attributes(admitted, body);
+        front.quarantine.record_completed_run(attributes.request());
+        if !self.is_beginning_over.get() {
+            let began_at = self.began_at.get().unwrap_or_else(|| front.clock.now());
+            self.end_beginning(front, admitted, began_at);
         }
     }
 }
 
-/// Probes an upstream until it is seen to have exited or to be alive. An exiting process may
-/// close its connections before its port, and a proxy in front of it may accept connections for
-/// a moment longer; those connections do not last.
-async fn probe_until_exit(
-    front: Rc<Front>,
+/// Exit of an upstream, of which only the loss of a connection is known.
+#[derive(Debug)]
+struct SuspectedExit {
+    /// What may be the cause.
+    attributes: Attributes,
     upstream: Rc<Upstream>,
-    request: Fingerprint,
-    mut presence: Presence,
-) {
-    for _ in 0..MAX_PROBES {
-        if presence.lasts(EXIT_WINDOW).await {
-            return;
-        }
-        tokio::time::sleep(PROBE_INTERVAL).await;
-        match front.http.probe(upstream.addr).await {
-            Ok(next) => presence = next,
-            Err(e) if e.kind == SendErrorKind::NobodyThere => {
-                front.scheduler.connection_refused(&upstream.incarnation());
-                front.quarantine.ended(request, &upstream);
+    /// When the request was sent to it.
+    sent_at: Time,
+    /// When the connection was lost.
+    lost_at: Time,
+}
+
+impl SuspectedExit {
+    /// Records the exit.
+    fn confirm(&self, front: &Front) {
+        let upstream = self.upstream.incarnation();
+        front.scheduler.connection_refused(&upstream);
+        let run = CrashedRun {
+            upstream,
+            sent_at: Some(self.sent_at),
+        };
+        front.quarantine.ended(&self.attributes, &run, self.lost_at);
+    }
+
+    /// Probes the upstream until it is seen to have exited or to be alive. An exiting process may
+    /// close its connections before its port, and a proxy in front of it may accept connections
+    /// for a moment longer; those connections do not last.
+    async fn probe_until_exit(self, front: Rc<Front>, mut presence: Presence) {
+        for _ in 0..MAX_PROBES {
+            if presence.lasts(EXIT_WINDOW).await {
                 return;
             }
-            Err(_) => return,
+            tokio::time::sleep(PROBE_INTERVAL).await;
+            match front.http.probe(self.upstream.addr).await {
+                Ok(next) => presence = next,
+                Err(e) if e.kind == SendErrorKind::NobodyThere => {
+                    self.confirm(&front);
+                    return;
+                }
+                Err(_) => return,
+            }
         }
     }
 }
--- a/trouttrack_front/src/request/stream/continuation.rs
+++ b/trouttrack_front/src/request/stream/continuation.rs
@@ -106,6 +106,7 @@
         from: Continuation,
         ticket: &Rc<Ticket>,
     ) -> Result<Source, AttemptError> {
+        self.check_quarantine()?;
         let mut to = handover(&self.front, &self.admitted, target);
         to.continue_from = Some(from);
         if let Some(last) = self.reader.last_id() {
@@ -125,6 +126,7 @@
         let sent = sent.map_err(as_lost)?;
         self.current = Some(Rc::clone(target));
         self.pace.change_upstream();
+        self.quarantine.change_upstream();
         self.predicted = Prediction::UNKNOWN;
         Ok(Source::new(Rc::clone(target), sent, backup))
     }
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -118,6 +118,7 @@
         let events_after = self.reader.events();
         let now = self.front.clock.now();
         source.last_event_at = Some(now);
+        self.quarantine.wrote(&self.front, &self.admitted, now);
         let is_first = events_before == 0;
         if is_first && self.head.is_none() {
             // Before the prompt counts as loaded.
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -10,7 +10,7 @@
 use crate::request::EventReader;
 use crate::request::attempt::{AttemptFailure, FailedAttempt, handover};
 use crate::request::end::End;
-use crate::request::quarantine::QuarantineCheck;
+use crate::request::quarantine::{QuarantineCheck, QuarantinedAttempt};
 use crate::request::retry::AttemptCounts;
 use crate::request::submission::{build_submission, is_short};
 use crate::state::{Front, HeldBytes, InFlight, Ticket, Upstream};
@@ -157,7 +157,13 @@
             self.version.as_ref(),
             &avoid,
         );
-        let placed = self.front.scheduler.place(submission).await;
+        let placed = tokio::select! {
+            biased;
+            placed = self.front.scheduler.place(submission) => placed,
+            end = self.quarantine.quarantined(&self.front, &self.admitted, &self.body) => {
+                return Err(end.uncertain_if_run(self.may_have_run).into());
+            }
+        };
         let placed = placed.map_err(|refusal| {
             let end = End::refused(&self.front, &self.service, &refusal)
                 .uncertain_if_run(self.may_have_run);
@@ -236,10 +242,14 @@
 
     /// Updates the quarantine record of the request after a failure at an upstream.
     pub(super) async fn on_failure(&self, upstream: &Rc<Upstream>, failure: &AttemptFailure) {
-        let (front, admitted) = (&self.front, &self.admitted);
-        let update = self
-            .quarantine
-            .record_failure(front, admitted, &self.body, upstream, failure);
+        let attempt = QuarantinedAttempt {
+            front: &self.front,
+            admitted: &self.admitted,
+            body: &self.body,
+        };
+        let update =
+            self.quarantine
+                .record_failure(attempt, upstream, self.attempt_started_at, failure);
         update.await;
     }
 
@@ -294,6 +304,7 @@
         to.backup_at = select_backup.as_ref().map(|b| b.addr);
         let sent = self.send(&upstream, &to).await?;
         self.pace.change_upstream();
+        self.quarantine.change_upstream();
         let mut source = Source::new(upstream, sent, select_backup);
         self.reader.skip_delivered();
         loop {
--- a/trouttrack_front/tests/front/prompt_parts.rs
+++ b/trouttrack_front/tests/front/prompt_parts.rs
@@ -6,9 +6,12 @@
 //! attempt. Without a quarantine of parts, 20 engines of a fleet of 9 exited within ten seconds.
 //! Sound requests share the organisation and all other parts with them, and must be served.
 
-use crate::support::{Bed, ENGINES, ORGANISATION, config, plain, settings, until};
+use crate::support::{Bed, ENGINES, config, plain, settings, until};
 use std::time::{Duration, Instant};
+use trouttrack_core::quarantine::{Attributes, CrashedRun, Subject};
+use trouttrack_core::upstream::Incarnation;
 use trouttrack_front::app::{Running, start};
+use trouttrack_platform::CallerHead;
 use trouttrack_platform_standin::{Behaviour, CallerRequest, Reply, Store, Upstream};
 
 /// Part under which upstreams exit, and two sound ones.
@@ -169,3 +172,129 @@
 async fn a_fatal_first_part_of_prompts_is_held_and_nothing_else() {
     check_held("resume", [FATAL, OTHER]).await;
 }
+
+/// All VMs lose power, and one starts while no other is running.
+#[actix_rt::test]
+async fn a_held_part_survives_the_loss_of_all_vms() {
+    let fleet = PartBed::new().await;
+    let sending = fleet.send_for(PROPAGATION_TIME, "early", "resume", [COMMON, FATAL]);
+    sending.await;
+    until("the store has the hold", || {
+        !fleet.bed.store.holds().is_empty()
+    })
+    .await;
+    let store = Store::start().await;
+    store.put_config(&config(1));
+    store.inherit_holds(&fleet.bed.store);
+    let upstream = Upstream::start("u1", ENGINES, "a").await;
+    upstream.ends_under_part(FATAL);
+    upstream.always(Behaviour::Stream(4));
+    store.put_upstream(&upstream, false);
+    let restarted = start(&settings(&store, "front-1", "")).await;
+    let restarted = restarted.expect("a front");
+    until("the VM is ready", || restarted.front.lifecycle.is_ready()).await;
+    until("keys are confirmed", || restarted.front.routing.is_fresh()).await;
+    until("the hold is read", || restarted.front.quarantine.held() > 0).await;
+    let send = |id, shared| {
+        let req = request(id, "resume", shared);
+        async move { req.send(restarted.callers).await }
+    };
+    assert_eq!(send("alone", &[COMMON, FATAL]).await.status, 503);
+    assert!(!upstream.has_ended());
+    assert_eq!(send("sound", &[COMMON, OTHER]).await.status, 200);
+}
+
+/// Records crashes at a VM as if it had seen them, which hold the fatal part.
+fn hold_fatal_part(front: &Running) {
+    let parts = [("X-Prompt-Prefix", "bad0:1,own:1".as_bytes())];
+    let head = CallerHead::decode("POST", "/", parts).expect("a head");
+    for n in 0..3 {
+        let attributes = Attributes::new(n, head.prompt_parts());
+        let run = CrashedRun::from(&Incarnation::new(&format!("gone-{n}"), 0));
+        let now = front.front.clock.now();
+        front.front.quarantine.ended(&attributes, &run, now);
+    }
+}
+
+/// Two upstreams, each full of one long stream.
+async fn full_bed() -> Bed {
+    let bed = Bed::new(ENGINES).await;
+    for (n, upstream) in bed.upstreams.iter().enumerate() {
+        upstream.pace(Duration::from_millis(100));
+        upstream.always(Behaviour::Stream(10));
+        let fill = request(&format!("fill-{n}"), "draft", &[OTHER]).tokens(30_000, 160);
+        let to = bed.addr();
+        actix_rt::spawn(async move { fill.send(to).await });
+    }
+    until("both upstreams are full", || {
+        bed.upstreams.iter().all(|u| u.working_on() == 1)
+    })
+    .await;
+    bed
+}
+
+/// Sends a request that finds no room and waits.
+async fn wait_with(bed: &Bed, id: &str, shared: &[&str]) -> actix_rt::task::JoinHandle<Reply> {
+    let req = request(id, "draft", shared).tokens(30_000, 160);
+    let to = bed.addr();
+    let waiting = actix_rt::spawn(async move { req.send(to).await });
+    until("it waits", || bed.front.front.scheduler.queued() > 0).await;
+    waiting
+}
+
+/// A request that waits would be refused at the earliest when an upstream has room.
+#[actix_rt::test]
+async fn requests_that_wait_are_refused_as_soon_as_their_part_is_held() {
+    let bed = full_bed().await;
+    let waiting = wait_with(&bed, "fatal", &[COMMON, FATAL]).await;
+    hold_fatal_part(&bed.front);
+    let reply = waiting.await.expect("a reply");
+    assert_eq!(reply.status, 503);
+    assert!(bed.upstreams.iter().all(|u| u.working_on() == 1));
+    assert!(bed.ran("fatal").is_empty());
+}
+
+#[actix_rt::test]
+async fn sound_requests_that_wait_go_on_waiting() {
+    let bed = full_bed().await;
+    let waiting = wait_with(&bed, "sound", &[COMMON, OTHER]).await;
+    hold_fatal_part(&bed.front);
+    assert_eq!(waiting.await.expect("a reply").status, 200);
+}
+
+/// A VM that starts after the crashes, and one that missed all datagrams about them.
+#[actix_rt::test]
+async fn a_vm_that_starts_later_hears_of_a_held_part() {
+    let bed = Bed::new(ENGINES).await;
+    hold_fatal_part(&bed.front);
+    let late = start(&settings(&bed.store, "front-2", "")).await;
+    let late = late.expect("a front");
+    until("the part is held there", || {
+        late.front.quarantine.held() == 1
+    })
+    .await;
+    until("the VM is ready", || late.front.lifecycle.is_ready()).await;
+    until("keys are confirmed", || late.front.routing.is_fresh()).await;
+    let reply = request("fatal", "draft", &[COMMON, FATAL])
+        .send(late.callers)
+        .await;
+    assert_eq!(reply.status, 503);
+}
+
+#[actix_rt::test]
+async fn a_part_that_the_settings_lift_is_not_held() {
+    let bed = Bed::new(ENGINES).await;
+    hold_fatal_part(&bed.front);
+    let quarantine = &bed.front.front.quarantine;
+    assert_eq!(quarantine.held(), 1);
+    let parts = [("X-Prompt-Prefix", "bad0:1,own:1".as_bytes())];
+    let head = CallerHead::decode("POST", "/", parts).expect("a head");
+    quarantine.set_lifted(&[Subject::Part(head.prompt_parts()[0])]);
+    assert_eq!(quarantine.held(), 0);
+    until("its hold leaves the store", || bed.store.holds().is_empty()).await;
+    bed.upstreams
+        .iter()
+        .for_each(|u| u.always(Behaviour::Stream(4)));
+    let req = request("lifted", "draft", &[COMMON, FATAL]);
+    assert_eq!(bed.send(&req).await.status, 200);
+}
--- a/trouttrack_front/tests/front/store_restored.rs
+++ b/trouttrack_front/tests/front/store_restored.rs
@@ -3,6 +3,7 @@
 
 use crate::support::{Bed, PLAIN, config, plain, settings, until};
 use std::time::Duration;
+use trouttrack_core::quarantine::CrashedRun;
 use trouttrack_front::app::{Running, start};
 use trouttrack_front::state::Front;
 use trouttrack_platform_standin::{Store, StoreData, StoreFault, Upstream};
@@ -289,7 +290,9 @@
     let backup = bed.store.backup();
     for id in ["u1", "u2"] {
         let upstream = front.upstreams.get(id).expect("a known upstream");
-        front.quarantine.ended(REQUEST, &upstream);
+        let run = CrashedRun::from(&upstream.incarnation());
+        let now = front.clock.now();
+        front.quarantine.ended(&REQUEST.into(), &run, now);
     }
     until("a hold is stored", || bed.store.holds().len() == 1).await;
     bed.store.restore(&backup);
@@ -346,7 +349,9 @@
     let front = &bed.front.front;
     for id in ["u1", "u2"] {
         let upstream = front.upstreams.get(id).expect("a known upstream");
-        front.quarantine.ended(REQUEST, &upstream);
+        let run = CrashedRun::from(&upstream.incarnation());
+        let now = front.clock.now();
+        front.quarantine.ended(&REQUEST.into(), &run, now);
     }
     until("the hold is stored", || bed.store.holds().len() == 1).await;
     let backup = bed.store.backup();
--- a/trouttrack_load/src/suspects/play.rs
+++ b/trouttrack_load/src/suspects/play.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 use trouttrack_core::Fingerprint;
 use trouttrack_core::membership::{LOCAL_FANOUT, REMOTE_FANOUT, heartbeat_interval};
-use trouttrack_core::quarantine::{CrashRecord, Quarantine, record_holders};
+use trouttrack_core::quarantine::{CrashRecord, Quarantine, Subject, record_holders};
 use trouttrack_core::upstream::Incarnation;
 
 /// The request that ends engines.
@@ -260,7 +260,7 @@
     /// Several single ends may have come together here: then all hear of it.
     fn hear(&mut self, vm: usize, told: &[CrashRecord]) {
         let heard = self.vms[vm].suspects.merge_records(self.now, told);
-        for request in heard.held {
+        for request in heard.held.into_iter().map(Subject::key) {
             let said_by_one = told.iter().find(|s| s.fingerprint == request);
             let known_there = said_by_one.map_or(0, |s| s.ends.len());
             let hold = self.vms[vm].suspects.hold(self.now, request);
