--- a/trouttrack_config/src/settings/keys.rs
+++ b/trouttrack_config/src/settings/keys.rs
@@ -128,7 +128,7 @@
     key("retry", "extra", "attempts", "20", FRONT, "Attempts beyond the first that a service may get in a window besides, all VMs together."),
     key("retry", "window", "duration", "10s", FRONT, "The sliding window of both."),
     key("quarantine", "ends", "upstreams", "2", FRONT, "A request under which so many upstreams ended in a row is given to none, on all VMs; 0 switches this off, and the next as well."),
-    key("quarantine", "part_ends", "upstreams", "3", FRONT, "Requests with a part of prompts under which so many upstreams ended as they began to answer, none after a good beginning, are given to none; 0 switches this off."),
+    key("quarantine", "part_ends", "upstreams", "4", FRONT, "Requests with a part of prompts under which so many upstreams ended as they began to answer, none after a good beginning, are given to none; 0 switches this off."),
     key("quarantine", "hold", "duration", "10m", FRONT, "How long that lasts after the last of them ended."),
     key("quarantine", "lift", "list", "", FRONT, "Requests (32 hexadecimal digits) and parts (16), as the logs name them, that are never held. Read again when the file changes."),
     key("serving", "policy", "policy", "trouttrack", FRONT, "trouttrack, random, round-robin, least-outstanding or two-choices."),
--- a/trouttrack_core/src/quarantine/settings.rs
+++ b/trouttrack_core/src/quarantine/settings.rs
@@ -9,7 +9,7 @@
 const DEFAULT_ENDS: usize = 2;
 /// Default number of upstream crashes after which a part of prompts is held. More than for a
 /// request, because a hold on a part refuses more requests.
-const DEFAULT_PART_ENDS: usize = 3;
+const DEFAULT_PART_ENDS: usize = 4;
 /// Default hold after the latest crash. The software that the request crashes is replaced by
 /// operators, which takes minutes, and after each expiry the request may crash more engines.
 const DEFAULT_HOLD: Duration = Duration::from_secs(600);
--- a/trouttrack_core/src/quarantine/table.rs
+++ b/trouttrack_core/src/quarantine/table.rs
@@ -81,7 +81,7 @@
 /// assert!(quarantine.hold(now, 8).is_none());
 ///
 /// // No two of these requests are alike, and all have part 1 in their prompts.
-/// for request in 11..14 {
+/// for request in 11..15 {
 ///     let upstream = Incarnation::new(&format!("u{request}"), 0);
 ///     let attributes = Attributes::new(request, vec![1, request as u64]);
 ///     quarantine.record_crash(now, attributes, &upstream);
--- a/trouttrack_front/src/request/quarantine.rs
+++ b/trouttrack_front/src/request/quarantine.rs
@@ -26,7 +26,7 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// How long the answer of an upstream must go on for its beginning to be over.
-const BEGINNING: Duration = Duration::from_millis(500);
+const BEGINNING: Duration = Duration::from_millis(250);
 
 /// An attempt, as far as the quarantine is concerned.
 #[derive(Clone, Debug)]
