Reproduce a VM that accepts more connections than it can hold

Cause: nothing bounds what a VM accepts when the load balancer hands it most new connections of its failure domain.

--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -5,6 +5,7 @@
 mod buffers;
 mod compatibility;
 mod config;
+mod crowded;
 mod entries;
 mod evacuation;
 mod event_reader;
