Bound the connections of callers that a VM accepts

Cause: a VM accepted whatever the load balancer handed it. With most new connections of its failure domain it runs out of descriptors, memory or processor time, and serves also those badly whose requests it has read.

Change: a VM closes new connections before anything is read while 1,024 are open, and a part of them while its event loop is late by more than 100 ms and another VM serves; their callers reach other VMs with the next connection. It stays ready, and open connections are served. Settings, metrics and an event.

--- a/trouttrack_config/src/settings/front.rs
+++ b/trouttrack_config/src/settings/front.rs
@@ -9,6 +9,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use trouttrack_core::buffers::BufferLimits;
+use trouttrack_core::intake::IntakeSettings;
 use trouttrack_core::quarantine::{QuarantineSettings, Subject};
 use trouttrack_core::routing::{AnyPolicy, Weights};
 use trouttrack_core::world::AdmissionSettings;
@@ -27,6 +28,8 @@
     pub store: StoreSettings,
     /// `[front]`
     pub front: ListenSettings,
+    /// `[front]`: which connections of callers are accepted.
+    pub intake: IntakeSettings,
     /// `[bounds]`
     pub bounds: BoundSettings,
     /// `[retry]`
@@ -99,6 +102,15 @@
     }
 }
 
+/// `[front]`: which connections of callers are accepted.
+fn intake(r: &mut SectionReader<'_>) -> IntakeSettings {
+    let default = IntakeSettings::default();
+    IntakeSettings {
+        max_connections: r.within("max_connections", default.max_connections, 1, 1_000_000),
+        max_lag: r.duration("max_lag", default.max_lag),
+    }
+}
+
 /// `[bounds]`: what operators expect to hold within which time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BoundSettings {
@@ -277,12 +289,14 @@
     const PROGRAM: Program = Program::Front;
 
     fn read(s: &mut Sections<'_>) -> Self {
+        let (front, intake) = s.section("front", |r| (ListenSettings::read(r), intake(r)));
         let (quarantine, lifted) = s.section("quarantine", |r| (quarantine(r), lifted(r)));
         Self {
             vm: s.section("vm", VmSettings::read),
             log: s.section("log", LogSettings::read),
             store: s.section("platform", StoreSettings::read),
-            front: s.section("front", ListenSettings::read),
+            front,
+            intake,
             bounds: s.section("bounds", BoundSettings::read),
             retry: s.section("retry", RetrySettings::read),
             quarantine,
--- a/trouttrack_config/src/settings/keys.rs
+++ b/trouttrack_config/src/settings/keys.rs
@@ -118,6 +118,8 @@
     key("front", "ready", "IP:port", "127.0.0.1:8089", FRONT, "Where the balancer asks whether this process is ready."),
     key("front", "metrics", "IP:port", "127.0.0.1:9464", FRONT, "Where metrics are served, at `/metrics`."),
     key("front", "peers", "IP:port", "127.0.0.1:7200", FRONT, "Where peers send their heartbeats, over UDP, and ask for what no datagram holds, over TCP; peers find each other through the platform's service."),
+    key("front", "max_connections", "connections", "1024", FRONT, "Open connections of callers beyond which new ones are closed before anything is read, so that their callers reach other VMs."),
+    key("front", "max_lag", "duration", "100ms", FRONT, "Lateness of the event loop beyond which a part of the new connections is closed the same way, while other VMs live; 0s closes none."),
     key("front", "source", "IP", "", FRONT, "Local address of connections to upstreams, for VMs with several; the system chooses it without."),
     key("bounds", "revoke", "duration", "5s", FRONT, "A removed key is refused after this. With `revoke_strict`, a configuration that could not be confirmed for this long serves no request with a key."),
     key("bounds", "revoke_strict", "true or false", "true", FRONT, "Whether that holds also on a VM that cannot reach the store. If false, such a VM serves on by the configuration that it knows, and denies nothing."),
--- a/trouttrack_core/src/lib.rs
+++ b/trouttrack_core/src/lib.rs
@@ -12,11 +12,13 @@
 //! - [`freshness`] tracks whether a configuration is known to be current.
 //! - [`rescue`] schedules the migration of generations off a departing engine.
 //! - [`buffers`] bounds the bytes that are buffered for slow readers.
+//! - [`intake`] decides which connections of callers are accepted.
 //! - [`claims`] ensures that requests with the same idempotency key run at most
 //!   once across VMs.
 //! - [`lease`] determines when a lease holder may act.
 //! - [`length`] estimates how many tokens of an answer remain.
-//! - [`quarantine`] tracks requests that were running when upstreams failed.
+//! - [`quarantine`] tracks requests, and the parts of prompts that they share, that were running
+//!   when upstreams failed.
 //! - [`membership`] merges the state that peers exchange.
 //! - [`versions`] finds out which software version began a stream.
 
@@ -25,6 +27,7 @@
 pub mod fleet;
 pub mod freshness;
 pub mod ids;
+pub mod intake;
 pub mod lease;
 pub mod length;
 pub mod membership;
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -10,6 +10,7 @@
 mod fleet_budget;
 mod flow;
 mod freshness;
+mod intake;
 mod known_load;
 mod length;
 mod membership;
--- a/trouttrack_front/src/caller/server.rs
+++ b/trouttrack_front/src/caller/server.rs
@@ -90,10 +90,17 @@
                     if let Err(e) = trouttrack_http::socket::set_options(&stream) {
                         log::debug!("cannot set socket options for {peer}: {e}");
                     }
+                    let has_peers = self.front.peers.any_serves(self.front.clock.now());
+                    let accepted = self.front.intake.accept(&self.front.metrics, has_peers);
+                    // The caller's next connection reaches another VM.
+                    let Some(accepted) = accepted else { continue };
                     // Connection errors are ignored, because the handlers record the outcome
                     // of each request.
                     let connection = service.call((CallerStream::new(stream), Some(peer)));
-                    actix_rt::spawn(async move { drop(connection.await) });
+                    actix_rt::spawn(async move {
+                        drop(connection.await);
+                        drop(accepted);
+                    });
                 }
                 Err(e) => {
                     log::warn!("cannot accept a caller connection: {e}");
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -40,6 +40,10 @@
     pub unreadable: IntCounterVec,
     /// Status changes that upstreams reported about themselves, by kind.
     pub words: IntCounterVec,
+    /// Open connections of callers.
+    pub caller_connections: IntGauge,
+    /// Callers' connections that were closed unread, by reason.
+    pub shed: IntCounterVec,
     /// Quarantined requests known to this VM.
     pub held: IntGauge,
     /// Upstreams whose address refused the last connection known to this VM.
@@ -156,10 +160,22 @@
                 "Upstreams' entries that could not be read, by reason",
                 &["reason"],
             ),
+            caller_connections: gauge(
+                &r,
+                "trouttrack_caller_connections",
+                "Open connections of callers",
+            ),
+            shed: counter_vec(
+                &r,
+                "trouttrack_connections_shed_total",
+                "Callers' connections that were closed unread, by reason",
+                &["reason"],
+            ),
             held: gauge(
                 &r,
                 "trouttrack_held_requests",
-                "Requests that are given to no upstream, since upstreams ended under them",
+                "Requests and parts of prompts that are given to no upstream, since upstreams \
+                 ended under them",
             ),
             unreachable: gauge(
                 &r,
--- a/trouttrack_front/src/metrics/page.rs
+++ b/trouttrack_front/src/metrics/page.rs
@@ -9,6 +9,7 @@
         let m = &self.metrics;
         m.set_buffers(&self.buffers);
         m.in_flight.set(self.lifecycle.in_flight() as i64);
+        m.caller_connections.set(self.intake.open() as i64);
         m.store_calls.set(self.store.calls() as i64);
         m.connections.set(self.http.opened() as i64);
         m.lost_paths.set(self.paths.lost() as i64);
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -3,6 +3,7 @@
 use super::budgets::Budgets;
 use super::buffers::Buffers;
 use super::clock::Clock;
+use super::intake::IntakeState;
 use super::lifecycle::Lifecycle;
 use super::origins::Origins;
 use super::quarantine::QuarantineState;
@@ -87,7 +88,9 @@
     pub budgets: Budgets,
     /// Bytes buffered for peers that read slowly.
     pub buffers: Buffers,
-    /// Requests during which upstreams crashed.
+    /// Callers' connections.
+    pub intake: Rc<IntakeState>,
+    /// Requests and parts of prompts under which upstreams crashed.
     pub quarantine: QuarantineState,
     /// Which paths to upstreams are lost.
     pub paths: Rc<Paths>,
@@ -156,6 +159,7 @@
             history: RefCell::default(),
             budgets: Budgets::new(settings.retry),
             buffers: Buffers::new(clock.clone(), settings.buffers, slow_readers),
+            intake: Rc::new(IntakeState::new(clock.clone(), settings.intake)),
             quarantine: QuarantineState::new(clock, settings.quarantine),
             paths,
             to_peers: Client::builder()
--- a/trouttrack_front/tests/front/crowded.rs
+++ b/trouttrack_front/tests/front/crowded.rs
@@ -94,6 +94,9 @@
     // With fewer open connections new ones are served again.
     drop(held);
     let req = plain("later", "many");
-    until("connections are closed", || false).await;
+    until("connections are closed", || {
+        bed.front.front.intake.open() < MAX_HELD / 4
+    })
+    .await;
     assert_eq!(bed.send(&req).await.status, 200);
 }
--- a/trouttrack_telemetry/src/events/catalogue.rs
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -106,5 +106,6 @@
     PATH_RESTORED = 134, Info, "path-restored", "A direct connection to an upstream whose path was lost came up. Names its address and the number of paths that are still lost.";
     RELAYED = 135, Info, "relayed", "A peer whose path to an upstream is lost asked this VM to relay a connection. Names the upstream's address, the peer's address, the result (connected, refused by the upstream's address, refused there and not accepted by another upstream either, so that this VM may be partitioned too, or unreached) and the number of connections that are relayed already.";
     TAKEN_UP = 136, Info, "taken-up", "A caller returned for the rest of a stream. Names the attempt that began it, and the software version that did, if that is known and still serves; otherwise nothing is run.";
+    CONNECTIONS_SHED = 138, Warn, "connections-shed", "New connections of callers were closed before anything was read, because too many are open or the event loop is late; the callers' next ones reach other VMs. Names the reason, how many were closed since the last such line, at most one a second, and how many are open.";
     HOLD_LIFTED = 137, Info, "hold-lifted", "A hold ended because the settings lift it. Names the fingerprint of the request or the part.";
 }
