--- a/trouttrack_soak/src/plan/draw.rs
+++ b/trouttrack_soak/src/plan/draw.rs
@@ -122,7 +122,6 @@
         if !planned_only {
             steps.extend(end_engines(seed, ends));
             steps.extend(restore_store(seed, ends));
-            steps.extend(end_engines_by_part(seed, ends));
         }
         let spoken = words(seed, size, ends).into_iter();
         steps.extend(spoken.filter(|s| !planned_only || s.act.is_planned()));
@@ -137,6 +136,9 @@
             let lost = lost.steps.into_iter();
             steps.extend(lost.filter(|_| !planned_only));
         }
+        if !planned_only {
+            steps.extend(end_engines_by_part(seed, ends));
+        }
         steps.sort_by_key(|s| s.at);
         let versions = match seed < FIRST_WITH_VERSIONS {
             true => 1,
