--- a/trouttrack_soak/src/bed/fleet.rs
+++ b/trouttrack_soak/src/bed/fleet.rs
@@ -65,6 +65,8 @@
     pub(crate) configs: RefCell<Configs>,
     /// The most bytes that each VM said it kept; `None` before it has said any.
     pub(crate) most_kept: Vec<Cell<Option<usize>>>,
+    /// The most connections of callers that each VM said to have.
+    pub(crate) most_connections: Vec<Cell<Option<usize>>>,
     /// Questions about readiness that each VM has missed in a row.
     pub(super) misses: Vec<Cell<u32>>,
 }
@@ -100,6 +102,7 @@
             cold: RefCell::default(),
             configs: RefCell::new(configs),
             most_kept: vec![Cell::new(None); size.vms],
+            most_connections: vec![Cell::new(None); size.vms],
             misses: Vec::new(),
         };
         for number in 1..=size.vms {
--- a/trouttrack_soak/src/bed/kept.rs
+++ b/trouttrack_soak/src/bed/kept.rs
@@ -13,34 +13,40 @@
 
 /// How often the VMs are asked.
 const LOOK: Duration = Duration::from_millis(100);
-const GAUGE: &str = "trouttrack_buffered_bytes ";
+const BYTES: &str = "trouttrack_buffered_bytes ";
+const CONNECTIONS: &str = "trouttrack_caller_connections ";
 /// More than all metrics take.
 const MOST_BYTES: usize = 4 << 20;
 
 impl Bed {
-    /// Notes the most that each VM keeps, for as long as the soak lasts.
+    /// Notes the most bytes and connections that each VM keeps, for as long as the soak lasts.
     pub(crate) async fn watch_kept(self: Rc<Self>) {
         let client = Client::builder().connect_timeout(READY_TIMEOUT).build();
         loop {
-            for (vm, most) in self.vms.iter().zip(&self.most_kept) {
-                let asked = timeout(READY_TIMEOUT, kept(&client, vm.ports.metrics));
-                if let Ok(Some(bytes)) = asked.await {
-                    most.set(most.get().max(Some(bytes)));
-                }
+            let most = self.most_kept.iter().zip(&self.most_connections);
+            for (vm, (most_bytes, most_connections)) in self.vms.iter().zip(most) {
+                let asked = timeout(READY_TIMEOUT, metrics(&client, vm.ports.metrics));
+                let Ok(Some(text)) = asked.await else {
+                    continue;
+                };
+                most_bytes.set(most_bytes.get().max(gauge(&text, BYTES)));
+                most_connections.set(most_connections.get().max(gauge(&text, CONNECTIONS)));
             }
             sleep(LOOK).await;
         }
     }
 }
 
-async fn kept(client: &Client, metrics: SocketAddr) -> Option<usize> {
+async fn metrics(client: &Client, addr: SocketAddr) -> Option<String> {
     let req = Request::get("/metrics").header(header::HOST, HOST);
     let req = req.body(Bytes::new()).ok()?;
-    let mut answer = client.send(metrics, req, Reuse::Any).await.ok()?;
+    let mut answer = client.send(addr, req, Reuse::Any).await.ok()?;
     let body = answer.body.whole(MOST_BYTES).await.ok()??;
-    let text = std::str::from_utf8(&body).ok()?;
-    text.lines()
-        .find_map(|l| l.strip_prefix(GAUGE))?
-        .parse()
-        .ok()
+    String::from_utf8(body.to_vec()).ok()
+}
+
+/// The value of a gauge, which `name` and a space begin.
+fn gauge(text: &str, name: &str) -> Option<usize> {
+    let mut lines = text.lines();
+    lines.find_map(|l| l.strip_prefix(name))?.parse().ok()
 }
--- a/trouttrack_soak/src/callers/hard_load.rs
+++ b/trouttrack_soak/src/callers/hard_load.rs
@@ -3,11 +3,14 @@
 use super::ask::{Asked, Callers, HUNG_AFTER, PATIENCE};
 use super::call::{Told, is_success};
 use crate::bed::{LASTING_KEY, RouteName};
+use crate::check::CONNECTIONS;
 use rand::RngExt;
 use rand::rngs::SmallRng;
+use std::io::ErrorKind;
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 use trouttrack_http::{Answer, Client, Reuse, SendError};
 use trouttrack_platform_standin::Reply;
@@ -55,6 +58,15 @@
     }
 }
 
+/// Connections that a crowd keeps open, if the VM does.
+const CROWD: usize = 2 * CONNECTIONS;
+
+/// Whether the other side has closed a connection on which nothing was sent.
+fn is_closed(stream: &TcpStream) -> bool {
+    let read = stream.try_read(&mut [0]);
+    !read.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+}
+
 impl Callers {
     /// Many patient requests, and urgent ones right after them, at any VM.
     pub(crate) async fn burst(self: &Rc<Self>, lasts: Duration) {
@@ -80,6 +92,24 @@
         }
     }
 
+    /// Opens connections to a VM without a link between, and keeps them or opens them again for
+    /// so long.
+    pub(crate) async fn crowd(&self, vm: usize, lasts: Duration) {
+        let to = self.bed.vms[vm].ports.callers;
+        let until = Instant::now() + lasts;
+        let mut open: Vec<TcpStream> = Vec::new();
+        while Instant::now() < until {
+            open.retain(|stream| !is_closed(stream));
+            while open.len() < CROWD {
+                let Ok(Ok(stream)) = timeout(LOOK, TcpStream::connect(to)).await else {
+                    break;
+                };
+                open.push(stream);
+            }
+            sleep(LOOK).await;
+        }
+    }
+
     fn ask_once(self: &Rc<Self>, route: RouteName) {
         let ready = self.bed.ready();
         let this = Rc::clone(self);
--- a/trouttrack_soak/src/check/evidence.rs
+++ b/trouttrack_soak/src/check/evidence.rs
@@ -32,19 +32,23 @@
     }
 }
 
-/// What a VM said that it kept for callers that read slowly.
+/// What a VM said that it kept for callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Kept {
-    /// The most bytes; `None` if it said nothing.
+    /// The most bytes for callers that read slowly; `None` if it said nothing.
     pub most: Option<usize>,
+    /// The most connections of callers; `None` if it said nothing.
+    pub connections: Option<usize>,
     /// How long its longest life was.
     pub longest_life: Duration,
 }
 
 fn kept(bed: &Bed) -> Vec<Kept> {
-    let vms = bed.vms.iter().zip(&bed.most_kept);
-    let kept = vms.map(|(vm, most)| Kept {
+    let most = bed.most_kept.iter().zip(&bed.most_connections);
+    let vms = bed.vms.iter().zip(most);
+    let kept = vms.map(|(vm, (most, connections))| Kept {
         most: most.get(),
+        connections: connections.get(),
         longest_life: vm.longest_life(),
     });
     kept.collect()
--- a/trouttrack_soak/src/check/load.rs
+++ b/trouttrack_soak/src/check/load.rs
@@ -1,12 +1,13 @@
 //! Slow readers and upstreams that are gone.
 
-use super::{ASKED, BUFFERS, CONTACT, Evidence, Finding};
+use super::{ASKED, BUFFERS, CONNECTIONS, CONTACT, Evidence, Finding};
 use crate::bed::RouteName;
 use crate::callers::Call;
 use crate::plan::Act;
 use std::time::Instant;
 
 const KEPT: &str = "what a VM keeps for slow readers stays under its bound";
+const ACCEPTED: &str = "a VM accepts no more connections than its bound";
 const READS: &str = "a caller that reads is not disconnected for another's stall";
 const REACHED: &str = "upstreams that are gone make nothing fail that others could serve";
 
@@ -19,7 +20,21 @@
 pub(super) fn check(evidence: &Evidence) -> Vec<Finding> {
     let calls = evidence.calls.iter();
     let of_calls = calls.flat_map(|call| [ended(evidence, call), refused(evidence, call)]);
-    of_calls.flatten().chain(kept(evidence)).collect()
+    let of_vms = kept(evidence).chain(accepted(evidence));
+    of_calls.flatten().chain(of_vms).collect()
+}
+
+/// A VM had more connections than it may accept.
+fn accepted(evidence: &Evidence) -> impl Iterator<Item = Finding> {
+    let vms = evidence.kept.iter().enumerate();
+    vms.filter_map(|(vm, kept)| {
+        let connections = kept.connections.filter(|n| *n > CONNECTIONS)?;
+        Some(Finding {
+            promise: ACCEPTED,
+            request: None,
+            seen: format!("VM {vm}: {connections} connections, {CONNECTIONS} are allowed"),
+        })
+    })
 }
 
 /// A VM kept too much, or never said what it keeps though it lived long enough to be asked. At
--- a/trouttrack_soak/src/check/mod.rs
+++ b/trouttrack_soak/src/check/mod.rs
@@ -45,6 +45,8 @@
 pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
 /// The most bytes that a VM keeps for callers that read slowly.
 pub const BUFFERS: usize = 256 << 10;
+/// The most connections of callers that a VM accepts.
+pub const CONNECTIONS: usize = 200;
 /// A VM that lives for so long has been asked what it keeps: it has started, and several
 /// rounds of questions have passed, in which each VM may miss one.
 pub const ASKED: Duration = Duration::from_secs(5);
--- a/trouttrack_soak/src/faults/carry_out.rs
+++ b/trouttrack_soak/src/faults/carry_out.rs
@@ -108,6 +108,7 @@
             Act::Burst => self.callers.burst(step.lasts).await,
             Act::SlowReaders(vm) => self.callers.read_slowly(vm, rng),
             Act::LosePaths(vm, count, open) => self.lose_paths(vm, count, open, step.lasts).await,
+            Act::Crowd(vm) => self.callers.crowd(vm, step.lasts).await,
             Act::EndEngines => self.end_engines(step.lasts, rng).await,
             Act::EndEnginesByPart => self.end_engines_by_part(step.lasts, rng).await,
         }
--- a/trouttrack_soak/src/plan/act.rs
+++ b/trouttrack_soak/src/plan/act.rs
@@ -106,6 +106,8 @@
     /// So many VMs from this one on, by their numbers, are partitioned from all upstreams while it
     /// lasts.
     LosePaths(usize, usize, OpenConnections),
+    /// A VM gets many new connections at once, and again as they are closed, while it lasts.
+    Crowd(usize),
     /// A request that ends each engine that begins to run it comes again and again, at
     /// any VM, while it lasts.
     EndEngines,
--- a/trouttrack_soak/src/plan/draw.rs
+++ b/trouttrack_soak/src/plan/draw.rs
@@ -69,6 +69,11 @@
 const FIRST_WITH_PARTS: u64 = 5000;
 const ENDS_ENGINES_BY_PART: u64 = 0x9a27;
 const ENDING_BY_PART: f64 = 0.75;
+/// XORed with a seed of these plans for a VM that gets most new connections; the share of plans
+/// with one, and how long it lasts, in seconds.
+const CROWD: u64 = 0xc409;
+const CROWDED: f64 = 0.5;
+const LASTS_CROWD: Range<f64> = 1.0..4.0;
 /// How long bytes are delayed, in milliseconds.
 const DELAY_MS: Range<u64> = 5..400;
 
@@ -138,6 +143,7 @@
         }
         if !planned_only {
             steps.extend(end_engines_by_part(seed, ends));
+            steps.extend(crowd(seed, size, ends));
         }
         steps.sort_by_key(|s| s.at);
         let versions = match seed < FIRST_WITH_VERSIONS {
@@ -198,6 +204,21 @@
     })
 }
 
+/// Draws when a VM is crowded, by a separate generator as well.
+fn crowd(seed: u64, size: Size, ends: Duration) -> Option<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ CROWD);
+    let first = SETTLE.as_secs_f64();
+    let latest = ends.as_secs_f64() - LASTS_CROWD.end;
+    if seed < FIRST_WITH_PARTS || !rng.random_bool(CROWDED) || latest <= first {
+        return None;
+    }
+    Some(Step {
+        at: Duration::from_secs_f64(rng.random_range(first..latest)),
+        lasts: Duration::from_secs_f64(rng.random_range(LASTS_CROWD)),
+        act: Act::Crowd(rng.random_range(0..size.vms)),
+    })
+}
+
 /// Draws a backup of the store and the restore from it. A separate generator keeps the times and
 /// acts of a seed's other steps unchanged.
 fn restore_store(seed: u64, ends: Duration) -> Vec<Step> {
--- a/trouttrack_soak/src/vm/settings.rs
+++ b/trouttrack_soak/src/vm/settings.rs
@@ -2,7 +2,7 @@
 
 use super::ports::Ports;
 use super::supervisor::GRACE;
-use crate::check::{BUFFERS, EVACUATE, RETRY_EXTRA, RETRY_RATIO};
+use crate::check::{BUFFERS, CONNECTIONS, EVACUATE, RETRY_EXTRA, RETRY_RATIO};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -22,7 +22,7 @@
     format!(
         "[vm]\nname = {name}\nfailure_domain = a\n[log]\nformat = json\n\
          [platform]\nurl = http://{store}\n\
-         [front]\nlisten = {callers}\nready = {ready}\nmetrics = {metrics}\npeers = {peers}\nsource = {source}\n\
+         [front]\nlisten = {callers}\nready = {ready}\nmetrics = {metrics}\npeers = {peers}\nsource = {source}\nmax_connections = {CONNECTIONS}\n\
          [bounds]\nrevoke = {}ms\nevacuate = {}ms\ngrace = {}s\n[retry]\nratio = {RETRY_RATIO}\nextra = {RETRY_EXTRA}\n\
          [buffers]\nrequest = {BUFFERS_REQUEST}\norganisation = {BUFFERS}\nvm = {BUFFERS}\n",
         revoke.as_millis(),
--- a/trouttrack_soak/tests/soak/load.rs
+++ b/trouttrack_soak/tests/soak/load.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 use trouttrack_soak::bed::{EVENTS, LONG_BY, RouteName};
 use trouttrack_soak::callers::Told;
-use trouttrack_soak::check::{ASKED, BUFFERS, Evidence, Kept};
+use trouttrack_soak::check::{ASKED, BUFFERS, CONNECTIONS, Evidence, Kept};
 use trouttrack_soak::faults::Disturbance;
 use trouttrack_soak::plan::{Act, LinkFault, Place, StoreFailure};
 use trouttrack_soak::vm::ended_readers;
@@ -120,7 +120,11 @@
 #[test]
 fn more_than_the_bound_is_found() {
     let mut evidence = evidence(Vec::new(), Vec::new());
-    let kept = |most, longest_life| Kept { most, longest_life };
+    let kept = |most, longest_life| Kept {
+        most,
+        connections: None,
+        longest_life,
+    };
     let shortly = ASKED / 2;
     evidence.kept = vec![kept(None, shortly), kept(Some(BUFFERS), ASKED)];
     assert!(broken(&evidence).is_empty());
@@ -134,6 +138,7 @@
 fn a_vm_that_never_says_what_it_keeps_is_found_beside_others_that_do() {
     let mut evidence = evidence(Vec::new(), Vec::new());
     let said = Kept {
+        connections: Some(200),
         most: Some(0),
         longest_life: ASKED,
     };
@@ -191,3 +196,20 @@
     assert!(!(0..1000).any(holds));
     assert!((1000..1100).all(holds));
 }
+
+/// A VM that gets most new connections closes those beyond its bound.
+#[test]
+fn connections_beyond_the_bound_of_a_vm_are_found() {
+    let with = |connections| {
+        let mut seen = evidence(Vec::new(), Vec::new());
+        seen.kept = vec![Kept {
+            most: Some(0),
+            connections: Some(connections),
+            longest_life: SECOND,
+        }];
+        broken(&seen)
+    };
+    assert!(with(CONNECTIONS).is_empty());
+    let promise = "a VM accepts no more connections than its bound";
+    assert_eq!(with(CONNECTIONS + 1), [promise]);
+}
