Name sent requests, share the waiting of test fleets; judge a begun answer by the clock

Cause: an answer that had begun long before a crash, but brought no event since, counted as just begun. Tests and the soak spelled the platform's header, and two test files held the same code.

Change: whether an answer had begun long before is judged at the time of the loss. The stand-in's caller replaces the parts of a prompt; test fleets wait in one place. No assertion changed.

--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -2,7 +2,7 @@
 
 use super::attempt::{AttemptFailure, FailedAttempt, UPSTREAM_SLOW, check_path, handover, send};
 use super::end::{End, ForwardedResponse, record_forwarded};
-use super::quarantine::{QuarantineCheck, QuarantinedAttempt};
+use super::quarantine::{QuarantineCheck, SentRequest};
 use super::retry::{AttemptCounts, end_without_retry, is_attempt};
 use super::submission::build_submission;
 use crate::caller::{Admitted, Reply};
@@ -204,14 +204,14 @@
             Ok(response) if response.framed => self.quarantine.record_run(front, admitted, body),
             Ok(_) => {}
             Err(failure) => {
-                let attempt = QuarantinedAttempt {
+                let request = SentRequest {
                     front,
                     admitted,
                     body,
                 };
                 let update =
                     self.quarantine
-                        .record_failure(attempt, upstream, self.placed_at, failure);
+                        .record_failure(request, upstream, self.placed_at, failure);
                 update.await;
             }
         }
--- a/trouttrack_front/src/request/quarantine.rs
+++ b/trouttrack_front/src/request/quarantine.rs
@@ -28,9 +28,9 @@
 /// How long the answer of an upstream must go on for its beginning to be over.
 const BEGINNING: Duration = Duration::from_millis(250);
 
-/// An attempt, as far as the quarantine is concerned.
+/// A request that was sent to an upstream.
 #[derive(Clone, Debug)]
-pub(super) struct QuarantinedAttempt<'a> {
+pub(super) struct SentRequest<'a> {
     pub(super) front: &'a Rc<Front>,
     pub(super) admitted: &'a Admitted,
     pub(super) body: &'a Bytes,
@@ -106,11 +106,17 @@
         }
     }
 
+    /// Whether the beginning of an answer was over at a time, even if no event showed it.
+    fn had_begun_long_before(&self, at: Time) -> bool {
+        let is_long = |began_at: Time| at.saturating_sub(began_at) >= BEGINNING;
+        self.is_beginning_over.get() || self.began_at.get().is_some_and(is_long)
+    }
+
     /// Records a failed attempt, which began at `sent_at`. The request is suspected if its
     /// upstream exited without having announced that it leaves.
     pub(super) async fn record_failure(
         &self,
-        attempt: QuarantinedAttempt<'_>,
+        request: SentRequest<'_>,
         upstream: &Rc<Upstream>,
         sent_at: Time,
         failure: &AttemptFailure,
@@ -118,20 +124,21 @@
         if !failure.connection_closed() || upstream.is_leaving() {
             return;
         }
-        let QuarantinedAttempt {
+        let SentRequest {
             front,
             admitted,
             body,
-        } = attempt;
+        } = request;
         let attributes = self.attributes(admitted, body);
+        let lost_at = front.clock.now();
         let suspect = SuspectedExit {
-            attributes: match self.is_beginning_over.get() {
+            attributes: match self.had_begun_long_before(lost_at) {
                 true => attributes.without_parts(),
                 false => attributes.clone(),
             },
             upstream: Rc::clone(upstream),
             sent_at,
-            lost_at: front.clock.now(),
+            lost_at,
         };
         let probed = tokio::time::timeout(PROBE_TIMEOUT, front.http.probe(upstream.addr)).await;
         match probed {
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -10,7 +10,7 @@
 use crate::request::EventReader;
 use crate::request::attempt::{AttemptFailure, FailedAttempt, handover};
 use crate::request::end::End;
-use crate::request::quarantine::{QuarantineCheck, QuarantinedAttempt};
+use crate::request::quarantine::{QuarantineCheck, SentRequest};
 use crate::request::retry::AttemptCounts;
 use crate::request::submission::{build_submission, is_short};
 use crate::state::{Front, HeldBytes, InFlight, Ticket, Upstream};
@@ -242,14 +242,14 @@
 
     /// Updates the quarantine record of the request after a failure at an upstream.
     pub(super) async fn on_failure(&self, upstream: &Rc<Upstream>, failure: &AttemptFailure) {
-        let attempt = QuarantinedAttempt {
+        let request = SentRequest {
             front: &self.front,
             admitted: &self.admitted,
             body: &self.body,
         };
         let update =
             self.quarantine
-                .record_failure(attempt, upstream, self.attempt_started_at, failure);
+                .record_failure(request, upstream, self.attempt_started_at, failure);
         update.await;
     }
 
--- a/trouttrack_front/src/state/intake.rs
+++ b/trouttrack_front/src/state/intake.rs
@@ -11,7 +11,7 @@
 
 /// Minimum interval between two measurements of the event loop's lag.
 const LAG_INTERVAL: Duration = Duration::from_millis(250);
-/// Delay of the timer whose lateness is measured.
+/// Delay of the timer whose lateness is the lag.
 const LAG_TIMER: Duration = Duration::from_millis(1);
 /// Minimum interval between two log lines about closed connections.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
--- a/trouttrack_front/tests/front/prompt_parts.rs
+++ b/trouttrack_front/tests/front/prompt_parts.rs
@@ -6,8 +6,9 @@
 //! attempt. Without a quarantine of parts, 20 engines of a fleet of 9 exited within ten seconds.
 //! Sound requests share the organisation and all other parts with them, and must be served.
 
-use crate::support::{Bed, ENGINES, config, plain, settings, until};
+use crate::support::{Bed, ENGINES, config, knows_fleet, plain, settings, until};
 use std::time::{Duration, Instant};
+use trouttrack_core::PartId;
 use trouttrack_core::quarantine::{Attributes, CrashedRun, QuarantineSettings, Subject};
 use trouttrack_core::upstream::Incarnation;
 use trouttrack_front::app::{Running, start};
@@ -57,15 +58,7 @@
             upstreams,
         };
         for front in fleet.fronts() {
-            let front = &front.front;
-            until("the VM is ready", || front.lifecycle.is_ready()).await;
-            until("keys are confirmed", || front.routing.is_fresh()).await;
-            until("it knows the other VM", || !front.peers.others().is_empty()).await;
-            until("it knows the upstreams", || {
-                let known = |u: &Upstream| front.upstreams.get(&u.id).is_some();
-                fleet.upstreams.iter().all(known)
-            })
-            .await;
+            knows_fleet(front, &fleet.upstreams).await;
         }
         fleet
     }
@@ -204,12 +197,19 @@
     assert_eq!(send("sound", &[COMMON, OTHER]).await.status, 200);
 }
 
+/// The id of the fatal part, as VMs know it.
+fn fatal_part() -> PartId {
+    let req = request("any", "draft", &[FATAL]).build();
+    let headers = req.headers().iter();
+    let headers = headers.map(|(name, value)| (name.as_str(), value.as_bytes()));
+    let head = CallerHead::decode("POST", "/", headers).expect("a head");
+    head.prompt_parts()[0]
+}
+
 /// Records crashes at a VM as if it had seen them, which hold the fatal part.
 fn hold_fatal_part(front: &Running) {
-    let parts = [("X-Prompt-Prefix", "bad0:1,own:1".as_bytes())];
-    let head = CallerHead::decode("POST", "/", parts).expect("a head");
     for n in 0..QuarantineSettings::default().part_ends as u128 {
-        let attributes = Attributes::new(n, head.prompt_parts());
+        let attributes = Attributes::new(n, vec![fatal_part()]);
         let run = CrashedRun::from(&Incarnation::new(&format!("gone-{n}"), 0));
         let now = front.front.clock.now();
         front.front.quarantine.ended(&attributes, &run, now);
@@ -287,9 +287,7 @@
     hold_fatal_part(&bed.front);
     let quarantine = &bed.front.front.quarantine;
     assert_eq!(quarantine.held(), 1);
-    let parts = [("X-Prompt-Prefix", "bad0:1,own:1".as_bytes())];
-    let head = CallerHead::decode("POST", "/", parts).expect("a head");
-    quarantine.set_lifted(&[Subject::Part(head.prompt_parts()[0])]);
+    quarantine.set_lifted(&[Subject::Part(fatal_part())]);
     assert_eq!(quarantine.held(), 0);
     until("its hold leaves the store", || bed.store.holds().is_empty()).await;
     bed.upstreams
--- a/trouttrack_front/tests/front/repeats.rs
+++ b/trouttrack_front/tests/front/repeats.rs
@@ -5,7 +5,7 @@
 //! Without that, 16 arrivals within nine seconds at 6 VMs made 23 engines exit, in a fleet
 //! of 9 engines, together with the other generations that they ran.
 
-use crate::support::{Bed, ENGINES, PLAIN, config, plain, settings, until};
+use crate::support::{Bed, ENGINES, PLAIN, config, knows_fleet, plain, settings, until};
 use std::time::Duration;
 use trouttrack_front::app::{Running, start};
 use trouttrack_platform_standin::{Behaviour, CallerRequest, Reply, Store, Upstream};
@@ -64,15 +64,7 @@
 
     async fn wait_until_ready(&self) {
         for front in self.fronts() {
-            let front = &front.front;
-            until("the VM is ready", || front.lifecycle.is_ready()).await;
-            until("keys are confirmed", || front.routing.is_fresh()).await;
-            until("it knows the other VM", || !front.peers.others().is_empty()).await;
-            until("it knows the upstreams", || {
-                let known = |u: &Upstream| front.upstreams.get(&u.id).is_some();
-                self.upstreams.iter().all(known)
-            })
-            .await;
+            knows_fleet(front, &self.upstreams).await;
         }
     }
 
--- a/trouttrack_front/tests/front/support.rs
+++ b/trouttrack_front/tests/front/support.rs
@@ -192,6 +192,19 @@
         .collect()
 }
 
+/// Waits until a VM is ready and knows another VM and these upstreams.
+pub(crate) async fn knows_fleet(front: &Running, upstreams: &[Upstream]) {
+    let front = &front.front;
+    until("the VM is ready", || front.lifecycle.is_ready()).await;
+    until("keys are confirmed", || front.routing.is_fresh()).await;
+    until("it knows the other VM", || !front.peers.others().is_empty()).await;
+    until("it knows the upstreams", || {
+        let known = |u: &Upstream| front.upstreams.get(&u.id).is_some();
+        upstreams.iter().all(known)
+    })
+    .await;
+}
+
 /// Waits until a condition holds.
 pub(crate) async fn until(what: &str, f: impl Fn() -> bool) {
     let polling = async {
--- a/trouttrack_soak/src/callers/ask.rs
+++ b/trouttrack_soak/src/callers/ask.rs
@@ -136,8 +136,7 @@
         let id = format!("{FATAL_PART_ID}{number}");
         let asked = Asked::new(id.clone(), vm, route, LASTING_KEY.to_owned());
         let client = Client::builder().build();
-        let mut req = asked.request();
-        req.headers.retain(|(name, _)| name != "X-Prompt-Prefix");
+        let req = asked.request();
         let mut req = match rng.random_bool(0.5) {
             true => req.parts(&[COMMON_PART, FATAL_PART, &id]),
             false => req.parts(&[FATAL_PART, &id]),
