Test held parts against the stated bound; a test of ports that close last

Cause: the tests of parts allowed five exits before all VMs must know of the part, which no bound states.

Change: requests that reach upstreams later than three seconds after the fifth exit are counted, at most three, over six seconds more in which upstreams are left; such ports have a test of their own. Without upstreams left the tests fail.

--- a/trouttrack_front/tests/front/prompt_parts.rs
+++ b/trouttrack_front/tests/front/prompt_parts.rs
@@ -7,6 +7,7 @@
 //! Sound requests share the organisation and all other parts with them, and must be served.
 
 use crate::support::{Bed, ENGINES, config, knows_fleet, plain, settings, until};
+use std::cell::RefCell;
 use std::time::{Duration, Instant};
 use trouttrack_core::PartId;
 use trouttrack_core::quarantine::{Attributes, CrashedRun, QuarantineSettings, Subject};
@@ -36,10 +37,17 @@
     bed: Bed,
     other: Running,
     upstreams: Vec<Upstream>,
+    /// When each exit was seen, after the request that caused it.
+    exits: RefCell<Vec<Instant>>,
 }
 
 impl PartBed {
     async fn new() -> Self {
+        Self::with_port_linger(Duration::ZERO).await
+    }
+
+    /// Upstreams whose ports stay open for `port_linger` after their connections close.
+    async fn with_port_linger(port_linger: Duration) -> Self {
         let bed = Bed::new(ENGINES).await;
         let other = start(&settings(&bed.store, "front-2", "")).await;
         let other = other.expect("a front");
@@ -49,6 +57,7 @@
         }
         for upstream in &upstreams {
             upstream.ends_under_part(FATAL);
+            upstream.lingers(port_linger);
             upstream.always(Behaviour::Stream(4));
             bed.store.put_upstream(upstream, false);
         }
@@ -56,6 +65,7 @@
             bed,
             other,
             upstreams,
+            exits: RefCell::default(),
         };
         for front in fleet.fronts() {
             knows_fleet(front, &fleet.upstreams).await;
@@ -72,10 +82,16 @@
         ended.count()
     }
 
-    /// Number of requests with this prefix of their ids that reached an upstream.
-    fn reached(&self, prefix: &str) -> usize {
+    /// Number of requests with the fatal part that reached upstreams when all VMs had to know of
+    /// it: later than the propagation time after the last exit that is not bounded.
+    fn reached_later(&self) -> usize {
+        let Some(fifth_at) = self.exits.borrow().get(BOUNDED_AFTER - 1).copied() else {
+            return 0;
+        };
         let arrivals = self.upstreams.iter().flat_map(Upstream::arrivals);
-        arrivals.filter(|a| a.id.starts_with(prefix)).count()
+        let fatal = arrivals.filter(|a| a.id.starts_with("fatal"));
+        let later = fatal.filter(|a| a.at > fifth_at + PROPAGATION_TIME);
+        later.count()
     }
 
     /// Sends a request to one of the VMs, and removes exited upstreams from the store.
@@ -84,6 +100,7 @@
         for upstream in self.upstreams.iter().filter(|u| u.has_ended()) {
             self.bed.store.remove_upstream(&upstream.id);
         }
+        self.exits.borrow_mut().resize(self.ended(), Instant::now());
         reply
     }
 
@@ -123,24 +140,25 @@
 }
 
 async fn check_held(route: &str, shared: [&str; 2]) {
-    let fleet = PartBed::new().await;
+    check_held_in(PartBed::new().await, route, shared).await;
+}
+
+async fn check_held_in(fleet: PartBed, route: &str, shared: [&str; 2]) {
     fleet
         .send_for(PROPAGATION_TIME, "early", route, shared)
         .await;
-    let early = fleet.ended();
-    let before = fleet.reached("fatal");
     let served = fleet
-        .send_for(PROPAGATION_TIME, "late", route, shared)
+        .send_for(2 * PROPAGATION_TIME, "late", route, shared)
         .await;
-    let later = fleet.reached("fatal") - before;
+    let (ended, later) = (fleet.ended(), fleet.reached_later());
+    assert!(ended >= 1, "no upstream exited");
     assert!(
-        (1..=BOUNDED_AFTER).contains(&early),
-        "{early} upstreams exited before all VMs had to know of the part"
+        later <= MAX_LATER,
+        "{later} requests with the part reached upstreams afterwards, {ended} exited in all"
     );
     assert!(
-        later <= MAX_LATER,
-        "{later} requests with the part reached upstreams afterwards, {} exited in all",
-        fleet.ended()
+        ended < UPSTREAMS,
+        "all upstreams exited, so that no request could reach one"
     );
     assert!(served >= 0.9, "{served} of the sound requests were served");
     for n in 0..2 {
@@ -166,6 +184,13 @@
     check_held("resume", [FATAL, OTHER]).await;
 }
 
+/// An exiting process may close its connections before its port.
+#[actix_rt::test]
+async fn a_fatal_part_is_held_when_ports_close_last() {
+    let fleet = PartBed::with_port_linger(Duration::from_millis(30)).await;
+    check_held_in(fleet, "resume", [COMMON, FATAL]).await;
+}
+
 /// All VMs lose power, and one starts while no other is running.
 #[actix_rt::test]
 async fn a_held_part_survives_the_loss_of_all_vms() {
