Soak: keep the port for peers free of other listeners

The port for peers was found free for datagrams only; it was that of the metrics, and the VM listens for peers' connections at it too: "Address already in use".

Change: the port is held for connections and datagrams while the others are found.

--- a/trouttrack_soak/src/vm/ports.rs
+++ b/trouttrack_soak/src/vm/ports.rs
@@ -20,7 +20,7 @@
     pub(crate) ready: SocketAddr,
     /// Metrics.
     pub(crate) metrics: SocketAddr,
-    /// Datagrams of other VMs.
+    /// Datagrams and connections of other VMs.
     pub(super) peers: SocketAddr,
     /// The local address of connections to upstreams, which nobody listens at: a connection that
     /// has just ended may still hold its port.
@@ -39,13 +39,14 @@
         let host = host(FIRST_HOST, number);
         // All are held until all are found, so that they differ.
         let tcp = || TcpListener::bind((host, 0));
-        let (callers, ready, metrics) = (tcp()?, tcp()?, tcp()?);
-        let peers = UdpSocket::bind((host, 0))?;
+        let (callers, ready, metrics, peers) = (tcp()?, tcp()?, tcp()?, tcp()?);
+        // Peers need the port for datagrams as well.
+        let datagrams = UdpSocket::bind(peers.local_addr()?)?;
         Ok(Self {
             callers: callers.local_addr()?,
             ready: ready.local_addr()?,
             metrics: metrics.local_addr()?,
-            peers: peers.local_addr()?,
+            peers: datagrams.local_addr()?,
             source: self::host(FIRST_SOURCE, number),
         })
     }
