review: a 503 for a request that has run reaches its caller

A worker runs a request that must not run twice and fails it with a sealed 503 without X-Not-Executed. The VM forwards the 503, which promises that the request has not run; the caller asks again.

--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -12,6 +12,7 @@
 mod record;
 mod stale_watch;
 mod store;
+mod told_not_run;
 mod worker;
 
 use record::Record;
@@ -67,6 +68,7 @@
     let verdict = match case.as_str() {
         "stale-watch" => stale_watch::run(&bed),
         "late-stop" => late_stop::run(&bed),
+        "told-not-run" => told_not_run::run(&bed),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     };
     let (code, text) = match verdict {
