--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -8,7 +8,6 @@
 mod http;
 mod json;
 mod late_stop;
-mod proxy;
 mod record;
 mod stale_watch;
 mod store;
--- a/review/rig/src/stale_watch.rs
+++ b/review/rig/src/stale_watch.rs
@@ -1,9 +1,8 @@
-//! A VM's answer from the store's watch is held up by a cut and arrives after newer changes have
-//! reached the VM through its peers.
+//! A VM freezes. When it wakes, it reads the answer of its watch at the store after newer changes
+//! that its peers have told it meanwhile.
 
 use crate::client::{Ask, Client};
 use crate::fleet::Front;
-use crate::proxy::Link;
 use crate::store::Store;
 use crate::worker::{Answer, Worker};
 use crate::{Bed, Verdict};
@@ -15,8 +14,8 @@
 const DRAIN: Duration = Duration::from_millis(2000);
 /// `contact_ms` of a small deployment.
 const CONTACT: Duration = Duration::from_millis(3000);
-/// How long the VM is partitioned from the store.
-const CUT: Duration = Duration::from_millis(1500);
+/// How long the VM stands still.
+const FREEZE: Duration = Duration::from_millis(1500);
 
 /// Events of the log that tell what the VM holds for true of an upstream.
 const VIEW: [&str; 4] = [
@@ -58,7 +57,6 @@
 pub fn run(bed: &Bed) -> Verdict {
     let record = &bed.record;
     let store = Store::start(&bed.ip(1));
-    let link = Link::start(&bed.ip(1), store.addr);
     let work = Answer::Call { work: ms(60) };
     let worker = |host: u8, id: &str, zone: &str| {
         Worker::start(&bed.ip(host), id, "portal", zone, 6, work, record)
@@ -73,7 +71,7 @@
     for w in &others {
         store.put("servers", &w.id, &w.entry("ready", 0, 1));
     }
-    let mut a = Front::prepare(&bed.dir, "front-a-1", "a", &bed.ip(11), link.addr, record);
+    let mut a = Front::prepare(&bed.dir, "front-a-1", "a", &bed.ip(11), store.addr, record);
     let mut b = Front::prepare(&bed.dir, "front-b-1", "b", &bed.ip(12), store.addr, record);
     let mut c = Front::prepare(&bed.dir, "front-c-1", "c", &bed.ip(13), store.addr, record);
     for front in [&mut a, &mut b, &mut c] {
@@ -95,8 +93,7 @@
     store.put("servers", &leaving.id, &leaving.entry("ready", 2400, 2));
     thread::sleep(ms(900));
     if bed.trouble {
-        link.set_cut(true);
-        record.line("front-a-1 is partitioned from the store");
+        a.signal("STOP");
     }
     thread::sleep(ms(300));
     let rev = store.put("servers", &leaving.id, &leaving.entry("ready", 1200, 3));
@@ -107,12 +104,11 @@
     record.line(&format!(
         "worker i-4a leaves: its entry goes, revision {rev}; it serves on"
     ));
-    thread::sleep(CUT.saturating_sub(ms(1000)));
+    thread::sleep(FREEZE.saturating_sub(ms(1000)));
     if bed.trouble {
-        link.set_cut(false);
-        record.line("front-a-1 reaches the store again");
+        a.signal("CONT");
     }
-    let healed_at = record.now();
+    let woken_at = record.now();
     thread::sleep(CONTACT + ms(300));
 
     // Callers of the VM, which has been in touch since.
@@ -150,7 +146,7 @@
     }
     let late = |w: &Worker| {
         let runs = w.runs().into_iter();
-        runs.filter(|r| r.began > gone_at + DRAIN && r.began > healed_at + CONTACT)
+        runs.filter(|r| r.began > gone_at + DRAIN && r.began > woken_at + CONTACT)
             .count()
     };
     let late_runs = late(&leaving);
