review: a VM that was turned away keeps an upstream that is gone

Case 3, rule DRAIN, in place of the former case 3. A VM that gets no answers from the store takes a removal that its peers read there for a lapse, and goes on using the upstream until after it is in touch again.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 cd "$folder/../.." || exit 2
 [ -x target/review/release/review_rig ] || exit 2
 [ -x target/release/trouttrack_front ] || exit 2
-exec target/review/release/review_rig told-not-run "$folder"
+exec target/review/release/review_rig turned-away "$folder"
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -11,7 +11,7 @@
 mod record;
 mod stale_watch;
 mod store;
-mod told_not_run;
+mod turned_away;
 mod worker;
 
 use record::Record;
@@ -67,7 +67,7 @@
     let verdict = match case.as_str() {
         "stale-watch" => stale_watch::run(&bed),
         "late-stop" => late_stop::run(&bed),
-        "told-not-run" => told_not_run::run(&bed),
+        "turned-away" => turned_away::run(&bed),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     };
     let (code, text) = match verdict {
--- a/review/rig/src/store.rs
+++ b/review/rig/src/store.rs
@@ -4,6 +4,7 @@
 use crate::json::Json;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -88,6 +89,20 @@
     }
 }
 
+/// The way of one machine to the store.
+#[derive(Clone)]
+pub struct Door {
+    pub addr: SocketAddr,
+    shut: Arc<AtomicBool>,
+}
+
+impl Door {
+    /// Turns the machine away from now on, without a word, or serves it again.
+    pub fn set_shut(&self, shut: bool) {
+        self.shut.store(shut, Ordering::SeqCst);
+    }
+}
+
 /// A store that serves on threads of its own.
 #[derive(Clone)]
 pub struct Store {
@@ -127,10 +142,38 @@
         removed.map_or(0, |o| o.rev)
     }
 
+    /// An address of the store at which one machine can be turned away.
+    pub fn door(&self, ip: &str) -> Door {
+        let listener = TcpListener::bind((ip, 0)).expect("a port for the store");
+        let door = Door {
+            addr: listener.local_addr().expect("an address"),
+            shut: Arc::default(),
+        };
+        let (store, serving) = (self.clone(), door.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (store, shut) = (store.clone(), Arc::clone(&serving.shut));
+                thread::spawn(move || store.serve_unless(stream, &shut));
+            }
+        });
+        door
+    }
+
     fn serve(&self, stream: TcpStream) {
+        self.serve_unless(stream, &AtomicBool::new(false));
+    }
+
+    /// Serves a channel. A call that begins or would be answered while `shut` holds gets no answer,
+    /// and its channel says nothing more.
+    fn serve_unless(&self, stream: TcpStream, shut: &AtomicBool) {
         let mut reader = Reader::new(stream);
         while let Ok(Some(req)) = reader.message() {
-            let (status, body) = self.call(&req);
+            let answered = (!shut.load(Ordering::SeqCst)).then(|| self.call(&req));
+            let answered = answered.filter(|_| !shut.load(Ordering::SeqCst));
+            let Some((status, body)) = answered else {
+                while reader.head().is_ok_and(|head| head.is_some()) {}
+                return;
+            };
             let headers = [("Content-Type", "application/json".to_owned())];
             if answer(&mut reader.stream, status, &headers, body.as_bytes()).is_err() {
                 return;
--- a/review/rig/src/worker.rs
+++ b/review/rig/src/worker.rs
@@ -13,12 +13,6 @@
 pub enum Answer {
     /// A whole body after this time.
     Call { work: Duration },
-    /// The same, but of `of` runs `fails` end with a 503 that does not say that it was not run.
-    FailsAfterRun {
-        work: Duration,
-        fails: usize,
-        of: usize,
-    },
     /// Events with these pauses; the first one after `first`.
     Stream { first: Duration, gap: Duration },
 }
@@ -140,15 +134,6 @@
                 let body = format!("answer of {} to {id}", self.id);
                 answer(stream, 200, &headers, body.as_bytes())
             }
-            Answer::FailsAfterRun { work, fails, of } => {
-                let number = self.runs.lock().unwrap().len();
-                thread::sleep(work);
-                let body = format!("answer of {} to {id}", self.id);
-                match number % of < fails {
-                    true => answer(stream, 503, &headers, b"failed while it ran"),
-                    false => answer(stream, 200, &headers, body.as_bytes()),
-                }
-            }
             Answer::Stream { first, gap } => {
                 // Long drafts begin at once: only short requests wait for a crowded engine here.
                 let first = match req.target().starts_with("/draft/") {
