Accept requests of a stopping VM by their time limit

Callers saw connections close without an answer, or in the middle of one, when their request had reached a VM more than a second after SIGTERM and engines were crowded.

Cause: a stopping VM accepted a request if an estimate of its length and two seconds fitted before the exit: 10 ms a token for a stream, nothing for a plain call. Waiting here, at the engine and for the prompt is in no such estimate. Nothing but the time limit (the caller's, the route's) bounds a request. At the exit the process ended without answering what was in progress.

Ruled out: a lost drain (the log has `drain-bound` with the late requests in flight, at the exit) and a late exit (7.65 s of 8 s).

Change: one rule, `Lifecycle::can_finish`, for plain calls, streams, resumed streams and requests that wait: what has not run is accepted, or sent, only if its time limit ends before the exit; a waiting request is told so when the stop begins. The estimates and their constants are gone. What is still in progress at the exit is answered (503 only if it has not run, 502 otherwise), and the exit waits until callers have taken their answers. Where no other VM serves, `Retry-After` is the time to the exit.

--- a/trouttrack_front/src/app/stop.rs
+++ b/trouttrack_front/src/app/stop.rs
@@ -9,6 +9,8 @@
 const LOAD_BALANCER_DELAY: Duration = Duration::from_millis(3200);
 /// Part of the grace period reserved for exiting the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(500);
+/// Interval at which it is checked whether callers have taken their answers.
+const BUFFER_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Pause after the last request, so that its answer is sent.
 const FLUSH_DELAY: Duration = Duration::from_millis(150);
 
@@ -33,12 +35,14 @@
         while front.lifecycle.in_flight() > 0 {
             front.lifecycle.request_ended().await;
         }
+        while front.buffers.total() > 0 {
+            tokio::time::sleep(BUFFER_POLL_INTERVAL).await;
+        }
     };
     if tokio::time::timeout_at(deadline, drained).await.is_err() {
         record!(events::DRAIN_BOUND, in_flight = front.lifecycle.in_flight(),);
     }
-    // Requests that arrive while the last answers are sent are refused as not run.
-    let now = front.clock.now();
-    front.lifecycle.stop(now, now);
+    // What is still in progress is answered now, as far as it has no answer yet.
+    front.lifecycle.exit(front.clock.now());
     tokio::time::sleep(FLUSH_DELAY).await;
 }
--- a/trouttrack_front/src/caller/handler.rs
+++ b/trouttrack_front/src/caller/handler.rs
@@ -43,8 +43,8 @@
         Ok(admitted) => admitted,
         Err(reply) => return reply.into_response(None, close),
     };
-    if !front.lifecycle.takes_requests(front.clock.now()) {
-        let reply = End::stopping().reply(&front, &admitted, 0);
+    if let Some(end) = End::if_stopping(&front, admitted.deadline) {
+        let reply = end.reply(&front, &admitted, 0);
         return reply.into_response(None, true);
     }
     let mut disconnect_guard = DisconnectGuard::new(&admitted);
--- a/trouttrack_front/src/request/end.rs
+++ b/trouttrack_front/src/request/end.rs
@@ -70,14 +70,46 @@
         }
     }
 
-    /// This VM is stopping; other VMs serve the request.
-    pub(crate) fn stopping() -> Self {
-        Self::NotRun {
+    /// The outcome of a request that has not run and may not be answered before this VM exits,
+    /// if it stops. Other VMs serve the request; if none does, this one is back after its exit.
+    pub(crate) fn if_stopping(front: &Front, deadline: Time) -> Option<Self> {
+        if front.lifecycle.can_finish(deadline) {
+            return None;
+        }
+        let now = front.clock.now();
+        let until_exit = || {
+            let ends_at = front.lifecycle.ends_at().unwrap_or(now);
+            ends_at.saturating_sub(now)
+        };
+        let retry_after = match front.peers.any_serves(now) {
+            true => STOPPING_RETRY_AFTER,
+            false => until_exit().max(STOPPING_RETRY_AFTER),
+        };
+        Some(Self::NotRun {
             reason: "this VM is stopping",
-            retry_after: STOPPING_RETRY_AFTER,
+            retry_after,
+        })
+    }
+
+    /// Waits until this VM is known to exit before the request's deadline.
+    pub(crate) async fn stopping(front: &Front, deadline: Time) -> Self {
+        loop {
+            front.lifecycle.exits_before(deadline).await;
+            if let Some(end) = Self::if_stopping(front, deadline) {
+                return end;
+            }
         }
     }
 
+    /// This VM exits while the request is in progress.
+    pub(crate) fn exited(front: &Front, deadline: Time, may_have_run: bool) -> Self {
+        let not_run = Self::if_stopping(front, deadline).filter(|_| !may_have_run);
+        not_run.unwrap_or(Self::Uncertain {
+            reason: "this VM has stopped",
+            timed_out: false,
+        })
+    }
+
     /// The request is quarantined because upstreams exited while they ran it.
     pub(crate) fn quarantined(hold: Hold) -> Self {
         Self::NotRun {
--- a/trouttrack_front/src/request/plain.rs
+++ b/trouttrack_front/src/request/plain.rs
@@ -30,14 +30,18 @@
     };
     let deadline = front.clock.instant(admitted.deadline);
     let mut call = PlainCall::new(front, &admitted, service, body);
-    match tokio::time::timeout_at(deadline, call.run_attempts()).await {
-        Ok(reply) => reply,
-        Err(_) => {
-            let attempts = call.attempts.sent;
-            let end = call.timed_out().uncertain_if_run(call.may_have_run);
-            end.reply(front, &admitted, attempts)
+    let end = tokio::select! {
+        biased;
+        reply = call.run_attempts() => return reply,
+        () = tokio::time::sleep_until(deadline) => {
+            call.timed_out().uncertain_if_run(call.may_have_run)
         }
-    }
+        () = front.lifecycle.exiting() => {
+            let may_have_run = call.may_have_run || call.ticket.is_some();
+            End::exited(front, admitted.deadline, may_have_run)
+        }
+    };
+    end.reply(front, &admitted, call.attempts.sent)
 }
 
 /// Response with its complete body.
@@ -125,6 +129,9 @@
         let submission = build_submission(self.front, self.admitted, &self.service, None, &avoid);
         let placed = tokio::select! {
             biased;
+            end = End::stopping(self.front, self.admitted.deadline), if !self.may_have_run => {
+                return Err(AttemptError::Ended(end));
+            }
             placed = self.front.scheduler.place(submission) => placed,
             end = self.quarantine.quarantined(self.front, self.admitted, &self.body) => {
                 return Err(AttemptError::Ended(end));
--- a/trouttrack_front/src/request/stream/retry.rs
+++ b/trouttrack_front/src/request/stream/retry.rs
@@ -94,4 +94,9 @@
             false => End::not_run("no upstream had room in time"),
         }
     }
+
+    /// Outcome when this VM exits.
+    pub(super) fn exited(&self) -> End {
+        End::exited(&self.front, self.admitted.deadline, self.may_have_run)
+    }
 }
--- a/trouttrack_front/src/request/stream/run.rs
+++ b/trouttrack_front/src/request/stream/run.rs
@@ -109,13 +109,15 @@
 
     /// Runs the stream until it ends, its caller disconnects or its deadline expires.
     pub(super) async fn run(mut self, guards: (InFlight, Rc<HeldBytes>)) {
+        let front = Rc::clone(&self.front);
         let caller = self.output.disconnect_watcher();
-        let deadline = self.front.clock.instant(self.admitted.deadline);
+        let deadline = front.clock.instant(self.admitted.deadline);
         let finish = tokio::select! {
             biased;
             () = caller.closed() => self.disconnected(),
             finish = self.run_attempts() => finish,
             () = tokio::time::sleep_until(deadline) => StreamEnd::Ended(self.timed_out()),
+            () = front.lifecycle.exiting() => StreamEnd::Ended(self.exited()),
         };
         self.finish(finish).await;
         drop(guards);
@@ -159,6 +161,9 @@
         );
         let placed = tokio::select! {
             biased;
+            end = End::stopping(&self.front, self.admitted.deadline), if !self.may_have_run => {
+                return Err(end.into());
+            }
             placed = self.front.scheduler.place(submission) => placed,
             end = self.quarantine.quarantined(&self.front, &self.admitted, &self.body) => {
                 return Err(end.uncertain_if_run(self.may_have_run).into());
--- a/trouttrack_front/src/state/lifecycle.rs
+++ b/trouttrack_front/src/state/lifecycle.rs
@@ -2,25 +2,18 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::Notify;
 use trouttrack_core::Time;
 
-/// Requests are refused in this last part of a graceful shutdown, so that those accepted
-/// earlier can finish: several times the usual duration of a plain call or a short stream.
-const MIN_TIME_BEFORE_EXIT: Duration = Duration::from_millis(2000);
-
-/// Period after the start of a graceful shutdown in which a request may be accepted on its
-/// caller's estimate of its length: the load balancer still routes callers here, and a
-/// request cut off at the end of the shutdown has had most of its time.
-const GUESS_ACCEPT_PERIOD: Duration = Duration::from_millis(2500);
-
 /// Readiness, graceful shutdown and requests in progress.
 #[derive(Debug, Default)]
 pub struct Lifecycle {
     ready: Cell<bool>,
     /// Start of a graceful shutdown, and the time at which the process exits.
     stop: Cell<Option<(Time, Time)>>,
+    /// Whether the requests that are still in progress must end now.
+    exiting: Cell<bool>,
+    stop_changed: Notify,
     in_flight: Cell<usize>,
     request_finished: Notify,
 }
@@ -42,6 +35,14 @@
     pub fn stop(&self, now: Time, ends_at: Time) {
         let began = self.stop.get().map_or(now, |(began, _)| began);
         self.stop.set(Some((began, ends_at)));
+        self.stop_changed.notify_waiters();
+    }
+
+    /// Ends the requests that are still in progress: the process is about to exit. New requests
+    /// are refused from now on.
+    pub fn exit(&self, now: Time) {
+        self.exiting.set(true);
+        self.stop(now, now);
     }
 
     /// Whether a graceful shutdown has started.
@@ -50,27 +51,41 @@
         self.stop.get().is_some()
     }
 
-    /// Whether a request of unknown length is still accepted.
+    /// Time at which the process exits, if it stops.
     #[must_use]
-    pub fn takes_requests(&self, now: Time) -> bool {
-        self.takes_request_of(now, Duration::ZERO)
+    pub fn ends_at(&self) -> Option<Time> {
+        self.stop.get().map(|(_, ends_at)| ends_at)
     }
 
-    /// Whether a request of this estimated duration finishes before the process exits.
+    /// Whether a request that is answered by `deadline` is answered before the process exits.
+    ///
+    /// Nothing else bounds a request: the time that it waits, its prompt takes or its upstream is
+    /// silent for can be estimated, but not promised.
     #[must_use]
-    pub fn takes_request_of(&self, now: Time, length: Duration) -> bool {
-        self.stop
-            .get()
-            .is_none_or(|(_, ends)| now + length + MIN_TIME_BEFORE_EXIT < ends)
+    pub fn can_finish(&self, deadline: Time) -> bool {
+        self.ends_at().is_none_or(|ends_at| deadline < ends_at)
     }
 
-    /// Whether a request is still accepted on its caller's estimate of its length, which may be
-    /// far off.
-    #[must_use]
-    pub fn trusts_guesses(&self, now: Time) -> bool {
-        self.stop
-            .get()
-            .is_none_or(|(began, _)| now < began + GUESS_ACCEPT_PERIOD)
+    /// Waits until the process is known to exit before `deadline`.
+    pub async fn exits_before(&self, deadline: Time) {
+        loop {
+            let changed = self.stop_changed.notified();
+            if !self.can_finish(deadline) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Waits until the process is about to exit.
+    pub async fn exiting(&self) {
+        loop {
+            let changed = self.stop_changed.notified();
+            if self.exiting.get() {
+                return;
+            }
+            changed.await;
+        }
     }
 
     /// Number of requests in progress.
