Compare what the store tells with what is known already

Cause: a watch's answer was applied without looking at the revision known by then. While the VM stood still its watch was answered with the entry at revision 10, and its peers told it of revisions 10 and 11, the removal. It read the peers' datagrams first and the answer after them, so revision 10 was applied over 11, and no later watch repeats 11.

Changes pass it one by one, and entries of lists and their absence too, since pages of a list differ in age.

Configurations compare versions, evacuations whole sets as of a revision; both already refuse what is older.

Tests, each failed before: a late watch, a late removal, a late list (front, with a store that answers one VM late), and the door's own in core.

--- a/trouttrack_core/src/membership/mod.rs
+++ b/trouttrack_core/src/membership/mod.rs
@@ -9,6 +9,7 @@
 mod entries;
 mod evacuations;
 mod heartbeat;
+mod known;
 mod marks;
 mod peers;
 mod receivers;
@@ -33,6 +34,7 @@
     CHANGED_LIMIT_REPEAT_PERIOD, LOCAL_FANOUT, MAX_LIMITS_PER_DATAGRAM, REMOTE_FANOUT,
     heartbeat_interval, peer_timeout, sends_aggregates, watcher_heartbeat_interval,
 };
+pub use known::KnownRevisions;
 pub use marks::{Mark, MarkEntry, MarkSource, MarkTable};
 pub use peers::{Digest, Peer, PeerTable, UpstreamUse};
 pub use receivers::{relays, update_receivers};
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -12,6 +12,7 @@
 mod freshness;
 mod intake;
 mod known_load;
+mod known_revisions;
 mod length;
 mod membership;
 mod origins;
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -26,18 +26,27 @@
 #[derive(Debug)]
 pub(super) struct UpstreamFollower {
     front: Rc<Front>,
-    /// Whether a full list is needed.
-    needs_list: Cell<bool>,
+    /// The revision that was known when a full list became needed; `None` if none is.
+    list_needed_at: Cell<Option<Revision>>,
 }
 
 impl UpstreamFollower {
     pub(super) fn new(front: Rc<Front>) -> Self {
         Self {
             front,
-            needs_list: Cell::new(true),
+            list_needed_at: Cell::new(Some(Revision::default())),
         }
     }
 
+    /// Whether what is known is as new as a list of the store as of `revision`. While a list is
+    /// needed, that is so only if news arrived since: the known revision itself may be lost to
+    /// the store.
+    fn is_overtaken(&self, revision: Revision) -> bool {
+        let known = self.front.upstreams.revision();
+        let has_news = self.list_needed_at.get().is_none_or(|at| known > at);
+        has_news && known >= revision
+    }
+
     /// Queues changes read from the store for the other VMs and adds them to the history.
     fn publish(&self, from: Revision, to: Revision, changes: Vec<EntryChange>) {
         let update = EntryUpdate { from, to, changes };
@@ -53,8 +62,10 @@
     const KIND: Kind = Kind::Upstreams;
 
     fn revision(&self) -> Option<Revision> {
-        let known = !self.needs_list.get();
-        known.then(|| self.front.upstreams.revision())
+        match self.list_needed_at.get() {
+            Some(_) => None,
+            None => Some(self.front.upstreams.revision()),
+        }
     }
 
     fn is_behind(&self) -> bool {
@@ -73,7 +84,7 @@
     async fn fetch_from_peers(&self) -> bool {
         let taken = fetch_from_peers(&self.front, self.front.upstreams.revision()).await;
         if taken {
-            self.needs_list.set(false);
+            self.list_needed_at.set(None);
         }
         self.front.peers.set_far_behind(false);
         taken
@@ -83,25 +94,26 @@
         let upstreams = &self.front.upstreams;
         if !upstreams.is_listed() {
             fetch_from_any_peer(&self.front, upstreams.revision()).await;
-            self.needs_list.set(false);
+            self.list_needed_at.set(None);
         }
     }
 
     async fn fetch_from_peers_after_failure(&self) {
         let peers = &self.front.peers;
         let known = self.front.upstreams.revision();
-        let lacks_history = self.needs_list.get() || peers.is_far_behind();
+        let lacks_history = self.list_needed_at.get().is_some() || peers.is_far_behind();
         if lacks_history
             && peers.newest_upstreams() > known
             && try_fetch_from_peers(&self.front, known).await
         {
-            self.needs_list.set(false);
+            self.list_needed_at.set(None);
             peers.set_far_behind(false);
         }
     }
 
     fn apply_list(&self, objects: &[Object], revision: Revision) {
-        if self.revision().is_some_and(|known| known >= revision) {
+        if self.is_overtaken(revision) {
+            self.list_needed_at.set(None);
             return;
         }
         let read = objects.iter().map(|o| UpstreamEntry::decode(o.spec.get()));
@@ -110,6 +122,13 @@
         // entries are validated.
         read.iter().for_each(|r| record_start_time(&self.front, r));
         for (object, read) in objects.iter().zip(read) {
+            if !self
+                .front
+                .upstreams
+                .accept_listed(&object.name, object.revision)
+            {
+                continue;
+            }
             let change = EntryChange {
                 id: object.name.clone(),
                 revision: object.revision,
@@ -119,22 +138,21 @@
         }
         let ids = objects.iter().map(|o| o.name.as_str()).collect();
         complete_list(&self.front, &ids, revision, "store");
-        self.needs_list.set(false);
+        self.list_needed_at.set(None);
     }
 
     fn apply_changes(&self, changes: Vec<Change>, revision: Revision) {
         let from = self.front.upstreams.revision();
         let changes = changes.into_iter().map(|c| entry_change(&self.front, c));
-        let changes: Vec<EntryChange> = changes.collect();
-        apply_all(&self.front, &changes);
-        self.front.upstreams.advance(revision);
+        let news = apply_news(&self.front, changes, revision);
         if revision > from {
-            self.publish(from, revision, changes);
+            self.publish(from, revision, news);
         }
     }
 
     fn handle_history_gone(&self) {
-        self.needs_list.set(true);
+        let known = self.front.upstreams.revision();
+        self.list_needed_at.set(Some(known));
     }
 }
 
@@ -150,6 +168,9 @@
     }
     let entries: Vec<SnapshotEntry> = snapshot.entries().collect();
     for listed in &entries {
+        if !upstreams.accept_listed(&listed.id, snapshot.revision()) {
+            continue;
+        }
         apply_entry(front, &listed.id, snapshot.revision(), listed.entry.clone());
         if listed.lapsed {
             front.upstreams.lapsed(&listed.id);
@@ -258,22 +279,28 @@
         front.peers.signal_behind();
         return UpdateResult::Missing;
     }
-    let new: Vec<EntryChange> = update
-        .changes
-        .iter()
-        .filter(|c| c.revision > known)
-        .cloned()
-        .collect();
-    apply_all(front, &new);
-    front.upstreams.advance(update.to);
+    let news = apply_news(front, update.changes.iter().cloned(), update.to);
     front.history.borrow_mut().learned(EntryUpdate {
         from: known,
         to: update.to,
-        changes: new,
+        changes: news,
     });
     UpdateResult::New
 }
 
+/// Applies those of the changes up to a revision that are news, and returns them.
+fn apply_news(
+    front: &Rc<Front>,
+    changes: impl Iterator<Item = EntryChange>,
+    to: Revision,
+) -> Vec<EntryChange> {
+    let news = changes.filter(|c| front.upstreams.accept(&c.id, c.revision));
+    let news: Vec<EntryChange> = news.collect();
+    apply_all(front, &news);
+    front.upstreams.advance(to);
+    news
+}
+
 /// Applies changes in order, then lets the scheduler place waiting requests.
 fn apply_all(front: &Rc<Front>, changes: &[EntryChange]) {
     for change in changes {
--- a/trouttrack_front/src/follow/vms.rs
+++ b/trouttrack_front/src/follow/vms.rs
@@ -136,7 +136,8 @@
     match VmEntry::decode(object.spec.get()) {
         Ok(entry) => {
             let (name, domain) = (&object.name, &entry.failure_domain);
-            front.peers.insert(name, entry.peers, domain);
+            let (peers, addr) = (&front.peers, entry.peers);
+            peers.insert_listed(name, addr, domain, object.revision);
         }
         Err(e) => log::warn!("VM {}: entry cannot be read: {e}", object.name),
     }
--- a/trouttrack_front/src/peers/table/mod.rs
+++ b/trouttrack_front/src/peers/table/mod.rs
@@ -14,7 +14,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use trouttrack_core::membership::{
-    SentTimes, WatcherElection, heartbeat_interval, watcher_heartbeat_interval,
+    Revision, SentTimes, WatcherElection, heartbeat_interval, watcher_heartbeat_interval,
 };
 use trouttrack_core::{FailureDomain, Time};
 use trouttrack_telemetry::{events, record};
@@ -53,6 +53,8 @@
 struct Listed {
     addr: SocketAddr,
     failure_domain: FailureDomain,
+    /// The revision of the store's entry, if it has been read.
+    revision: Option<Revision>,
 }
 
 impl PeerTable {
@@ -88,14 +90,51 @@
         self.socket.get().cloned()
     }
 
-    /// Adds a VM, or replaces its address and failure domain.
+    /// Adds a VM, or replaces its address and failure domain, as the VM itself tells them.
     pub fn insert(&self, name: &str, addr: SocketAddr, failure_domain: &str) {
-        let failure_domain = failure_domain.to_owned();
-        let listed = Listed {
+        let mut listed = self.listed.borrow_mut();
+        let revision = listed.get(name).and_then(|known| known.revision);
+        let told = Listed {
             addr,
-            failure_domain,
+            failure_domain: failure_domain.to_owned(),
+            revision,
         };
-        self.listed.borrow_mut().insert(name.to_owned(), listed);
+        listed.insert(name.to_owned(), told);
+    }
+
+    /// As [`Self::insert`], with the VM's entry in the store. A list may be some seconds old, so
+    /// an entry replaces neither a later one nor what a live VM tells.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use trouttrack_core::membership::Revision;
+    /// use trouttrack_front::peers::PeerTable;
+    /// let addr = |port| std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    /// let peers = PeerTable::new("front-1");
+    /// peers.insert_listed("front-2", addr(2), "a", Revision::new(0, 9));
+    /// peers.insert_listed("front-2", addr(1), "a", Revision::new(0, 7));
+    /// assert_eq!(peers.addr_of("front-2"), Some(addr(2)));
+    /// ```
+    pub fn insert_listed(
+        &self,
+        name: &str,
+        addr: SocketAddr,
+        failure_domain: &str,
+        revision: Revision,
+    ) {
+        let mut listed = self.listed.borrow_mut();
+        let known = listed.get(name);
+        let is_old = known.is_some_and(|known| known.revision > Some(revision));
+        if is_old || known.is_some() && self.is_live(name) {
+            return;
+        }
+        let entry = Listed {
+            addr,
+            failure_domain: failure_domain.to_owned(),
+            revision: Some(revision),
+        };
+        listed.insert(name.to_owned(), entry);
     }
 
     /// Records that all VMs listed in the store are known, and requests immediate
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use trouttrack_core::fleet::{RouteTable, ServiceSpec};
-use trouttrack_core::membership::{Entries, Revision};
+use trouttrack_core::membership::{Entries, KnownRevisions, Revision};
 use trouttrack_core::rescue::Departure;
 use trouttrack_core::upstream::{Incarnation, UpstreamSpec};
 use trouttrack_core::{ServiceId, SoftwareVersion, Time, UpstreamId};
@@ -41,8 +41,8 @@
     /// Removed upstreams, and listed entries whose removal was undone by a restore of the store.
     deferred: RefCell<DeferredEntries>,
     listed: Cell<bool>,
-    /// Store revision up to which the entries are known.
-    revision: Cell<Revision>,
+    /// Store revisions up to which the entries are known.
+    known: RefCell<KnownRevisions>,
     /// Highest store revision seen so far.
     store_at: Cell<Revision>,
     /// Whether upstreams of this fleet write their start time. If so, an entry without one
@@ -64,7 +64,7 @@
             entries: RefCell::default(),
             deferred: RefCell::default(),
             listed: Cell::new(false),
-            revision: Cell::default(),
+            known: RefCell::default(),
             store_at: Cell::default(),
             publishes_start_times: Cell::new(false),
             rows_made_for: RefCell::default(),
@@ -125,12 +125,22 @@
     /// Store revision up to which the entries are known.
     #[must_use]
     pub fn revision(&self) -> Revision {
-        self.revision.get()
+        self.known.borrow().all()
     }
 
     /// Records that the entries are known up to a revision.
     pub fn advance(&self, revision: Revision) {
-        self.revision.set(self.revision.get().max(revision));
+        self.known.borrow_mut().advance(revision);
+    }
+
+    /// As [`KnownRevisions::accept`].
+    pub fn accept(&self, id: &str, revision: Revision) -> bool {
+        self.known.borrow_mut().accept(id, revision)
+    }
+
+    /// As [`KnownRevisions::accept_listed`].
+    pub fn accept_listed(&self, id: &str, revision: Revision) -> bool {
+        self.known.borrow_mut().accept_listed(id, revision)
     }
 
     /// Records that the store has reached a revision.
@@ -153,7 +163,7 @@
     /// concern other keys.
     #[must_use]
     pub fn may_have_missed(&self) -> bool {
-        self.is_listed() && self.store_at.get() > self.revision.get()
+        self.is_listed() && self.store_at.get() > self.revision()
     }
 
     /// Whether a full list has been received.
@@ -340,7 +350,9 @@
             let missing = entries.ids().filter(|id| !ids.contains(id.as_str()));
             missing.cloned().collect()
         };
-        missing.iter().filter_map(|id| self.removed(id)).collect()
+        let missing = missing.iter();
+        let gone = missing.filter(|id| self.accept_listed(id, revision));
+        gone.filter_map(|id| self.removed(id)).collect()
     }
 
     /// Marks an entry as lapsed because a peer reported it so: it disappeared around an outage
--- a/trouttrack_front/tests/front/large_fleet.rs
+++ b/trouttrack_front/tests/front/large_fleet.rs
@@ -253,7 +253,8 @@
     Revision::new(0, number)
 }
 
-fn entry(leaving: bool, born: u64) -> UpstreamEntry {
+/// An upstream's entry.
+pub(crate) fn entry(leaving: bool, born: u64) -> UpstreamEntry {
     UpstreamEntry {
         service: PLAIN.to_owned(),
         addr: "10.0.0.9:8080".parse().expect("valid socket address"),
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -12,6 +12,7 @@
 mod freshness;
 mod incarnations;
 mod large_fleet;
+mod late_answers;
 mod leaving;
 mod lost_paths;
 mod moves;
