Judge a removed entry by how the store was for its reader

Callers' requests reached an upstream up to 4 s after its entry had gone, from a VM that had been in touch with the store again for a second.

Cause: a VM that the store turned away took its own lost path for an outage of the store. During an outage entries of live upstreams lapse and come back, so it kept an upstream whose removal its peers had read from a store that served them throughout, and for 2.2 s and up to half a second more after its own first answer.

Evidence: its log has `entry-lapsed` while peers log `upstream-gone` at the same revision.

Change: - A removal carries what it means to the VM that read it from the store: final, a lapse for so long, or unknown if that VM may have missed an outage. VMs of the previous version ignore it and tell nothing. - Where the reader cannot tell, a VM judges for itself: its failed calls are an outage only if no peer is served either. - Lapsed entries have a time each, and are checked when it is over.

Tests: turned away by silence, refusal and reset; a removal right after the return; an outage that one VM does not notice; entries told as lapsed. Core tests say what removals mean, and when.

--- a/trouttrack_core/tests/core/entries.rs
+++ b/trouttrack_core/tests/core/entries.rs
@@ -1,7 +1,7 @@
 //! Removal of upstream entries while the store is reachable and during outages.
 
 use std::time::Duration;
-use trouttrack_core::membership::Entries;
+use trouttrack_core::membership::{Entries, Removal};
 
 fn s(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -11,9 +11,9 @@
 fn removal_is_final_while_the_store_is_reachable() {
     let mut entries = Entries::default();
     entries.listed("u1");
-    assert!(entries.removed(s(1), "u1"));
-    assert!(!entries.removed(s(1), "u1"));
-    assert!(!entries.removed(s(1), "never seen"));
+    assert!(entries.removed(s(1), "u1", None));
+    assert!(!entries.removed(s(1), "u1", None));
+    assert!(!entries.removed(s(1), "never seen", None));
 }
 
 #[test]
@@ -22,15 +22,15 @@
     entries.listed("u1");
     entries.listed("u2");
     entries.store_lost();
-    assert!(!entries.removed(s(1), "u1"));
-    assert!(!entries.removed(s(1), "u2"));
+    assert!(!entries.removed(s(1), "u1", None));
+    assert!(!entries.removed(s(1), "u2", None));
     assert!(entries.is_lapsed("u1") && !entries.is_lapsed("never seen"));
     assert!(entries.take_expired(s(100)).is_empty());
     assert!(entries.store_recovered(s(100)));
     assert!(!entries.store_recovered(s(100)));
     // An entry removed within the grace period after the outage lapses too.
     entries.listed("u3");
-    assert!(!entries.removed(s(101), "u3"));
+    assert!(!entries.removed(s(101), "u3", None));
     entries.listed("u1");
     assert!(entries.take_expired(s(101)).is_empty());
     let mut gone = entries.take_expired(s(103));
@@ -44,7 +44,7 @@
     let mut entries = Entries::default();
     entries.listed("u1");
     entries.store_lost();
-    entries.removed(s(1), "u1");
+    entries.removed(s(1), "u1", None);
     entries.store_recovered(s(2));
     entries.store_lost();
     assert!(entries.take_expired(s(10)).is_empty());
@@ -52,3 +52,81 @@
     assert!(entries.take_expired(s(12)).is_empty());
     assert_eq!(entries.take_expired(s(14)), ["u1"]);
 }
+
+/// Guards against a VM that takes its own lost path for an outage: what the reader of a removal
+/// tells goes before what this VM has seen.
+#[test]
+fn the_reader_of_a_removal_knows_what_it_means() {
+    let mut entries = Entries::default();
+    ["u1", "u2"].iter().for_each(|id| entries.listed(id));
+    entries.store_lost();
+    assert!(entries.removed(s(1), "u1", Some(Removal::Final)));
+    entries.store_recovered(s(2));
+    assert!(entries.removed(s(3), "u2", Some(Removal::Final)));
+}
+
+/// Guards against a live upstream that is dropped by a VM which has not noticed the outage.
+#[test]
+fn an_outage_that_only_the_reader_has_noticed_counts() {
+    let mut entries = Entries::default();
+    ["u1", "u2"].iter().for_each(|id| entries.listed(id));
+    let lapse = Some(Removal::Lapse(s(2)));
+    assert!(!entries.removed(s(1), "u1", lapse));
+    assert!(!entries.removed(s(1), "u2", lapse));
+    assert_eq!(entries.next_expiry(), Some(s(3)));
+    entries.listed("u2");
+    assert!(entries.take_expired(s(2)).is_empty());
+    assert_eq!(entries.take_expired(s(3)), ["u1"]);
+    assert_eq!(entries.next_expiry(), None);
+}
+
+/// Guards against an entry that has lapsed and is then known to be gone, and is waited for.
+#[test]
+fn a_lapsed_entry_may_turn_out_to_be_gone() {
+    let mut entries = Entries::default();
+    entries.listed("u1");
+    entries.store_lost();
+    assert!(!entries.removed(s(1), "u1", None));
+    assert!(entries.removed(s(2), "u1", Some(Removal::Final)));
+    assert!(!entries.is_lapsed("u1"));
+}
+
+/// Guards against a VM that was not served for a while, did not notice, and takes what lapsed
+/// meanwhile for gone, or tells its peers so.
+#[test]
+fn a_vm_that_did_not_call_the_store_for_a_while_may_have_missed_an_outage() {
+    let longest = s(2);
+    let mut entries = Entries::default();
+    let served = |entries: &mut Entries, seconds: std::ops::Range<u64>| {
+        seconds.for_each(|at| entries.answered(s(at), longest, false));
+    };
+    served(&mut entries, 10..20);
+    assert_eq!(entries.read_removal(s(19)), Some(Removal::Final));
+    entries.answered(s(24), longest, false);
+    assert_eq!(entries.read_removal(s(24)), None);
+    entries.listed("u1");
+    assert!(!entries.removed(s(24), "u1", None));
+    served(&mut entries, 25..30);
+    assert_eq!(entries.read_removal(s(29)), Some(Removal::Final));
+    // The store has served a peer meanwhile.
+    entries.answered(s(40), longest, true);
+    assert_eq!(entries.read_removal(s(40)), Some(Removal::Final));
+    // A VM that has noticed an outage knows that entries may have lapsed in it.
+    entries.store_lost();
+    entries.answered(s(50), longest, false);
+    let told = entries.read_removal(s(51));
+    assert!(matches!(told, Some(Removal::Lapse(left)) if left < longest));
+}
+
+/// Guards against an entry that is given up in a second outage, in which nobody can write it.
+#[test]
+fn a_lapse_that_a_peer_tells_is_extended_by_an_outage() {
+    let mut entries = Entries::default();
+    entries.listed("u1");
+    assert!(!entries.removed(s(1), "u1", Some(Removal::Lapse(s(2)))));
+    entries.store_lost();
+    assert!(entries.take_expired(s(9)).is_empty());
+    entries.answered(s(10), s(2), false);
+    assert!(entries.take_expired(s(12)).is_empty());
+    assert_eq!(entries.take_expired(s(13)), ["u1"]);
+}
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -13,13 +13,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use trouttrack_core::Time;
 use trouttrack_core::membership::Revision;
 use trouttrack_core::rescue::Departure;
 use trouttrack_core::upstream::UpstreamNotice;
 use trouttrack_platform::{Change, EntryError, Kind, Object, UpstreamEntry};
 use trouttrack_telemetry::{events, record};
 
-/// Interval at which lapsed entries are checked for expiry.
+/// Longest interval between two checks for lapsed entries that can no longer come back.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Follows the upstream entries and maintains the upstream table.
@@ -50,7 +51,8 @@
     /// Queues changes read from the store for the other VMs and adds them to the history.
     fn publish(&self, from: Revision, to: Revision, changes: Vec<EntryChange>) {
         let update = EntryUpdate { from, to, changes };
-        self.front.history.borrow_mut().learned(update.clone());
+        let now = self.front.clock.now();
+        self.front.history.borrow_mut().learned(now, update.clone());
         // If the queue is full, peers notice the gap and read from the store.
         if let Err(e) = self.front.updates.try_send(update) {
             log::debug!("cannot queue upstream changes for peers: {e}");
@@ -183,6 +185,7 @@
 /// Completes a full list: removes upstreams that are not in `ids` and advances to `revision`.
 /// Announces at once to the other VMs that this VM has the list.
 fn complete_list(front: &Rc<Front>, ids: &HashSet<&str>, revision: Revision, told_by: &str) {
+    front.update_store_outage();
     for gone in front.upstreams.listed(ids, revision) {
         start_departure(front, &gone);
     }
@@ -201,7 +204,7 @@
 /// Converts a store change into the form that is sent to peers.
 fn entry_change(front: &Front, change: Change) -> EntryChange {
     let entry = match change.deleted {
-        true => EntryState::Gone,
+        true => EntryState::Gone(front.upstreams.read_removal()),
         false => decode(front, &change.object),
     };
     EntryChange {
@@ -280,11 +283,13 @@
         return UpdateResult::Missing;
     }
     let news = apply_news(front, update.changes.iter().cloned(), update.to);
-    front.history.borrow_mut().learned(EntryUpdate {
+    let learned = EntryUpdate {
         from: known,
         to: update.to,
         changes: news,
-    });
+    };
+    let mut history = front.history.borrow_mut();
+    history.learned(front.clock.now(), learned);
     UpdateResult::New
 }
 
@@ -303,6 +308,7 @@
 
 /// Applies changes in order, then lets the scheduler place waiting requests.
 fn apply_all(front: &Rc<Front>, changes: &[EntryChange]) {
+    front.update_store_outage();
     for change in changes {
         apply_change(front, change);
         if matches!(change.entry, EntryState::Listed(_)) {
@@ -322,7 +328,7 @@
             apply_entry(front, &change.id, change.revision, entry.clone());
             None
         }
-        EntryState::Gone => front.upstreams.removed(&change.id),
+        EntryState::Gone(meaning) => front.upstreams.removed(&change.id, *meaning),
         EntryState::Unreadable => front.upstreams.removed_as_unreadable(&change.id),
     };
     if let Some(gone) = gone {
@@ -439,7 +445,10 @@
 /// written again, and runs other periodic cleanup.
 pub(super) async fn expire(front: Rc<Front>) {
     loop {
-        tokio::time::sleep(EXPIRY_INTERVAL).await;
+        let now = front.clock.now();
+        let next = front.upstreams.next_expiry().unwrap_or(Time::MAX);
+        tokio::time::sleep(next.saturating_sub(now).min(EXPIRY_INTERVAL)).await;
+        front.update_store_outage();
         let gone = front.upstreams.expired();
         for upstream in &gone {
             remove(&front, upstream);
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -7,7 +7,10 @@
 
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use trouttrack_core::membership::{Conditions, Digest, Evacuations, Revision, UpstreamUse};
+use std::time::Duration;
+use trouttrack_core::membership::{
+    Conditions, Digest, Evacuations, Removal, Revision, UpstreamUse,
+};
 use trouttrack_core::quarantine::{CrashRecord, RecordContext};
 use trouttrack_core::upstream::ReportedLimit;
 use trouttrack_core::versions::{OriginAnswer, StreamOrigin};
@@ -146,7 +149,7 @@
             .iter()
             .filter_map(|change| match &change.entry {
                 EntryState::Listed(entry) => Some(&entry.version),
-                EntryState::Gone | EntryState::Unreadable => None,
+                EntryState::Gone(_) | EntryState::Unreadable => None,
             });
         listed.collect()
     }
@@ -155,13 +158,33 @@
     fn set_versions(&mut self, versions: Vec<SoftwareVersion>) {
         let listed = self.changes.iter_mut().filter_map(|c| match &mut c.entry {
             EntryState::Listed(entry) => Some(entry),
-            EntryState::Gone | EntryState::Unreadable => None,
+            EntryState::Gone(_) | EntryState::Unreadable => None,
         });
         for (entry, version) in listed.zip(versions) {
             entry.version = version;
         }
     }
 
+    /// What the removals mean, in order.
+    fn removals(&self) -> Vec<Option<Removal>> {
+        let gone = self.changes.iter().filter_map(|c| match c.entry {
+            EntryState::Gone(meaning) => Some(meaning),
+            EntryState::Listed(_) | EntryState::Unreadable => None,
+        });
+        gone.collect()
+    }
+
+    /// Sets what the removals mean.
+    fn set_removals(&mut self, removals: Vec<Option<Removal>>) {
+        let gone = self.changes.iter_mut().filter_map(|c| match &mut c.entry {
+            EntryState::Gone(meaning) => Some(meaning),
+            EntryState::Listed(_) | EntryState::Unreadable => None,
+        });
+        for (meaning, told) in gone.zip(removals) {
+            *meaning = told;
+        }
+    }
+
     /// Splits the changes into parts of at most `most` changes that can each be applied
     /// independently. A part is larger if its changes are not in revision order.
     ///
@@ -171,7 +194,7 @@
     /// use trouttrack_core::membership::Revision;
     /// use trouttrack_front::peers::{EntryChange, EntryState, EntryUpdate};
     /// let at = |number| Revision::new(0, number);
-    /// let gone = |n| EntryChange { id: "e1".into(), revision: at(n), entry: EntryState::Gone };
+    /// let gone = |n| EntryChange { id: "e1".into(), revision: at(n), entry: EntryState::Gone(None) };
     /// let changes = vec![gone(11), gone(12), gone(14)];
     /// let parts = EntryUpdate { from: at(10), to: at(20), changes }.in_parts(2);
     /// let ends = parts.iter().map(|n| (n.from.number, n.to.number, n.changes.len()));
@@ -234,13 +257,25 @@
     pub entry: EntryState,
 }
 
+impl EntryChange {
+    /// The same change, some time after it was read from the store.
+    pub(super) fn aged(&self, age: Duration) -> Self {
+        let mut change = self.clone();
+        if let EntryState::Gone(Some(meaning)) = &mut change.entry {
+            *meaning = meaning.after(age);
+        }
+        change
+    }
+}
+
 /// State of an entry after a change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EntryState {
     /// The entry exists with this content.
     Listed(UpstreamEntry),
-    /// The entry has been removed.
-    Gone,
+    /// The entry has been removed, and what that means to the VM that read it from the store, if
+    /// it knows. Encoded after the update, because VMs of earlier versions do not know it.
+    Gone(#[serde(skip)] Option<Removal>),
     /// The entry cannot be parsed, so the upstream cannot be trusted.
     Unreadable,
 }
@@ -263,24 +298,26 @@
 /// know of its content, if there is any. They decode the datagram and ignore the bytes after it.
 pub(super) fn encode_with(datagram: &Datagram, conditions: &Conditions) -> Option<Vec<u8>> {
     let plain = postcard::to_extend(datagram, vec![FORMAT_VERSION]);
-    let versions = match datagram {
-        Datagram::News(update, _) => update.versions(),
-        _ => Vec::new(),
+    let (versions, removals) = match datagram {
+        Datagram::News(update, _) => (update.versions(), update.removals()),
+        _ => Default::default(),
     };
     let contexts: Vec<&RecordContext> = match datagram {
         Datagram::Suspects(records) => records.iter().map(|record| &record.context).collect(),
         _ => Vec::new(),
     };
-    let is_plain = conditions.is_empty() && versions.is_empty() && contexts.is_empty();
+    let is_news = !versions.is_empty() || !removals.is_empty();
+    let is_plain = conditions.is_empty() && !is_news && contexts.is_empty();
     let bytes = match is_plain {
         true => plain,
         false => plain
             .and_then(|bytes| postcard::to_extend(conditions, bytes))
             .and_then(|bytes| postcard::to_extend(&conditions.paths_lost, bytes))
-            .and_then(|bytes| match (versions.is_empty(), contexts.is_empty()) {
-                (true, true) => Ok(bytes),
-                (false, _) => postcard::to_extend(&versions, bytes),
-                (true, false) => postcard::to_extend(&contexts, bytes),
+            .and_then(|bytes| match (is_news, contexts.is_empty()) {
+                (false, true) => Ok(bytes),
+                (true, _) => postcard::to_extend(&versions, bytes)
+                    .and_then(|bytes| postcard::to_extend(&removals, bytes)),
+                (false, false) => postcard::to_extend(&contexts, bytes),
             }),
     };
     bytes
@@ -300,7 +337,9 @@
     let (paths_lost, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
     match &mut datagram {
         Datagram::News(update, _) => {
-            update.set_versions(postcard::from_bytes(rest).unwrap_or_default());
+            let (versions, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+            update.set_versions(versions);
+            update.set_removals(postcard::from_bytes(rest).unwrap_or_default());
         }
         Datagram::Suspects(records) => {
             let contexts: Vec<RecordContext> = postcard::from_bytes(rest).unwrap_or_default();
--- a/trouttrack_front/src/peers/news.rs
+++ b/trouttrack_front/src/peers/news.rs
@@ -72,7 +72,8 @@
 /// Retransmits the changes after `revision` to a peer that missed them. A peer that gets no
 /// answer asks another VM or the store.
 pub(super) fn retransmit(front: &Front, socket: &UdpSocket, peer: SocketAddr, revision: Revision) {
-    let Some(news) = front.history.borrow().after(revision) else {
+    let news = front.history.borrow().after(front.clock.now(), revision);
+    let Some(news) = news else {
         if front.upstreams.revision() > revision {
             post(socket, &Datagram::NewsForgotten, peer);
         }
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -183,8 +183,10 @@
 impl Front {
     /// Records that the store answered a call of this VM.
     pub fn store_answered(&self) {
-        self.upstreams.store_recovered();
-        self.store_contact.answered(self.clock.now());
+        let (now, longest) = (self.clock.now(), self.longest_contact_pause());
+        let is_peer_served = self.peers.any_in_contact(now, longest);
+        self.upstreams.store_answered(longest, is_peer_served);
+        self.store_contact.answered(now);
         if let Some(epoch) = self.store.epoch() {
             self.note_store_epoch(epoch);
         }
@@ -228,7 +230,7 @@
     #[must_use]
     pub fn store_is_silent(&self) -> bool {
         let now = self.clock.now();
-        let longest = self.routing.renewed_after().mul_f64(STORE_SILENT_RATIO);
+        let longest = self.longest_contact_pause();
         let unconfirmed = self.routing.age().is_none_or(|age| age > longest);
         unconfirmed || self.store_contact.is_away() && !self.peers.any_in_contact(now, longest)
     }
@@ -251,8 +253,26 @@
 
     /// Records that the store did not answer a call of this VM.
     pub fn store_failed(&self, error: &StoreError) {
-        self.upstreams.store_lost();
         self.store_contact.lost(error);
+        self.update_store_outage();
+    }
+
+    /// Tells an outage of the store from a lost path of this VM: in an outage, the store answers no
+    /// peer either.
+    pub(crate) fn update_store_outage(&self) {
+        if !self.store_contact.is_away() {
+            return;
+        }
+        let longest = self.longest_contact_pause();
+        match self.peers.any_in_contact(self.clock.now(), longest) {
+            true => self.upstreams.store_recovered(),
+            false => self.upstreams.store_lost(),
+        }
+    }
+
+    /// The longest time between two answers of the store to the VMs that watch it, while it is up.
+    fn longest_contact_pause(&self) -> Duration {
+        self.routing.renewed_after().mul_f64(STORE_SILENT_RATIO)
     }
 }
 
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use trouttrack_core::fleet::{RouteTable, ServiceSpec};
-use trouttrack_core::membership::{Entries, KnownRevisions, Revision};
+use trouttrack_core::membership::{Entries, KnownRevisions, Removal, Revision};
 use trouttrack_core::rescue::Departure;
 use trouttrack_core::upstream::{Incarnation, UpstreamSpec};
 use trouttrack_core::{ServiceId, SoftwareVersion, Time, UpstreamId};
@@ -314,16 +314,28 @@
         Departure::from_notice(self.clock.now())
     }
 
-    /// Handles the removal of an entry. Returns the upstream if it is removed from the table
-    /// now rather than kept as lapsed.
-    pub fn removed(&self, id: &str) -> Option<Rc<Upstream>> {
+    /// Handles the removal of an entry, and what it means to the VM that read it from the store,
+    /// if that knows. Returns the upstream if it is removed from the table now rather than kept as
+    /// lapsed.
+    pub fn removed(&self, id: &str, meaning: Option<Removal>) -> Option<Rc<Upstream>> {
         self.deferred.borrow_mut().remove(id);
         let now = self.clock.now();
         let mut entries = self.entries.borrow_mut();
         let was_lapsed = entries.is_lapsed(id);
-        let gone = entries.removed(now, id);
+        let gone = entries.removed(now, id, meaning);
         if !was_lapsed && entries.is_lapsed(id) {
-            record!(events::ENTRY_LAPSED, upstream = id);
+            let judged_by = match meaning {
+                Some(_) => "reader",
+                None => "this VM",
+            };
+            record!(
+                events::ENTRY_LAPSED,
+                upstream = id,
+                judged_by = judged_by,
+                left_ms = entries
+                    .lapse_left(now, id)
+                    .map(|left| left.as_millis() as u64),
+            );
         }
         drop(entries);
         if gone { self.remove_known(id) } else { None }
@@ -352,13 +364,14 @@
         };
         let missing = missing.iter();
         let gone = missing.filter(|id| self.accept_listed(id, revision));
-        gone.filter_map(|id| self.removed(id)).collect()
+        gone.filter_map(|id| self.removed(id, None)).collect()
     }
 
     /// Marks an entry as lapsed because a peer reported it so: it disappeared around an outage
     /// of the store.
     pub fn lapsed(&self, id: &str) {
-        self.entries.borrow_mut().lapsed(id);
+        let now = self.clock.now();
+        self.entries.borrow_mut().lapsed(now, id);
     }
 
     /// Removes and returns the upstreams whose entries lapsed and can no longer come back.
@@ -379,16 +392,34 @@
         Some(upstream)
     }
 
-    /// Records that a call to the store failed.
+    /// When [`Self::expired`] has something to return next.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Time> {
+        self.entries.borrow().next_expiry()
+    }
+
+    /// As [`Entries::read_removal`].
+    #[must_use]
+    pub fn read_removal(&self) -> Option<Removal> {
+        self.entries.borrow().read_removal(self.clock.now())
+    }
+
+    /// As [`Entries::store_lost`].
     pub fn store_lost(&self) {
         self.entries.borrow_mut().store_lost();
     }
 
-    /// Records that a call to the store was answered.
+    /// As [`Entries::store_recovered`].
     pub fn store_recovered(&self) {
         self.entries.borrow_mut().store_recovered(self.clock.now());
     }
 
+    /// As [`Entries::answered`].
+    pub fn store_answered(&self, longest: Duration, is_peer_served: bool) {
+        let (now, mut entries) = (self.clock.now(), self.entries.borrow_mut());
+        entries.answered(now, longest, is_peer_served);
+    }
+
     /// Records the services for which all rows were rebuilt.
     pub fn set_rows_for(&self, services: &[ServiceSpec]) {
         *self.rows_made_for.borrow_mut() = Some(services.to_vec());
--- a/trouttrack_front/tests/front/large_fleet.rs
+++ b/trouttrack_front/tests/front/large_fleet.rs
@@ -275,7 +275,7 @@
     upstreams.seen("leaves", revision(4), entry(true, 200));
     upstreams.seen("lapsed", revision(5), entry(false, 300));
     upstreams.store_lost();
-    assert!(upstreams.removed("lapsed").is_none());
+    assert!(upstreams.removed("lapsed", None).is_none());
     upstreams.advance(revision(6));
 
     let snapshot = Snapshot::of(&upstreams);
@@ -320,7 +320,7 @@
         .map(|revision| EntryChange {
             id: KEY.to_owned(),
             revision,
-            entry: EntryState::Gone,
+            entry: EntryState::Gone(None),
         })
         .collect();
     for max_changes in 1..=revisions.len() {
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -33,5 +33,6 @@
 mod store_restored;
 mod streams;
 mod support;
+mod turned_away;
 mod unframed;
 mod versions;
