Soak: departures that some VMs hear of late, stops beside crowded engines

The soak froze VMs, turned none away, and its callers left a stopping VM at once; its VMs shared one failure domain, so one watch told them all.

The upstreams serve on for 9 s. A VM that was turned away is also held to a departure that another VM was in touch for, once it has been left alone for 3 s (the bound of being in touch).

--- a/trouttrack_soak/src/bed/fleet.rs
+++ b/trouttrack_soak/src/bed/fleet.rs
@@ -2,10 +2,10 @@
 
 use super::balance::MISSES;
 use super::config::Configs;
-use super::upstreams::{PACE, Upstreams};
+use super::upstreams::{DOMAINS, PACE, Upstreams};
 use crate::faults::{Lasting, Slow};
 use crate::link::Link;
-use crate::plan::Size;
+use crate::plan::{Plan, Size};
 use crate::vm::Vm;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -41,8 +41,10 @@
 pub(crate) struct Bed {
     /// The store.
     pub(crate) store: Store,
-    /// How it fails.
+    /// How it fails for all VMs.
     store_faults: Lasting<StoreFault>,
+    /// The store as each VM reaches it, and how it fails for that VM alone.
+    store_doors: Vec<(Store, Lasting<StoreFault>)>,
     /// Engines that are slow.
     slow: Lasting<Slow>,
     /// Between each VM and the store.
@@ -72,31 +74,31 @@
 }
 
 impl Bed {
-    /// Starts a fleet whose upstreams have so many versions, and whose fronts run `program` and
-    /// keep their files in `dir`.
+    /// Starts the fleet of a plan, whose fronts run `program` and keep their files in `dir`.
     ///
     /// # Errors
     ///
     /// A process or port cannot be had.
     pub(crate) async fn start(
         size: Size,
-        versions: usize,
+        plan: &Plan,
         program: &Path,
         dir: &Path,
     ) -> io::Result<Rc<Self>> {
         let store = Store::start().await;
         let configs = Configs::first();
         store.put_config(configs.newest());
-        let upstreams = Upstreams::start(&store, size.upstreams, versions).await?;
+        let upstreams = Upstreams::start(&store, size.upstreams, plan.versions).await?;
         let mut bed = Self {
             store,
             store_faults: Lasting::default(),
+            store_doors: Vec::new(),
             slow: Lasting::default(),
             store_links: Vec::new(),
             caller_links: Vec::new(),
             vms: Vec::new(),
             upstreams,
-            versions,
+            versions: plan.versions,
             store_backup: RefCell::default(),
             evacuations: RefCell::default(),
             cold: RefCell::default(),
@@ -106,8 +108,14 @@
             misses: Vec::new(),
         };
         for number in 1..=size.vms {
-            let to_store = Link::before(bed.store.addr()).await?;
-            let vm = Vm::new(number, program, dir, to_store.addr())?;
+            let door = bed.store.second_address().await;
+            let to_store = Link::before(door.addr()).await?;
+            bed.store_doors.push((door, Lasting::default()));
+            let domain = match plan.apart {
+                true => DOMAINS.get(number - 1).copied().unwrap_or("c"),
+                false => DOMAINS[0],
+            };
+            let vm = Vm::new(number, domain, program, dir, to_store.addr())?;
             bed.caller_links.push(Link::before(vm.ports.callers).await?);
             bed.store_links.push(to_store);
             bed.vms.push(vm);
@@ -119,14 +127,37 @@
     /// The store begins to fail; returns the fault's number.
     pub(crate) fn begin_store_fault(&self, fault: StoreFault) -> u64 {
         let number = self.store_faults.begin(fault);
-        self.store.set_fault(self.store_faults.fault());
+        self.set_store_faults();
         number
     }
 
     /// A fault of the store ends.
     pub(crate) fn end_store_fault(&self, number: u64) {
         self.store_faults.end(number);
-        self.store.set_fault(self.store_faults.fault());
+        self.set_store_faults();
+    }
+
+    /// The store begins to fail for one VM; returns the fault's number.
+    pub(crate) fn begin_store_fault_for(&self, vm: usize, fault: StoreFault) -> u64 {
+        let number = self.store_doors[vm].1.begin(fault);
+        self.set_store_faults();
+        number
+    }
+
+    /// A fault of the store for one VM ends.
+    pub(crate) fn end_store_fault_for(&self, vm: usize, number: u64) {
+        self.store_doors[vm].1.end(number);
+        self.set_store_faults();
+    }
+
+    fn set_store_faults(&self) {
+        let for_all = self.store_faults.fault();
+        for (door, own) in &self.store_doors {
+            door.set_fault(match for_all {
+                StoreFault::None => own.fault(),
+                fault => fault,
+            });
+        }
     }
 
     /// An engine's events come so many times later; returns the number of what slows it down.
@@ -164,9 +195,13 @@
         self.store.take_back(domain);
     }
 
-    /// An upstream says that it has turned cold, and is warm again after a while.
+    /// An upstream says that it has turned cold, and is warm again after a while. One that has left
+    /// writes nothing any more.
     pub(crate) async fn turn_cold(&self, place: usize, lasts: Duration) {
         let member = self.upstreams.at(place);
+        if self.upstreams.left_at(&member.upstream.id).is_some() {
+            return;
+        }
         self.store.put_cold(&member.upstream, lasts);
         let from = Instant::now();
         self.cold.borrow_mut().push(TurnedCold {
@@ -175,7 +210,8 @@
             until: from + lasts,
         });
         tokio::time::sleep(lasts).await;
-        if self.upstreams.has(&member.upstream.id) && !member.upstream.is_leaving() {
+        let id = &member.upstream.id;
+        if self.upstreams.has(id) && self.upstreams.left_at(id).is_none() {
             self.store.put_upstream(&member.upstream, false);
         }
     }
--- a/trouttrack_soak/src/callers/hard_load.rs
+++ b/trouttrack_soak/src/callers/hard_load.rs
@@ -1,8 +1,8 @@
 //! Callers who ask all at once, and callers who read slowly or not at all.
 
-use super::ask::{Asked, Callers, HUNG_AFTER, PATIENCE};
+use super::ask::{Callers, HUNG_AFTER, PATIENCE};
 use super::call::{Told, is_success};
-use crate::bed::{LASTING_KEY, RouteName};
+use crate::bed::RouteName;
 use crate::check::CONNECTIONS;
 use rand::RngExt;
 use rand::rngs::SmallRng;
@@ -122,12 +122,6 @@
         self.passing.borrow_mut().push(asking);
     }
 
-    fn passing_by(&self, vm: usize, route: RouteName) -> Asked {
-        self.asked.set(self.asked.get() + 1);
-        let id = format!("p{}", self.asked.get());
-        Asked::new(id, vm, route, LASTING_KEY.to_owned())
-    }
-
     /// Asks a VM without a link between, which would read in the caller's place.
     async fn slowly(&self, vm: usize, req: http::Request<bytes::Bytes>, manner: Manner) -> Told {
         let client = Client::builder().build();
--- a/trouttrack_soak/src/callers/mod.rs
+++ b/trouttrack_soak/src/callers/mod.rs
@@ -3,6 +3,7 @@
 mod ask;
 mod call;
 mod hard_load;
+mod late;
 
 pub(crate) use ask::{Callers, FATAL_ID, FATAL_PART_ID};
 pub(crate) use call::is_success;
--- a/trouttrack_soak/src/check/stops.rs
+++ b/trouttrack_soak/src/check/stops.rs
@@ -1,6 +1,6 @@
 //! Planned work, upstreams that leave, and the ends of processes.
 
-use super::{CONTACT, EVACUATE, Evidence, Finding};
+use super::{CONTACT, EVACUATE, Evidence, Finding, Run};
 use crate::bed::{COLD_RATE, Evacuated, RouteName, TurnedCold};
 use crate::callers::{Call, Told, is_success};
 use crate::vm::EndedBy;
@@ -98,7 +98,22 @@
         left.is_some_and(|at| r.arrival.at > *at + DRAINED)
     })?;
     let alone = evidence.left_alone(call, CONTACT + DRAINED);
-    alone.then(|| Finding::of(NO_NEW_WORK, &call.id, format!("sent to {}", late.upstream)))
+    let bound =
+        alone || evidence.left_alone(call, CONTACT) && known_to_others(evidence, call, late);
+    bound.then(|| Finding::of(NO_NEW_WORK, &call.id, format!("sent to {}", late.upstream)))
+}
+
+/// Whether some other VM was in touch with the store from before an upstream left until a request
+/// reached it. A VM that is in touch again knows by its peers what it has missed.
+fn known_to_others(evidence: &Evidence, call: &Call, late: &Run) -> bool {
+    let Some(left) = evidence.left.get(&late.upstream) else {
+        return false;
+    };
+    let served = |vm: usize| {
+        let history = &evidence.history;
+        history.left_alone(vm, *left, CONTACT, late.arrival.at)
+    };
+    (0..evidence.lives.len()).any(|vm| vm != call.vm && served(vm))
 }
 
 /// A VM in touch sends nothing to a failure domain that is evacuated.
--- a/trouttrack_soak/src/faults/carry_out.rs
+++ b/trouttrack_soak/src/faults/carry_out.rs
@@ -84,11 +84,13 @@
             Act::Reload(vm) => self.reload(vm),
             Act::Link(place, fault) => self.link(place, fault, step.lasts).await,
             Act::Store(failure) => store::fail(bed, failure, step.lasts, rng).await,
+            Act::TurnVmAway(vm, failure) => store::turn_away(bed, vm, failure, step.lasts).await,
             Act::ForgetHistory => bed.store.forget_history(),
             Act::BackUpStore => bed.back_up_store(),
             Act::RestoreStore => store::restore(bed, rng).await,
             Act::Leave(place) => upstreams::leave(bed, place).await,
             Act::LeaveUnsaid(place) => upstreams::leave_unsaid(bed, place).await,
+            Act::LeaveUnsaidSlowly(place) => upstreams::leave_unsaid_slowly(bed, place).await,
             Act::Crash(place) => upstreams::crash(bed, place, step.lasts).await,
             Act::Misbehave(place) => upstreams::misbehave(&bed.upstreams, place, rng),
             Act::Configure => bed.put_config(Configs::next),
@@ -104,6 +106,8 @@
                 upstreams::slow_down(bed, place, Some(step.lasts), rng).await;
             }
             Act::SlowForGood(place) => upstreams::slow_down(bed, place, None, rng).await,
+            Act::CrowdEngines => upstreams::crowd_engines(bed, step.lasts).await,
+            Act::AskLate(vm) => self.callers.ask_late(vm, step.lasts, rng).await,
             Act::Vanish(place) => upstreams::vanish(bed, place, step.lasts).await,
             Act::Burst => self.callers.burst(step.lasts).await,
             Act::SlowReaders(vm) => self.callers.read_slowly(vm, rng),
--- a/trouttrack_soak/src/faults/history.rs
+++ b/trouttrack_soak/src/faults/history.rs
@@ -91,7 +91,7 @@
 /// Whether the store, or a VM's link to it, is disturbed.
 fn disturbs_store(act: Act, vm: usize) -> bool {
     match act {
-        Act::Link(Place::Store(v), _) => v == vm,
+        Act::Link(Place::Store(v), _) | Act::TurnVmAway(v, _) => v == vm,
         Act::Store(_) | Act::ForgetHistory | Act::RestoreStore | Act::Vanish(_) => true,
         _ => false,
     }
--- a/trouttrack_soak/src/faults/store.rs
+++ b/trouttrack_soak/src/faults/store.rs
@@ -30,6 +30,13 @@
     return_entries(bed, &lapsed, rng).await;
 }
 
+/// Makes the store fail for one VM for a while.
+pub(super) async fn turn_away(bed: &Bed, vm: usize, failure: StoreFailure, lasts: Duration) {
+    let failing = bed.begin_store_fault_for(vm, fault(failure));
+    sleep(lasts).await;
+    bed.end_store_fault_for(vm, failing);
+}
+
 /// Restores the store from the last backup, if any, after a short outage. Operators and upstreams
 /// rewrite the lost data within [`ENTRIES_RETURN`] of the restore.
 pub(super) async fn restore(bed: &Bed, rng: &mut SmallRng) {
--- a/trouttrack_soak/src/faults/upstreams.rs
+++ b/trouttrack_soak/src/faults/upstreams.rs
@@ -12,6 +12,10 @@
 /// How long a leaving upstream serves on after the store has taken its word:
 /// the platform's two seconds, and a little.
 const SERVES_ON: Duration = Duration::from_millis(2300);
+/// How long one that is slow to end serves on: many seconds.
+const SERVES_ON_SLOWLY: Duration = Duration::from_secs(9);
+/// How much later the events of engines come that are crowded.
+const CROWDED: f64 = 3.0;
 /// From an upstream's crash until its entry disappears: three heartbeats.
 const ENTRY_LASTS: Duration = Duration::from_millis(3600);
 /// What an upstream that turns away asks for: the platform's example.
@@ -30,17 +34,26 @@
     };
     bed.upstreams.note_leaving(&member.upstream.id);
     bed.store.put_upstream(&member.upstream, true);
-    serve_on_and_end(bed, &member).await;
+    serve_on_and_end(bed, &member, SERVES_ON).await;
 }
 
 /// The same, but its entry disappears at once.
 pub(super) async fn leave_unsaid(bed: &Bed, place: usize) {
+    leave_unsaid_and_serve(bed, place, SERVES_ON).await;
+}
+
+/// The same, and it serves on for many seconds.
+pub(super) async fn leave_unsaid_slowly(bed: &Bed, place: usize) {
+    leave_unsaid_and_serve(bed, place, SERVES_ON_SLOWLY).await;
+}
+
+async fn leave_unsaid_and_serve(bed: &Bed, place: usize, serves_on: Duration) {
     let Some(member) = staying(bed, place) else {
         return;
     };
     bed.upstreams.note_leaving(&member.upstream.id);
     bed.store.remove_upstream(&member.upstream.id);
-    serve_on_and_end(bed, &member).await;
+    serve_on_and_end(bed, &member, serves_on).await;
 }
 
 /// An upstream turns away all that reaches it, and asks for rest each time.
@@ -94,6 +107,19 @@
     }
 }
 
+/// All engines are crowded for a while.
+pub(super) async fn crowd_engines(bed: &Bed, lasts: Duration) {
+    let all = bed.upstreams.now().into_iter().map(|m| m.upstream);
+    let engines = all.filter(|u| u.service == ENGINES);
+    let slow: Vec<_> = engines
+        .map(|engine| (bed.slow_down(&engine, CROWDED), engine))
+        .collect();
+    sleep(lasts).await;
+    for (number, engine) in slow {
+        bed.end_slow_down(&engine, number);
+    }
+}
+
 /// A quarter of a service ends at once while the store is away; others take their places later.
 pub(super) async fn vanish(bed: &Bed, place: usize, lasts: Duration) {
     let gone = bed.upstreams.quarter(place);
@@ -113,8 +139,8 @@
     (!leaves).then_some(member)
 }
 
-async fn serve_on_and_end(bed: &Bed, member: &Member) {
-    sleep(SERVES_ON).await;
+async fn serve_on_and_end(bed: &Bed, member: &Member, serves_on: Duration) {
+    sleep(serves_on).await;
     replace(bed, member).await;
 }
 
--- a/trouttrack_soak/src/plan/act.rs
+++ b/trouttrack_soak/src/plan/act.rs
@@ -61,6 +61,8 @@
     Link(Place, LinkFault),
     /// The store fails.
     Store(StoreFailure),
+    /// The store turns a VM away and serves the others.
+    TurnVmAway(usize, StoreFailure),
     /// The store forgets its history.
     ForgetHistory,
     /// The store is backed up, without any disturbance.
@@ -73,6 +75,8 @@
     Leave(usize),
     /// The same, but its entry disappears at once.
     LeaveUnsaid(usize),
+    /// The same, but it serves on for many seconds.
+    LeaveUnsaidSlowly(usize),
     /// An upstream crashes; another takes its place later.
     Crash(usize),
     /// An upstream answers some requests badly.
@@ -96,6 +100,11 @@
     SlowDown(usize),
     /// The same, until it ends.
     SlowForGood(usize),
+    /// The events of all engines come three times later while it lasts: they are crowded.
+    CrowdEngines,
+    /// Callers that have kept their connections to a VM ask for short streams, each once, while it
+    /// lasts.
+    AskLate(usize),
     /// A quarter of an upstream's service ends at once without a word, while the store is
     /// away: the entries stay, and connections are refused.
     Vanish(usize),
@@ -135,6 +144,8 @@
                 | Self::NameLimit(_)
                 | Self::Burst
                 | Self::SlowReaders(_)
+                | Self::CrowdEngines
+                | Self::AskLate(_)
         )
     }
 }
--- a/trouttrack_soak/src/plan/draw.rs
+++ b/trouttrack_soak/src/plan/draw.rs
@@ -2,6 +2,7 @@
 //! draws stays.
 
 use super::act::{Act, LinkFault, Place, StoreFailure};
+use super::departures::{FIRST_WITH_DEPARTURES, departures};
 use super::hard_load::hard_load;
 use super::size::Size;
 use crate::bed::DOMAINS;
@@ -95,6 +96,8 @@
     pub steps: Vec<Step>,
     /// How many software versions upstreams have.
     pub versions: usize,
+    /// Whether each VM stands in a failure domain of its own, so that all of them watch the store.
+    pub apart: bool,
 }
 
 impl Plan {
@@ -145,12 +148,21 @@
             steps.extend(end_engines_by_part(seed, ends));
             steps.extend(crowd(seed, size, ends));
         }
+        if let Some(departures) = departures(seed, size, ends) {
+            steps.retain(|_| !departures.alone);
+            let departures = departures.steps.into_iter();
+            steps.extend(departures.filter(|s| !planned_only || s.act.is_planned()));
+        }
         steps.sort_by_key(|s| s.at);
         let versions = match seed < FIRST_WITH_VERSIONS {
             true => 1,
             false => VERSIONS,
         };
-        Self { steps, versions }
+        Self {
+            steps,
+            versions,
+            apart: seed >= FIRST_WITH_DEPARTURES,
+        }
     }
 }
 
--- a/trouttrack_soak/src/plan/mod.rs
+++ b/trouttrack_soak/src/plan/mod.rs
@@ -1,6 +1,7 @@
 //! What is done when, drawn from a seed.
 
 mod act;
+mod departures;
 mod draw;
 mod hard_load;
 mod size;
--- a/trouttrack_soak/src/run.rs
+++ b/trouttrack_soak/src/run.rs
@@ -76,7 +76,7 @@
     let plan = Plan::draw(options.seed, options.size);
     let acts = plan.steps.len();
     write_plan(&dir, &plan)?;
-    let bed = Bed::start(options.size, plan.versions, &options.program, &dir).await?;
+    let bed = Bed::start(options.size, &plan, &options.program, &dir).await?;
     let processes = run_processes(&bed);
     let (calls, history) = ask_under_faults(options, &bed, plan).await;
     let evidence = Evidence::collect(&bed, calls, history, options.timed);
--- a/trouttrack_soak/src/vm/settings.rs
+++ b/trouttrack_soak/src/vm/settings.rs
@@ -9,9 +9,14 @@
 /// The most bytes that a front keeps for one stream: one long event and a little.
 const BUFFERS_REQUEST: usize = 128 << 10;
 
-/// The text of the settings of the VM `name` that finds the store at `store`
-/// and refuses removed keys after `revoke`.
-pub(super) fn text(name: &str, store: SocketAddr, ports: &Ports, revoke: Duration) -> String {
+/// The text of the settings of a VM, with its name and failure domain, that finds the store at
+/// `store` and refuses removed keys after `revoke`.
+pub(super) fn text(
+    (name, failure_domain): (&str, &str),
+    store: SocketAddr,
+    ports: &Ports,
+    revoke: Duration,
+) -> String {
     let Ports {
         callers,
         ready,
@@ -20,7 +25,7 @@
         source,
     } = ports;
     format!(
-        "[vm]\nname = {name}\nfailure_domain = a\n[log]\nformat = json\n\
+        "[vm]\nname = {name}\nfailure_domain = {failure_domain}\n[log]\nformat = json\n\
          [platform]\nurl = http://{store}\n\
          [front]\nlisten = {callers}\nready = {ready}\nmetrics = {metrics}\npeers = {peers}\nsource = {source}\nmax_connections = {CONNECTIONS}\n\
          [bounds]\nrevoke = {}ms\nevacuate = {}ms\ngrace = {}s\n[retry]\nratio = {RETRY_RATIO}\nextra = {RETRY_EXTRA}\n\
--- a/trouttrack_soak/src/vm/supervisor.rs
+++ b/trouttrack_soak/src/vm/supervisor.rs
@@ -56,6 +56,8 @@
 pub(crate) struct Vm {
     /// Its name.
     pub(crate) name: String,
+    /// Where it stands.
+    failure_domain: &'static str,
     /// Its ports, the same in each life.
     pub(crate) ports: Ports,
     program: PathBuf,
@@ -88,6 +90,7 @@
     /// Its settings cannot be written, or there is no free port.
     pub(crate) fn new(
         number: usize,
+        failure_domain: &'static str,
         program: &Path,
         dir: &Path,
         store: SocketAddr,
@@ -99,6 +102,7 @@
             settings: dir.join(format!("{name}.ini")),
             log: dir.join(format!("{name}.log")),
             name,
+            failure_domain,
             store,
             pid: Cell::new(None),
             life: Cell::new(0),
@@ -118,7 +122,12 @@
     ///
     /// The file cannot be written.
     pub(crate) fn write_settings(&self, revoke: Duration) -> io::Result<()> {
-        let text = settings::text(&self.name, self.store, &self.ports, revoke);
+        let text = settings::text(
+            (&self.name, self.failure_domain),
+            self.store,
+            &self.ports,
+            revoke,
+        );
         fs::write(&self.settings, text)
     }
 
--- a/trouttrack_soak/tests/soak/main.rs
+++ b/trouttrack_soak/tests/soak/main.rs
@@ -1,6 +1,7 @@
 //! The soak's own parts.
 
 mod check;
+mod departures;
 mod ends;
 mod lasting;
 mod link;
