Take no hold for news that this VM has known to be over

Suspected by reading, in the search for news that is applied without a comparison; nobody has reported it. Holds lie beside the VMs' entries in the store, where lists may lag. When a hold expires, all VMs drop it and two remove it from the store; a list that was read before that began the hold again, for ten minutes, and told the others.

Change: the crashes behind a hold that is over are remembered for as long as a hold lasts, and a hold because of no other crash is no news.

Test: fails without the change (the hold is restored).

--- a/trouttrack_core/src/quarantine/table.rs
+++ b/trouttrack_core/src/quarantine/table.rs
@@ -97,6 +97,9 @@
     /// Times in the records are offset by one hold duration, so that events from before
     /// this VM's start have positive times and keep their order.
     records: HashMap<Subject, Record>,
+    /// The crashes behind holds that are over, and when they were dropped. What the store still
+    /// says of them is no news.
+    over: HashMap<Subject, (Time, Vec<Incarnation>)>,
     /// Cached holds; empty after a change.
     holds: OnceCell<Holds>,
     /// Cached [`checksum`](Self::checksum), which is read for every heartbeat received;
@@ -112,6 +115,7 @@
             settings,
             lifted: Vec::new(),
             records: HashMap::new(),
+            over: HashMap::new(),
             holds: OnceCell::new(),
             cached_checksum: Cell::new(Some(0)),
         }
@@ -294,8 +298,8 @@
     }
 
     /// Restores a subject that was held before, as read from the store, with the attributes
-    /// needed besides. The hold starts now, unless the subject is already recorded. Returns
-    /// whether a hold was added.
+    /// needed besides. The hold starts now, unless the subject is already recorded or a hold
+    /// because of these crashes is over. Returns whether a hold was added.
     pub fn restore(
         &mut self,
         now: Time,
@@ -304,7 +308,7 @@
         needed: &[Subject],
     ) -> bool {
         let subject = subject.into();
-        if self.records.contains_key(&subject) {
+        if self.records.contains_key(&subject) || self.is_over(subject, ended) {
             return false;
         }
         for upstream in ended {
@@ -331,12 +335,23 @@
         let held = expired.iter().copied();
         let held: Vec<Subject> = held.filter(|s| self.holds().contains(*s)).collect();
         for subject in &expired {
-            self.records.remove(subject);
+            let record = self.records.remove(subject);
+            let crashes = record.filter(|_| held.contains(subject));
+            let crashes = crashes.map(|r| r.upstreams().cloned().collect());
+            self.over
+                .extend(crashes.map(|crashes| (*subject, (now, crashes))));
         }
+        self.over.retain(|_, (at, _)| now < *at + keep);
         self.changed();
         held
     }
 
+    /// Whether a hold because of these crashes is over.
+    fn is_over(&self, subject: Subject, crashes: &[Incarnation]) -> bool {
+        let over = self.over.get(&subject);
+        over.is_some_and(|(_, known)| crashes.iter().all(|c| known.contains(c)))
+    }
+
     /// The records of some subjects, as sent to other VMs.
     #[must_use]
     pub fn records_of<S>(&self, now: Time, subjects: &[S]) -> Vec<CrashRecord>
--- a/trouttrack_core/tests/core/quarantine.rs
+++ b/trouttrack_core/tests/core/quarantine.rs
@@ -275,3 +275,17 @@
         }
     }
 }
+
+/// Guards against a hold that begins again because a list of the store, read before the hold's
+/// removal there, is taken for news.
+#[test]
+fn a_list_that_lags_does_not_renew_a_hold_that_is_over() {
+    let mut quarantine = holding_quarantine();
+    let crashed = [1, 2, 3].map(upstream);
+    assert_eq!(quarantine.expire(at(700)), [Subject::Request(FATAL)]);
+    assert!(!quarantine.restore(at(701), FATAL, &crashed, &[]));
+    assert!(quarantine.hold(at(701), FATAL).is_none());
+    // Another crash is news.
+    let again = [1, 2, 4].map(upstream);
+    assert!(quarantine.restore(at(702), FATAL, &again, &[]));
+}
