Wait for a lapsed entry whatever this VM has noticed

And where bounds let VMs call the store seldom, an answer of minutes ago counted as a sign that the store is up.

Change: a removal of unknown meaning does not shorten a wait; at most 2.2 s without an answer count as contact, less than an entry outlives its writes.

--- a/trouttrack_core/src/membership/entries.rs
+++ b/trouttrack_core/src/membership/entries.rs
@@ -14,9 +14,14 @@
 use std::time::Duration;
 
 /// Time after the recovery of the store within which a lapsed entry may be written
-/// again. The platform specifies about two seconds.
+/// again. The platform specifies about two seconds. An upstream writes its entry at least as often,
+/// and the entry outlives two missed writes.
 const RECOVERY_GRACE: Duration = Duration::from_millis(2200);
 
+/// The longest time without an answer of the store in which no outage can have passed in which
+/// entries expired.
+pub const MAX_CONTACT_PAUSE: Duration = RECOVERY_GRACE;
+
 /// What the removal of an entry means.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Removal {
@@ -113,7 +118,12 @@
     /// takes it for, if it knows. Returns `true` if its upstream is gone, and `false` if the entry
     /// is unknown or may be written again.
     pub fn removed(&mut self, now: Time, id: &str, meaning: Option<Removal>) -> bool {
-        if !self.by_id.contains_key(id) {
+        let Some(known) = self.by_id.get(id) else {
+            return false;
+        };
+        let waits = matches!(known, Listing::Lapsed { until } if *until > now);
+        if waits && meaning.is_none() {
+            // Who read it first may know of an outage that this VM has not noticed.
             return false;
         }
         match meaning.unwrap_or_else(|| self.judge(now)) {
@@ -190,8 +200,9 @@
 
     /// Records that the store has answered a call of this VM. An outage may have passed unnoticed
     /// if it has not answered one for `longest`, nor, as far as this VM knows, a peer
-    /// (`is_peer_served`).
+    /// (`is_peer_served`). At most [`MAX_CONTACT_PAUSE`] counts.
     pub fn answered(&mut self, now: Time, longest: Duration, is_peer_served: bool) {
+        let longest = longest.min(MAX_CONTACT_PAUSE);
         let is_silent = self.answered_at.is_none_or(|at| now > at + longest);
         if is_silent && !is_peer_served {
             self.unsure_until = now + RECOVERY_GRACE;
--- a/trouttrack_core/src/membership/mod.rs
+++ b/trouttrack_core/src/membership/mod.rs
@@ -28,7 +28,7 @@
     MAX_CONCURRENT_TRANSFERS, MAX_UPDATE_DATAGRAMS, MEAN_STORE_CALLERS, PEER_REQUEST_AGE,
     STORE_REQUEST_AGE, UPDATE_REQUEST_DELAY, WATCHER_RENEWAL_AGE,
 };
-pub use entries::{Entries, Removal};
+pub use entries::{Entries, MAX_CONTACT_PAUSE, Removal};
 pub use evacuations::Evacuations;
 pub use heartbeat::{
     CHANGED_LIMIT_REPEAT_PERIOD, LOCAL_FANOUT, MAX_LIMITS_PER_DATAGRAM, REMOTE_FANOUT,
--- a/trouttrack_core/tests/core/entries.rs
+++ b/trouttrack_core/tests/core/entries.rs
@@ -130,3 +130,27 @@
     assert!(entries.take_expired(s(12)).is_empty());
     assert_eq!(entries.take_expired(s(13)), ["u1"]);
 }
+
+/// Guards against a VM that has not noticed an outage, lists the store, and drops a live upstream
+/// that a peer has told it to wait for.
+#[test]
+fn a_list_without_an_entry_does_not_shorten_the_wait_for_it() {
+    let mut entries = Entries::default();
+    entries.listed("u1");
+    assert!(!entries.removed(s(1), "u1", Some(Removal::Lapse(s(2)))));
+    assert!(!entries.removed(s(2), "u1", None));
+    assert!(entries.take_expired(s(2)).is_empty());
+    assert_eq!(entries.take_expired(s(3)), ["u1"]);
+}
+
+/// Guards against an outage that goes unnoticed because the VMs' own bounds let them call seldom.
+#[test]
+fn bounds_that_let_a_vm_call_seldom_hide_no_outage() {
+    let seldom = s(200);
+    let mut entries = Entries::default();
+    entries.answered(s(10), seldom, false);
+    entries.answered(s(20), seldom, false);
+    entries.listed("u1");
+    assert_eq!(entries.read_removal(s(20)), None);
+    assert!(!entries.removed(s(20), "u1", None));
+}
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -22,7 +22,7 @@
 use tokio::sync::mpsc;
 use trouttrack_config::settings::{FrontSettings, ServingSettings};
 use trouttrack_core::fleet::idle_share;
-use trouttrack_core::membership::{Conditions, Evacuations};
+use trouttrack_core::membership::{Conditions, Evacuations, MAX_CONTACT_PAUSE};
 use trouttrack_core::world::{MOVED_FILL, PLACED_FILL, WorldSettings};
 use trouttrack_core::{FailureDomain, StoreEpoch, Time};
 use trouttrack_http::{Client, Direct};
@@ -183,7 +183,8 @@
 impl Front {
     /// Records that the store answered a call of this VM.
     pub fn store_answered(&self) {
-        let (now, longest) = (self.clock.now(), self.longest_contact_pause());
+        let longest = self.longest_contact_pause().min(MAX_CONTACT_PAUSE);
+        let now = self.clock.now();
         let is_peer_served = self.peers.any_in_contact(now, longest);
         self.upstreams.store_answered(longest, is_peer_served);
         self.store_contact.answered(now);
@@ -263,7 +264,7 @@
         if !self.store_contact.is_away() {
             return;
         }
-        let longest = self.longest_contact_pause();
+        let longest = self.longest_contact_pause().min(MAX_CONTACT_PAUSE);
         match self.peers.any_in_contact(self.clock.now(), longest) {
             true => self.upstreams.store_recovered(),
             false => self.upstreams.store_lost(),
