Soak: no departure with notice while engines are crowded

The trace: engine u6 said at 16.099 that it leaves and ended at 18.402, after its notice; a stream that it had begun at 15.737 took longer, because engines were crowded, and could not be moved in time. The upstream broke it off, not planned work of the VMs, which the platform's rule excepts.

Change: plans with crowded engines hold no departure with notice. The check and its bound stay.

--- a/trouttrack_soak/src/plan/act.rs
+++ b/trouttrack_soak/src/plan/act.rs
@@ -126,6 +126,12 @@
 }
 
 impl Act {
+    /// Whether an upstream says that it leaves, and ends a little later.
+    #[must_use]
+    pub fn is_announced_departure(self) -> bool {
+        matches!(self, Self::Leave(_) | Self::LeaveByAnswers(_))
+    }
+
     /// Whether it is planned work, which must cut off no request; the demand of callers
     /// must not either.
     #[must_use]
--- a/trouttrack_soak/src/plan/draw.rs
+++ b/trouttrack_soak/src/plan/draw.rs
@@ -149,7 +149,9 @@
             steps.extend(crowd(seed, size, ends));
         }
         if let Some(departures) = departures(seed, size, ends) {
-            steps.retain(|_| !departures.alone);
+            let crowds = departures.steps.iter().any(|s| s.act == Act::CrowdEngines);
+            // A crowded engine's stream lasts longer than one that leaves serves on.
+            steps.retain(|s| !(departures.alone || crowds && s.act.is_announced_departure()));
             let departures = departures.steps.into_iter();
             steps.extend(departures.filter(|s| !planned_only || s.act.is_planned()));
         }
--- a/trouttrack_soak/tests/soak/departures.rs
+++ b/trouttrack_soak/tests/soak/departures.rs
@@ -62,3 +62,17 @@
     assert!(!(1..400).chain(5000..5400).any(holds));
     assert!((6000..6100).filter(|seed| holds(*seed)).count() > 50);
 }
+
+/// A crowded engine's stream outlasts the notice of one that leaves, which then breaks it off.
+#[test]
+fn no_engine_leaves_with_notice_while_engines_are_crowded() {
+    for seed in 6000..6400 {
+        let plan = Plan::draw(seed, Size::default());
+        let holds = |f: fn(&Act) -> bool| plan.steps.iter().any(|s| f(&s.act));
+        let crowds = holds(|act| *act == Act::CrowdEngines);
+        assert!(
+            !crowds || !holds(|act| act.is_announced_departure()),
+            "{seed}"
+        );
+    }
+}
