Log what the version of a returning caller's stream rests on

The log of a return (taken-up) named the version, and not whether a VM had known the stream or this VM had concluded it from the versions that have served, nor for how long this VM had run. The hypotheses of streams out of order differ in just that, so the line names it: by_record, asked, answered, up_ms. No decision changes.

--- a/trouttrack_core/src/versions/search.rs
+++ b/trouttrack_core/src/versions/search.rs
@@ -81,6 +81,12 @@
         self.found.is_some() || self.unanswered == 0
     }
 
+    /// Whether a VM knew the stream.
+    #[must_use]
+    pub fn is_recorded(&self) -> bool {
+        self.found.is_some()
+    }
+
     /// What the answers so far show.
     #[must_use]
     pub fn resolution(&self) -> Resolution {
--- a/trouttrack_front/src/peers/mod.rs
+++ b/trouttrack_front/src/peers/mod.rs
@@ -42,7 +42,7 @@
 pub(crate) use listen::listen;
 pub use message::{EntryChange, EntryState, EntryUpdate};
 pub(crate) use news::send_updates;
-pub(crate) use origins::find_origin;
+pub(crate) use origins::{FoundOrigin, find_origin};
 pub use roles::watches_store;
 pub use table::{PeerState, PeerTable};
 pub use transfer::{Snapshot, SnapshotEntry};
--- a/trouttrack_front/src/peers/origins.rs
+++ b/trouttrack_front/src/peers/origins.rs
@@ -56,22 +56,45 @@
     vms
 }
 
+/// The result of a search, and what it rests on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FoundOrigin {
+    pub(crate) resolution: Resolution,
+    /// Whether a VM knew the stream itself, and did not conclude from the versions that served.
+    pub(crate) by_record: bool,
+    /// VMs that were asked, and those of them that answered.
+    pub(crate) asked: usize,
+    pub(crate) answered: usize,
+}
+
 /// Finds out which version began a stream of one of these services within a time.
 pub(crate) async fn find_origin(
     front: &Front,
     first_attempt: &str,
     services: &[ServiceId],
     within: Duration,
-) -> Resolution {
+) -> FoundOrigin {
     let stream = stream_key(first_attempt);
     let own = front.origins.answer(stream, services, within);
     if let Some(origin) = own.origin {
-        return Resolution::Known(origin);
+        return FoundOrigin {
+            resolution: Resolution::Known(origin),
+            by_record: true,
+            asked: 0,
+            answered: 0,
+        };
     }
     let mut unanswered = vms_to_ask(front, stream);
-    let mut search = OriginSearch::new(own.served, unanswered.len(), front.store_is_silent());
+    let asked = unanswered.len();
+    let mut search = OriginSearch::new(own.served, asked, front.store_is_silent());
+    let found = |search: &OriginSearch, unanswered: usize| FoundOrigin {
+        resolution: search.resolution(),
+        by_record: search.is_recorded(),
+        asked,
+        answered: asked - unanswered,
+    };
     let Some(socket) = front.peer_socket.get() else {
-        return search.resolution();
+        return found(&search, asked);
     };
     let (number, mut answers) = front.origins.open_question();
     let question = Datagram::OriginWanted(OriginQuestion {
@@ -93,7 +116,7 @@
             }
         }
     }
-    search.resolution()
+    found(&search, unanswered.len())
 }
 
 fn is_remote(front: &Front, name: &str) -> bool {
--- a/trouttrack_front/src/request/stream/resume.rs
+++ b/trouttrack_front/src/request/stream/resume.rs
@@ -1,7 +1,7 @@
 //! Finds out at which service and software version a returning caller's stream goes on.
 
 use crate::caller::Admitted;
-use crate::peers::find_origin;
+use crate::peers::{FoundOrigin, find_origin};
 use crate::request::end::End;
 use crate::state::Front;
 use trouttrack_core::versions::{Resolution, origin_id};
@@ -40,7 +40,7 @@
             services.contains(&u.service) && origin_id(&u.service, u.version()) == origin
         })
     };
-    let (result, begun) = match found {
+    let (result, begun) = match found.resolution {
         Resolution::Known(origin) => match begun_by(origin) {
             Some(begun) => ("known", Ok(begun)),
             None => (
@@ -53,14 +53,8 @@
             Err("the version that began the stream is not known"),
         ),
     };
-    record!(
-        events::TAKEN_UP,
-        request = admitted.head.id.as_str(),
-        resumes = first_attempt,
-        last_event = admitted.head.last_event.as_deref(),
-        result = result,
-        version = begun.as_ref().map_or("", |(_, version)| version.as_str()),
-    );
+    let version = begun.as_ref().map_or("", |(_, version)| version.as_str());
+    record_taken_up(front, admitted, &found, (result, version));
     front.metrics.taken_up.with_label_values(&[result]).inc();
     let (service, version) = begun.map_err(End::not_run)?;
     Ok(Begin {
@@ -68,3 +62,23 @@
         version: Some(version),
     })
 }
+
+fn record_taken_up(
+    front: &Front,
+    admitted: &Admitted,
+    found: &FoundOrigin,
+    (result, version): (&str, &str),
+) {
+    record!(
+        events::TAKEN_UP,
+        request = admitted.head.id.as_str(),
+        resumes = admitted.head.resumes.as_deref(),
+        last_event = admitted.head.last_event.as_deref(),
+        result = result,
+        version = version,
+        by_record = found.by_record,
+        asked = found.asked,
+        answered = found.answered,
+        up_ms = front.clock.now().as_millis() as u64,
+    );
+}
