Conclude a stream's version only from records that the store keeps

Callers saw answers of 200 whose text was joined from two software versions: all VMs had ended at once while a release was on, only upstreams of the new version were left, and a VM that had just started took their streams up there.

Cause: OriginSearch took the only version that VMs had seen for the only one that had served. A VM without history has seen what is there now, and after all have ended there is none with history: not knowing was taken for knowing.

Change: the store keeps a record for each service and version, written when its first upstream appears and removed ten minutes after its last one has left. The first event of a version waits for the record (half a second at most, once) if its caller may return. A VM concludes only if the records, read after the caller asked, name one version; what VMs have seen can only add versions. Streams whose callers may return are always told to four VMs, so that fewer have to be concluded.

Tests replaced by stricter ones: any_stream_is_taken_up_where_only_one_version_has_served asked for the fault; the return now needs the record, and another test refuses without it. a_vm_that_may_be_partitioned_needs_an_answer_from_another_domain accepted the word of one remote VM; the_only_version_that_vms_have_seen_is_not_enough accepts no VM's. The census is tested with the time for which it remembers instead of one that its caller names.

--- a/trouttrack_core/src/versions/mod.rs
+++ b/trouttrack_core/src/versions/mod.rs
@@ -1,16 +1,18 @@
 //! Which version of an upstream's software began a stream.
 //!
 //! What two versions write does not fit together, so a stream may go on only at the version that
-//! began it, also when its caller returns to another VM. A VM knows the streams that it began. While
-//! a service has upstreams of several versions, it tells each stream to a few other VMs
-//! ([`StreamTable`]). A VM to which a caller returns asks these, and decides by their answers and by
-//! the versions that have served lately ([`OriginSearch`], [`VersionCensus`]).
+//! began it, also when its caller returns to another VM. A VM knows the streams that it began, and
+//! tells each to a few other VMs ([`StreamTable`]). A VM to which a caller returns asks these. If
+//! none of them knows the stream, it decides by the versions that have served lately
+//! ([`OriginSearch`]): those that VMs have seen ([`VersionCensus`]) and those that the store has
+//! recorded. No event of a version is forwarded to a caller that may return before the store has the
+//! version's record, so a stream of a version without a record is resumed by nobody.
 
 mod census;
 mod search;
 mod streams;
 
-pub use census::VersionCensus;
+pub use census::{VERSION_MEMORY, VersionCensus};
 pub use search::{OriginAnswer, OriginSearch, Resolution};
 pub use streams::{StreamOrigin, StreamTable, TOLD_VMS};
 
--- a/trouttrack_core/src/versions/search.rs
+++ b/trouttrack_core/src/versions/search.rs
@@ -1,4 +1,4 @@
-//! Finds out which version began a stream, from the answers of other VMs.
+//! Finds out which version began a stream, from the answers of other VMs and the store's records.
 
 use crate::OriginId;
 use serde::{Deserialize, Serialize};
@@ -9,7 +9,7 @@
 pub struct OriginAnswer {
     /// The version that began it.
     pub origin: Option<OriginId>,
-    /// The versions that have served within the time in which it may have begun.
+    /// The versions that the VM has seen serve lately.
     pub served: Vec<OriginId>,
 }
 
@@ -18,61 +18,60 @@
 pub enum Resolution {
     /// The version that began the stream, or the only one that can have.
     Known(OriginId),
-    /// Several versions may have begun it, or this VM may not have heard of one.
+    /// Several versions may have begun it, or it is not known which have served.
     Unknown,
 }
 
 /// Collects the answers of the VMs that were asked.
 ///
-/// A VM that is partitioned may not have heard of a version. If it does not hear from the store, it
-/// takes the only version that it knows for the only one there is only if a VM of another failure
-/// domain knows no other.
+/// VMs that have seen one version prove nothing: they may have started since another one left, or
+/// may be partitioned. Only the records that the store keeps show that there was no other.
 ///
 /// # Examples
 ///
 /// ```
 /// use trouttrack_core::versions::{OriginAnswer, OriginSearch, Resolution};
-/// let mut search = OriginSearch::new([1], 1, true);
+/// let mut search = OriginSearch::new([1], 1);
+/// search.record(&OriginAnswer { origin: None, served: vec![1] });
 /// assert_eq!(search.resolution(), Resolution::Unknown);
-/// search.record(&OriginAnswer { origin: None, served: vec![1] }, true);
+/// assert!(search.needs_records());
+/// search.add_recorded([1]);
 /// assert_eq!(search.resolution(), Resolution::Known(1));
-/// search.record(&OriginAnswer { origin: None, served: vec![2] }, true);
-/// assert_eq!(search.resolution(), Resolution::Unknown);
-/// search.record(&OriginAnswer { origin: Some(2), served: vec![1, 2] }, false);
-/// assert_eq!(search.resolution(), Resolution::Known(2));
 /// ```
 #[derive(Clone, Debug)]
 pub struct OriginSearch {
     found: Option<OriginId>,
     served: BTreeSet<OriginId>,
     unanswered: usize,
-    /// Whether a VM has to answer that cannot be partitioned together with this one.
-    needs_witness: bool,
+    /// Whether all versions that may have begun the stream are in `served`.
+    is_exhaustive: bool,
 }
 
 impl OriginSearch {
     /// A search that begins with the versions that this VM knows and asks so many VMs.
-    /// `needs_witness` tells whether this VM may be partitioned.
     #[must_use]
-    pub fn new(
-        served: impl IntoIterator<Item = OriginId>,
-        asked: usize,
-        needs_witness: bool,
-    ) -> Self {
+    pub fn new(served: impl IntoIterator<Item = OriginId>, asked: usize) -> Self {
         Self {
             found: None,
             served: served.into_iter().collect(),
             unanswered: asked,
-            needs_witness,
+            is_exhaustive: false,
         }
     }
 
-    /// Adds the answer of a VM. `is_remote` tells whether it is in another failure domain.
-    pub fn record(&mut self, answer: &OriginAnswer, is_remote: bool) {
+    /// Adds the answer of a VM.
+    pub fn record(&mut self, answer: &OriginAnswer) {
         self.unanswered = self.unanswered.saturating_sub(1);
         self.found = self.found.or(answer.origin);
         self.served.extend(&answer.served);
-        self.needs_witness &= !is_remote;
+    }
+
+    /// Adds the versions that the store has recorded, read after the search began.
+    pub fn add_recorded(&mut self, recorded: impl IntoIterator<Item = OriginId>) {
+        let recorded: Vec<OriginId> = recorded.into_iter().collect();
+        // Without any record, nobody has begun to keep them.
+        self.is_exhaustive = !recorded.is_empty();
+        self.served.extend(recorded);
     }
 
     /// Whether no further answer can change the resolution, or all have come.
@@ -87,12 +86,18 @@
         self.found.is_some()
     }
 
-    /// What the answers so far show.
+    /// Whether the store's records decide. They add versions and rule none out.
+    #[must_use]
+    pub fn needs_records(&self) -> bool {
+        self.found.is_none() && self.served.len() < 2
+    }
+
+    /// What is shown so far.
     #[must_use]
     pub fn resolution(&self) -> Resolution {
         match (self.found, self.served.first()) {
             (Some(origin), _) => Resolution::Known(origin),
-            (None, Some(&only)) if self.served.len() == 1 && !self.needs_witness => {
+            (None, Some(&only)) if self.served.len() == 1 && self.is_exhaustive => {
                 Resolution::Known(only)
             }
             _ => Resolution::Unknown,
--- a/trouttrack_core/tests/core/origins.rs
+++ b/trouttrack_core/tests/core/origins.rs
@@ -2,14 +2,13 @@
 
 use std::time::Duration;
 use trouttrack_core::versions::{
-    OriginAnswer, OriginSearch, Resolution, StreamOrigin, StreamTable, VersionCensus,
+    OriginAnswer, OriginSearch, Resolution, StreamOrigin, StreamTable, VERSION_MEMORY,
+    VersionCensus,
 };
 
 const OLD: u64 = 1;
 const NEW: u64 = 2;
 const SERVICE: &str = "s";
-/// Longer than a stream lasts.
-const WITHIN: Duration = Duration::from_secs(40);
 
 fn at(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -24,11 +23,12 @@
 
 #[test]
 fn a_vm_that_knows_the_stream_decides() {
-    let mut search = OriginSearch::new([NEW], 3, true);
-    search.record(&answer(None, &[OLD, NEW]), true);
+    let mut search = OriginSearch::new([NEW], 3);
+    search.record(&answer(None, &[OLD, NEW]));
     assert!(!search.is_complete());
-    search.record(&answer(Some(OLD), &[NEW]), false);
+    search.record(&answer(Some(OLD), &[NEW]));
     assert!(search.is_complete());
+    assert!(!search.needs_records());
     assert_eq!(search.resolution(), Resolution::Known(OLD));
 }
 
@@ -36,31 +36,42 @@
 /// other one was replaced.
 #[test]
 fn a_version_that_only_a_peer_remembers_counts() {
-    let mut search = OriginSearch::new([NEW], 2, false);
-    search.record(&answer(None, &[OLD, NEW]), false);
-    search.record(&answer(None, &[NEW]), true);
+    let mut search = OriginSearch::new([NEW], 2);
+    search.record(&answer(None, &[OLD, NEW]));
+    search.record(&answer(None, &[NEW]));
     assert!(search.is_complete());
+    assert!(!search.needs_records());
+    search.add_recorded([NEW]);
     assert_eq!(search.resolution(), Resolution::Unknown);
 }
 
-/// Guards against a failure domain that is cut off and has not heard of a new version.
+/// Guards against VMs that have not heard of a version, because they have started since or are cut
+/// off, and take the one that they know for the only one.
 #[test]
-fn a_vm_that_may_be_partitioned_needs_an_answer_from_another_domain() {
-    for (needs_witness, is_remote, expected) in [
-        (false, false, Resolution::Known(OLD)),
-        (true, false, Resolution::Unknown),
-        (true, true, Resolution::Known(OLD)),
-    ] {
-        let mut search = OriginSearch::new([OLD], 2, needs_witness);
-        search.record(&answer(None, &[OLD]), is_remote);
-        assert!(!search.is_complete());
-        assert_eq!(search.resolution(), expected, "{needs_witness} {is_remote}");
+fn the_only_version_that_vms_have_seen_is_not_enough() {
+    for answers in 0..4 {
+        let mut search = OriginSearch::new([OLD], answers);
+        for _ in 0..answers {
+            search.record(&answer(None, &[OLD]));
+        }
+        assert!(search.needs_records());
+        assert_eq!(search.resolution(), Resolution::Unknown, "{answers}");
+        for (recorded, expected) in [
+            (&[][..], Resolution::Unknown),
+            (&[NEW], Resolution::Unknown),
+            (&[OLD, NEW], Resolution::Unknown),
+            (&[OLD], Resolution::Known(OLD)),
+        ] {
+            let mut search = search.clone();
+            search.add_recorded(recorded.iter().copied());
+            assert_eq!(search.resolution(), expected, "{answers} {recorded:?}");
+        }
     }
 }
 
 #[test]
 fn a_service_without_upstreams_has_begun_nothing() {
-    let search = OriginSearch::new([], 0, false);
+    let search = OriginSearch::new([], 0);
     assert_eq!(search.resolution(), Resolution::Unknown);
 }
 
@@ -72,15 +83,33 @@
     census.add(SERVICE, NEW);
     census.remove(at(10), SERVICE, OLD);
     census.remove(at(20), SERVICE, OLD);
-    let served = |now| {
-        let mut served: Vec<_> = census.served(now, SERVICE, WITHIN).collect();
+    let served = |census: &VersionCensus| {
+        let mut served: Vec<_> = census.served(SERVICE).collect();
         served.sort_unstable();
         served
     };
-    assert_eq!(served(at(59)), [OLD, NEW]);
-    assert_eq!(served(at(60)), [NEW]);
-    assert!(census.mixed(at(59), WITHIN).contains(SERVICE));
-    assert!(census.mixed(at(60), WITHIN).is_empty());
+    let expires = at(20) + VERSION_MEMORY;
+    assert!(census.expire(expires - at(1)).is_empty());
+    assert_eq!(served(&census), [OLD, NEW]);
+    assert_eq!(census.expire(expires), [OLD]);
+    assert_eq!(served(&census), [NEW]);
+}
+
+/// Guards against a record of a version without upstreams that a VM which has just started takes
+/// for an old one.
+#[test]
+fn a_recorded_version_counts_from_when_it_is_read() {
+    let mut census = VersionCensus::default();
+    census.add_recorded(at(5), SERVICE, OLD);
+    census.add_recorded(at(50), SERVICE, OLD);
+    assert_eq!(census.served(SERVICE).collect::<Vec<_>>(), [OLD]);
+    let expires = at(5) + VERSION_MEMORY;
+    assert!(census.expire(expires - at(1)).is_empty());
+    // A record read again does not make it count for longer, upstreams do.
+    census.add(SERVICE, OLD);
+    assert!(census.expire(expires).is_empty());
+    census.remove(expires, SERVICE, OLD);
+    assert_eq!(census.expire(expires + VERSION_MEMORY), [OLD]);
 }
 
 #[test]
--- a/trouttrack_front/src/follow/mod.rs
+++ b/trouttrack_front/src/follow/mod.rs
@@ -18,6 +18,7 @@
 mod kind;
 mod self_reports;
 mod upstreams;
+mod versions;
 mod vms;
 
 pub(crate) use config::apply_revision as apply_config;
@@ -25,6 +26,8 @@
 pub(crate) use self_reports::{receive_answer, receive_limits, receive_report};
 pub(crate) use upstreams::{UpdateResult, apply_update};
 
+pub(crate) use versions::{LatestRead, recorded_versions};
+
 use crate::state::Front;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -38,6 +41,7 @@
     let evacuations = evacuations::EvacuationFollower::new(Rc::clone(front));
     actix_rt::spawn(kind::follow(Rc::clone(front), evacuations));
     actix_rt::spawn(holds::sync(Rc::clone(front)));
+    actix_rt::spawn(versions::sync(Rc::clone(front)));
     actix_rt::spawn(vms::announce(Rc::clone(front), own));
     actix_rt::spawn(vms::list(Rc::clone(front)));
     actix_rt::spawn(upstreams::expire(Rc::clone(front)));
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -316,7 +316,6 @@
         }
     }
     if !changes.is_empty() {
-        front.origins.refresh();
         front.scheduler.upstreams_changed();
     }
 }
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -85,7 +85,7 @@
         front.scheduler.set_fleet_size(front.peers.listed());
     }
     front.quarantine.expire();
-    front.origins.refresh();
+    front.origins.expire();
     front.metrics.held.set(front.quarantine.held() as i64);
     front
         .metrics
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -67,7 +67,7 @@
     pub(super) stream: StreamKey,
     /// The services that may have begun it.
     pub(super) services: Vec<ServiceId>,
-    /// Time within which it began, in milliseconds.
+    /// Time within which it began, in milliseconds; for VMs of earlier versions.
     pub(super) within_ms: u64,
 }
 
--- a/trouttrack_front/src/peers/mod.rs
+++ b/trouttrack_front/src/peers/mod.rs
@@ -13,7 +13,8 @@
 //!   next heartbeat and asks a VM that has it, or the store as a last resort.
 //! - A configuration is requested from a VM that has it (`config`), as is a confirmation
 //!   that it is current (`confirm`).
-//! - The software versions that began streams are told while there are several (`origins`).
+//! - The software versions that began streams are told, and asked for when callers return
+//!   (`origins`).
 //! - A starting VM fetches all upstreams from a peer that has them (`transfer`).
 //!
 //! `tarpc` is not used: it would keep a connection for each pair of VMs and wait for
--- a/trouttrack_front/src/peers/origins.rs
+++ b/trouttrack_front/src/peers/origins.rs
@@ -1,26 +1,25 @@
 //! Exchange, between VMs, of the software versions that began streams.
 //!
 //! A caller that lost its connection returns to any VM, often because the one that it asked before
-//! has ended. While a service has upstreams of several versions, each stream is therefore told to a
-//! few VMs as it begins, and the running ones when the second version appears. A VM to which a
-//! caller returns asks these VMs, and others of the fleet, which versions have served.
+//! has ended. Each stream whose caller may return is therefore told to a few VMs as it begins. A VM
+//! to which a caller returns asks these VMs and others of the fleet, and if none of them knows the
+//! stream, reads from the store which versions have served.
 
 use super::message::{Datagram, OriginQuestion};
 use super::post::{post, post_to_all};
+use crate::follow::recorded_versions;
 use crate::state::Front;
-use rand::seq::SliceRandom;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, timeout_at};
 use trouttrack_core::quarantine::record_holders;
-use trouttrack_core::versions::{OriginSearch, Resolution, StreamOrigin, TOLD_VMS, stream_key};
+use trouttrack_core::versions::{
+    OriginSearch, Resolution, StreamOrigin, TOLD_VMS, VERSION_MEMORY, stream_key,
+};
 use trouttrack_core::{Fingerprint, ServiceId, StreamKey};
 
-/// VMs of other failure domains that are asked besides those that were told. One of them answers
-/// if this VM is not partitioned from them.
-const WITNESSES: usize = 2;
 /// Time for answers: several round trips between failure domains.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
 /// Time after which VMs that have not answered are asked again, as datagrams may be lost.
@@ -67,15 +66,14 @@
     pub(crate) answered: usize,
 }
 
-/// Finds out which version began a stream of one of these services within a time.
+/// Finds out which version began a stream of one of these services.
 pub(crate) async fn find_origin(
     front: &Front,
     first_attempt: &str,
     services: &[ServiceId],
-    within: Duration,
 ) -> FoundOrigin {
     let stream = stream_key(first_attempt);
-    let own = front.origins.answer(stream, services, within);
+    let own = front.origins.answer(stream, services);
     if let Some(origin) = own.origin {
         return FoundOrigin {
             resolution: Resolution::Known(origin),
@@ -84,9 +82,10 @@
             answered: 0,
         };
     }
-    let mut unanswered = vms_to_ask(front, stream);
+    let others = front.peers.others();
+    let mut unanswered = told_vms(stream, &others);
     let asked = unanswered.len();
-    let mut search = OriginSearch::new(own.served, asked, front.store_is_silent());
+    let mut search = OriginSearch::new(own.served, asked);
     let found = |search: &OriginSearch, unanswered: usize| FoundOrigin {
         resolution: search.resolution(),
         by_record: search.is_recorded(),
@@ -101,7 +100,7 @@
         number,
         stream,
         services: services.to_vec(),
-        within_ms: within.as_millis() as u64,
+        within_ms: VERSION_MEMORY.as_millis() as u64,
     });
     let deadline = Instant::now() + ANSWER_TIMEOUT;
     while !search.is_complete() && Instant::now() < deadline {
@@ -111,36 +110,21 @@
             && let Ok(Some((from, answer))) = timeout_at(repeat_at, answers.recv()).await
         {
             if let Some(at) = unanswered.iter().position(|(_, addr)| *addr == from) {
-                let (name, _) = unanswered.swap_remove(at);
-                search.record(&answer, is_remote(front, &name));
+                unanswered.swap_remove(at);
+                search.record(&answer);
             }
         }
     }
+    if search.needs_records()
+        && let Some(recorded) = recorded_versions(front, services).await
+    {
+        search.add_recorded(recorded);
+    }
     found(&search, unanswered.len())
 }
 
-fn is_remote(front: &Front, name: &str) -> bool {
-    !front.peers.is_in(name, &front.failure_domain)
-}
-
-/// The VMs to which the stream was told, if it was, and some of other failure domains.
-fn vms_to_ask(front: &Front, stream: StreamKey) -> Vec<Vm> {
-    let others = front.peers.others();
-    let mut asked: Vec<Vm> = told_vms(stream, &others).into_iter().cloned().collect();
-    let mut witnesses: Vec<Vm> = others
-        .iter()
-        .filter(|(name, _)| is_remote(front, name))
-        .filter(|vm| !asked.contains(vm))
-        .cloned()
-        .collect();
-    witnesses.shuffle(&mut rand::rng());
-    asked.extend(witnesses.into_iter().take(WITNESSES));
-    asked
-}
-
 /// Replies to a question.
 pub(super) fn answer(front: &Front, socket: &UdpSocket, from: SocketAddr, q: &OriginQuestion) {
-    let within = Duration::from_millis(q.within_ms);
-    let answer = front.origins.answer(q.stream, &q.services, within);
+    let answer = front.origins.answer(q.stream, &q.services);
     post(socket, &Datagram::Origin(q.number, answer), from);
 }
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use trouttrack_core::request::Failure;
 use trouttrack_core::upstream::RateSample;
+use trouttrack_core::versions::origin_id;
 
 /// Time limit for the last events of a stopped generation. Its stream is closed before the
 /// copy command is answered, so they are already on their way.
@@ -141,19 +142,19 @@
 
     /// Sends bytes to the caller, preceded by the head if they are the first.
     async fn send_to_caller(&mut self, source: &Source, bytes: Bytes) -> Result<(), AttemptError> {
+        self.bind_version(source).await;
         self.output
             .send_head(self.head.as_ref().unwrap_or(&source.head), source.framed);
         self.mark_first_event();
-        self.record_origin(source);
         let sent_at = self.front.clock.now();
         let sent = self.output.send_chunk(bytes).await;
         self.pace.caller_waited(sent_at, self.front.clock.now());
         sent.map_err(|_| AttemptError::Finished(self.disconnected()))
     }
 
-    /// Binds the stream to the version that brings its first event, and records that for callers
-    /// that return.
-    fn record_origin(&mut self, source: &Source) {
+    /// Binds the stream to the version that brings its first event. If its caller may return, the
+    /// version is recorded first, so that every VM that the caller may reach knows of it.
+    async fn bind_version(&mut self, source: &Source) {
         if self.origin_recorded || self.reader.events() == 0 {
             return;
         }
@@ -166,13 +167,13 @@
             (None, _) => Some(&head.id),
             (Some(_), resumes) => resumes.as_ref(),
         };
-        if let Some(first_attempt) = first_attempt.filter(|id| !id.is_empty()) {
-            self.front.origins.record(
-                first_attempt,
-                (&self.service, version),
-                admitted.deadline,
-                admitted.route.timeout,
-            );
+        let first_attempt = first_attempt.filter(|id| !id.is_empty());
+        if let Some(first_attempt) = first_attempt
+            && admitted.route.kind.repeatable()
+        {
+            let (origins, origin) = (&self.front.origins, origin_id(&self.service, version));
+            origins.record(first_attempt, origin, admitted.deadline);
+            origins.versions.recorded(origin).await;
         }
     }
 
--- a/trouttrack_front/src/request/stream/resume.rs
+++ b/trouttrack_front/src/request/stream/resume.rs
@@ -34,7 +34,7 @@
     }
     let services: Vec<ServiceId> = route.shares.iter().map(|s| s.service.clone()).collect();
     let first_attempt = admitted.head.resumes.as_deref().unwrap_or_default();
-    let found = find_origin(front, first_attempt, &services, route.timeout).await;
+    let found = find_origin(front, first_attempt, &services).await;
     let begun_by = |origin: OriginId| {
         front.upstreams.find_version(|u| {
             services.contains(&u.service) && origin_id(&u.service, u.version()) == origin
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -11,6 +11,7 @@
 use super::scheduler::Scheduler;
 use super::store_contact::StoreContact;
 use super::upstreams::Upstreams;
+use crate::follow::LatestRead;
 use crate::metrics::Metrics;
 use crate::peers::{EntryUpdate, PeerTable, UpdateHistory};
 use crate::relay::{Paths, PeerRelay, Routed, UpstreamClient};
@@ -19,7 +20,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{Mutex, mpsc};
 use trouttrack_config::settings::{FrontSettings, ServingSettings};
 use trouttrack_core::fleet::idle_share;
 use trouttrack_core::membership::{Conditions, Evacuations, MAX_CONTACT_PAUSE};
@@ -76,6 +77,8 @@
     pub routing: Routing,
     /// Which software version began which stream.
     pub origins: Rc<Origins>,
+    /// The versions that the store had recorded when it was asked last.
+    pub(crate) version_read: Mutex<LatestRead>,
     /// The upstreams.
     pub upstreams: Rc<Upstreams>,
     /// Places requests on upstreams.
@@ -153,6 +156,7 @@
             lifecycle: Rc::default(),
             routing: Routing::new(clock.clone(), &settings.bounds),
             origins,
+            version_read: Mutex::default(),
             upstreams,
             scheduler: Rc::new(Scheduler::new(clock.clone(), world_settings(settings))),
             peers,
--- a/trouttrack_front/src/state/mod.rs
+++ b/trouttrack_front/src/state/mod.rs
@@ -16,6 +16,7 @@
 mod ticket;
 mod upstream;
 mod upstreams;
+mod versions;
 
 pub use budgets::Budgets;
 pub use buffers::{Buffers, HeldBytes, ReaderEnded};
@@ -31,3 +32,4 @@
 pub use ticket::Ticket;
 pub use upstream::Upstream;
 pub use upstreams::{Seen, Upstreams};
+pub use versions::Versions;
--- a/trouttrack_front/src/state/origins.rs
+++ b/trouttrack_front/src/state/origins.rs
@@ -1,14 +1,13 @@
 //! Which software version began which stream, as far as this VM knows.
 
 use super::clock::Clock;
+use super::versions::Versions;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc};
-use trouttrack_core::versions::{
-    OriginAnswer, StreamOrigin, StreamTable, VersionCensus, origin_id, stream_key,
-};
+use trouttrack_core::versions::{OriginAnswer, StreamOrigin, StreamTable, stream_key};
 use trouttrack_core::{OriginId, ServiceId, StreamKey, Time};
 
 /// Time for which a caller may still return after its own deadline, by another clock.
@@ -20,12 +19,9 @@
 #[derive(Debug)]
 pub struct Origins {
     clock: Clock,
+    /// The versions that have upstreams.
+    pub(crate) versions: Versions,
     streams: RefCell<StreamTable>,
-    census: RefCell<VersionCensus>,
-    /// Services that had upstreams of several versions when their streams were told last.
-    mixed: RefCell<BTreeSet<ServiceId>>,
-    /// The longest time for which a stream lasts.
-    longest: Cell<Duration>,
     pending: RefCell<Vec<StreamKey>>,
     pending_changed: Notify,
     /// Questions that wait for answers, by number.
@@ -38,11 +34,9 @@
     #[must_use]
     pub fn new(clock: Clock) -> Self {
         Self {
+            versions: Versions::new(clock.clone()),
             clock,
             streams: RefCell::default(),
-            census: RefCell::default(),
-            mixed: RefCell::default(),
-            longest: Cell::default(),
             pending: RefCell::default(),
             pending_changed: Notify::new(),
             questions: RefCell::default(),
@@ -50,53 +44,19 @@
         }
     }
 
-    /// Counts an upstream of a service.
-    pub(super) fn add(&self, service: &str, version: &str) {
-        let mut census = self.census.borrow_mut();
-        census.add(service, origin_id(service, version));
-    }
-
-    /// Takes an upstream of a service out of the count.
-    pub(super) fn remove(&self, service: &str, version: &str) {
-        let mut census = self.census.borrow_mut();
-        census.remove(self.clock.now(), service, origin_id(service, version));
-    }
-
-    /// Tells the streams of services whose upstreams have come to be of several versions, and
-    /// drops old streams.
-    pub(crate) fn refresh(&self) {
-        let now = self.clock.now();
-        self.streams.borrow_mut().expire(now);
-        let census = self.census.borrow();
-        let mixed = census.mixed(now, self.longest.get());
-        let before = self.mixed.replace(mixed.clone());
-        let services = mixed.difference(&before);
-        let origins: BTreeSet<OriginId> = services
-            .flat_map(|service| census.served(now, service, self.longest.get()))
-            .collect();
-        if !origins.is_empty() {
-            let streams = self.streams.borrow();
-            self.tell(streams.own(now, |origin| origins.contains(&origin)));
-        }
+    /// Drops the streams whose callers cannot return any more.
+    pub(crate) fn expire(&self) {
+        self.streams.borrow_mut().expire(self.clock.now());
     }
 
     /// Records that this VM forwards events of a stream that a version of a service began, and
-    /// whose caller returns until `deadline` at the latest. Streams of its route last for
-    /// `timeout` at most.
-    pub(crate) fn record(
-        &self,
-        first_attempt: &str,
-        (service, version): (&str, &str),
-        deadline: Time,
-        timeout: Duration,
-    ) {
-        let now = self.clock.now();
-        self.longest.set(self.longest.get().max(timeout));
-        let (stream, origin) = (stream_key(first_attempt), origin_id(service, version));
+    /// whose caller returns until `deadline` at the latest. Other VMs are told if it is new.
+    pub(crate) fn record(&self, first_attempt: &str, origin: OriginId, deadline: Time) {
+        let stream = stream_key(first_attempt);
         let mut streams = self.streams.borrow_mut();
-        let is_new = streams.record_own(stream, origin, deadline + RETURN_MARGIN);
-        if is_new && self.census.borrow().is_mixed(now, service, timeout) {
-            self.tell(vec![stream]);
+        if streams.record_own(stream, origin, deadline + RETURN_MARGIN) {
+            self.pending.borrow_mut().push(stream);
+            self.pending_changed.notify_one();
         }
     }
 
@@ -107,19 +67,12 @@
         told.iter().for_each(|told| streams.record_told(now, told));
     }
 
-    /// What this VM knows of a stream that one of these services began within a time.
+    /// What this VM knows of a stream that one of these services began.
     #[must_use]
-    pub(crate) fn answer(
-        &self,
-        stream: StreamKey,
-        services: &[ServiceId],
-        within: Duration,
-    ) -> OriginAnswer {
-        let now = self.clock.now();
-        let census = self.census.borrow();
-        let served = services.iter().flat_map(|s| census.served(now, s, within));
+    pub(crate) fn answer(&self, stream: StreamKey, services: &[ServiceId]) -> OriginAnswer {
+        let served = services.iter().flat_map(|s| self.versions.served(s));
         OriginAnswer {
-            origin: self.streams.borrow().origin(now, stream),
+            origin: self.streams.borrow().origin(self.clock.now(), stream),
             served: served.collect(),
         }
     }
@@ -143,13 +96,6 @@
         }
     }
 
-    fn tell(&self, streams: Vec<StreamKey>) {
-        if !streams.is_empty() {
-            self.pending.borrow_mut().extend(streams);
-            self.pending_changed.notify_one();
-        }
-    }
-
     /// Waits until streams have to be told to other VMs.
     pub(crate) async fn changes_pending(&self) {
         self.pending_changed.notified().await;
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -267,20 +267,22 @@
         if upstream.learn_version(version)
             && let Some(origins) = &self.origins
         {
-            origins.remove(&upstream.service, &before);
+            origins.versions.remove(&upstream.service, &before);
             self.count(upstream);
         }
     }
 
     fn count(&self, upstream: &Upstream) {
         if let Some(origins) = &self.origins {
-            origins.add(&upstream.service, upstream.version());
+            origins.versions.add(&upstream.service, upstream.version());
         }
     }
 
     fn uncount(&self, upstream: &Upstream) {
         if let Some(origins) = &self.origins {
-            origins.remove(&upstream.service, upstream.version());
+            origins
+                .versions
+                .remove(&upstream.service, upstream.version());
         }
     }
 
--- a/trouttrack_front/tests/front/versions.rs
+++ b/trouttrack_front/tests/front/versions.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 use trouttrack_front::app::{Running, start};
-use trouttrack_platform_standin::{Behaviour, CallerRequest, Reply, Store, Upstream};
+use trouttrack_platform_standin::{Behaviour, CallerRequest, Reply, Store, StoreFault, Upstream};
 
 /// Events of a complete stream.
 const EVENTS: u64 = 10;
@@ -231,15 +231,139 @@
     assert!(bed.ran("unnamed").is_empty());
 }
 
-/// Guards against refusals where nothing can be mixed.
+/// Guards against refusals where nothing can be mixed: the store's records show that no other
+/// version has served.
 #[actix_rt::test]
-async fn any_stream_is_taken_up_where_only_one_version_has_served() {
+async fn any_stream_is_taken_up_where_only_one_version_is_recorded() {
     let bed = bed_of(&["v1", "v1"], "").await;
+    recorded(&bed.store, &["v1"]).await;
     let reply = bed.send(&returns("again", "of-another-time")).await;
     assert_eq!(reply.status, 200);
     assert_eq!(reply.text(), rest_of("again"));
 }
 
+/// Guards against a VM that takes the only version it has seen for the only one that served: the
+/// store does not tell it which have.
+#[actix_rt::test]
+async fn a_stream_is_not_taken_up_while_the_records_cannot_be_read() {
+    let bed = bed_of(&["v1", "v1"], "").await;
+    recorded(&bed.store, &["v1"]).await;
+    for fault in [StoreFault::Refuse, StoreFault::Silent, StoreFault::Reset] {
+        bed.store.set_fault(fault);
+        let id = format!("{fault:?}");
+        let reply = bed.send(&returns(&id, "of-another-time")).await;
+        assert_eq!(reply.status, 503, "{id}");
+        assert!(reply.retry_after.is_some(), "{id}");
+        assert!(bed.ran(&id).is_empty(), "{id}");
+    }
+}
+
+/// Waits until the store has recorded just these versions of the engines.
+async fn recorded(store: &Store, versions: &[&str]) {
+    let versions: BTreeSet<_> = versions
+        .iter()
+        .map(|v| (ENGINES.to_owned(), (*v).to_owned()))
+        .collect();
+    until("the versions are recorded", || {
+        let recorded = store.recorded_versions().into_iter();
+        recorded.collect::<BTreeSet<_>>() == versions
+    })
+    .await;
+}
+
+/// Starts a VM after all of the bed's have ended, when upstreams of other versions have replaced
+/// the bed's.
+async fn after_all_vms_ended(bed: &Bed, versions: &[&str]) -> Bed {
+    let store = bed.store.without_vms().await;
+    for upstream in &bed.upstreams {
+        store.remove_upstream(&upstream.id);
+    }
+    let mut upstreams = Vec::new();
+    for (n, version) in versions.iter().enumerate() {
+        let mut upstream = Upstream::start(&format!("n{n}"), ENGINES, "a").await;
+        upstream.version = (*version).to_owned();
+        upstream.always(Behaviour::Stream(EVENTS));
+        store.put_upstream(&upstream, false);
+        upstreams.push(upstream);
+    }
+    let front = start(&settings(&store, "front-9", "")).await;
+    let bed = Bed {
+        store,
+        upstreams,
+        front: front.expect("the front starts"),
+    };
+    bed.ready().await;
+    until("the upstreams are known", || knows_all(&bed, &bed.front)).await;
+    bed
+}
+
+/// Guards against a stream that is joined from two versions after all VMs have ended: those that
+/// start have seen only the version that has replaced the one that began it.
+#[actix_rt::test]
+async fn a_vm_started_after_all_were_killed_does_not_resume_at_the_version_it_sees() {
+    let before = bed_of(&["v1"], "").await;
+    assert!(before.send(&long("r1", "resume")).await.whole);
+    for versions in [&["v2"][..], &["v2", "v2"], &["v1", "v2"]] {
+        let bed = after_all_vms_ended(&before, versions).await;
+        let reply = bed.send(&returns("again", "r1")).await;
+        assert_eq!(reply.status, 503, "{versions:?}");
+        assert!(reply.retry_after.is_some(), "{versions:?}");
+        assert!(bed.ran("again").is_empty(), "{versions:?}");
+        // New streams begin there.
+        assert!(bed.send(&long("new", "resume")).await.whole);
+    }
+}
+
+/// Guards against refusals after all VMs have ended where no second version has served.
+#[actix_rt::test]
+async fn a_vm_started_after_all_were_killed_resumes_at_the_only_recorded_version() {
+    let before = bed_of(&["v1"], "").await;
+    assert!(before.send(&long("r1", "resume")).await.whole);
+    let bed = after_all_vms_ended(&before, &["v1", "v1"]).await;
+    let reply = bed.send(&returns("again", "r1")).await;
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.text(), rest_of("again"));
+}
+
+/// Guards against streams that begin at a version of which the store has no record.
+#[actix_rt::test]
+async fn a_version_is_recorded_before_its_first_event_is_forwarded() {
+    let mut bed = bed_of(&["v1"], "").await;
+    for n in 2..6 {
+        let version = format!("v{n}");
+        let mut upstream = Upstream::start(&format!("u{n}"), ENGINES, "a").await;
+        upstream.version = version.clone();
+        upstream.always(Behaviour::Stream(EVENTS));
+        for before in &bed.upstreams {
+            bed.store.remove_upstream(&before.id);
+        }
+        bed.store.put_upstream(&upstream, false);
+        bed.upstreams = vec![upstream];
+        until("the upstream is known", || knows_all(&bed, &bed.front)).await;
+        until("the one before is gone", || {
+            bed.front
+                .front
+                .upstreams
+                .get(&format!("u{}", n - 1))
+                .is_none()
+        })
+        .await;
+        assert!(bed.send(&long(&version, "resume")).await.whole);
+        let recorded = bed.store.recorded_versions();
+        assert!(recorded.contains(&(ENGINES.to_owned(), version)));
+    }
+}
+
+/// Guards against records that a restore of the store has lost.
+#[actix_rt::test]
+async fn a_restored_store_gets_the_records_again() {
+    let bed = bed_of(&["v1"], "").await;
+    let backup = bed.store.backup();
+    recorded(&bed.store, &["v1"]).await;
+    bed.store.restore(&backup);
+    recorded(&bed.store, &["v1"]).await;
+}
+
 /// Guards against a version that is read from today's entry of an upstream that has restarted.
 #[actix_rt::test]
 async fn a_stream_does_not_go_on_at_a_later_incarnation_of_another_version() {
