A stopping VM tells what it knows of streams to other VMs

Callers of streams that outlast the grace of a stopping VM return, and were refused where two versions serve if the VMs had stopped in turn: a stream is told to four VMs as it begins, and each forgets it when it stops. A planned stop is to cut off nothing.

Change: a VM that begins to stop tells all streams that it knows, its own and those that it was told, to the four VMs that are next in line then.

Evidence: a_stopping_vm_hands_over_what_it_knows_of_streams fails without the call (no condition "it is handed over" within 20 s) and passes with it.

--- a/trouttrack_core/src/versions/streams.rs
+++ b/trouttrack_core/src/versions/streams.rs
@@ -94,7 +94,7 @@
         Some(row.origin)
     }
 
-    /// What is told of some streams of this VM.
+    /// What is told of some streams.
     #[must_use]
     pub fn told(&self, now: Time, streams: &[StreamKey]) -> Vec<StreamOrigin> {
         let known = streams.iter().filter_map(|stream| {
@@ -109,13 +109,11 @@
         known.collect()
     }
 
-    /// The streams of this VM that `f` selects by their version.
+    /// All streams whose callers may still return.
     #[must_use]
-    pub fn own(&self, now: Time, f: impl Fn(OriginId) -> bool) -> Vec<StreamKey> {
-        let own = self.rows.iter().filter(|(_, row)| row.own);
-        own.filter(|(_, row)| row.expires > now && f(row.origin))
-            .map(|(stream, _)| *stream)
-            .collect()
+    pub fn streams(&self, now: Time) -> Vec<StreamKey> {
+        let rows = self.rows.iter().filter(|(_, row)| row.expires > now);
+        rows.map(|(stream, _)| *stream).collect()
     }
 
     /// Number of streams.
--- a/trouttrack_core/tests/core/origins.rs
+++ b/trouttrack_core/tests/core/origins.rs
@@ -128,8 +128,10 @@
     assert_eq!(streams.origin(at(49), 7), Some(OLD));
     assert_eq!(streams.origin(at(12), 8), Some(NEW));
     assert_eq!(streams.origin(at(13), 8), None);
-    // Only its own streams are told on.
-    assert_eq!(streams.own(at(5), |_| true), [7]);
+    let mut kept = streams.streams(at(5));
+    kept.sort_unstable();
+    assert_eq!(kept, [7, 8]);
+    assert_eq!(streams.streams(at(13)), [7]);
     assert_eq!(streams.told(at(45), &[7])[0].left_ms, 5_000);
     streams.expire(at(50));
     assert!(streams.is_empty());
--- a/trouttrack_front/src/app/stop.rs
+++ b/trouttrack_front/src/app/stop.rs
@@ -20,6 +20,7 @@
     let began = front.clock.now();
     let ends_at = began + grace.saturating_sub(EXIT_RESERVE);
     front.lifecycle.stop(began, ends_at);
+    front.origins.hand_over();
     record!(
         events::STOPPING,
         in_flight = front.lifecycle.in_flight(),
--- a/trouttrack_front/src/state/origins.rs
+++ b/trouttrack_front/src/state/origins.rs
@@ -60,6 +60,22 @@
         }
     }
 
+    /// Tells all streams that this VM knows to other VMs, because it stops: those that were told
+    /// of them before may have stopped since.
+    pub(crate) fn hand_over(&self) {
+        let streams = self.streams.borrow().streams(self.clock.now());
+        self.pending.borrow_mut().extend(streams);
+        self.pending_changed.notify_one();
+    }
+
+    /// Whether this VM knows which version began the stream of this attempt.
+    #[must_use]
+    pub fn knows(&self, first_attempt: &str) -> bool {
+        let stream = stream_key(first_attempt);
+        let origin = self.streams.borrow().origin(self.clock.now(), stream);
+        origin.is_some()
+    }
+
     /// Records streams that another VM told of.
     pub(crate) fn record_told(&self, told: &[StreamOrigin]) {
         let now = self.clock.now();
--- a/trouttrack_front/tests/front/versions.rs
+++ b/trouttrack_front/tests/front/versions.rs
@@ -3,8 +3,9 @@
 
 use crate::support::{Bed, ENGINES, config, events, long, settings, until};
 use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::Duration;
-use trouttrack_front::app::{Running, start};
+use trouttrack_front::app::{Running, start, stop};
 use trouttrack_platform_standin::{Behaviour, CallerRequest, Reply, Store, StoreFault, Upstream};
 
 /// Events of a complete stream.
@@ -354,6 +355,22 @@
     }
 }
 
+/// Guards against a stream that nobody knows after VMs have stopped in turn: those that were told of it
+/// are not there any more.
+#[actix_rt::test]
+async fn a_stopping_vm_hands_over_what_it_knows_of_streams() {
+    let bed = bed_of(&["v1", "v2"], "").await;
+    let second = another_vm(&bed, "front-2").await;
+    assert!(bed.send(&long("r1", "resume")).await.whole);
+    until("it is told", || second.front.origins.knows("r1")).await;
+    // These VMs start when the stream has been told.
+    let third = another_vm(&bed, "front-3").await;
+    assert!(!third.front.origins.knows("r1"));
+    let stopping = Rc::clone(&second.front);
+    actix_rt::spawn(async move { stop(&stopping, Duration::from_secs(8)).await });
+    until("it is handed over", || third.front.origins.knows("r1")).await;
+}
+
 /// Guards against records that a restore of the store has lost.
 #[actix_rt::test]
 async fn a_restored_store_gets_the_records_again() {
