A VM without history spends no part of the retry budget that others may have spent

What callers and upstreams saw: after all VMs were killed several times within a budget window, the fleet sent more retries than its budget allows. A VM that could not list the VMs, and had heard of one peer, retried as if the two were the whole fleet.

Cause: not knowing taken for knowing, twice. SharedBudget took the first window for the only one cut short by a restart, so each start got another fifth of the extra. Front::divide took the VMs heard of so far for all VMs.

Change: in its first window a VM uses none of the extra, unless the store shows that it runs for the first time: its entry was created by the first call that wrote it, and the store was never restored. The VMs count as all known once a list that does not lag was read after the start; until then only the ratio allows retries, which needs neither a history nor the number of VMs.

storm_with_restarts_exceeds takes any number of restarts per VM; its old cases are as before. The bed of the front tests waits until the number of VMs is known, as it did, by the new name of that condition.

--- a/trouttrack_core/src/request/shared_budget.rs
+++ b/trouttrack_core/src/request/shared_budget.rs
@@ -3,9 +3,10 @@
 //! In a sliding window the fleet may make `ratio` retries per request plus `extra` retries.
 //! Each VM applies the ratio to its own requests and takes an equal part of the extra, so
 //! the total stays within the bound regardless of the other VMs and of network partitions.
-//! After a restart a VM does not know what it has spent before. In its first window it
-//! therefore uses only that part of the extra that the previous incarnation cannot have
-//! spent.
+//! After a restart a VM knows neither what it has spent before nor how often it was
+//! restarted within the window. In its first window it therefore uses none of the extra,
+//! unless it is known to run for the first time. The ratio needs no history, because the
+//! requests that allow its retries are this incarnation's own.
 
 use crate::Time;
 use std::collections::VecDeque;
@@ -53,9 +54,16 @@
 /// assert!(budget.try_retry(now, 8));
 /// assert!(budget.try_retry(now, 8));
 /// assert!(!budget.try_retry(now, 8));
-/// // The previous incarnation of a VM that has just started may have spent its part.
+/// // Previous incarnations of a VM that has just started may have spent its part. Its own
+/// // requests allow retries all the same.
 /// let mut budget = SharedBudget::new(0.2, 20.0, Duration::from_secs(10));
-/// assert!(!budget.try_retry(Duration::from_secs(1), 8));
+/// let now = Duration::from_secs(1);
+/// assert!(!budget.try_retry(now, 1));
+/// (0..10).for_each(|_| budget.first_attempt(now));
+/// assert!(budget.try_retry(now, 1));
+/// // A VM that runs for the first time has no previous incarnation.
+/// budget.set_unspent();
+/// assert!((0..16).all(|_| budget.try_retry(now, 1)));
 /// ```
 #[derive(Clone, Debug)]
 pub struct SharedBudget {
@@ -65,6 +73,8 @@
     first_attempts: Window,
     retries: Window,
     draw: RandomDraw,
+    /// Whether no previous incarnation of this VM can have spent anything.
+    is_unspent: bool,
 }
 
 /// Randomized rounding for VMs whose part of the budget is less than one retry: a VM may
@@ -93,7 +103,7 @@
 }
 
 impl SharedBudget {
-    /// Creates an unspent budget.
+    /// Creates the budget of a VM that may have run before.
     #[must_use]
     pub fn new(ratio: f64, extra: f64, window: Duration) -> Self {
         Self {
@@ -103,9 +113,15 @@
             first_attempts: Window::default(),
             retries: Window::default(),
             draw: RandomDraw::default(),
+            is_unspent: false,
         }
     }
 
+    /// Records that this VM runs for the first time: no previous incarnation has spent anything.
+    pub fn set_unspent(&mut self) {
+        self.is_unspent = true;
+    }
+
     /// Sets the seed of the randomized rounding, which must differ between VMs. It decides
     /// which VMs may make a retry if there are fewer retries than VMs.
     ///
@@ -135,18 +151,47 @@
     /// Takes one retry if the budget, shared by `vms` VMs, has one left. `now` is the time
     /// since the start of this VM.
     pub fn try_retry(&mut self, now: Time, vms: usize) -> bool {
-        let first = self.first_attempts.count(now, self.window) as f64;
-        let retries = self.retries.count(now, self.window) as f64;
         let vm_share = self.extra / vms.max(1) as f64;
-        let mut allowed = self.ratio * first * USED_SHARE + vm_share * self.extra_share(now);
+        let mut allowed = self.allowed_by_ratio(now) + vm_share * self.extra_share(now);
         if vm_share * USED_SHARE < 1.0 {
             allowed = self.round_randomly(now, allowed);
         }
-        if retries + 1.0 > allowed {
-            return false;
+        self.try_within(now, allowed)
+    }
+
+    /// As [`Self::try_retry`] while the number of VMs is unknown: only this VM's own requests
+    /// allow retries, because any assumed number would be too small for some fleet.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use trouttrack_core::request::SharedBudget;
+    /// let now = Duration::from_secs(10);
+    /// let mut budget = SharedBudget::new(0.2, 20.0, now);
+    /// assert!(!budget.try_retry_of_own(now));
+    /// (0..10).for_each(|_| budget.first_attempt(now));
+    /// assert!(budget.try_retry_of_own(now));
+    /// assert!(!budget.try_retry_of_own(now));
+    /// ```
+    pub fn try_retry_of_own(&mut self, now: Time) -> bool {
+        let allowed = self.allowed_by_ratio(now);
+        self.try_within(now, allowed)
+    }
+
+    fn allowed_by_ratio(&mut self, now: Time) -> f64 {
+        let first = self.first_attempts.count(now, self.window) as f64;
+        self.ratio * first * USED_SHARE
+    }
+
+    /// Takes one retry if fewer than `allowed` were made in the window.
+    fn try_within(&mut self, now: Time, allowed: f64) -> bool {
+        let retries = self.retries.count(now, self.window) as f64;
+        let is_allowed = retries + 1.0 <= allowed;
+        if is_allowed {
+            self.retries.add(now);
         }
-        self.retries.add(now);
-        true
+        is_allowed
     }
 
     /// Rounds to a whole number of retries whose mean over all VMs is `allowed`; in the first
@@ -160,12 +205,10 @@
         allowed.floor() + f64::from(u8::from(more))
     }
 
-    /// Share of the extra that may be used. In its first window a VM assumes that the
-    /// previous incarnation has spent all that it could. Without this, seven VMs killed
-    /// during a retry storm made 84 retries in a window with a bound of 54.
+    /// Share of the extra that may be used.
     fn extra_share(&self, now: Time) -> f64 {
-        match now < self.window {
-            true => 1.0 - USED_SHARE,
+        match now < self.window && !self.is_unspent {
+            true => 0.0,
             false => USED_SHARE,
         }
     }
--- a/trouttrack_core/tests/core/fleet_budget.rs
+++ b/trouttrack_core/tests/core/fleet_budget.rs
@@ -84,10 +84,10 @@
     assert!(!run_exceeds(&storm, 7));
 }
 
-/// Runs a retry storm in which every VM restarts once, VM n at `at_ms[n]` after its
-/// beginning. Returns whether the bound was exceeded, counting the retries from before the
-/// restarts.
-fn storm_with_restarts_exceeds(at_ms: [u64; 7], gap_ms: u64) -> bool {
+/// Runs a retry storm of 2,000 tries in which VM n restarts at the times `at_ms[n]` after its
+/// beginning, in order. Returns whether the bound was exceeded, counting the retries from before
+/// the restarts.
+fn storm_with_restarts_exceeds<const N: usize>(at_ms: [[u64; N]; 7], gap_ms: u64) -> bool {
     let mut budgets = vec![SharedBudget::new(RATIO, EXTRA, WINDOW); 7];
     let mut started = [Time::ZERO; 7];
     let (first, mut retries) = (Vec::new(), Vec::new());
@@ -95,10 +95,11 @@
     for n in 0..2_000 {
         let now = storm_begins + Duration::from_millis(gap_ms * n);
         let vm = n as usize % 7;
-        let restart_at = storm_begins + Duration::from_millis(at_ms[vm]);
-        if now >= restart_at && started[vm].is_zero() {
-            started[vm] = restart_at;
-            budgets[vm] = SharedBudget::new(RATIO, EXTRA, WINDOW);
+        for restart_at in at_ms[vm].map(|ms| storm_begins + Duration::from_millis(ms)) {
+            if now >= restart_at && started[vm] < restart_at {
+                started[vm] = restart_at;
+                budgets[vm] = SharedBudget::new(RATIO, EXTRA, WINDOW);
+            }
         }
         // The clock of a VM starts anew with each restart.
         if budgets[vm].try_retry(now - started[vm], 7) {
@@ -114,13 +115,32 @@
         at_ms in prop::array::uniform7(0u64..15_000),
         gap_ms in 1u64..20,
     ) {
+        prop_assert!(!storm_with_restarts_exceeds(at_ms.map(|at| [at]), gap_ms));
+    }
+
+    #[test]
+    fn retries_before_several_restarts_count(
+        mut at_ms in prop::array::uniform7(prop::array::uniform6(0u64..15_000)),
+        gap_ms in 1u64..20,
+    ) {
+        at_ms.iter_mut().for_each(|at| at.sort_unstable());
         prop_assert!(!storm_with_restarts_exceeds(at_ms, gap_ms));
     }
 }
 
 #[test]
 fn restarting_all_vms_in_a_storm_does_not_renew_the_budget() {
-    assert!(!storm_with_restarts_exceeds([2_000; 7], 2));
+    assert!(!storm_with_restarts_exceeds([[2_000]; 7], 2));
+}
+
+/// Guards against a VM that takes its first window for the only one cut short by a restart: each
+/// of several restarts within a window gave all VMs another part of the extra.
+#[test]
+fn restarting_all_vms_again_and_again_does_not_renew_the_budget() {
+    assert!(!storm_with_restarts_exceeds(
+        [[500, 1_200, 1_900, 2_600]; 7],
+        2
+    ));
 }
 
 /// Number of VMs of the largest fleet.
@@ -180,3 +200,26 @@
         );
     }
 }
+
+/// Guards against the same where a VM's part is less than one retry: each start draws anew.
+#[test]
+fn fractional_shares_stay_within_the_bound_after_several_fleet_restarts() {
+    for seed in 0..10 {
+        let spend = |life: u64, now: Time| {
+            let budget = |vm| {
+                SharedBudget::new(RATIO, LARGEST_FLEET_EXTRA, WINDOW)
+                    .seeded((8 * seed + life) << 32 | vm)
+            };
+            let mut budgets: Vec<SharedBudget> = (0..LARGEST_FLEET as u64).map(budget).collect();
+            let spends = |b: &mut SharedBudget| b.try_retry(now, LARGEST_FLEET);
+            budgets
+                .iter_mut()
+                .map(spends)
+                .filter(|spent| *spent)
+                .count()
+        };
+        let later: usize = (1..8).map(|life| spend(life, Duration::from_secs(1))).sum();
+        let all = spend(0, WINDOW) + later;
+        assert!(all as f64 <= LARGEST_FLEET_EXTRA, "seed {seed}: {all}");
+    }
+}
--- a/trouttrack_front/src/follow/holds.rs
+++ b/trouttrack_front/src/follow/holds.rs
@@ -70,10 +70,8 @@
         front.quarantine.counted_crashes(subject),
         &front.quarantine.needed_with(subject),
     );
-    front
-        .store
-        .put(Kind::Vms, &name, &entry, CALL_TIMEOUT)
-        .await
+    let put = front.store.put(Kind::Vms, &name, &entry, CALL_TIMEOUT);
+    put.await.map(|_created| ())
 }
 
 /// Restores a hold if the object is a hold rather than a VM entry. Returns whether it is
--- a/trouttrack_front/src/follow/vms.rs
+++ b/trouttrack_front/src/follow/vms.rs
@@ -40,23 +40,38 @@
         peers: own,
         failure_domain: front.failure_domain.clone(),
     };
+    let mut is_start = true;
     loop {
         // Read before the write: a restore during the call may lose the written entry.
         let epoch = front.store.epoch();
-        let mut backoff = Backoff::new();
-        while let Err(e) = front
-            .store
-            .put(Kind::Vms, &front.name, &entry, CALL_TIMEOUT)
-            .await
-        {
-            log::debug!("cannot write this VM's entry: {e}");
-            backoff.pause().await;
+        let created = write(&front, &entry).await;
+        if std::mem::take(&mut is_start) && created && !may_have_lost_entries(&front) {
+            front.budgets.set_first_run();
         }
         front.store_contact.restored_after(epoch).await;
         pause_after_restore(&front).await;
     }
 }
 
+/// Writes this VM's entry, and retries until the store accepts the call. Returns whether the first
+/// call has created it: a later one may find what a call without an answer has written.
+async fn write(front: &Front, entry: &VmEntry) -> bool {
+    let mut backoff = Backoff::new();
+    loop {
+        let put = front.store.put(Kind::Vms, &front.name, entry, CALL_TIMEOUT);
+        match put.await {
+            Ok(created) => return created,
+            Err(e) => log::debug!("cannot write this VM's entry: {e}"),
+        }
+        backoff.pause().await;
+    }
+}
+
+/// Whether the store was restored at any time, and may lack what this VM wrote when it ran before.
+fn may_have_lost_entries(front: &Front) -> bool {
+    front.store.epoch().is_some_and(|epoch| epoch > 0)
+}
+
 /// Waits for a random time that grows with the fleet: all VMs notice a restore at once, and the
 /// store's write rate is limited.
 pub(super) async fn pause_after_restore(front: &Front) {
@@ -90,6 +105,8 @@
             Ok(()) => {
                 backoff.reset();
                 front.peers.set_listed(front.clock.now());
+                front.peers.set_all_known();
+                front.divide();
                 reading = Reading::MayLag;
                 tokio::time::sleep(list_interval(front.peers.listed())).await;
             }
--- a/trouttrack_front/src/peers/table/mod.rs
+++ b/trouttrack_front/src/peers/table/mod.rs
@@ -36,6 +36,8 @@
     watcher: RefCell<Option<String>>,
     /// When the VMs listed in the store were first all known.
     listed_at: Cell<Option<Time>>,
+    /// Whether the VMs have been listed with all that started together with this one.
+    all_known: Cell<bool>,
     /// Whether peers no longer retain the updates that this VM has missed.
     far_behind: Cell<bool>,
     /// Signalled when this VM learns that it is missing updates from the store.
@@ -70,6 +72,7 @@
             live: RefCell::default(),
             watcher: RefCell::default(),
             listed_at: Cell::new(None),
+            all_known: Cell::new(false),
             far_behind: Cell::new(false),
             behind: Notify::new(),
             socket: OnceCell::new(),
@@ -151,6 +154,18 @@
         self.listed_at.get()
     }
 
+    /// Records that the VMs have been listed with all that started together with this one.
+    pub(crate) fn set_all_known(&self) {
+        self.all_known.set(true);
+    }
+
+    /// Whether the number of VMs is known. Until a list that does not lag has been read, those
+    /// listed or heard of may be few of many.
+    #[must_use]
+    pub fn are_all_known(&self) -> bool {
+        self.all_known.get()
+    }
+
     /// The number of listed VMs, including this one once it is listed.
     #[must_use]
     pub fn listed(&self) -> usize {
--- a/trouttrack_front/src/state/budgets.rs
+++ b/trouttrack_front/src/state/budgets.rs
@@ -12,8 +12,10 @@
     settings: RetrySettings,
     /// Random per VM.
     seed: u64,
-    /// Number of VMs that share the budgets; `None` until any is listed.
+    /// Number of VMs that share the budgets; `None` until all are listed.
     vms: Cell<Option<usize>>,
+    /// Whether this VM runs for the first time.
+    is_first_run: Cell<bool>,
     by_service: RefCell<HashMap<ServiceId, SharedBudget>>,
 }
 
@@ -25,6 +27,7 @@
             settings,
             seed: rand::random(),
             vms: Cell::default(),
+            is_first_run: Cell::default(),
             by_service: RefCell::default(),
         }
     }
@@ -34,16 +37,25 @@
         self.vms.set(Some(vms.max(1)));
     }
 
+    /// Records that this VM runs for the first time, so that it has spent nothing before.
+    pub fn set_first_run(&self) {
+        self.is_first_run.set(true);
+        let mut all = self.by_service.borrow_mut();
+        all.values_mut().for_each(SharedBudget::set_unspent);
+    }
+
     /// Counts the first attempt of a request to a service.
     pub fn first_attempt(&self, now: Time, service: &str) {
         self.with(service, |budget| budget.first_attempt(now));
     }
 
-    /// Takes one retry if the budget allows it. No retry is allowed while the number of VMs is
-    /// unknown: any assumed number would be too small for some fleet.
+    /// Takes one retry if the budget allows it.
     pub fn try_retry(&self, now: Time, service: &str) -> bool {
-        let retry = |vms| self.with(service, |budget| budget.try_retry(now, vms));
-        self.vms.get().is_some_and(retry)
+        let vms = self.vms.get();
+        self.with(service, |budget| match vms {
+            Some(vms) => budget.try_retry(now, vms),
+            None => budget.try_retry_of_own(now),
+        })
     }
 
     fn with<T>(&self, service: &str, f: impl FnOnce(&mut SharedBudget) -> T) -> T {
@@ -51,8 +63,15 @@
         if let Some(budget) = all.get_mut(service) {
             return f(budget);
         }
+        f(all.entry(service.to_owned()).or_insert(self.new_budget()))
+    }
+
+    fn new_budget(&self) -> SharedBudget {
         let s = self.settings;
-        let budget = SharedBudget::new(s.ratio, s.extra, s.window).seeded(self.seed);
-        f(all.entry(service.to_owned()).or_insert(budget))
+        let mut budget = SharedBudget::new(s.ratio, s.extra, s.window).seeded(self.seed);
+        if self.is_first_run.get() {
+            budget.set_unspent();
+        }
+        budget
     }
 }
--- a/trouttrack_front/src/state/front.rs
+++ b/trouttrack_front/src/state/front.rs
@@ -243,7 +243,9 @@
         if vms == 0 {
             return;
         }
-        self.budgets.set_vms(vms);
+        if self.peers.are_all_known() {
+            self.budgets.set_vms(vms);
+        }
         let most = self.routing.table().and_then(|table| {
             let services = table.config().services.iter();
             services.filter_map(|s| s.max_connections).min()
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod brittle;
+mod budgets;
 mod buffers;
 mod compatibility;
 mod config;
--- a/trouttrack_front/tests/front/support.rs
+++ b/trouttrack_front/tests/front/support.rs
@@ -148,8 +148,11 @@
         })
         .await;
         until("keys are confirmed", || self.front.front.routing.is_fresh()).await;
-        // No retry is allowed until the number of VMs is known.
-        until("VMs are listed", || self.front.front.peers.listed() > 0).await;
+        // A VM retries little until the number of VMs is known.
+        until("all VMs are listed", || {
+            self.front.front.peers.are_all_known()
+        })
+        .await;
     }
 
     pub(crate) fn addr(&self) -> SocketAddr {
