Bound the bytes that an answer takes besides its body

Callers saw requests that hung until their deadline while the VM read at full speed: an upstream that wrote `100 Continue` heads, or the zeros of a chunk's size, without end was read for as long as its caller waited.

Cause: hyper bounds the size of one head, of chunk extensions and of trailers. It bounds neither the number of informational heads nor the digits of a chunk's size, and nothing else counted bytes that are not a body.

Change: a budget below hyper, on the bytes read from a connection. Each answer may take OVERHEAD_LIMIT (64 KiB) besides its body, plus 12 bytes of framing for each byte of the body that its reader has taken, plus what the client reads ahead. It is renewed with each request, so it holds for every answer of a kept connection, and a stream's budget grows with its events. All clients of the crate have it: requests, reports and copies, the store, peers. A tunnel's head has a fixed budget. An answer beyond it is an error of its own (SendErrorKind::Oversized, BodyError::Oversized): the request may have run, the upstream is blamed and not the network, and the connection is closed.

The read buffer of clients that set none is 64 KiB now, where hyper's default was 408 KiB, so that a head is bounded by it as well. `AnswerBody::whole` also refuses a body whose first piece exceeds the limit.

--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use trouttrack_core::Time;
 use trouttrack_core::request::Failure;
-use trouttrack_http::{AnswerBody, Reuse, SendError, SendErrorKind};
+use trouttrack_http::{AnswerBody, BodyError, Reuse, SendError, SendErrorKind};
 use trouttrack_platform::{AnswerHead, Handover};
 use trouttrack_telemetry::{events, record};
 
@@ -25,6 +25,8 @@
 const CLOSED_WITHOUT_RESPONSE: &str = "the connection ended without an answer";
 /// Reason of an attempt whose response was truncated.
 const RESPONSE_TRUNCATED: &str = "the answer broke off";
+/// Reason of an attempt whose response has more bytes than it may have.
+const RESPONSE_TOO_LARGE: &str = "the answer is too large";
 /// Reason of an attempt whose stream was truncated.
 pub(super) const STREAM_TRUNCATED: &str = "the stream broke off";
 /// Reason of an attempt whose stream was framed as complete in the middle of an event.
@@ -61,8 +63,8 @@
     pub(crate) async fn read_body(&mut self, max_bytes: usize) -> Result<Bytes, AttemptFailure> {
         let lost = |reason| AttemptFailure::new(Failure::Lost, reason);
         let body = self.body.whole(max_bytes).await;
-        body.map_err(|_| lost(RESPONSE_TRUNCATED))?
-            .ok_or(lost("the answer is too large"))
+        body.map_err(|e| lost(body_failure(&e, RESPONSE_TRUNCATED)))?
+            .ok_or(lost(RESPONSE_TOO_LARGE))
     }
 
     /// Reads the whole body, of at most `max_bytes` bytes, as far as `held` has room for it.
@@ -79,11 +81,12 @@
         let mut all = BytesMut::new();
         loop {
             let chunk = self.body.next().await;
-            let Some(chunk) = chunk.map_err(|_| lost(RESPONSE_TRUNCATED))? else {
+            let chunk = chunk.map_err(|e| lost(body_failure(&e, RESPONSE_TRUNCATED)))?;
+            let Some(chunk) = chunk else {
                 return Ok(all.freeze());
             };
             if all.len() + chunk.len() > max_bytes {
-                return Err(lost("the answer is too large"));
+                return Err(lost(RESPONSE_TOO_LARGE));
             }
             let reserved = held.reserve(chunk.len()).await;
             reserved.map_err(|_| lost("the answer was discarded"))?;
@@ -312,6 +315,14 @@
     Ok(())
 }
 
+/// The reason of a body that is not whole: `truncated` unless it has more bytes than it may have.
+pub(super) fn body_failure(e: &BodyError, truncated: &'static str) -> &'static str {
+    match e {
+        BodyError::Oversized => RESPONSE_TOO_LARGE,
+        _ => truncated,
+    }
+}
+
 fn send_failure(e: &SendError) -> AttemptFailure {
     log::debug!("{e}");
     match e.kind {
@@ -322,6 +333,7 @@
         SendErrorKind::Withdrawn => {
             AttemptFailure::new(Failure::NotConnected, CANCELLED_BEFORE_SEND)
         }
+        SendErrorKind::Oversized => AttemptFailure::new(Failure::Lost, RESPONSE_TOO_LARGE),
         SendErrorKind::Garbled => AttemptFailure::new(Failure::Lost, "the answer is not HTTP"),
         _ => AttemptFailure::new(Failure::Lost, CLOSED_WITHOUT_RESPONSE),
     }
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -58,8 +58,7 @@
                         return self.recover(source, None, reason, ticket).await;
                     }
                 },
-                SourceEvent::Truncated => {
-                    let reason = STREAM_TRUNCATED;
+                SourceEvent::Truncated(reason) => {
                     return self.recover(source, task.take(), reason, ticket).await;
                 }
                 // The stream may still go on, and another upstream cannot.
--- a/trouttrack_front/src/request/stream/source.rs
+++ b/trouttrack_front/src/request/stream/source.rs
@@ -1,6 +1,6 @@
 //! Receives the stream of an upstream, together with the events that affect it.
 
-use crate::request::attempt::UpstreamResponse;
+use crate::request::attempt::{STREAM_TRUNCATED, UpstreamResponse, body_failure};
 use crate::rescue::{MoveEnd, MoveTask};
 use crate::state::Upstream;
 use bytes::Bytes;
@@ -79,7 +79,7 @@
             chunk = self.body.next() => match chunk {
                 Ok(Some(bytes)) => SourceEvent::Chunk(bytes),
                 Ok(None) => SourceEvent::Ended,
-                Err(_) => SourceEvent::Truncated,
+                Err(e) => SourceEvent::Truncated(body_failure(&e, STREAM_TRUNCATED)),
             },
             moved = moved => SourceEvent::MoveFinished(moved),
             // The sender is owned by the upstream, which the source keeps alive.
@@ -96,8 +96,8 @@
     Chunk(Bytes),
     /// The end of the body.
     Ended,
-    /// The body was truncated.
-    Truncated,
+    /// The body was truncated, for this reason.
+    Truncated(&'static str),
     /// Nothing arrived within the idle timeout.
     Idle,
     /// The upstream announced that it leaves.
--- a/trouttrack_http/src/answer.rs
+++ b/trouttrack_http/src/answer.rs
@@ -1,6 +1,7 @@
 //! Answers, and what becomes of their connections.
 
 use crate::error::BodyError;
+use crate::limit::{self, AnswerBudget};
 use crate::pool::{Channel, Pool};
 use bytes::Bytes;
 use http::response::Parts;
@@ -43,6 +44,7 @@
         let kept_for = kept_for(&head.headers);
         let framed = is_framed(&head.headers) || body.is_end_stream();
         let end_is_certain = framed || channel.shows_end;
+        let budget = channel.budget.clone();
         let returns = Returns {
             pool: Rc::clone(pool),
             peer,
@@ -55,6 +57,7 @@
             body: AnswerBody {
                 body,
                 end_is_certain,
+                budget,
                 returns: Some(returns),
             },
         }
@@ -67,6 +70,7 @@
     body: Incoming,
     /// Whether the end of the connection, if it ends the body, is known to be the peer's doing.
     end_is_certain: bool,
+    budget: AnswerBudget,
     returns: Option<Returns>,
 }
 
@@ -81,12 +85,16 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.budget.refill(data.len());
                         return Ok(Some(data));
                     }
                 }
                 Some(Err(e)) => {
                     self.returns = None;
-                    return Err(BodyError::Broken(e));
+                    return Err(match limit::is_exceeded(&e) {
+                        true => BodyError::Oversized,
+                        false => BodyError::Broken(e),
+                    });
                 }
                 None if !self.end_is_certain => {
                     self.returns = None;
@@ -109,6 +117,9 @@
         let Some(first) = self.next().await? else {
             return Ok(Some(Bytes::new()));
         };
+        if first.len() > most {
+            return Ok(None);
+        }
         let mut rest = Vec::new();
         let mut length = first.len();
         while let Some(more) = self.next().await? {
--- a/trouttrack_http/src/client.rs
+++ b/trouttrack_http/src/client.rs
@@ -3,6 +3,7 @@
 use crate::answer::Answer;
 use crate::connect::{Connect, DeadConnections, Direct, Path};
 use crate::error::{SendError, SendErrorKind};
+use crate::limit::{self, AnswerBudget, Limited};
 use crate::pool::{Channel, Pool};
 use bytes::Bytes;
 use http::Request;
@@ -22,6 +23,8 @@
 /// Idle connections kept to one peer, unless the builder is told.
 const IDLE_PER_PEER: usize = 8;
 
+/// Bytes that a connection reads ahead, unless the builder is told. A head has to fit in.
+const READ_BUFFER: usize = 64 << 10;
 /// The smallest read buffer that `hyper` accepts.
 const MIN_READ_BUFFER: usize = 8 << 10;
 
@@ -58,7 +61,7 @@
 pub struct ClientBuilder {
     connect_timeout: Duration,
     idle_per_peer: usize,
-    read_buffer: Option<usize>,
+    read_buffer: usize,
     source: Option<IpAddr>,
 }
 
@@ -85,10 +88,10 @@
     }
 
     /// The most bytes that a connection reads ahead of what is taken from a body, at least
-    /// 8 KiB.
+    /// 8 KiB. This also bounds the head of an answer.
     #[must_use]
     pub fn read_buffer(mut self, bytes: usize) -> Self {
-        self.read_buffer = Some(bytes.max(MIN_READ_BUFFER));
+        self.read_buffer = bytes.max(MIN_READ_BUFFER);
         self
     }
 
@@ -117,7 +120,7 @@
 struct Shared<C> {
     connector: C,
     pool: Rc<RefCell<Pool>>,
-    read_buffer: Option<usize>,
+    read_buffer: usize,
     opened: Cell<u64>,
 }
 
@@ -152,7 +155,7 @@
         ClientBuilder {
             connect_timeout: CONNECT_TIMEOUT,
             idle_per_peer: IDLE_PER_PEER,
-            read_buffer: None,
+            read_buffer: READ_BUFFER,
             source: None,
         }
     }
@@ -220,11 +223,11 @@
             DeadConnections::All => self.shared.pool.borrow_mut().forget_direct(None),
         }
         let mut builder = http1::Builder::new();
-        if let Some(bytes) = self.shared.read_buffer {
-            builder.max_buf_size(bytes);
-        }
+        builder.max_buf_size(self.shared.read_buffer);
+        let budget = AnswerBudget::new(self.shared.read_buffer);
+        let limited = Limited::new(connected.stream, budget.clone());
         let (sender, connection) = builder
-            .handshake(TokioIo::new(connected.stream))
+            .handshake(TokioIo::new(limited))
             .await
             .map_err(|e| SendError::new(SendErrorKind::NotConnected, peer, e))?;
         self.shared.opened.set(self.shared.opened.get() + 1);
@@ -236,6 +239,7 @@
         };
         Ok(Channel {
             sender,
+            budget,
             relayed_until,
             shows_end,
         })
@@ -325,6 +329,7 @@
 
 fn failed(peer: SocketAddr, e: &hyper::Error) -> SendError {
     let kind = match e.is_parse() {
+        _ if limit::is_exceeded(e) => SendErrorKind::Oversized,
         true => SendErrorKind::Garbled,
         false => SendErrorKind::Lost,
     };
@@ -345,6 +350,7 @@
         let withdrawn = SendError::new(SendErrorKind::Withdrawn, peer, "withdrawn");
         return Err(Unanswered::Failed(withdrawn));
     }
+    channel.budget.renew();
     match sender.try_send_request(req).await {
         Ok(res) => {
             let (parts, body) = res.into_parts();
--- a/trouttrack_http/src/error.rs
+++ b/trouttrack_http/src/error.rs
@@ -19,6 +19,8 @@
     Lost,
     /// What came back is not HTTP.
     Garbled,
+    /// More bytes came back than an answer may take besides its body.
+    Oversized,
 }
 
 /// A request that got no answer, with the peer and the cause.
@@ -61,6 +63,7 @@
             SendErrorKind::Withdrawn => "not sent",
             SendErrorKind::Lost => "no answer",
             SendErrorKind::Garbled => "not HTTP",
+            SendErrorKind::Oversized => "too many bytes",
         };
         write!(f, "{}: {kind}: {}", self.peer, self.detail)
     }
@@ -73,6 +76,9 @@
     /// The body broke off before its end.
     #[error("the body broke off: {0}")]
     Broken(hyper::Error),
+    /// More bytes came than the body and its framing may take.
+    #[error("the body has more bytes of framing than it may have")]
+    Oversized,
     /// The body ended with its connection, which another process relays: either may have ended.
     #[error("the relayed connection ended, and the body with it")]
     UncertainEnd,
--- a/trouttrack_http/src/lib.rs
+++ b/trouttrack_http/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`connect`] opens connections.
 //! - [`answer`] takes answers, and keeps their connections for later requests.
 //! - [`error`] says what became of a request that got no answer.
+//! - `limit` bounds the bytes that an answer takes besides its body.
 //! - [`tunnel`] opens connections through a peer that relays them.
 //! - [`socket`] sets the options that make a dead peer noticed.
 //!
@@ -21,10 +22,12 @@
 pub mod socket;
 pub mod tunnel;
 
+mod limit;
 mod pool;
 
 pub use answer::{Answer, AnswerBody};
 pub use client::{Client, ClientBuilder, Presence, Reuse};
 pub use connect::{Connect, Connection, DeadConnections, Direct, Path};
 pub use error::{BodyError, SendError, SendErrorKind};
+pub use limit::OVERHEAD_LIMIT;
 pub use tunnel::{Tunnel, TunnelError};
--- a/trouttrack_http/src/tunnel.rs
+++ b/trouttrack_http/src/tunnel.rs
@@ -2,6 +2,7 @@
 
 use crate::connect::Connect;
 use crate::error::SendError;
+use crate::limit::{FixedBudget, Limited, OVERHEAD_LIMIT};
 use bytes::Bytes;
 use http::{Method, Request, header};
 use http_body_util::Empty;
@@ -54,7 +55,8 @@
     target: SocketAddr,
 ) -> Result<Tunnel, TunnelError> {
     let connected = connector.connect(peer).await?;
-    let handshake = http1::handshake(TokioIo::new(connected.stream)).await;
+    let limited = Limited::new(connected.stream, FixedBudget(OVERHEAD_LIMIT));
+    let handshake = http1::handshake(TokioIo::new(limited)).await;
     let (mut sender, connection) = handshake?;
     tokio::task::spawn_local(async move { drop(connection.with_upgrades().await) });
     let req = Request::builder()
@@ -69,11 +71,11 @@
     }
     let shows_end = answer.headers().contains_key(SHOWS_END);
     let upgraded = hyper::upgrade::on(answer).await?;
-    let parts = upgraded.downcast::<TokioIo<TcpStream>>();
+    let parts = upgraded.downcast::<TokioIo<Limited<TcpStream, FixedBudget>>>();
     let parts = parts.map_err(|_| TunnelError::NotATunnel)?;
     match parts.read_buf.is_empty() {
         true => Ok(Tunnel {
-            stream: parts.io.into_inner(),
+            stream: parts.io.into_inner().into_inner(),
             shows_end,
         }),
         false => Err(TunnelError::NotATunnel),
