Count small pieces of a body against its limit

A call's answer in chunks of a few bytes, without end, kept the VM busy long after a limit in bytes alone seemed low: each piece costs a task switch, a reservation and a copy, so four megabytes of such chunks are a million of them.

Cause: limits of whole bodies counted bytes only.

Change: a piece counts at least 64 bytes against the limit of a whole body, so the limit bounds the work as well: 65,536 pieces for a call, 16,384 for a report.

An answer of a call in one-byte chunks may have 64 KiB now; in pieces of 64 bytes and more nothing changes.

--- a/trouttrack_front/src/request/attempt.rs
+++ b/trouttrack_front/src/request/attempt.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use trouttrack_core::Time;
 use trouttrack_core::request::Failure;
-use trouttrack_http::{AnswerBody, BodyError, Reuse, SendError, SendErrorKind};
+use trouttrack_http::{AnswerBody, BodyError, Reuse, SendError, SendErrorKind, charge};
 use trouttrack_platform::{AnswerHead, Handover};
 use trouttrack_telemetry::{events, record};
 
@@ -79,13 +79,15 @@
     ) -> Result<Bytes, AttemptFailure> {
         let lost = |reason| AttemptFailure::new(Failure::Lost, reason);
         let mut all = BytesMut::new();
+        let mut charged = 0;
         loop {
             let chunk = self.body.next().await;
             let chunk = chunk.map_err(|e| lost(body_failure(&e, RESPONSE_TRUNCATED)))?;
             let Some(chunk) = chunk else {
                 return Ok(all.freeze());
             };
-            if all.len() + chunk.len() > max_bytes {
+            charged += charge(&chunk);
+            if charged > max_bytes {
                 return Err(lost(RESPONSE_TOO_LARGE));
             }
             let reserved = held.reserve(chunk.len()).await;
--- a/trouttrack_http/src/answer.rs
+++ b/trouttrack_http/src/answer.rs
@@ -19,6 +19,21 @@
 /// Taken off what the peer says: it counts in whole seconds, and its clock
 /// starts a little before ours.
 const KEPT_MARGIN: Duration = Duration::from_secs(1);
+/// What a piece of a body counts at least. Each costs about as much to handle as so many bytes.
+const MIN_PIECE: usize = 64;
+
+/// What a piece of a body counts against the limit of the whole.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(trouttrack_http::charge(&[0; 3]), 64);
+/// assert_eq!(trouttrack_http::charge(&[0; 3000]), 3000);
+/// ```
+#[must_use]
+pub fn charge(piece: &[u8]) -> usize {
+    piece.len().max(MIN_PIECE)
+}
 
 /// The head of an answer, and its body to come.
 #[derive(Debug)]
@@ -108,7 +123,8 @@
         }
     }
 
-    /// Reads the whole body, up to `most` bytes; `None` if it is longer.
+    /// Reads the whole body, up to `most` bytes; `None` if it is longer. A body in small pieces may
+    /// have fewer, see [`charge`].
     ///
     /// # Errors
     ///
@@ -122,9 +138,11 @@
         }
         let mut rest = Vec::new();
         let mut length = first.len();
+        let mut charged = length;
         while let Some(more) = self.next().await? {
             length += more.len();
-            if length > most {
+            charged += charge(&more);
+            if charged > most {
                 return Ok(None);
             }
             rest.push(more);
--- a/trouttrack_http/src/lib.rs
+++ b/trouttrack_http/src/lib.rs
@@ -25,7 +25,7 @@
 mod limit;
 mod pool;
 
-pub use answer::{Answer, AnswerBody};
+pub use answer::{Answer, AnswerBody, charge};
 pub use client::{Client, ClientBuilder, Presence, Reuse};
 pub use connect::{Connect, Connection, DeadConnections, Direct, Path};
 pub use error::{BodyError, SendError, SendErrorKind};
--- a/trouttrack_http/tests/http/endless.rs
+++ b/trouttrack_http/tests/http/endless.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use trouttrack_http::{
     BodyError, Client, Connect, Connection, DeadConnections, OVERHEAD_LIMIT, Path, Reuse,
-    SendError, SendErrorKind, TunnelError, tunnel,
+    SendError, SendErrorKind, TunnelError, charge, tunnel,
 };
 
 /// Size of the kernel's buffers at both ends, so that few bytes are written and not read.
@@ -267,7 +267,8 @@
     let addr = once(answer).await;
     let client = client();
     let sent = client.send(addr, request(), Reuse::Any).await;
-    let body = sent.expect("a head").body.whole(bytes).await;
+    let limit = bytes * charge(b"b");
+    let body = sent.expect("a head").body.whole(limit).await;
     assert_eq!(body.expect("a body").map(|b| b.len()), Some(bytes));
 }
 
@@ -305,3 +306,19 @@
     });
     addr
 }
+
+/// Guards against a body in very small pieces, which cost far more than their bytes.
+#[actix_rt::test]
+async fn body_in_small_pieces_counts_by_pieces() {
+    const LIMIT: usize = 1 << 20;
+    const CHUNK: &str = "4\r\nbody\r\n";
+    let (addr, written) = peer(endless("chunks", CHUNKED, CHUNK));
+    let client = client();
+    let sent = client.send(addr, request(), Reuse::Any).await;
+    let body = sent.expect("a head").body.whole(LIMIT).await;
+    assert!(matches!(body, Ok(None)));
+    let pieces = LIMIT / charge(b"body");
+    let most = pieces * CHUNK.len() + 2 * READ_BUFFER + 6 * KERNEL_BUFFER;
+    let bytes = written.load(Ordering::Relaxed);
+    assert!(bytes <= most as u64, "{bytes} of {most} bytes");
+}
