Bound the bytes of a stream between two events

Callers of a stream whose upstream wrote comments without end got them at full speed until their deadline, and a resumable stream was not resumed elsewhere: each block of comments passed for an event.

Cause: the reader of events took every block for an event, so comments, empty fields and repeated events reset all that waits for one, and only the size of an incomplete event was bounded. That one was also searched from its beginning with each piece, which costs the square of its size.

Evidence, on the code before:

stream_without_end_costs_bounded_bytes Comments: no end, 3396758 bytes (15 s of patience, debug build) stream_without_end_resumes_at_another_upstream assertion failed: reply.whole: Comments event_reader: blocks_without_id_or_data_..., events_whose_numbers_do_not_rise_... FAILED event_reader: large_event_in_small_pieces_is_searched_once running for over 60 seconds, stopped after two minutes

Change: an event has an id or data. Other blocks are forwarded as they come, so that keep-alive comments still reach the caller and an answer's bytes are those of its upstream, but they count as no event. A stream may bring as many bytes without an event as an event may have (the buffer limit of a request, 128 KiB by default); an event whose number does not rise brings it no further. Each event resets the count, so sound comments do not add up: at 30 bytes a second they may go on for an hour between two events. A large event is searched once.

--- a/trouttrack_front/src/request/events.rs
+++ b/trouttrack_front/src/request/events.rs
@@ -24,33 +24,47 @@
 #[derive(Debug, Default)]
 pub struct EventReader {
     partial: BytesMut,
+    scan: Scan,
     last_id: Option<String>,
     events: u64,
     /// Events up to this id were forwarded before the source changed and are skipped.
     delivered_up_to: Option<u64>,
+    /// Number of the last event that brought the stream on, skipped ones included.
+    reached: Option<u64>,
+    /// Bytes of complete blocks since the last event that brought the stream on.
+    idle_bytes: usize,
 }
 
 impl EventReader {
-    /// Appends bytes and returns the events that they complete.
+    /// Appends bytes and returns the events that they complete. Blocks without an event, such as
+    /// comments, are returned as well.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.partial.extend_from_slice(bytes);
         let mut out = BytesMut::new();
-        while let Some(length) = first_event_len(&self.partial) {
-            let event = self.partial.split_to(length);
-            if self.accept(&event) {
+        while let Some(length) = self.scan.next_block(&self.partial) {
+            let block = self.partial.split_to(length);
+            if self.accept(&block) {
                 match out.is_empty() {
-                    true => out = event,
-                    false => out.unsplit(event),
+                    true => out = block,
+                    false => out.unsplit(block),
                 }
             }
         }
         out.freeze()
     }
 
-    /// Registers an event. Returns whether it is to be forwarded.
-    fn accept(&mut self, event: &[u8]) -> bool {
-        let id = id_of(event);
+    /// Registers a block. Returns whether it is to be forwarded.
+    fn accept(&mut self, block: &[u8]) -> bool {
+        self.idle_bytes += block.len();
+        if !is_event(block) {
+            return true;
+        }
+        let id = id_of(block);
         let number = id.as_deref().and_then(|id| id.parse::<u64>().ok());
+        if number.is_none_or(|n| self.reached.is_none_or(|reached| reached < n)) {
+            self.idle_bytes = 0;
+            self.reached = number.or(self.reached);
+        }
         if let (Some(delivered_up_to), Some(number)) = (self.delivered_up_to, number)
             && number <= delivered_up_to
         {
@@ -67,11 +81,15 @@
     /// incomplete event, and skips events that were already forwarded.
     pub fn skip_delivered(&mut self) {
         self.partial.clear();
+        self.scan = Scan::default();
+        self.reached = None;
+        self.idle_bytes = 0;
         self.delivered_up_to = self.last_id.as_deref().and_then(|id| id.parse().ok());
     }
 
     /// Removes and returns the bytes after the last complete event.
     pub fn take_remainder(&mut self) -> Bytes {
+        self.scan = Scan::default();
         self.partial.split().freeze()
     }
 
@@ -87,6 +105,25 @@
         self.partial.len()
     }
 
+    /// Number of bytes since the last event that brought the stream on: comments, empty lines,
+    /// events whose numbers do not rise, and the incomplete event.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use trouttrack_front::request::EventReader;
+    /// let mut reader = EventReader::default();
+    /// reader.push(b"id: 1\ndata: a\n\n: comment\n\nid: 2\n");
+    /// assert_eq!(reader.bytes_since_event(), 11 + 6);
+    /// assert_eq!(reader.events(), 1);
+    /// reader.push(b"data: b\n\n");
+    /// assert_eq!(reader.bytes_since_event(), 0);
+    /// ```
+    #[must_use]
+    pub fn bytes_since_event(&self) -> usize {
+        self.idle_bytes + self.partial.len()
+    }
+
     /// Id of the last forwarded event.
     #[must_use]
     pub fn last_id(&self) -> Option<&str> {
@@ -100,29 +137,61 @@
     }
 }
 
-fn is_line_end(byte: u8) -> bool {
-    matches!(byte, b'\n' | b'\r')
+/// How far an incomplete block has been searched for its end, so that no byte of a large event is
+/// searched again with each piece of it.
+#[derive(Debug, Default)]
+struct Scan {
+    line_start: usize,
+    /// Where the search goes on.
+    at: usize,
+    has_lines: bool,
 }
 
-/// Length of the first complete event, including the empty line that ends it. Lines end with LF,
-/// CR LF or CR.
-fn first_event_len(bytes: &[u8]) -> Option<usize> {
-    let mut at = 0;
-    let mut has_lines = false;
-    loop {
-        let length = bytes[at..].iter().position(|byte| is_line_end(*byte))?;
-        let end = &bytes[at + length..];
-        at += length + if end.starts_with(b"\r\n") { 2 } else { 1 };
-        if length == 0 && has_lines {
-            return Some(at);
+impl Scan {
+    /// Length of the first block, including the empty line that ends it, if it is complete. Lines
+    /// end with LF, CR LF or CR.
+    fn next_block(&mut self, bytes: &[u8]) -> Option<usize> {
+        loop {
+            let Some(length) = bytes[self.at..].iter().position(|byte| is_line_end(*byte)) else {
+                self.at = bytes.len();
+                return None;
+            };
+            self.at += length;
+            let is_empty = self.at == self.line_start;
+            let end = &bytes[self.at..];
+            let ends_block = is_empty && self.has_lines;
+            if end == b"\r" && !ends_block {
+                // An LF may follow.
+                return None;
+            }
+            self.at += if end.starts_with(b"\r\n") { 2 } else { 1 };
+            if ends_block {
+                return Some(std::mem::take(self).at);
+            }
+            self.has_lines |= !is_empty;
+            self.line_start = self.at;
         }
-        has_lines |= length > 0;
     }
 }
 
+fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
+fn lines(block: &[u8]) -> impl Iterator<Item = &[u8]> {
+    block.split(|byte| is_line_end(*byte))
+}
+
+/// Whether a block has an id or data. Comments and other fields alone make no event.
+fn is_event(block: &[u8]) -> bool {
+    lines(block).any(|line| {
+        let name = line.split(|byte| *byte == b':').next();
+        name.is_some_and(|name| matches!(name, b"id" | b"data"))
+    })
+}
+
 fn id_of(event: &[u8]) -> Option<String> {
-    let lines = event.split(|byte| is_line_end(*byte));
-    let mut ids = lines.filter_map(|line| line.strip_prefix(ID_PREFIX));
+    let mut ids = lines(event).filter_map(|line| line.strip_prefix(ID_PREFIX));
     let id = std::str::from_utf8(ids.next()?).ok()?;
     Some(id.trim().to_owned())
 }
--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -98,7 +98,8 @@
         generation_move.start()
     }
 
-    /// Forwards the events that these bytes complete.
+    /// Forwards what these bytes complete. Comments are forwarded like events, but do not count as
+    /// such: a stream may bring only so many bytes between two events as an event may have.
     async fn forward(
         &mut self,
         source: &mut Source,
@@ -107,13 +108,21 @@
     ) -> Result<(), AttemptError> {
         let events_before = self.reader.events();
         let whole = self.reader.push(bytes);
-        if self.reader.partial_len() > self.front.buffers.limits().request {
-            let reason = "an event of the stream is too large";
+        if self.reader.bytes_since_event() > self.front.buffers.limits().request {
+            let reason = "the stream has too many bytes without an event";
             return Err(AttemptFailure::new(Failure::Lost, reason).into());
         }
-        if whole.is_empty() {
-            return Ok(());
+        if self.reader.events() > events_before {
+            self.record_events(source, ticket, events_before);
         }
+        match whole.is_empty() {
+            true => Ok(()),
+            false => self.send_to_caller(source, whole).await,
+        }
+    }
+
+    /// Records the events after the first `events_before`, which have just arrived.
+    fn record_events(&mut self, source: &mut Source, ticket: &Ticket, events_before: u64) {
         let events_after = self.reader.events();
         let now = self.front.clock.now();
         source.last_event_at = Some(now);
@@ -135,14 +144,15 @@
         {
             ticket.progress(self.tokens());
         }
-        self.send_to_caller(source, whole).await
     }
 
     /// Sends bytes to the caller, preceded by the head if they are the first.
     async fn send_to_caller(&mut self, source: &Source, bytes: Bytes) -> Result<(), AttemptError> {
         self.output
             .send_head(self.head.as_ref().unwrap_or(&source.head), source.framed);
-        self.mark_first_event();
+        if self.reader.events() > 0 {
+            self.mark_first_event();
+        }
         self.record_origin(source);
         let sent_at = self.front.clock.now();
         let sent = self.output.send_chunk(bytes).await;
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -6,6 +6,7 @@
 mod compatibility;
 mod config;
 mod crowded;
+mod endless;
 mod entries;
 mod evacuation;
 mod event_reader;
