--- a/trouttrack_http/src/answer.rs
+++ b/trouttrack_http/src/answer.rs
@@ -1,6 +1,7 @@
 //! Answers, and what becomes of their connections.
 
 use crate::error::BodyError;
+use crate::limit::{self, AnswerBudget};
 use crate::pool::{Channel, Pool};
 use bytes::Bytes;
 use http::response::Parts;
@@ -18,6 +19,21 @@
 /// Taken off what the peer says: it counts in whole seconds, and its clock
 /// starts a little before ours.
 const KEPT_MARGIN: Duration = Duration::from_secs(1);
+/// What a piece of a body counts at least. Each costs about as much to handle as so many bytes.
+const MIN_PIECE: usize = 64;
+
+/// What a piece of a body counts against the limit of the whole.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(trouttrack_http::charge(&[0; 3]), 64);
+/// assert_eq!(trouttrack_http::charge(&[0; 3000]), 3000);
+/// ```
+#[must_use]
+pub fn charge(piece: &[u8]) -> usize {
+    piece.len().max(MIN_PIECE)
+}
 
 /// The head of an answer, and its body to come.
 #[derive(Debug)]
@@ -43,6 +59,7 @@
         let kept_for = kept_for(&head.headers);
         let framed = is_framed(&head.headers) || body.is_end_stream();
         let end_is_certain = framed || channel.shows_end;
+        let budget = channel.budget.clone();
         let returns = Returns {
             pool: Rc::clone(pool),
             peer,
@@ -55,6 +72,7 @@
             body: AnswerBody {
                 body,
                 end_is_certain,
+                budget,
                 returns: Some(returns),
             },
         }
@@ -67,6 +85,7 @@
     body: Incoming,
     /// Whether the end of the connection, if it ends the body, is known to be the peer's doing.
     end_is_certain: bool,
+    budget: AnswerBudget,
     returns: Option<Returns>,
 }
 
@@ -81,12 +100,16 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.budget.refill(data.len());
                         return Ok(Some(data));
                     }
                 }
                 Some(Err(e)) => {
                     self.returns = None;
-                    return Err(BodyError::Broken(e));
+                    return Err(match limit::is_exceeded(&e) {
+                        true => BodyError::Oversized,
+                        false => BodyError::Broken(e),
+                    });
                 }
                 None if !self.end_is_certain => {
                     self.returns = None;
@@ -100,7 +123,8 @@
         }
     }
 
-    /// Reads the whole body, up to `most` bytes; `None` if it is longer.
+    /// Reads the whole body, up to `most` bytes; `None` if it is longer. A body in small pieces may
+    /// have fewer, see [`charge`].
     ///
     /// # Errors
     ///
@@ -109,11 +133,16 @@
         let Some(first) = self.next().await? else {
             return Ok(Some(Bytes::new()));
         };
+        if first.len() > most {
+            return Ok(None);
+        }
         let mut rest = Vec::new();
         let mut length = first.len();
+        let mut charged = length;
         while let Some(more) = self.next().await? {
             length += more.len();
-            if length > most {
+            charged += charge(&more);
+            if charged > most {
                 return Ok(None);
             }
             rest.push(more);
