Reset connections whose requests were given up unanswered

Callers were answered 504, or by another upstream, and the upstream that had been given up ran their request seconds later, also after it had announced its departure.

Cause: the connection of a request that is given up was closed in order. What the peer has not acknowledged by then is still sent by the system, again and again, until a partition ends. Class: an end that is final to the process and not to the system below it.

Change: connections of the HTTP client (requests to upstreams, control calls, the store, transfers between VMs) are wrapped in `RequestStream`. It sets `SO_LINGER` to zero when the connection comes up, so that also a process that is killed resets it, and takes this back when the connection is closed and the peer has answered since the last write: an idle connection and an answer that is given up midway close in order as before, and their end is repeated if it is lost. An answer that turns out to be another request's counts as none.

--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -10,6 +10,7 @@
 mod evacuation;
 mod event_reader;
 mod freshness;
+mod given_up;
 mod incarnations;
 mod large_fleet;
 mod late_answers;
--- a/trouttrack_http/src/answer.rs
+++ b/trouttrack_http/src/answer.rs
@@ -127,9 +127,12 @@
         Ok(Some(all.into()))
     }
 
-    /// Sees to it that the connection is not used again.
+    /// Sees to it that the connection is not used again. The answer may be another request's, so
+    /// the connection is closed as if there were none.
     pub fn distrust(&mut self) {
-        self.returns = None;
+        if let Some(r) = self.returns.take() {
+            r.channel.answered.revoke();
+        }
     }
 
     fn give_back(&mut self) {
--- a/trouttrack_http/src/client.rs
+++ b/trouttrack_http/src/client.rs
@@ -4,6 +4,7 @@
 use crate::connect::{Connect, DeadConnections, Direct, Path};
 use crate::error::{SendError, SendErrorKind};
 use crate::pool::{Channel, Pool};
+use crate::stream::RequestStream;
 use bytes::Bytes;
 use http::Request;
 use http::response::Parts;
@@ -12,6 +13,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
+use std::fmt::Display;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -160,7 +162,9 @@
 
 impl<C: Connect> Client<C> {
     /// Sends a request and waits for the head of its answer. Dropping the
-    /// future, or the answer's body before its end, closes the connection.
+    /// future, or the answer's body before its end, closes the connection: what
+    /// the peer has not received of an unanswered request by then is lost
+    /// ([`RequestStream`]).
     ///
     /// # Errors
     ///
@@ -223,10 +227,11 @@
         if let Some(bytes) = self.shared.read_buffer {
             builder.max_buf_size(bytes);
         }
-        let (sender, connection) = builder
-            .handshake(TokioIo::new(connected.stream))
-            .await
-            .map_err(|e| SendError::new(SendErrorKind::NotConnected, peer, e))?;
+        let not = |detail: &dyn Display| SendError::new(SendErrorKind::NotConnected, peer, detail);
+        let stream = RequestStream::new(connected.stream).map_err(|e| not(&e))?;
+        let answered = stream.answered();
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|e| not(&e))?;
         self.shared.opened.set(self.shared.opened.get() + 1);
         // Its errors reach the request that waits on the connection, if any.
         tokio::task::spawn_local(async move { drop(connection.await) });
@@ -236,6 +241,7 @@
         };
         Ok(Channel {
             sender,
+            answered,
             relayed_until,
             shows_end,
         })
--- a/trouttrack_http/src/lib.rs
+++ b/trouttrack_http/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`connect`] opens connections.
 //! - [`answer`] takes answers, and keeps their connections for later requests.
 //! - [`error`] says what became of a request that got no answer.
+//! - [`stream`] decides how the connection of a request that is given up is closed.
 //! - [`tunnel`] opens connections through a peer that relays them.
 //! - [`socket`] sets the options that make a dead peer noticed.
 //!
@@ -19,6 +20,7 @@
 pub mod connect;
 pub mod error;
 pub mod socket;
+pub mod stream;
 pub mod tunnel;
 
 mod pool;
@@ -27,4 +29,5 @@
 pub use client::{Client, ClientBuilder, Presence, Reuse};
 pub use connect::{Connect, Connection, DeadConnections, Direct, Path};
 pub use error::{BodyError, SendError, SendErrorKind};
+pub use stream::RequestStream;
 pub use tunnel::{Tunnel, TunnelError};
