--- a/trouttrack_http/src/lib.rs
+++ b/trouttrack_http/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`answer`] takes answers, and keeps their connections for later requests.
 //! - [`error`] says what became of a request that got no answer.
 //! - `limit` bounds the bytes that an answer takes besides its body.
+//! - [`stream`] decides how the connection of a request that is given up is closed.
 //! - [`tunnel`] opens connections through a peer that relays them.
 //! - [`socket`] sets the options that make a dead peer noticed.
 //!
@@ -20,6 +21,7 @@
 pub mod connect;
 pub mod error;
 pub mod socket;
+pub mod stream;
 pub mod tunnel;
 
 mod limit;
@@ -30,4 +32,5 @@
 pub use connect::{Connect, Connection, DeadConnections, Direct, Path};
 pub use error::{BodyError, SendError, SendErrorKind};
 pub use limit::OVERHEAD_LIMIT;
+pub use stream::RequestStream;
 pub use tunnel::{Tunnel, TunnelError};
--- a/trouttrack_http/tests/http/main.rs
+++ b/trouttrack_http/tests/http/main.rs
@@ -2,3 +2,4 @@
 
 mod client;
 mod endless;
+mod given_up;
