Soak: judge each event at its caller, and let callers return often

The check of versions read the books of upstreams only, and the text of events named no run, so what a caller held could not be judged. Each event of the soak's engines now names the run that wrote it: incarnation, version, number, after which event it went on and how. The new check joins an answer and the answers to its caller's returns and reads them event by event: number, text, run, the end only after the last event, the beginning of an event before a cut. Joined may be only runs of one version that went on from the last event that the caller had; by another run only where streams may be resumed, or from a copy.

It replaces the comparison with one expected text, which is equally strict for numbers and data, and adds the runs. Callers return up to five times within their time, on new connections, with one version as well, and also after a return was refused or broke off; before, once and only while versions were mixed.

--- a/trouttrack_soak/src/bed/fleet.rs
+++ b/trouttrack_soak/src/bed/fleet.rs
@@ -55,8 +55,6 @@
     pub(crate) vms: Vec<Rc<Vm>>,
     /// The upstreams.
     pub(crate) upstreams: Upstreams,
-    /// How many software versions these have.
-    pub(crate) versions: usize,
     /// The last backup of the store.
     pub(crate) store_backup: RefCell<Option<StoreData>>,
     /// The evacuations so far.
@@ -98,7 +96,6 @@
             caller_links: Vec::new(),
             vms: Vec::new(),
             upstreams,
-            versions: plan.versions,
             store_backup: RefCell::default(),
             evacuations: RefCell::default(),
             cold: RefCell::default(),
--- a/trouttrack_soak/src/bed/upstreams.rs
+++ b/trouttrack_soak/src/bed/upstreams.rs
@@ -87,6 +87,7 @@
         let mut upstream = Upstream::start(&format!("u{number}"), service, domain).await;
         upstream.version = format!("v{}", 1 + number % self.versions);
         if service == ENGINES {
+            upstream.name_runs(&upstream.version);
             upstream.pace(PACE);
             upstream.always(Behaviour::Stream(EVENTS));
             upstream.ends_under(FATAL);
--- a/trouttrack_soak/src/callers/ask.rs
+++ b/trouttrack_soak/src/callers/ask.rs
@@ -1,6 +1,6 @@
 //! Callers that ask until they are to end.
 
-use super::call::{Call, Told, is_success};
+use super::call::{Call, Told};
 use crate::bed::{Bed, COMMON_PART, FATAL, FATAL_PART, HOST, LASTING_KEY, LONG, RouteName};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -86,6 +86,8 @@
     /// as they are kept for it.
     pub(crate) async fn run(self: Rc<Self>, number: usize, seed: u64) {
         let mut rng = SmallRng::seed_from_u64(seed ^ ((number as u64 + 1) << 32));
+        // Returns draw by themselves: what callers ask stays that of the seed.
+        let mut returns = SmallRng::seed_from_u64(rng.clone().random());
         let client = Client::builder().build();
         let mut count = 0;
         while !self.ending.get() {
@@ -97,14 +99,8 @@
             let asked = Asked::new(id, vm, route, key);
             let req = asked.request();
             let call = self.ask(&client, asked, &req).await;
-            let vm = ready[count % ready.len()];
-            let returning = Asked::after(&call, vm).filter(|_| self.bed.versions > 1);
-            self.calls.borrow_mut().push(call);
-            if let Some(asked) = returning {
-                let req = asked.request();
-                let call = self.ask(&client, asked, &req).await;
-                self.calls.borrow_mut().push(call);
-            }
+            self.calls.borrow_mut().push(call.clone());
+            self.return_for_rest(&call, PATIENCE, &mut returns).await;
             let pause = rng.random_range(PAUSE_MS);
             tokio::time::sleep(Duration::from_millis(pause)).await;
         }
@@ -165,8 +161,18 @@
     }
 
     pub(super) async fn ask(&self, client: &Client, asked: Asked, req: &CallerRequest) -> Call {
+        self.ask_by(client, asked, req, Reuse::Any).await
+    }
+
+    pub(super) async fn ask_by(
+        &self,
+        client: &Client,
+        asked: Asked,
+        req: &CallerRequest,
+        reuse: Reuse,
+    ) -> Call {
         let to = self.bed.caller_links[asked.vm].addr();
-        let asking = async { take(client.send(to, req.build(), Reuse::Any).await).await };
+        let asking = async { take(client.send(to, req.build(), reuse).await).await };
         let told = tokio::time::timeout(req.patience + HUNG_AFTER, asking);
         let told = async { told.await.unwrap_or(Told::Nothing) };
         self.note(asked, told).await
@@ -181,6 +187,7 @@
             key,
             resumes,
             had,
+            ..
         } = asked;
         let life = self.bed.vms[vm].life();
         let sent = Instant::now();
@@ -211,6 +218,8 @@
     resumes: Option<String>,
     /// Events of that stream that the caller has.
     had: u64,
+    /// How long the caller waits, if not as long as its route says.
+    patience: Option<Duration>,
 }
 
 impl Asked {
@@ -222,32 +231,26 @@
             key,
             resumes: None,
             had: 0,
+            patience: None,
         }
     }
 
-    /// What a caller asks of a VM after its stream has broken off, if it has events and may
-    /// return.
-    fn after(broken: &Call, vm: usize) -> Option<Self> {
-        let reply = broken.reply().filter(|r| !r.whole && is_success(r))?;
-        let had = last_event(&reply.text())?;
-        let may_return = broken.route == RouteName::Resume && broken.resumes.is_none();
-        may_return.then(|| Self {
-            resumes: Some(broken.id.clone()),
+    /// The same for the rest of a stream that `first` began, from a caller that has `had` events
+    /// and waits for no longer than `patience`.
+    pub(super) fn resuming(self, first: &str, had: u64, patience: Duration) -> Self {
+        Self {
+            resumes: Some(first.to_owned()),
             had,
-            ..Self::new(
-                format!("{}-again", broken.id),
-                vm,
-                broken.route,
-                broken.key.clone(),
-            )
-        })
+            patience: Some(patience),
+            ..self
+        }
     }
 
     fn patience(&self) -> Duration {
-        match self.route {
+        self.patience.unwrap_or(match self.route {
             RouteName::Patient => LONG_PATIENCE,
             _ => PATIENCE,
-        }
+        })
     }
 
     pub(super) fn request(&self) -> CallerRequest {
@@ -271,16 +274,6 @@
     }
 }
 
-/// The number of the last complete event of a stream.
-fn last_event(text: &str) -> Option<u64> {
-    let complete = &text[..text.rfind("\n\n")?];
-    let last = complete.rsplit("\n\n").next()?;
-    last.lines()
-        .find_map(|line| line.strip_prefix("id: "))?
-        .parse()
-        .ok()
-}
-
 /// Takes an answer as far as it comes.
 async fn take(answer: Result<Answer, SendError>) -> Told {
     match answer {
--- a/trouttrack_soak/src/check/answers.rs
+++ b/trouttrack_soak/src/check/answers.rs
@@ -1,12 +1,11 @@
-//! Each caller gets its own whole answer, each token once and in order.
+//! Each caller gets its own whole answer.
 
 use super::{CONTACT, Evidence, Finding};
-use crate::bed::{EVENTS, LONG_BY, ORGANISATION, RouteName};
+use crate::bed::ORGANISATION;
 use crate::callers::{Call, Told, is_success};
 use trouttrack_platform_standin::Reply;
 
 const OWN: &str = "each caller gets its own whole answer";
-const TOKENS: &str = "each token comes once, in order, from one generation";
 const UNALTERED: &str = "upstreams get what the caller sent, and whose it is";
 const ANSWERED: &str = "no request is lost";
 
@@ -34,7 +33,8 @@
     match (call.route.kind().is_stream(), reply.status) {
         (_, 500) => (reply.whole && reply.body != b"failed")
             .then(|| Finding::of(OWN, &call.id, "a failure with another body")),
-        (true, _) => stream(evidence, call, reply),
+        // `order` reads the events of streams.
+        (true, _) => None,
         (false, _) => plain(evidence, call, reply),
     }
 }
@@ -46,38 +46,22 @@
     (!is_right(evidence, reply, &text, &expected)).then(found)
 }
 
-fn stream(evidence: &Evidence, call: &Call, reply: &Reply) -> Option<Finding> {
-    let id = &call.id;
-    let padding = match call.route {
-        RouteName::Long => ".".repeat(LONG_BY),
-        _ => String::new(),
-    };
-    let events = (call.had + 1..=EVENTS).map(|n| format!("id: {n}\ndata: {id}/{n}{padding}\n\n"));
-    let expected: String = events.collect();
-    let text = reply.text();
-    (!is_right(evidence, reply, &text, &expected)).then(|| {
-        let seen = format!(
-            "whole={} {} bytes of {}",
-            reply.whole,
-            text.len(),
-            expected.len()
-        );
-        Finding::of(TOKENS, id, seen)
-    })
-}
-
-/// A whole answer is the expected one; one that was cut off is a beginning of it. One that only
-/// looks whole may be cut off if it has no framing and an upstream's answer looked so, too.
+/// A whole answer is the expected one; one that was cut off is a beginning of it.
 fn is_right(evidence: &Evidence, reply: &Reply, text: &str, expected: &str) -> bool {
-    let id = reply.id.as_deref().unwrap_or_default();
-    let mut runs = evidence.runs_of(id).iter();
-    let may_be_cut = !reply.whole || !reply.framed && runs.any(|run| run.arrival.looks_complete);
-    match may_be_cut {
+    match may_be_cut(evidence, reply) {
         false => text == expected,
         true => expected.starts_with(text),
     }
 }
 
+/// Whether an answer may end early. One that only looks whole may if it has no framing and an
+/// upstream's answer looked so, too.
+pub(super) fn may_be_cut(evidence: &Evidence, reply: &Reply) -> bool {
+    let id = reply.id.as_deref().unwrap_or_default();
+    let mut runs = evidence.runs_of(id).iter();
+    !reply.whole || !reply.framed && runs.any(|run| run.arrival.looks_complete)
+}
+
 fn arrivals(evidence: &Evidence, call: &Call) -> Option<Finding> {
     let target = call.route.target();
     let altered = evidence.runs_of(&call.id).iter().find(|r| {
--- a/trouttrack_soak/src/check/mod.rs
+++ b/trouttrack_soak/src/check/mod.rs
@@ -1,6 +1,8 @@
 //! The promises, held against what callers were told and the upstreams' books.
 //!
-//! - `answers`: each caller gets its own whole answer, each token once.
+//! - `answers`: each caller gets its own whole answer.
+//! - `order`: what a caller holds of a stream, by one or several answers, is the stream, event by
+//!   event, and joins no runs that may not be joined.
 //! - `runs`: at most once, "not run" is true, retries stay in their budget.
 //! - `keys`: configurations never go back, removed keys are dead.
 //! - `ends`: a request that ends engines is stopped.
@@ -22,6 +24,7 @@
 mod keys;
 mod limits;
 mod load;
+mod order;
 mod paths;
 mod runs;
 mod stops;
@@ -78,6 +81,7 @@
 #[must_use]
 pub fn check(evidence: &Evidence) -> Vec<Finding> {
     let mut findings = answers::check(evidence);
+    findings.extend(order::check(evidence));
     findings.extend(runs::check(evidence));
     findings.extend(keys::check(evidence));
     findings.extend(stops::check(evidence));
--- a/trouttrack_soak/tests/soak/check.rs
+++ b/trouttrack_soak/tests/soak/check.rs
@@ -96,9 +96,17 @@
     format!("GET|{}x|{id}", route.prefix())
 }
 
+/// The run that writes the streams of tests, unless they say otherwise.
+pub(crate) const RUN: &str = "run: u1 v1 1 0 anew";
+
 fn stream(id: &str, events: u64) -> String {
-    (1..=events)
-        .map(|n| format!("id: {n}\ndata: {id}/{n}\n\n"))
+    part(id, 1, events, RUN)
+}
+
+/// Events of a stream, by a run.
+pub(crate) fn part(id: &str, first: u64, last: u64, run: &str) -> String {
+    (first..=last)
+        .map(|n| format!("id: {n}\n{run}\ndata: {id}/{n}\n\n"))
         .collect()
 }
 
--- a/trouttrack_soak/tests/soak/load.rs
+++ b/trouttrack_soak/tests/soak/load.rs
@@ -1,6 +1,6 @@
 //! The promises under hard load are found broken when they are, and only then.
 
-use crate::check::{SECOND, broken, call, evidence, reply, run, served};
+use crate::check::{RUN, SECOND, broken, call, evidence, reply, run, served};
 use std::time::Instant;
 use trouttrack_soak::bed::{EVENTS, LONG_BY, RouteName};
 use trouttrack_soak::callers::Told;
@@ -27,7 +27,7 @@
 fn long_events(id: &str, events: u64) -> String {
     let padding = ".".repeat(LONG_BY);
     (1..=events)
-        .map(|n| format!("id: {n}\ndata: {id}/{n}{padding}\n\n"))
+        .map(|n| format!("id: {n}\n{RUN}\ndata: {id}/{n}{padding}\n\n"))
         .collect()
 }
 
--- a/trouttrack_soak/tests/soak/main.rs
+++ b/trouttrack_soak/tests/soak/main.rs
@@ -6,4 +6,5 @@
 mod lasting;
 mod link;
 mod load;
+mod order;
 mod paths;
