--- a/trouttrack_front/src/follow/self_reports.rs
+++ b/trouttrack_front/src/follow/self_reports.rs
@@ -104,7 +104,7 @@
 /// holds.
 fn memory_report(report: &EngineReport) -> Option<MemoryReport> {
     let listed = report.generations.iter().map(|(_, tokens)| tokens);
-    (report.generations.len() >= report.running).then(|| MemoryReport {
+    report.lists_all.then(|| MemoryReport {
         used_tokens: report.used_tokens,
         listed_tokens: listed.sum(),
     })
