Read the other objects of a page beside one that is no JSON

One object with `NaN`, `Infinity`, a control character or an invalid escape in it, as a store that is lax about what it accepts passes on, made every list, and every watch from a revision before it, an invalid response. A VM retried for as long as the object was there, and heard of no other change.

Cause: a page was parsed as one JSON text.

Change: a response that is not JSON is parsed again with scalars that are no JSON replaced by null and invalid characters by U+FFFD; the structure must be sound. Objects are decoded one by one, those without a readable name are left out and counted (`trouttrack_store_unreadable_objects`), and a page of which none is readable and which is not the last is an error, not the end of the list.

--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -58,6 +58,8 @@
     pub held_back: IntGauge,
     /// Calls to the platform's store.
     pub store_calls: IntGauge,
+    /// Objects in the store's answers that could not be read.
+    pub unreadable_objects: IntGauge,
     /// Connections opened to upstreams.
     pub connections: IntGauge,
     /// Log lines dropped by the rate limits on logging.
@@ -204,6 +206,11 @@
                 "Rounds so far in which a waiting request left memory to more urgent ones",
             ),
             store_calls: gauge(&r, "trouttrack_store_calls", "Calls to the store so far"),
+            unreadable_objects: gauge(
+                &r,
+                "trouttrack_store_unreadable_objects",
+                "Objects in answers of the store so far that could not be read at all",
+            ),
             connections: gauge(
                 &r,
                 "trouttrack_connections_opened",
