Check the ranges of upstream entries in every decoder

Slots up to 2^64 and a warm-up time of 10^19 seconds were accepted. The first overflows when places are counted, and with a peer's report of as many requests takes 69 GB; the second overflows the time at which the upstream is warm, once a VM has run for half an hour. An upstream with such an entry was used, and the entries that peers send were not checked at all.

As before, an upstream whose entry is not sound gets no work until it is.

--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -165,6 +165,17 @@
         }
     }
 
+    /// Marks entries with values out of range as unreadable.
+    fn check_entries(&mut self) {
+        for change in &mut self.changes {
+            if let EntryState::Listed(entry) = &change.entry
+                && entry.check().is_err()
+            {
+                change.entry = EntryState::Unreadable;
+            }
+        }
+    }
+
     /// What the removals mean, in order.
     fn removals(&self) -> Vec<Option<Removal>> {
         let gone = self.changes.iter().filter_map(|c| match c.entry {
@@ -340,6 +351,7 @@
             let (versions, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
             update.set_versions(versions);
             update.set_removals(postcard::from_bytes(rest).unwrap_or_default());
+            update.check_entries();
         }
         Datagram::Suspects(records) => {
             let contexts: Vec<RecordContext> = postcard::from_bytes(rest).unwrap_or_default();
--- a/trouttrack_front/src/peers/transfer/snapshot.rs
+++ b/trouttrack_front/src/peers/transfer/snapshot.rs
@@ -137,8 +137,8 @@
         self.publishes_start_times
     }
 
-    /// Iterates over the upstreams, skipping rows with an out-of-range service or failure
-    /// domain index.
+    /// Iterates over the upstreams, skipping rows with a value or an index of a service or failure
+    /// domain that is out of range.
     pub fn entries(&self) -> impl Iterator<Item = SnapshotEntry> {
         let rows = self.rows.iter().enumerate();
         rows.filter_map(|(index, row)| self.resolve(index, row))
@@ -147,18 +147,20 @@
     fn resolve(&self, index: usize, row: &Row) -> Option<SnapshotEntry> {
         let service = self.services.get(row.service as usize)?;
         let failure_domain = self.failure_domains.get(row.failure_domain as usize)?;
+        let entry = UpstreamEntry {
+            service: service.clone(),
+            addr: row.addr,
+            failure_domain: failure_domain.clone(),
+            slots: row.slots,
+            cold_for: Duration::from_millis(row.cold_ms),
+            leaving: row.leaving,
+            born: row.born,
+            version: self.versions.of_row(index).cloned().unwrap_or_default(),
+        };
+        entry.check().ok()?;
         Some(SnapshotEntry {
             id: row.id.clone(),
-            entry: UpstreamEntry {
-                service: service.clone(),
-                addr: row.addr,
-                failure_domain: failure_domain.clone(),
-                slots: row.slots,
-                cold_for: Duration::from_millis(row.cold_ms),
-                leaving: row.leaving,
-                born: row.born,
-                version: self.versions.of_row(index).cloned().unwrap_or_default(),
-            },
+            entry,
             lapsed: row.lapsed,
         })
     }
