Limit how long a removal may be called a lapse

A datagram may say that a removed entry may be written again for any time up to 2^64 seconds. Added to the clock it overflowed, which ended the task that receives datagrams: the VM went on, deaf to all its peers. A shorter one kept a departed upstream for as long.

Evidence, on the code before:

odd_numbers::a_lapse_ends_however_long_it_is_said_to_last overflow when adding durations

Change: at most the time counts after which a lapsed entry of a live upstream has been written again, which is also the most that a VM tells.

--- a/trouttrack_core/src/membership/entries.rs
+++ b/trouttrack_core/src/membership/entries.rs
@@ -128,7 +128,7 @@
         }
         match meaning.unwrap_or_else(|| self.judge(now)) {
             Removal::Lapse(left) => {
-                self.lapse(now, id, left);
+                self.lapse(now, id, left.min(RECOVERY_GRACE));
                 false
             }
             Removal::Final => self.by_id.remove(id).is_some(),
--- a/trouttrack_core/tests/core/main.rs
+++ b/trouttrack_core/tests/core/main.rs
@@ -15,6 +15,7 @@
 mod known_revisions;
 mod length;
 mod membership;
+mod odd_numbers;
 mod origins;
 mod paths;
 mod placement_under_load;
