Limit the times of scheduled copies

An engine that leaves reports the tokens of all its generations, and each VM computes when the copy of each is due. One generation of 2^64 tokens, or a configured link without bandwidth, made that time overflow: the moves of all generations of the engine ended with a panic, and they were lost with it.

Evidence, on the code before:

odd_numbers::a_generation_of_any_size_leaves_the_smaller_ones_their_turn overflow when adding durations

--- a/trouttrack_core/src/rescue/mod.rs
+++ b/trouttrack_core/src/rescue/mod.rs
@@ -37,6 +37,9 @@
 /// The same ratio for a copy to another failure domain, where the link is half as fast.
 const REMOTE_OVERHEAD: f64 = 2.1;
 
+/// Upper bound of times that follow from what an engine reports; no engine leaves that late.
+const MAX_TIME: Duration = Duration::from_secs(24 * 3600);
+
 /// A departing engine, as seen by one VM.
 ///
 /// # Examples
@@ -89,7 +92,8 @@
 
     /// Returns the time for which a copy of so many tokens occupies the link.
     fn copy_duration(&self, tokens: f64, same_domain: bool) -> Duration {
-        Duration::from_secs_f64(tokens * self.seconds_per_token * Self::overhead(same_domain))
+        let seconds = tokens * self.seconds_per_token * Self::overhead(same_domain);
+        Duration::try_from_secs_f64(seconds).map_or(MAX_TIME, |time| time.min(MAX_TIME))
     }
 
     /// Returns the scheduled position of a generation; an unknown one is last.
@@ -140,7 +144,7 @@
     /// its notice, so it is dated no earlier than the notice.
     pub fn set_remaining(&mut self, asked_at: Time, left: Duration) {
         let said_at = asked_at.saturating_sub(MAX_REPORT_AGE).max(self.noticed_at);
-        self.ends_at = said_at + left;
+        self.ends_at = said_at + left.min(MAX_TIME);
     }
 
     /// Records the tokens held by each of the engine's generations, including those of
