Bound sums and lists by what they hold, not by reported numbers

Three places computed with numbers as reported:

- The forecast of when memory becomes free had an entry for each request that a peer reports to run at an engine, up to 2^32 of 16 bytes.
- A caller's prompt of 2^64 tokens overflowed its forecast, and the virtual time of its priority class: in a release build, later requests of the class were no longer ordered by the shares of their organisations.
- The places of a brittle upstream overflowed when they were doubled.

Evidence, on the code before (address space limited to 6 GB):

odd_numbers::the_largest_use_of_a_peer_only_fills_the_engine memory allocation of bytes failed odd_numbers::the_largest_prompt_is_placed_and_ends world/systems/place.rs:106: attempt to add with overflow and with that mended, world/queue/mod.rs:99: attempt to add with overflow odd_numbers::a_brittle_upstream_may_have_any_number_of_places upstream/places.rs:52: attempt to multiply with overflow

--- a/trouttrack_core/src/upstream/backlog.rs
+++ b/trouttrack_core/src/upstream/backlog.rs
@@ -16,9 +16,12 @@
 /// underestimate the total.
 const REPORT_EXPIRY: Time = Time::from_secs(2);
 
+/// Upper bound of an estimated prefill time, in seconds; no request waits that long.
+const MAX_PREFILL_SECONDS: f64 = 24.0 * 3600.0;
+
 /// Estimated prefill time for `tokens` prompt tokens, in seconds.
 pub(crate) fn prefill_seconds(tokens: f64) -> f64 {
-    tokens / PREFILL_TOKENS_PER_SECOND
+    (tokens / PREFILL_TOKENS_PER_SECOND).min(MAX_PREFILL_SECONDS)
 }
 
 /// Number of prompt tokens awaiting prefill at an engine, with the time of the observation.
--- a/trouttrack_core/src/upstream/places.rs
+++ b/trouttrack_core/src/upstream/places.rs
@@ -49,7 +49,7 @@
         let places = self.rejections.places(now, borne, self.spec.max_running);
         let places = (places as f64 * part).ceil() as usize;
         let free = places.saturating_sub(self.running_at(now));
-        if !has_waited && free * 2 > places {
+        if !has_waited && free > places / 2 {
             return true;
         }
         let round = Round::at(now);
--- a/trouttrack_core/src/upstream/room.rs
+++ b/trouttrack_core/src/upstream/room.rs
@@ -2,6 +2,10 @@
 
 use super::runs::{OwnRun, PeerUse};
 
+/// Maximum number of ends that the runs of one source are spread over, since a peer may report any
+/// number of runs.
+const MAX_ENDS: usize = 256;
+
 /// Running requests of one source that are alike.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Runs {
@@ -43,11 +47,12 @@
     }
 
     /// Remaining tokens and held memory of each run, with the ends spread evenly around their
-    /// mean.
+    /// mean. Several runs share an end if there are more than [`MAX_ENDS`].
     fn ends(self) -> impl Iterator<Item = (f64, f64)> {
-        let spread = 2.0 * self.remaining / (self.count + 1) as f64;
-        let held = self.held / self.count.max(1) as f64;
-        (1..=self.count).map(move |i| (spread * i as f64, held))
+        let ends = self.count.min(MAX_ENDS);
+        let spread = 2.0 * self.remaining / (ends + 1) as f64;
+        let held = self.held / ends.max(1) as f64;
+        (1..=ends).map(move |i| (spread * i as f64, held))
     }
 }
 
--- a/trouttrack_core/src/world/demand.rs
+++ b/trouttrack_core/src/world/demand.rs
@@ -107,7 +107,8 @@
         }
         let held = now.saturating_sub(placed_at);
         let service = self.admission.service_mut(&s.service);
-        service.record_end(now, s.priority, held, (s.prompt_tokens + output) as f64);
+        let tokens = s.prompt_tokens.saturating_add(output);
+        service.record_end(now, s.priority, held, tokens as f64);
     }
 
     /// Postpones a request for which no upstream has room beyond what it leaves to more urgent
--- a/trouttrack_core/src/world/queue/mod.rs
+++ b/trouttrack_core/src/world/queue/mod.rs
@@ -11,6 +11,8 @@
 
 /// Fixed-point scale of virtual finish tags, which are compared as integers.
 const TAG_SCALE: f64 = 1024.0;
+/// Maximum cost of a request in units of finish tags, so that no sum of costs overflows.
+const MAX_COST: f64 = (1u64 << 32) as f64;
 
 /// Position of a waiting request in the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,7 +98,8 @@
             .entry((new.class, new.organisation.to_owned()))
             .or_insert(0);
         let start = class.virtual_time.max(*last);
-        let tag = start + (new.cost_per_weight * TAG_SCALE).max(1.0) as u64;
+        let cost = (new.cost_per_weight * TAG_SCALE).clamp(1.0, MAX_COST);
+        let tag = start.saturating_add(cost as u64);
         *last = tag;
         class.insert(
             key,
--- a/trouttrack_core/src/world/systems/place.rs
+++ b/trouttrack_core/src/world/systems/place.rs
@@ -103,7 +103,7 @@
         };
         OwnRun {
             key,
-            tokens: (s.prompt_tokens + so_far) as f64,
+            tokens: s.prompt_tokens.saturating_add(so_far) as f64,
             remaining,
             loaded: so_far > 0,
         }
