Limit the estimated times of an upstream

What callers saw in the test: 502 for every request to a service after one peer had reported an implausible rate of one of its upstreams. A reported mean is a logarithm of up to 65.5, a time of 10^22 seconds, which a Duration cannot hold: each placement panicked, in the task of the caller's request.

Evidence, on the code before:

odd_datagrams::the_largest_numbers_of_a_peer_end_no_task cannot convert float seconds to Duration: value is either too big or NaN left: (502, "{\"error\":\"the stream ended\"}")

Change: estimated times are at most an hour.

--- a/trouttrack_core/src/upstream/service_rate/estimate.rs
+++ b/trouttrack_core/src/upstream/service_rate/estimate.rs
@@ -15,6 +15,8 @@
 /// Lower bound of the standard error of a mean logarithm, for systematic errors that further
 /// samples do not reduce.
 const MIN_STANDARD_ERROR: f64 = 0.05;
+/// Upper bound of an estimated time, in seconds; peers may report longer ones.
+const MAX_SECONDS: f64 = 3600.0;
 /// Number of standard errors within which a difference does not count.
 const SIGNIFICANT_ERRORS: f64 = 2.0;
 
@@ -54,7 +56,10 @@
     pub(super) fn of(now: Time, means: &PerQuantity<LogMean>, typical: &Typical) -> Self {
         let (log, variance) = posterior(typical.deviation(now, means), typical.spread);
         let slowdown = (log + variance / 2.0).exp();
-        let seconds = |q: Quantity| typical.middle[q].map(|m| m.log.exp() * 1e-6 * slowdown);
+        let seconds = |q: Quantity| {
+            let seconds = typical.middle[q].map(|m| m.log.exp() * 1e-6 * slowdown);
+            seconds.map(|s| s.min(MAX_SECONDS))
+        };
         Self {
             slowdown,
             uncertainty: variance.sqrt(),
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -16,6 +16,7 @@
 mod leaving;
 mod lost_paths;
 mod moves;
+mod odd_datagrams;
 mod odd_entries;
 mod own_words;
 mod pace;
--- a/trouttrack_front/tests/front/support.rs
+++ b/trouttrack_front/tests/front/support.rs
@@ -7,6 +7,7 @@
     CallerLimits, EngineSpec, FleetConfig, Organisation, Route, RouteKind, ServiceSpec, Share,
 };
 use trouttrack_front::app::{Running, start};
+use trouttrack_front::state::Front;
 use trouttrack_platform_standin::{CallerRequest, Reply, Store, Upstream};
 
 pub(crate) const HOST: &str = "desk.example";
@@ -215,3 +216,12 @@
     let met = tokio::time::timeout(CONDITION_TIMEOUT, polling).await;
     assert!(met.is_ok(), "not met within {CONDITION_TIMEOUT:?}: {what}");
 }
+
+/// Checks that none of a VM's tasks has panicked.
+pub(crate) fn assert_no_panics(front: &Front) {
+    let metrics = String::from_utf8(front.metrics_text()).expect("text");
+    let panics = metrics
+        .lines()
+        .find(|l| l.starts_with("trouttrack_task_panics_total{"));
+    assert_eq!(panics, None);
+}
