Start tasks again that panicked

A panic ends the task in which it occurs and nothing else. If that follows the store, receives datagrams or accepts callers, the VM goes on without it and without a word: it calls itself ready, and hears of no change any more.

Change: the tasks that run as long as the process are started again half a second after a panic, which is logged (task-panicked) and counted (`trouttrack_task_panics_total`). A follower that starts again lists its kind again; the queue of updates for peers survives. A failure to receive datagrams no longer ends their receipt either.

The test panics in a task of its own. That a panicking task stopped for good was read from the code, which spawned it and dropped its handle.

--- a/trouttrack_front/src/app/start.rs
+++ b/trouttrack_front/src/app/start.rs
@@ -8,13 +8,14 @@
 use crate::peers::{self, EntryUpdate};
 use crate::rescue;
 use crate::state::Front;
+use crate::tasks;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::mpsc;
+use tokio::sync::{Mutex, mpsc};
 use trouttrack_config::settings::{FrontSettings, ListenSettings};
 use trouttrack_telemetry::events;
 use trouttrack_telemetry::logs::LinesDropped;
@@ -56,14 +57,16 @@
         log::error!("the peer address was already set");
     }
     follow::start(&front, own);
-    let scheduler = Rc::clone(&front.scheduler);
-    actix_rt::spawn(async move { scheduler.run().await });
-    actix_rt::spawn(rescue::poll_engines(Rc::clone(&front)));
+    tasks::spawn(&front, "schedule", |front| async move {
+        front.scheduler.run().await;
+    });
+    tasks::spawn(&front, "poll-engines", rescue::poll_engines);
     start_peers(&front, socket, listener, updates);
     let server = Server::bind(Rc::clone(&front), ports.listen);
     let server = server.map_err(|e| AppError::Listen(ports.listen, e))?;
     let callers = server.local_addr()?;
-    actix_rt::spawn(server.run());
+    let server = Rc::new(server);
+    tasks::spawn(&front, "serve-callers", move |_| Rc::clone(&server).run());
     start_http_endpoints(&front, &ports);
     events::STARTED.log(format_args!(
         "program=trouttrack_front vm={} failure_domain={} callers={callers} peers={own}",
@@ -102,18 +105,21 @@
             log::error!("cannot serve state to peers that start: {e}");
         }
     });
-    actix_rt::spawn(peers::send(Rc::clone(front), Rc::clone(&socket)));
-    actix_rt::spawn(peers::keep_confirmed(Rc::clone(front), Rc::clone(&socket)));
-    actix_rt::spawn(peers::send_updates(
-        Rc::clone(front),
-        Rc::clone(&socket),
-        updates,
-    ));
-    let listening = peers::listen(Rc::clone(front), socket);
-    actix_rt::spawn(async move {
-        if let Err(e) = listening.await {
-            log::error!("cannot receive heartbeats: {e}");
-        }
+    let sending = Rc::clone(&socket);
+    tasks::spawn(front, "send-heartbeats", move |front| {
+        peers::send(front, Rc::clone(&sending))
+    });
+    let asking = Rc::clone(&socket);
+    tasks::spawn(front, "keep-confirmed", move |front| {
+        peers::keep_confirmed(front, Rc::clone(&asking))
+    });
+    let updating = Rc::clone(&socket);
+    let updates = Rc::new(Mutex::new(updates));
+    tasks::spawn(front, "send-updates", move |front| {
+        peers::send_updates(front, Rc::clone(&updating), Rc::clone(&updates))
+    });
+    tasks::spawn(front, "receive-datagrams", move |front| {
+        peers::listen(front, Rc::clone(&socket))
     });
 }
 
--- a/trouttrack_front/src/caller/server.rs
+++ b/trouttrack_front/src/caller/server.rs
@@ -50,7 +50,7 @@
     }
 
     /// Serves callers for as long as the process runs.
-    pub(crate) async fn run(self) {
+    pub(crate) async fn run(self: Rc<Self>) {
         loop {
             let limits = self.limits();
             let front = Rc::clone(&self.front);
--- a/trouttrack_front/src/follow/mod.rs
+++ b/trouttrack_front/src/follow/mod.rs
@@ -26,20 +26,25 @@
 pub(crate) use upstreams::{UpdateResult, apply_update};
 
 use crate::state::Front;
+use crate::tasks;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Starts all followers and the tasks that write to the store.
 pub(crate) fn start(front: &Rc<Front>, own: SocketAddr) {
-    let config = config::ConfigFollower::new(Rc::clone(front));
-    let upstreams = upstreams::UpstreamFollower::new(Rc::clone(front));
-    actix_rt::spawn(kind::follow(Rc::clone(front), config));
-    actix_rt::spawn(kind::follow(Rc::clone(front), upstreams));
-    let evacuations = evacuations::EvacuationFollower::new(Rc::clone(front));
-    actix_rt::spawn(kind::follow(Rc::clone(front), evacuations));
-    actix_rt::spawn(holds::sync(Rc::clone(front)));
-    actix_rt::spawn(vms::announce(Rc::clone(front), own));
-    actix_rt::spawn(vms::list(Rc::clone(front)));
-    actix_rt::spawn(upstreams::expire(Rc::clone(front)));
-    actix_rt::spawn(confirm::confirm(Rc::clone(front)));
+    tasks::spawn(front, "follow-config", |front| {
+        kind::follow(Rc::clone(&front), config::ConfigFollower::new(front))
+    });
+    tasks::spawn(front, "follow-upstreams", |front| {
+        kind::follow(Rc::clone(&front), upstreams::UpstreamFollower::new(front))
+    });
+    tasks::spawn(front, "follow-evacuations", |front| {
+        let follower = evacuations::EvacuationFollower::new(Rc::clone(&front));
+        kind::follow(front, follower)
+    });
+    tasks::spawn(front, "sync-holds", holds::sync);
+    tasks::spawn(front, "announce-vm", move |front| vms::announce(front, own));
+    tasks::spawn(front, "list-vms", vms::list);
+    tasks::spawn(front, "expire-upstreams", upstreams::expire);
+    tasks::spawn(front, "confirm-config", confirm::confirm);
 }
--- a/trouttrack_front/src/lib.rs
+++ b/trouttrack_front/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`peers`] exchanges upstream use and updates with the other VMs.
 //! - `metrics` holds the Prometheus metrics.
 //! - `page` serves HTTP endpoints that are not for callers.
+//! - [`tasks`] starts tasks again that panicked.
 //! - [`app`] starts these parts and shuts them down gracefully.
 
 pub mod app;
@@ -27,3 +28,4 @@
 pub mod request;
 mod rescue;
 pub mod state;
+pub mod tasks;
--- a/trouttrack_front/src/metrics/mod.rs
+++ b/trouttrack_front/src/metrics/mod.rs
@@ -60,6 +60,8 @@
     pub store_calls: IntGauge,
     /// Objects in the store's answers that could not be read.
     pub unreadable_objects: IntGauge,
+    /// Panics of tasks that run as long as the process, by task.
+    pub task_panics: IntCounterVec,
     /// Connections opened to upstreams.
     pub connections: IntGauge,
     /// Log lines dropped by the rate limits on logging.
@@ -211,6 +213,12 @@
                 "trouttrack_store_unreadable_objects",
                 "Objects in answers of the store so far that could not be read at all",
             ),
+            task_panics: counter_vec(
+                &r,
+                "trouttrack_task_panics_total",
+                "Panics of tasks that run as long as the process, each of which was started again, by task",
+                &["task"],
+            ),
             connections: gauge(
                 &r,
                 "trouttrack_connections_opened",
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -12,18 +12,17 @@
 use crate::state::Front;
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::UdpSocket;
 use trouttrack_core::membership::{Conditions, Revision};
 
+/// Pause after a failure to receive.
+const RECEIVE_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Receive buffer size; longer datagrams are truncated.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
 /// Receives and handles peer datagrams for as long as the process runs.
-///
-/// # Errors
-///
-/// Returns an error if receiving from the socket fails.
-pub(crate) async fn listen(front: Rc<Front>, socket: Rc<UdpSocket>) -> io::Result<()> {
+pub(crate) async fn listen(front: Rc<Front>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     let configs = ConfigExchange::default();
     let catch_up = CatchUp::default();
@@ -32,7 +31,11 @@
             Ok(received) => received,
             // ICMP reply to an earlier send: no process listens on that port.
             Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => continue,
-            Err(e) => return Err(e),
+            Err(e) => {
+                log::error!("cannot receive datagrams: {e}");
+                tokio::time::sleep(RECEIVE_RETRY_PAUSE).await;
+                continue;
+            }
         };
         let Some((datagram, conditions)) = decode(&buf[..length]) else {
             log::debug!("failed to decode a datagram of {length} bytes from {from}");
--- a/trouttrack_front/src/peers/news.rs
+++ b/trouttrack_front/src/peers/news.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{Mutex, mpsc};
 use trouttrack_core::membership::{
     MAX_CHANGES_PER_DATAGRAM, MAX_UPDATE_DATAGRAMS, Revision, relays, update_receivers,
 };
@@ -26,8 +26,9 @@
 pub(crate) async fn send_updates(
     front: Rc<Front>,
     socket: Rc<UdpSocket>,
-    mut news: mpsc::Receiver<EntryUpdate>,
+    news: Rc<Mutex<mpsc::Receiver<EntryUpdate>>>,
 ) {
+    let mut news = news.lock().await;
     while let Some(news) = news.recv().await {
         for part in news.in_parts(MAX_CHANGES_PER_DATAGRAM) {
             send_part(&front, &socket, part).await;
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -35,6 +35,7 @@
 mod store_restored;
 mod streams;
 mod support;
+mod tasks;
 mod turned_away;
 mod unframed;
 mod versions;
--- a/trouttrack_telemetry/src/events/catalogue.rs
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -108,4 +108,5 @@
     TAKEN_UP = 136, Info, "taken-up", "A caller returned for the rest of a stream. Names the attempt that began it, and the software version that did, if that is known and still serves; otherwise nothing is run.";
     HOLD_LIFTED = 137, Info, "hold-lifted", "A hold ended because the settings lift it. Names the fingerprint of the request or the part.";
     CONNECTIONS_SHED = 138, Warn, "connections-shed", "New connections of callers were closed before anything was read, because too many are open or the event loop is late; the callers' next ones reach other VMs. Names the reason, how many were closed since the last such line, at most one a second, and how many are open.";
+    TASK_PANICKED = 150, Error, "task-panicked", "A task that runs as long as the process panicked, which is a defect; it is started again. Names the task and the panic's message.";
 }
