--- a/trouttrack_telemetry/src/events/catalogue.rs
+++ b/trouttrack_telemetry/src/events/catalogue.rs
@@ -109,4 +109,5 @@
     HOLD_LIFTED = 137, Info, "hold-lifted", "A hold ended because the settings lift it. Names the fingerprint of the request or the part.";
     CONNECTIONS_SHED = 138, Warn, "connections-shed", "New connections of callers were closed before anything was read, because too many are open or the event loop is late; the callers' next ones reach other VMs. Names the reason, how many were closed since the last such line, at most one a second, and how many are open.";
     VERSION_RECORDED = 139, Info, "version-recorded", "The store has the record that a software version of a service has upstreams. VMs that start later conclude from the records which versions may have begun a stream. Names the service and the version.";
+    TASK_PANICKED = 140, Error, "task-panicked", "A task that runs as long as the process panicked, which is a defect; it is started again. Names the task and the panic's message.";
 }
