A VM serves once it knows the holds that began before it started

What happened: after all VMs were killed, a request or a part of prompts that had been held was sent again, and ended further upstreams.

Cause: not knowing taken for knowing. A VM that starts read the holds with a list that may be seconds old, listed again 5.7 to 10.7 s later if other VMs were listed, and served meanwhile; it also served before any list of the VMs was answered, as if nothing were held. An empty table was taken for no holds.

Change: after its first list a VM reads the changes since that list with one watch that does not wait, and applies the holds of both. Until then it is not ready and answers 503 with a time to come back. A peer that knows the holds tells them as before, by checksum; a VM that does not know them says so in its heartbeat, after everything that earlier versions decode, so that VMs which start together do not take each other's empty tables for knowledge. In a fleet of more than 256 VMs those drawn read it, the others hear it from them. Cost: one call to the store a VM and start.

--- a/trouttrack_core/src/membership/conditions.rs
+++ b/trouttrack_core/src/membership/conditions.rs
@@ -23,6 +23,10 @@
     /// conditions, which VMs of earlier versions decode.
     #[serde(skip)]
     pub paths_lost: bool,
+    /// Whether the VM does not yet know which requests are quarantined. Only heartbeats carry it,
+    /// after everything else; VMs of earlier versions never tell it.
+    #[serde(skip)]
+    pub quarantine_unknown: bool,
 }
 
 impl Conditions {
@@ -41,6 +45,7 @@
             && self.demand.is_empty()
             && self.reachable.is_empty()
             && !self.paths_lost
+            && !self.quarantine_unknown
     }
 
     /// Removes the observations of reachability that earlier load updates have carried.
--- a/trouttrack_front/src/caller/admit.rs
+++ b/trouttrack_front/src/caller/admit.rs
@@ -52,7 +52,8 @@
 /// # Errors
 ///
 /// Returns the answer if the request is not served. A VM that cannot confirm its configuration
-/// answers 503 instead of rejecting a route or key that may exist.
+/// answers 503 instead of rejecting a route or key that may exist, and one that does not know
+/// which requests are quarantined sends none.
 pub(super) fn admit(front: &Front, head: CallerHead) -> Result<Admitted, Box<Reply>> {
     let received_at = front.clock.now();
     let Some(table) = front.routing.table() else {
@@ -74,6 +75,10 @@
         let reply = unconfirmed(front, &head, "keys cannot be confirmed");
         return Err(Box::new(reply));
     }
+    if !front.quarantine.is_known() {
+        let reason = "quarantined requests are not known yet";
+        return Err(Box::new(unconfirmed(front, &head, reason)));
+    }
     let timeout = head.patience.unwrap_or(route.timeout).min(route.timeout);
     Ok(Admitted {
         rank: organisation
--- a/trouttrack_front/src/follow/confirm.rs
+++ b/trouttrack_front/src/follow/confirm.rs
@@ -16,7 +16,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Number of VMs that may all call the store at the same time. Sending 256 configurations of
 /// about 90 kB takes the store's link a fifth of a second.
-const MAX_CONCURRENT_CALLS: usize = 256;
+pub(super) const MAX_CONCURRENT_CALLS: usize = 256;
 /// Interval at which VMs decide at random whether to make their first call.
 const FIRST_CALL_SELECTION_INTERVAL: Duration = Duration::from_millis(700);
 /// Interval at which a VM without a configuration checks for one.
--- a/trouttrack_front/src/follow/holds.rs
+++ b/trouttrack_front/src/follow/holds.rs
@@ -6,17 +6,25 @@
 //! ends. Holds are stored next to the VM entries, so that reading them needs no extra call.
 
 use super::backoff::Backoff;
+use super::bootstrap::is_selected_to_call_store;
+use super::confirm::MAX_CONCURRENT_CALLS;
+use super::upstreams::update_readiness;
 use super::vms::pause_after_restore;
 use crate::state::Front;
 use std::rc::Rc;
 use std::time::Duration;
+use trouttrack_core::membership::Revision;
 use trouttrack_core::quarantine::{Subject, record_holders};
-use trouttrack_platform::{HoldEntry, Kind, Object, StoreError};
+use trouttrack_platform::{Change, HoldEntry, Kind, Object, StoreError, Watched};
 
 /// Timeout for a store call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Number of VMs that write a hold, so that one of them may fail.
 const WRITER_COUNT: usize = 2;
+/// Wait of a watch that only reads the changes since a list.
+const IMMEDIATE_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
+/// Interval at which the VMs of a large fleet decide at random whether to read those changes.
+const SELECTION_INTERVAL: Duration = Duration::from_millis(700);
 
 /// Writes changes to held requests to the store for as long as the process runs. A restore of the store may
 /// lose written entries and bring removed ones back, so after it all remembered requests are
@@ -74,11 +82,80 @@
     put.await.map(|_created| ())
 }
 
-/// Restores a hold if the object is a hold rather than a VM entry. Returns whether it is
-/// a hold.
-pub(super) fn apply_if_hold(front: &Front, object: &Object) -> bool {
+/// The holds of a list that may lag.
+#[derive(Debug, Default)]
+pub(super) struct ListedHolds {
+    objects: Vec<Object>,
+    /// The revision of the oldest page.
+    oldest: Option<Revision>,
+}
+
+impl ListedHolds {
+    /// Records that a page has been read.
+    pub(super) fn add_page(&mut self, revision: Revision) {
+        let oldest = self.oldest.get_or_insert(revision);
+        *oldest = revision.min(*oldest);
+    }
+
+    /// Adds the object if it is a hold rather than a VM entry. Returns whether it is a hold.
+    pub(super) fn add(&mut self, object: &Object) -> bool {
+        let is_hold = HoldEntry::subject(&object.name).is_some();
+        if is_hold {
+            self.objects.push(object.clone());
+        }
+        is_hold
+    }
+
+    /// Applies the changes made since the list.
+    fn update(&mut self, changes: Vec<Change>) {
+        for change in changes {
+            self.objects.retain(|o| o.name != change.object.name);
+            if !change.deleted {
+                self.add(&change.object);
+            }
+        }
+    }
+
+    /// Restores all holds.
+    fn apply(&self, front: &Front) {
+        self.objects.iter().for_each(|o| apply(front, o));
+    }
+}
+
+/// Restores the holds of a list. At the start, first reads what the list lacks because it lags: a
+/// request that ended upstreams just before all VMs were killed would end as many again. In a large
+/// fleet a few VMs read it, and the others learn the holds from them. Returns whether they are
+/// known; if not, another list is needed.
+pub(super) async fn learn(front: &Front, mut listed: ListedHolds) -> bool {
+    let mut backoff = Backoff::new();
+    while !front.quarantine.is_known() {
+        let is_large = front.peers.listed() > MAX_CONCURRENT_CALLS;
+        if is_large && !is_selected_to_call_store(front) {
+            tokio::time::sleep(SELECTION_INTERVAL).await;
+            continue;
+        }
+        let since = listed.oldest.unwrap_or_default();
+        let watch = front.store.watch(Kind::Vms, since, IMMEDIATE_WATCH_TIMEOUT);
+        match watch.await {
+            Ok(Watched::Changes { changes, .. }) => {
+                listed.update(changes);
+                front.quarantine.set_known();
+            }
+            Ok(Watched::HistoryGone) => return false,
+            Err(e) => {
+                log::debug!("cannot read the newest holds: {e}");
+                backoff.pause().await;
+            }
+        }
+    }
+    listed.apply(front);
+    update_readiness(front);
+    true
+}
+
+fn apply(front: &Front, object: &Object) {
     let Some(subject) = HoldEntry::subject(&object.name) else {
-        return false;
+        return;
     };
     match HoldEntry::decode(object.spec.get()) {
         Ok(entry) => front
@@ -86,5 +163,4 @@
             .restore(subject, &entry.ended, &entry.needed()),
         Err(e) => log::warn!("hold {}: entry cannot be read: {e}", object.name),
     }
-    true
 }
--- a/trouttrack_front/src/follow/mod.rs
+++ b/trouttrack_front/src/follow/mod.rs
@@ -23,7 +23,7 @@
 pub(crate) use config::apply_revision as apply_config;
 pub(crate) use evacuations::{UpdateSource, apply_evacuations};
 pub(crate) use self_reports::{receive_answer, receive_limits, receive_report};
-pub(crate) use upstreams::{UpdateResult, apply_update};
+pub(crate) use upstreams::{UpdateResult, apply_update, update_readiness};
 
 use crate::state::Front;
 use std::net::SocketAddr;
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -415,11 +415,10 @@
         return;
     }
     front.divide();
-    set_ready(front);
+    update_readiness(front);
 }
 
-/// Rebuilds all rows of the decision tables, and marks the VM ready once the upstreams are
-/// listed.
+/// Rebuilds all rows of the decision tables.
 fn rebuild_rows(front: &Front) {
     let Some(table) = front.routing.table() else {
         return;
@@ -432,11 +431,13 @@
     for id in front.upstreams.leaving() {
         front.scheduler.set_leaving(&id);
     }
-    set_ready(front);
+    update_readiness(front);
 }
 
-fn set_ready(front: &Front) {
-    if front.upstreams.is_listed() {
+/// Marks the VM ready once the configuration, the upstreams and the holds are known.
+pub(crate) fn update_readiness(front: &Front) {
+    let is_known = front.routing.is_known() && front.quarantine.is_known();
+    if is_known && front.upstreams.is_listed() {
         front.lifecycle.set_ready();
     }
 }
--- a/trouttrack_front/src/follow/vms.rs
+++ b/trouttrack_front/src/follow/vms.rs
@@ -4,7 +4,7 @@
 //! discovered by their heartbeats.
 
 use super::backoff::Backoff;
-use super::holds;
+use super::holds::{self, ListedHolds};
 use crate::state::Front;
 use rand::RngExt;
 use std::net::SocketAddr;
@@ -86,14 +86,19 @@
 pub(super) async fn list(front: Rc<Front>) {
     let mut backoff = Backoff::new();
     match list_once(&front, Reading::MayLag).await {
-        Ok(()) if front.peers.listed() > 1 => {
-            front.peers.set_listed(front.clock.now());
-            // A VM that is missing from this list announces itself to its failure domain when
-            // it starts.
-            let part = rand::rng().random_range(SECOND_LIST_FRACTION);
-            tokio::time::sleep(list_interval(front.peers.listed()).mul_f64(part)).await;
+        Ok(holds) => {
+            let is_restart = front.peers.listed() > 1;
+            if is_restart {
+                front.peers.set_listed(front.clock.now());
+            }
+            let are_holds_known = holds::learn(&front, holds).await;
+            if is_restart && are_holds_known {
+                // A VM that is missing from this list announces itself to its failure domain
+                // when it starts.
+                let part = rand::rng().random_range(SECOND_LIST_FRACTION);
+                tokio::time::sleep(list_interval(front.peers.listed()).mul_f64(part)).await;
+            }
         }
-        Ok(()) => {}
         Err(e) => log::debug!("cannot list the VMs: {e}"),
     }
     tokio::time::sleep(STARTUP_DELAY).await;
@@ -102,11 +107,15 @@
     let mut reading = Reading::Current;
     loop {
         match list_once(&front, reading).await {
-            Ok(()) => {
-                backoff.reset();
+            Ok(holds) => {
                 front.peers.set_listed(front.clock.now());
                 front.peers.set_all_known();
                 front.divide();
+                if !holds::learn(&front, holds).await {
+                    backoff.pause().await;
+                    continue;
+                }
+                backoff.reset();
                 reading = Reading::MayLag;
                 tokio::time::sleep(list_interval(front.peers.listed())).await;
             }
@@ -123,19 +132,23 @@
     LIST_INTERVAL.mul_f64((vms as f64 / VMS_PER_LIST_INTERVAL as f64).max(1.0))
 }
 
-async fn list_once(front: &Front, reading: Reading) -> Result<(), StoreError> {
+/// Lists the VMs once. Returns the holds, which are listed with them.
+async fn list_once(front: &Front, reading: Reading) -> Result<ListedHolds, StoreError> {
     let mut after: Option<String> = None;
     let mut reading = reading;
+    let mut holds = ListedHolds::default();
     loop {
         let listing = front
             .store
             .list(Kind::Vms, after.as_deref(), reading, CALL_TIMEOUT);
         let page = listing.await?;
-        page.objects.iter().for_each(|o| apply_object(front, o));
+        holds.add_page(page.revision);
+        let vms = page.objects.iter().filter(|o| !holds.add(o));
+        vms.for_each(|o| apply_object(front, o));
         after = page.objects.last().map(|o| o.name.clone());
         if !page.more || after.is_none() {
             front.divide();
-            return Ok(());
+            return Ok(holds);
         }
         if reading == Reading::Current {
             // Current reads are expensive for the store, so the remaining pages of a long list
@@ -147,9 +160,6 @@
 }
 
 fn apply_object(front: &Front, object: &Object) {
-    if holds::apply_if_hold(front, object) {
-        return;
-    }
     match VmEntry::decode(object.spec.get()) {
         Ok(entry) => {
             let (name, domain) = (&object.name, &entry.failure_domain);
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -144,6 +144,7 @@
 /// nothing about them.
 fn own_conditions(front: &Front) -> Conditions {
     let mut conditions = front.scheduler.conditions();
+    conditions.quarantine_unknown = !front.quarantine.is_known();
     conditions.paths_lost = front.paths.are_all_lost();
     if conditions.paths_lost {
         conditions.unreachable.clear();
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -54,7 +54,10 @@
                 }
             }
             Datagram::Load(load) => handle_load(&front, &load, &conditions),
-            Datagram::Suspects(received) => quarantine::receive(&front, &socket, &received, from),
+            Datagram::Suspects(received) => {
+                quarantine::receive(&front, &socket, &received, from);
+                follow::update_readiness(&front);
+            }
             Datagram::ConfigWanted => configs.answer(&front, &socket, from),
             Datagram::Config(received) => config::apply(&front, &received),
             Datagram::ConfigReady(version) => configs.fetch(&front, from, version),
@@ -113,6 +116,11 @@
     }
     confirm::receive_heartbeat(front, heartbeat);
     follow::receive_limits(front, name, &heartbeat.limits);
+    if !conditions.quarantine_unknown {
+        let checksum = heartbeat.quarantine_checksum;
+        front.quarantine.receive_checksum(checksum);
+        follow::update_readiness(front);
+    }
     follow::apply_evacuations(front, &heartbeat.evacuations, UpdateSource::Peer(name));
     if heartbeat.watches {
         receive_announcement(front, &digest.name);
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -314,6 +314,9 @@
             .and_then(|bytes| postcard::to_extend(conditions, bytes))
             .and_then(|bytes| postcard::to_extend(&conditions.paths_lost, bytes))
             .and_then(|bytes| match (is_news, contexts.is_empty()) {
+                (false, true) if matches!(datagram, Datagram::Heartbeat(_)) => {
+                    postcard::to_extend(&conditions.quarantine_unknown, bytes)
+                }
                 (false, true) => Ok(bytes),
                 (true, _) => postcard::to_extend(&versions, bytes)
                     .and_then(|bytes| postcard::to_extend(&removals, bytes)),
@@ -335,7 +338,11 @@
     let (mut datagram, rest) = postcard::take_from_bytes(payload).ok()?;
     let (conditions, rest) = postcard::take_from_bytes::<Conditions>(rest).unwrap_or_default();
     let (paths_lost, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+    let mut quarantine_unknown = false;
     match &mut datagram {
+        Datagram::Heartbeat(_) => {
+            quarantine_unknown = postcard::from_bytes(rest).unwrap_or_default();
+        }
         Datagram::News(update, _) => {
             let (versions, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
             update.set_versions(versions);
@@ -351,6 +358,7 @@
     }
     let conditions = Conditions {
         paths_lost,
+        quarantine_unknown,
         ..conditions
     };
     Some((datagram, conditions))
--- a/trouttrack_front/src/state/quarantine.rs
+++ b/trouttrack_front/src/state/quarantine.rs
@@ -2,7 +2,7 @@
 //! knows.
 
 use super::clock::Clock;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use tokio::sync::Notify;
 use trouttrack_core::quarantine::{
     Attributes, CrashRecord, CrashedRun, Hold, Quarantine, QuarantineSettings, Subject,
@@ -28,6 +28,10 @@
     holds_changed: Notify,
     /// Wakes requests that wait for an upstream when a hold begins.
     hold_begun: Notify,
+    /// Whether the holds of the VMs that ran before this one started are known.
+    known: Cell<bool>,
+    /// The checksum of a peer that knows them.
+    expected_checksum: Cell<Option<u64>>,
 }
 
 impl QuarantineState {
@@ -42,6 +46,33 @@
             changed_holds: RefCell::default(),
             holds_changed: Notify::new(),
             hold_begun: Notify::new(),
+            known: Cell::default(),
+            expected_checksum: Cell::default(),
+        }
+    }
+
+    /// Whether the holds that began before this VM started are known. Until then an empty table
+    /// does not mean that nothing is held.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.known.get()
+    }
+
+    /// Records that all holds have been read from the store.
+    pub(crate) fn set_known(&self) {
+        self.known.set(true);
+    }
+
+    /// Applies the checksum of a peer that knows all holds. With an equal one this VM knows them
+    /// as well.
+    pub(crate) fn receive_checksum(&self, checksum: u64) {
+        self.expected_checksum.set(Some(checksum));
+        self.compare_checksums();
+    }
+
+    fn compare_checksums(&self) {
+        if !self.known.get() && self.expected_checksum.get() == Some(self.checksum()) {
+            self.known.set(true);
         }
     }
 
@@ -253,6 +284,7 @@
         for &subject in &merged.held {
             self.begin_hold(subject, peer);
         }
+        self.compare_checksums();
         for (record, before) in received.iter().zip(before) {
             let subject = record.subject();
             let is_new = merged.held.contains(&subject) || !before;
--- a/trouttrack_front/tests/front/prompt_parts.rs
+++ b/trouttrack_front/tests/front/prompt_parts.rs
@@ -14,7 +14,7 @@
 use trouttrack_core::upstream::Incarnation;
 use trouttrack_front::app::{Running, start};
 use trouttrack_platform::CallerHead;
-use trouttrack_platform_standin::{Behaviour, CallerRequest, Reply, Store, Upstream};
+use trouttrack_platform_standin::{Behaviour, CallerRequest, Reply, Store, StoreFault, Upstream};
 
 /// Part under which upstreams exit, and two sound ones.
 const FATAL: &str = "bad0";
@@ -321,3 +321,94 @@
     let req = request("lifted", "draft", &[COMMON, FATAL]);
     assert_eq!(bed.send(&req).await.status, 200);
 }
+
+/// A store that VMs which are gone have left, with a hold on the fatal part that is not in lists
+/// that lag, and an upstream that exits under the part.
+async fn store_with_new_hold() -> (Store, Upstream) {
+    let bed = Bed::new(ENGINES).await;
+    hold_fatal_part(&bed.front);
+    until("the store has the hold", || !bed.store.holds().is_empty()).await;
+    let store = Store::start().await;
+    store.put_config(&config(1));
+    let upstream = Upstream::start("u1", ENGINES, "a").await;
+    upstream.ends_under_part(FATAL);
+    upstream.always(Behaviour::Stream(4));
+    store.put_upstream(&upstream, false);
+    for name in ["front-1", "front-2"] {
+        let unreachable = "127.0.0.1:9".parse().expect("an address");
+        store.put_vm(name, unreachable, "b");
+    }
+    let before = store.backup();
+    store.inherit_holds(&bed.store);
+    store.lag(&before);
+    (store, upstream)
+}
+
+/// Sends a request with the fatal part and a sound one.
+async fn send_both(vm: &Running) -> [u16; 2] {
+    let fatal = request("fatal", "resume", &[COMMON, FATAL]);
+    let sound = request("sound", "resume", &[COMMON, OTHER]);
+    let fatal = fatal.send(vm.callers).await.status;
+    [fatal, sound.send(vm.callers).await.status]
+}
+
+/// Guards against a VM that takes the holds of a list that lags for all holds: after the loss of
+/// all VMs, those written last were unknown for seconds.
+#[actix_rt::test]
+async fn a_hold_written_just_before_the_loss_of_all_vms_is_known_after_it() {
+    let (store, upstream) = store_with_new_hold().await;
+    let vm = start(&settings(&store, "front-1", "")).await;
+    let vm = vm.expect("a front");
+    until("the VM is ready", || vm.front.lifecycle.is_ready()).await;
+    until("keys are confirmed", || vm.front.routing.is_fresh()).await;
+    assert_eq!(send_both(&vm).await, [503, 200]);
+    assert!(!upstream.has_ended());
+}
+
+/// Guards against a VM that serves before it has read any holds, as if there were none.
+#[actix_rt::test]
+async fn a_vm_sends_nothing_before_it_has_read_the_holds() {
+    let (store, upstream) = store_with_new_hold().await;
+    store.set_fault(StoreFault::LateVmLists);
+    let vm = start(&settings(&store, "front-1", "")).await;
+    let vm = vm.expect("a front");
+    until("the upstreams are known", || vm.front.upstreams.is_listed()).await;
+    until("keys are confirmed", || vm.front.routing.is_fresh()).await;
+    assert_eq!(send_both(&vm).await, [503, 503]);
+    assert!(!vm.front.lifecycle.is_ready());
+    store.set_fault(StoreFault::None);
+    until("the VM is ready", || vm.front.lifecycle.is_ready()).await;
+    assert_eq!(send_both(&vm).await, [503, 200]);
+    assert!(!upstream.has_ended());
+}
+
+/// Guards against VMs that start together and each take the other's empty quarantine for knowledge.
+#[actix_rt::test]
+async fn vms_that_start_together_learn_no_holds_from_each_other() {
+    /// Longer than two VMs take to exchange several heartbeats.
+    const SEVERAL_HEARTBEATS: Duration = Duration::from_millis(1500);
+    let (store, _upstream) = store_with_new_hold().await;
+    store.set_fault(StoreFault::LateVmLists);
+    let mut vms = Vec::new();
+    for name in ["front-1", "front-2"] {
+        vms.push(start(&settings(&store, name, "")).await.expect("a front"));
+    }
+    for (vm, other) in [(&vms[0], &vms[1]), (&vms[1], &vms[0])] {
+        let addr = *other.front.peer_addr.get().expect("bound");
+        vm.front.peers.insert(&other.front.name, addr, "a");
+        vm.front.peers.announce();
+    }
+    until("they hear each other", || {
+        vms.iter().all(|vm| vm.front.peers.live_names().len() == 1)
+    })
+    .await;
+    tokio::time::sleep(SEVERAL_HEARTBEATS).await;
+    assert!(vms.iter().all(|vm| !vm.front.quarantine.is_known()));
+    store.set_fault(StoreFault::None);
+    until("both know the hold", || {
+        let knows =
+            |vm: &Running| vm.front.quarantine.is_known() && vm.front.quarantine.held() == 1;
+        vms.iter().all(knows)
+    })
+    .await;
+}
