--- a/trouttrack_soak/src/args.rs
+++ b/trouttrack_soak/src/args.rs
@@ -13,6 +13,8 @@
         optional --front program: PathBuf
         /// Where settings and logs are kept (default target/soak).
         optional --dir dir: PathBuf
+        /// A named size: 7-in-4, 6-in-4 or 6-in-3 (VMs in failure domains).
+        optional --size size: String
         /// Fronts (default 3).
         optional --vms vms: usize
         /// Plain upstreams, and as many engines (default 3).
--- a/trouttrack_soak/src/bed/fleet.rs
+++ b/trouttrack_soak/src/bed/fleet.rs
@@ -2,7 +2,7 @@
 
 use super::balance::MISSES;
 use super::config::Configs;
-use super::upstreams::{DOMAINS, PACE, Upstreams};
+use super::upstreams::{ALL_DOMAINS, DOMAINS, PACE, Upstreams};
 use crate::faults::{Lasting, Slow};
 use crate::link::Link;
 use crate::plan::{Plan, Size};
@@ -86,7 +86,7 @@
         let store = Store::start().await;
         let configs = Configs::first();
         store.put_config(configs.newest());
-        let upstreams = Upstreams::start(&store, size.upstreams, plan.versions).await?;
+        let upstreams = Upstreams::start(&store, size, plan.versions).await?;
         let mut bed = Self {
             store,
             store_faults: Lasting::default(),
@@ -109,7 +109,8 @@
             let to_store = Link::before(door.addr()).await?;
             bed.store_doors.push((door, Lasting::default()));
             let domain = match plan.apart {
-                true => DOMAINS.get(number - 1).copied().unwrap_or("c"),
+                true if size.domains == DOMAINS.len() => ALL_DOMAINS[(number - 1).min(2)],
+                true => ALL_DOMAINS[(number - 1) % size.domains.clamp(1, ALL_DOMAINS.len())],
                 false => DOMAINS[0],
             };
             let vm = Vm::new(number, domain, program, dir, to_store.addr())?;
--- a/trouttrack_soak/src/bed/upstreams.rs
+++ b/trouttrack_soak/src/bed/upstreams.rs
@@ -2,7 +2,7 @@
 
 use super::routes::{ENGINES, PLAIN};
 use crate::link::Link;
-use crate::plan::LinkFault;
+use crate::plan::{LinkFault, Size};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::time::{Duration, Instant};
@@ -10,6 +10,8 @@
 
 /// The failure domains in which upstreams stand, by turns.
 pub const DOMAINS: [&str; 2] = ["a", "b"];
+/// The failure domains of larger fleets, of which the first are those.
+pub(super) const ALL_DOMAINS: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
 /// Events of every stream.
 pub const EVENTS: u64 = 60;
 /// The body of a request that ends each engine that begins to run it.
@@ -54,13 +56,17 @@
     /// Those that have gone, and that only the act by which they went replaces.
     gone: RefCell<Vec<String>>,
     started: Cell<usize>,
+    /// Failure domains in which they stand by turns.
+    domains: usize,
     /// Software versions that upstreams have by turns.
     versions: usize,
+    /// Releases so far, each of which raises the versions of those that start from then on.
+    releases: Cell<usize>,
 }
 
 impl Upstreams {
-    /// Starts so many plain upstreams, and as many engines, of so many versions.
-    pub(super) async fn start(store: &Store, each: usize, versions: usize) -> io::Result<Self> {
+    /// Starts the plain upstreams of a size, and as many engines, of so many versions.
+    pub(super) async fn start(store: &Store, size: Size, versions: usize) -> io::Result<Self> {
         let upstreams = Self {
             now: RefCell::default(),
             all: RefCell::default(),
@@ -68,10 +74,12 @@
             left: RefCell::default(),
             gone: RefCell::default(),
             started: Cell::new(0),
+            domains: size.domains.clamp(1, ALL_DOMAINS.len()),
             versions,
+            releases: Cell::new(0),
         };
         for service in [PLAIN, ENGINES] {
-            for _ in 0..each {
+            for _ in 0..size.upstreams {
                 let member = upstreams.new_member(service).await?;
                 store.put_upstream(&member.upstream, false);
                 upstreams.now.borrow_mut().push(member);
@@ -83,11 +91,14 @@
     async fn new_member(&self, service: &str) -> io::Result<Member> {
         let number = self.started.get() + 1;
         self.started.set(number);
-        let domain = DOMAINS[number % DOMAINS.len()];
+        let domain = ALL_DOMAINS[number % self.domains];
         let mut upstream = Upstream::start(&format!("u{number}"), service, domain).await;
-        upstream.version = format!("v{}", 1 + number % self.versions);
+        upstream.version = format!("v{}", 1 + number % self.versions + self.releases.get());
         if service == ENGINES {
             upstream.name_runs(&upstream.version);
+            if number.is_multiple_of(2) {
+                upstream.stop_inside_events();
+            }
             upstream.pace(PACE);
             upstream.always(Behaviour::Stream(EVENTS));
             upstream.ends_under(FATAL);
@@ -103,6 +114,32 @@
         Ok(member)
     }
 
+    /// Upstreams that start from now on have a newer version. Starts so many engines, and returns
+    /// those of now.
+    ///
+    /// # Errors
+    ///
+    /// There is no free port.
+    pub(crate) async fn release(&self, store: &Store, first: usize) -> io::Result<Vec<Member>> {
+        let mut older = self.now();
+        older.retain(|m| m.upstream.service == ENGINES);
+        self.releases.set(self.releases.get() + 1);
+        for _ in 0..first {
+            let member = self.new_member(ENGINES).await?;
+            store.put_upstream(&member.upstream, false);
+            self.now.borrow_mut().push(member);
+        }
+        Ok(older)
+    }
+
+    /// Ends a member that has no successor.
+    pub(crate) fn retire(&self, store: &Store, old: &Member) {
+        old.link.set(Some(LinkFault::Refuse));
+        store.remove_upstream(&old.upstream.id);
+        let mut now = self.now.borrow_mut();
+        now.retain(|m| m.upstream.id != old.upstream.id);
+    }
+
     /// A quarter of the service of the upstream at a place: that one and those that follow it.
     #[must_use]
     pub(crate) fn quarter(&self, place: usize) -> Vec<Member> {
--- a/trouttrack_soak/src/check/limits.rs
+++ b/trouttrack_soak/src/check/limits.rs
@@ -89,6 +89,7 @@
     let mut during = evidence.history.during(at - CONTACT, Duration::ZERO, at);
     !during.any(|d| match d.act {
         Act::Kill(v) | Act::Pause(v) | Act::Stop(v) => v == vm,
+        Act::KillAll => true,
         Act::Link(Place::Upstream(_), _) => true,
         _ => false,
     })
--- a/trouttrack_soak/src/faults/carry_out.rs
+++ b/trouttrack_soak/src/faults/carry_out.rs
@@ -1,7 +1,7 @@
 //! Carrying a plan out against a fleet.
 
 use super::history::History;
-use super::{store, upstreams};
+use super::{releases, store, upstreams};
 use crate::bed::{Bed, Configs};
 use crate::callers::Callers;
 use crate::plan::{Act, LinkFault, Place, Plan, Step};
@@ -112,6 +112,12 @@
             Act::Burst => self.callers.burst(step.lasts).await,
             Act::SlowReaders(vm) => self.callers.read_slowly(vm, rng),
             Act::LosePaths(vm, count, open) => self.lose_paths(vm, count, open, step.lasts).await,
+            Act::KillAll => releases::kill_all(bed, step.lasts).await,
+            Act::Release(first, departure) => {
+                releases::release(bed, (first, departure), step.lasts, rng).await;
+            }
+            Act::Disorder(place) => releases::disorder(bed, place, rng),
+            Act::OddEntries => releases::odd_entries(bed, step.lasts).await,
             Act::Crowd(vm) => self.callers.crowd(vm, step.lasts).await,
             Act::EndEngines => self.end_engines(step.lasts, rng).await,
             Act::EndEnginesByPart => self.end_engines_by_part(step.lasts, rng).await,
--- a/trouttrack_soak/src/faults/history.rs
+++ b/trouttrack_soak/src/faults/history.rs
@@ -35,7 +35,7 @@
     /// Notes that it has ended.
     pub(super) fn end(&mut self, place: usize) {
         // What an upstream is told to answer badly may come at any later time.
-        if !matches!(self.all[place].act, Act::Misbehave(_)) {
+        if !matches!(self.all[place].act, Act::Misbehave(_) | Act::Disorder(_)) {
             self.all[place].until = Some(Instant::now());
         }
     }
@@ -83,6 +83,7 @@
 fn disturbs_callers(act: Act, vm: usize) -> bool {
     match act {
         Act::Stop(v) | Act::Kill(v) | Act::Pause(v) => v == vm,
+        Act::KillAll => true,
         Act::Link(Place::Callers(v), _) => v == vm,
         _ => false,
     }
--- a/trouttrack_soak/src/faults/mod.rs
+++ b/trouttrack_soak/src/faults/mod.rs
@@ -3,6 +3,7 @@
 mod carry_out;
 mod history;
 mod lasting;
+mod releases;
 mod store;
 mod upstreams;
 
--- a/trouttrack_soak/src/faults/upstreams.rs
+++ b/trouttrack_soak/src/faults/upstreams.rs
@@ -11,7 +11,7 @@
 
 /// How long a leaving upstream serves on after the store has taken its word:
 /// the platform's two seconds, and a little.
-const SERVES_ON: Duration = Duration::from_millis(2300);
+pub(super) const SERVES_ON: Duration = Duration::from_millis(2300);
 /// How long one that is slow to end serves on: many seconds.
 const SERVES_ON_SLOWLY: Duration = Duration::from_secs(9);
 /// How much later the events of engines come that are crowded.
@@ -144,7 +144,7 @@
     replace(bed, member).await;
 }
 
-async fn replace(bed: &Bed, member: &Member) {
+pub(super) async fn replace(bed: &Bed, member: &Member) {
     if let Err(e) = bed.upstreams.replace(&bed.store, member).await {
         eprintln!("{}: not replaced: {e}", member.upstream.id);
     }
@@ -162,7 +162,7 @@
 }
 
 /// A stream that is cut off in a way that may look complete.
-fn cut_stream(rng: &mut SmallRng, after: u64) -> Behaviour {
+pub(super) fn cut_stream(rng: &mut SmallRng, after: u64) -> Behaviour {
     let cuts: Vec<StreamCut> = StreamCut::all(EVENTS, after)
         // An upstream whose chunks are complete says that its stream is.
         .filter(|cut| cut.end != CutEnd::LastChunk || cut.place == Place::InsideEvent)
--- a/trouttrack_soak/src/main.rs
+++ b/trouttrack_soak/src/main.rs
@@ -43,7 +43,7 @@
 
 fn options(args: TrouttrackSoak, seed: u64) -> Result<SoakOptions, SoakError> {
     Ok(SoakOptions {
-        size: size(&args),
+        size: size(&args)?,
         program: match args.front {
             Some(program) => program,
             None => beside_this()?,
@@ -62,15 +62,19 @@
     }
 }
 
-/// The size of each run: what is not given is as in [`Size::default`].
-fn size(args: &TrouttrackSoak) -> Size {
-    let default = Size::default();
-    Size {
+/// The size of each run: what is not given is as in the named size, or [`Size::default`].
+fn size(args: &TrouttrackSoak) -> Result<Size, SoakError> {
+    let default = match &args.size {
+        Some(name) => Size::named(name).ok_or_else(|| SoakError::Size(name.clone()))?,
+        None => Size::default(),
+    };
+    Ok(Size {
         vms: args.vms.unwrap_or(default.vms).max(1),
         upstreams: args.upstreams.unwrap_or(default.upstreams).max(1),
         callers: args.callers.unwrap_or(default.callers),
         lasts: args.seconds.map_or(default.lasts, Duration::from_secs),
-    }
+        ..default
+    })
 }
 
 /// The front's program in the folder of this one.
--- a/trouttrack_soak/src/plan/act.rs
+++ b/trouttrack_soak/src/plan/act.rs
@@ -46,6 +46,17 @@
     Lapse,
 }
 
+/// How the older upstreams of a release leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Departure {
+    /// They say so, and serve on for a while.
+    Said,
+    /// Their entries disappear at once, and they serve on.
+    Unsaid,
+    /// Some say so.
+    Mixed,
+}
+
 /// One thing that is done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Act {
@@ -115,6 +126,15 @@
     /// So many VMs from this one on, by their numbers, are partitioned from all upstreams while it
     /// lasts.
     LosePaths(usize, usize, OpenConnections),
+    /// All VMs are killed, and started again when it is over.
+    KillAll,
+    /// So many engines of a newer software version start; those of older versions leave one after
+    /// the other while it lasts, and newer ones take their places.
+    Release(usize, Departure),
+    /// An engine answers its next streams in ways that may put events out of order.
+    Disorder(usize),
+    /// Another writer puts odd entries among those of the upstreams while it lasts.
+    OddEntries,
     /// A VM gets many new connections at once, and again as they are closed, while it lasts.
     Crowd(usize),
     /// A request that ends each engine that begins to run it comes again and again, at
@@ -152,6 +172,7 @@
                 | Self::SlowReaders(_)
                 | Self::CrowdEngines
                 | Self::AskLate(_)
+                | Self::Release(..)
         )
     }
 }
--- a/trouttrack_soak/src/plan/draw.rs
+++ b/trouttrack_soak/src/plan/draw.rs
@@ -4,6 +4,7 @@
 use super::act::{Act, LinkFault, Place, StoreFailure};
 use super::departures::{FIRST_WITH_DEPARTURES, departures};
 use super::hard_load::hard_load;
+use super::releases::releases;
 use super::size::Size;
 use crate::bed::DOMAINS;
 use rand::rngs::SmallRng;
@@ -155,11 +156,14 @@
             let departures = departures.steps.into_iter();
             steps.extend(departures.filter(|s| !planned_only || s.act.is_planned()));
         }
+        let mut mixed = seed >= FIRST_WITH_VERSIONS;
+        if let Some(releases) = releases(seed, size, ends) {
+            mixed = releases.mixed;
+            steps.retain(|_| !releases.alone);
+            steps.extend(releases.steps);
+        }
         steps.sort_by_key(|s| s.at);
-        let versions = match seed < FIRST_WITH_VERSIONS {
-            true => 1,
-            false => VERSIONS,
-        };
+        let versions = if mixed { VERSIONS } else { 1 };
         Self {
             steps,
             versions,
--- a/trouttrack_soak/src/run.rs
+++ b/trouttrack_soak/src/run.rs
@@ -64,6 +64,9 @@
     /// A file, port or process cannot be had.
     #[error("{0}")]
     Io(#[from] io::Error),
+    /// No size has this name.
+    #[error("no size is named {0}: {names}", names = Size::NAMES.join(", "))]
+    Size(String),
 }
 
 /// Makes a run on the current thread.
--- a/trouttrack_soak/src/vm/supervisor.rs
+++ b/trouttrack_soak/src/vm/supervisor.rs
@@ -78,6 +78,8 @@
     told_to_stop: Cell<Option<Instant>>,
     /// Whether the process that runs now was killed.
     was_killed: Cell<bool>,
+    /// It is not started again before.
+    down_until: Cell<Option<Instant>>,
     /// How earlier lives ended.
     ended: RefCell<Vec<EndedBy>>,
 }
@@ -110,6 +112,7 @@
             longest: Cell::default(),
             told_to_stop: Cell::new(None),
             was_killed: Cell::new(false),
+            down_until: Cell::new(None),
             ended: RefCell::default(),
         });
         vm.write_settings(REVOKE)?;
@@ -185,6 +188,20 @@
         self.signal(Signal::SIGKILL);
     }
 
+    /// Kills it, and starts it again no sooner than at a time.
+    pub(crate) fn kill_until(&self, until: Instant) {
+        self.down_until.set(self.down_until.get().max(Some(until)));
+        self.kill();
+    }
+
+    /// Waits until it may be started again.
+    async fn down(&self) {
+        tokio::time::sleep(RESTART).await;
+        while self.down_until.get().is_some_and(|at| Instant::now() < at) {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
     /// Makes it stand still.
     pub(crate) fn pause(&self) {
         self.signal(Signal::SIGSTOP);
@@ -213,7 +230,7 @@
             self.longest.set(self.longest_life());
             self.pid.set(None);
             self.ended.borrow_mut().push(ended);
-            tokio::time::sleep(RESTART).await;
+            self.down().await;
         }
     }
 
--- a/trouttrack_soak/tests/soak/main.rs
+++ b/trouttrack_soak/tests/soak/main.rs
@@ -8,3 +8,4 @@
 mod load;
 mod order;
 mod paths;
+mod releases;
