Keep the others in use beside one entry with a start time

Where upstreams publish their start times, an entry without one is not used. A single entry with a `born`, by whatever writer, was taken for such a fleet: a VM that started beside it used none of the other upstreams, and a running one gave up each as soon as it wrote its entry again.

Change: it takes half of the entries that can be read. Beside a single sound upstream, an odd entry with a start time still counts as half.

--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -120,9 +120,11 @@
         }
         let read = objects.iter().map(|o| UpstreamEntry::decode(o.spec.get()));
         let read: Vec<DecodedEntry> = read.collect();
-        // If any entry has a start time, all entries must have one, so this runs before the
-        // entries are validated.
-        read.iter().for_each(|r| record_start_time(&self.front, r));
+        // Decides whether all entries must have a start time, so this runs before the entries are
+        // validated.
+        let readable = read.iter().flatten();
+        let have_start_time = readable.clone().filter(|entry| entry.born > 0);
+        record_start_times(&self.front, have_start_time.count(), readable.count());
         for (object, read) in objects.iter().zip(read) {
             if !self
                 .front
@@ -220,13 +222,24 @@
 /// Decodes and validates an entry.
 fn decode(front: &Front, object: &Object) -> EntryState {
     let read = UpstreamEntry::decode(object.spec.get());
-    record_start_time(front, &read);
+    let has_start_time = read.as_ref().is_ok_and(|entry| entry.born > 0);
+    if has_start_time && !front.upstreams.publishes_start_times() {
+        let (mut with_start_time, mut known) = (1, 1);
+        front.upstreams.for_each(|upstream, _| {
+            if upstream.id != object.name {
+                known += 1;
+                with_start_time += usize::from(upstream.born > 0);
+            }
+        });
+        record_start_times(front, with_start_time, known);
+    }
     validate(front, object, read)
 }
 
-/// Records that this deployment's upstreams publish their start times.
-fn record_start_time(front: &Front, read: &DecodedEntry) {
-    if read.as_ref().is_ok_and(|entry| entry.born > 0) {
+/// Records that this deployment's upstreams publish their start times if at least half of the
+/// entries have one: a single one may have been written by something else.
+fn record_start_times(front: &Front, with_start_time: usize, entries: usize) {
+    if with_start_time > 0 && 2 * with_start_time >= entries {
         front.upstreams.set_publishes_start_times();
     }
 }
--- a/trouttrack_front/tests/front/odd_entries.rs
+++ b/trouttrack_front/tests/front/odd_entries.rs
@@ -2,9 +2,10 @@
 
 use crate::support::{Bed, PLAIN, plain, settings, until};
 use std::rc::Rc;
+use std::time::Duration;
 use trouttrack_front::app::{Running, start};
 use trouttrack_front::state::Front;
-use trouttrack_platform_standin::Store;
+use trouttrack_platform_standin::{Store, Upstream};
 
 /// Levels of nesting up to about the size of an object that a store accepts.
 const DEPTHS: [usize; 3] = [300, 10_000, 500_000];
@@ -139,3 +140,35 @@
     bed.store.put_entry_text(&odd_ids[0], &sound);
     until("it is used", || is_used(&front, &odd_ids[0])).await;
 }
+
+/// Guards against an entry of another writer that names a start time: the entries of all other
+/// upstreams, which name none, were no longer read.
+#[actix_rt::test]
+async fn a_start_time_in_an_odd_entry_leaves_the_others_in_use() {
+    let bed = Bed::new(PLAIN).await;
+    let front = &bed.front.front;
+    let third = Upstream::start("u3", PLAIN, "a").await;
+    bed.store.put_upstream(&third, false);
+    let sound = bed.store.entry_text("u1");
+    let odd = sound.replacen('{', r#"{"born":1789000000000,"#, 1);
+    bed.store.put_entry_text("odd", &odd);
+    until("the odd entry is known", || {
+        front.upstreams.get("odd").is_some()
+    })
+    .await;
+    // The others write their entries again.
+    for upstream in [&bed.upstreams[0], &bed.upstreams[1], &third] {
+        bed.store.put_cold(upstream, Duration::from_millis(1));
+    }
+    bed.store.remove_upstream("odd");
+    until("all changes are known", || {
+        front.upstreams.get("odd").is_none()
+    })
+    .await;
+    bed.store.put_entry_text("odd", &odd);
+    let other = start_front(&bed.store, "front-2").await.front;
+    until("the second VM is ready", || other.lifecycle.is_ready()).await;
+    for id in ["u1", "u2", "u3"] {
+        assert!(is_used(front, id) && is_used(&other, id), "{id}");
+    }
+}
