Leave out objects whose names do not fit into a datagram

Names go from VM to VM: an evacuated domain in each heartbeat, an upstream in the news of its change. One object with a name of 70,000 bytes made these datagrams longer than UDP carries: no VM heard another any more, each counted itself alone, and changes were read from the store only.

Evidence, on the code before:

odd_entries::names_that_are_too_long_keep_no_datagram_from_peers assertion failed: front.peers.is_live("front-2") && ...

A page says after which name the next one starts, since the last object may have been left out.

Not covered: a hundred entries with the longest names change at once, which is still more than a datagram holds. Whoever misses them reads the store.

--- a/trouttrack_front/src/follow/calls.rs
+++ b/trouttrack_front/src/follow/calls.rs
@@ -69,11 +69,12 @@
 ) -> Result<(), StoreError> {
     let mut objects: Vec<Object> = Vec::new();
     let mut oldest: Option<Revision> = None;
+    let mut after: Option<String> = None;
     loop {
-        let is_first = objects.is_empty();
-        let page = match objects.last().map(|o| o.name.clone()) {
+        let is_first = after.is_none();
+        let page = match after.as_deref() {
             None => first_page(front, follower, reading).await?,
-            after => page_after::<F>(front, after.as_deref(), reading).await?,
+            after => page_after::<F>(front, after, reading).await?,
         };
         front.store_answered();
         // The watch starts at the oldest page, so that it covers changes made during the list.
@@ -84,7 +85,7 @@
         }
         *lowest = page.revision.min(*lowest);
         let oldest = *lowest;
-        let ended = !page.more || page.objects.is_empty();
+        let ended = !page.more || page.next_after.is_none();
         if !ended && follower.revision().is_some() {
             // A peer's list arrived during the call; a watch from its revision reads the rest.
             return Ok(());
@@ -93,6 +94,7 @@
             return Ok(());
         }
         objects.extend(page.objects);
+        after = page.next_after;
         if ended {
             follower.apply_list(&objects, oldest);
             return Ok(());
--- a/trouttrack_front/src/follow/vms.rs
+++ b/trouttrack_front/src/follow/vms.rs
@@ -115,7 +115,7 @@
             .list(Kind::Vms, after.as_deref(), reading, CALL_TIMEOUT);
         let page = listing.await?;
         page.objects.iter().for_each(|o| apply_object(front, o));
-        after = page.objects.last().map(|o| o.name.clone());
+        after = page.next_after;
         if !page.more || after.is_none() {
             front.divide();
             return Ok(());
--- a/trouttrack_front/tests/front/odd_entries.rs
+++ b/trouttrack_front/tests/front/odd_entries.rs
@@ -172,3 +172,26 @@
         assert!(is_used(front, id) && is_used(&other, id), "{id}");
     }
 }
+
+/// Guards against names that do not fit into a datagram: no peer heard of the other changes, or of
+/// the VM itself.
+#[actix_rt::test]
+async fn names_that_are_too_long_keep_no_datagram_from_peers() {
+    let bed = Bed::new(PLAIN).await;
+    let front = &bed.front.front;
+    let other = start_front(&bed.store, "front-2").await.front;
+    until("the second VM is ready", || other.lifecycle.is_ready()).await;
+    let long = "x".repeat(70_000);
+    let sound = bed.store.entry_text("u1");
+    bed.store.evacuate(&long);
+    bed.store.put_entry_text(&long, &sound);
+    bed.store.put_text("trouttrack-vms", &long, "{}");
+    bed.store.put_upstream(&bed.upstreams[0], true);
+    for front in [front, &other] {
+        until("u1 is leaving", || !is_used(front, "u1")).await;
+    }
+    // Longer than a peer counts as live without a heartbeat.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    assert!(front.peers.is_live("front-2") && other.peers.is_live("front-1"));
+    assert!(front.upstreams.get(&long).is_none());
+}
