Ignore store epochs that no store reaches

One response with `store-era:`, or one datagram with such an epoch, made every later response outdated: the VM took nothing from the store any more until it was started again.

--- a/trouttrack_core/src/membership/revision.rs
+++ b/trouttrack_core/src/membership/revision.rs
@@ -1,7 +1,8 @@
 //! Revisions of the platform's store.
 
 use crate::StoreEpoch;
-use serde::{Deserialize, Serialize};
+use serde::de::Error;
+use serde::{Deserialize, Deserializer, Serialize};
 use std::fmt;
 use std::num::ParseIntError;
 use std::str::FromStr;
@@ -26,12 +27,25 @@
 )]
 pub struct Revision {
     /// The epoch in which the store assigned the number.
+    #[serde(deserialize_with = "valid_epoch")]
     pub epoch: StoreEpoch,
     /// The store's revision number, which rises within an epoch.
     pub number: u64,
 }
 
+/// Decodes an epoch. After one that no store reaches, no response of the store would be current.
+fn valid_epoch<'de, D: Deserializer<'de>>(deserializer: D) -> Result<StoreEpoch, D::Error> {
+    let epoch = StoreEpoch::deserialize(deserializer)?;
+    match epoch <= Revision::MAX_EPOCH {
+        true => Ok(epoch),
+        false => Err(D::Error::custom("epoch out of range")),
+    }
+}
+
 impl Revision {
+    /// The highest epoch that is decoded: no store is restored so often.
+    pub const MAX_EPOCH: StoreEpoch = u32::MAX as StoreEpoch;
+
     /// Creates a revision from an epoch and a number.
     #[must_use]
     pub const fn new(epoch: StoreEpoch, number: u64) -> Self {
--- a/trouttrack_core/tests/core/odd_numbers.rs
+++ b/trouttrack_core/tests/core/odd_numbers.rs
@@ -3,7 +3,7 @@
 use crate::support::{SERVICE, placed, spec, submission, world};
 use std::time::Duration;
 use trouttrack_core::fleet::EngineSpec;
-use trouttrack_core::membership::{Entries, Removal, UpstreamUse};
+use trouttrack_core::membership::{Entries, Removal, Revision, UpstreamUse};
 use trouttrack_core::rescue::Departure;
 use trouttrack_core::upstream::{BrittleStatement, Incarnation, MemoryReport};
 use trouttrack_core::world::World;
@@ -127,3 +127,17 @@
     world.submit(s(1), submission("r1", "o", 0));
     assert_eq!(placed(&world.tick(s(1)))[0].1, "e2");
 }
+
+/// Guards against an epoch in a datagram that no store reaches: no answer of the store was current
+/// after it.
+#[test]
+fn a_revision_of_an_epoch_out_of_range_is_not_decoded() {
+    let decoded = |epoch: u64| {
+        let bytes = postcard::to_extend(&(epoch, 7_u64), Vec::new()).unwrap();
+        postcard::from_bytes::<Revision>(&bytes)
+    };
+    let highest = Revision::MAX_EPOCH;
+    assert_eq!(decoded(highest), Ok(Revision::new(highest, 7)));
+    assert!(decoded(highest + 1).is_err());
+    assert!(decoded(u64::MAX).is_err());
+}
