--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -18,6 +18,7 @@
 mod moves;
 mod odd_datagrams;
 mod odd_entries;
+mod odd_headers;
 mod own_words;
 mod pace;
 mod peers;
