Limit the durations of settings, and refuse numbers that are none

A duration near 2^64 seconds overflowed when it was added to a time, and a ratio of `NaN` passed every check of bounds, since it is neither below nor above any number.

Evidence, on the code before:

front::durations_can_be_added_to_a_time: 18446744073709551615s front::numbers_that_are_none_are_out_of_bounds: ratio = NaN

Change: durations are reduced to a hundred years, and numbers must lie within their bounds. The task that reads the settings again is started again if it panics, as the others.

--- a/trouttrack_config/src/ini/section.rs
+++ b/trouttrack_config/src/ini/section.rs
@@ -7,6 +7,9 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+/// Longest duration that is read: a hundred years.
+const MAX_DURATION: Duration = Duration::from_secs(100 * 365 * 24 * 3600);
+
 /// Reads the entries of a section as values of a type.
 #[derive(Debug)]
 pub struct SectionReader<'a> {
@@ -109,17 +112,19 @@
     {
         self.parse_with(key, default, |v| {
             let value: T = v.parse().map_err(|e: T::Err| e.to_string())?;
-            if value < least || value > most {
+            if !(least..=most).contains(&value) {
                 return Err(format!("must be from {least} to {most}, is {value}"));
             }
             Ok(value)
         })
     }
 
-    /// A duration such as `250ms` or `2m 30s`, or the default.
+    /// A duration such as `250ms` or `2m 30s`, or the default. One of more than a hundred years is
+    /// reduced to that, so that it can be added to any time.
     pub fn duration(&mut self, key: &str, default: Duration) -> Duration {
         self.parse_with(key, default, |v| {
             let parsed = humantime::parse_duration(v).or_else(|e| decimal(v).ok_or(e));
+            let parsed = parsed.map(|duration| duration.min(MAX_DURATION));
             parsed.map_err(|e| format!("not a duration such as `250ms`, `5s`, `2m`: {e}"))
         })
     }
--- a/trouttrack_config/tests/config/front.rs
+++ b/trouttrack_config/tests/config/front.rs
@@ -24,6 +24,32 @@
     assert_eq!(settings.bounds.grace, Duration::from_micros(500));
 }
 
+/// Guards against a duration that overflows when it is added to a time.
+#[test]
+fn durations_can_be_added_to_a_time() {
+    for long in ["1e19s", "18446744073709551615s", "1e22ms"] {
+        let settings = load(&format!("[bounds]\nrevoke = {long}\n")).expect("settings");
+        let start = Duration::from_secs(1 << 40);
+        assert!(
+            start.checked_add(settings.bounds.revoke).is_some(),
+            "{long}"
+        );
+    }
+}
+
+/// Guards against a number that is none and within all bounds.
+#[test]
+fn numbers_that_are_none_are_out_of_bounds() {
+    for key in ["ratio", "extra"] {
+        for number in ["NaN", "inf", "-inf", "1e400"] {
+            assert!(
+                load(&format!("[retry]\n{key} = {number}\n")).is_err(),
+                "{key} = {number}"
+            );
+        }
+    }
+}
+
 #[test]
 fn what_is_wrong_is_found_with_its_place() {
     for (more, finding) in [
--- a/trouttrack_front/src/app/start.rs
+++ b/trouttrack_front/src/app/start.rs
@@ -145,7 +145,9 @@
 ) -> Result<(), AppError> {
     let running = start(&settings).await?;
     let front = Rc::clone(&running.front);
-    actix_rt::spawn(reload::follow(Rc::clone(&front), file));
+    tasks::spawn(&front, "reload-settings", move |front| {
+        reload::follow(front, file.clone())
+    });
     actix_rt::spawn(export_dropped_lines(Rc::clone(&front), dropped));
     told_to_stop().await?;
     stop::graceful_stop(&front, settings.bounds.grace).await;
