Test placement with any numbers of peers, upstreams and callers

Uses, rates, demand, limits, reports of memory and requests with numbers at and near the ends of their ranges, 500 cases with a fixed seed and 50,000 with TROUTTRACK_LONG.

--- a/trouttrack_core/tests/core/odd_numbers.rs
+++ b/trouttrack_core/tests/core/odd_numbers.rs
@@ -1,11 +1,19 @@
 //! Numbers at the ends of their ranges, as reports, datagrams and callers may carry them.
 
 use crate::support::{SERVICE, placed, spec, submission, world};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::time::Duration;
 use trouttrack_core::fleet::EngineSpec;
-use trouttrack_core::membership::{Entries, Removal, Revision, UpstreamUse};
+use trouttrack_core::membership::{
+    Conditions, Entries, Removal, ReportedDemand, ReportedReachable, ReportedUnreachable, Revision,
+    UpstreamUse,
+};
 use trouttrack_core::rescue::Departure;
-use trouttrack_core::upstream::{BrittleStatement, Incarnation, MemoryReport};
+use trouttrack_core::upstream::{
+    BrittleStatement, Incarnation, MemoryReport, RateLimit, RateStatement, ReportedMean,
+    ReportedRate, UpstreamNotice, incarnation_hash,
+};
 use trouttrack_core::world::World;
 
 /// Token memory of an engine.
@@ -141,3 +149,135 @@
     assert!(decoded(highest + 1).is_err());
     assert!(decoded(u64::MAX).is_err());
 }
+
+/// Numbers at and near the ends of the ranges of a type.
+fn extreme() -> impl Strategy<Value = u64> {
+    let sizes = (0..64_u32).prop_map(|bits| 1 << bits);
+    prop_oneof![Just(0), Just(u64::MAX), sizes, any::<u64>()]
+}
+
+fn rate() -> impl Strategy<Value = f64> {
+    prop_oneof![Just(0.0), Just(f64::MAX), Just(f64::MIN_POSITIVE), 0.0..1e3]
+}
+
+fn any_use() -> impl Strategy<Value = UpstreamUse> {
+    let numbers = (
+        extreme(),
+        extreme(),
+        extreme(),
+        extreme(),
+        extreme(),
+        extreme(),
+    );
+    let upstream = prop::sample::select(vec!["e1", "e2", "p1", "none"]);
+    (upstream, numbers, any::<bool>()).prop_map(|(upstream, n, is_small)| UpstreamUse {
+        upstream: upstream.to_owned(),
+        running: if is_small { n.0 as u32 % 8 } else { n.0 as u32 },
+        peak_tokens: n.1,
+        held_tokens: n.2,
+        loading_tokens: n.3,
+        lost_ms: is_small.then_some(n.4),
+        handovers: n.5 as u32,
+        recent_handovers: n.4 as u32,
+    })
+}
+
+fn any_conditions() -> impl Strategy<Value = Conditions> {
+    let life = Incarnation::new("e1", 0);
+    let mean =
+        (any::<u8>(), any::<u16>()).prop_map(|(weight, log_us)| ReportedMean { weight, log_us });
+    let rates = (mean.clone(), mean.clone(), mean).prop_map({
+        let upstream = incarnation_hash(&life);
+        move |(event_gap, prefill, call)| ReportedRate {
+            upstream,
+            event_gap,
+            prefill,
+            call,
+        }
+    });
+    let numbers = (
+        any::<u8>(),
+        any::<u16>(),
+        any::<u32>(),
+        any::<u32>(),
+        any::<u32>(),
+    );
+    (rates, numbers).prop_map(move |(rate, n)| Conditions {
+        rates: vec![rate],
+        unreachable: vec![ReportedUnreachable {
+            upstream: life.clone(),
+            age_ms: n.2,
+        }],
+        demand: vec![ReportedDemand {
+            service: SERVICE.to_owned(),
+            class: n.0,
+            requests: n.1,
+            tokens: n.3,
+            objective_ms: n.4,
+        }],
+        reachable: vec![ReportedReachable {
+            upstream: life.clone(),
+            age_ms: n.2,
+        }],
+        ..Conditions::default()
+    })
+}
+
+fn config() -> ProptestConfig {
+    let long = std::env::var_os("TROUTTRACK_LONG").is_some();
+    ProptestConfig {
+        cases: if long { 50_000 } else { 500 },
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_205),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against numbers of peers, upstreams and callers that end the task which places
+    /// requests.
+    #[test]
+    fn any_numbers_leave_requests_decided(
+        uses in prop::collection::vec(any_use(), 0..6),
+        conditions in any_conditions(),
+        memory in (extreme(), extreme()),
+        rates in (rate(), rate()),
+        prompts in prop::collection::vec((extreme(), extreme()), 1..8),
+        slots in extreme(),
+    ) {
+        let slots = usize::try_from(slots).unwrap_or(usize::MAX).max(1);
+        let engines = ["e1", "e2"].map(|id| spec(id, "a", MEMORY, slots));
+        let mut world = world("trouttrack", [&engines[..], &[spec("p1", "b", 0, slots)]].concat());
+        let life = Incarnation::new("e1", 0);
+        for (n, (prompt, output)) in prompts.into_iter().enumerate() {
+            let now = s(1) + Duration::from_millis(300 * n as u64);
+            world.record_peer_uses(now, "front-2", "a", &uses);
+            world.record_domain_uses(now, "b", &uses);
+            world.record_peer_conditions(now, "front-2", n % 2 == 0, &conditions);
+            let (used_tokens, listed_tokens) = memory;
+            world.record_memory(now, &life, MemoryReport { used_tokens, listed_tokens });
+            let limit = RateStatement::new(RateLimit::PerSecond(rates.0), now, now);
+            world.receive_notice(now, &life, UpstreamNotice::RateLimit(limit));
+            if n > 3 {
+                world.set_brittle(SERVICE, BrittleStatement::new(Some(rates.1), now, now));
+            }
+            let mut request = submission(&format!("r{n}"), "o", n as u8);
+            (request.prompt_tokens, request.guessed_tokens) = (prompt, Some(output));
+            request.deadline = now + s(2);
+            world.submit(now, request);
+            for (key, _) in placed(&world.tick(now)) {
+                world.progress(key, output);
+                if n % 2 == 0 {
+                    world.record_end(now, key, false, Some(output));
+                } else {
+                    world.record_refusal(now, key);
+                }
+            }
+            let _ = (world.local_uses(now), world.domain_uses(now), world.domain_rates(now));
+        }
+        world.tick(s(60));
+        prop_assert_eq!(world.queued(), 0);
+    }
+}
