--- a/trouttrack_front/src/follow/versions.rs
+++ b/trouttrack_front/src/follow/versions.rs
@@ -144,7 +144,7 @@
             .list(Kind::Versions, after.as_deref(), reading, timeout);
         let page = listing.await?;
         records.extend(page.objects.iter().filter_map(decode));
-        after = page.objects.last().map(|o| o.name.clone());
+        after = page.next_after;
         if !page.more || after.is_none() {
             break;
         }
--- a/trouttrack_front/src/follow/vms.rs
+++ b/trouttrack_front/src/follow/vms.rs
@@ -145,7 +145,7 @@
         holds.add_page(page.revision);
         let vms = page.objects.iter().filter(|o| !holds.add(o));
         vms.for_each(|o| apply_object(front, o));
-        after = page.objects.last().map(|o| o.name.clone());
+        after = page.next_after;
         if !page.more || after.is_none() {
             front.divide();
             return Ok(holds);
