--- a/trouttrack_front/src/follow/holds.rs
+++ b/trouttrack_front/src/follow/holds.rs
@@ -10,6 +10,7 @@
 use super::confirm::MAX_CONCURRENT_CALLS;
 use super::upstreams::update_readiness;
 use super::vms::pause_after_restore;
+use crate::peers::watches_store;
 use crate::state::Front;
 use std::rc::Rc;
 use std::time::Duration;
@@ -124,13 +125,13 @@
 
 /// Restores the holds of a list. At the start, first reads what the list lacks because it lags: a
 /// request that ended upstreams just before all VMs were killed would end as many again. In a large
-/// fleet a few VMs read it, and the others learn the holds from them. Returns whether they are
+/// fleet those that watch the store and a few others read it, and tell the rest. Returns whether they are
 /// known; if not, another list is needed.
 pub(super) async fn learn(front: &Front, mut listed: ListedHolds) -> bool {
     let mut backoff = Backoff::new();
     while !front.quarantine.is_known() {
         let is_large = front.peers.listed() > MAX_CONCURRENT_CALLS;
-        if is_large && !is_selected_to_call_store(front) {
+        if is_large && !watches_store(front) && !is_selected_to_call_store(front) {
             tokio::time::sleep(SELECTION_INTERVAL).await;
             continue;
         }
@@ -140,6 +141,9 @@
             Ok(Watched::Changes { changes, .. }) => {
                 listed.update(changes);
                 front.quarantine.set_known();
+                if is_large {
+                    front.peers.announce();
+                }
             }
             Ok(Watched::HistoryGone) => return false,
             Err(e) => {
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -12,6 +12,7 @@
 mod event_reader;
 mod freshness;
 mod incarnations;
+mod lagging_lists;
 mod large_fleet;
 mod late_answers;
 mod leaving;
