--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -14,6 +14,7 @@
 mod freshness;
 mod given_up;
 mod incarnations;
+mod lagging_lists;
 mod large_fleet;
 mod late_answers;
 mod leaving;
