--- a/trouttrack_soak/src/callers/ask.rs
+++ b/trouttrack_soak/src/callers/ask.rs
@@ -216,6 +216,8 @@
     pub(super) key: String,
     /// The call that brought the first event of the stream that is taken up, if one is.
     resumes: Option<String>,
+    /// Whether the request names that call.
+    names_first: bool,
     /// Events of that stream that the caller has.
     had: u64,
     /// How long the caller waits, if not as long as its route says.
@@ -230,6 +232,7 @@
             route,
             key,
             resumes: None,
+            names_first: true,
             had: 0,
             patience: None,
         }
@@ -246,6 +249,14 @@
         }
     }
 
+    /// The same without naming the call that began the stream.
+    pub(super) fn without_first(self) -> Self {
+        Self {
+            names_first: false,
+            ..self
+        }
+    }
+
     fn patience(&self) -> Duration {
         self.patience.unwrap_or(match self.route {
             RouteName::Patient => LONG_PATIENCE,
@@ -258,7 +269,8 @@
             .key(&self.key)
             .patience(self.patience());
         let req = match &self.resumes {
-            Some(first) => req.resuming(first, self.had),
+            Some(first) if self.names_first => req.resuming(first, self.had),
+            Some(_) => req.after_event(self.had),
             None => req,
         };
         let stream = |body, prompt| {
--- a/trouttrack_soak/src/callers/returns.rs
+++ b/trouttrack_soak/src/callers/returns.rs
@@ -14,6 +14,8 @@
 const RETURNS: usize = 5;
 /// Pause before a return, in milliseconds.
 const PAUSE_MS: Range<u64> = 0..600;
+/// The share of returns that do not name the call that began the stream.
+const UNNAMED: f64 = 0.2;
 /// A caller with less time than this gives up.
 const LEAST_LEFT: Duration = Duration::from_millis(300);
 
@@ -90,6 +92,10 @@
             let id = format!("{}-again{number}", broken.first);
             let asked = Asked::new(id, vm, call.route, broken.key.clone());
             let asked = asked.resuming(&broken.first, broken.had, left);
+            let asked = match rng.random_bool(UNNAMED) {
+                true => asked.without_first(),
+                false => asked,
+            };
             let req = asked.request();
             let client = Client::builder().build();
             let call = self.ask_by(&client, asked, &req, Reuse::Never).await;
