Record a version although an event has waited for it before its task began

Callers could see a stream joined from two versions: its version was recorded by nobody. If the first event of a version had waited in vain while its row was still Missing (sync pauses after a restore, or waits for the list of VMs or for its first read), the row became Pending, and no task was ever started for it.

--- a/trouttrack_front/src/state/versions.rs
+++ b/trouttrack_front/src/state/versions.rs
@@ -18,10 +18,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Progress {
     Missing,
-    /// A task records it. With `waited`, events have already waited for it in vain.
-    Pending {
-        waited: bool,
-    },
+    /// A task records it.
+    Pending,
     Stored,
 }
 
@@ -29,6 +27,18 @@
 struct Row {
     record: VersionRecord,
     progress: Progress,
+    /// Whether events have waited for the record in vain.
+    waited: bool,
+}
+
+impl Row {
+    fn new(record: VersionRecord, progress: Progress) -> Self {
+        Self {
+            record,
+            progress,
+            waited: false,
+        }
+    }
 }
 
 /// The versions that have upstreams, now or lately.
@@ -61,13 +71,11 @@
         if !version.is_empty() {
             self.rows.borrow_mut().entry(origin).or_insert_with(|| {
                 self.changed.notify_one();
-                Row {
-                    record: VersionRecord {
-                        service: service.to_owned(),
-                        version: version.to_owned(),
-                    },
-                    progress: Progress::Missing,
-                }
+                let record = VersionRecord {
+                    service: service.to_owned(),
+                    version: version.to_owned(),
+                };
+                Row::new(record, Progress::Missing)
             });
         }
     }
@@ -89,10 +97,7 @@
         let (origin, now) = (record.origin(), self.clock.now());
         let mut census = self.census.borrow_mut();
         census.add_recorded(now, &record.service, origin);
-        let row = Row {
-            record,
-            progress: Progress::Stored,
-        };
+        let row = Row::new(record, Progress::Stored);
         self.rows.borrow_mut().insert(origin, row);
         self.stored.notify_waiters();
     }
@@ -120,19 +125,15 @@
         });
         if waited.await.is_err()
             && let Some(row) = self.rows.borrow_mut().get_mut(&origin)
-            && row.progress != Progress::Stored
         {
-            row.progress = Progress::Pending { waited: true };
+            row.waited = true;
         }
     }
 
     fn is_awaited(&self, origin: OriginId) -> bool {
         let rows = self.rows.borrow();
-        let progress = rows.get(&origin).map(|row| row.progress);
-        matches!(
-            progress,
-            Some(Progress::Missing | Progress::Pending { waited: false })
-        )
+        let row = rows.get(&origin);
+        row.is_some_and(|row| row.progress != Progress::Stored && !row.waited)
     }
 
     /// The versions that nobody records yet. The caller does.
@@ -141,7 +142,7 @@
         let missing = rows.values_mut();
         let missing = missing.filter(|row| row.progress == Progress::Missing);
         let taken = missing.map(|row| {
-            row.progress = Progress::Pending { waited: false };
+            row.progress = Progress::Pending;
             row.record.clone()
         });
         taken.collect()
@@ -150,16 +151,17 @@
     /// Takes all versions for missing, because the store may have lost its records.
     pub(crate) fn distrust_records(&self) {
         let mut rows = self.rows.borrow_mut();
-        let stored = rows.values_mut();
-        stored
-            .filter(|row| row.progress == Progress::Stored)
-            .for_each(|row| row.progress = Progress::Missing);
+        for row in rows.values_mut() {
+            if row.progress == Progress::Stored {
+                (row.progress, row.waited) = (Progress::Missing, false);
+            }
+        }
     }
 
     /// Takes a version for missing, because its record was removed.
     pub(crate) fn record_removed(&self, origin: OriginId) {
         if let Some(row) = self.rows.borrow_mut().get_mut(&origin) {
-            row.progress = Progress::Missing;
+            (row.progress, row.waited) = (Progress::Missing, false);
             self.changed.notify_one();
         }
     }
--- a/trouttrack_front/tests/front/versions.rs
+++ b/trouttrack_front/tests/front/versions.rs
@@ -399,3 +399,44 @@
     // New streams begin there.
     assert!(bed.send(&long("r2", "resume")).await.whole);
 }
+
+/// Guards against a version that nobody records: its first event came while the VM paused after a
+/// restore of the store.
+#[actix_rt::test]
+async fn a_version_whose_first_event_came_before_its_record_was_begun_is_recorded() {
+    let store = Store::start().await;
+    // The pause grows with the fleet.
+    let nowhere = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
+    for n in 0..2_000 {
+        store.put_vm(&format!("gone-{n}"), nowhere, "b");
+    }
+    store.put_config(&config(1));
+    let front = start(&settings(&store, "front-1", "")).await;
+    let mut bed = Bed {
+        store,
+        upstreams: Vec::new(),
+        front: front.expect("the front starts"),
+    };
+    for n in 0..4 {
+        let mut upstream = Upstream::start(&format!("u{n}"), ENGINES, "a").await;
+        upstream.version = format!("v{n}");
+        upstream.always(Behaviour::Stream(EVENTS));
+        bed.store.restore(&bed.store.backup());
+        for before in &bed.upstreams {
+            bed.store.remove_upstream(&before.id);
+        }
+        bed.store.put_upstream(&upstream, false);
+        let version = upstream.version.clone();
+        bed.upstreams = vec![upstream];
+        bed.ready().await;
+        until("the upstream is known", || knows_all(&bed, &bed.front)).await;
+        while bed.send(&long(&version, "resume")).await.status != 200 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        until(&format!("{version} is recorded"), || {
+            let recorded = bed.store.recorded_versions();
+            recorded.contains(&(ENGINES.to_owned(), version.clone()))
+        })
+        .await;
+    }
+}
