Conclude no version while a record of one cannot be read

A record that another build or writer has left in another form was skipped, and so was the rest of a listing whose page was empty: the other records then seemed to name the only version. Callers could see a stream joined from two.

Evidence: on the code before, in the new test a_stream_is_not_taken_up_while_a_record_cannot_be_read: assertion `left == right` failed left: 200 right: 503

--- a/trouttrack_front/src/follow/versions.rs
+++ b/trouttrack_front/src/follow/versions.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use trouttrack_core::quarantine::record_holders;
 use trouttrack_core::{Fingerprint, OriginId, ServiceId, Time};
-use trouttrack_platform::{Kind, Object, Reading, StoreError, VersionRecord};
+use trouttrack_platform::{Kind, Reading, StoreError, VersionRecord};
 use trouttrack_telemetry::{events, record};
 
 /// Timeout for a store call.
@@ -130,39 +130,49 @@
     }
 }
 
-/// Reads all records. Returns their versions.
+/// The records that were read.
+#[derive(Debug)]
+struct Records {
+    records: Vec<VersionRecord>,
+    /// Whether all could be read. Another one may name any version.
+    is_complete: bool,
+}
+
+/// Reads all records.
 async fn list(
     front: &Front,
     reading: Reading,
     timeout: Duration,
-) -> Result<Vec<VersionRecord>, StoreError> {
-    let mut records = Vec::new();
+) -> Result<Records, StoreError> {
+    let mut read = Records {
+        records: Vec::new(),
+        is_complete: true,
+    };
     let mut after: Option<String> = None;
     loop {
         let listing = front
             .store
             .list(Kind::Versions, after.as_deref(), reading, timeout);
         let page = listing.await?;
-        records.extend(page.objects.iter().filter_map(decode));
+        for object in &page.objects {
+            match VersionRecord::decode(object.spec.get()) {
+                Ok(record) => read.records.push(record),
+                Err(e) => {
+                    log::warn!("version {}: record cannot be read: {e}", object.name);
+                    read.is_complete = false;
+                }
+            }
+        }
         after = page.objects.last().map(|o| o.name.clone());
         if !page.more || after.is_none() {
+            read.is_complete &= !page.more;
             break;
         }
     }
-    for record in &records {
+    for record in &read.records {
         front.origins.versions.add_recorded(record.clone());
     }
-    Ok(records)
-}
-
-fn decode(object: &Object) -> Option<VersionRecord> {
-    match VersionRecord::decode(object.spec.get()) {
-        Ok(record) => Some(record),
-        Err(e) => {
-            log::warn!("version {}: record cannot be read: {e}", object.name);
-            None
-        }
-    }
+    Ok(read)
 }
 
 /// The result of the latest read, for the callers that were waiting when it began.
@@ -172,7 +182,8 @@
     records: Option<Vec<VersionRecord>>,
 }
 
-/// The versions of these services that the store has recorded by now; `None` if it does not answer.
+/// The versions of these services that the store has recorded by now; `None` if it does not answer,
+/// or has a record that cannot be read.
 /// Callers that wait at the same time share a call.
 pub(crate) async fn recorded_versions(
     front: &Front,
@@ -186,7 +197,11 @@
         let read = tokio::time::timeout(READ_TIMEOUT, reading).await;
         *latest = LatestRead {
             began: Some(began),
-            records: read.ok().and_then(Result::ok),
+            records: read
+                .ok()
+                .and_then(Result::ok)
+                .filter(|read| read.is_complete)
+                .map(|read| read.records),
         };
     }
     let records = latest.records.as_ref()?.iter();
--- a/trouttrack_front/tests/front/versions.rs
+++ b/trouttrack_front/tests/front/versions.rs
@@ -440,3 +440,14 @@
         .await;
     }
 }
+
+/// Guards against a record that cannot be read and is taken for none.
+#[actix_rt::test]
+async fn a_stream_is_not_taken_up_while_a_record_cannot_be_read() {
+    let bed = bed_of(&["v1", "v1"], "").await;
+    recorded(&bed.store, &["v1"]).await;
+    bed.store.put_unreadable_version("00000000000000aa");
+    let reply = bed.send(&returns("again", "of-another-time")).await;
+    assert_eq!(reply.status, 503);
+    assert!(bed.ran("again").is_empty());
+}
