Record that a stream began at an upstream of unknown version

Streams begin at upstreams without a version (a peer of an earlier build tells of them, or an entry names an empty one), and nothing was recorded for them. After all VMs had ended, the only recorded version was taken for theirs.

--- a/trouttrack_front/src/request/stream/relay.rs
+++ b/trouttrack_front/src/request/stream/relay.rs
@@ -173,7 +173,7 @@
         {
             let (origins, origin) = (&self.front.origins, origin_id(&self.service, version));
             origins.record(first_attempt, origin, admitted.deadline);
-            origins.versions.recorded(origin).await;
+            origins.versions.recorded(&self.service, version).await;
         }
     }
 
--- a/trouttrack_front/src/state/versions.rs
+++ b/trouttrack_front/src/state/versions.rs
@@ -69,17 +69,23 @@
         let origin = origin_id(service, version);
         self.census.borrow_mut().add(service, origin);
         if !version.is_empty() {
-            self.rows.borrow_mut().entry(origin).or_insert_with(|| {
-                self.changed.notify_one();
-                let record = VersionRecord {
-                    service: service.to_owned(),
-                    version: version.to_owned(),
-                };
-                Row::new(record, Progress::Missing)
-            });
+            self.request(service, version);
         }
     }
 
+    /// Has a version recorded, unless it is.
+    fn request(&self, service: &str, version: &str) {
+        let origin = origin_id(service, version);
+        self.rows.borrow_mut().entry(origin).or_insert_with(|| {
+            self.changed.notify_one();
+            let record = VersionRecord {
+                service: service.to_owned(),
+                version: version.to_owned(),
+            };
+            Row::new(record, Progress::Missing)
+        });
+    }
+
     /// Takes an upstream of a service out of the count.
     pub(super) fn remove(&self, service: &str, version: &str) {
         let mut census = self.census.borrow_mut();
@@ -116,8 +122,12 @@
         row.is_some_and(|row| row.progress == Progress::Stored)
     }
 
-    /// Waits until a version is recorded, if that is still to be expected soon.
-    pub(crate) async fn recorded(&self, origin: OriginId) {
+    /// Waits until a version that begins a stream is recorded, if that is still to be expected
+    /// soon.
+    pub(crate) async fn recorded(&self, service: &str, version: &str) {
+        // A version that is not known may be any, so streams that it began rule out the others.
+        self.request(service, version);
+        let origin = origin_id(service, version);
         let waited = tokio::time::timeout(MAX_RECORD_WAIT, async {
             while self.is_awaited(origin) {
                 self.stored.notified().await;
--- a/trouttrack_front/tests/front/versions.rs
+++ b/trouttrack_front/tests/front/versions.rs
@@ -451,3 +451,21 @@
     assert_eq!(reply.status, 503);
     assert!(bed.ran("again").is_empty());
 }
+
+/// Guards against a stream that is joined from two versions: the one that began it was not known to its
+/// VM and is therefore not recorded.
+#[actix_rt::test]
+async fn a_stream_begun_at_an_unknown_version_is_not_resumed_at_the_only_recorded_one() {
+    let before = bed_of(&[""], "").await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(before.send(&long("r1", "resume")).await.whole);
+    let bed = after_all_vms_ended(&before, &["v2"]).await;
+    until("v2 is recorded", || {
+        let recorded = bed.store.recorded_versions();
+        recorded.contains(&(ENGINES.to_owned(), "v2".to_owned()))
+    })
+    .await;
+    let reply = bed.send(&returns("again", "r1")).await;
+    assert_eq!(reply.status, 503, "{:?}", bed.store.recorded_versions());
+    assert!(bed.ran("again").is_empty());
+}
