--- a/trouttrack_front/src/follow/versions.rs
+++ b/trouttrack_front/src/follow/versions.rs
@@ -139,11 +139,7 @@
 }
 
 /// Reads all records.
-async fn list(
-    front: &Front,
-    reading: Reading,
-    timeout: Duration,
-) -> Result<Records, StoreError> {
+async fn list(front: &Front, reading: Reading, timeout: Duration) -> Result<Records, StoreError> {
     let mut read = Records {
         records: Vec::new(),
         is_complete: true,
