Tell streams to VMs that are live

The list of VMs keeps those that are gone for good, and a stream was told, and handed over by a stopping VM, to the first four of that list, live or not. Once the told ones had stopped, or were gone before, nobody knew the stream.

--- a/trouttrack_front/src/peers/origins.rs
+++ b/trouttrack_front/src/peers/origins.rs
@@ -35,7 +35,7 @@
     let others = front.peers.others();
     let mut by_vm: HashMap<SocketAddr, Vec<StreamOrigin>> = HashMap::new();
     for told in front.origins.take_pending() {
-        for (_, addr) in told_vms(told.stream, &others) {
+        for (_, addr) in told_vms(front, told.stream, &others) {
             by_vm.entry(*addr).or_default().push(told);
         }
     }
@@ -46,12 +46,21 @@
     }
 }
 
-/// The VMs to which a stream is told. A VM that leaves out itself selects the same ones, or one
-/// more.
-fn told_vms(stream: StreamKey, others: &[Vm]) -> Vec<&Vm> {
+/// The VMs to which a stream is told: the first ones of all, and of those that are live. A VM that
+/// leaves out itself selects the same ones, or one more.
+fn told_vms<'a>(front: &Front, stream: StreamKey, others: &'a [Vm]) -> Vec<&'a Vm> {
     let key = Fingerprint::from(stream);
+    let live = others.iter().filter(|(name, _)| front.peers.is_live(name));
     let mut vms = record_holders(key, others.iter(), |(name, _)| name.as_str());
     vms.truncate(TOLD_VMS);
+    for vm in record_holders(key, live, |(name, _)| name.as_str())
+        .into_iter()
+        .take(TOLD_VMS)
+    {
+        if !vms.contains(&vm) {
+            vms.push(vm);
+        }
+    }
     vms
 }
 
@@ -83,7 +92,7 @@
         };
     }
     let others = front.peers.others();
-    let mut unanswered = told_vms(stream, &others);
+    let mut unanswered = told_vms(front, stream, &others);
     let asked = unanswered.len();
     let mut search = OriginSearch::new(own.served, asked);
     let found = |search: &OriginSearch, unanswered: usize| FoundOrigin {
--- a/trouttrack_front/tests/front/versions.rs
+++ b/trouttrack_front/tests/front/versions.rs
@@ -469,3 +469,36 @@
     assert_eq!(reply.status, 503, "{:?}", bed.store.recorded_versions());
     assert!(bed.ran("again").is_empty());
 }
+
+/// Guards against streams that are handed over to VMs that are gone for good.
+#[actix_rt::test]
+async fn a_stopping_vm_hands_over_to_vms_that_are_there() {
+    const GONE: usize = 60;
+    let store = Store::start().await;
+    let nowhere = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
+    for n in 0..GONE {
+        store.put_vm(&format!("gone-{n}"), nowhere, "a");
+    }
+    store.put_config(&config(1));
+    let mut upstream = Upstream::start("u0", ENGINES, "a").await;
+    upstream.version = "v1".to_owned();
+    upstream.always(Behaviour::Stream(EVENTS));
+    store.put_upstream(&upstream, false);
+    let front = start(&settings(&store, "front-1", "")).await;
+    let bed = Bed {
+        store,
+        upstreams: vec![upstream],
+        front: front.expect("the front starts"),
+    };
+    bed.ready().await;
+    until("the upstreams are known", || knows_all(&bed, &bed.front)).await;
+    let second = another_vm(&bed, "front-2").await;
+    for n in 0..STREAMS {
+        assert!(bed.send(&long(&format!("r{n}"), "resume")).await.whole);
+    }
+    let stopping = Rc::clone(&bed.front.front);
+    actix_rt::spawn(async move { stop(&stopping, Duration::from_secs(8)).await });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let known = (0..STREAMS).filter(|n| second.front.origins.knows(&format!("r{n}")));
+    assert_eq!(known.count() as u64, STREAMS);
+}
