A failing test: a stream goes on at the service to which its route was moved

Callers could see a stream joined from two services: only the records of the services that the route names now are read, not of those that it named when the stream began. Neither needs all VMs to end if the caller names no attempt.

--- a/trouttrack_front/tests/front/versions.rs
+++ b/trouttrack_front/tests/front/versions.rs
@@ -502,3 +502,52 @@
     let known = (0..STREAMS).filter(|n| second.front.origins.knows(&format!("r{n}")));
     assert_eq!(known.count() as u64, STREAMS);
 }
+
+/// Guards against a stream that goes on at another service: its route was moved there after all VMs had
+/// ended, and the records of that service name one version.
+#[actix_rt::test]
+async fn a_stream_is_not_resumed_at_the_service_to_which_its_route_was_moved() {
+    for all_end in [false, true] {
+        let before = bed_of(&["v1"], "").await;
+        recorded(&before.store, &["v1"]).await;
+        assert!(before.send(&long("r1", "resume")).await.whole);
+        let bed = match all_end {
+            true => after_all_vms_ended(&before, &[]).await,
+            false => before,
+        };
+        let mut moved = config(2);
+        let mut service = moved
+            .services
+            .iter()
+            .find(|s| s.name == ENGINES)
+            .unwrap()
+            .clone();
+        service.name = "other".to_owned();
+        moved.services.push(service);
+        let route = moved
+            .routes
+            .iter_mut()
+            .find(|r| r.name == "resume")
+            .unwrap();
+        route.shares[0].service = "other".to_owned();
+        bed.store.put_config(&moved);
+        let mut upstream = Upstream::start("o0", "other", "a").await;
+        upstream.version = "w1".to_owned();
+        upstream.always(Behaviour::Stream(EVENTS));
+        bed.store.put_upstream(&upstream, false);
+        until("the version is recorded", || {
+            let recorded = bed.store.recorded_versions();
+            recorded.contains(&("other".to_owned(), "w1".to_owned()))
+        })
+        .await;
+        until("the new config is in force", || {
+            bed.front.front.upstreams.get("o0").is_some() && bed.front.front.routing.version() == 2
+        })
+        .await;
+        let mut unnamed = returns("unnamed", "");
+        unnamed.headers.retain(|(name, _)| name != "Resumes");
+        let unnamed = bed.send(&unnamed).await.status;
+        let named = bed.send(&returns("again", "r1")).await.status;
+        assert_eq!([unnamed, named], [503, 503], "all end: {all_end}");
+    }
+}
