A failing test: every VM writes a version's record while lists lag

A VM that is not one of the two writers looks once, 50 to 250 ms after the version's entry, in a list that may lag by seconds, and then writes.

--- a/trouttrack_front/tests/front/versions.rs
+++ b/trouttrack_front/tests/front/versions.rs
@@ -551,3 +551,49 @@
         assert_eq!([unnamed, named], [503, 503], "all end: {all_end}");
     }
 }
+
+/// Guards against a write by each VM when all start at once, or when a list lags: the store's writes
+/// are limited.
+#[actix_rt::test]
+async fn few_vms_write_the_record_of_a_version() {
+    const VMS: usize = 30;
+    let store = Store::start().await;
+    store.put_config(&config(1));
+    let mut upstream = Upstream::start("u0", ENGINES, "a").await;
+    upstream.version = "v1".to_owned();
+    store.put_upstream(&upstream, false);
+    let mut vms = Vec::new();
+    for n in 0..VMS {
+        let vm = start(&settings(&store, &format!("front-{n}"), "")).await;
+        vms.push(vm.expect("the VM starts"));
+    }
+    until("all know the upstream", || {
+        vms.iter().all(|vm| vm.front.upstreams.get("u0").is_some())
+    })
+    .await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let at_start = store.version_writes();
+    let mut at_release = [0; 2];
+    for (n, lag) in [Duration::ZERO, Duration::from_millis(1500)]
+        .into_iter()
+        .enumerate()
+    {
+        store.set_lag(lag);
+        let (before, id) = (store.version_writes(), format!("next-{n}"));
+        let mut upstream = Upstream::start(&id, ENGINES, "a").await;
+        upstream.version = id.clone();
+        store.put_upstream(&upstream, false);
+        until("all know the upstream", || {
+            vms.iter().all(|vm| vm.front.upstreams.get(&id).is_some())
+        })
+        .await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        at_release[n] = store.version_writes() - before;
+    }
+    eprintln!("writes at the start {at_start}, at releases {at_release:?}");
+    assert!(at_start <= 8, "{at_start} writes at the start");
+    assert!(
+        at_release.iter().all(|writes| *writes <= 8),
+        "{at_release:?}"
+    );
+}
