A failing test: a late removal removes the record of a version that is back

A removal without an answer may be done seconds later, and names no revision. A version whose upstreams return meanwhile finds its record there, counts as stored, and loses it.

--- a/trouttrack_front/tests/front/versions.rs
+++ b/trouttrack_front/tests/front/versions.rs
@@ -597,3 +597,35 @@
         "{at_release:?}"
     );
 }
+
+/// Guards against a record that is removed although its version serves again: the store carries out a
+/// removal late.
+#[actix_rt::test]
+async fn a_removal_that_is_done_late_does_not_remove_the_record_of_a_version_that_is_back() {
+    const LATE: Duration = Duration::from_secs(4);
+    let bed = bed_of(&["v1", "v2"], "").await;
+    recorded(&bed.store, &["v1", "v2"]).await;
+    bed.store.remove_upstream(&bed.upstreams[0].id);
+    until("v1 is gone", || {
+        bed.front.front.upstreams.get("u0").is_none()
+    })
+    .await;
+    let before = bed.store.version_writes();
+    bed.store.set_late_removals(Some(LATE));
+    bed.front.front.clock.suspended(Duration::from_secs(601));
+    until("the removal has begun", || {
+        bed.store.version_writes() > before
+    })
+    .await;
+    bed.store.put_upstream(&bed.upstreams[0], false);
+    until("v1 is back", || {
+        bed.front.front.upstreams.get("u0").is_some()
+    })
+    .await;
+    tokio::time::sleep(LATE * 2).await;
+    let stored = bed.store.recorded_versions();
+    assert!(
+        stored.contains(&(ENGINES.to_owned(), "v1".to_owned())),
+        "{stored:?}"
+    );
+}
