Records of versions: all services count, few VMs write, late removals fail

Three faults that the review of the records found, each with a test that failed: - a_stream_is_not_resumed_at_the_service_to_which_its_route_was_moved (left: [200, 503], right: [503, 503]): only the records of the services that the route names now were read. Routes move, so the records of all services are read; only services that begin streams which callers may resume get any. - few_vms_write_the_record_of_a_version (30 of 30 VMs wrote while lists lag): a VM that does not find another's record in a list that may lag reads a current one before it writes. - a_removal_that_is_done_late_does_not_remove_the_record_of_a_version_that_is_back: a removal names the revision that it was decided on, and a VM whose removal was under way writes the record of a version that is back with another token, so that the revision is another one.

The test a_version_whose_first_event_came_before_its_record_was_begun_is_recorded no longer waits until all of its 2,000 VMs are listed, which takes minutes since budgets wait for a current list, and on which nothing in it depends.

Streams are told to two live VMs besides the four of the list, not to four.

--- a/trouttrack_front/src/follow/versions.rs
+++ b/trouttrack_front/src/follow/versions.rs
@@ -13,9 +13,10 @@
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
+use trouttrack_core::fleet::RouteKind;
 use trouttrack_core::quarantine::record_holders;
-use trouttrack_core::{Fingerprint, OriginId, ServiceId, Time};
-use trouttrack_platform::{Kind, Reading, StoreError, VersionRecord};
+use trouttrack_core::{Fingerprint, OriginId, Time};
+use trouttrack_platform::{Kind, Object, Reading, StoreError, VersionRecord};
 use trouttrack_telemetry::{events, record};
 
 /// Timeout for a store call.
@@ -27,6 +28,8 @@
 /// Pause after which the other VMs look for a record, in milliseconds. It is random, so that not
 /// all of them call the store at once.
 const OTHERS_PAUSE_MS: Range<u64> = 50..250;
+/// Interval at which a version whose record is being removed is checked for new upstreams.
+const RETURN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which versions are checked for those of which no stream can be left.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -41,7 +44,7 @@
     wait_for_vm_list(&front).await;
     let mut epoch = None;
     loop {
-        for version in versions.take_missing() {
+        for version in versions.take_missing(|service| begins_streams(&front, service)) {
             actix_rt::spawn(write(Rc::clone(&front), version));
         }
         for version in versions.expire() {
@@ -62,6 +65,25 @@
     }
 }
 
+/// Whether a service begins streams that callers may resume. No other version needs a record.
+fn begins_streams(front: &Front, service: &str) -> bool {
+    let table = front.routing.table();
+    table.is_some_and(|table| {
+        let routes = table.config().routes.iter();
+        let resumable = routes.filter(|r| {
+            matches!(
+                r.kind,
+                RouteKind::Stream {
+                    resumable: true,
+                    ..
+                }
+            )
+        });
+        let mut shares = resumable.flat_map(|r| &r.shares);
+        shares.any(|share| share.service == service)
+    })
+}
+
 /// Whether this VM is one of those that write a record.
 fn is_writer(front: &Front, version: &VersionRecord) -> bool {
     let vms = front.peers.live_names().into_iter();
@@ -73,22 +95,33 @@
         .any(|name| *name == front.name)
 }
 
+/// How the record of a version comes to be known.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// Another VM writes it.
+    LookUp(Reading),
+    Write,
+}
+
 /// Writes a record, unless another VM has, and retries until the store has it.
 async fn write(front: Rc<Front>, version: VersionRecord) {
     let mut backoff = Backoff::new();
-    let origin = version.origin();
-    let mut is_writer = is_writer(&front, &version);
+    let mut step = match is_writer(&front, &version) {
+        true => Step::Write,
+        false => Step::LookUp(Reading::MayLag),
+    };
     loop {
-        let written = match is_writer {
-            true => put(&front, &version).await,
-            false => look_up(&front).await,
+        let done = match step {
+            Step::Write => put(&front, version.clone()).await,
+            Step::LookUp(reading) => look_up(&front, reading).await,
         };
-        if front.origins.versions.is_recorded(origin) {
+        if front.origins.versions.is_recorded(version.origin()) {
             return;
         }
-        match written {
-            Ok(()) => is_writer = true,
-            Err(e) => {
+        match (done, step) {
+            (Ok(()), Step::LookUp(Reading::MayLag)) => step = Step::LookUp(Reading::Current),
+            (Ok(()), _) => step = Step::Write,
+            (Err(e), _) => {
                 log::debug!("cannot record version {}: {e}", version.version);
                 backoff.pause().await;
             }
@@ -96,40 +129,70 @@
     }
 }
 
-async fn put(front: &Front, version: &VersionRecord) -> Result<(), StoreError> {
-    let (store, name) = (&front.store, version.name());
+async fn put(front: &Front, record: VersionRecord) -> Result<(), StoreError> {
+    let (store, name) = (&front.store, record.name());
     store
-        .put(Kind::Versions, &name, version, CALL_TIMEOUT)
+        .put(Kind::Versions, &name, &record, CALL_TIMEOUT)
         .await?;
     record!(
         events::VERSION_RECORDED,
-        service = version.service.as_str(),
-        version = version.version.as_str(),
+        service = record.service.as_str(),
+        version = record.version.as_str(),
     );
-    front.origins.versions.add_recorded(version.clone());
+    front.origins.versions.add_recorded(record);
     Ok(())
 }
 
-async fn look_up(front: &Front) -> Result<(), StoreError> {
+async fn look_up(front: &Front, reading: Reading) -> Result<(), StoreError> {
     let pause = rand::rng().random_range(OTHERS_PAUSE_MS);
     tokio::time::sleep(Duration::from_millis(pause)).await;
-    list(front, Reading::MayLag, CALL_TIMEOUT).await.map(drop)
+    list(front, reading, CALL_TIMEOUT).await.map(drop)
 }
 
-/// Removes a record, unless the version has upstreams again.
+/// Removes a record. If the version gets upstreams again meanwhile, writes another one in its place:
+/// the store may carry out the removal of the one that it had, even later.
 async fn remove(front: Rc<Front>, version: VersionRecord) {
-    let (mut backoff, name) = (Backoff::new(), version.name());
-    while !front.origins.versions.has(version.origin()) {
-        let removed = front.store.remove(Kind::Versions, &name, CALL_TIMEOUT);
-        match removed.await {
-            // It may have got upstreams during the call.
-            Ok(()) => return front.origins.versions.record_removed(version.origin()),
-            Err(e) => log::debug!("cannot remove the record of a version: {e}"),
+    let mut backoff = Backoff::new();
+    let is_back = async {
+        while !front.origins.versions.has(version.origin()) {
+            tokio::time::sleep(RETURN_CHECK_INTERVAL).await;
         }
+    };
+    let removed = async {
+        while let Err(e) = remove_once(&front, &version).await {
+            log::debug!("cannot remove the record of a version: {e}");
+            backoff.pause().await;
+        }
+    };
+    tokio::select! {
+        biased;
+        () = is_back => {}
+        () = removed => return,
+    }
+    let again = VersionRecord {
+        token: rand::random(),
+        ..version
+    };
+    while let Err(e) = put(&front, again.clone()).await {
+        log::debug!("cannot record a version again: {e}");
         backoff.pause().await;
     }
 }
 
+/// Removes a record, unless it has been written again since it was read.
+async fn remove_once(front: &Front, version: &VersionRecord) -> Result<(), StoreError> {
+    let name = version.name();
+    let objects = list_objects(front, Reading::Current, CALL_TIMEOUT).await?;
+    match objects.iter().find(|object| object.name == name) {
+        Some(object) => {
+            let store = &front.store;
+            let removed = store.remove_unchanged(Kind::Versions, object, CALL_TIMEOUT);
+            removed.await.map(drop)
+        }
+        None => Ok(()),
+    }
+}
+
 /// The records that were read.
 #[derive(Debug)]
 struct Records {
@@ -144,31 +207,38 @@
         records: Vec::new(),
         is_complete: true,
     };
-    let mut after: Option<String> = None;
-    loop {
-        let listing = front
-            .store
-            .list(Kind::Versions, after.as_deref(), reading, timeout);
-        let page = listing.await?;
-        for object in &page.objects {
-            match VersionRecord::decode(object.spec.get()) {
-                Ok(record) => read.records.push(record),
-                Err(e) => {
-                    log::warn!("version {}: record cannot be read: {e}", object.name);
-                    read.is_complete = false;
-                }
+    for object in list_objects(front, reading, timeout).await? {
+        match VersionRecord::decode(object.spec.get()) {
+            Ok(record) => {
+                front.origins.versions.add_recorded(record.clone());
+                read.records.push(record);
+            }
+            Err(e) => {
+                log::warn!("version {}: record cannot be read: {e}", object.name);
+                read.is_complete = false;
             }
         }
+    }
+    Ok(read)
+}
+
+async fn list_objects(
+    front: &Front,
+    reading: Reading,
+    timeout: Duration,
+) -> Result<Vec<Object>, StoreError> {
+    let mut objects = Vec::new();
+    let mut after: Option<String> = None;
+    loop {
+        let store = &front.store;
+        let page = store.list(Kind::Versions, after.as_deref(), reading, timeout);
+        let page = page.await?;
+        objects.extend(page.objects);
         after = page.next_after;
         if !page.more || after.is_none() {
-            read.is_complete &= !page.more;
-            break;
+            return Ok(objects);
         }
     }
-    for record in &read.records {
-        front.origins.versions.add_recorded(record.clone());
-    }
-    Ok(read)
 }
 
 /// The result of the latest read, for the callers that were waiting when it began.
@@ -178,29 +248,22 @@
     records: Option<Vec<VersionRecord>>,
 }
 
-/// The versions of these services that the store has recorded by now; `None` if it does not answer,
-/// or has a record that cannot be read.
+/// The versions that the store has recorded by now; `None` if it does not answer, or has a record
+/// that cannot be read. They are those of all services, because routes are moved between services.
 /// Callers that wait at the same time share a call.
-pub(crate) async fn recorded_versions(
-    front: &Front,
-    services: &[ServiceId],
-) -> Option<HashSet<OriginId>> {
+pub(crate) async fn recorded_versions(front: &Front) -> Option<HashSet<OriginId>> {
     let asked_at = front.clock.now();
     let mut latest = front.version_read.lock().await;
     if latest.began.is_none_or(|began| began < asked_at) {
         let began = front.clock.now();
         let reading = list(front, Reading::Current, READ_TIMEOUT);
         let read = tokio::time::timeout(READ_TIMEOUT, reading).await;
+        let complete = read.ok().and_then(Result::ok).filter(|r| r.is_complete);
         *latest = LatestRead {
             began: Some(began),
-            records: read
-                .ok()
-                .and_then(Result::ok)
-                .filter(|read| read.is_complete)
-                .map(|read| read.records),
+            records: complete.map(|read| read.records),
         };
     }
     let records = latest.records.as_ref()?.iter();
-    let of_services = records.filter(|record| services.contains(&record.service));
-    Some(of_services.map(VersionRecord::origin).collect())
+    Some(records.map(VersionRecord::origin).collect())
 }
--- a/trouttrack_front/src/peers/origins.rs
+++ b/trouttrack_front/src/peers/origins.rs
@@ -20,6 +20,8 @@
 };
 use trouttrack_core::{Fingerprint, ServiceId, StreamKey};
 
+/// Number of VMs known to be live that a stream is told to, if the others are not.
+const TOLD_LIVE_VMS: usize = 2;
 /// Time for answers: several round trips between failure domains.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
 /// Time after which VMs that have not answered are asked again, as datagrams may be lost.
@@ -55,7 +57,7 @@
     vms.truncate(TOLD_VMS);
     for vm in record_holders(key, live, |(name, _)| name.as_str())
         .into_iter()
-        .take(TOLD_VMS)
+        .take(TOLD_LIVE_VMS)
     {
         if !vms.contains(&vm) {
             vms.push(vm);
@@ -125,7 +127,7 @@
         }
     }
     if search.needs_records()
-        && let Some(recorded) = recorded_versions(front, services).await
+        && let Some(recorded) = recorded_versions(front).await
     {
         search.add_recorded(recorded);
     }
--- a/trouttrack_front/src/state/versions.rs
+++ b/trouttrack_front/src/state/versions.rs
@@ -64,7 +64,7 @@
         }
     }
 
-    /// Counts an upstream of a service. Its version is recorded, unless that is not known.
+    /// Counts an upstream of a service. Its version is to be recorded, unless that is not known.
     pub(super) fn add(&self, service: &str, version: &str) {
         let origin = origin_id(service, version);
         self.census.borrow_mut().add(service, origin);
@@ -81,6 +81,7 @@
             let record = VersionRecord {
                 service: service.to_owned(),
                 version: version.to_owned(),
+                token: 0,
             };
             Row::new(record, Progress::Missing)
         });
@@ -128,6 +129,9 @@
         // A version that is not known may be any, so streams that it began rule out the others.
         self.request(service, version);
         let origin = origin_id(service, version);
+        if self.is_awaited(origin) {
+            self.changed.notify_one();
+        }
         let waited = tokio::time::timeout(MAX_RECORD_WAIT, async {
             while self.is_awaited(origin) {
                 self.stored.notified().await;
@@ -146,11 +150,12 @@
         row.is_some_and(|row| row.progress != Progress::Stored && !row.waited)
     }
 
-    /// The versions that nobody records yet. The caller does.
-    pub(crate) fn take_missing(&self) -> Vec<VersionRecord> {
+    /// The versions of services selected by `f` that nobody records yet. The caller does.
+    pub(crate) fn take_missing(&self, f: impl Fn(&str) -> bool) -> Vec<VersionRecord> {
         let mut rows = self.rows.borrow_mut();
         let missing = rows.values_mut();
-        let missing = missing.filter(|row| row.progress == Progress::Missing);
+        let missing =
+            missing.filter(|row| row.progress == Progress::Missing && f(&row.record.service));
         let taken = missing.map(|row| {
             row.progress = Progress::Pending;
             row.record.clone()
@@ -168,14 +173,6 @@
         }
     }
 
-    /// Takes a version for missing, because its record was removed.
-    pub(crate) fn record_removed(&self, origin: OriginId) {
-        if let Some(row) = self.rows.borrow_mut().get_mut(&origin) {
-            (row.progress, row.waited) = (Progress::Missing, false);
-            self.changed.notify_one();
-        }
-    }
-
     /// Forgets the versions of which no stream can be left, and returns those that are recorded.
     pub(crate) fn expire(&self) -> Vec<VersionRecord> {
         let expired = self.census.borrow_mut().expire(self.clock.now());
--- a/trouttrack_front/tests/front/versions.rs
+++ b/trouttrack_front/tests/front/versions.rs
@@ -430,7 +430,11 @@
         bed.store.put_upstream(&upstream, false);
         let version = upstream.version.clone();
         bed.upstreams = vec![upstream];
-        bed.ready().await;
+        // The number of VMs is known later, and nothing here depends on it.
+        until("the front is ready", || {
+            bed.front.front.lifecycle.is_ready() && bed.front.front.routing.is_fresh()
+        })
+        .await;
         until("the upstream is known", || knows_all(&bed, &bed.front)).await;
         while bed.send(&long(&version, "resume")).await.status != 200 {
             tokio::time::sleep(Duration::from_millis(20)).await;
