--- a/trouttrack_front/tests/front/odd_datagrams.rs
+++ b/trouttrack_front/tests/front/odd_datagrams.rs
@@ -13,7 +13,7 @@
 use trouttrack_core::upstream::{
     Incarnation, ReportedLimit, ReportedMean, ReportedRate, incarnation_hash,
 };
-use trouttrack_front::peers::{EntryChange, EntryState, EntryUpdate};
+use trouttrack_front::peers::{EntryChange, EntryState, EntryUpdate, Snapshot};
 use trouttrack_front::state::Front;
 use trouttrack_platform::UpstreamEntry;
 use trouttrack_platform_standin::Behaviour;
@@ -298,3 +298,26 @@
     }
     peer.check_received().await;
 }
+
+/// Guards against a snapshot that is cut off or damaged at any byte, or whose entries were not
+/// checked by the VM that sent it.
+#[actix_rt::test]
+async fn damaged_snapshots_have_only_sound_entries() {
+    let bed = Bed::new(ENGINES).await;
+    let whole = Snapshot::of(&bed.front.front.upstreams).encode();
+    let whole = whole.expect("it encodes");
+    for at in 0..whole.len() {
+        for damage in [0, 1, 0x7f, 0x80, 0xff] {
+            let mut damaged = whole.clone();
+            damaged[at] ^= damage;
+            for bytes in [&damaged[..], &damaged[..at]] {
+                let Ok(snapshot) = Snapshot::decode(bytes) else {
+                    continue;
+                };
+                for listed in snapshot.entries() {
+                    assert_eq!(listed.entry.check(), Ok(()));
+                }
+            }
+        }
+    }
+}
--- a/trouttrack_front/tests/front/odd_entries.rs
+++ b/trouttrack_front/tests/front/odd_entries.rs
@@ -1,6 +1,6 @@
 //! Entries of another writer that nest deeply, hold numbers out of range or are not JSON.
 
-use crate::support::{Bed, PLAIN, plain, settings, until};
+use crate::support::{Bed, PLAIN, assert_no_panics, plain, settings, until};
 use std::rc::Rc;
 use std::time::Duration;
 use trouttrack_front::app::{Running, start};
@@ -112,6 +112,7 @@
             assert_eq!(reply.status, 200);
         }
     }
+    fronts.iter().for_each(|front| assert_no_panics(front));
 }
 
 /// Guards against odd entries that are there when a VM starts, at any place of a page.
@@ -139,6 +140,7 @@
     // One of them becomes sound.
     bed.store.put_entry_text(&odd_ids[0], &sound);
     until("it is used", || is_used(&front, &odd_ids[0])).await;
+    assert_no_panics(&front);
 }
 
 /// Guards against an entry of another writer that names a start time: the entries of all other
@@ -194,4 +196,6 @@
     tokio::time::sleep(Duration::from_secs(6)).await;
     assert!(front.peers.is_live("front-2") && other.peers.is_live("front-1"));
     assert!(front.upstreams.get(&long).is_none());
+    assert_no_panics(front);
+    assert_no_panics(&other);
 }
