Soak: upstreams that answer without end

Seeds from 7400 on: interim heads, headers of one head, or zeros before the size of a chunk come until the VM closes the connection. Plans below stay the same.

--- a/trouttrack_soak/src/faults/carry_out.rs
+++ b/trouttrack_soak/src/faults/carry_out.rs
@@ -117,6 +117,7 @@
                 releases::release(bed, (first, departure), step.lasts, rng).await;
             }
             Act::Disorder(place) => releases::disorder(bed, place, rng),
+            Act::AnswerEndlessly(place) => releases::answer_endlessly(bed, place, rng),
             Act::OddEntries => releases::odd_entries(bed, step.lasts).await,
             Act::Crowd(vm) => self.callers.crowd(vm, step.lasts).await,
             Act::EndEngines => self.end_engines(step.lasts, rng).await,
--- a/trouttrack_soak/src/faults/history.rs
+++ b/trouttrack_soak/src/faults/history.rs
@@ -35,7 +35,10 @@
     /// Notes that it has ended.
     pub(super) fn end(&mut self, place: usize) {
         // What an upstream is told to answer badly may come at any later time.
-        if !matches!(self.all[place].act, Act::Misbehave(_) | Act::Disorder(_)) {
+        if !matches!(
+            self.all[place].act,
+            Act::Misbehave(_) | Act::Disorder(_) | Act::AnswerEndlessly(_)
+        ) {
             self.all[place].until = Some(Instant::now());
         }
     }
--- a/trouttrack_soak/src/faults/releases.rs
+++ b/trouttrack_soak/src/faults/releases.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
-use trouttrack_platform_standin::Behaviour;
+use trouttrack_platform_standin::{Behaviour, Endless};
 
 /// From the start of a VM until it serves.
 const STARTS: Duration = Duration::from_secs(1);
@@ -95,6 +95,15 @@
     }
 }
 
+/// Makes an upstream answer its next requests without end.
+pub(super) fn answer_endlessly(bed: &Bed, place: usize, rng: &mut SmallRng) {
+    let upstream = bed.upstreams.at(place).upstream;
+    for _ in 0..rng.random_range(STREAMS) {
+        let endless = Endless::ALL[rng.random_range(0..Endless::ALL.len())];
+        upstream.next(Behaviour::Endless(endless));
+    }
+}
+
 /// Another writer puts odd entries among those of the upstreams, and takes them away.
 pub(super) async fn odd_entries(bed: &Bed, lasts: Duration) {
     let Some(good) = bed.upstreams.now().into_iter().map(|m| m.upstream).next() else {
--- a/trouttrack_soak/src/plan/act.rs
+++ b/trouttrack_soak/src/plan/act.rs
@@ -133,6 +133,8 @@
     Release(usize, Departure),
     /// An engine answers its next streams in ways that may put events out of order.
     Disorder(usize),
+    /// An upstream answers its next requests without end.
+    AnswerEndlessly(usize),
     /// Another writer puts odd entries among those of the upstreams while it lasts.
     OddEntries,
     /// A VM gets many new connections at once, and again as they are closed, while it lasts.
--- a/trouttrack_soak/src/plan/releases.rs
+++ b/trouttrack_soak/src/plan/releases.rs
@@ -38,6 +38,11 @@
 const LASTS_BESIDE: Range<f64> = 0.1..2.0;
 const DELAY_MS: Range<u64> = 5..300;
 
+/// The first seed whose upstreams answer without end, what is XORed with it, and how often.
+const FIRST_WITH_ENDLESS: u64 = 7400;
+const ENDLESS: u64 = 0xe4d1;
+const BEGINS_ENDLESS: Range<usize> = 1..5;
+
 /// What is drawn of releases.
 pub(super) struct Releases {
     /// Whether the plan holds nothing else.
@@ -79,6 +84,7 @@
         let lasts = rng.random_range(LASTS_BESIDE);
         steps.push(step(at, lasts, beside(rng, size)));
     }
+    steps.extend(endless(seed, size, ends));
     Some(Releases {
         alone,
         mixed,
@@ -86,6 +92,21 @@
     })
 }
 
+/// Upstreams that answer without end, drawn by themselves.
+fn endless(seed: u64, size: Size, ends: Duration) -> Vec<Step> {
+    if seed < FIRST_WITH_ENDLESS {
+        return Vec::new();
+    }
+    let rng = &mut SmallRng::seed_from_u64(seed ^ ENDLESS);
+    let count = rng.random_range(BEGINS_ENDLESS);
+    let mut draw = || {
+        let at = begin(rng, ends);
+        let upstream = rng.random_range(0..2 * size.upstreams);
+        step(at, 0.0, Act::AnswerEndlessly(upstream))
+    };
+    (0..count).map(|_| draw()).collect()
+}
+
 /// All VMs are killed, and perhaps once more before all of them are back.
 fn kill_all(rng: &mut SmallRng, at: f64) -> Vec<Step> {
     let down = rng.random_range(DOWN);
--- a/trouttrack_soak/tests/soak/releases.rs
+++ b/trouttrack_soak/tests/soak/releases.rs
@@ -42,6 +42,13 @@
     }
 }
 
+#[test]
+fn upstreams_answer_without_end_from_a_seed_on() {
+    let is_endless = |act| matches!(act, Act::AnswerEndlessly(_));
+    assert_eq!(holding(7000..7400, is_endless), 0);
+    assert_eq!(holding(7400..7450, is_endless), 50);
+}
+
 /// Upstreams have one version at first, or several.
 #[test]
 fn some_plans_begin_with_one_version() {
