--- a/trouttrack_soak/src/faults/releases.rs
+++ b/trouttrack_soak/src/faults/releases.rs
@@ -9,13 +9,25 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
-use trouttrack_platform_standin::Behaviour;
+use trouttrack_platform_standin::{Behaviour, Endless};
 
 /// From the start of a VM until it serves.
 const STARTS: Duration = Duration::from_secs(1);
 /// Streams that an engine answers in other ways.
 const STREAMS: Range<usize> = 2..8;
 
+/// Answers without end that bring nothing of a body.
+const ENDLESS: [Endless; 8] = [
+    Endless::InformationalHeads,
+    Endless::Reason,
+    Endless::Headers,
+    Endless::HeaderValue,
+    Endless::LeadingLines,
+    Endless::ChunkSizeZeros,
+    Endless::ChunkSizeSpace,
+    Endless::ChunkExtension,
+];
+
 /// All VMs are killed at once and stay down for a while.
 pub(super) async fn kill_all(bed: &Bed, down: Duration) {
     let until = Instant::now() + down;
@@ -95,6 +107,15 @@
     }
 }
 
+/// Makes an upstream answer its next requests without end.
+pub(super) fn answer_endlessly(bed: &Bed, place: usize, rng: &mut SmallRng) {
+    let upstream = bed.upstreams.at(place).upstream;
+    for _ in 0..rng.random_range(STREAMS) {
+        let endless = ENDLESS[rng.random_range(0..ENDLESS.len())];
+        upstream.next(Behaviour::Endless(endless, 0));
+    }
+}
+
 /// Another writer puts odd entries among those of the upstreams, and takes them away.
 pub(super) async fn odd_entries(bed: &Bed, lasts: Duration) {
     let Some(good) = bed.upstreams.now().into_iter().map(|m| m.upstream).next() else {
