Bound the bytes that are read from a caller's connection

A caller that wrote a body without end got its 404 or 413, and was read on at full speed. A caller that sent request after request while its first one was served kept a core busy: the VM asked the connection again and again.

Cause: actix-http reads an unwanted body on, for the time of a disconnect or, chunked, for as long as it comes, and bounds no framing of a chunked body. While a request is served it reads ahead until its buffer is full, and then wakes itself at once, each time.

Change: a bound below actix-http, shared by the connection and the handler. A request may take 256 KiB beside its body (what is read ahead, and framing), 12 bytes of framing for each byte of the body that was taken, and a body that is not wanted is read as far as two of the largest that the configuration allows. Beyond that the connection ends, after the answer. Once a body is complete, reading pauses after the next head and 32 KiB, until the next request begins, so the buffer never fills. A caller that closes its connection while reading pauses is noticed when the VM writes.

Heads were bounded before (128 KiB, or the configuration's limit) and stay so.

--- a/trouttrack_front/src/caller/connection.rs
+++ b/trouttrack_front/src/caller/connection.rs
@@ -2,12 +2,13 @@
 //! the caller whether a response that ends with it is complete.
 
 use super::body::{CallerBody, UnframedEnd};
+use super::limit::ReadLimit;
 use crate::state::HeldBytes;
 use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use trouttrack_http::socket;
@@ -62,6 +63,7 @@
 pub(crate) struct CallerStream<T = TcpStream> {
     io: T,
     response: CurrentResponse,
+    limit: ReadLimit,
     resets_on_close: bool,
 }
 
@@ -70,6 +72,7 @@
         Self {
             io,
             response: CurrentResponse::default(),
+            limit: ReadLimit::default(),
             resets_on_close: false,
         }
     }
@@ -78,6 +81,11 @@
     pub(crate) fn response(&self) -> CurrentResponse {
         self.response.clone()
     }
+
+    /// The bound of what is read from this connection.
+    pub(crate) fn limit(&self) -> ReadLimit {
+        self.limit.clone()
+    }
 }
 
 impl<T: ResetOnClose> CallerStream<T> {
@@ -98,7 +106,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buf)
+        ready!(self.limit.poll_ready(cx));
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.io).poll_read(cx, buf))?;
+        Poll::Ready(self.limit.record(buf.filled().len() - before))
     }
 }
 
--- a/trouttrack_front/src/caller/handler.rs
+++ b/trouttrack_front/src/caller/handler.rs
@@ -3,6 +3,7 @@
 use super::admit::{Admitted, admit};
 use super::body::CallerBody;
 use super::connection::CurrentResponse;
+use super::limit::ReadLimit;
 use super::reply::Reply;
 use crate::request::{End, plain, stream};
 use crate::state::{Front, HeldBytes};
@@ -35,6 +36,8 @@
     let in_flight = front.lifecycle.enter();
     let close = front.lifecycle.is_stopping();
     let limits = limits(&front);
+    let read_limit = req.conn_data::<ReadLimit>().cloned().unwrap_or_default();
+    read_limit.begin(limits.body_bytes);
     let head = match decode(req, &limits) {
         Ok(head) => head,
         Err(reply) => return reply.into_response(None, true),
@@ -51,7 +54,7 @@
     let id = admitted.head.id.as_str();
     let organisation = admitted.organisation.as_deref().unwrap_or_default();
     let held = front.buffers.open(id, organisation, limits.body_bytes);
-    let body = match read_body(payload, limits.body_bytes, &held).await {
+    let body = match read_body(payload, limits.body_bytes, &held, &read_limit).await {
         Ok(body) => body,
         Err(error) => {
             disconnect_guard.disarm();
@@ -59,6 +62,7 @@
             return reply.into_response(None, true);
         }
     };
+    read_limit.body_complete(limits.head_bytes);
     let (reply, stream) = match admitted.route.kind.is_stream() {
         true => stream::serve(&front, admitted, body, (in_flight, held)).await,
         false => (plain::serve(&front, admitted, body).await, None),
@@ -127,11 +131,13 @@
     mut payload: Payload,
     max_bytes: usize,
     held: &HeldBytes,
+    read_limit: &ReadLimit,
 ) -> Result<Bytes, BodyError> {
     let mut first: Option<Bytes> = None;
     let mut all = BytesMut::new();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|_| BodyError::Truncated)?;
+        read_limit.take(chunk.len());
         if all.len() + first.as_ref().map_or(0, Bytes::len) + chunk.len() > max_bytes {
             return Err(BodyError::TooLarge);
         }
--- a/trouttrack_front/src/caller/mod.rs
+++ b/trouttrack_front/src/caller/mod.rs
@@ -4,6 +4,7 @@
 mod body;
 mod connection;
 mod handler;
+mod limit;
 mod reply;
 mod server;
 
--- a/trouttrack_front/src/caller/server.rs
+++ b/trouttrack_front/src/caller/server.rs
@@ -66,6 +66,7 @@
                 .h1_allow_half_closed(false)
                 .on_connect_ext(|io: &CallerStream, ext| {
                     ext.insert(io.response());
+                    ext.insert(io.limit());
                 })
                 .h1(fn_service(handler))
                 .new_service(())
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -7,6 +7,7 @@
 mod config;
 mod crowded;
 mod endless;
+mod endless_callers;
 mod entries;
 mod evacuation;
 mod event_reader;
