Bound the bytes that a page's connection reads

A chunked body without end, sent to the port for peers (or for readiness or metrics), was read at full speed for as long as it came.

Cause: pages read no body, and actix-http reads on a chunked body that is dropped. These connections had no bound, unlike those of callers.

Change: pages are served on connections with the bound of callers, renewed with each request and for requests without a body. A relayed connection is taken out of it when it begins.

--- a/trouttrack_front/src/caller/limit.rs
+++ b/trouttrack_front/src/caller/limit.rs
@@ -83,7 +83,7 @@
     /// # Errors
     ///
     /// The request may not take so many. A body that is not wanted is read as far as one that is.
-    pub(super) fn record(&self, bytes: usize) -> io::Result<()> {
+    pub(crate) fn record(&self, bytes: usize) -> io::Result<()> {
         let counts = &self.0;
         counts.read.set(counts.read.get() + bytes as u64);
         let body = 2 * counts.max_body.get();
--- a/trouttrack_front/src/page/mod.rs
+++ b/trouttrack_front/src/page/mod.rs
@@ -4,6 +4,11 @@
 //! below `actix-web`: the server of `actix-web` starts its own threads, and each costs memory
 //! and wake-ups on a VM with a fraction of a core.
 
+mod stream;
+
+pub(crate) use stream::PageStream;
+
+use crate::caller::ReadLimit;
 use actix_codec::Framed;
 use actix_http::body::{BoxBody, MessageBody};
 use actix_http::h1::Codec;
@@ -13,7 +18,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
 /// Length of the accept queue. With a full queue a client's SYN is dropped and retransmitted
 /// only seconds later.
@@ -60,10 +65,13 @@
 where
     F: Fn(&Request) -> Response<B> + Clone + 'static,
     B: MessageBody + 'static,
-    T: Fn((Request, Framed<TcpStream, Codec>)) -> O + Clone + 'static,
+    T: Fn((Request, Framed<PageStream, Codec>)) -> O + Clone + 'static,
     O: Future<Output = ()> + 'static,
 {
     let handler = fn_service(move |req: Request| {
+        if let Some(limit) = req.conn_data::<ReadLimit>() {
+            limit.begin(0);
+        }
         let res = page(&req).map_body(|_, body| BoxBody::new(body));
         async move { Ok::<_, Infallible>(res) }
     });
@@ -75,16 +83,18 @@
         }
     });
     let service = HttpService::build()
+        .on_connect_ext(|io: &PageStream, ext| {
+            ext.insert(io.limit());
+        })
         .upgrade(tunnel.into_factory())
         .h1(handler.into_factory())
-        .tcp()
         .new_service(())
         .await
         .map_err(|()| io::Error::other("cannot create the HTTP service"))?;
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let connection = service.call(stream);
+            Ok((stream, peer)) => {
+                let connection = service.call((PageStream::new(stream), Some(peer)));
                 actix_rt::spawn(async move { drop(connection.await) });
             }
             Err(e) => {
--- a/trouttrack_front/src/relay/serve.rs
+++ b/trouttrack_front/src/relay/serve.rs
@@ -2,6 +2,7 @@
 
 use super::ask::{REFUSED, UNABLE, UNREACHED};
 use super::join::join;
+use crate::page::PageStream;
 use crate::state::Front;
 use actix_codec::Framed;
 use actix_http::body::BodySize;
@@ -44,7 +45,7 @@
     /// Answers a `CONNECT` request, and carries the bytes of the connection until it ends.
     pub(crate) async fn serve(
         self: Rc<Self>,
-        (req, mut framed): (Request, Framed<TcpStream, Codec>),
+        (req, mut framed): (Request, Framed<PageStream, Codec>),
     ) {
         let upstream = match self.connect(&req).await {
             Ok(upstream) => upstream,
@@ -60,7 +61,7 @@
         let parts = framed.into_parts();
         match accepted {
             Ok(()) if parts.read_buf.is_empty() => {
-                report_failure(join(parts.io, upstream).await);
+                report_failure(join(parts.io.into_inner(), upstream).await);
             }
             accepted => report_failure(accepted),
         }
@@ -115,7 +116,7 @@
 }
 
 async fn answer(
-    framed: &mut Framed<TcpStream, Codec>,
+    framed: &mut Framed<PageStream, Codec>,
     status: u16,
     size: BodySize,
 ) -> io::Result<()> {
--- a/trouttrack_front/tests/front/endless_callers.rs
+++ b/trouttrack_front/tests/front/endless_callers.rs
@@ -160,6 +160,17 @@
     assert_eq!(bed.send(&plain("r2", "many")).await.status, 200);
 }
 
+/// Guards against a request without end to the port for other VMs.
+#[actix_rt::test]
+async fn request_without_end_to_the_port_for_peers_costs_bounded_bytes() {
+    let bed = Bed::new(PLAIN).await;
+    let peers = bed.front.front.peer_addr.get().expect("an address");
+    for req in heads().into_iter().chain(bodies("/none/x")) {
+        closed_early(*peers, req).await;
+    }
+    assert_eq!(bed.send(&plain("r2", "many")).await.status, 200);
+}
+
 /// Guards against a caller that sends request after request while its first is served: they are
 /// read ahead, and the connection asks for more without a pause.
 #[actix_rt::test]
