--- a/trouttrack_front/tests/front/endless.rs
+++ b/trouttrack_front/tests/front/endless.rs
@@ -161,6 +161,26 @@
     }
 }
 
+/// Guards against a bound that adds up the comments of a sound stream.
+#[actix_rt::test]
+async fn comments_between_the_events_of_a_sound_stream_are_forwarded() {
+    const COMMENT: &str = ": keep-alive\n\n";
+    let bed = bed(ENGINES).await;
+    // Together they are several times the bound, and those between two events are below it.
+    let comments = MAX_EVENT_BYTES as usize / 2 / COMMENT.len();
+    for upstream in &bed.upstreams {
+        upstream.comment(comments);
+        upstream.always(Behaviour::Stream(EVENTS));
+    }
+    let reply = send(&bed, "r1", "draft").await.expect("an answer");
+    assert!(reply.claims_complete());
+    let want: String = (1..=EVENTS)
+        .map(|n| format!("{}id: {n}\ndata: r1/{n}\n\n", COMMENT.repeat(comments)))
+        .collect();
+    assert_eq!(reply.body.len(), want.len());
+    assert!(reply.text() == want);
+}
+
 /// Guards against a loop that serves nobody else while it reads an answer without end.
 #[actix_rt::test]
 async fn other_callers_are_served_beside_answers_without_end() {
