VMs tell each other what they know of upstreams that leave

Callers saw requests served by upstreams that were gone: while the store turned some VMs away, a removal was read by a VM that could not tell whether the entry had merely lapsed, so VMs kept the upstream for 2.2 s, although a peer had judged rightly; and a VM that an upstream had told that it leaves kept that to itself.

Cause: what a VM knew of a departure beyond the store's entries was used by that VM alone, and a removal whose reader was unsure was judged by each VM by itself. Class: a fact is kept where it was learned.

Change: `DepartureWords`, told with load updates at once and repeated by heartbeats for four seconds, after the other conditions, which VMs of earlier versions ignore. Two kinds: the upstream has said so itself, and its removal is final. The second is told only in answer to a reader that is unsure, by a VM that was told by the reader of the removal, or that knows of no gap of `MAX_CONTACT_PAUSE` without an answer of the store to itself or a peer (`Entries::can_tell_removals`). A word that a removal is final ends a lapse and nothing else: an entry that is written again is used again.

Evidence: on the code before, of front departure_words an_upstreams_word_that_it_leaves_reaches_the_vms_that_have_not_heard_it and a_vm_that_knows_what_a_removal_means_tells_those_that_do_not fail: "a word in time: Elapsed(())"; without `answer_unsure` so does a_vm_that_has_read_a_removal_tells_those_that_cannot_tell_what_it_means. after_an_outage_no_vm_tells_that_a_removal_is_final passes before and after.

Result: trouttrack_front's modules departure_words, turned_away, own_words, leaving, late_answers, compatibility, peers, entries, store, large_fleet, config and freshness, 105 tests; trouttrack_core's entries, membership and report_sizes, 17.

--- a/trouttrack_core/src/membership/conditions.rs
+++ b/trouttrack_core/src/membership/conditions.rs
@@ -1,6 +1,7 @@
 //! Observations that VMs exchange besides their use of upstreams: service rates, reachability,
 //! and demand for services.
 
+use super::departure_words::ReportedDeparture;
 use crate::ServiceId;
 use crate::upstream::{Incarnation, ReportedRate};
 use serde::{Deserialize, Serialize};
@@ -23,6 +24,9 @@
     /// conditions, which VMs of earlier versions decode.
     #[serde(skip)]
     pub paths_lost: bool,
+    /// Upstreams that leave. Encoded after `paths_lost`, for the same reason.
+    #[serde(skip)]
+    pub departures: Vec<ReportedDeparture>,
 }
 
 impl Conditions {
@@ -41,6 +45,7 @@
             && self.demand.is_empty()
             && self.reachable.is_empty()
             && !self.paths_lost
+            && self.departures.is_empty()
     }
 
     /// Removes the observations of reachability that earlier load updates have carried.
--- a/trouttrack_core/src/membership/entries.rs
+++ b/trouttrack_core/src/membership/entries.rs
@@ -93,6 +93,10 @@
     recovered_at: Option<Time>,
     /// The last answer of the store to this VM.
     answered_at: Option<Time>,
+    /// The last answer of the store to this VM or, as it tells, a peer.
+    served_at: Option<Time>,
+    /// The first of these answers since when no outage can have passed.
+    served_since: Time,
     /// Until when entries may still be written again that have lapsed in an outage which this VM
     /// did not notice, because it did not call the store for a while.
     unsure_until: Time,
@@ -162,6 +166,16 @@
         (!is_unsure).then(|| self.judge(now))
     }
 
+    /// Whether this VM can tell others that an entry whose removal it has just heard of has not
+    /// lapsed: the store has served it or its peers all the while.
+    #[must_use]
+    pub fn can_tell_removals(&self, now: Time) -> bool {
+        let is_served = self
+            .served_at
+            .is_some_and(|at| now <= at + MAX_CONTACT_PAUSE);
+        is_served && now >= self.served_since + RECOVERY_GRACE && self.judge(now) == Removal::Final
+    }
+
     /// Drops an entry that does not show that its upstream is alive, and that will not be
     /// written again by itself.
     pub fn forget(&mut self, id: &str) {
@@ -208,9 +222,22 @@
             self.unsure_until = now + RECOVERY_GRACE;
         }
         self.answered_at = Some(now);
+        self.served(now);
         self.store_recovered(now);
     }
 
+    /// Records that the store has answered this VM or a peer at a time. Where the store serves any
+    /// VM, upstreams can write their entries.
+    pub fn served(&mut self, at: Time) {
+        if self
+            .served_at
+            .is_none_or(|last| at > last + MAX_CONTACT_PAUSE)
+        {
+            self.served_since = at;
+        }
+        self.served_at = self.served_at.max(Some(at));
+    }
+
     /// Records that the store was restored from a backup. Missing entries may have been lost,
     /// and live upstreams write theirs again as after an outage.
     pub fn store_restored(&mut self, now: Time) {
--- a/trouttrack_core/src/membership/mod.rs
+++ b/trouttrack_core/src/membership/mod.rs
@@ -4,6 +4,7 @@
 //! in any order and more than once.
 
 mod conditions;
+mod departure_words;
 mod departures;
 mod dissemination;
 mod entries;
@@ -22,6 +23,9 @@
     Conditions, MAX_UNREACHABLE_PER_DATAGRAM, ReportedDemand, ReportedReachable,
     ReportedUnreachable,
 };
+pub use departure_words::{
+    DepartureWord, DepartureWords, MAX_WORDS_PER_DATAGRAM, ReportedDeparture,
+};
 pub use departures::{Departures, RESTORE_GRACE};
 pub use dissemination::{
     CONFIRMATION_RETRY_INTERVAL, LIST_RETRY_INTERVAL, MAX_CHANGES_PER_DATAGRAM,
--- a/trouttrack_core/src/world/conditions.rs
+++ b/trouttrack_core/src/world/conditions.rs
@@ -15,6 +15,7 @@
             demand: self.demand_to_report(now),
             reachable: self.reachable_to_report(now),
             paths_lost: false,
+            departures: Vec::new(),
         }
     }
 
--- a/trouttrack_core/tests/core/entries.rs
+++ b/trouttrack_core/tests/core/entries.rs
@@ -53,6 +53,41 @@
     assert_eq!(entries.take_expired(s(14)), ["u1"]);
 }
 
+/// Guards against a VM that passes on a guess: it can tell others what a removal means only while the
+/// store serves it or its peers, and has for as long as entries take to be written again.
+#[test]
+fn only_a_vm_that_knows_of_no_gap_can_tell_removals() {
+    let ms = Duration::from_millis;
+    let serve = |entries: &mut Entries, from: u64, to: u64| {
+        for at in (from..=to).step_by(500) {
+            match at % 1_000 {
+                0 => entries.served(ms(at)),
+                _ => entries.answered(ms(at), s(5), true),
+            }
+        }
+    };
+    let mut entries = Entries::default();
+    assert!(!entries.can_tell_removals(s(1)), "never served");
+    serve(&mut entries, 1_000, 3_000);
+    assert!(!entries.can_tell_removals(s(3)), "served for two seconds");
+    serve(&mut entries, 3_500, 5_000);
+    assert!(entries.can_tell_removals(s(5)));
+    assert!(!entries.can_tell_removals(s(8)), "not served since");
+    // What was told late leaves no gap.
+    entries.served(ms(6_800));
+    assert!(entries.can_tell_removals(s(8)));
+    serve(&mut entries, 10_000, 11_000);
+    assert!(!entries.can_tell_removals(s(11)), "after a gap");
+    serve(&mut entries, 11_500, 13_000);
+    assert!(entries.can_tell_removals(s(13)));
+    entries.store_lost();
+    assert!(!entries.can_tell_removals(s(13)));
+    serve(&mut entries, 13_500, 15_000);
+    assert!(!entries.can_tell_removals(s(15)), "after an outage");
+    serve(&mut entries, 15_500, 16_000);
+    assert!(entries.can_tell_removals(s(16)));
+}
+
 /// Guards against a VM that takes its own lost path for an outage: what the reader of a removal
 /// tells goes before what this VM has seen.
 #[test]
--- a/trouttrack_front/src/follow/mod.rs
+++ b/trouttrack_front/src/follow/mod.rs
@@ -12,6 +12,7 @@
 mod calls;
 mod config;
 mod confirm;
+mod departures;
 mod evacuations;
 mod follower;
 mod holds;
@@ -21,6 +22,7 @@
 mod vms;
 
 pub(crate) use config::apply_revision as apply_config;
+pub(crate) use departures::receive_departures;
 pub(crate) use evacuations::{UpdateSource, apply_evacuations};
 pub(crate) use self_reports::{receive_answer, receive_limits, receive_report};
 pub(crate) use upstreams::{UpdateResult, apply_update};
--- a/trouttrack_front/src/follow/self_reports.rs
+++ b/trouttrack_front/src/follow/self_reports.rs
@@ -136,6 +136,33 @@
     }
 }
 
+/// Handles a peer's word that an upstream has said that it leaves.
+pub(super) fn receive_announcement(front: &Rc<Front>, peer: &str, life: &Incarnation) {
+    let now = front.clock.now();
+    if !front
+        .scheduler
+        .receive_notice(life, UpstreamNotice::Leaving)
+    {
+        return;
+    }
+    let received = ReceivedStatement {
+        word: OwnWord {
+            leaving: true,
+            ..OwnWord::default()
+        },
+        carrier: "peer",
+        peer: Some(peer),
+        request: None,
+        status: None,
+        requested_at: now,
+    };
+    record(front, life, &received);
+    let listed = front.upstreams.get(&life.id);
+    if let Some(current) = listed.filter(|u| u.incarnation() == *life) {
+        handle_leaving(front, &current, Departure::from_notice(now));
+    }
+}
+
 /// Applies a statement. Requests that were placed there but not yet sent go to another
 /// upstream.
 fn apply_statement(
@@ -174,7 +201,10 @@
     if rests || leaving || limit_changed || brittle_changed {
         record(front, &life, received);
     }
-    if limit_changed {
+    if leaving {
+        front.upstreams.tell_announced(&life);
+    }
+    if limit_changed || leaving {
         front.scheduler.schedule_load_update();
     }
     // The entry may have been removed and written again while the request was in progress.
--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -275,7 +275,11 @@
 /// here.
 pub(crate) fn apply_update(front: &Rc<Front>, update: &EntryUpdate) -> UpdateResult {
     let known = front.upstreams.revision();
-    if !front.upstreams.is_listed() || update.to <= known {
+    if !front.upstreams.is_listed() {
+        return UpdateResult::Known;
+    }
+    if update.to <= known {
+        answer_unsure(front, update);
         return UpdateResult::Known;
     }
     if update.from > known {
@@ -293,6 +297,17 @@
     UpdateResult::New
 }
 
+/// Tells peers what removals mean that the VM which read them cannot tell, where this VM can.
+fn answer_unsure(front: &Front, update: &EntryUpdate) {
+    let is_unsure = |change: &&EntryChange| change.entry == EntryState::Gone(None);
+    for change in update.changes.iter().filter(is_unsure) {
+        front.upstreams.answer_unsure(&change.id);
+    }
+    if front.upstreams.has_departure_news() {
+        front.scheduler.schedule_load_update();
+    }
+}
+
 /// Applies those of the changes up to a revision that are news, and returns them.
 fn apply_news(
     front: &Rc<Front>,
@@ -315,6 +330,9 @@
             update_row(front, &change.id);
         }
     }
+    if front.upstreams.has_departure_news() {
+        front.scheduler.schedule_load_update();
+    }
     if !changes.is_empty() {
         front.origins.refresh();
         front.scheduler.upstreams_changed();
@@ -398,7 +416,7 @@
 }
 
 /// Removes an upstream: starts its departure and deletes its row.
-fn remove(front: &Rc<Front>, upstream: &Rc<Upstream>) {
+pub(super) fn remove(front: &Rc<Front>, upstream: &Rc<Upstream>) {
     start_departure(front, upstream);
     front.scheduler.remove_upstream(&upstream.id);
 }
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -145,6 +145,7 @@
 fn own_conditions(front: &Front) -> Conditions {
     let mut conditions = front.scheduler.conditions();
     conditions.paths_lost = front.paths.are_all_lost();
+    conditions.departures = front.upstreams.departure_words();
     if conditions.paths_lost {
         conditions.unreachable.clear();
     }
@@ -180,7 +181,10 @@
 /// The latter would otherwise learn of requests from this VM only by heartbeats, after their
 /// prompts have been loaded.
 fn send_load(front: &Front, socket: &UdpSocket) {
-    let to_all = !is_large(front);
+    let mut conditions = own_conditions(front);
+    conditions.departures = front.upstreams.take_departure_news();
+    // Any VM may be the one that goes on using such an upstream.
+    let to_all = !is_large(front) || !conditions.departures.is_empty();
     let uses = front.scheduler.local_uses();
     let limits = front.scheduler.limits(Some(CHANGED_LIMIT_REPEAT_PERIOD));
     let domains = domains_of(front, &uses, &limits);
@@ -197,7 +201,6 @@
         uses,
         limits,
     };
-    let mut conditions = own_conditions(front);
     conditions.retain_new_reachability();
     post_with(socket, &Datagram::Load(load), &conditions, receivers);
 }
--- a/trouttrack_front/src/peers/listen.rs
+++ b/trouttrack_front/src/peers/listen.rs
@@ -12,6 +12,7 @@
 use crate::state::Front;
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::UdpSocket;
 use trouttrack_core::membership::{Conditions, Revision};
 
@@ -102,6 +103,7 @@
     let (name, domain) = (&digest.name, &digest.failure_domain);
     front.scheduler.record_peer_uses(name, domain, &digest.uses);
     front.record_peer_conditions(name, domain, conditions);
+    follow::receive_departures(front, name, &conditions.departures);
     if *domain != front.failure_domain && !heartbeat.domain_uses.is_empty() {
         front
             .scheduler
@@ -111,6 +113,10 @@
     if heartbeat.upstreams_revision > Revision::default() {
         front.note_store_epoch(heartbeat.upstreams_revision.epoch);
     }
+    if let Some(store_ms) = heartbeat.store_ms {
+        let age = Duration::from_millis(store_ms);
+        front.upstreams.store_answered_peer(age);
+    }
     confirm::receive_heartbeat(front, heartbeat);
     follow::receive_limits(front, name, &heartbeat.limits);
     follow::apply_evacuations(front, &heartbeat.evacuations, UpdateSource::Peer(name));
@@ -126,8 +132,9 @@
 
 /// Updates a peer's upstream usage. Usage from a peer without a prior heartbeat is ignored,
 /// since its failure domain is unknown, as is usage older than what was last received.
-fn handle_load(front: &Front, load: &Load, conditions: &Conditions) {
+fn handle_load(front: &Rc<Front>, load: &Load, conditions: &Conditions) {
     follow::receive_limits(front, &load.name, &load.limits);
+    follow::receive_departures(front, &load.name, &conditions.departures);
     let received = front
         .peers
         .receive_load(front.clock.now(), load, conditions);
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -314,7 +314,8 @@
             .and_then(|bytes| postcard::to_extend(conditions, bytes))
             .and_then(|bytes| postcard::to_extend(&conditions.paths_lost, bytes))
             .and_then(|bytes| match (is_news, contexts.is_empty()) {
-                (false, true) => Ok(bytes),
+                (false, true) if conditions.departures.is_empty() => Ok(bytes),
+                (false, true) => postcard::to_extend(&conditions.departures, bytes),
                 (true, _) => postcard::to_extend(&versions, bytes)
                     .and_then(|bytes| postcard::to_extend(&removals, bytes)),
                 (false, false) => postcard::to_extend(&contexts, bytes),
@@ -335,6 +336,7 @@
     let (mut datagram, rest) = postcard::take_from_bytes(payload).ok()?;
     let (conditions, rest) = postcard::take_from_bytes::<Conditions>(rest).unwrap_or_default();
     let (paths_lost, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+    let mut departures = Vec::new();
     match &mut datagram {
         Datagram::News(update, _) => {
             let (versions, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
@@ -347,10 +349,11 @@
                 record.context = context;
             }
         }
-        _ => {}
+        _ => departures = postcard::from_bytes(rest).unwrap_or_default(),
     }
     let conditions = Conditions {
         paths_lost,
+        departures,
         ..conditions
     };
     Some((datagram, conditions))
--- a/trouttrack_front/src/state/mod.rs
+++ b/trouttrack_front/src/state/mod.rs
@@ -10,6 +10,7 @@
 mod origins;
 mod quarantine;
 mod reachability;
+mod removals;
 mod routing;
 mod scheduler;
 mod store_contact;
--- a/trouttrack_front/src/state/upstreams.rs
+++ b/trouttrack_front/src/state/upstreams.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use trouttrack_core::fleet::{RouteTable, ServiceSpec};
-use trouttrack_core::membership::{Entries, KnownRevisions, Removal, Revision};
+use trouttrack_core::membership::{DepartureWords, Entries, KnownRevisions, Removal, Revision};
 use trouttrack_core::rescue::Departure;
 use trouttrack_core::upstream::{Incarnation, UpstreamSpec};
 use trouttrack_core::{ServiceId, SoftwareVersion, Time, UpstreamId};
@@ -37,9 +37,11 @@
     by_id: RefCell<HashMap<UpstreamId, Rc<Upstream>>>,
     /// The upstream that was listed last with an address.
     by_addr: RefCell<HashMap<SocketAddr, UpstreamId>>,
-    entries: RefCell<Entries>,
+    pub(super) entries: RefCell<Entries>,
     /// Removed upstreams, and listed entries whose removal was undone by a restore of the store.
-    deferred: RefCell<DeferredEntries>,
+    pub(super) deferred: RefCell<DeferredEntries>,
+    /// What VMs tell each other about upstreams that leave.
+    pub(super) departure_words: RefCell<DepartureWords>,
     listed: Cell<bool>,
     /// Store revisions up to which the entries are known.
     known: RefCell<KnownRevisions>,
@@ -63,6 +65,7 @@
             by_addr: RefCell::default(),
             entries: RefCell::default(),
             deferred: RefCell::default(),
+            departure_words: RefCell::default(),
             listed: Cell::new(false),
             known: RefCell::default(),
             store_at: Cell::default(),
@@ -314,33 +317,6 @@
         Departure::from_notice(self.clock.now())
     }
 
-    /// Handles the removal of an entry, and what it means to the VM that read it from the store,
-    /// if that knows. Returns the upstream if it is removed from the table now rather than kept as
-    /// lapsed.
-    pub fn removed(&self, id: &str, meaning: Option<Removal>) -> Option<Rc<Upstream>> {
-        self.deferred.borrow_mut().remove(id);
-        let now = self.clock.now();
-        let mut entries = self.entries.borrow_mut();
-        let was_lapsed = entries.is_lapsed(id);
-        let gone = entries.removed(now, id, meaning);
-        if !was_lapsed && entries.is_lapsed(id) {
-            let judged_by = match meaning {
-                Some(_) => "reader",
-                None => "this VM",
-            };
-            record!(
-                events::ENTRY_LAPSED,
-                upstream = id,
-                judged_by = judged_by,
-                left_ms = entries
-                    .lapse_left(now, id)
-                    .map(|left| left.as_millis() as u64),
-            );
-        }
-        drop(entries);
-        if gone { self.remove_known(id) } else { None }
-    }
-
     /// Removes an upstream whose entry cannot be parsed. An invalid entry does not confirm that
     /// the upstream is alive, so it is removed at once, even during an outage of the store.
     /// Returns it if it was known.
@@ -380,7 +356,7 @@
         gone.iter().filter_map(|id| self.remove_known(id)).collect()
     }
 
-    fn remove_known(&self, id: &str) -> Option<Rc<Upstream>> {
+    pub(super) fn remove_known(&self, id: &str) -> Option<Rc<Upstream>> {
         let upstream = self.by_id.borrow_mut().remove(id)?;
         remove_addr(&mut self.by_addr.borrow_mut(), &upstream);
         self.uncount(&upstream);
@@ -420,6 +396,12 @@
         entries.answered(now, longest, is_peer_served);
     }
 
+    /// Records that the store answered a peer so long ago.
+    pub fn store_answered_peer(&self, age: Duration) {
+        let at = self.clock.now().saturating_sub(age);
+        self.entries.borrow_mut().served(at);
+    }
+
     /// Records the services for which all rows were rebuilt.
     pub fn set_rows_for(&self, services: &[ServiceSpec]) {
         *self.rows_made_for.borrow_mut() = Some(services.to_vec());
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -6,6 +6,7 @@
 mod compatibility;
 mod config;
 mod crowded;
+mod departure_words;
 mod entries;
 mod evacuation;
 mod event_reader;
