--- a/trouttrack_core/src/membership/conditions.rs
+++ b/trouttrack_core/src/membership/conditions.rs
@@ -1,6 +1,7 @@
 //! Observations that VMs exchange besides their use of upstreams: service rates, reachability,
 //! and demand for services.
 
+use super::departure_words::ReportedDeparture;
 use crate::ServiceId;
 use crate::upstream::{Incarnation, ReportedRate};
 use serde::{Deserialize, Serialize};
@@ -24,9 +25,12 @@
     #[serde(skip)]
     pub paths_lost: bool,
     /// Whether the VM does not yet know which requests are quarantined. Only heartbeats carry it,
-    /// after everything else; VMs of earlier versions never tell it.
+    /// after everything else, and VMs of earlier versions never tell it.
     #[serde(skip)]
     pub quarantine_unknown: bool,
+    /// Upstreams that leave. Encoded after `paths_lost`, for the same reason.
+    #[serde(skip)]
+    pub departures: Vec<ReportedDeparture>,
 }
 
 impl Conditions {
@@ -46,6 +50,7 @@
             && self.reachable.is_empty()
             && !self.paths_lost
             && !self.quarantine_unknown
+            && self.departures.is_empty()
     }
 
     /// Removes the observations of reachability that earlier load updates have carried.
--- a/trouttrack_core/src/world/conditions.rs
+++ b/trouttrack_core/src/world/conditions.rs
@@ -16,6 +16,7 @@
             reachable: self.reachable_to_report(now),
             paths_lost: false,
             quarantine_unknown: false,
+            departures: Vec::new(),
         }
     }
 
--- a/trouttrack_front/src/peers/heartbeat.rs
+++ b/trouttrack_front/src/peers/heartbeat.rs
@@ -146,6 +146,7 @@
     let mut conditions = front.scheduler.conditions();
     conditions.quarantine_unknown = !front.quarantine.is_known();
     conditions.paths_lost = front.paths.are_all_lost();
+    conditions.departures = front.upstreams.departure_words();
     if conditions.paths_lost {
         conditions.unreachable.clear();
     }
@@ -181,7 +182,10 @@
 /// The latter would otherwise learn of requests from this VM only by heartbeats, after their
 /// prompts have been loaded.
 fn send_load(front: &Front, socket: &UdpSocket) {
-    let to_all = !is_large(front);
+    let mut conditions = own_conditions(front);
+    conditions.departures = front.upstreams.take_departure_news();
+    // Any VM may be the one that goes on using such an upstream.
+    let to_all = !is_large(front) || !conditions.departures.is_empty();
     let uses = front.scheduler.local_uses();
     let limits = front.scheduler.limits(Some(CHANGED_LIMIT_REPEAT_PERIOD));
     let domains = domains_of(front, &uses, &limits);
@@ -198,7 +202,6 @@
         uses,
         limits,
     };
-    let mut conditions = own_conditions(front);
     conditions.retain_new_reachability();
     post_with(socket, &Datagram::Load(load), &conditions, receivers);
 }
--- a/trouttrack_front/src/peers/message.rs
+++ b/trouttrack_front/src/peers/message.rs
@@ -325,10 +325,7 @@
             .and_then(|bytes| postcard::to_extend(conditions, bytes))
             .and_then(|bytes| postcard::to_extend(&conditions.paths_lost, bytes))
             .and_then(|bytes| match (is_news, contexts.is_empty()) {
-                (false, true) if matches!(datagram, Datagram::Heartbeat(_)) => {
-                    postcard::to_extend(&conditions.quarantine_unknown, bytes)
-                }
-                (false, true) => Ok(bytes),
+                (false, true) => encode_later_conditions(conditions, bytes),
                 (true, _) => postcard::to_extend(&versions, bytes)
                     .and_then(|bytes| postcard::to_extend(&removals, bytes)),
                 (false, false) => postcard::to_extend(&contexts, bytes),
@@ -339,6 +336,15 @@
         .ok()
 }
 
+/// Appends the conditions that were added last, if there are any.
+fn encode_later_conditions(conditions: &Conditions, bytes: Vec<u8>) -> postcard::Result<Vec<u8>> {
+    if conditions.departures.is_empty() && !conditions.quarantine_unknown {
+        return Ok(bytes);
+    }
+    let bytes = postcard::to_extend(&conditions.departures, bytes)?;
+    postcard::to_extend(&conditions.quarantine_unknown, bytes)
+}
+
 /// Decodes a datagram and its sender's conditions; `None` if the datagram has another format
 /// version or is malformed. What is missing or malformed after it counts as empty.
 pub(super) fn decode(bytes: &[u8]) -> Option<(Datagram, Conditions)> {
@@ -349,11 +355,8 @@
     let (mut datagram, rest) = postcard::take_from_bytes(payload).ok()?;
     let (conditions, rest) = postcard::take_from_bytes::<Conditions>(rest).unwrap_or_default();
     let (paths_lost, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
-    let mut quarantine_unknown = false;
+    let (mut departures, mut quarantine_unknown) = (Vec::new(), false);
     match &mut datagram {
-        Datagram::Heartbeat(_) => {
-            quarantine_unknown = postcard::from_bytes(rest).unwrap_or_default();
-        }
         Datagram::News(update, _) => {
             let (versions, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
             update.set_versions(versions);
@@ -366,11 +369,16 @@
                 record.context = context;
             }
         }
-        _ => {}
+        _ => {
+            let (reported, rest) = postcard::take_from_bytes(rest).unwrap_or_default();
+            departures = reported;
+            quarantine_unknown = postcard::from_bytes(rest).unwrap_or_default();
+        }
     }
     let conditions = Conditions {
         paths_lost,
         quarantine_unknown,
+        departures,
         ..conditions
     };
     Some((datagram, conditions))
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -7,6 +7,7 @@
 mod compatibility;
 mod config;
 mod crowded;
+mod departure_words;
 mod endless;
 mod endless_callers;
 mod entries;
