--- a/trouttrack_http/tests/http/endless.rs
+++ b/trouttrack_http/tests/http/endless.rs
@@ -111,18 +111,24 @@
 }
 
 fn write_without_end(mut stream: std::net::TcpStream, answer: Endless, written: &AtomicU64) {
+    let mut req = [0; 4096];
+    if matches!(stream.read(&mut req), Ok(read) if read > 0) {
+        write_repeatedly(stream, answer, written);
+    }
+}
+
+fn write_repeatedly(mut stream: std::net::TcpStream, answer: Endless, written: &AtomicU64) {
     let socket = SockRef::from(&stream);
     socket
         .set_send_buffer_size(KERNEL_BUFFER)
         .expect("an option");
-    let mut req = [0; 4096];
-    if !matches!(stream.read(&mut req), Ok(read) if read > 0) {
-        return;
-    }
     let block = answer
         .repeated
         .repeat(KERNEL_BUFFER / answer.repeated.len());
     let mut left = answer.once.as_bytes();
+    if left.is_empty() {
+        left = block.as_bytes();
+    }
     while let Ok(n) = stream.write(left) {
         written.fetch_add(n as u64, Ordering::Relaxed);
         left = &left[n..];
@@ -322,3 +328,24 @@
     let bytes = written.load(Ordering::Relaxed);
     assert!(bytes <= most as u64, "{bytes} of {most} bytes");
 }
+
+/// Guards against a peer that writes without end on a connection that only asked whether it is
+/// there.
+#[actix_rt::test]
+async fn bytes_on_a_probe_cost_bounded_bytes() {
+    const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    for repeated in [WHOLE, "x"] {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let written = Arc::new(AtomicU64::new(0));
+        let counted = Arc::clone(&written);
+        std::thread::spawn(move || {
+            let (stream, _) = listener.accept().expect("a connection");
+            write_repeatedly(stream, endless("bytes", "", repeated), &counted);
+        });
+        let client = client();
+        let presence = client.probe(addr).await.expect("a connection");
+        assert!(!presence.lasts(PATIENCE).await, "{repeated}");
+        assert_closed_early(repeated, &client, &written).await;
+    }
+}
