Bound how long a request to a leaving upstream may be on its way

A request that still waits for its answer, and that a partition holds up, was delivered when the partition ended, up to nine seconds later, also where its upstream had announced its departure meanwhile: only what had been given up was reset.

Cause: the bound on unacknowledged bytes of a connection is made for paths that come back, and did not change with what is known of the upstream.

Change: when a departure becomes known, `Client::limit_unacknowledged` sets `TCP_USER_TIMEOUT` to a second on the connections to that upstream with an unanswered request. The system then resets those whose bytes have been on their way for longer, instead of sending them again; what the upstream has received is not affected, and the bound is lifted once it answers.

Remains: a request that is relayed is held up at the relaying VM, which does not limit it.

--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -20,6 +20,9 @@
 use trouttrack_platform::{Change, EntryError, Kind, Object, UpstreamEntry};
 use trouttrack_telemetry::{events, record};
 
+/// How long a request to an upstream that leaves may be on its way. What takes longer is held up by
+/// the network, and would arrive when the upstream must get nothing any more.
+const MAX_IN_FLIGHT: Duration = Duration::from_secs(1);
 /// Longest interval between two checks for lapsed entries that can no longer come back.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -399,6 +402,9 @@
 fn start_departure(front: &Rc<Front>, upstream: &Rc<Upstream>) {
     front.scheduler.set_leaving(&upstream.id);
     front.http.forget(upstream.addr);
+    front
+        .http
+        .limit_unacknowledged(upstream.addr, MAX_IN_FLIGHT);
     // Reports are billed calls and are only useful if this VM has generations there.
     if front.scheduler.uses(&upstream.id) {
         actix_rt::spawn(rescue::observe(Rc::clone(front), Rc::clone(upstream)));
--- a/trouttrack_http/src/answer.rs
+++ b/trouttrack_http/src/answer.rs
@@ -131,7 +131,7 @@
     /// the connection is closed as if there were none.
     pub fn distrust(&mut self) {
         if let Some(r) = self.returns.take() {
-            r.channel.answered.revoke();
+            r.channel.control.revoke_answer();
         }
     }
 
--- a/trouttrack_http/src/client.rs
+++ b/trouttrack_http/src/client.rs
@@ -4,7 +4,7 @@
 use crate::connect::{Connect, DeadConnections, Direct, Path};
 use crate::error::{SendError, SendErrorKind};
 use crate::pool::{Channel, Pool};
-use crate::stream::RequestStream;
+use crate::stream::{RequestStream, WeakControl};
 use bytes::Bytes;
 use http::Request;
 use http::response::Parts;
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::fmt::Display;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -110,6 +111,7 @@
                 pool: Rc::new(RefCell::new(Pool::new(self.idle_per_peer))),
                 read_buffer: self.read_buffer,
                 opened: Cell::new(0),
+                open: RefCell::default(),
             }),
         }
     }
@@ -121,6 +123,17 @@
     pool: Rc<RefCell<Pool>>,
     read_buffer: Option<usize>,
     opened: Cell<u64>,
+    /// Connections that may still be open.
+    open: RefCell<HashMap<SocketAddr, Vec<WeakControl>>>,
+}
+
+impl<C> Shared<C> {
+    fn remember(&self, peer: SocketAddr, control: WeakControl) {
+        let mut open = self.open.borrow_mut();
+        let open = open.entry(peer).or_default();
+        open.retain(|c| !c.is_closed());
+        open.push(control);
+    }
 }
 
 /// Sends requests and keeps connections. Clones share the connections.
@@ -229,7 +242,8 @@
         }
         let not = |detail: &dyn Display| SendError::new(SendErrorKind::NotConnected, peer, detail);
         let stream = RequestStream::new(connected.stream).map_err(|e| not(&e))?;
-        let answered = stream.answered();
+        let control = stream.control();
+        self.shared.remember(peer, control.downgrade());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|e| not(&e))?;
         self.shared.opened.set(self.shared.opened.get() + 1);
@@ -241,7 +255,7 @@
         };
         Ok(Channel {
             sender,
-            answered,
+            control,
             relayed_until,
             shows_end,
         })
@@ -272,6 +286,10 @@
     /// Closes the idle connections that no request may use any more.
     pub fn sweep(&self) {
         self.shared.pool.borrow_mut().sweep();
+        self.shared.open.borrow_mut().retain(|_, open| {
+            open.retain(|c| !c.is_closed());
+            !open.is_empty()
+        });
     }
 
     /// Closes every idle connection to a peer.
@@ -279,6 +297,15 @@
         self.shared.pool.borrow_mut().forget(peer);
     }
 
+    /// Resets connections to a peer once bytes of an unanswered request have been unacknowledged
+    /// for so long; the request counts as lost. Requests that the peer has received are not
+    /// affected.
+    pub fn limit_unacknowledged(&self, peer: SocketAddr, limit: Duration) {
+        if let Some(open) = self.shared.open.borrow().get(&peer) {
+            open.iter().for_each(|c| c.limit_unacknowledged(limit));
+        }
+    }
+
     /// Changes the most idle connections that are kept to one peer.
     pub fn set_idle_per_peer(&self, most: usize) {
         self.shared.pool.borrow_mut().set_per_peer(most);
--- a/trouttrack_http/src/pool.rs
+++ b/trouttrack_http/src/pool.rs
@@ -1,6 +1,6 @@
 //! Idle connections, by peer.
 
-use crate::stream::Answered;
+use crate::stream::Control;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
@@ -14,8 +14,7 @@
 #[derive(Debug)]
 pub(crate) struct Channel {
     pub(crate) sender: Sender,
-    /// Whether the peer has answered the last request.
-    pub(crate) answered: Answered,
+    pub(crate) control: Control,
     /// Until when it may be used again, if it is relayed.
     pub(crate) relayed_until: Option<Instant>,
     /// Whether its end in order is the peer's.
--- a/trouttrack_http/src/socket.rs
+++ b/trouttrack_http/src/socket.rs
@@ -35,6 +35,17 @@
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
 }
 
+/// Sets how long written bytes may stay unacknowledged; `None` stands for the time of
+/// [`set_options`].
+///
+/// # Errors
+///
+/// The system refuses the option.
+pub fn set_unacknowledged(stream: &TcpStream, longest: Option<Duration>) -> io::Result<()> {
+    let longest = longest.unwrap_or(UNACKNOWLEDGED);
+    SockRef::from(stream).set_tcp_user_timeout(Some(longest))
+}
+
 /// Sets whether closing a connection resets it, also when its process is killed. What the peer has
 /// not acknowledged by then is lost.
 ///
--- a/trouttrack_http/src/stream.rs
+++ b/trouttrack_http/src/stream.rs
@@ -1,22 +1,63 @@
 //! Connections that carry requests.
 
-use crate::socket::set_reset_on_close;
-use std::cell::Cell;
+use crate::socket::{set_reset_on_close, set_unacknowledged};
+use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Whether the peer has answered what was written to a connection. Clones share the state.
+/// What the owner of a connection and the task that carries its bytes share.
+#[derive(Debug)]
+struct State {
+    /// Whether the peer has answered what was written.
+    answered: Cell<bool>,
+    /// How long written bytes may stay unacknowledged, until it is applied.
+    limit: Cell<Option<Duration>>,
+    /// Whether a limit has been applied.
+    limited: Cell<bool>,
+    /// Wakes the task.
+    waker: RefCell<Option<Waker>>,
+}
+
+/// A connection that others may ask to end. Clones share the state.
 #[derive(Clone, Debug)]
-pub(crate) struct Answered(Rc<Cell<bool>>);
+pub(crate) struct Control(Rc<State>);
 
-impl Answered {
+impl Control {
     /// Records that what was read answers an earlier request.
-    pub(crate) fn revoke(&self) {
-        self.0.set(false);
+    pub(crate) fn revoke_answer(&self) {
+        self.0.answered.set(false);
+    }
+
+    pub(crate) fn downgrade(&self) -> WeakControl {
+        WeakControl(Rc::downgrade(&self.0))
+    }
+}
+
+/// A [`Control`] that does not show whether its connection is still there.
+#[derive(Clone, Debug)]
+pub(crate) struct WeakControl(Weak<State>);
+
+impl WeakControl {
+    pub(crate) fn is_closed(&self) -> bool {
+        self.0.strong_count() == 0
+    }
+
+    /// Resets the connection once bytes of an unanswered request have been unacknowledged for so
+    /// long.
+    pub(crate) fn limit_unacknowledged(&self, limit: Duration) {
+        let state = self.0.upgrade();
+        let Some(state) = state.filter(|state| !state.answered.get()) else {
+            return;
+        };
+        state.limit.set(Some(limit));
+        if let Some(waker) = state.waker.take() {
+            waker.wake();
+        }
     }
 }
 
@@ -49,7 +90,7 @@
 #[derive(Debug)]
 pub struct RequestStream {
     stream: TcpStream,
-    answered: Answered,
+    state: Rc<State>,
 }
 
 impl RequestStream {
@@ -63,21 +104,49 @@
         set_reset_on_close(&stream, true)?;
         Ok(Self {
             stream,
-            answered: Answered(Rc::new(Cell::new(true))),
+            state: Rc::new(State {
+                answered: Cell::new(true),
+                limit: Cell::new(None),
+                limited: Cell::new(false),
+                waker: RefCell::new(None),
+            }),
         })
     }
 
-    pub(crate) fn answered(&self) -> Answered {
-        self.answered.clone()
+    pub(crate) fn control(&self) -> Control {
+        Control(Rc::clone(&self.state))
     }
 
     fn is_answered(&self) -> bool {
-        self.answered.0.get()
+        self.state.answered.get()
+    }
+
+    fn record_read(&self) {
+        self.state.answered.set(true);
+        if self.state.limited.take() {
+            // Where this fails, the limit stays.
+            drop(set_unacknowledged(&self.stream, None));
+        }
+    }
+
+    fn apply_limit(&self) {
+        let limit = self.state.limit.take();
+        if let Some(limit) = limit.filter(|_| !self.is_answered()) {
+            let applied = set_unacknowledged(&self.stream, Some(limit));
+            self.state.limited.set(applied.is_ok());
+        }
+    }
+
+    fn keep_waker(&self, cx: &Context<'_>) {
+        let mut kept = self.state.waker.borrow_mut();
+        if !kept.as_ref().is_some_and(|kept| kept.will_wake(cx.waker())) {
+            *kept = Some(cx.waker().clone());
+        }
     }
 
     fn record_written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(written, Poll::Ready(Ok(bytes)) if bytes > 0) {
-            self.answered.0.set(false);
+            self.state.answered.set(false);
         }
         written
     }
@@ -98,10 +167,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.keep_waker(cx);
+        self.apply_limit();
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         if buf.filled().len() > before {
-            self.answered.0.set(true);
+            self.record_read();
         }
         Poll::Ready(Ok(()))
     }
--- a/trouttrack_http/tests/http/given_up.rs
+++ b/trouttrack_http/tests/http/given_up.rs
@@ -8,12 +8,14 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use trouttrack_http::{Client, RequestStream, Reuse};
+use trouttrack_http::{Client, RequestStream, Reuse, SendErrorKind};
 
 /// More than the buffers of both ends of a connection hold.
 const LARGE: usize = 32 << 20;
 /// Long enough that whatever the buffers hold has been written.
 const GIVEN_UP_AFTER: Duration = Duration::from_millis(300);
+/// Longer than a limit, and than the system waits before it sends for the second time.
+const PARTITIONED_FOR: Duration = Duration::from_millis(700);
 /// Longer than the system waits before it sends again what was sent so long ago.
 const SENT_AGAIN: Duration = Duration::from_secs(3);
 /// The instruction of a packet filter that ends it.
@@ -105,6 +107,49 @@
     assert!(!matches!(arrived, Ok((1.., _))), "{arrived:?}");
 }
 
+/// Guards against a request that still waits for its answer and arrives after a partition at an
+/// upstream that has announced its departure meanwhile.
+#[actix_rt::test]
+async fn a_limited_request_held_up_by_a_partition_does_not_arrive_after_its_end() {
+    let (listener, addr) = listen().await;
+    let client = Client::builder().build();
+    let mut stream = kept_connection(&client, &listener, addr).await;
+    let partition = SockRef::from(&stream).try_clone().expect("a copy");
+    let drop_all = [SockFilter::new(RETURN, 0, 0, 0)];
+    partition.attach_filter(&drop_all).expect("a filter");
+    let sender = client.clone();
+    let sending =
+        actix_rt::spawn(async move { sender.send(addr, request(0), Reuse::Any).await.map(drop) });
+    tokio::time::sleep(GIVEN_UP_AFTER).await;
+    client.limit_unacknowledged(addr, GIVEN_UP_AFTER);
+    tokio::time::sleep(PARTITIONED_FOR).await;
+    partition.detach_filter().expect("the filter");
+    let mut buf = [0; 64];
+    let arrived = tokio::time::timeout(SENT_AGAIN, stream.read(&mut buf)).await;
+    assert!(!matches!(arrived, Ok(Ok(1..))), "{arrived:?}");
+    let lost = sending.await.expect("an outcome").expect_err("no answer");
+    assert_eq!(lost.kind, SendErrorKind::Lost);
+}
+
+/// Guards against the loss of a request that its upstream has received, because that is about to
+/// leave.
+#[actix_rt::test]
+async fn a_limited_request_that_has_arrived_is_answered() {
+    let (listener, addr) = listen().await;
+    let client = Client::builder().build();
+    let (answer, _stream) = tokio::join!(client.send(addr, request(0), Reuse::Any), async {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        read_request(&mut stream).await;
+        client.limit_unacknowledged(addr, GIVEN_UP_AFTER);
+        tokio::time::sleep(SENT_AGAIN).await;
+        stream.write_all(HEAD).await.expect("written");
+        stream.write_all(b"done").await.expect("written");
+        stream
+    });
+    let body = answer.expect("an answer").body.whole(100).await;
+    assert_eq!(body.expect("a body").as_deref(), Some(&b"done"[..]));
+}
+
 /// Guards against a request on a kept connection that is delivered after it was given up.
 #[actix_rt::test]
 async fn a_request_given_up_on_a_kept_connection_resets_it() {
