--- a/trouttrack_http/src/client.rs
+++ b/trouttrack_http/src/client.rs
@@ -5,7 +5,7 @@
 use crate::error::{SendError, SendErrorKind};
 use crate::limit::{self, AnswerBudget, Limited};
 use crate::pool::{Channel, Pool};
-use crate::stream::RequestStream;
+use crate::stream::{RequestStream, WeakControl};
 use bytes::Bytes;
 use http::Request;
 use http::response::Parts;
@@ -14,6 +14,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::fmt::Display;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -113,6 +114,7 @@
                 pool: Rc::new(RefCell::new(Pool::new(self.idle_per_peer))),
                 read_buffer: self.read_buffer,
                 opened: Cell::new(0),
+                open: RefCell::default(),
             }),
         }
     }
@@ -124,6 +126,17 @@
     pool: Rc<RefCell<Pool>>,
     read_buffer: usize,
     opened: Cell<u64>,
+    /// Connections that may still be open.
+    open: RefCell<HashMap<SocketAddr, Vec<WeakControl>>>,
+}
+
+impl<C> Shared<C> {
+    fn remember(&self, peer: SocketAddr, control: WeakControl) {
+        let mut open = self.open.borrow_mut();
+        let open = open.entry(peer).or_default();
+        open.retain(|c| !c.is_closed());
+        open.push(control);
+    }
 }
 
 /// Sends requests and keeps connections. Clones share the connections.
@@ -230,7 +243,8 @@
         builder.max_buf_size(self.shared.read_buffer);
         let not = |detail: &dyn Display| SendError::new(SendErrorKind::NotConnected, peer, detail);
         let stream = RequestStream::new(connected.stream).map_err(|e| not(&e))?;
-        let answered = stream.answered();
+        let control = stream.control();
+        self.shared.remember(peer, control.downgrade());
         let budget = AnswerBudget::new(self.shared.read_buffer);
         let limited = Limited::new(stream, budget.clone());
         let handshake = builder.handshake(TokioIo::new(limited)).await;
@@ -245,7 +259,7 @@
         Ok(Channel {
             sender,
             budget,
-            answered,
+            control,
             relayed_until,
             shows_end,
         })
@@ -276,6 +290,10 @@
     /// Closes the idle connections that no request may use any more.
     pub fn sweep(&self) {
         self.shared.pool.borrow_mut().sweep();
+        self.shared.open.borrow_mut().retain(|_, open| {
+            open.retain(|c| !c.is_closed());
+            !open.is_empty()
+        });
     }
 
     /// Closes every idle connection to a peer.
@@ -283,6 +301,15 @@
         self.shared.pool.borrow_mut().forget(peer);
     }
 
+    /// Resets connections to a peer once bytes of an unanswered request have been unacknowledged
+    /// for so long; the request counts as lost. Requests that the peer has received are not
+    /// affected.
+    pub fn limit_unacknowledged(&self, peer: SocketAddr, limit: Duration) {
+        if let Some(open) = self.shared.open.borrow().get(&peer) {
+            open.iter().for_each(|c| c.limit_unacknowledged(limit));
+        }
+    }
+
     /// Changes the most idle connections that are kept to one peer.
     pub fn set_idle_per_peer(&self, most: usize) {
         self.shared.pool.borrow_mut().set_per_peer(most);
--- a/trouttrack_http/src/pool.rs
+++ b/trouttrack_http/src/pool.rs
@@ -1,7 +1,7 @@
 //! Idle connections, by peer.
 
 use crate::limit::AnswerBudget;
-use crate::stream::Answered;
+use crate::stream::Control;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
@@ -17,8 +17,7 @@
     pub(crate) sender: Sender,
     /// Bounds the bytes of its current answer.
     pub(crate) budget: AnswerBudget,
-    /// Whether the peer has answered the last request.
-    pub(crate) answered: Answered,
+    pub(crate) control: Control,
     /// Until when it may be used again, if it is relayed.
     pub(crate) relayed_until: Option<Instant>,
     /// Whether its end in order is the peer's.
