--- a/trouttrack_front/tests/front/versions.rs
+++ b/trouttrack_front/tests/front/versions.rs
@@ -341,14 +341,13 @@
         // Longer than a stream takes.
         bed.store.set_create_takes(Duration::from_millis(350));
         bed.store.put_upstream(&upstream, false);
-        bed.upstreams = vec![upstream];
+        let replaced = std::mem::replace(&mut bed.upstreams, vec![upstream]);
         until("the upstream is known", || knows_all(&bed, &bed.front)).await;
         until("the one before is gone", || {
-            bed.front
-                .front
-                .upstreams
-                .get(&format!("u{}", n - 1))
-                .is_none()
+            let known = &bed.front.front.upstreams;
+            replaced
+                .iter()
+                .all(|before| known.get(&before.id).is_none())
         })
         .await;
         assert!(bed.send(&long(&version, "resume")).await.whole);
