Tests of a restored store: more requests find each upstream

an_upstream_whose_entry_was_lost_is_used_until_it_is_rewritten failed at 2 of 24 runs beside a release build: twelve requests among three upstreams miss one of them at (2/3)^12 = 0.8 % by chance, twice a run. Sixty miss it at 3e-11; where none may arrive, sixty are stricter.

--- a/trouttrack_front/tests/front/store_restored.rs
+++ b/trouttrack_front/tests/front/store_restored.rs
@@ -18,7 +18,7 @@
 /// three kinds, writes its entry and confirms the configuration.
 const MAX_CALLS_PER_SECOND: u64 = 30;
 /// Enough requests that each of two upstreams in use gets some.
-const REQUESTS: usize = 12;
+const REQUESTS: usize = 60;
 
 fn is_leaving(front: &Front, id: &str) -> bool {
     front.upstreams.get(id).is_some_and(|u| u.is_leaving())
