Refuse returns at once while the store is silent; words for who knew a stream

A return that must be concluded was held until the read of the records failed, 60 ms to a second, where it is known that nobody hears from the store. The log field of taken-up is by_vm: a record is what the store keeps.

--- a/trouttrack_core/src/versions/search.rs
+++ b/trouttrack_core/src/versions/search.rs
@@ -82,7 +82,7 @@
 
     /// Whether a VM knew the stream.
     #[must_use]
-    pub fn is_recorded(&self) -> bool {
+    pub fn is_known(&self) -> bool {
         self.found.is_some()
     }
 
--- a/trouttrack_front/src/follow/versions.rs
+++ b/trouttrack_front/src/follow/versions.rs
@@ -252,6 +252,9 @@
 /// that cannot be read. They are those of all services, because routes are moved between services.
 /// Callers that wait at the same time share a call.
 pub(crate) async fn recorded_versions(front: &Front) -> Option<HashSet<OriginId>> {
+    if front.store_is_silent() {
+        return None;
+    }
     let asked_at = front.clock.now();
     let mut latest = front.version_read.lock().await;
     if latest.began.is_none_or(|began| began < asked_at) {
--- a/trouttrack_front/src/peers/origins.rs
+++ b/trouttrack_front/src/peers/origins.rs
@@ -2,8 +2,7 @@
 //!
 //! A caller that lost its connection returns to any VM, often because the one that it asked before
 //! has ended. Each stream whose caller may return is therefore told to a few VMs as it begins. A VM
-//! to which a caller returns asks these VMs and others of the fleet, and if none of them knows the
-//! stream, reads from the store which versions have served.
+//! to which a caller returns asks these VMs, and if none of them knows the stream, reads from the store which versions have served.
 
 use super::message::{Datagram, OriginQuestion};
 use super::post::{post, post_to_all};
@@ -70,8 +69,9 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FoundOrigin {
     pub(crate) resolution: Resolution,
-    /// Whether a VM knew the stream itself, and did not conclude from the versions that served.
-    pub(crate) by_record: bool,
+    /// Whether a VM knew the stream, so that nothing had to be concluded from the versions that
+    /// served.
+    pub(crate) by_vm: bool,
     /// VMs that were asked, and those of them that answered.
     pub(crate) asked: usize,
     pub(crate) answered: usize,
@@ -88,7 +88,7 @@
     if let Some(origin) = own.origin {
         return FoundOrigin {
             resolution: Resolution::Known(origin),
-            by_record: true,
+            by_vm: true,
             asked: 0,
             answered: 0,
         };
@@ -99,7 +99,7 @@
     let mut search = OriginSearch::new(own.served, asked);
     let found = |search: &OriginSearch, unanswered: usize| FoundOrigin {
         resolution: search.resolution(),
-        by_record: search.is_recorded(),
+        by_vm: search.is_known(),
         asked,
         answered: asked - unanswered,
     };
--- a/trouttrack_front/src/request/stream/resume.rs
+++ b/trouttrack_front/src/request/stream/resume.rs
@@ -76,7 +76,7 @@
         last_event = admitted.head.last_event.as_deref(),
         result = result,
         version = version,
-        by_record = found.by_record,
+        by_vm = found.by_vm,
         asked = found.asked,
         answered = found.answered,
         up_ms = front.clock.now().as_millis() as u64,
