--- a/trouttrack_front/src/follow/upstreams.rs
+++ b/trouttrack_front/src/follow/upstreams.rs
@@ -20,8 +20,7 @@
 use trouttrack_platform::{Change, EntryError, Kind, Object, UpstreamEntry};
 use trouttrack_telemetry::{events, record};
 
-/// How long a request to an upstream that leaves may be on its way. What takes longer is held up by
-/// the network, and would arrive when the upstream must get nothing any more.
+/// How long a request to a leaving upstream may be on its way before the network has held it up.
 const MAX_IN_FLIGHT: Duration = Duration::from_secs(1);
 /// Longest interval between two checks for lapsed entries that can no longer come back.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
--- a/trouttrack_front/tests/front/main.rs
+++ b/trouttrack_front/tests/front/main.rs
@@ -45,4 +45,5 @@
 mod tasks;
 mod turned_away;
 mod unframed;
+mod version_records;
 mod versions;
