Every VM of a large fleet reads the holds, after a random time

Cause: in a fleet of more than 256 VMs a VM that does not watch the store read the holds only if it was drawn, three of a domain each 0.7 s; the others waited until a peer's checksum was the same as theirs, which may never be, as what peers hold changes.

Change: such a VM waits once, for a random time that grows with the fleet (5 ms a VM), in which most learn the holds from peers, then reads them.

The modules large_fleet, prompt_parts, lagging_lists, starts, repeats, budgets and those of versions pass, 69 tests.

--- a/trouttrack_front/src/follow/holds.rs
+++ b/trouttrack_front/src/follow/holds.rs
@@ -6,7 +6,6 @@
 //! ends. Holds are stored next to the VM entries, so that reading them needs no extra call.
 
 use super::backoff::Backoff;
-use super::bootstrap::is_selected_to_call_store;
 use super::confirm::MAX_CONCURRENT_CALLS;
 use super::upstreams::update_readiness;
 use super::vms::pause_after_restore;
@@ -24,8 +23,6 @@
 const WRITER_COUNT: usize = 2;
 /// Wait of a watch that only reads the changes since a list.
 const IMMEDIATE_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
-/// Interval at which the VMs of a large fleet decide at random whether to read those changes.
-const SELECTION_INTERVAL: Duration = Duration::from_millis(700);
 
 /// Writes changes to held requests to the store for as long as the process runs. A restore of the store may
 /// lose written entries and bring removed ones back, so after it all remembered requests are
@@ -125,16 +122,16 @@
 
 /// Restores the holds of a list. At the start, first reads what the list lacks because it lags: a
 /// request that ended upstreams just before all VMs were killed would end as many again. In a large
-/// fleet those that watch the store and a few others read it, and tell the rest. Returns whether they are
-/// known; if not, another list is needed.
+/// fleet those that watch the store read it first; the others wait for a random time, in which most
+/// learn the holds from peers. Returns whether they are known; if not, another list is needed.
 pub(super) async fn learn(front: &Front, mut listed: ListedHolds) -> bool {
     let mut backoff = Backoff::new();
+    let is_large = front.peers.listed() > MAX_CONCURRENT_CALLS;
+    if is_large && !watches_store(front) {
+        // A VM may never agree with its peers, as what they hold changes.
+        pause_after_restore(front).await;
+    }
     while !front.quarantine.is_known() {
-        let is_large = front.peers.listed() > MAX_CONCURRENT_CALLS;
-        if is_large && !watches_store(front) && !is_selected_to_call_store(front) {
-            tokio::time::sleep(SELECTION_INTERVAL).await;
-            continue;
-        }
         let since = listed.oldest.unwrap_or_default();
         let watch = front.store.watch(Kind::Vms, since, IMMEDIATE_WATCH_TIMEOUT);
         match watch.await {
